--- /dev/null
+++ b/internal/net/client.go
@@ -0,0 +1,244 @@
+package net
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"orchidlug/internal/state"
+	"orchidlug/internal/wire/pg"
+	"orchidlug/logic"
+)
+
+const (
+	startupPatience = 10 * time.Second       // a client that says nothing for so long holds a descriptor for nobody
+	lingerFor       = 500 * time.Millisecond // a last word is lost if its connection is closed over unread bytes
+	maxPipelined    = 64                     // queries of one client that may be under way
+)
+
+type phase uint8
+
+const (
+	phaseStartup phase = iota
+	phaseServing
+	phaseLeaving // has had its last word
+	phaseClosed
+)
+
+// client is a connection of a client.
+type client struct {
+	s     *Server
+	conn  netpoll.Connection
+	in    buffer
+	phase phase
+	full  bool // beyond the proxy's limit: it is turned away once it has spoken
+	slots []*slot
+	timer state.Deadline
+}
+
+// slot is a query in its place in the order of answers.
+type slot struct {
+	c      *client
+	id     logic.RequestID
+	answer []byte
+	done   bool
+}
+
+// readable takes in what has come.
+func (c *client) readable() {
+	if err := c.in.fill(c.conn.Reader()); err != nil {
+		c.hangUp()
+		return
+	}
+	c.parse()
+}
+
+// parse takes whole messages out of the buffer, as many as may be under way.
+func (c *client) parse() {
+	for used := 0; ; {
+		n, err := c.next(c.in.bytes[used:])
+		if used += n; err != nil {
+			c.s.front.Counters.Malformed++
+			c.leave(pg.CodeProtocol, err.Error())
+		}
+		if c.phase >= phaseLeaving {
+			used = len(c.in.bytes)
+		}
+		if n == 0 || c.phase >= phaseLeaving {
+			c.in.cut(used)
+			return
+		}
+	}
+}
+
+// next handles the first message of buf and tells its length; 0 = nothing to do yet.
+func (c *client) next(buf []byte) (int, error) {
+	if c.phase == phaseStartup {
+		return c.startup(buf)
+	}
+	if len(c.slots) >= maxPipelined {
+		return 0, nil
+	}
+	m, n, err := pg.Next(buf)
+	if n == 0 || err != nil {
+		return 0, err
+	}
+	switch m.Type {
+	case pg.TypeTerminate:
+		c.hangUp()
+		return n, nil
+	case pg.TypeQuery:
+		text, err := pg.QueryText(m)
+		if err != nil {
+			return n, err
+		}
+		return n, c.query(string(text))
+	}
+	return n, pg.ErrMalformed // simple queries only
+}
+
+func (c *client) startup(buf []byte) (int, error) {
+	o, n, err := pg.NextOpening(buf)
+	if n == 0 || err != nil {
+		return 0, err
+	}
+	switch {
+	case o == pg.OpenEncrypted:
+		c.write(pg.AppendRefuseEncryption(nil))
+	case o == pg.OpenCancel:
+		c.hangUp()
+	case c.full:
+		c.s.front.Counters.TurnedAway++
+		c.leave(pg.CodeTooMany, "too many clients")
+	default:
+		c.phase = phaseServing
+		c.s.deadlines.Clear(&c.timer)
+		c.write(pg.AppendWelcome(nil))
+	}
+	return n, nil
+}
+
+func (c *client) query(text string) error {
+	sl := &slot{c: c}
+	if text == "" {
+		c.slots = append(c.slots, sl)
+		sl.give(pg.AppendEmpty(nil))
+		return nil
+	}
+	st, err := pg.ParseStatement(text)
+	if err != nil {
+		return err
+	}
+	c.slots = append(c.slots, sl)
+	sl.id, err = c.s.front.Take(state.Request{Class: st.Class, Wait: st.Wait, Session: st.Session, Group: st.Group,
+		After: st.After, Retry: st.Retry, Command: &st, Caller: sl})
+	if err != nil {
+		c.slots = c.slots[:len(c.slots)-1]
+	}
+	return err
+}
+
+// Served implements state.Caller.
+func (sl *slot) Served(body []byte) { sl.give(pg.AppendServed(nil, body)) }
+
+// Refused implements state.Caller.
+func (sl *slot) Refused(comeBack time.Duration) { sl.give(pg.AppendRefused(nil, comeBack)) }
+
+// Failed implements state.Caller.
+func (sl *slot) Failed() { sl.give(pg.AppendFailed(nil)) }
+
+// give notes an answer and writes all that are next in order.
+func (sl *slot) give(answer []byte) {
+	c := sl.c
+	sl.done, sl.answer = true, answer
+	n, out := 0, []byte(nil)
+	for ; n < len(c.slots) && c.slots[n].done; n++ {
+		if out == nil {
+			out = c.slots[n].answer
+		} else {
+			out = append(out, c.slots[n].answer...)
+		}
+	}
+	if n == 0 {
+		return
+	}
+	held := len(c.slots) >= maxPipelined
+	c.slots = append(c.slots[:0], c.slots[n:]...)
+	c.write(out)
+	if held { // queries may wait in the buffer for room
+		c.s.loop.Post(c.parse)
+	}
+	if c.s.draining && len(c.slots) == 0 {
+		c.s.loop.Post(c.closeIdle)
+	}
+}
+
+// write sends bytes. The socket's buffer has room for several of the largest answers: only a client that has
+// stopped reading makes a write wait, and it is given up after writePatience.
+func (c *client) write(b []byte) {
+	if c.phase == phaseClosed {
+		return
+	}
+	if _, err := c.conn.Write(b); err != nil {
+		c.hangUp()
+	}
+}
+
+// leave gives the client a last word and lets it read that before the connection closes. The answers that are
+// still due are nobody's: the client broke the protocol, or had asked nothing yet.
+func (c *client) leave(code, text string) {
+	if c.phase >= phaseLeaving {
+		return
+	}
+	c.write(pg.AppendFatal(nil, code, text))
+	if c.phase == phaseClosed {
+		return
+	}
+	c.phase = phaseLeaving
+	c.abandon()
+	c.s.deadlines.Set(&c.timer, c.s.clock.Now()+lingerFor, c.hangUp)
+}
+
+// closeIdle closes a connection that owes nothing.
+func (c *client) closeIdle() {
+	if len(c.slots) == 0 && len(c.in.bytes) == 0 {
+		c.hangUp()
+	}
+}
+
+func (c *client) abandon() {
+	for _, sl := range c.slots {
+		if !sl.done && sl.id != 0 {
+			c.s.front.Abandon(sl.id)
+		}
+	}
+	c.slots = nil
+}
+
+// hangUp closes the connection from this side, closed follows.
+func (c *client) hangUp() {
+	if c.phase == phaseClosed {
+		return
+	}
+	c.closed()
+	c.conn.Close()
+}
+
+// closed forgets the connection; what it has asked is abandoned.
+func (c *client) closed() {
+	if c.phase == phaseClosed {
+		return
+	}
+	c.phase = phaseClosed
+	c.s.deadlines.Clear(&c.timer)
+	c.abandon()
+	delete(c.s.clients, c)
+	if c.full {
+		c.s.excess--
+	}
+	if c.s.atLimit && !c.s.crowded() {
+		c.s.atLimit = false
+		slog.Info("clients are taken again", "clients", len(c.s.clients))
+	}
+}
--- /dev/null
+++ b/internal/net/discovery.go
@@ -0,0 +1,200 @@
+package net
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"orchidlug/internal/state"
+	"orchidlug/internal/wire/discovery"
+	"orchidlug/logic"
+)
+
+const (
+	// The router gives a call up after five seconds: the first one after a Watch waits for no news, so that its
+	// answer comes at once, and fails before that.
+	firstWait    = 50 * time.Millisecond
+	firstPatient = 4500 * time.Millisecond
+	// The calls behind it wait for news. One that stays without an answer is given up, for the service may be cut off.
+	watchWait    = 10 * time.Second
+	watchPatient = watchWait + 2*time.Second
+	dialTimeout  = time.Second
+)
+
+// Discovery asks for the list of databases. It implements state.Watcher.
+type Discovery struct {
+	loop      *Loop
+	clock     state.Clock
+	deadlines *state.Deadlines
+	front     *state.Front
+	address   string
+
+	conn       netpoll.Connection
+	in         buffer
+	out        []byte
+	calling    bool
+	watching   bool
+	first      bool // the call in hand is the first of its watch
+	generation int64
+	timer      state.Deadline
+	turn       int // counts connections; what an earlier one still has to say is void
+}
+
+// NewDiscovery makes the client; generation is that of the list in hand, 0 where there is none.
+func NewDiscovery(loop *Loop, clock state.Clock, front *state.Front, address string, generation int64) *Discovery {
+	return &Discovery{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front, address: address,
+		generation: generation}
+}
+
+// Watch implements state.Watcher.
+func (d *Discovery) Watch(on bool) {
+	d.watching = on
+	if on {
+		d.begin()
+	}
+}
+
+// Fetch implements state.Watcher.
+func (d *Discovery) Fetch() {
+	d.generation = 0
+	d.begin()
+}
+
+// begin starts with a call that is answered at once. One that is under way gives way to it.
+func (d *Discovery) begin() {
+	if d.calling {
+		d.hangUp()
+	}
+	d.first = true
+	d.call()
+}
+
+func (d *Discovery) call() {
+	d.calling = true
+	wait, patient := watchWait, watchPatient
+	if d.first {
+		wait, patient = firstWait, firstPatient
+	}
+	d.out = discovery.AppendRequest(d.out[:0], d.address, d.generation, wait)
+	d.deadlines.Set(&d.timer, d.clock.Now()+patient, func() { d.failed(errors.New("no answer in time")) })
+	if d.conn != nil {
+		d.send()
+		return
+	}
+	d.turn++
+	turn := d.turn
+	connect(d.loop, d.address, dialTimeout, func(conn netpoll.Connection, err error) { d.connected(turn, conn, err) })
+}
+
+func (d *Discovery) connected(turn int, conn netpoll.Connection, err error) {
+	switch {
+	case turn != d.turn:
+		if err == nil {
+			conn.Close()
+		}
+		return
+	case err != nil:
+		d.failed(err)
+		return
+	}
+	d.conn = conn
+	attach(d.loop, conn, func() { d.readable(turn) }, func() { d.lost(turn) })
+	d.send()
+}
+
+func (d *Discovery) send() {
+	if _, err := d.conn.Write(d.out); err != nil {
+		d.loop.Post(func() { d.failed(err) }) // never from within the router's call
+	}
+}
+
+func (d *Discovery) readable(turn int) {
+	if turn != d.turn {
+		return
+	}
+	if err := d.in.fill(d.conn.Reader()); err != nil {
+		d.failed(err)
+		return
+	}
+	r, n, err := discovery.Next(d.in.bytes)
+	switch {
+	case err != nil:
+		d.failed(err)
+	case n > 0 && !d.calling:
+		d.failed(errors.New("an answer without a call"))
+	case n > 0:
+		d.answered(r, n)
+	}
+}
+
+func (d *Discovery) answered(r discovery.Response, n int) {
+	if r.Status != 200 {
+		d.failed(fmt.Errorf("status %d", r.Status))
+		return
+	}
+	l, err := discovery.ParseList(r.Body)
+	if err != nil {
+		d.failed(err)
+		return
+	}
+	d.in.cut(n)
+	d.deadlines.Clear(&d.timer)
+	d.calling, d.generation = false, l.Generation
+	if r.Close {
+		d.hangUp()
+	}
+	d.first = false
+	if d.watching { // the watch goes on if the next call follows closely
+		d.call()
+	}
+	d.front.Listed(ListOf(l))
+}
+
+// ListOf puts a list into the terms of the state.
+func ListOf(l discovery.List) state.List {
+	out := state.List{Kind: logic.ListDelta}
+	if l.Whole {
+		out.Kind = logic.ListFull
+	}
+	for _, e := range l.Instances {
+		s := logic.Ready
+		switch e.Lifecycle {
+		case discovery.Terminating:
+			s = logic.Draining
+		case discovery.Terminated:
+			s = logic.Gone
+		}
+		out.Entries = append(out.Entries, state.Entry{Name: e.ID, Address: e.Address, Zone: e.Zone, Group: e.Group,
+			State: s, Size: e.Weight, Started: time.Duration(e.StartedMs) * time.Millisecond})
+	}
+	return out
+}
+
+func (d *Discovery) lost(turn int) {
+	if turn == d.turn && d.conn != nil {
+		d.failed(errors.New("connection lost"))
+	}
+}
+
+// failed ends a watch; the router asks again when it sees fit.
+func (d *Discovery) failed(err error) {
+	was := d.calling
+	d.hangUp()
+	if was {
+		d.front.ListFailed(err)
+	}
+}
+
+func (d *Discovery) hangUp() {
+	d.calling = false
+	d.deadlines.Clear(&d.timer)
+	d.in.cut(len(d.in.bytes))
+	d.turn++
+	if d.conn != nil {
+		conn := d.conn
+		d.conn = nil
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/net/loop.go
@@ -0,0 +1,99 @@
+// Package net serves the proxy's sockets: the listener, clients, databases and discovery. Each connection is an
+// object with callbacks, which all run on one goroutine, the loop's; nothing here decides anything.
+package net
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"orchidlug/internal/state"
+)
+
+// Loop is the goroutine that owns the router and all connections' state. netpoll's poller reads the sockets and
+// hands its callbacks over, so that they come one at a time.
+type Loop struct {
+	clock     state.Clock
+	deadlines *state.Deadlines
+
+	mu    sync.Mutex
+	queue []func()
+	wake  chan struct{}
+	stop  bool
+}
+
+// NewLoop makes a loop and lets netpoll run its callbacks there.
+func NewLoop(clock state.Clock, deadlines *state.Deadlines) *Loop {
+	l := &Loop{clock: clock, deadlines: deadlines, wake: make(chan struct{}, 1)}
+	netpoll.SetRunner(func(_ context.Context, f func()) { l.Post(f) })
+	return l
+}
+
+// Post lets f run on the loop, from any goroutine.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.queue = append(l.queue, f)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run runs the loop until Stop.
+func (l *Loop) Run() {
+	timer := time.NewTimer(time.Hour)
+	var work []func()
+	for !l.stop {
+		l.mu.Lock()
+		work, l.queue = l.queue, work[:0]
+		l.mu.Unlock()
+		for i, f := range work {
+			f()
+			work[i] = nil
+		}
+		l.deadlines.Run(l.clock.Now())
+		if l.stop || len(work) > 0 {
+			continue
+		}
+		if at, ok := l.deadlines.Next(); ok {
+			timer.Reset(max(at-l.clock.Now(), 0))
+		}
+		select {
+		case <-l.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// Stop ends Run; it is called on the loop.
+func (l *Loop) Stop() { l.stop = true }
+
+// buffer is the one buffer of a connection for what comes in. It grows as it needs; what is left behind the
+// messages taken out moves to its front.
+type buffer struct{ bytes []byte }
+
+// keepRoom is the room that a connection keeps between messages.
+const keepRoom = 16 << 10
+
+// fill takes all that netpoll has read.
+func (b *buffer) fill(r netpoll.Reader) error {
+	n := r.Len()
+	in, err := r.Next(n)
+	if err != nil {
+		return err
+	}
+	b.bytes = append(b.bytes, in...)
+	return r.Release()
+}
+
+// cut drops the first n bytes.
+func (b *buffer) cut(n int) {
+	left := copy(b.bytes, b.bytes[n:])
+	b.bytes = b.bytes[:left]
+	if left == 0 && cap(b.bytes) > keepRoom {
+		b.bytes = nil
+	}
+}
--- /dev/null
+++ b/internal/net/server.go
@@ -0,0 +1,113 @@
+package net
+
+import (
+	"context"
+	"log/slog"
+	stdnet "net"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"orchidlug/internal/state"
+)
+
+const (
+	writePatience = 20 * time.Millisecond // a client whose buffer stays full for so long doesn't read
+	sendBuffer    = 256 << 10             // the kernel's, room for several of the largest answers
+)
+
+// Server serves clients.
+type Server struct {
+	loop      *Loop
+	clock     state.Clock
+	deadlines *state.Deadlines
+	front     *state.Front
+	listener  netpoll.Listener
+	events    netpoll.EventLoop
+
+	clients    map[*client]struct{}
+	maxClients int
+	maxExcess  int // further ones that are told to come again
+	excess     int
+	atLimit    bool
+	draining   bool
+}
+
+// NewServer makes a server for at most so many clients; a few more are turned away with an answer.
+func NewServer(loop *Loop, clock state.Clock, front *state.Front, maxClients, maxExcess int) *Server {
+	return &Server{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front,
+		clients: map[*client]struct{}{}, maxClients: maxClients, maxExcess: maxExcess}
+}
+
+// Listen opens the address and starts to accept.
+func (s *Server) Listen(address string) error {
+	lc := stdnet.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { // accepted sockets inherit it
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+		})
+	}}
+	ln, err := lc.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return err
+	}
+	if s.listener, err = netpoll.ConvertListener(ln); err != nil {
+		return err
+	}
+	s.events, err = netpoll.NewEventLoop(
+		func(ctx context.Context, _ netpoll.Connection) error {
+			ctx.Value(clientKey{}).(*client).readable()
+			return nil
+		},
+		netpoll.WithOnConnect(s.accept),
+		netpoll.WithWriteTimeout(writePatience))
+	if err != nil {
+		return err
+	}
+	go func() { // Serve blocks until the listener closes
+		if err := s.events.Serve(s.listener); err != nil {
+			slog.Error("listener ended", "error", err)
+		}
+	}()
+	return nil
+}
+
+// Address tells where it listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+type clientKey struct{}
+
+// accept makes the client of a new connection; it runs on the loop, before anything that the client sent.
+func (s *Server) accept(ctx context.Context, conn netpoll.Connection) context.Context {
+	c := &client{s: s, conn: conn}
+	s.front.Counters.Clients++
+	if s.crowded() {
+		if !s.atLimit {
+			s.atLimit = true
+			slog.Warn("too many clients: further ones are turned away", "clients", len(s.clients))
+		}
+		c.full = true
+		s.excess++
+	}
+	s.clients[c] = struct{}{}
+	conn.AddCloseCallback(func(netpoll.Connection) error {
+		s.loop.Post(c.closed)
+		return nil
+	})
+	s.deadlines.Set(&c.timer, s.clock.Now()+startupPatience, c.hangUp)
+	if s.excess > s.maxExcess { // not even a descriptor for an answer
+		c.hangUp()
+	}
+	return context.WithValue(ctx, clientKey{}, c)
+}
+
+func (s *Server) crowded() bool { return len(s.clients)-s.excess >= s.maxClients }
+
+// Drain closes the listener and all clients that are owed nothing; the others follow with their last answer.
+func (s *Server) Drain() {
+	s.draining = true
+	s.listener.Close()
+	for c := range s.clients {
+		c.closeIdle()
+	}
+}
--- /dev/null
+++ b/internal/run/run.go
@@ -0,0 +1,153 @@
+// Package run starts the proxy from its configuration and stops it on a signal.
+package run
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"orchidlug/internal/net"
+	"orchidlug/internal/state"
+	"orchidlug/internal/wire"
+)
+
+const (
+	// Descriptors: some for the process itself and for connections in the making, the rest for both sides.
+	spareSockets = 64
+	excessPart   = 16 // one in so many is for clients that are turned away with an answer
+	linkPart     = 3  // and so many of sixteen for databases
+
+	memoryPart = 0.7 // of the limit: the heap's share; stacks, buffers in the kernel and netpoll's pools take more
+
+	lastClients = 500 * time.Millisecond // after SIGTERM clients still come for 0.4 s
+	stopMargin  = 400 * time.Millisecond // to be gone before SIGKILL, 0.7 s behind the longest deadline
+
+	defaultSockets        = 1024
+	defaultConnectTimeout = 250 * time.Millisecond
+)
+
+// Main runs the proxy until it is told to stop.
+func Main() error {
+	path := os.Getenv("EDGE_CONFIG")
+	if path == "" {
+		return fmt.Errorf("EDGE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	cfg, err := wire.ParseConfig(text)
+	if err != nil {
+		return err
+	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
+	}
+	// One for the poller, which mostly sleeps in the kernel, and one for the loop: with a single one, each waits
+	// for the other's sleep to be noticed.
+	runtime.GOMAXPROCS(2)
+	p, err := start(cfg)
+	if err != nil {
+		return err
+	}
+	slog.Info("started", "name", cfg.Name, "listen", p.server.Address(), "discovery", cfg.Discovery,
+		"databases", len(cfg.Known.Instances))
+	go p.signals()
+	p.loop.Run()
+	slog.Info("stopped", "unanswered", p.front.Pending(), "counters", &p.front.Counters)
+	return nil
+}
+
+// proxy is the running program.
+type proxy struct {
+	loop   *net.Loop
+	clock  state.Clock
+	front  *state.Front
+	server *net.Server
+
+	patience time.Duration // the longest that a request may take
+	stopping bool
+	timer    state.Deadline
+	killAt   time.Duration
+}
+
+// start puts the parts together and begins to listen; nothing runs before the loop does.
+func start(cfg wire.Config) (*proxy, error) {
+	sockets := cfg.Sockets
+	if sockets <= 0 {
+		sockets = defaultSockets
+	}
+	sockets -= spareSockets
+	links, excess := sockets*linkPart/16*2, sockets/excessPart
+	clients := sockets - links - excess
+	if clients <= 0 || links <= 0 {
+		return nil, fmt.Errorf("configuration: limits.sockets: %d are too few", cfg.Sockets)
+	}
+	s := cfg.Settings
+	if s.ConnectTimeout <= 0 {
+		s.ConnectTimeout = defaultConnectTimeout
+	}
+	p := &proxy{clock: state.NewClock()}
+	databases := &net.Databases{ConnectTimeout: s.ConnectTimeout}
+	var err error
+	p.front, err = state.New(state.Config{Logic: s.Config, Zones: s.Zones, IdleClose: s.IdleClose,
+		ConnectTimeout: s.ConnectTimeout, MaxLinks: links}, p.clock, databases)
+	if err != nil {
+		return nil, err
+	}
+	for _, c := range s.Config.Classes {
+		p.patience = max(p.patience, c.Limit)
+	}
+	p.loop = net.NewLoop(p.clock, &p.front.Deadlines)
+	databases.Loop = p.loop
+	p.server = net.NewServer(p.loop, p.clock, p.front, clients, excess)
+	if err := p.server.Listen(cfg.Listen); err != nil {
+		return nil, err
+	}
+	d := net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation)
+	p.loop.Post(func() { p.front.Start(d, net.ListOf(cfg.Known)) })
+	return p, nil
+}
+
+// signals hands signals to the loop.
+func (p *proxy) signals() {
+	c := make(chan os.Signal, 4)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	for s := range c {
+		if s == syscall.SIGUSR1 {
+			p.loop.Post(func() { slog.Info("counters", "pending", p.front.Pending(), "counters", &p.front.Counters) })
+			continue
+		}
+		p.loop.Post(p.stop)
+	}
+}
+
+// stop ends the proxy in good order: it goes on as before while clients still come, then closes what is idle
+// and ends with its last answer.
+func (p *proxy) stop() {
+	if p.stopping {
+		return
+	}
+	p.stopping = true
+	slog.Info("stopping", "pending", p.front.Pending())
+	now := p.clock.Now()
+	p.killAt = now + p.patience + stopMargin
+	p.front.Deadlines.Set(&p.timer, now+lastClients, func() {
+		p.server.Drain()
+		p.drained()
+	})
+}
+
+func (p *proxy) drained() {
+	now := p.clock.Now()
+	if p.front.Pending() == 0 || now >= p.killAt {
+		p.loop.Stop()
+		return
+	}
+	p.front.Deadlines.Set(&p.timer, now+5*time.Millisecond, p.drained)
+}
--- /dev/null
+++ b/internal/state/counters.go
@@ -0,0 +1,31 @@
+package state
+
+import "log/slog"
+
+// Counters count since the start.
+type Counters struct {
+	Taken, Served, Refused, Failed, Abandoned      uint64 // requests
+	Sent                                           uint64 // attempts
+	OK, Miss, Error, Full, TimedOut, ConnectFailed uint64 // their ends
+	Reset, Cancelled                               uint64
+	Probes, ProbesOK                               uint64
+	Opened, ClosedIdle                             uint64 // database connections
+	ListCalls, ListFailures                        uint64
+	Clients, TurnedAway, Malformed                 uint64 // client connections
+}
+
+// LogValue lets slog print the counters.
+func (c *Counters) LogValue() slog.Value {
+	return slog.GroupValue(
+		slog.Uint64("taken", c.Taken), slog.Uint64("served", c.Served), slog.Uint64("refused", c.Refused),
+		slog.Uint64("failed", c.Failed), slog.Uint64("abandoned", c.Abandoned),
+		slog.Uint64("sent", c.Sent), slog.Uint64("ok", c.OK), slog.Uint64("miss", c.Miss),
+		slog.Uint64("error", c.Error), slog.Uint64("full", c.Full), slog.Uint64("timed_out", c.TimedOut),
+		slog.Uint64("connect_failed", c.ConnectFailed), slog.Uint64("reset", c.Reset),
+		slog.Uint64("cancelled", c.Cancelled),
+		slog.Uint64("probes", c.Probes), slog.Uint64("probes_ok", c.ProbesOK),
+		slog.Uint64("opened", c.Opened), slog.Uint64("closed_idle", c.ClosedIdle),
+		slog.Uint64("list_calls", c.ListCalls), slog.Uint64("list_failures", c.ListFailures),
+		slog.Uint64("clients", c.Clients), slog.Uint64("turned_away", c.TurnedAway),
+		slog.Uint64("malformed", c.Malformed))
+}
--- /dev/null
+++ b/internal/state/front.go
@@ -0,0 +1,324 @@
+// Package state keeps what the proxy knows between two events: requests, their attempts, the connections to
+// the databases, the list of them, and counters. It puts package logic's decisions into effect and tells it how
+// they ended, one call at a time; it decides nothing and knows no protocol.
+package state
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"orchidlug/logic"
+)
+
+// wayHome is kept back of the time that a client waits: it counts from the client's sending and ends with the
+// last byte's arrival there, so the ways of request and answer are in it.
+const wayHome = 5 * time.Millisecond
+
+// Caller waits for the answer of one request. Exactly one of its methods is called, once, unless it abandons
+// the request first.
+type Caller interface {
+	Served(body []byte) // as a database gave it; valid during the call only
+	Refused(comeBack time.Duration)
+	Failed()
+}
+
+// Command is a request as its client worded it.
+type Command interface {
+	AppendTo(dst []byte, wait time.Duration) []byte // for a database that has so long to answer
+}
+
+// Request is what a client asks.
+type Request struct {
+	Class   string
+	Wait    time.Duration // how long the client waits, counted from its sending
+	Session uint64
+	Group   int
+	After   int64 // Unix milliseconds of the session's last commit; 0 = none
+	Retry   bool
+	Command Command
+	Caller  Caller
+}
+
+// Watcher asks the service that lists the databases. It answers a Watch by Listed or ListFailed, later.
+type Watcher interface {
+	Watch(on bool)
+	Fetch()
+}
+
+// Config is what the front needs to know of the deployment.
+type Config struct {
+	Logic          logic.Config
+	Zones          []string
+	IdleClose      time.Duration // a database closes a connection that has been idle for so long
+	ConnectTimeout time.Duration
+	MaxLinks       int // connections to databases that may be open
+}
+
+// Front stands between callers, databases and the router. All calls must come from one goroutine.
+type Front struct {
+	Counters  Counters
+	Deadlines Deadlines
+
+	cfg     Config
+	classes map[string]int
+	clock   Clock
+	opener  Opener
+	watcher Watcher
+	router  *logic.Router
+
+	queue []func() // events, for the router gets them one at a time
+	busy  bool
+
+	lastID   logic.RequestID
+	requests map[logic.RequestID]*request
+	timers   map[logic.TimerID]*Deadline
+
+	lastMember logic.MemberID
+	names      map[string]*member
+	members    map[logic.MemberID]*member
+	links      int
+	listed     bool
+}
+
+type request struct {
+	id     logic.RequestID
+	class  int
+	cmd    Command
+	caller Caller // nil once answered or abandoned
+	tries  int
+	open   *attempt // never two at once
+}
+
+type attempt struct {
+	Deadline
+	req    *request
+	n      int
+	to     *member
+	until  time.Duration
+	sentAt time.Duration
+	link   *link
+	sent   bool // its last byte was written
+}
+
+// New makes a front. The watcher is set with Start.
+func New(cfg Config, clock Clock, opener Opener) (*Front, error) {
+	f := &Front{cfg: cfg, classes: map[string]int{}, clock: clock, opener: opener,
+		requests: map[logic.RequestID]*request{}, timers: map[logic.TimerID]*Deadline{},
+		names: map[string]*member{}, members: map[logic.MemberID]*member{}}
+	for i, c := range cfg.Logic.Classes {
+		f.classes[c.Name] = i
+	}
+	var err error
+	f.router, err = logic.New(cfg.Logic, f)
+	return f, err
+}
+
+// Start gives the router its first event, the list as this proxy last had it, from which it starts its clockwork.
+func (f *Front) Start(w Watcher, known List) {
+	f.watcher = w
+	known.Kind = logic.ListCached
+	f.Listed(known)
+}
+
+// tell hands an event to the router, after the ones before it: what a router's action brings about at once is
+// told when the router has returned, never from within.
+func (f *Front) tell(event func()) {
+	f.queue = append(f.queue, event)
+	if f.busy {
+		return
+	}
+	f.busy = true
+	for i := 0; i < len(f.queue); i++ {
+		f.queue[i]()
+		f.queue[i] = nil
+	}
+	f.queue, f.busy = f.queue[:0], false
+}
+
+// Pending tells how many requests wait for their answer.
+func (f *Front) Pending() int { return len(f.requests) }
+
+// Take takes in a client's request. The error tells of a request that this deployment doesn't have; then there
+// will be no answer.
+func (f *Front) Take(in Request) (logic.RequestID, error) {
+	class, ok := f.classes[in.Class]
+	if !ok {
+		return 0, fmt.Errorf("unknown class %q", in.Class)
+	}
+	f.lastID++
+	f.Counters.Taken++
+	q := &request{id: f.lastID, class: class, cmd: in.Command, caller: in.Caller}
+	f.requests[q.id] = q
+	now := f.clock.Now()
+	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group),
+		Deadline: now + max(in.Wait-wayHome, 0), Retry: in.Retry}
+	switch f.cfg.Logic.Classes[class].Read { // elsewhere the key names no session
+	case logic.Session:
+		out.Session, out.TokenAge = logic.SessionID(in.Session), tokenAge(f.clock, in.After)
+	case logic.Write:
+		out.Session = logic.SessionID(in.Session)
+	}
+	f.tell(func() { f.router.Request(now, out) })
+	return q.id, nil
+}
+
+// Abandon tells that a request's client has gone.
+func (f *Front) Abandon(id logic.RequestID) {
+	q := f.requests[id]
+	if q == nil || q.caller == nil {
+		return
+	}
+	q.caller = nil
+	f.Counters.Abandoned++
+	f.tell(func() {
+		f.router.Abandoned(f.clock.Now(), id)
+		f.forget(q)
+	})
+}
+
+// forget drops a request that is answered or abandoned, once no attempt of it is out.
+func (f *Front) forget(q *request) {
+	if q.caller == nil && q.open == nil {
+		delete(f.requests, q.id)
+	}
+}
+
+// answer ends a request; a second answer never comes through.
+func (f *Front) answer(id logic.RequestID, count *uint64, give func(Caller)) {
+	q := f.requests[id]
+	if q == nil || q.caller == nil {
+		return
+	}
+	caller := q.caller
+	q.caller = nil
+	*count++
+	give(caller)
+	f.forget(q)
+}
+
+// Refuse implements logic.Actions.
+func (f *Front) Refuse(id logic.RequestID, comeBack time.Duration) {
+	f.answer(id, &f.Counters.Refused, func(c Caller) { c.Refused(comeBack) })
+}
+
+// Fail implements logic.Actions.
+func (f *Front) Fail(id logic.RequestID) {
+	f.answer(id, &f.Counters.Failed, Caller.Failed)
+}
+
+// Send implements logic.Actions. The outcome is told later, also where nothing can be sent.
+func (f *Front) Send(id logic.RequestID, to logic.MemberID, timeout time.Duration) {
+	now := f.clock.Now()
+	q, m := f.requests[id], f.members[to]
+	if q == nil {
+		return
+	}
+	a := &attempt{req: q, n: q.tries, to: m, until: now + timeout, sentAt: now}
+	q.tries++
+	if m == nil || q.caller == nil || q.open != nil {
+		f.tell(func() {
+			f.router.Outcome(f.clock.Now(), logic.Outcome{Request: id, Attempt: a.n, Member: to,
+				Result: logic.Moot, Finished: q.caller == nil})
+		})
+		return
+	}
+	f.Counters.Sent++
+	q.open = a
+	f.Deadlines.Set(&a.Deadline, a.until, func() { f.expire(a) })
+	f.place(a)
+}
+
+// Cancel implements logic.Actions: closing its connection calls an attempt off.
+func (f *Front) Cancel(id logic.RequestID, n int) {
+	if q := f.requests[id]; q != nil && q.open != nil && q.open.n == n {
+		f.drop(q.open, Reply{Result: logic.Cancelled})
+	}
+}
+
+// expire ends an attempt whose time is up. One that was never written has found no connection.
+func (f *Front) expire(a *attempt) {
+	if a.sent {
+		f.drop(a, Reply{Result: logic.TimedOut})
+	} else {
+		f.drop(a, Reply{Result: logic.ConnectFailed})
+	}
+}
+
+// drop ends an attempt that got no answer: whatever still comes on its connection is nobody's.
+func (f *Front) drop(a *attempt, r Reply) {
+	if l := a.link; l != nil {
+		f.close(l)
+	}
+	f.end(a, r)
+}
+
+// end tells the router how an attempt ended; the first answer goes to the client before that.
+func (f *Front) end(a *attempt, r Reply) {
+	q := a.req
+	if q.open != a {
+		return
+	}
+	f.Deadlines.Clear(&a.Deadline)
+	q.open = nil
+	if a.link != nil {
+		a.link.attempt = nil
+		a.link = nil
+	}
+	f.Counters.end(r.Result)
+	if r.Result == logic.OK {
+		f.answer(q.id, &f.Counters.Served, func(c Caller) { c.Served(r.Body) })
+	}
+	now := f.clock.Now()
+	o := logic.Outcome{Request: q.id, Attempt: a.n, Member: a.to.id, Result: r.Result, Took: now - a.sentAt,
+		Finished: q.caller == nil, Role: r.Role, Position: place(f.clock, time.Duration(r.Position)*time.Millisecond),
+		Load: f.report(r)}
+	f.forget(q)
+	f.tell(func() { f.router.Outcome(f.clock.Now(), o) })
+}
+
+func (c *Counters) end(r logic.Result) {
+	switch r {
+	case logic.OK:
+		c.OK++
+	case logic.Miss:
+		c.Miss++
+	case logic.Failed:
+		c.Error++
+	case logic.Full:
+		c.Full++
+	case logic.TimedOut:
+		c.TimedOut++
+	case logic.ConnectFailed:
+		c.ConnectFailed++
+	case logic.Reset:
+		c.Reset++
+	case logic.Cancelled:
+		c.Cancelled++
+	}
+}
+
+// SetTimer implements logic.Actions.
+func (f *Front) SetTimer(id logic.TimerID, at time.Duration) {
+	d := f.timers[id]
+	if d == nil {
+		d = &Deadline{}
+		f.timers[id] = d
+	}
+	f.Deadlines.Set(d, at, func() { f.tell(func() { f.router.Timer(f.clock.Now(), id) }) })
+}
+
+// Watch implements logic.Actions.
+func (f *Front) Watch(on bool) {
+	f.Counters.ListCalls++
+	f.watcher.Watch(on)
+}
+
+// Fetch implements logic.Actions.
+func (f *Front) Fetch() {
+	f.Counters.ListCalls++
+	f.watcher.Fetch()
+}
+
+// Log implements logic.Actions.
+func (f *Front) Log(text string) { slog.Info("router", "says", text) }
--- /dev/null
+++ b/internal/state/links.go
@@ -0,0 +1,291 @@
+package state
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"orchidlug/logic"
+)
+
+// probeTimeout is how long a probe may take, a new connection included.
+const probeTimeout = 250 * time.Millisecond
+
+// idlePart of the time after which a database closes an idle connection is how long one is kept here: a request
+// that crosses the close would end as a reset.
+const idlePart = 0.9
+
+// ErrNoRoom tells that the proxy has no descriptor left for a connection.
+var ErrNoRoom = errors.New("no room for a connection")
+
+// Opener opens connections to databases. It returns at once; the listener's methods are called later.
+type Opener interface {
+	Open(address string, to Listener) Conn
+}
+
+// Conn is a connection to a database. Close may be called at any time, also before it is up.
+type Conn interface {
+	// Send writes a command. An error tells that its last byte was not written.
+	Send(Command, time.Duration) error
+	// Probe asks for the load report.
+	Probe() error
+	Close()
+}
+
+// Listener is told what happens on a connection.
+type Listener interface {
+	Up()         // it may be sent the first command
+	Reply(Reply) // the answer to the last command
+	Down()       // it is lost, or never came up
+}
+
+// Reply is what a database answered.
+type Reply struct {
+	Result   logic.Result
+	Body     []byte
+	Role     logic.Role
+	Position int64 // Unix milliseconds; 0 = not told
+	Load     Load
+}
+
+// Load is a load report; Told is false where there was none.
+type Load struct {
+	Told     bool
+	Role     logic.Role
+	Position float64 // Unix seconds; 0 = not told
+	Queue    float64 // negative = not told
+}
+
+type linkState uint8
+
+const (
+	linkOpening linkState = iota
+	linkIdle
+	linkBusy
+	linkClosed
+)
+
+// link is a connection to a database with what it is used for.
+type link struct {
+	Deadline
+	f       *Front
+	m       *member
+	conn    Conn
+	state   linkState
+	probing bool          // it is the one for probes
+	asked   time.Duration // when the probe was written
+	attempt *attempt
+}
+
+// place puts an attempt on a connection: an idle one, or a new one.
+func (f *Front) place(a *attempt) {
+	m := a.to
+	if n := len(m.idle); n > 0 {
+		l := m.idle[n-1]
+		m.idle = m.idle[:n-1]
+		f.write(l, a)
+		return
+	}
+	l := f.open(m)
+	if l == nil {
+		f.drop(a, Reply{Result: logic.ConnectFailed})
+		return
+	}
+	l.attempt, a.link = a, l
+	m.links[l] = struct{}{}
+	m.opening = append(m.opening, l)
+}
+
+// open starts a connection, if need be in the place of one that is idle elsewhere.
+func (f *Front) open(m *member) *link {
+	if f.links >= f.cfg.MaxLinks && !f.makeRoom() {
+		return nil
+	}
+	f.links++
+	f.Counters.Opened++
+	l := &link{f: f, m: m}
+	l.conn = f.opener.Open(m.address, l)
+	f.Deadlines.Set(&l.Deadline, f.clock.Now()+f.cfg.ConnectTimeout, l.Down)
+	return l
+}
+
+// makeRoom closes the connection that has been idle for longest.
+func (f *Front) makeRoom() bool {
+	var oldest *link
+	for _, m := range f.members {
+		if len(m.idle) > 0 && (oldest == nil || m.idle[0].at < oldest.at) {
+			oldest = m.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	f.close(oldest)
+	return true
+}
+
+// write sends an attempt over a connection that is up.
+func (f *Front) write(l *link, a *attempt) {
+	f.Deadlines.Clear(&l.Deadline)
+	l.state, l.attempt, a.link = linkBusy, a, l
+	if err := l.conn.Send(a.req.cmd, a.until-f.clock.Now()); err != nil {
+		f.drop(a, Reply{Result: logic.ConnectFailed})
+		return
+	}
+	a.sent = true
+}
+
+// close ends a connection and takes it out of all that it is in.
+func (f *Front) close(l *link) {
+	if l.state == linkClosed {
+		return
+	}
+	l.state = linkClosed
+	f.links--
+	f.Deadlines.Clear(&l.Deadline)
+	l.conn.Close()
+	m := l.m
+	delete(m.links, l)
+	same := func(x *link) bool { return x == l }
+	m.idle, m.opening = slices.DeleteFunc(m.idle, same), slices.DeleteFunc(m.opening, same)
+	if m.probe == l {
+		m.probe = nil
+	}
+}
+
+// rest makes a connection that is up free for the next attempt. One that waits for a connection of its own to
+// come up takes it; the other is kept for the next.
+func (f *Front) rest(l *link) {
+	m := l.m
+	l.state = linkIdle
+	if m.state != logic.Ready {
+		f.close(l)
+		return
+	}
+	if !l.probing {
+		if i := slices.IndexFunc(m.opening, func(x *link) bool { return x.attempt != nil }); i >= 0 {
+			a := m.opening[i].attempt
+			m.opening[i].attempt = nil
+			f.write(l, a)
+			return
+		}
+		m.idle = append(m.idle, l)
+	}
+	if f.cfg.IdleClose > 0 {
+		f.Deadlines.Set(&l.Deadline, f.clock.Now()+time.Duration(idlePart*float64(f.cfg.IdleClose)), func() {
+			f.Counters.ClosedIdle++
+			f.close(l)
+		})
+	}
+}
+
+// Up implements Listener.
+func (l *link) Up() {
+	f := l.f
+	if l.state != linkOpening {
+		return
+	}
+	f.Deadlines.Clear(&l.Deadline)
+	if l.probing {
+		f.ask(l)
+		return
+	}
+	l.m.opening = slices.DeleteFunc(l.m.opening, func(x *link) bool { return x == l })
+	if a := l.attempt; a != nil {
+		f.write(l, a)
+		return
+	}
+	f.rest(l)
+}
+
+// Reply implements Listener.
+func (l *link) Reply(r Reply) {
+	f := l.f
+	switch l.state {
+	case linkOpening: // turned away before it was up
+		l.fail(r)
+		return
+	case linkIdle, linkClosed: // what nobody asked for makes the next answer doubtful
+		l.Down()
+		return
+	}
+	if l.probing {
+		took := f.clock.Now() - l.asked
+		f.rest(l)
+		f.probed(l.m, r, took)
+		return
+	}
+	a := l.attempt
+	l.attempt, a.link = nil, nil
+	f.rest(l)
+	f.end(a, r)
+}
+
+// Down implements Listener. Whether the last byte was written tells a request that never ran from one that may
+// have.
+func (l *link) Down() {
+	if l.state == linkClosed {
+		return
+	}
+	r := Reply{Result: logic.Reset}
+	if l.state == linkOpening {
+		r.Result = logic.ConnectFailed
+	}
+	l.fail(r)
+}
+
+// fail ends a connection and what is out on it.
+func (l *link) fail(r Reply) {
+	was, a := l.state, l.attempt
+	l.f.close(l)
+	switch {
+	case a != nil:
+		l.f.end(a, r)
+	case l.probing && was != linkIdle:
+		l.f.probed(l.m, r, 0)
+	}
+}
+
+// Probe implements logic.Actions. Probes have a connection of their own to each member: a ping is to measure
+// the way, not a handshake or a request before it.
+func (f *Front) Probe(to logic.MemberID) {
+	m := f.members[to]
+	if m == nil || m.probe != nil && m.probe.state != linkIdle {
+		f.tell(func() { f.router.Probed(f.clock.Now(), logic.Probed{Member: to, Result: logic.Moot}) })
+		return
+	}
+	f.Counters.Probes++
+	if m.probe != nil {
+		f.ask(m.probe)
+		return
+	}
+	l := f.open(m)
+	if l == nil {
+		f.probed(m, Reply{Result: logic.ConnectFailed}, 0)
+		return
+	}
+	l.probing, m.probe = true, l
+}
+
+func (f *Front) ask(l *link) {
+	l.state, l.asked = linkBusy, f.clock.Now()
+	f.Deadlines.Set(&l.Deadline, l.asked+probeTimeout, func() { l.fail(Reply{Result: logic.TimedOut}) })
+	if err := l.conn.Probe(); err != nil {
+		l.fail(Reply{Result: logic.ConnectFailed})
+	}
+}
+
+func (f *Front) probed(m *member, r Reply, took time.Duration) {
+	if r.Result == logic.OK {
+		f.Counters.ProbesOK++
+	}
+	p := logic.Probed{Member: m.id, Result: r.Result, Took: took, Report: f.report(r)}
+	f.tell(func() { f.router.Probed(f.clock.Now(), p) })
+}
+
+func (f *Front) report(r Reply) logic.Report {
+	if !r.Load.Told {
+		return logic.Report{Queue: -1}
+	}
+	return logic.Report{Role: r.Load.Role, Position: positionOf(f.clock, r.Load.Position), Queue: r.Load.Queue}
+}
--- /dev/null
+++ b/internal/state/members.go
@@ -0,0 +1,126 @@
+package state
+
+import (
+	"log/slog"
+	"time"
+
+	"orchidlug/logic"
+)
+
+// List is news of the databases, whatever catalogue it comes from.
+type List struct {
+	Kind    logic.ListKind
+	Entries []Entry
+}
+
+// Entry is one database.
+type Entry struct {
+	Name    string // the same at every proxy
+	Address string
+	Zone    string
+	Group   int
+	State   logic.MemberState
+	Size    float64
+	Started time.Duration // Unix time; 0 = long ago
+}
+
+// member is one database with the connections to it.
+type member struct {
+	id      logic.MemberID
+	name    string
+	address string
+	state   logic.MemberState
+	seen    bool // in the whole list in hand
+
+	idle    []*link // the one used last at the end
+	opening []*link
+	links   map[*link]struct{} // all, but for the one for probes
+	probe   *link
+}
+
+// Listed takes in news of the list.
+func (f *Front) Listed(l List) {
+	out := logic.List{Kind: l.Kind}
+	for _, m := range f.names {
+		m.seen = false
+	}
+	for _, e := range l.Entries {
+		m := f.member(e)
+		m.seen = true
+		out.Entries = append(out.Entries, logic.Member{ID: m.id, Zone: f.zone(e.Zone), Group: logic.GroupID(e.Group),
+			State: e.State, Size: e.Size, Born: place(f.clock, e.Started)})
+	}
+	if l.Kind != logic.ListDelta {
+		for _, m := range f.names {
+			if !m.seen {
+				f.leave(m, logic.Gone)
+			}
+		}
+	}
+	if !f.listed || l.Kind == logic.ListFull || len(l.Entries) > 0 {
+		slog.Info("list of databases", "changed", len(l.Entries), "whole", l.Kind != logic.ListDelta, "known", len(f.names))
+	}
+	f.listed = true
+	f.tell(func() { f.router.Members(f.clock.Now(), out) })
+}
+
+// ListFailed tells that a call failed or that a watch broke; the list in hand still holds.
+func (f *Front) ListFailed(why error) {
+	f.Counters.ListFailures++
+	slog.Warn("discovery failed", "error", why)
+	f.tell(func() { f.router.Members(f.clock.Now(), logic.List{Kind: logic.ListFailed}) })
+}
+
+// member finds the member of an entry, or makes it, and brings it up to date.
+func (f *Front) member(e Entry) *member {
+	m := f.names[e.Name]
+	if m == nil {
+		f.lastMember++
+		m = &member{id: f.lastMember, name: e.Name, state: e.State, links: map[*link]struct{}{}}
+		f.names[e.Name], f.members[m.id] = m, m
+	}
+	if m.address != e.Address && e.Address != "" {
+		m.address = e.Address
+		f.closeIdle(m) // they lead to where it was
+	}
+	f.leave(m, e.State)
+	return m
+}
+
+// leave notes a change of a member's state. One that wants nothing new needs no idle connections.
+func (f *Front) leave(m *member, to logic.MemberState) {
+	if m.state != to {
+		slog.Info("database changed", "name", m.name, "address", m.address, "from", stateName(m.state), "to", stateName(to))
+	}
+	m.state = to
+	if to != logic.Ready {
+		f.closeIdle(m)
+	}
+	if to == logic.Gone && !m.seen && len(m.links) == 0 && m.probe == nil {
+		delete(f.names, m.name)
+		delete(f.members, m.id)
+	}
+}
+
+func stateName(s logic.MemberState) string {
+	return [...]string{logic.Gone: "gone", logic.Ready: "ready", logic.Draining: "draining"}[s]
+}
+
+// zone gives the number of a zone; an unknown one is nobody's own.
+func (f *Front) zone(name string) int {
+	for i, z := range f.cfg.Zones {
+		if z == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (f *Front) closeIdle(m *member) {
+	for len(m.idle) > 0 {
+		f.close(m.idle[len(m.idle)-1])
+	}
+	if m.probe != nil && m.probe.state == linkIdle {
+		f.close(m.probe)
+	}
+}
--- /dev/null
+++ b/internal/wire/config.go
@@ -0,0 +1,62 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"orchidlug/internal/wire/discovery"
+)
+
+// Config is what one proxy is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	MemoryMB  int
+	Sockets   int
+	Known     discovery.List // the databases as this proxy last had them; may be old
+	Settings  Settings
+}
+
+// ParseConfig reads a proxy's configuration. The error names what is wrong in one line.
+func ParseConfig(text []byte) (Config, error) {
+	var j struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &j); err != nil {
+		return Config{}, fmt.Errorf("configuration: not usable JSON: %w", err)
+	}
+	c := Config{Name: j.Name, Listen: j.Listen, Discovery: j.Discovery, MemoryMB: j.Limits.MemoryMB,
+		Sockets: j.Limits.Sockets}
+	for field, value := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if value == "" {
+			return c, fmt.Errorf("configuration: %s is missing", field)
+		}
+	}
+	seed, err := strconv.ParseUint(j.Seed, 16, 64)
+	if err != nil {
+		return c, fmt.Errorf("configuration: seed: %q is no hexadecimal number", j.Seed)
+	}
+	if len(j.Known) > 0 {
+		if c.Known, err = discovery.ParseList(j.Known); err != nil {
+			return c, fmt.Errorf("configuration: known: %w", err)
+		}
+	}
+	if len(j.Settings) == 0 {
+		return c, fmt.Errorf("configuration: settings is missing")
+	}
+	if c.Settings, err = ParseSettings(j.Settings, seed); err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	return c, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -33,6 +33,8 @@
 		Marks     string    `json:"session_marks"`
 	} `json:"domain"`
 	Limits struct {
+		ConnectTime   float64 `json:"connect_timeout"`
+		IdleClose     float64 `json:"idle_close"`
 		MaxAttempts   int     `json:"max_attempts"`
 		MaxRetryAfter float64 `json:"max_retry_after"`
 		MayCancel     bool    `json:"may_cancel"`
@@ -57,13 +59,19 @@
 	} `json:"tenants"`
 	Tick float64 `json:"tick"`
 	Zone int     `json:"zone"`
+
+	Zones []string `json:"zones"`
 }
 
-// Settings is what the adapter needs of an instance's settings text.
+// Settings is what the adapter and the proxy need of an instance's settings text.
 type Settings struct {
 	Config logic.Config
 	Origin time.Duration // positions are counted from here
 	Fields []string      // the values of a load report, in order
+
+	Zones          []string
+	IdleClose      time.Duration // idle connections to databases are closed after this
+	ConnectTimeout time.Duration
 }
 
 // word maps a settings word to a value; an absent word gives the zero value.
@@ -121,7 +129,8 @@
 	for _, t := range j.Tenants {
 		cfg.Tenants = append(cfg.Tenants, logic.Tenant{Name: t.Name, Quota: t.Quota})
 	}
-	return Settings{Config: cfg, Origin: micros(d.Origin), Fields: j.Reporting.Fields}, nil
+	return Settings{Config: cfg, Origin: micros(d.Origin), Fields: j.Reporting.Fields,
+		Zones: j.Zones, IdleClose: micros(l.IdleClose), ConnectTimeout: micros(l.ConnectTime)}, nil
 }
 
 func parseClass(c classJSON, freshness string) (logic.Class, error) {
