Watch a list of generation 0 instead of fetching the whole list in a tight loop

Ruled out: the watch's own pacing; with "after" the answers come only when something is new. At fault: the test "after != 0" in AppendRequest, and the next call sent straight behind any answer. Change: NoList (-1) stands for no list; calls are at least 100 ms apart, which keeps a watch alive (200 ms) and doesn't load a service that answers at once. The log tells changes only.

--- a/internal/net/discovery.go
+++ b/internal/net/discovery.go
@@ -21,6 +21,8 @@
 	watchWait    = 10 * time.Second
 	watchPatient = watchWait + 2*time.Second
 	dialTimeout  = time.Second
+
+	minPeriod = 100 * time.Millisecond // of calls; a watch ends where the next one is over 200 ms late
 )
 
 // Discovery asks for the list of databases. It implements state.Watcher.
@@ -36,13 +38,14 @@
 	out        []byte
 	calling    bool
 	watching   bool
+	calledAt   time.Duration
 	first      bool // the call in hand is the first of its watch
 	generation int64
 	timer      state.Deadline
 	turn       int // counts connections; what an earlier one still has to say is void
 }
 
-// NewDiscovery makes the client; generation is that of the list in hand, 0 where there is none.
+// NewDiscovery makes the client; generation is that of the list in hand.
 func NewDiscovery(loop *Loop, clock state.Clock, front *state.Front, address string, generation int64) *Discovery {
 	return &Discovery{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front, address: address,
 		generation: generation}
@@ -58,7 +61,7 @@
 
 // Fetch implements state.Watcher.
 func (d *Discovery) Fetch() {
-	d.generation = 0
+	d.generation = discovery.NoList
 	d.begin()
 }
 
@@ -68,11 +71,12 @@
 		d.hangUp()
 	}
 	d.first = true
+	d.deadlines.Clear(&d.timer)
 	d.call()
 }
 
 func (d *Discovery) call() {
-	d.calling = true
+	d.calling, d.calledAt = true, d.clock.Now()
 	wait, patient := watchWait, watchPatient
 	if d.first {
 		wait, patient = firstWait, firstPatient
@@ -146,8 +150,10 @@
 		d.hangUp()
 	}
 	d.first = false
-	if d.watching { // the watch goes on if the next call follows closely
-		d.call()
+	if d.watching {
+		// The watch goes on if the next call follows closely. A service that answers at once all the same must
+		// not be called in a tight loop: it serves all proxies, one call after the other.
+		d.deadlines.Set(&d.timer, max(d.calledAt+minPeriod, d.clock.Now()), d.call)
 	}
 	d.front.Listed(ListOf(l))
 }
@@ -180,7 +186,8 @@
 
 // failed ends a watch; the router asks again when it sees fit.
 func (d *Discovery) failed(err error) {
-	was := d.calling
+	was := d.calling || d.watching
+	d.watching = false
 	d.hangUp()
 	if was {
 		d.front.ListFailed(err)
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -74,11 +74,11 @@
 	requests map[logic.RequestID]*request
 	timers   map[logic.TimerID]*Deadline
 
-	lastMember logic.MemberID
-	names      map[string]*member
-	members    map[logic.MemberID]*member
-	links      int
-	listed     bool
+	lastMember  logic.MemberID
+	names       map[string]*member
+	members     map[logic.MemberID]*member
+	links       int
+	listFailing bool
 }
 
 type request struct {
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -57,17 +57,20 @@
 			}
 		}
 	}
-	if !f.listed || l.Kind == logic.ListFull || len(l.Entries) > 0 {
-		slog.Info("list of databases", "changed", len(l.Entries), "whole", l.Kind != logic.ListDelta, "known", len(f.names))
+	if f.listFailing && l.Kind != logic.ListCached {
+		f.listFailing = false
+		slog.Info("discovery answers again")
 	}
-	f.listed = true
 	f.tell(func() { f.router.Members(f.clock.Now(), out) })
 }
 
 // ListFailed tells that a call failed or that a watch broke; the list in hand still holds.
 func (f *Front) ListFailed(why error) {
 	f.Counters.ListFailures++
-	slog.Warn("discovery failed", "error", why)
+	if !f.listFailing {
+		f.listFailing = true
+		slog.Warn("discovery fails", "error", why)
+	}
 	f.tell(func() { f.router.Members(f.clock.Now(), logic.List{Kind: logic.ListFailed}) })
 }
 
@@ -78,6 +81,7 @@
 		f.lastMember++
 		m = &member{id: f.lastMember, name: e.Name, state: e.State, links: map[*link]struct{}{}}
 		f.names[e.Name], f.members[m.id] = m, m
+		slog.Info("database listed", "name", e.Name, "address", e.Address, "group", e.Group, "state", stateName(e.State))
 	}
 	if m.address != e.Address && e.Address != "" {
 		m.address = e.Address
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return c, fmt.Errorf("configuration: seed: %q is no hexadecimal number", j.Seed)
 	}
-	if len(j.Known) > 0 {
+	if c.Known.Generation = discovery.NoList; len(j.Known) > 0 {
 		if c.Known, err = discovery.ParseList(j.Known); err != nil {
 			return c, fmt.Errorf("configuration: known: %w", err)
 		}
--- a/internal/wire/discovery/http.go
+++ b/internal/wire/discovery/http.go
@@ -19,10 +19,13 @@
 // ErrMalformed tells of bytes that are no HTTP answer.
 var ErrMalformed = errors.New("malformed answer from discovery")
 
-// AppendRequest writes a call: of the whole list, or where after is not 0, of what is newer, waiting so long.
+// NoList stands for the generation where there is no list yet. Generations count from 0.
+const NoList = -1
+
+// AppendRequest writes a call: of the whole list, or of what is newer than a generation, waiting so long for it.
 func AppendRequest(dst []byte, host string, after int64, wait time.Duration) []byte {
 	dst = append(dst, "GET /v1/endpoints"...)
-	if after != 0 {
+	if after != NoList {
 		dst = fmt.Appendf(dst, "?after=%d&wait_ms=%d", after, wait.Milliseconds())
 	}
 	return fmt.Appendf(dst, " HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", host)
