--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"orchidlug/internal/wire"
-	"orchidlug/logic"
+	"havenproxy/internal/wire"
+	"havenproxy/logic"
 )
 
 func main() {
--- a/cmd/havenproxy/main.go
+++ b/cmd/havenproxy/main.go
@@ -5,7 +5,7 @@
 	"log/slog"
 	"os"
 
-	"orchidlug/internal/run"
+	"havenproxy/internal/run"
 )
 
 func main() {
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -6,9 +6,9 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"orchidlug/internal/state"
-	"orchidlug/internal/wire/pg"
-	"orchidlug/logic"
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire/pg"
+	"havenproxy/logic"
 )
 
 const (
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -9,9 +9,9 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"orchidlug/internal/state"
-	"orchidlug/internal/wire/pg"
-	"orchidlug/logic"
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire/pg"
+	"havenproxy/logic"
 )
 
 // The names under which the proxy enters databases.
--- a/internal/net/discovery.go
+++ b/internal/net/discovery.go
@@ -7,9 +7,9 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"orchidlug/internal/state"
-	"orchidlug/internal/wire/discovery"
-	"orchidlug/logic"
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire/discovery"
+	"havenproxy/logic"
 )
 
 const (
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -9,7 +9,7 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"orchidlug/internal/state"
+	"havenproxy/internal/state"
 )
 
 // Loop is the goroutine that owns the router and all connections' state. netpoll's poller reads the sockets and
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -9,7 +9,7 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"orchidlug/internal/state"
+	"havenproxy/internal/state"
 )
 
 const (
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -11,9 +11,9 @@
 	"syscall"
 	"time"
 
-	"orchidlug/internal/net"
-	"orchidlug/internal/state"
-	"orchidlug/internal/wire"
+	"havenproxy/internal/net"
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire"
 )
 
 const (
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -8,7 +8,7 @@
 	"log/slog"
 	"time"
 
-	"orchidlug/logic"
+	"havenproxy/logic"
 )
 
 // wayHome is kept back of the time that a client waits: it counts from the client's sending and ends with the
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"orchidlug/logic"
+	"havenproxy/logic"
 )
 
 // probeTimeout is how long a probe may take, a new connection included.
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -4,7 +4,7 @@
 	"log/slog"
 	"time"
 
-	"orchidlug/logic"
+	"havenproxy/logic"
 )
 
 // List is news of the databases, whatever catalogue it comes from.
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strconv"
 
-	"orchidlug/internal/wire/discovery"
+	"havenproxy/internal/wire/discovery"
 )
 
 // Config is what one proxy is told at its start.
--- a/internal/wire/frames.go
+++ b/internal/wire/frames.go
@@ -11,7 +11,7 @@
 	"math"
 	"time"
 
-	"orchidlug/logic"
+	"havenproxy/logic"
 )
 
 // The codes of events.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"orchidlug/logic"
+	"havenproxy/logic"
 )
 
 type classJSON struct {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"orchidlug/logic"
+	"havenproxy/logic"
 )
 
 // unhex turns a frame written by hand, with blanks, into bytes; each record is filled up to its size.
