--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,7 +9,8 @@
 	"os"
 	"time"
 
-	"havenproxy/internal/wire"
+	"havenproxy/internal/wire/settings"
+	"havenproxy/internal/wire/sim"
 	"havenproxy/logic"
 )
 
@@ -23,25 +24,25 @@
 // instance is one router and what is needed to read its records.
 type instance struct {
 	router *logic.Router // nil where its settings were unusable
-	scale  wire.Scale
+	scale  sim.Scale
 }
 
 // host holds the instances of this process. They share the reply buffer and nothing else.
 type host struct {
 	instances map[uint32]*instance
-	out       wire.Encoder
+	out       sim.Encoder
 }
 
 func run(in io.Reader, out io.Writer) error {
 	h := host{instances: map[uint32]*instance{}}
-	dec, w := wire.NewDecoder(in), bufio.NewWriterSize(out, 1<<16)
+	dec, w := sim.NewDecoder(in), bufio.NewWriterSize(out, 1<<16)
 	for {
 		b, err := dec.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err == nil {
-			err = dec.Each(b, h.scale, func(e wire.Event) error { h.handle(b.Now, e); return nil })
+			err = dec.Each(b, h.scale, func(e sim.Event) error { h.handle(b.Now, e); return nil })
 		}
 		if err == nil {
 			err = h.out.Flush(w)
@@ -52,21 +53,21 @@
 	}
 }
 
-func (h *host) scale(id uint32) (wire.Scale, bool) {
+func (h *host) scale(id uint32) (sim.Scale, bool) {
 	in, ok := h.instances[id]
 	if !ok {
-		return wire.Scale{}, false
+		return sim.Scale{}, false
 	}
 	return in.scale, true
 }
 
-func (h *host) handle(now time.Duration, e wire.Event) {
+func (h *host) handle(now time.Duration, e sim.Event) {
 	h.out.Instance = e.Instance
 	switch e.Kind {
-	case wire.Hello:
+	case sim.Hello:
 		h.start(e)
 		return
-	case wire.Retire:
+	case sim.Retire:
 		delete(h.instances, e.Instance)
 		return
 	}
@@ -75,29 +76,29 @@
 		return
 	}
 	switch e.Kind {
-	case wire.Members:
+	case sim.Members:
 		r.Members(now, e.List)
-	case wire.Submit:
+	case sim.Submit:
 		r.Request(now, e.Request)
-	case wire.Head:
+	case sim.Head:
 		r.Started(now, e.ID, e.Attempt)
-	case wire.Outcome:
+	case sim.Outcome:
 		r.Outcome(now, e.Outcome)
-	case wire.Probed:
+	case sim.Probed:
 		r.Probed(now, e.Probed)
-	case wire.Timer:
+	case sim.Timer:
 		r.Timer(now, e.Timer)
-	case wire.Abandoned:
+	case sim.Abandoned:
 		r.Abandoned(now, e.ID)
 	}
 }
 
-func (h *host) start(e wire.Event) {
+func (h *host) start(e sim.Event) {
 	in := &instance{}
 	h.instances[e.Instance] = in
-	s, err := wire.ParseSettings(e.Settings, e.Seed)
+	s, err := settings.Parse(e.Settings, e.Seed)
 	if err == nil {
-		in.scale = wire.Scale{Origin: s.Origin, Fields: s.Fields}
+		in.scale = sim.Scale{Origin: s.Origin, Fields: s.Fields}
 		in.router, err = logic.New(s.Config, &h.out)
 	}
 	if err != nil {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -13,7 +13,7 @@
 
 	"havenproxy/internal/net"
 	"havenproxy/internal/state"
-	"havenproxy/internal/wire"
+	"havenproxy/internal/wire/settings"
 )
 
 const (
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	cfg, err := wire.ParseConfig(text)
+	cfg, err := settings.ParseConfig(text)
 	if err != nil {
 		return err
 	}
@@ -77,7 +77,7 @@
 }
 
 // start puts the parts together and begins to listen; nothing runs before the loop does.
-func start(cfg wire.Config) (*proxy, error) {
+func start(cfg settings.Config) (*proxy, error) {
 	sockets := cfg.Sockets
 	if sockets <= 0 {
 		sockets = defaultSockets
--- a/internal/wire/config.go
+++ b/internal/wire/settings/config.go
@@ -1,4 +1,4 @@
-package wire
+package settings
 
 import (
 	"encoding/json"
@@ -55,7 +55,7 @@
 	if len(j.Settings) == 0 {
 		return c, fmt.Errorf("configuration: settings is missing")
 	}
-	if c.Settings, err = ParseSettings(j.Settings, seed); err != nil {
+	if c.Settings, err = Parse(j.Settings, seed); err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
 	}
 	return c, nil
--- a/internal/wire/settings.go
+++ b/internal/wire/settings/settings.go
@@ -1,4 +1,6 @@
-package wire
+// Package settings reads what a proxy is told: the settings of its deployment, which the adapter gets too, and
+// the configuration round them.
+package settings
 
 import (
 	"encoding/json"
@@ -85,8 +87,8 @@
 
 func micros(v float64) time.Duration { return time.Duration(v) * time.Microsecond }
 
-// ParseSettings reads an instance's settings. Unknown keys are passed over.
-func ParseSettings(text []byte, seed uint64) (Settings, error) {
+// Parse reads an instance's settings. Unknown keys are passed over.
+func Parse(text []byte, seed uint64) (Settings, error) {
 	var j settingsJSON
 	if err := json.Unmarshal(text, &j); err != nil {
 		return Settings{}, fmt.Errorf("settings: not usable JSON: %w", err)
--- a/internal/wire/frames.go
+++ b/internal/wire/sim/frames.go
@@ -1,6 +1,6 @@
-// Package wire turns the simulator's binary frames and settings text into the values of package logic and back.
-// No name, unit or layout of the wire is known anywhere else. It decides nothing.
-package wire
+// Package sim is the simulator's wire: its binary frames become values of package logic, and actions become
+// frames. It decides nothing.
+package sim
 
 import (
 	"bufio"
