Answer what is due before the last word to a client that breaks the protocol; bound buffers; tests

Seen: reading the code against the protocol's rules, not in a run: a client that sends a good query and then garbage lost the answer of the first; a client that sends more queries than may be under way could grow its buffer without end; so could a database that repeats messages; closing idle clients did not look at what netpoll had read but the loop had not. At fault: client.leave, client.parse, Reply.Add and client.closeIdle.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -1,6 +1,7 @@
 package net
 
 import (
+	"errors"
 	"log/slog"
 	"time"
 
@@ -13,16 +14,19 @@
 
 const (
 	startupPatience = 10 * time.Second       // a client that says nothing for so long holds a descriptor for nobody
+	maxBuffered     = 2 * pg.MaxMessage      // of queries that wait for room under way
 	lingerFor       = 500 * time.Millisecond // a last word is lost if its connection is closed over unread bytes
 	maxPipelined    = 64                     // queries of one client that may be under way
 )
 
+var errTooMany = errors.New("too many queries at once")
+
 type phase uint8
 
 const (
 	phaseStartup phase = iota
 	phaseServing
-	phaseLeaving // has had its last word
+	phaseLeaving // broke the protocol, or is turned away: nothing more is read
 	phaseClosed
 )
 
@@ -43,6 +47,7 @@
 	id     logic.RequestID
 	answer []byte
 	done   bool
+	last   bool // the connection ends behind it
 }
 
 // readable takes in what has come.
@@ -58,7 +63,10 @@
 func (c *client) parse() {
 	for used := 0; ; {
 		n, err := c.next(c.in.bytes[used:])
-		if used += n; err != nil {
+		if used += n; err == nil && n == 0 && len(c.in.bytes)-used > maxBuffered {
+			err = errTooMany
+		}
+		if err != nil {
 			c.s.front.Counters.Malformed++
 			c.leave(pg.CodeProtocol, err.Error())
 		}
@@ -153,7 +161,9 @@
 	c := sl.c
 	sl.done, sl.answer = true, answer
 	n, out := 0, []byte(nil)
+	last := false
 	for ; n < len(c.slots) && c.slots[n].done; n++ {
+		last = c.slots[n].last
 		if out == nil {
 			out = c.slots[n].answer
 		} else {
@@ -166,6 +176,9 @@
 	held := len(c.slots) >= maxPipelined
 	c.slots = append(c.slots[:0], c.slots[n:]...)
 	c.write(out)
+	if last {
+		c.s.deadlines.Set(&c.timer, c.s.clock.Now()+lingerFor, c.hangUp)
+	}
 	if held { // queries may wait in the buffer for room
 		c.s.loop.Post(c.parse)
 	}
@@ -185,24 +198,21 @@
 	}
 }
 
-// leave gives the client a last word and lets it read that before the connection closes. The answers that are
-// still due are nobody's: the client broke the protocol, or had asked nothing yet.
+// leave gives the client a last word, behind the answers that are still due: what it asked before it broke the
+// protocol has been taken. The connection closes only once the client has had the time to read that.
 func (c *client) leave(code, text string) {
 	if c.phase >= phaseLeaving {
 		return
 	}
-	c.write(pg.AppendFatal(nil, code, text))
-	if c.phase == phaseClosed {
-		return
-	}
 	c.phase = phaseLeaving
-	c.abandon()
-	c.s.deadlines.Set(&c.timer, c.s.clock.Now()+lingerFor, c.hangUp)
+	sl := &slot{c: c, last: true}
+	c.slots = append(c.slots, sl)
+	sl.give(pg.AppendFatal(nil, code, text))
 }
 
 // closeIdle closes a connection that owes nothing.
 func (c *client) closeIdle() {
-	if len(c.slots) == 0 && len(c.in.bytes) == 0 {
+	if c.phase != phaseClosed && len(c.slots) == 0 && len(c.in.bytes) == 0 && c.conn.Reader().Len() == 0 {
 		c.hangUp()
 	}
 }
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	stdnet "net"
 	"syscall"
@@ -21,10 +22,29 @@
 	loadQuery    = "SHOW load"
 )
 
+var errNoRow = errors.New("an answer without its one row")
+
 // Databases opens connections to databases. It implements state.Opener.
 type Databases struct {
 	Loop           *Loop
 	ConnectTimeout time.Duration
+
+	broken map[string]bool // addresses whose last answer was none
+}
+
+// noteAnswer logs the first of a row of broken answers, not each.
+func (d *Databases) noteAnswer(address string, err error) {
+	if err == nil {
+		delete(d.broken, address)
+		return
+	}
+	if d.broken == nil {
+		d.broken = map[string]bool{}
+	}
+	if !d.broken[address] {
+		d.broken[address] = true
+		slog.Warn("database sends what is no answer", "address", address, "error", err)
+	}
 }
 
 // database is a connection to a database. It implements state.Conn.
@@ -160,9 +180,7 @@
 			err = db.reply.Add(m)
 		}
 		if err != nil { // what comes behind broken bytes can't be trusted either
-			slog.Warn("database sent what is no answer", "address", db.address, "error", err)
-			db.Close()
-			db.to.Down()
+			db.garbled(err)
 			return
 		}
 		if used += n; n == 0 {
@@ -185,13 +203,20 @@
 	}
 	r := db.outcome()
 	if r.Result == logic.OK && !db.reply.Served() {
-		db.Close()
-		db.to.Down()
+		db.garbled(errNoRow)
 		return
 	}
+	db.d.noteAnswer(db.address, nil)
 	db.to.Reply(r)
 }
 
+// garbled ends a connection on which sense and nonsense can't be told apart any more.
+func (db *database) garbled(err error) {
+	db.d.noteAnswer(db.address, err)
+	db.Close()
+	db.to.Down()
+}
+
 // outcome puts an answer into the terms of the decisions.
 func (db *database) outcome() state.Reply {
 	r := state.Reply{Result: logic.Failed, Body: db.reply.Body, Position: db.reply.Position, Role: roleOf(db.reply.Role)}
--- /dev/null
+++ b/internal/net/net_test.go
@@ -0,0 +1,342 @@
+package net
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	stdnet "net"
+	"strings"
+	"testing"
+	"time"
+
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire/discovery"
+	"havenproxy/internal/wire/pg"
+	"havenproxy/logic"
+)
+
+// patience is only there to end a test that hangs; no verdict depends on it.
+const patience = 20 * time.Second
+
+var settings = logic.Config{Tick: time.Millisecond, Classes: []logic.Class{
+	{Name: "any", Read: logic.Any, Aim: 10 * time.Second, Limit: 20 * time.Second}}}
+
+type noWatch struct{}
+
+func (noWatch) Watch(bool) {}
+func (noWatch) Fetch()     {}
+
+// proxy runs a server on a port of its own, with one group whose only member is at the given address.
+func proxy(t *testing.T, member string, clients, excess int) (*Server, *state.Front, *Loop) {
+	t.Helper()
+	clock := state.NewClock()
+	databases := &Databases{ConnectTimeout: patience}
+	front, err := state.New(state.Config{Logic: settings, MaxLinks: 16, ConnectTimeout: patience}, clock, databases)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop := NewLoop(clock, &front.Deadlines)
+	databases.Loop = loop
+	s := NewServer(loop, clock, front, clients, excess)
+	if err := s.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	loop.Post(func() {
+		front.Start(noWatch{}, state.List{Entries: []state.Entry{{Name: "m", Address: member, State: logic.Ready}}})
+	})
+	done := make(chan struct{})
+	go func() { loop.Run(); close(done) }()
+	t.Cleanup(func() {
+		loop.Post(func() { s.Drain(); loop.Stop() })
+		<-done
+	})
+	return s, front, loop
+}
+
+// member is a database of a few lines: it answers each query with its own text, or as the test says.
+func member(t *testing.T, answer func(conn stdnet.Conn, text string) bool) string {
+	t.Helper()
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				peer := &peer{conn: conn}
+				if _, err := peer.next(func(b []byte) (int, error) { _, n, err := pg.NextOpening(b); return n, err }); err != nil {
+					return
+				}
+				conn.Write(pg.AppendWelcome(nil))
+				for {
+					m, err := peer.message()
+					if err != nil {
+						return
+					}
+					text, _ := pg.QueryText(m)
+					if !answer(conn, string(text)) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func row(text string) []byte {
+	value := append([]byte{0, 1, 0, 0, byte(len(text) >> 8), byte(len(text))}, text...)
+	out := append([]byte{'D', 0, 0, byte((len(value) + 4) >> 8), byte(len(value) + 4)}, value...)
+	return pg.AppendReady(append(out, "C\x00\x00\x00\x0dSELECT 1\x00"...))
+}
+
+func echo(conn stdnet.Conn, text string) bool {
+	_, err := conn.Write(row(text))
+	return err == nil
+}
+
+// peer reads messages from a connection.
+type peer struct {
+	conn stdnet.Conn
+	buf  []byte
+}
+
+func (p *peer) next(parse func([]byte) (int, error)) ([]byte, error) {
+	for {
+		n, err := parse(p.buf)
+		if err != nil {
+			return nil, err
+		}
+		if n > 0 {
+			raw := p.buf[:n]
+			p.buf = p.buf[n:]
+			return raw, nil
+		}
+		in := make([]byte, 4096)
+		if n, err = p.conn.Read(in); n == 0 {
+			return nil, err
+		}
+		p.buf = append(p.buf, in[:n]...)
+	}
+}
+
+func (p *peer) message() (m pg.Message, err error) {
+	_, err = p.next(func(b []byte) (n int, err error) { m, n, err = pg.Next(b); return n, err })
+	return m, err
+}
+
+func dial(t *testing.T, s *Server) *peer {
+	t.Helper()
+	conn, err := stdnet.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { conn.Close() })
+	return &peer{conn: conn}
+}
+
+// said gives the types of the messages up to the end of the connection, or the first n.
+func (p *peer) said(n int) (types string, bodies []string) {
+	for len(types) < n {
+		m, err := p.message()
+		if err != nil {
+			return types + "!", bodies
+		}
+		types, bodies = types+string(m.Type), append(bodies, string(m.Body))
+	}
+	return types, bodies
+}
+
+func query(key string) string {
+	return fmt.Sprintf("SELECT val FROM state WHERE uid = '%s' /* id=1,c=any,d=15000,cluster=0 */", key)
+}
+
+const welcome = "RSSSSZ"
+
+func TestPipelinedQueriesAreAnsweredInOrderInAnyCuts(t *testing.T) {
+	s, _, _ := proxy(t, member(t, echo), 8, 1)
+	in := pg.AppendStartup(nil, "client", "core")
+	const queries = 200 // more than may be under way; some are refused, in their place
+	for i := range queries {
+		if in = pg.AppendQuery(in, query(fmt.Sprint(i))); i%7 == 0 {
+			in = pg.AppendQuery(in, "")
+		}
+	}
+	p := dial(t, s)
+	go func() {
+		for size := 1; len(in) > 0; size = size*5%1021 + 1 {
+			n := min(size, len(in))
+			p.conn.Write(in[:n])
+			in = in[n:]
+		}
+	}()
+	if types, _ := p.said(len(welcome)); types != welcome {
+		t.Fatalf("the start was answered by %q", types)
+	}
+	for i := range queries {
+		types, bodies := p.said(1)
+		if types == "D" {
+			if types, _ = p.said(1); types != "C" || !strings.Contains(bodies[0], fmt.Sprintf("'%d'", i)) {
+				t.Fatalf("answer %d is %q %q", i, bodies[0], types)
+			}
+		} else if types != "E" {
+			t.Fatalf("answer %d is %q", i, types)
+		}
+		if i%7 == 0 {
+			if types, _ = p.said(3); types != "ZIZ" {
+				t.Fatalf("behind answer %d: %q", i, types)
+			}
+		} else if types, _ = p.said(1); types != "Z" {
+			t.Fatalf("behind answer %d: %q", i, types)
+		}
+	}
+}
+
+// What was asked before a client broke the protocol has been taken: it is answered first, and the last word
+// is whole.
+func TestAnswersDueComeBeforeTheLastWord(t *testing.T) {
+	s, _, _ := proxy(t, member(t, echo), 8, 1)
+	for _, junk := range [][]byte{{'Q', 0xff, 0xff, 0xff, 0xff}, pg.AppendQuery(nil, "SELECT 1"), {'P', 0, 0, 0, 4},
+		pg.AppendQuery(nil, strings.Replace(query("a"), "c=any", "c=unheard", 1))} {
+		p := dial(t, s)
+		in := append(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("a")), junk...)
+		p.conn.Write(append(in, bytes.Repeat([]byte("x"), 1000)...))
+		types, bodies := p.said(99)
+		if types != welcome+"DCZE!" || !strings.Contains(bodies[len(bodies)-1], "C"+pg.CodeProtocol) {
+			t.Errorf("after %q: %q, %q", junk, types, bodies)
+		}
+	}
+	p := dial(t, s)
+	p.conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	if types, _ := p.said(99); types != "E!" {
+		t.Errorf("garbage for a start was answered by %q", types)
+	}
+}
+
+func TestExcessClientIsTurnedAwayWithAWholeAnswer(t *testing.T) {
+	s, _, _ := proxy(t, member(t, echo), 1, 4)
+	first, second := dial(t, s), dial(t, s)
+	start := pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), "")
+	first.conn.Write(start)
+	if types, _ := first.said(len(welcome) + 2); types != welcome+"IZ" {
+		t.Fatalf("the first client got %q", types)
+	}
+	second.conn.Write(start)
+	if types, bodies := second.said(99); types != "E!" || !strings.Contains(bodies[0], "C"+pg.CodeTooMany) {
+		t.Errorf("the second client got %q", types)
+	}
+	first.conn.Close() // its place is free once the proxy has seen that
+	for {
+		p := dial(t, s)
+		p.conn.Write(start)
+		if types, _ := p.said(len(welcome)); types == welcome {
+			break
+		}
+	}
+}
+
+// Broken bytes and a connection that ends without an answer may both follow a request that has run.
+func TestBrokenDatabaseIsAFailedRequestNotACrash(t *testing.T) {
+	for name, answer := range map[string]func(stdnet.Conn, string) bool{
+		"garbage": func(c stdnet.Conn, _ string) bool { c.Write([]byte("\x00\xff\xff\xff\xff nonsense")); return true },
+		"closes":  func(stdnet.Conn, string) bool { return false },
+		"no row": func(c stdnet.Conn, _ string) bool {
+			c.Write(pg.AppendReady([]byte("C\x00\x00\x00\x0dSELECT 1\x00")))
+			return true
+		},
+	} {
+		s, front, loop := proxy(t, member(t, answer), 8, 1)
+		p := dial(t, s)
+		p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("a")))
+		if types, _ := p.said(len(welcome) + 2); types != welcome+"EZ" {
+			t.Errorf("%s: the client got %q", name, types)
+		}
+		got := make(chan uint64)
+		loop.Post(func() { got <- front.Counters.Reset })
+		if n := <-got; n == 0 {
+			t.Errorf("%s: no reset was counted", name)
+		}
+	}
+}
+
+func TestClientThatLeavesAbandonsItsRequest(t *testing.T) {
+	asked := make(chan struct{})
+	s, front, loop := proxy(t, member(t, func(c stdnet.Conn, _ string) bool {
+		close(asked)
+		c.Read(make([]byte, 1)) // until the proxy gives the attempt up
+		return false
+	}), 8, 1)
+	p := dial(t, s)
+	p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("a")))
+	<-asked
+	p.conn.Close()
+	for { // the proxy notices when its poller does
+		got := make(chan uint64)
+		loop.Post(func() { got <- front.Counters.Abandoned })
+		if <-got == 1 {
+			break
+		}
+	}
+}
+
+// The service's answers arrive in pieces, fail, and list moves; a watch goes on behind each answer.
+func TestDiscoveryGoesOnWatchingAndTellsOfFailure(t *testing.T) {
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	calls := make(chan string, 9)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		p := &peer{conn: conn}
+		for _, body := range []string{`{"generation":0,"reset":true,"instances":[{"instanceId":"a","lifecycle":"in_service"}]}`,
+			`{"generation":5,"reset":false,"instances":[]}`, ""} {
+			call, err := p.next(func(b []byte) (int, error) {
+				head, _, whole := bytes.Cut(b, []byte("\r\n\r\n"))
+				if !whole {
+					return 0, nil
+				}
+				return len(head) + 4, nil
+			})
+			if err != nil {
+				return
+			}
+			calls <- strings.SplitN(string(call), " ", 3)[1]
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			if body == "" {
+				answer = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+			}
+			for i := range answer {
+				conn.Write([]byte(answer[i : i+1]))
+			}
+		}
+		io.Copy(io.Discard, conn)
+	}()
+	_, front, loop := proxy(t, "127.0.0.1:1", 8, 1)
+	d := NewDiscovery(loop, state.NewClock(), front, ln.Addr().String(), discovery.NoList)
+	loop.Post(func() { d.Watch(true) })
+	for i, want := range []string{"/v1/endpoints", "/v1/endpoints?after=0&wait_ms=10000", "/v1/endpoints?after=5&wait_ms=10000"} {
+		if got := <-calls; got != want {
+			t.Errorf("call %d is %s, want %s", i, got, want)
+		}
+	}
+	for {
+		got := make(chan uint64)
+		loop.Post(func() { got <- front.Counters.ListFailures })
+		if <-got == 1 {
+			break
+		}
+	}
+}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -14,6 +14,7 @@
 
 const (
 	writePatience = 20 * time.Millisecond // a client whose buffer stays full for so long doesn't read
+	keepAlive     = time.Minute           // after which the kernel asks whether a silent client is still there
 	sendBuffer    = 256 << 10             // the kernel's, room for several of the largest answers
 )
 
@@ -60,7 +61,8 @@
 			return nil
 		},
 		netpoll.WithOnConnect(s.accept),
-		netpoll.WithWriteTimeout(writePatience))
+		netpoll.WithWriteTimeout(writePatience),
+		netpoll.WithIdleTimeout(keepAlive))
 	if err != nil {
 		return err
 	}
--- a/internal/state/deadlines.go
+++ b/internal/state/deadlines.go
@@ -44,7 +44,8 @@
 	return q.heap[0].at, true
 }
 
-// Run carries out what is due. What is set meanwhile waits for the next call.
+// Run carries out what is due, no more entries than were there before: one that sets itself anew can't hold up
+// its owner.
 func (q *Deadlines) Run(now time.Duration) {
 	for n := len(q.heap); n > 0 && len(q.heap) > 0 && q.heap[0].at <= now; n-- {
 		heap.Pop(&q.heap).(*Deadline).then()
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -65,7 +65,7 @@
 	clock   Clock
 	opener  Opener
 	watcher Watcher
-	router  *logic.Router
+	router  logic.Events
 
 	queue []func() // events, for the router gets them one at a time
 	busy  bool
@@ -150,16 +150,15 @@
 	f.Counters.Taken++
 	q := &request{id: f.lastID, class: class, cmd: in.Command, caller: in.Caller}
 	f.requests[q.id] = q
-	now := f.clock.Now()
 	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group),
-		Deadline: now + max(in.Wait-wayHome, 0), Retry: in.Retry}
+		Deadline: f.clock.Now() + max(in.Wait-wayHome, 0), Retry: in.Retry}
 	switch f.cfg.Logic.Classes[class].Read { // elsewhere the key names no session
 	case logic.Session:
 		out.Session, out.TokenAge = logic.SessionID(in.Session), tokenAge(f.clock, in.After)
 	case logic.Write:
 		out.Session = logic.SessionID(in.Session)
 	}
-	f.tell(func() { f.router.Request(now, out) })
+	f.tell(func() { f.router.Request(f.clock.Now(), out) })
 	return q.id, nil
 }
 
@@ -266,6 +265,7 @@
 		a.link = nil
 	}
 	f.Counters.end(r.Result)
+	a.to.heard(r, false)
 	if r.Result == logic.OK {
 		f.answer(q.id, &f.Counters.Served, func(c Caller) { c.Served(r.Body) })
 	}
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -279,6 +279,7 @@
 	if r.Result == logic.OK {
 		f.Counters.ProbesOK++
 	}
+	m.heard(r, true)
 	p := logic.Probed{Member: m.id, Result: r.Result, Took: took, Report: f.report(r)}
 	f.tell(func() { f.router.Probed(f.clock.Now(), p) })
 }
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -32,6 +32,9 @@
 	state   logic.MemberState
 	seen    bool // in the whole list in hand
 
+	role   logic.Role // as it last told
+	silent bool       // its last probe had no answer
+
 	idle    []*link // the one used last at the end
 	opening []*link
 	links   map[*link]struct{} // all, but for the one for probes
@@ -106,6 +109,31 @@
 	}
 }
 
+// heard logs what changes in what a member tells of itself. The router draws its own conclusions.
+func (m *member) heard(r Reply, probe bool) {
+	role := r.Role
+	if role == logic.RoleUnknown {
+		role = r.Load.Role
+	}
+	if role != logic.RoleUnknown && role != m.role {
+		slog.Info("database role", "name", m.name, "address", m.address, "from", roleNames[m.role], "to", roleNames[role])
+		m.role = role
+	}
+	if !probe {
+		return
+	}
+	switch silent := r.Result == logic.TimedOut || r.Result == logic.ConnectFailed || r.Result == logic.Reset; {
+	case silent && !m.silent:
+		slog.Warn("database silent", "name", m.name, "address", m.address)
+		m.silent = true
+	case !silent && m.silent:
+		slog.Info("database answers again", "name", m.name, "address", m.address)
+		m.silent = false
+	}
+}
+
+var roleNames = [...]string{logic.RoleUnknown: "unknown", logic.RolePrimary: "primary", logic.RoleReplica: "replica"}
+
 func stateName(s logic.MemberState) string {
 	return [...]string{logic.Gone: "gone", logic.Ready: "ready", logic.Draining: "draining"}[s]
 }
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,352 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"havenproxy/logic"
+)
+
+// bench is a front whose router is played by the test, with a clock and connections of the test's own.
+type bench struct {
+	t     *testing.T
+	f     *Front
+	now   time.Duration
+	conns []*conn
+	told  []string
+	probe logic.Probed
+	last  logic.Outcome
+	list  logic.List
+	req   logic.Request
+	onReq func()
+	depth int
+}
+
+func (b *bench) Now() time.Duration  { return b.now }
+func (b *bench) Unix() time.Duration { return b.now + 1767225600*time.Second }
+
+func (b *bench) note(format string, args ...any) {
+	if b.depth > 0 {
+		b.t.Errorf("the router is called from within its own call")
+	}
+	b.told = append(b.told, fmt.Sprintf(format, args...))
+}
+
+func (b *bench) Members(_ time.Duration, l logic.List) { b.list = l }
+func (b *bench) Request(_ time.Duration, q logic.Request) {
+	b.note("request")
+	b.depth++
+	if b.req = q; b.onReq != nil {
+		b.onReq()
+	}
+	b.depth--
+}
+func (b *bench) Started(time.Duration, logic.RequestID, int) {}
+func (b *bench) Outcome(_ time.Duration, o logic.Outcome) {
+	b.last = o
+	b.note("outcome %d finished=%v", o.Result, o.Finished)
+}
+func (b *bench) Probed(_ time.Duration, p logic.Probed)   { b.probe = p; b.note("probed %d", p.Result) }
+func (b *bench) Timer(time.Duration, logic.TimerID)       { b.note("timer") }
+func (b *bench) Abandoned(time.Duration, logic.RequestID) { b.note("abandoned") }
+func (b *bench) Watch(bool)                               {}
+func (b *bench) Fetch()                                   {}
+func (b *bench) Open(address string, to Listener) Conn {
+	c := &conn{address: address, to: to}
+	b.conns = append(b.conns, c)
+	return c
+}
+
+type conn struct {
+	address string
+	to      Listener
+	sent    int
+	probes  int
+	closed  bool
+	err     error
+}
+
+func (c *conn) Send(Command, time.Duration) error { c.sent++; return c.err }
+func (c *conn) Probe() error                      { c.probes++; return c.err }
+func (c *conn) Close()                            { c.closed = true }
+
+type command struct{}
+
+func (command) AppendTo(dst []byte, _ time.Duration) []byte { return dst }
+
+type caller struct{ answers []string }
+
+func (c *caller) Served(body []byte)      { c.answers = append(c.answers, "served "+string(body)) }
+func (c *caller) Refused(d time.Duration) { c.answers = append(c.answers, "refused "+d.String()) }
+func (c *caller) Failed()                 { c.answers = append(c.answers, "failed") }
+func (c *caller) want(t *testing.T, s ...string) {
+	t.Helper()
+	if fmt.Sprint(c.answers) != fmt.Sprint(s) {
+		t.Errorf("answers %q, want %q", c.answers, s)
+	}
+}
+
+func newBench(t *testing.T, links int) *bench {
+	b := &bench{t: t, now: clockBase}
+	class := func(name string, read logic.Freshness) logic.Class {
+		return logic.Class{Name: name, Read: read, MaxAge: time.Second, Aim: time.Second, Limit: 2 * time.Second}
+	}
+	f, err := New(Config{Logic: logic.Config{Tick: time.Millisecond, Classes: []logic.Class{class("any", logic.Any),
+		class("session", logic.Session)}}, Zones: []string{"x", "y"}, IdleClose: 10 * time.Second,
+		ConnectTimeout: 250 * time.Millisecond, MaxLinks: links}, b, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.f, f.router = f, b
+	f.Start(b, List{Entries: []Entry{{Name: "one", Address: "a:1", Zone: "y", State: logic.Ready},
+		{Name: "two", Address: "a:2", Zone: "?", State: logic.Ready}}})
+	return b
+}
+
+// take lets a request in and sends its first attempt to the first member.
+func (b *bench) take(c *caller) logic.RequestID {
+	id, err := b.f.Take(Request{Class: "any", Wait: time.Second, Command: command{}, Caller: c})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.f.Send(id, 1, 500*time.Millisecond)
+	return id
+}
+
+func (b *bench) want(events ...string) {
+	b.t.Helper()
+	if got := strings.Join(b.told, ", "); got != strings.Join(events, ", ") {
+		b.t.Errorf("the router was told: %s; want: %s", got, strings.Join(events, ", "))
+	}
+	b.told = nil
+}
+
+func (b *bench) pass(d time.Duration) {
+	b.now += d
+	b.f.Deadlines.Run(b.now)
+}
+
+func outcome(r logic.Result, finished bool) string {
+	return fmt.Sprintf("outcome %d finished=%v", r, finished)
+}
+
+func TestServedOnceAndConnectionKept(t *testing.T) {
+	b, c := newBench(t, 9), &caller{}
+	id := b.take(c)
+	b.conns[0].to.Up()
+	b.conns[0].to.Reply(Reply{Result: logic.OK, Body: []byte("v"), Role: logic.RoleReplica, Position: 1767225600000})
+	b.f.Refuse(id, time.Second) // too late: it has its answer
+	b.f.Fail(id)
+	c.want(t, "served v")
+	b.want("request", outcome(logic.OK, true))
+	if b.last.Position != 0 && b.last.Position != b.now-(b.Unix()-1767225600*time.Second) {
+		t.Errorf("position %v", b.last.Position)
+	}
+	b.take(&caller{})
+	if len(b.conns) != 1 || b.conns[0].sent != 2 {
+		t.Errorf("%d connections, %d requests on the first", len(b.conns), b.conns[0].sent)
+	}
+	if b.f.Pending() != 1 {
+		t.Errorf("%d requests pending", b.f.Pending())
+	}
+}
+
+// Whether the last byte was written tells what never ran from what may have.
+func TestHowAConnectionFailsDecidesTheOutcome(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(b *bench)
+		want logic.Result
+	}{
+		"refused":        {func(b *bench) { b.conns[0].to.Down() }, logic.ConnectFailed},
+		"never up":       {func(b *bench) { b.pass(250 * time.Millisecond) }, logic.ConnectFailed},
+		"turned away":    {func(b *bench) { b.conns[0].to.Reply(Reply{Result: logic.Full}) }, logic.Full},
+		"not written":    {func(b *bench) { b.conns[0].err = errors.New("broken"); b.conns[0].to.Up() }, logic.ConnectFailed},
+		"broken behind":  {func(b *bench) { b.conns[0].to.Up(); b.conns[0].to.Down() }, logic.Reset},
+		"silent":         {func(b *bench) { b.conns[0].to.Up(); b.pass(500 * time.Millisecond) }, logic.TimedOut},
+		"called off":     {func(b *bench) { b.conns[0].to.Up(); b.f.Cancel(1, 0) }, logic.Cancelled},
+		"called off yet": {func(b *bench) { b.f.Cancel(1, 0) }, logic.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 9)
+			b.take(&caller{})
+			c.do(b)
+			b.want("request", outcome(c.want, false))
+			if !b.conns[0].closed {
+				t.Error("the connection is still open: what comes on it would be taken for the next answer")
+			}
+			b.conns[0].to.Up()
+			b.conns[0].to.Reply(Reply{Result: logic.OK})
+			b.conns[0].to.Down()
+			b.want()
+		})
+	}
+}
+
+func TestNeverTwoAttemptsAtOnce(t *testing.T) {
+	b := newBench(t, 9)
+	id := b.take(&caller{})
+	b.f.Send(id, 2, time.Second)
+	if b.want("request", outcome(logic.Moot, false)); len(b.conns) != 1 {
+		t.Errorf("%d connections", len(b.conns))
+	}
+}
+
+// What a router's action brings about at once must not come back to it before it has returned.
+func TestTheRouterIsNotCalledFromWithinItself(t *testing.T) {
+	b, c := newBench(t, 0), &caller{} // no room for any connection
+	b.onReq = func() { b.f.Send(1, 1, time.Second); b.f.Probe(1) }
+	if _, err := b.f.Take(Request{Class: "any", Wait: time.Second, Command: command{}, Caller: c}); err != nil {
+		t.Fatal(err)
+	}
+	b.want("request", outcome(logic.ConnectFailed, false), fmt.Sprintf("probed %d", logic.ConnectFailed))
+	b.f.Refuse(1, time.Millisecond)
+	c.want(t, "refused 1ms")
+}
+
+func TestAbandonedRequestHasNoAnswer(t *testing.T) {
+	b, c := newBench(t, 9), &caller{}
+	id := b.take(c)
+	b.conns[0].to.Up()
+	b.f.Abandon(id)
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	c.want(t)
+	if b.want("request", "abandoned", outcome(logic.OK, true)); b.f.Pending() != 0 {
+		t.Errorf("%d requests pending", b.f.Pending())
+	}
+}
+
+// A database closes connections that stand idle, and a request that crosses the close is lost.
+func TestIdleConnectionsAreDroppedInTime(t *testing.T) {
+	b := newBench(t, 9)
+	b.take(&caller{})
+	b.conns[0].to.Up()
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	if b.pass(8 * time.Second); b.conns[0].closed {
+		t.Error("closed early")
+	}
+	if b.pass(time.Second); !b.conns[0].closed {
+		t.Error("kept until the database closes it")
+	}
+	b.take(&caller{})
+	b.conns[1].to.Up()
+	b.conns[1].to.Reply(Reply{Result: logic.OK})
+	b.conns[1].to.Down()
+	if b.take(&caller{}); len(b.conns) != 3 {
+		t.Error("a connection seen closed was used again")
+	}
+}
+
+func TestAConnectionThatFallsFreeServesWhoWaits(t *testing.T) {
+	b := newBench(t, 9)
+	b.take(&caller{})
+	b.conns[0].to.Up()
+	b.take(&caller{})
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	if b.conns[0].sent != 2 || b.conns[1].sent != 0 {
+		t.Errorf("%d and %d requests sent", b.conns[0].sent, b.conns[1].sent)
+	}
+	b.conns[1].to.Up() // kept for the next
+	if b.take(&caller{}); len(b.conns) != 2 || b.conns[1].sent != 1 {
+		t.Errorf("%d connections, %d requests on the second", len(b.conns), b.conns[1].sent)
+	}
+}
+
+func TestFullTableMakesRoomByAnIdleConnection(t *testing.T) {
+	b := newBench(t, 1)
+	b.take(&caller{})
+	b.conns[0].to.Up()
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	b.f.Probe(2)
+	if !b.conns[0].closed || len(b.conns) != 2 {
+		t.Errorf("%d connections, the idle one closed: %v", len(b.conns), b.conns[0].closed)
+	}
+}
+
+// A ping is the way there and back, without the start of its connection.
+func TestProbeMeasuresThePingAlone(t *testing.T) {
+	b := newBench(t, 9)
+	b.f.Probe(1)
+	b.pass(100 * time.Millisecond)
+	b.conns[0].to.Up()
+	b.pass(2 * time.Millisecond)
+	b.conns[0].to.Reply(Reply{Result: logic.OK, Load: Load{Told: true, Role: logic.RolePrimary, Position: 1767312000.05, Queue: -1}})
+	if p := b.probe; p.Took != 2*time.Millisecond || p.Report.Role != logic.RolePrimary || len(b.conns) != 1 {
+		t.Errorf("%+v", p)
+	}
+	want := clockBase + 50*time.Millisecond
+	if p := b.probe.Report.Position; p > want || p < want-2*time.Microsecond {
+		t.Errorf("position %v, want %v or a little below", p, want)
+	}
+	b.f.Probe(1)
+	if b.conns[0].probes != 2 {
+		t.Error("the second probe did not use the connection of the first")
+	}
+	b.pass(probeTimeout)
+	if b.probe.Result != logic.TimedOut || !b.conns[0].closed {
+		t.Errorf("%+v, closed %v", b.probe, b.conns[0].closed)
+	}
+}
+
+func TestListIsPassedOnWithMovesAndLeavers(t *testing.T) {
+	b := newBench(t, 9)
+	if e := b.list.Entries; b.list.Kind != logic.ListCached || len(e) != 2 || e[0].Zone != 1 || e[1].Zone != -1 || e[0].Born != 0 {
+		t.Fatalf("%+v", b.list)
+	}
+	b.take(&caller{})
+	b.conns[0].to.Up()
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	b.f.Listed(List{Kind: logic.ListDelta, Entries: []Entry{{Name: "one", Address: "a:9", State: logic.Ready,
+		Started: b.Unix() - time.Second}}})
+	if e := b.list.Entries; len(e) != 1 || e[0].ID != 1 || e[0].Born != b.now-time.Second {
+		t.Errorf("%+v", b.list)
+	}
+	if !b.conns[0].closed {
+		t.Error("an idle connection to the old address is kept")
+	}
+	if b.take(&caller{}); b.conns[len(b.conns)-1].address != "a:9" {
+		t.Error("the old address is used")
+	}
+	b.f.Listed(List{Kind: logic.ListFull, Entries: []Entry{{Name: "one", Address: "a:9", State: logic.Draining}}})
+	if b.f.members[2] != nil || b.list.Kind != logic.ListFull {
+		t.Error("who is left out of a whole list is still known")
+	}
+}
+
+// An age of 0 would mean that there was no commit; one rounded up to the next millisecond may lie ahead.
+func TestTokenIsNeverOlderThanTheCommit(t *testing.T) {
+	b := newBench(t, 9)
+	for after, want := range map[time.Duration]time.Duration{0: 0, -time.Second: time.Second, time.Millisecond: 1} {
+		in := Request{Class: "session", Wait: time.Second, Session: 7, Command: command{}, Caller: &caller{}}
+		if after != 0 {
+			in.After = int64((b.Unix() + after) / time.Millisecond)
+		}
+		if b.f.Take(in); b.req.TokenAge != want || b.req.Session != 7 {
+			t.Errorf("commit at now%+v: age %v, want %v", after, b.req.TokenAge, want)
+		}
+	}
+	b.f.Take(Request{Class: "any", Wait: time.Second, Session: 7, After: 1, Command: command{}, Caller: &caller{}})
+	if b.req.Session != 0 || b.req.TokenAge != 0 || b.req.Deadline >= b.now+time.Second {
+		t.Errorf("%+v: the key names a session in classes that have them only", b.req)
+	}
+	if _, err := b.f.Take(Request{Class: "unheard"}); err == nil || b.f.Pending() != 4 {
+		t.Error("an unknown class was taken")
+	}
+}
+
+func TestDeadlinesRunInOrderAndMove(t *testing.T) {
+	var q Deadlines
+	var ran []int
+	d := make([]Deadline, 5)
+	for i := range d {
+		q.Set(&d[i], time.Duration(10-i), func() { ran = append(ran, i) })
+	}
+	q.Set(&d[0], 1, func() { ran = append(ran, 0); q.Set(&d[0], 1, func() { ran = append(ran, 9) }) })
+	q.Clear(&d[3])
+	q.Run(8)
+	if at, ok := q.Next(); fmt.Sprint(ran) != "[0 9 4 2]" || !ok || at != 9 {
+		t.Errorf("ran %v, next %v", ran, at)
+	}
+}
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -1,17 +1,87 @@
 package discovery
 
 import (
+	"flag"
+	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
+// The same verdict every time: one seed, and no files of failures.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
 // A list of generation 0 is a list: taken for none, it was asked for as a whole, again and again, without a wait.
 func TestGenerationZeroIsWatched(t *testing.T) {
-	if got := string(AppendRequest(nil, "h:1", 0, time.Second)); !strings.HasPrefix(got, "GET /v1/endpoints?after=0&wait_ms=1000 HTTP/1.1\r\n") {
-		t.Errorf("generation 0: %q", got)
+	for after, want := range map[int64]string{0: "GET /v1/endpoints?after=0&wait_ms=1000 HTTP/1.1\r\n",
+		NoList: "GET /v1/endpoints HTTP/1.1\r\n"} {
+		if got := string(AppendRequest(nil, "h:1", after, time.Second)); !strings.HasPrefix(got, want) {
+			t.Errorf("generation %d: %q", after, got)
+		}
+	}
+}
+
+func TestAnswersInAnyCuts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.StringMatching(`[a-z\r\n]{0,80}`).Draw(t, "body")
+		stream := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if rapid.Bool().Draw(t, "chunked") {
+			stream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+			for rest := body; ; {
+				n := min(len(rest), rapid.IntRange(1, 30).Draw(t, "chunk"))
+				stream += fmt.Sprintf("%x\r\n%s\r\n", n, rest[:n])
+				if rest = rest[n:]; n == 0 {
+					break
+				}
+			}
+		}
+		cut := rapid.IntRange(0, len(stream)-1).Draw(t, "cut")
+		if _, n, err := Next([]byte(stream[:cut])); n != 0 || err != nil {
+			t.Fatalf("%d bytes taken of a part, error %v", n, err)
+		}
+		r, n, err := Next([]byte(stream + "HTTP/1.1 503"))
+		if err != nil || n != len(stream) || r.Status != 200 || string(r.Body) != body || r.Close {
+			t.Fatalf("%+v, %d bytes, error %v", r, n, err)
+		}
+	})
+}
+
+func TestGarbageIsAnErrorOrWaitsForMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		junk := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "junk")
+		junk = append([]byte(rapid.SampledFrom([]string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"}).Draw(t, "head")), junk...)
+		if _, n, err := Next(junk); n > len(junk) || n > 0 && err != nil {
+			t.Fatalf("%d of %d bytes, error %v", n, len(junk), err)
+		}
+		ParseList(junk)
+	})
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nContent-Length: -1", "HTTP/1.1 200 OK\r\nContent-Length: 99999999",
+		"HTTP/1.1 200 OK\r\n", "HTTP/1.1 abc", "nonsense", strings.Repeat("x", 2*maxHead)} {
+		if _, n, err := Next([]byte(head + "\r\n\r\n")); err == nil {
+			t.Errorf("%.40q: %d bytes taken", head, n)
+		}
+	}
+}
+
+func TestList(t *testing.T) {
+	l, err := ParseList([]byte(`{"generation":43,"reset":false,"more":1,"instances":[
+	 {"instanceId":"s-5be2a07c","hostPort":"10.1.0.18:6432","zone":"a","cell":3,"lifecycle":"terminating","weight":1.0,"startedAtMs":7}]}`))
+	if err != nil || l.Generation != 43 || l.Whole || len(l.Instances) != 1 ||
+		l.Instances[0] != (Instance{"s-5be2a07c", "10.1.0.18:6432", "a", 3, Terminating, 1, 7}) {
+		t.Errorf("%+v, error %v", l, err)
 	}
-	if got := string(AppendRequest(nil, "h:1", NoList, time.Second)); !strings.HasPrefix(got, "GET /v1/endpoints HTTP/1.1\r\n") {
-		t.Errorf("no list: %q", got)
+	for _, bad := range []string{"{", `{"instances":[{"lifecycle":"in_service"}]}`, `{"instances":[{"instanceId":"a","lifecycle":"odd"}]}`} {
+		if _, err := ParseList([]byte(bad)); err == nil {
+			t.Errorf("%s passed", bad)
+		}
 	}
 }
--- a/internal/wire/pg/reply.go
+++ b/internal/wire/pg/reply.go
@@ -47,6 +47,9 @@
 	case typeParam:
 		return r.param(m.Body)
 	case typeRowDesc:
+		if len(r.Body) > 0 {
+			return ErrMalformed // one statement, one answer; more of them would fill the memory
+		}
 		r.Body = append(r.Body, m.Raw...)
 	case typeRow:
 		value, ok := column(m.Body)
@@ -56,6 +59,9 @@
 		r.Body = append(r.Body, m.Raw...)
 		r.row = r.Body[len(r.Body)-len(value):]
 	case typeComplete:
+		if r.complete {
+			return ErrMalformed
+		}
 		r.Body = append(r.Body, m.Raw...)
 		r.complete = true
 	case typeError:
