--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -20,7 +19,7 @@
 	// Descriptors: some for the process itself and for connections in the making, the rest for both sides.
 	spareSockets = 64
 	excessPart   = 16 // one in so many is for clients that are turned away with an answer
-	linkPart     = 3  // and so many of sixteen for databases
+	linkPart     = 3  // and three in eight are for databases
 
 	memoryPart = 0.7 // of the limit: the heap's share; stacks, buffers in the kernel and netpoll's pools take more
 
@@ -48,9 +47,6 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
-	// One for the poller, which mostly sleeps in the kernel, and one for the loop: with a single one, each waits
-	// for the other's sleep to be noticed.
-	runtime.GOMAXPROCS(2)
 	p, err := start(cfg)
 	if err != nil {
 		return err
@@ -83,7 +79,7 @@
 		sockets = defaultSockets
 	}
 	sockets -= spareSockets
-	links, excess := sockets*linkPart/16*2, sockets/excessPart
+	links, excess := sockets*linkPart/8, sockets/excessPart
 	clients := sockets - links - excess
 	if clients <= 0 || links <= 0 {
 		return nil, fmt.Errorf("configuration: limits.sockets: %d are too few", cfg.Sockets)
