--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The project's tasks. `make check` is all that has to pass before a commit.
+
+POLICY    = logic/logic.go
+MAX_LINES = 950
+MAX_WIDTH = 110
+
+.PHONY: build test lint size check run
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -count=1 ./...
+
+lint:
+	@unformatted=$$(gofmt -l cmd internal logic); [ -z "$$unformatted" ] || { echo "not gofmt'd: $$unformatted"; exit 1; }
+	go vet ./...
+
+# The decision module is to stay small enough to be read in one sitting.
+size:
+	@lines=$$(grep -cv '^[[:space:]]*$$' $(POLICY)); \
+	[ "$$lines" -le $(MAX_LINES) ] || { echo "$(POLICY) holds $$lines non-blank lines, $(MAX_LINES) at most"; exit 1; }; \
+	echo "$(POLICY): $$lines non-blank lines, $(MAX_LINES) at most"
+	@long=$$(awk 'length($$0) > $(MAX_WIDTH) { print FILENAME ":" FNR }' $(POLICY)); \
+	[ -z "$$long" ] || { echo "lines over $(MAX_WIDTH) characters: $$long"; exit 1; }
+
+check: lint build test size
+
+# One proxy, as the configuration says: make run EDGE_CONFIG=deploy/example.json
+run: build
+	EDGE_CONFIG=$(EDGE_CONFIG) bin/havenproxy
--- a/internal/wire/settings/settings_test.go
+++ b/internal/wire/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -48,6 +49,18 @@
 const config = `{"name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
  "limits": {"memory_mb": 192, "sockets": 1024}, "settings": ` + sample + `}`
 
+// The configuration that the README starts the proxy with.
+func TestExampleIsUsable(t *testing.T) {
+	text, err := os.ReadFile("../../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, err := ParseConfig(text); err != nil || len(c.Known.Instances) != 1 || len(c.Settings.Config.Classes) != 5 ||
+		c.Settings.IdleClose != 30*time.Second || c.Settings.ConnectTimeout != 250*time.Millisecond {
+		t.Errorf("%+v, error %v", c, err)
+	}
+}
+
 func TestConfig(t *testing.T) {
 	c, err := ParseConfig([]byte(config))
 	if err != nil || c.Settings.Config.Seed != 0x8c1f30d27a5be964 || c.Sockets != 1024 || c.Known.Generation != discovery.NoList {
