Take nothing from a closed client; keep ids of returning members; keep watches over closes

At fault: client.parse, posted for a client that had closed meanwhile, would take its buffered queries; Discovery.lost ended a watch when the service closed a connection between two calls; state numbered a member that came back anew; an error while a connection came up counted as a request that may have run; garbled told the router of the end before netpoll had closed the connection, so a further attempt could overlap it for some microseconds; a broken log pipe would have ended the process; the stop could outlast SIGKILL where a class waits for longer than 3 s. Tests: one each for the closed client, the returning member and the unwelcome connection.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -61,7 +62,7 @@
 
 // parse takes whole messages out of the buffer, as many as may be under way.
 func (c *client) parse() {
-	for used := 0; ; {
+	for used := 0; c.phase < phaseLeaving; {
 		n, err := c.next(c.in.bytes[used:])
 		if used += n; err == nil && n == 0 && len(c.in.bytes)-used > maxBuffered {
 			err = errTooMany
@@ -69,15 +70,14 @@
 		if err != nil {
 			c.s.front.Counters.Malformed++
 			c.leave(pg.CodeProtocol, err.Error())
+			continue
 		}
-		if c.phase >= phaseLeaving {
-			used = len(c.in.bytes)
-		}
-		if n == 0 || c.phase >= phaseLeaving {
+		if n == 0 {
 			c.in.cut(used)
 			return
 		}
 	}
+	c.in.cut(len(c.in.bytes)) // what comes behind the end is nobody's
 }
 
 // next handles the first message of buf and tells its length; 0 = nothing to do yet.
@@ -129,7 +129,7 @@
 
 func (c *client) query(text string) error {
 	sl := &slot{c: c}
-	if text == "" {
+	if strings.Trim(text, " \t\r\n;") == "" {
 		c.slots = append(c.slots, sl)
 		sl.give(pg.AppendEmpty(nil))
 		return nil
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -214,7 +214,8 @@
 func (db *database) garbled(err error) {
 	db.d.noteAnswer(db.address, err)
 	db.Close()
-	db.to.Down()
+	// netpoll closes it when this callback has returned; no further attempt may go out before that.
+	db.d.Loop.Post(db.to.Down)
 }
 
 // outcome puts an answer into the terms of the decisions.
--- a/internal/net/discovery.go
+++ b/internal/net/discovery.go
@@ -110,7 +110,12 @@
 
 func (d *Discovery) send() {
 	if _, err := d.conn.Write(d.out); err != nil {
-		d.loop.Post(func() { d.failed(err) }) // never from within the router's call
+		turn := d.turn
+		d.loop.Post(func() { // never from within the router's call
+			if turn == d.turn {
+				d.failed(err)
+			}
+		})
 	}
 }
 
@@ -147,7 +152,7 @@
 	d.deadlines.Clear(&d.timer)
 	d.calling, d.generation = false, l.Generation
 	if r.Close {
-		d.hangUp()
+		d.disconnect()
 	}
 	d.first = false
 	if d.watching {
@@ -178,9 +183,15 @@
 	return out
 }
 
+// lost notes that the service has closed the connection. Between two calls it may do so; the next one opens
+// another, and the watch goes on.
 func (d *Discovery) lost(turn int) {
-	if turn == d.turn && d.conn != nil {
+	switch {
+	case turn != d.turn:
+	case d.calling:
 		d.failed(errors.New("connection lost"))
+	default:
+		d.disconnect()
 	}
 }
 
@@ -197,6 +208,10 @@
 func (d *Discovery) hangUp() {
 	d.calling = false
 	d.deadlines.Clear(&d.timer)
+	d.disconnect()
+}
+
+func (d *Discovery) disconnect() {
 	d.in.cut(len(d.in.bytes))
 	d.turn++
 	if d.conn != nil {
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -266,6 +266,15 @@
 	}
 }
 
+// Queries that wait in the buffer of a client that has gone are not taken.
+func TestNothingIsTakenFromAClosedClient(t *testing.T) {
+	s, front, _ := proxy(t, "127.0.0.1:1", 8, 1)
+	c := &client{s: s, phase: phaseClosed, in: buffer{pg.AppendQuery(nil, query("a"))}}
+	if c.parse(); front.Counters.Taken != 0 || len(c.in.bytes) != 0 {
+		t.Errorf("%d requests taken, %d bytes left", front.Counters.Taken, len(c.in.bytes))
+	}
+}
+
 func TestClientThatLeavesAbandonsItsRequest(t *testing.T) {
 	asked := make(chan struct{})
 	s, front, loop := proxy(t, member(t, func(c stdnet.Conn, _ string) bool {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -24,7 +24,9 @@
 	memoryPart = 0.7 // of the limit: the heap's share; stacks, buffers in the kernel and netpoll's pools take more
 
 	lastClients = 500 * time.Millisecond // after SIGTERM clients still come for 0.4 s
-	stopMargin  = 400 * time.Millisecond // to be gone before SIGKILL, 0.7 s behind the longest deadline
+	// SIGKILL comes 0.7 s behind the longest deadline, which counts as 3 s where it is longer.
+	longestPatience = 3 * time.Second
+	stopMargin      = 400 * time.Millisecond
 
 	defaultSockets        = 1024
 	defaultConnectTimeout = 250 * time.Millisecond
@@ -47,6 +49,7 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
+	signal.Ignore(syscall.SIGPIPE) // a log reader that goes away must not end the proxy
 	p, err := start(cfg)
 	if err != nil {
 		return err
@@ -97,7 +100,7 @@
 		return nil, err
 	}
 	for _, c := range s.Config.Classes {
-		p.patience = max(p.patience, c.Limit)
+		p.patience = min(max(p.patience, c.Limit), longestPatience)
 	}
 	p.loop = net.NewLoop(p.clock, &p.front.Deadlines)
 	databases.Loop = p.loop
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -74,7 +74,6 @@
 	requests map[logic.RequestID]*request
 	timers   map[logic.TimerID]*Deadline
 
-	lastMember  logic.MemberID
 	names       map[string]*member
 	members     map[logic.MemberID]*member
 	links       int
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"errors"
 	"slices"
 	"time"
 
@@ -15,9 +14,6 @@
 // that crosses the close would end as a reset.
 const idlePart = 0.9
 
-// ErrNoRoom tells that the proxy has no descriptor left for a connection.
-var ErrNoRoom = errors.New("no room for a connection")
-
 // Opener opens connections to databases. It returns at once; the listener's methods are called later.
 type Opener interface {
 	Open(address string, to Listener) Conn
@@ -202,7 +198,10 @@
 func (l *link) Reply(r Reply) {
 	f := l.f
 	switch l.state {
-	case linkOpening: // turned away before it was up
+	case linkOpening: // it did not come up, and nothing was written
+		if r.Result != logic.Full {
+			r.Result = logic.ConnectFailed
+		}
 		l.fail(r)
 		return
 	case linkIdle, linkClosed: // what nobody asked for makes the next answer doubtful
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"hash/fnv"
 	"log/slog"
 	"time"
 
@@ -81,8 +82,7 @@
 func (f *Front) member(e Entry) *member {
 	m := f.names[e.Name]
 	if m == nil {
-		f.lastMember++
-		m = &member{id: f.lastMember, name: e.Name, state: e.State, links: map[*link]struct{}{}}
+		m = &member{id: f.memberID(e.Name), name: e.Name, state: e.State, links: map[*link]struct{}{}}
 		f.names[e.Name], f.members[m.id] = m, m
 		slog.Info("database listed", "name", e.Name, "address", e.Address, "group", e.Group, "state", stateName(e.State))
 	}
@@ -94,6 +94,17 @@
 	return m
 }
 
+// memberID makes an id of a name, so that who comes back after it was forgotten is known by the same one.
+func (f *Front) memberID(name string) logic.MemberID {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	id := logic.MemberID(h.Sum64())
+	for f.members[id] != nil {
+		id++
+	}
+	return id
+}
+
 // leave notes a change of a member's state. One that wants nothing new needs no idle connections.
 func (f *Front) leave(m *member, to logic.MemberState) {
 	if m.state != to {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -106,13 +106,15 @@
 	return b
 }
 
+func (b *bench) id(name string) logic.MemberID { return b.f.names[name].id }
+
 // take lets a request in and sends its first attempt to the first member.
 func (b *bench) take(c *caller) logic.RequestID {
 	id, err := b.f.Take(Request{Class: "any", Wait: time.Second, Command: command{}, Caller: c})
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.f.Send(id, 1, 500*time.Millisecond)
+	b.f.Send(id, b.id("one"), 500*time.Millisecond)
 	return id
 }
 
@@ -163,6 +165,7 @@
 		"refused":        {func(b *bench) { b.conns[0].to.Down() }, logic.ConnectFailed},
 		"never up":       {func(b *bench) { b.pass(250 * time.Millisecond) }, logic.ConnectFailed},
 		"turned away":    {func(b *bench) { b.conns[0].to.Reply(Reply{Result: logic.Full}) }, logic.Full},
+		"unwelcome":      {func(b *bench) { b.conns[0].to.Reply(Reply{Result: logic.Failed}) }, logic.ConnectFailed},
 		"not written":    {func(b *bench) { b.conns[0].err = errors.New("broken"); b.conns[0].to.Up() }, logic.ConnectFailed},
 		"broken behind":  {func(b *bench) { b.conns[0].to.Up(); b.conns[0].to.Down() }, logic.Reset},
 		"silent":         {func(b *bench) { b.conns[0].to.Up(); b.pass(500 * time.Millisecond) }, logic.TimedOut},
@@ -188,7 +191,7 @@
 func TestNeverTwoAttemptsAtOnce(t *testing.T) {
 	b := newBench(t, 9)
 	id := b.take(&caller{})
-	b.f.Send(id, 2, time.Second)
+	b.f.Send(id, b.id("two"), time.Second)
 	if b.want("request", outcome(logic.Moot, false)); len(b.conns) != 1 {
 		t.Errorf("%d connections", len(b.conns))
 	}
@@ -197,7 +200,7 @@
 // What a router's action brings about at once must not come back to it before it has returned.
 func TestTheRouterIsNotCalledFromWithinItself(t *testing.T) {
 	b, c := newBench(t, 0), &caller{} // no room for any connection
-	b.onReq = func() { b.f.Send(1, 1, time.Second); b.f.Probe(1) }
+	b.onReq = func() { b.f.Send(1, b.id("one"), time.Second); b.f.Probe(b.id("one")) }
 	if _, err := b.f.Take(Request{Class: "any", Wait: time.Second, Command: command{}, Caller: c}); err != nil {
 		t.Fatal(err)
 	}
@@ -259,7 +262,7 @@
 	b.take(&caller{})
 	b.conns[0].to.Up()
 	b.conns[0].to.Reply(Reply{Result: logic.OK})
-	b.f.Probe(2)
+	b.f.Probe(b.id("two"))
 	if !b.conns[0].closed || len(b.conns) != 2 {
 		t.Errorf("%d connections, the idle one closed: %v", len(b.conns), b.conns[0].closed)
 	}
@@ -268,7 +271,7 @@
 // A ping is the way there and back, without the start of its connection.
 func TestProbeMeasuresThePingAlone(t *testing.T) {
 	b := newBench(t, 9)
-	b.f.Probe(1)
+	b.f.Probe(b.id("one"))
 	b.pass(100 * time.Millisecond)
 	b.conns[0].to.Up()
 	b.pass(2 * time.Millisecond)
@@ -280,7 +283,7 @@
 	if p := b.probe.Report.Position; p > want || p < want-2*time.Microsecond {
 		t.Errorf("position %v, want %v or a little below", p, want)
 	}
-	b.f.Probe(1)
+	b.f.Probe(b.id("one"))
 	if b.conns[0].probes != 2 {
 		t.Error("the second probe did not use the connection of the first")
 	}
@@ -290,6 +293,20 @@
 	}
 }
 
+// One that comes back keeps its id: the router may still hold what it knows of it.
+func TestAMemberThatReturnsIsKnownByTheSameID(t *testing.T) {
+	b := newBench(t, 9)
+	before := b.id("two")
+	b.f.Listed(List{Kind: logic.ListDelta, Entries: []Entry{{Name: "two", Address: "a:2", State: logic.Gone}}})
+	if b.f.names["two"] != nil {
+		t.Error("one that is gone is kept")
+	}
+	b.f.Listed(List{Kind: logic.ListDelta, Entries: []Entry{{Name: "two", Address: "a:2", State: logic.Ready}}})
+	if after := b.id("two"); after != before {
+		t.Errorf("id %v, was %v", after, before)
+	}
+}
+
 func TestListIsPassedOnWithMovesAndLeavers(t *testing.T) {
 	b := newBench(t, 9)
 	if e := b.list.Entries; b.list.Kind != logic.ListCached || len(e) != 2 || e[0].Zone != 1 || e[1].Zone != -1 || e[0].Born != 0 {
@@ -300,7 +317,7 @@
 	b.conns[0].to.Reply(Reply{Result: logic.OK})
 	b.f.Listed(List{Kind: logic.ListDelta, Entries: []Entry{{Name: "one", Address: "a:9", State: logic.Ready,
 		Started: b.Unix() - time.Second}}})
-	if e := b.list.Entries; len(e) != 1 || e[0].ID != 1 || e[0].Born != b.now-time.Second {
+	if e := b.list.Entries; len(e) != 1 || e[0].ID != b.id("one") || e[0].Born != b.now-time.Second {
 		t.Errorf("%+v", b.list)
 	}
 	if !b.conns[0].closed {
@@ -310,7 +327,7 @@
 		t.Error("the old address is used")
 	}
 	b.f.Listed(List{Kind: logic.ListFull, Entries: []Entry{{Name: "one", Address: "a:9", State: logic.Draining}}})
-	if b.f.members[2] != nil || b.list.Kind != logic.ListFull {
+	if b.f.names["two"] != nil || b.list.Kind != logic.ListFull {
 		t.Error("who is left out of a whole list is still known")
 	}
 }
