Answer a request that says d=0 instead of taking it for malformed

Ruled out: stalls (none over 15 ms), write errors (none), abandoned requests (none), lost wake-ups of netpoll, requests held by the router. Requests with d=1 and d=2 were answered at once and none was lost. At fault: ParseStatement, "ms <= 0"; and lingerFor, for the client takes the end of the connection for the end of a fatal answer, and that came 500 ms later. Change: d=0 is a statement whose time is up, which the router refuses at once; the linger is 20 ms. Tests: the parser and the socket with d=0.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	startupPatience = 10 * time.Second       // a client that says nothing for so long holds a descriptor for nobody
-	maxBuffered     = 2 * pg.MaxMessage      // of queries that wait for room under way
-	lingerFor       = 500 * time.Millisecond // a last word is lost if its connection is closed over unread bytes
-	maxPipelined    = 64                     // queries of one client that may be under way
+	startupPatience = 10 * time.Second  // a client that says nothing for so long holds a descriptor for nobody
+	maxBuffered     = 2 * pg.MaxMessage // of queries that wait for room under way
+	// A last word is lost if its connection is closed over unread bytes, so those on their way are waited for. No
+	// longer than that: to the client, the end of the connection is the end of the answer.
+	lingerFor    = 20 * time.Millisecond
+	maxPipelined = 64 // queries of one client that may be under way
 )
 
 var errTooMany = errors.New("too many queries at once")
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -199,6 +199,17 @@
 	}
 }
 
+// A request with no time left is answered like any other, and its connection stays.
+func TestNoTimeLeftIsAnsweredNotTakenForMalformed(t *testing.T) {
+	s, _, _ := proxy(t, member(t, echo), 8, 1)
+	p := dial(t, s)
+	in := pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), strings.Replace(query("a"), "d=15000", "d=0", 1))
+	p.conn.Write(pg.AppendQuery(in, query("b")))
+	if types, bodies := p.said(len(welcome) + 5); types != welcome+"EZDCZ" || !strings.Contains(bodies[6], "C"+pg.CodeTooMany) {
+		t.Errorf("%q, %q", types, bodies)
+	}
+}
+
 // What was asked before a client broke the protocol has been taken: it is answered first, and the last word
 // is whole.
 func TestAnswersDueComeBeforeTheLastWord(t *testing.T) {
--- a/internal/wire/pg/pg_test.go
+++ b/internal/wire/pg/pg_test.go
@@ -169,6 +169,10 @@
 	if s, err = ParseStatement(write); err != nil || s.Class != "order" || s.Wait != 9*time.Millisecond || s.Session == 0 || !s.Retry {
 		t.Errorf("%+v, error %v", s, err)
 	}
+	// A client's last try may have less than a millisecond left: taken for malformed, it lost its answer.
+	if s, err = ParseStatement(strings.Replace(read, "d=480", "d=0", 1)); err != nil || s.Wait != 0 {
+		t.Errorf("d=0: %+v, error %v", s, err)
+	}
 	for _, bad := range []string{"SELECT 1", "/**/", "'a' /*/", strings.Replace(read, "d=480", "d=-1", 1),
 		strings.Replace(read, "d=480,", "", 1), strings.Replace(read, "cluster=2", "cluster=x", 1), read + " SELECT 1"} {
 		if s, err := ParseStatement(bad); err == nil {
--- a/internal/wire/pg/statement.go
+++ b/internal/wire/pg/statement.go
@@ -56,7 +56,8 @@
 		case "d":
 			var ms int64
 			ms, err = strconv.ParseInt(value, 10, 64)
-			if ms <= 0 || ms > int64(24*time.Hour/time.Millisecond) {
+			// 0 is what a client writes that has less than a millisecond left; it is owed an answer all the same.
+			if ms < 0 || ms > int64(24*time.Hour/time.Millisecond) {
 				return s, ErrStatement
 			}
 			s.Wait = time.Duration(ms) * time.Millisecond
