Stop only when no client is owed anything, also for what was read and not yet looked at

Seen: reading the stop again: it ended as soon as no request was pending, in the same callback that closed the idle clients. What netpoll had read of a client, or a connection that was accepted but not yet known to the loop, would have been reset, though the machine had taken it. At fault: proxy.drained and Server.Drain. Change: the stop looks every 5 ms whether clients are left and closes those that are owed nothing, until SIGKILL is near. Test: a client with half a query under way is neither closed nor left without its answer.

--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -277,6 +277,44 @@
 	}
 }
 
+// A proxy that stops must not leave behind what it has read but not looked at.
+func TestDrainWaitsForWhatHasBeenReadOnly(t *testing.T) {
+	s, _, loop := proxy(t, member(t, echo), 8, 1)
+	p := dial(t, s)
+	start := pg.AppendStartup(nil, "client", "core")
+	p.conn.Write(start)
+	p.said(len(welcome))
+	half := pg.AppendQuery(nil, "")[:3]
+	ask := func() bool {
+		got := make(chan bool)
+		loop.Post(func() { got <- s.Drained() })
+		return <-got
+	}
+	p.conn.Write(half)
+	for seen := false; !seen; { // until the proxy has the half
+		got := make(chan bool)
+		loop.Post(func() {
+			for c := range s.clients {
+				seen = len(c.in.bytes) == len(half)
+			}
+			got <- seen
+		})
+		<-got
+	}
+	if ask() {
+		t.Error("a client whose query is under way was closed")
+	}
+	p.conn.Write(pg.AppendQuery(nil, "")[3:])
+	if types, _ := p.said(2); types != "IZ" {
+		t.Errorf("its query got %q", types)
+	}
+	for !ask() {
+	}
+	if types, _ := p.said(1); types != "!" {
+		t.Errorf("the idle client got %q", types)
+	}
+}
+
 // Queries that wait in the buffer of a client that has gone are not taken.
 func TestNothingIsTakenFromAClosedClient(t *testing.T) {
 	s, front, _ := proxy(t, "127.0.0.1:1", 8, 1)
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -105,11 +105,17 @@
 
 func (s *Server) crowded() bool { return len(s.clients)-s.excess >= s.maxClients }
 
-// Drain closes the listener and all clients that are owed nothing; the others follow with their last answer.
+// Drain closes the listener; clients are closed as soon as they are owed nothing.
 func (s *Server) Drain() {
 	s.draining = true
 	s.listener.Close()
+}
+
+// Drained closes the clients that are owed nothing and tells whether none is left. What netpoll has read and
+// the loop has not yet looked at is owed an answer too, so it is to be asked again until then.
+func (s *Server) Drained() bool {
 	for c := range s.clients {
 		c.closeIdle()
 	}
+	return len(s.clients) == 0
 }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -24,6 +24,7 @@
 	memoryPart = 0.7 // of the limit: the heap's share; stacks, buffers in the kernel and netpoll's pools take more
 
 	lastClients = 500 * time.Millisecond // after SIGTERM clients still come for 0.4 s
+	drainStep   = 5 * time.Millisecond   // then it looks so often whether all have their answers
 	// SIGKILL comes 0.7 s behind the longest deadline, which counts as 3 s where it is longer.
 	longestPatience = 3 * time.Second
 	stopMargin      = 400 * time.Millisecond
@@ -138,15 +139,15 @@
 	p.killAt = now + p.patience + stopMargin
 	p.front.Deadlines.Set(&p.timer, now+lastClients, func() {
 		p.server.Drain()
-		p.drained()
+		p.front.Deadlines.Set(&p.timer, p.clock.Now()+drainStep, p.drained) // connections just accepted show up until then
 	})
 }
 
 func (p *proxy) drained() {
 	now := p.clock.Now()
-	if p.front.Pending() == 0 || now >= p.killAt {
+	if p.server.Drained() && p.front.Pending() == 0 || now >= p.killAt {
 		p.loop.Stop()
 		return
 	}
-	p.front.Deadlines.Set(&p.timer, now+5*time.Millisecond, p.drained)
+	p.front.Deadlines.Set(&p.timer, now+drainStep, p.drained)
 }
