Bound what all clients' half-sent queries may hold together

Seen: by reckoning, not in a run: 540 clients with one message of 160 KiB under way would hold 86 MB, and netpoll's buffers about as much again, of 192 MB. Change: beyond 32 MB in all, a client that holds more than 16 KiB of a query whose end hasn't come is answered with a whole 53300 and closed; such a query has not been taken. Test: two halves against a small bound.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -40,6 +40,7 @@
 	in    buffer
 	phase phase
 	full  bool // beyond the proxy's limit: it is turned away once it has spoken
+	held  int  // bytes of its buffer that are in the server's account
 	slots []*slot
 	timer state.Deadline
 }
@@ -74,12 +75,24 @@
 			c.leave(pg.CodeProtocol, err.Error())
 			continue
 		}
-		if n == 0 {
-			c.in.cut(used)
+		if n > 0 {
+			continue
+		}
+		c.in.cut(used)
+		if c.account(); c.s.buffered <= c.s.maxBuffered || len(c.in.bytes) <= keepRoom {
 			return
 		}
+		c.s.front.Counters.TurnedAway++ // half a query has not been taken yet
+		c.leave(pg.CodeTooMany, "no memory for a query of this size now")
 	}
 	c.in.cut(len(c.in.bytes)) // what comes behind the end is nobody's
+	c.account()
+}
+
+// account keeps the server's sum of what all clients' buffers hold.
+func (c *client) account() {
+	c.s.buffered += len(c.in.bytes) - c.held
+	c.held = len(c.in.bytes)
 }
 
 // next handles the first message of buf and tells its length; 0 = nothing to do yet.
@@ -245,6 +258,8 @@
 	c.phase = phaseClosed
 	c.s.deadlines.Clear(&c.timer)
 	c.abandon()
+	c.in.bytes = nil
+	c.account()
 	delete(c.s.clients, c)
 	if c.full {
 		c.s.excess--
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -315,6 +315,32 @@
 	}
 }
 
+// Many clients with half a large query each must not fill the memory.
+func TestHalfQueriesAreBoundedTogether(t *testing.T) {
+	s, _, loop := proxy(t, member(t, echo), 8, 1)
+	set := make(chan struct{})
+	loop.Post(func() { s.maxBuffered = 30 << 10; close(set) })
+	<-set
+	start, half := pg.AppendStartup(nil, "client", "core"), pg.AppendQuery(nil, strings.Repeat("x", 40<<10))[:20<<10]
+	first, second := dial(t, s), dial(t, s)
+	first.conn.Write(append(start, half...))
+	for held := 0; held < len(half); { // until the proxy has the half
+		got := make(chan int)
+		loop.Post(func() { got <- s.buffered })
+		held = <-got
+	}
+	second.conn.Write(append(start, half...))
+	if types, bodies := second.said(99); types != welcome+"E!" || !strings.Contains(bodies[len(bodies)-1], "C"+pg.CodeTooMany) {
+		t.Errorf("the second client got %q", types)
+	}
+	first.conn.Close()
+	for held := 1; held > 0; {
+		got := make(chan int)
+		loop.Post(func() { got <- s.buffered })
+		held = <-got
+	}
+}
+
 // Queries that wait in the buffer of a client that has gone are not taken.
 func TestNothingIsTakenFromAClosedClient(t *testing.T) {
 	s, front, _ := proxy(t, "127.0.0.1:1", 8, 1)
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -15,6 +15,7 @@
 const (
 	writePatience = 20 * time.Millisecond // a client whose buffer stays full for so long doesn't read
 	keepAlive     = time.Minute           // after which the kernel asks whether a silent client is still there
+	maxBuffers    = 32 << 20              // netpoll holds up to twice as much beside it; 192 MB are all
 	sendBuffer    = 256 << 10             // the kernel's, room for several of the largest answers
 )
 
@@ -27,18 +28,20 @@
 	listener  netpoll.Listener
 	events    netpoll.EventLoop
 
-	clients    map[*client]struct{}
-	maxClients int
-	maxExcess  int // further ones that are told to come again
-	excess     int
-	atLimit    bool
-	draining   bool
+	clients     map[*client]struct{}
+	buffered    int // bytes that wait in clients' buffers for the rest of their query
+	maxBuffered int // beyond that, who holds more than a little is told to come again
+	maxClients  int
+	maxExcess   int // further ones that are told to come again
+	excess      int
+	atLimit     bool
+	draining    bool
 }
 
 // NewServer makes a server for at most so many clients; a few more are turned away with an answer.
 func NewServer(loop *Loop, clock state.Clock, front *state.Front, maxClients, maxExcess int) *Server {
 	return &Server{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front,
-		clients: map[*client]struct{}{}, maxClients: maxClients, maxExcess: maxExcess}
+		clients: map[*client]struct{}{}, maxClients: maxClients, maxExcess: maxExcess, maxBuffered: maxBuffers}
 }
 
 // Listen opens the address and starts to accept.
