Reload the configuration on SIGHUP: move discovery at once instead of ending

Change: SIGHUP rereads EDGE_CONFIG beside the loop; Discovery.Move hangs up and begins a fresh watch at the new address with the whole list, whose generations need not be the old one's. Requests, pins and connections stay. A bad file is one log line. Signals are now caught before the proxy listens. Checked: the test runs Main, sends itself SIGHUP with a bad and a good file while a request is out; without the change the test process dies.

--- a/internal/net/discovery.go
+++ b/internal/net/discovery.go
@@ -65,6 +65,14 @@
 	d.begin()
 }
 
+// Move goes on at another address, at once: the service at the old one may end any time. The whole list comes
+// first, for generations there need not be those of the old one.
+func (d *Discovery) Move(address string) {
+	d.hangUp()
+	d.address, d.watching = address, true
+	d.Fetch()
+}
+
 // begin starts with a call that is answered at once. One that is under way gives way to it.
 func (d *Discovery) begin() {
 	if d.calling {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -39,11 +39,7 @@
 	if path == "" {
 		return fmt.Errorf("EDGE_CONFIG is not set")
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return err
-	}
-	cfg, err := settings.ParseConfig(text)
+	cfg, err := readConfig(path)
 	if err != nil {
 		return err
 	}
@@ -51,24 +47,35 @@
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
 	signal.Ignore(syscall.SIGPIPE) // a log reader that goes away must not end the proxy
+	caught := make(chan os.Signal, 4)
+	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	p, err := start(cfg)
 	if err != nil {
 		return err
 	}
 	slog.Info("started", "name", cfg.Name, "listen", p.server.Address(), "discovery", cfg.Discovery,
 		"databases", len(cfg.Known.Instances))
-	go p.signals()
+	go p.signals(caught, path)
 	p.loop.Run()
 	slog.Info("stopped", "unanswered", p.front.Pending(), "counters", &p.front.Counters)
 	return nil
 }
 
+func readConfig(path string) (settings.Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return settings.Config{}, err
+	}
+	return settings.ParseConfig(text)
+}
+
 // proxy is the running program.
 type proxy struct {
-	loop   *net.Loop
-	clock  state.Clock
-	front  *state.Front
-	server *net.Server
+	loop      *net.Loop
+	clock     state.Clock
+	front     *state.Front
+	server    *net.Server
+	discovery *net.Discovery
 
 	patience time.Duration // the longest that a request may take
 	stopping bool
@@ -109,24 +116,39 @@
 	if err := p.server.Listen(cfg.Listen); err != nil {
 		return nil, err
 	}
-	d := net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation)
-	p.loop.Post(func() { p.front.Start(d, net.ListOf(cfg.Known)) })
+	p.discovery = net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation)
+	p.loop.Post(func() { p.front.Start(p.discovery, net.ListOf(cfg.Known)) })
 	return p, nil
 }
 
-// signals hands signals to the loop.
-func (p *proxy) signals() {
-	c := make(chan os.Signal, 4)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	for s := range c {
-		if s == syscall.SIGUSR1 {
+// signals hands signals to the loop; path is that of the configuration.
+func (p *proxy) signals(caught <-chan os.Signal, path string) {
+	for s := range caught {
+		switch s {
+		case syscall.SIGUSR1:
 			p.loop.Post(func() { slog.Info("counters", "pending", p.front.Pending(), "counters", &p.front.Counters) })
-			continue
+		case syscall.SIGHUP:
+			p.reload(path)
+		default:
+			p.loop.Post(p.stop)
 		}
-		p.loop.Post(p.stop)
 	}
 }
 
+// reload reads the configuration again and asks the discovery that it names now. All else stays as it was at the
+// start: requests, pins and connections are kept. A file that can't be used changes nothing.
+func (p *proxy) reload(path string) {
+	cfg, err := readConfig(path)
+	if err != nil {
+		slog.Error("can't reload", "error", err)
+		return
+	}
+	p.loop.Post(func() {
+		slog.Info("reloaded", "discovery", cfg.Discovery)
+		p.discovery.Move(cfg.Discovery)
+	})
+}
+
 // stop ends the proxy in good order: it goes on as before while clients still come, then closes what is idle
 // and ends with its last answer.
 func (p *proxy) stop() {
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -125,3 +128,101 @@
 		t.Errorf("ten descriptors: %v", err)
 	}
 }
+
+// discovery is a service that knows no databases; it tells the first line of each call.
+func discovery(t *testing.T) (address string, calls chan string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls = make(chan string, 99)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.String()
+		if r.URL.Query().Has("after") { // a watch without news, until the proxy gives it up
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, `{"generation":7,"reset":true,"instances":[]}`)
+	})}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Close() })
+	return ln.Addr().String(), calls
+}
+
+// lines are the log lines told so far, one at a time.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) { l <- string(b); return len(b), nil }
+
+func (l lines) until(t *testing.T, text string) string {
+	for {
+		select {
+		case line := <-l:
+			if strings.Contains(line, text) {
+				return line
+			}
+		case <-time.After(20 * time.Second): // only there to end a test that hangs
+			t.Fatalf("no line with %q", text)
+		}
+	}
+}
+
+// SIGHUP used to end the proxy. It moves discovery to the address that the file names now, at once and with the
+// whole list; requests in hand go on. A file that can't be used is told in one line and changes nothing.
+func TestHangUpMovesDiscoveryAndKeepsRequests(t *testing.T) {
+	log := make(lines, 999)
+	defer slog.SetDefault(slog.Default())
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
+	asked, answer := make(chan struct{}), make(chan struct{})
+	text := strings.Replace(fmt.Sprintf(config, 1024, slowDatabase(t, asked, answer)), `"tick"`, `"discovery": "on_request", "tick"`, 1)
+	before, firstCalls := discovery(t)
+	after, calls := discovery(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(strings.Replace(text, "127.0.0.1:1", before, 1))
+	t.Setenv("EDGE_CONFIG", path)
+	ended := make(chan error)
+	go func() { ended <- Main() }()
+	_, address, _ := strings.Cut(log.until(t, "msg=started"), "listen=")
+	client, err := net.Dial("tcp", strings.Fields(address)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	client.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"),
+		"SELECT val FROM state WHERE uid = 'a' /* id=1,c=any,d=15000,cluster=0 */"))
+	<-asked
+	<-firstCalls
+
+	write("{")
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	if line := log.until(t, "can't reload"); strings.Count(line, "\n") != 1 {
+		t.Errorf("a bad file is told as %q", line)
+	}
+	write(strings.Replace(text, "127.0.0.1:1", after, 1))
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	log.until(t, "msg=reloaded")
+	for _, want := range []string{"/v1/endpoints", "/v1/endpoints?after=7&wait_ms=10000"} {
+		if got := <-calls; got != want {
+			t.Errorf("the new address got %s, want %s", got, want)
+		}
+	}
+	close(answer)
+	got := make([]byte, 4096)
+	for all := []byte(nil); !bytes.Contains(all, []byte("\x00\x00\x00\x01vC")); {
+		client.SetReadDeadline(time.Now().Add(20 * time.Second))
+		n, err := client.Read(got)
+		if err != nil {
+			t.Fatalf("the client got %q, error %v", all, err)
+		}
+		all = append(all, got[:n]...)
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
