End the listener by shutting it down, so that its descriptor is never another's

Seen: TestClientThatLeavesAbandonsItsRequest hung, with GOMAXPROCS=1 in the first of 180 runs, otherwise in about one of twenty. Cause: netpoll's Serve runs beside the loop. The test before it ends at once; when Serve came after Drain had closed the listener, the descriptor's number was the next test's listener, which then was accepted for by the server that had ended, whose loop no longer runs. netpoll's listener.Close also closes the number twice (syscall.Close, then os.File.Close): in service a database connection dialled during a planned stop could be closed by that. Checked and ruled out: lost hang-ups in netpoll's processing lock (its double check holds), the loop's wake-up, the busy waits of the tests. Change: Drain shuts the socket down; the poller lets go of it by itself, and the descriptor is never closed before the end. Test: the descriptor is still the listener's after Drain, and connections are refused.

--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -6,6 +6,7 @@
 	"io"
 	stdnet "net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -424,3 +425,22 @@
 		}
 	}
 }
+
+// A server that ends at once may be registered with the poller only afterwards. When its listener's descriptor was
+// closed, the next server's had the same number, and clients of that were accepted for the one that had ended.
+func TestServerThatEndsEarlyTakesNoClientsOfTheNext(t *testing.T) {
+	for range 50 {
+		first := NewServer(NewLoop(state.NewClock(), &state.Deadlines{}), nil, &state.Front{}, 1, 1)
+		if err := first.Listen("127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		fd := first.listener.Fd()
+		first.Drain()
+		if _, err := stdnet.Dial("tcp", first.Address()); err == nil {
+			t.Fatal("a server that has ended accepts")
+		}
+		if _, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_TYPE); err != nil {
+			t.Fatalf("the descriptor is free for others while the poller may still use it: %v", err)
+		}
+	}
+}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	stdnet "net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,7 +26,7 @@
 	clock     state.Clock
 	deadlines *state.Deadlines
 	front     *state.Front
-	listener  netpoll.Listener
+	listener  *listener
 	events    netpoll.EventLoop
 
 	clients     map[*client]struct{}
@@ -55,9 +56,11 @@
 	if err != nil {
 		return err
 	}
-	if s.listener, err = netpoll.ConvertListener(ln); err != nil {
+	converted, err := netpoll.ConvertListener(ln)
+	if err != nil {
 		return err
 	}
+	s.listener = &listener{Listener: converted}
 	s.events, err = netpoll.NewEventLoop(
 		func(ctx context.Context, _ netpoll.Connection) error {
 			ctx.Value(clientKey{}).(*client).readable()
@@ -69,14 +72,36 @@
 	if err != nil {
 		return err
 	}
-	go func() { // Serve blocks until the listener closes
-		if err := s.events.Serve(s.listener); err != nil {
+	go func() { // Serve blocks until the listener ends
+		if err := s.events.Serve(s.listener); err != nil && !s.listener.ended.Load() {
 			slog.Error("listener ended", "error", err)
 		}
 	}()
 	return nil
 }
 
+// listener ends without closing its descriptor. netpoll's own Close closes the descriptor's number twice, and Serve,
+// which runs beside the loop, may register it only after that: either way the number may by then belong to another
+// connection or listener, which would be closed, or accepted for by a server that has ended. Shut down, the socket
+// refuses connections, and the poller lets go of it by itself.
+type listener struct {
+	netpoll.Listener
+	ended atomic.Bool
+}
+
+// Accept implements netpoll.Listener. The poller still asks once when the socket has been shut down.
+func (l *listener) Accept() (stdnet.Conn, error) {
+	if l.ended.Load() {
+		return nil, nil
+	}
+	return l.Listener.Accept()
+}
+
+func (l *listener) end() {
+	l.ended.Store(true)
+	syscall.Shutdown(l.Fd(), syscall.SHUT_RD)
+}
+
 // Address tells where it listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -108,10 +133,10 @@
 
 func (s *Server) crowded() bool { return len(s.clients)-s.excess >= s.maxClients }
 
-// Drain closes the listener; clients are closed as soon as they are owed nothing.
+// Drain ends the listener; clients are closed as soon as they are owed nothing.
 func (s *Server) Drain() {
 	s.draining = true
-	s.listener.Close()
+	s.listener.end()
 }
 
 // Drained closes the clients that are owed nothing and tells whether none is left. What netpoll has read and
