Close idle and silent clients for those that want in, and silent ones within 2.2 s

Checked and ruled out: memory (10 of 48 MB, flat) and descriptors (182 of 256) by quarter; the databases (att/r falls with the places). Lines at fault: server.accept turned newcomers away whatever the others did; client.startup cleared the timer with the first message. Change: where there is no room, silent clients of 250 ms, then idle ones of 2 s are closed, longest first; silent ones may hold a quarter. A first query, or the rest of one begun, has 2.2 s. The line about too many clients comes once in ten seconds.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -1,8 +1,8 @@
 package net
 
 import (
+	"container/list"
 	"errors"
-	"log/slog"
 	"strings"
 	"time"
 
@@ -14,15 +14,20 @@
 )
 
 const (
-	startupPatience = 10 * time.Second  // a client that says nothing for so long holds a descriptor for nobody
-	maxBuffered     = 2 * pg.MaxMessage // of queries that wait for room under way
+	// So long has a client for its first whole query, and for the rest of one that it has begun. One that stays
+	// silent or stops half way holds a descriptor for nobody, and is owed an error or a close within three seconds.
+	queryPatience = 2200 * time.Millisecond
+	maxBuffered   = 2 * pg.MaxMessage // of queries that wait for room under way
 	// A last word is lost if its connection is closed over unread bytes, so those on their way are waited for. No
 	// longer than that: to the client, the end of the connection is the end of the answer.
 	lingerFor    = 20 * time.Millisecond
 	maxPipelined = 64 // queries of one client that may be under way
 )
 
-var errTooMany = errors.New("too many queries at once")
+var (
+	errTooMany = errors.New("too many queries at once")
+	errTooSlow = errors.New("no whole query in time")
+)
 
 type phase uint8
 
@@ -41,8 +46,14 @@
 	phase phase
 	full  bool // beyond the proxy's limit: it is turned away once it has spoken
 	held  int  // bytes of its buffer that are in the server's account
+	asked bool // it has sent a whole query
+	half  bool // it has sent a part of one, and the timer runs for the rest
 	slots []*slot
 	timer state.Deadline
+
+	list  *list.List // the server's silent or idle clients, or nil
+	place *list.Element
+	since time.Duration // when it came there
 }
 
 // slot is a query in its place in the order of answers.
@@ -65,20 +76,21 @@
 
 // parse takes whole messages out of the buffer, as many as may be under way.
 func (c *client) parse() {
+	defer c.settle()
 	for used := 0; c.phase < phaseLeaving; {
 		n, err := c.next(c.in.bytes[used:])
 		if used += n; err == nil && n == 0 && len(c.in.bytes)-used > maxBuffered {
 			err = errTooMany
 		}
 		if err != nil {
-			c.s.front.Counters.Malformed++
-			c.leave(pg.CodeProtocol, err.Error())
+			c.malformed(err)
 			continue
 		}
 		if n > 0 {
 			continue
 		}
 		c.in.cut(used)
+		c.patience(used > 0)
 		if c.account(); c.s.buffered <= c.s.maxBuffered || len(c.in.bytes) <= keepRoom {
 			return
 		}
@@ -89,6 +101,50 @@
 	c.account()
 }
 
+// patience sets the time for the rest of a query that has been sent in part, once for each query.
+func (c *client) patience(anew bool) {
+	if !c.asked {
+		return // the time since it came runs
+	}
+	half := len(c.in.bytes) > 0 && len(c.slots) < maxPipelined
+	switch {
+	case half && (anew || !c.half):
+		c.s.deadlines.Set(&c.timer, c.s.clock.Now()+queryPatience, c.tooSlow)
+	case !half && c.half:
+		c.s.deadlines.Clear(&c.timer)
+	}
+	c.half = half
+}
+
+func (c *client) tooSlow() { c.malformed(errTooSlow) }
+
+func (c *client) malformed(err error) {
+	c.s.front.Counters.Malformed++
+	c.leave(pg.CodeProtocol, err.Error())
+}
+
+// settle puts the client among those that may be closed for want of room: the silent ones, which have sent no whole
+// query yet, and the idle ones, which are owed nothing.
+func (c *client) settle() {
+	var to *list.List
+	switch {
+	case c.phase >= phaseLeaving:
+	case !c.asked:
+		to = &c.s.silent
+	case len(c.slots) == 0 && len(c.in.bytes) == 0:
+		to = &c.s.idle
+	}
+	if to == c.list {
+		return
+	}
+	if c.list != nil {
+		c.list.Remove(c.place)
+	}
+	if c.list = to; to != nil {
+		c.since, c.place = c.s.clock.Now(), to.PushBack(c)
+	}
+}
+
 // account keeps the server's sum of what all clients' buffers hold.
 func (c *client) account() {
 	c.s.buffered += len(c.in.bytes) - c.held
@@ -136,13 +192,16 @@
 		c.leave(pg.CodeTooMany, "too many clients")
 	default:
 		c.phase = phaseServing
-		c.s.deadlines.Clear(&c.timer)
 		c.write(pg.AppendWelcome(nil))
 	}
 	return n, nil
 }
 
 func (c *client) query(text string) error {
+	if !c.asked {
+		c.asked = true
+		c.s.deadlines.Clear(&c.timer)
+	}
 	sl := &slot{c: c}
 	if strings.Trim(text, " \t\r\n;") == "" {
 		c.slots = append(c.slots, sl)
@@ -200,6 +259,7 @@
 	if c.s.draining && len(c.slots) == 0 {
 		c.s.loop.Post(c.closeIdle)
 	}
+	c.settle()
 }
 
 // write sends bytes. The socket's buffer has room for several of the largest answers: only a client that has
@@ -220,6 +280,7 @@
 		return
 	}
 	c.phase = phaseLeaving
+	c.s.deadlines.Clear(&c.timer)
 	sl := &slot{c: c, last: true}
 	c.slots = append(c.slots, sl)
 	sl.give(pg.AppendFatal(nil, code, text))
@@ -260,12 +321,9 @@
 	c.abandon()
 	c.in.bytes = nil
 	c.account()
+	c.settle()
 	delete(c.s.clients, c)
 	if c.full {
 		c.s.excess--
 	}
-	if c.s.atLimit && !c.s.crowded() {
-		c.s.atLimit = false
-		slog.Info("clients are taken again", "clients", len(c.s.clients))
-	}
 }
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	stdnet "net"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -27,10 +29,26 @@
 func (noWatch) Watch(bool) {}
 func (noWatch) Fetch()     {}
 
+// skipClock is the system's clock, which a test may put forward.
+type skipClock struct {
+	*state.SystemClock
+	skipped atomic.Int64
+}
+
+func (c *skipClock) Now() time.Duration {
+	return c.SystemClock.Now() + time.Duration(c.skipped.Load())
+}
+
+// skip lets time pass, and the loop see what that brings about.
+func skip(s *Server, d time.Duration) {
+	s.clock.(*skipClock).skipped.Add(int64(d))
+	s.loop.Post(func() {})
+}
+
 // proxy runs a server on a port of its own, with one group whose only member is at the given address.
 func proxy(t *testing.T, member string, clients, excess int) (*Server, *state.Front, *Loop) {
 	t.Helper()
-	clock := state.NewClock()
+	clock := &skipClock{SystemClock: state.NewClock()}
 	databases := &Databases{ConnectTimeout: patience}
 	front, err := state.New(state.Config{Logic: settings, MaxLinks: 16, ConnectTimeout: patience}, clock, databases)
 	if err != nil {
@@ -232,14 +250,97 @@
 	}
 }
 
+// Clients that ask once and keep their connection took all places for good: new ones were turned away all day.
+func TestIdleAndSilentClientsMakeRoom(t *testing.T) {
+	s, _, _ := proxy(t, member(t, echo), 4, 1)
+	start := pg.AppendStartup(nil, "client", "core")
+	ask := pg.AppendQuery(start, "")
+	comes := func(in []byte, want string) *peer {
+		t.Helper()
+		p := dial(t, s)
+		p.conn.Write(in)
+		if types, _ := p.said(len(want)); types != want {
+			t.Errorf("a client that sent %d bytes got %q, want %q", len(in), types, want)
+		}
+		return p
+	}
+	silent := comes(start, welcome) // and nothing behind it
+	oldest := comes(ask, welcome+"IZ")
+	second := comes(ask, welcome+"IZ")
+	third := comes(ask, welcome+"IZ")
+	comes(ask, "E!") // nobody has been idle or silent for long enough
+	skip(s, silentFor)
+	comes(ask, welcome+"IZ")
+	skip(s, idleFor)
+	second.conn.Write(pg.AppendQuery(nil, "")) // it isn't idle any more
+	second.said(2)
+	comes(ask, welcome+"IZ")
+	for name, p := range map[string]*peer{"silent": silent, "oldest": oldest} {
+		if types, _ := p.said(1); types != "!" {
+			t.Errorf("the %s client got %q, want its end", name, types)
+		}
+	}
+	for _, p := range []*peer{second, third} {
+		p.conn.Write(pg.AppendQuery(nil, ""))
+		if types, _ := p.said(2); types != "IZ" {
+			t.Errorf("a client that had a place got %q", types)
+		}
+	}
+	skip(s, idleFor)
+	first := comes(start, welcome)
+	comes(start, welcome)
+	comes(start, welcome) // hundreds that stay silent leave room for those that don't
+	if types, _ := first.said(1); types != "!" {
+		t.Errorf("one of too many silent clients got %q", types)
+	}
+}
+
+// A client that says nothing, or half of something, is not waited for; one whose request is under way is.
+func TestSilentAndHalfSentClientsAreEndedInTime(t *testing.T) {
+	asked, answer := make(chan struct{}, 9), make(chan struct{})
+	s, _, _ := proxy(t, member(t, func(c stdnet.Conn, text string) bool {
+		asked <- struct{}{}
+		<-answer
+		return echo(c, text)
+	}), 40, 1)
+	start := slices.Clip(pg.AppendStartup(nil, "client", "core"))
+	whole := pg.AppendQuery(start, "")
+	waits := dial(t, s)
+	waits.conn.Write(pg.AppendQuery(start, query("a")))
+	waits.said(len(welcome))
+	<-asked
+	var ends []*peer
+	for _, in := range [][]byte{{}, start[:9], start, whole[:len(whole)-1], append(slices.Clip(whole), 'Q', 0)} {
+		p := dial(t, s)
+		p.conn.Write(in)
+		ends = append(ends, p)
+	}
+	for seen := 0; seen < 9+5+2; { // until the halves have come
+		got := make(chan int)
+		s.loop.Post(func() { got <- s.buffered })
+		seen = <-got
+	}
+	skip(s, queryPatience)
+	for i, p := range ends {
+		if types, bodies := p.said(99); !strings.HasSuffix(types, "E!") || !strings.Contains(bodies[len(bodies)-1], "C"+pg.CodeProtocol) {
+			t.Errorf("client %d got %q", i, types)
+		}
+	}
+	close(answer)
+	if types, _ := waits.said(3); types != "DCZ" {
+		t.Errorf("the client whose request was under way got %q", types)
+	}
+}
+
 func TestExcessClientIsTurnedAwayWithAWholeAnswer(t *testing.T) {
 	s, _, _ := proxy(t, member(t, echo), 1, 4)
-	first, second := dial(t, s), dial(t, s)
+	first := dial(t, s)
 	start := pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), "")
 	first.conn.Write(start)
 	if types, _ := first.said(len(welcome) + 2); types != welcome+"IZ" {
 		t.Fatalf("the first client got %q", types)
 	}
+	second := dial(t, s)
 	second.conn.Write(start)
 	if types, bodies := second.said(99); types != "E!" || !strings.Contains(bodies[0], "C"+pg.CodeTooMany) {
 		t.Errorf("the second client got %q", types)
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -1,6 +1,7 @@
 package net
 
 import (
+	"container/list"
 	"context"
 	"log/slog"
 	stdnet "net"
@@ -18,6 +19,15 @@
 	keepAlive     = time.Minute           // after which the kernel asks whether a silent client is still there
 	maxBuffers    = 32 << 20              // netpoll holds up to twice as much beside it; 192 MB are all
 	sendBuffer    = 256 << 10             // the kernel's, room for several of the largest answers
+
+	// For want of room the clients that use theirs for nothing are closed: first those that have said nothing for a
+	// time in which others ask and are answered, also where they are over one in silentPart, then those without an
+	// open request. The operators allow that after two seconds.
+	silentFor  = 250 * time.Millisecond
+	silentPart = 4
+	idleFor    = 2 * time.Second
+
+	tellCrowded = 10 * time.Second // no more than one line about it
 )
 
 // Server serves clients.
@@ -30,12 +40,14 @@
 	events    netpoll.EventLoop
 
 	clients     map[*client]struct{}
-	buffered    int // bytes that wait in clients' buffers for the rest of their query
-	maxBuffered int // beyond that, who holds more than a little is told to come again
+	silent      list.List // those that have sent no whole query yet, the oldest first
+	idle        list.List // those that are owed nothing, idle for longest first
+	buffered    int       // bytes that wait in clients' buffers for the rest of their query
+	maxBuffered int       // beyond that, who holds more than a little is told to come again
 	maxClients  int
 	maxExcess   int // further ones that are told to come again
 	excess      int
-	atLimit     bool
+	crowdedAt   time.Duration // when it was last told that there are too many
 	draining    bool
 }
 
@@ -111,20 +123,21 @@
 func (s *Server) accept(ctx context.Context, conn netpoll.Connection) context.Context {
 	c := &client{s: s, conn: conn}
 	s.front.Counters.Clients++
-	if s.crowded() {
-		if !s.atLimit {
-			s.atLimit = true
+	s.makeRoom()
+	if c.full = s.crowded(); c.full {
+		s.excess++
+		if now := s.clock.Now(); s.crowdedAt == 0 || now-s.crowdedAt >= tellCrowded {
+			s.crowdedAt = now
 			slog.Warn("too many clients: further ones are turned away", "clients", len(s.clients))
 		}
-		c.full = true
-		s.excess++
 	}
 	s.clients[c] = struct{}{}
+	c.settle()
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		s.loop.Post(c.closed)
 		return nil
 	})
-	s.deadlines.Set(&c.timer, s.clock.Now()+startupPatience, c.hangUp)
+	s.deadlines.Set(&c.timer, s.clock.Now()+queryPatience, c.tooSlow)
 	if s.excess > s.maxExcess { // not even a descriptor for an answer
 		c.hangUp()
 	}
@@ -133,6 +146,29 @@
 
 func (s *Server) crowded() bool { return len(s.clients)-s.excess >= s.maxClients }
 
+// makeRoom closes clients that use their place for nothing, as long as there is no room for another.
+func (s *Server) makeRoom() {
+	now := s.clock.Now()
+	for {
+		e := s.silent.Front()
+		if manySilent := s.silent.Len() > s.maxClients/silentPart; !manySilent && !s.crowded() {
+			return
+		} else if e == nil || !manySilent && now-e.Value.(*client).since < silentFor {
+			if e = s.idle.Front(); e == nil || now-e.Value.(*client).since < idleFor {
+				return
+			}
+		}
+		c := e.Value.(*client)
+		if c.conn.Reader().Len() > 0 { // it has spoken, which the loop has yet to see
+			c.since = now
+			c.list.MoveToBack(e)
+			continue
+		}
+		s.front.Counters.MadeRoom++
+		c.hangUp()
+	}
+}
+
 // Drain ends the listener; clients are closed as soon as they are owed nothing.
 func (s *Server) Drain() {
 	s.draining = true
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -11,7 +11,7 @@
 	Probes, ProbesOK                               uint64
 	Opened, ClosedIdle                             uint64 // database connections
 	ListCalls, ListFailures                        uint64
-	Clients, TurnedAway, Malformed                 uint64 // client connections
+	Clients, MadeRoom, TurnedAway, Malformed       uint64 // client connections
 }
 
 // LogValue lets slog print the counters.
@@ -26,6 +26,6 @@
 		slog.Uint64("probes", c.Probes), slog.Uint64("probes_ok", c.ProbesOK),
 		slog.Uint64("opened", c.Opened), slog.Uint64("closed_idle", c.ClosedIdle),
 		slog.Uint64("list_calls", c.ListCalls), slog.Uint64("list_failures", c.ListFailures),
-		slog.Uint64("clients", c.Clients), slog.Uint64("turned_away", c.TurnedAway),
-		slog.Uint64("malformed", c.Malformed))
+		slog.Uint64("clients", c.Clients), slog.Uint64("made_room", c.MadeRoom),
+		slog.Uint64("turned_away", c.TurnedAway), slog.Uint64("malformed", c.Malformed))
 }
