Send nothing on a connection to a database with bytes left over; the answer in front counts

Checked and ruled out: the length checks (3 GB is refused by pg.Next), half answers (they time out), rows without their end. Change: the parser stops at an answer's end. Conn.Quiet looks at what is buffered here, by netpoll and by the kernel, before a connection is kept and again before it is used. What is no answer ends the attempt as a reset, and a probe as an error: its member lives, and was taken for silent. The map of addresses with broken answers, which kept gone ones for good, is a log line each 10 s. Tests: copies, halves, a byte and noise behind each answer; kept and late connections.

--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -22,27 +22,25 @@
 	loadQuery    = "SHOW load"
 )
 
-var errNoRow = errors.New("an answer without its one row")
+var (
+	errNoRow   = errors.New("an answer without its one row")
+	errUnasked = errors.New("an answer that nobody asked for")
+)
 
 // Databases opens connections to databases. It implements state.Opener.
 type Databases struct {
 	Loop           *Loop
 	ConnectTimeout time.Duration
 
-	broken map[string]bool // addresses whose last answer was none
+	toldAt time.Duration // when spoilt bytes were last logged
 }
 
-// noteAnswer logs the first of a row of broken answers, not each.
-func (d *Databases) noteAnswer(address string, err error) {
-	if err == nil {
-		delete(d.broken, address)
-		return
-	}
-	if d.broken == nil {
-		d.broken = map[string]bool{}
-	}
-	if !d.broken[address] {
-		d.broken[address] = true
+// tellSpoilt is how often it is logged that databases send what is no answer, at most.
+const tellSpoilt = 10 * time.Second
+
+func (d *Databases) noteSpoilt(address string, err error) {
+	if now := d.Loop.clock.Now(); d.toldAt == 0 || now-d.toldAt >= tellSpoilt {
+		d.toldAt = now
 		slog.Warn("database sends what is no answer", "address", address, "error", err)
 	}
 }
@@ -57,6 +55,7 @@
 	out     []byte
 	reply   pg.Reply
 	up      bool
+	owes    bool // an answer: to the startup message, or to the last command
 	probing bool // the last command was one for the load report
 	closed  bool
 }
@@ -110,6 +109,7 @@
 	db.conn = conn
 	attach(db.d.Loop, conn, db.readable, func() { db.lost(nil) })
 	if !db.closed {
+		db.owes = true
 		db.write(pg.AppendStartup(nil, databaseUser, databaseName))
 	}
 }
@@ -126,7 +126,7 @@
 // Send implements state.Conn.
 func (db *database) Send(cmd state.Command, wait time.Duration) error {
 	db.reply.Reset()
-	db.probing = false
+	db.owes, db.probing = true, false
 	db.out = cmd.AppendTo(db.out[:0], wait)
 	err := db.write(db.out)
 	if cap(db.out) > keepRoom {
@@ -138,10 +138,24 @@
 // Probe implements state.Conn.
 func (db *database) Probe() error {
 	db.reply.Reset()
-	db.probing = true
+	db.owes, db.probing = true, true
 	return db.write(pg.AppendQuery(nil, loadQuery))
 }
 
+// Quiet implements state.Conn. Answers bear no name: whatever comes without a command, even what the kernel still
+// holds, would be taken for the answer to the next one.
+func (db *database) Quiet() bool {
+	if db.closed || db.conn == nil || db.owes || !db.conn.IsActive() || len(db.in.bytes) > 0 || db.conn.Reader().Len() > 0 {
+		return false
+	}
+	c, ok := db.conn.(netpoll.Conn)
+	if !ok {
+		return true
+	}
+	_, _, err := syscall.Recvfrom(c.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN // neither bytes nor their end
+}
+
 // Close implements state.Conn.
 func (db *database) Close() {
 	if db.closed {
@@ -158,7 +172,7 @@
 	if db.closed {
 		return
 	}
-	if err == nil && db.reply.Code != "" { // a fatal error needs nothing behind it
+	if err == nil && db.owes && db.reply.Code != "" { // a fatal error needs nothing behind it
 		db.to.Reply(db.outcome())
 	}
 	if db.closed {
@@ -173,28 +187,33 @@
 		db.lost(err)
 		return
 	}
-	used := 0
-	for !db.closed {
+	for used := 0; !db.closed; {
 		m, n, err := pg.Next(db.in.bytes[used:])
-		if err == nil && n > 0 {
+		switch {
+		case err != nil:
+		case n > 0 && !db.owes:
+			err = errUnasked
+		case n > 0:
 			err = db.reply.Add(m)
 		}
 		if err != nil { // what comes behind broken bytes can't be trusted either
-			db.garbled(err)
+			db.spoilt(err)
 			return
 		}
-		if used += n; n == 0 {
-			break
-		}
-		if db.reply.Ready() {
-			db.ready()
+		if used += n; n == 0 || db.reply.Ready() {
+			db.in.cut(used)
+			if n > 0 {
+				db.ready()
+			}
+			return
 		}
 	}
-	db.in.cut(used)
 }
 
-// ready hands over the answer that is now whole; the first one ends the start of the session.
+// ready hands over the answer that is now whole; the first one ends the start of the session. What has come behind
+// it is left where it is: it makes the connection unfit for another command, but the answer counts.
 func (db *database) ready() {
+	db.owes = false
 	if !db.up && db.reply.Code == "" {
 		db.up = true
 		db.reply.Reset()
@@ -203,19 +222,18 @@
 	}
 	r := db.outcome()
 	if r.Result == logic.OK && !db.reply.Served() {
-		db.garbled(errNoRow)
+		db.spoilt(errNoRow)
 		return
 	}
-	db.d.noteAnswer(db.address, nil)
 	db.to.Reply(r)
 }
 
-// garbled ends a connection on which sense and nonsense can't be told apart any more.
-func (db *database) garbled(err error) {
-	db.d.noteAnswer(db.address, err)
+// spoilt ends a connection on which sense and nonsense can't be told apart any more.
+func (db *database) spoilt(err error) {
+	db.d.noteSpoilt(db.address, err)
 	db.Close()
 	// netpoll closes it when this callback has returned; no further attempt may go out before that.
-	db.d.Loop.Post(db.to.Down)
+	db.d.Loop.Post(db.to.Spoilt)
 }
 
 // outcome puts an answer into the terms of the decisions.
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -379,6 +379,31 @@
 	}
 }
 
+// A second copy or noise behind an answer was taken for the answer to the next request on that connection. The
+// answer in front counts.
+func TestWhatStandsBehindAnAnswerIsNobodys(t *testing.T) {
+	for name, behind := range map[string]func(answer []byte) []byte{
+		"a copy":      func(a []byte) []byte { return a },
+		"half a copy": func(a []byte) []byte { return a[:len(a)/2] },
+		"a byte":      func([]byte) []byte { return []byte("D") },
+		"noise":       func([]byte) []byte { return []byte("\x00\xff\xff\xff\xff nonsense") },
+	} {
+		s, _, _ := proxy(t, member(t, func(c stdnet.Conn, text string) bool {
+			_, err := c.Write(append(row(text), behind(row(text))...))
+			return err == nil
+		}), 8, 1)
+		p := dial(t, s)
+		p.conn.Write(pg.AppendStartup(nil, "client", "core"))
+		p.said(len(welcome))
+		for i := range 9 {
+			p.conn.Write(pg.AppendQuery(nil, query(fmt.Sprint(i))))
+			if types, bodies := p.said(3); types != "DCZ" || !strings.Contains(bodies[0], fmt.Sprintf("'%d'", i)) {
+				t.Fatalf("%s: request %d got %q %q", name, i, types, bodies)
+			}
+		}
+	}
+}
+
 // A proxy that stops must not leave behind what it has read but not looked at.
 func TestDrainWaitsForWhatHasBeenReadOnly(t *testing.T) {
 	s, _, loop := proxy(t, member(t, echo), 8, 1)
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -25,6 +25,8 @@
 	Send(Command, time.Duration) error
 	// Probe asks for the load report.
 	Probe() error
+	// Quiet tells whether the next command may go out: nothing has come that belongs to none.
+	Quiet() bool
 	Close()
 }
 
@@ -33,6 +35,7 @@
 	Up()         // it may be sent the first command
 	Reply(Reply) // the answer to the last command
 	Down()       // it is lost, or never came up
+	Spoilt()     // what came is no answer; it is closed
 }
 
 // Reply is what a database answered.
@@ -76,8 +79,12 @@
 // place puts an attempt on a connection: an idle one, or a new one.
 func (f *Front) place(a *attempt) {
 	m := a.to
-	if n := len(m.idle); n > 0 {
+	for n := len(m.idle); n > 0; n = len(m.idle) {
 		l := m.idle[n-1]
+		if !l.conn.Quiet() { // an answer's second copy, or its end: nothing has been written yet
+			f.close(l)
+			continue
+		}
 		m.idle = m.idle[:n-1]
 		f.write(l, a)
 		return
@@ -154,7 +161,7 @@
 func (f *Front) rest(l *link) {
 	m := l.m
 	l.state = linkIdle
-	if m.state != logic.Ready {
+	if m.state != logic.Ready || !l.conn.Quiet() {
 		f.close(l)
 		return
 	}
@@ -233,6 +240,20 @@
 	l.fail(r)
 }
 
+// Spoilt implements Listener. The request may have run; a probe has told nothing, but its member lives.
+func (l *link) Spoilt() {
+	r := Reply{Result: logic.Reset}
+	switch {
+	case l.state == linkClosed:
+		return
+	case l.state == linkOpening:
+		r.Result = logic.ConnectFailed
+	case l.probing:
+		r.Result = logic.Failed
+	}
+	l.fail(r)
+}
+
 // fail ends a connection and what is out on it.
 func (l *link) fail(r Reply) {
 	was, a := l.state, l.attempt
@@ -254,6 +275,9 @@
 		return
 	}
 	f.Counters.Probes++
+	if m.probe != nil && !m.probe.conn.Quiet() {
+		f.close(m.probe)
+	}
 	if m.probe != nil {
 		f.ask(m.probe)
 		return
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -66,11 +66,13 @@
 	sent    int
 	probes  int
 	closed  bool
+	loud    bool // something has come that nobody asked for
 	err     error
 }
 
 func (c *conn) Send(Command, time.Duration) error { c.sent++; return c.err }
 func (c *conn) Probe() error                      { c.probes++; return c.err }
+func (c *conn) Quiet() bool                       { return !c.loud }
 func (c *conn) Close()                            { c.closed = true }
 
 type command struct{}
@@ -188,6 +190,31 @@
 	}
 }
 
+// Nothing goes out on a connection on which something has come that nobody asked for. What came instead of an
+// answer ends the attempt, which may have run; a member that spoils a probe's answer lives all the same.
+func TestSpoiltConnectionsCarryNothing(t *testing.T) {
+	b := newBench(t, 9)
+	b.take(&caller{})
+	b.conns[0].to.Up()
+	b.conns[0].loud = true // a second copy behind the answer, which counts
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	b.take(&caller{})
+	b.conns[1].to.Up()
+	b.conns[1].to.Reply(Reply{Result: logic.OK})
+	b.conns[1].loud = true // it came late
+	b.take(&caller{})
+	if !b.conns[0].closed || !b.conns[1].closed || b.conns[0].sent+b.conns[1].sent != 2 {
+		t.Errorf("closed: %v, %v; sent: %d, %d", b.conns[0].closed, b.conns[1].closed, b.conns[0].sent, b.conns[1].sent)
+	}
+	b.conns[2].to.Up()
+	b.told = nil
+	b.conns[2].to.Spoilt()
+	b.f.Probe(b.id("two"))
+	b.conns[3].to.Up()
+	b.conns[3].to.Spoilt()
+	b.want(outcome(logic.Reset, false), fmt.Sprintf("probed %d", logic.Failed))
+}
+
 func TestNeverTwoAttemptsAtOnce(t *testing.T) {
 	b := newBench(t, 9)
 	id := b.take(&caller{})
