Refuse ids that are open, bound bursts and one client's share, forget members that are gone

One client could have 64 requests under way. A member named gone by a delta stayed in memory (leave asked for 'unseen', and a delta marks it seen). Descriptors: dials given up were not counted, netpoll accepts ahead of the loop, 64 were spare for both. Ruled out as causes of the loss: CPU (0.11 of 0.25 cores at most), memory (21 of 64 MB). Change: Front.Take refuses a name that is open; id, class, d and cluster must each be there (an id twice passed for a class); 08P01, 22xxx and 42xxx fail the request at once and blame no member; 16 requests under way for a client; the listener closes what there is no descriptor for; closed dials count until they end; spareSockets 24; buffers scale with memory_mb (an eighth, 32 MB at most); SO_RCVBUF bounds what netpoll reads ahead; gone members go with their last connection. Tests for each; they fail without the change.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -21,7 +21,7 @@
 	// A last word is lost if its connection is closed over unread bytes, so those on their way are waited for. No
 	// longer than that: to the client, the end of the connection is the end of the answer.
 	lingerFor    = 20 * time.Millisecond
-	maxPipelined = 64 // queries of one client that may be under way
+	maxPipelined = 16 // queries of one client that may be under way; hundreds at once would crowd out the others'
 )
 
 var (
@@ -213,7 +213,7 @@
 		return err
 	}
 	c.slots = append(c.slots, sl)
-	sl.id, err = c.s.front.Take(state.Request{Class: st.Class, Wait: st.Wait, Session: st.Session, Group: st.Group,
+	sl.id, err = c.s.front.Take(state.Request{Name: st.ID, Class: st.Class, Wait: st.Wait, Session: st.Session, Group: st.Group,
 		After: st.After, Retry: st.Retry, Command: &st, Caller: sl})
 	if err != nil {
 		c.slots = c.slots[:len(c.slots)-1]
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -99,8 +99,11 @@
 
 func (db *database) connected(conn netpoll.Connection, err error) {
 	switch {
-	case db.closed && err == nil:
-		conn.Close()
+	case db.closed:
+		if err == nil {
+			conn.Close()
+		}
+		db.to.Down()
 		return
 	case err != nil:
 		db.lost(err)
@@ -164,6 +167,9 @@
 	db.closed = true
 	if db.conn != nil {
 		db.conn.Close()
+		if !db.up {
+			db.d.Loop.Post(db.to.Down)
+		}
 	}
 }
 
@@ -246,6 +252,8 @@
 		r.Result = logic.Miss
 	case pg.CodeTooMany, pg.CodeNotNow:
 		r.Result = logic.Full
+	default:
+		r.Unfit = pg.Unfit(db.reply.Code)
 	}
 	report := db.reply.Load
 	if db.probing && r.Result == logic.OK {
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -56,7 +56,7 @@
 	}
 	loop := NewLoop(clock, &front.Deadlines)
 	databases.Loop = loop
-	s := NewServer(loop, clock, front, clients, excess)
+	s := NewServer(loop, clock, front, clients, excess, 32<<20)
 	if err := s.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -174,7 +174,7 @@
 }
 
 func query(key string) string {
-	return fmt.Sprintf("SELECT val FROM state WHERE uid = '%s' /* id=1,c=any,d=15000,cluster=0 */", key)
+	return fmt.Sprintf("SELECT val FROM state WHERE uid = '%s' /* id=%[1]s,c=any,d=15000,cluster=0 */", key)
 }
 
 const welcome = "RSSSSZ"
@@ -404,6 +404,40 @@
 	}
 }
 
+// The id of another client's open request is an error to who comes second. What there is no descriptor for is
+// closed before the loop hears of it.
+func TestOpenIDsAndBurstsOfClients(t *testing.T) {
+	asked, answer := make(chan struct{}), make(chan struct{})
+	s, front, loop := proxy(t, member(t, func(c stdnet.Conn, text string) bool {
+		close(asked)
+		<-answer
+		return echo(c, text)
+	}), 2, 0)
+	in := pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("a"))
+	first := dial(t, s)
+	first.conn.Write(in)
+	<-asked
+	second := dial(t, s)
+	second.conn.Write(pg.AppendStartup(nil, "client", "core"))
+	second.said(len(welcome))
+	if types, _ := dial(t, s).said(1); types != "!" {
+		t.Errorf("one too many got %q", types)
+	}
+	second.conn.Write(pg.AppendQuery(nil, query("a")))
+	if types, bodies := second.said(1); types != "E" || !strings.Contains(bodies[len(bodies)-1], "C"+pg.CodeProtocol) {
+		t.Errorf("the second got %q", types)
+	}
+	close(answer)
+	if types, _ := first.said(len(welcome) + 3); types != welcome+"DCZ" {
+		t.Errorf("the first got %q", types)
+	}
+	got := make(chan uint64)
+	loop.Post(func() { got <- front.Counters.Clients })
+	if n := <-got; n != 2 {
+		t.Errorf("the loop has seen %d clients, there were descriptors for 2", n)
+	}
+}
+
 // A proxy that stops must not leave behind what it has read but not looked at.
 func TestDrainWaitsForWhatHasBeenReadOnly(t *testing.T) {
 	s, _, loop := proxy(t, member(t, echo), 8, 1)
@@ -556,7 +590,7 @@
 // closed, the next server's had the same number, and clients of that were accepted for the one that had ended.
 func TestServerThatEndsEarlyTakesNoClientsOfTheNext(t *testing.T) {
 	for range 50 {
-		first := NewServer(NewLoop(state.NewClock(), &state.Deadlines{}), nil, &state.Front{}, 1, 1)
+		first := NewServer(NewLoop(state.NewClock(), &state.Deadlines{}), nil, &state.Front{}, 1, 1, 1)
 		if err := first.Listen("127.0.0.1:0"); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -17,8 +17,10 @@
 const (
 	writePatience = 20 * time.Millisecond // a client whose buffer stays full for so long doesn't read
 	keepAlive     = time.Minute           // after which the kernel asks whether a silent client is still there
-	maxBuffers    = 32 << 20              // netpoll holds up to twice as much beside it; 192 MB are all
 	sendBuffer    = 256 << 10             // the kernel's, room for several of the largest answers
+	// Likewise for what comes in. netpoll reads all of it at a time, ahead of the loop: who sends at full speed
+	// must not make it hold megabytes.
+	receiveBuffer = 128 << 10
 
 	// For want of room the clients that use theirs for nothing are closed: first those that have said nothing for a
 	// time in which others ask and are answered, also where they are over one in silentPart, then those without an
@@ -51,10 +53,11 @@
 	draining    bool
 }
 
-// NewServer makes a server for at most so many clients; a few more are turned away with an answer.
-func NewServer(loop *Loop, clock state.Clock, front *state.Front, maxClients, maxExcess int) *Server {
+// NewServer makes a server for at most so many clients, whose half-sent queries may hold so many bytes; a few more
+// clients are turned away with an answer.
+func NewServer(loop *Loop, clock state.Clock, front *state.Front, maxClients, maxExcess, maxBuffered int) *Server {
 	return &Server{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front,
-		clients: map[*client]struct{}{}, maxClients: maxClients, maxExcess: maxExcess, maxBuffered: maxBuffers}
+		clients: map[*client]struct{}{}, maxClients: maxClients, maxExcess: maxExcess, maxBuffered: maxBuffered}
 }
 
 // Listen opens the address and starts to accept.
@@ -62,6 +65,7 @@
 	lc := stdnet.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) { // accepted sockets inherit it
 			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 		})
 	}}
 	ln, err := lc.Listen(context.Background(), "tcp", address)
@@ -72,12 +76,16 @@
 	if err != nil {
 		return err
 	}
-	s.listener = &listener{Listener: converted}
+	s.listener = &listener{Listener: converted, most: int64(s.maxClients + s.maxExcess)}
 	s.events, err = netpoll.NewEventLoop(
 		func(ctx context.Context, _ netpoll.Connection) error {
 			ctx.Value(clientKey{}).(*client).readable()
 			return nil
 		},
+		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
+			conn.AddCloseCallback(func(netpoll.Connection) error { s.listener.open.Add(-1); return nil })
+			return context.Background()
+		}),
 		netpoll.WithOnConnect(s.accept),
 		netpoll.WithWriteTimeout(writePatience),
 		netpoll.WithIdleTimeout(keepAlive))
@@ -99,14 +107,26 @@
 type listener struct {
 	netpoll.Listener
 	ended atomic.Bool
+	most  int64 // connections that may be open
+	open  atomic.Int64
 }
 
-// Accept implements netpoll.Listener. The poller still asks once when the socket has been shut down.
+// Accept implements netpoll.Listener. The poller still asks once when the socket has been shut down. It accepts
+// ahead of the loop: of a burst of hundreds, those that there are no descriptors for are closed here.
 func (l *listener) Accept() (stdnet.Conn, error) {
 	if l.ended.Load() {
 		return nil, nil
 	}
-	return l.Listener.Accept()
+	conn, err := l.Listener.Accept()
+	if conn == nil || err != nil {
+		return conn, err
+	}
+	if l.open.Add(1) > l.most {
+		l.open.Add(-1)
+		conn.Close()
+		return nil, nil
+	}
+	return conn, nil
 }
 
 func (l *listener) end() {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -16,12 +16,14 @@
 )
 
 const (
-	// Descriptors: some for the process itself and for connections in the making, the rest for both sides.
-	spareSockets = 64
+	// Descriptors: some for the process itself, the rest for both sides.
+	spareSockets = 24
 	excessPart   = 16 // one in so many is for clients that are turned away with an answer
 	linkPart     = 3  // and three in eight are for databases
 
-	memoryPart = 0.7 // of the limit: the heap's share; stacks, buffers in the kernel and netpoll's pools take more
+	bufferPart  = 8        // one in so many bytes is for what clients have sent of their queries; netpoll may hold as much
+	mostBuffers = 32 << 20 // where there is room for more, too
+	memoryPart  = 0.7      // of the limit: the heap's share; stacks, buffers in the kernel and netpoll's pools take more
 
 	lastClients = 500 * time.Millisecond // after SIGTERM clients still come for 0.4 s
 	drainStep   = 5 * time.Millisecond   // then it looks so often whether all have their answers
@@ -112,7 +114,11 @@
 	}
 	p.loop = net.NewLoop(p.clock, &p.front.Deadlines)
 	databases.Loop = p.loop
-	p.server = net.NewServer(p.loop, p.clock, p.front, clients, excess)
+	buffers := mostBuffers
+	if cfg.MemoryMB > 0 {
+		buffers = min(cfg.MemoryMB<<20/bufferPart, mostBuffers)
+	}
+	p.server = net.NewServer(p.loop, p.clock, p.front, clients, excess, buffers)
 	if err := p.server.Listen(cfg.Listen); err != nil {
 		return nil, err
 	}
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -4,6 +4,7 @@
 package state
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"time"
@@ -28,8 +29,12 @@
 	AppendTo(dst []byte, wait time.Duration) []byte // for a database that has so long to answer
 }
 
+// ErrTwice tells of a request whose name another open one bears.
+var ErrTwice = errors.New("a request of that id is open")
+
 // Request is what a client asks.
 type Request struct {
+	Name    string // new with each request; empty = it has none
 	Class   string
 	Wait    time.Duration // how long the client waits, counted from its sending
 	Session uint64
@@ -72,6 +77,7 @@
 
 	lastID   logic.RequestID
 	requests map[logic.RequestID]*request
+	named    map[string]struct{} // the names of open requests
 	timers   map[logic.TimerID]*Deadline
 
 	names       map[string]*member
@@ -82,6 +88,7 @@
 
 type request struct {
 	id     logic.RequestID
+	name   string
 	class  int
 	cmd    Command
 	caller Caller // nil once answered or abandoned
@@ -103,7 +110,7 @@
 // New makes a front. The watcher is set with Start.
 func New(cfg Config, clock Clock, opener Opener) (*Front, error) {
 	f := &Front{cfg: cfg, classes: map[string]int{}, clock: clock, opener: opener,
-		requests: map[logic.RequestID]*request{}, timers: map[logic.TimerID]*Deadline{},
+		requests: map[logic.RequestID]*request{}, named: map[string]struct{}{}, timers: map[logic.TimerID]*Deadline{},
 		names: map[string]*member{}, members: map[logic.MemberID]*member{}}
 	for i, c := range cfg.Logic.Classes {
 		f.classes[c.Name] = i
@@ -145,9 +152,16 @@
 	if !ok {
 		return 0, fmt.Errorf("unknown class %q", in.Class)
 	}
+	// Databases and keys would take the two for one request, and one of them would have the other's answer.
+	if in.Name != "" {
+		if _, twice := f.named[in.Name]; twice {
+			return 0, ErrTwice
+		}
+		f.named[in.Name] = struct{}{}
+	}
 	f.lastID++
 	f.Counters.Taken++
-	q := &request{id: f.lastID, class: class, cmd: in.Command, caller: in.Caller}
+	q := &request{id: f.lastID, name: in.Name, class: class, cmd: in.Command, caller: in.Caller}
 	f.requests[q.id] = q
 	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group),
 		Deadline: f.clock.Now() + max(in.Wait-wayHome, 0), Retry: in.Retry}
@@ -179,6 +193,7 @@
 func (f *Front) forget(q *request) {
 	if q.caller == nil && q.open == nil {
 		delete(f.requests, q.id)
+		delete(f.named, q.name)
 	}
 }
 
@@ -265,8 +280,12 @@
 	}
 	f.Counters.end(r.Result)
 	a.to.heard(r, false)
-	if r.Result == logic.OK {
+	switch {
+	case r.Result == logic.OK:
 		f.answer(q.id, &f.Counters.Served, func(c Caller) { c.Served(r.Body) })
+	case r.Unfit: // no member can use it, and none is to blame: it has failed, and the router learns no more
+		r.Result = logic.Cancelled
+		f.answer(q.id, &f.Counters.Failed, Caller.Failed)
 	}
 	now := f.clock.Now()
 	o := logic.Outcome{Request: q.id, Attempt: a.n, Member: a.to.id, Result: r.Result, Took: now - a.sentAt,
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -14,7 +14,8 @@
 // that crosses the close would end as a reset.
 const idlePart = 0.9
 
-// Opener opens connections to databases. It returns at once; the listener's methods are called later.
+// Opener opens connections to databases. It returns at once; the listener's methods are called later. A connection
+// that is closed before it is up holds its descriptor until Down tells that it has been given up.
 type Opener interface {
 	Open(address string, to Listener) Conn
 }
@@ -41,6 +42,7 @@
 // Reply is what a database answered.
 type Reply struct {
 	Result   logic.Result
+	Unfit    bool // an error that is the request's own fault
 	Body     []byte
 	Role     logic.Role
 	Position int64 // Unix milliseconds; 0 = not told
@@ -72,6 +74,7 @@
 	conn    Conn
 	state   linkState
 	probing bool          // it is the one for probes
+	waits   bool          // it is closed, but still in the making
 	asked   time.Duration // when the probe was written
 	attempt *attempt
 }
@@ -143,8 +146,11 @@
 	if l.state == linkClosed {
 		return
 	}
+	if l.state != linkOpening {
+		f.links--
+	}
+	l.waits = l.state == linkOpening
 	l.state = linkClosed
-	f.links--
 	f.Deadlines.Clear(&l.Deadline)
 	l.conn.Close()
 	m := l.m
@@ -154,6 +160,7 @@
 	if m.probe == l {
 		m.probe = nil
 	}
+	f.forgetGone(m)
 }
 
 // rest makes a connection that is up free for the next attempt. One that waits for a connection of its own to
@@ -231,6 +238,10 @@
 // have.
 func (l *link) Down() {
 	if l.state == linkClosed {
+		if l.waits {
+			l.waits = false
+			l.f.links--
+		}
 		return
 	}
 	r := Reply{Result: logic.Reset}
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -114,7 +114,14 @@
 	if to != logic.Ready {
 		f.closeIdle(m)
 	}
-	if to == logic.Gone && !m.seen && len(m.links) == 0 && m.probe == nil {
+	f.forgetGone(m)
+}
+
+// forgetGone drops a member that is gone, once no connection to it is left: databases come and go under new names
+// all day. Where the list binds no one, only a whole list that leaves it out tells that it won't be sent to again.
+func (f *Front) forgetGone(m *member) {
+	if m.state == logic.Gone && (!m.seen || !f.cfg.Logic.DrainOnly) && len(m.links) == 0 && m.probe == nil &&
+		f.names[m.name] == m {
 		delete(f.names, m.name)
 		delete(f.members, m.id)
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -215,6 +215,64 @@
 	b.want(outcome(logic.Reset, false), fmt.Sprintf("probed %d", logic.Failed))
 }
 
+// Two open requests of one name would be one to the databases, and one client would get the other's answer.
+func TestNameOfAnOpenRequestIsNotTakenAgain(t *testing.T) {
+	b := newBench(t, 9)
+	named := Request{Name: "n", Class: "any", Wait: time.Second, Command: command{}, Caller: &caller{}}
+	id, err := b.f.Take(named)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = b.f.Take(named); err != ErrTwice {
+		t.Errorf("taken twice: %v", err)
+	}
+	b.f.Fail(id)
+	if _, err = b.f.Take(named); err != nil || len(b.f.named) != 1 {
+		t.Errorf("%v, %d names", err, len(b.f.named))
+	}
+}
+
+// A request that databases can't use fails at once, and no member is blamed for it.
+func TestUnfitRequestFailsWithoutBlame(t *testing.T) {
+	b, c := newBench(t, 9), &caller{}
+	b.take(c)
+	b.conns[0].to.Up()
+	b.conns[0].to.Reply(Reply{Result: logic.Failed, Unfit: true})
+	c.want(t, "failed")
+	b.want("request", outcome(logic.Cancelled, true))
+}
+
+// Databases come and go under new names all day; news of one that has gone left it in memory for good.
+func TestMembersThatAreGoneAreForgotten(t *testing.T) {
+	b := newBench(t, 9)
+	id := b.take(&caller{})
+	b.conns[0].to.Up()
+	b.f.Listed(List{Kind: logic.ListDelta, Entries: []Entry{{Name: "one", Address: "a:1", State: logic.Gone},
+		{Name: "two", Address: "a:2", State: logic.Gone}}})
+	if len(b.f.members) != 1 || len(b.f.names) != 1 {
+		t.Errorf("%d members, %d names; one still owes an answer", len(b.f.members), len(b.f.names))
+	}
+	b.f.Cancel(id, 0)
+	if len(b.f.members) != 0 || len(b.f.names) != 0 {
+		t.Errorf("%d members, %d names are left", len(b.f.members), len(b.f.names))
+	}
+}
+
+// A connection that is given up while it is made holds its descriptor until the dial has ended.
+func TestConnectionInTheMakingCountsUntilItsEnd(t *testing.T) {
+	b := newBench(t, 1)
+	b.f.Cancel(b.take(&caller{}), 0)
+	b.take(&caller{})
+	if len(b.conns) != 1 {
+		t.Errorf("%d connections where there is room for one", len(b.conns))
+	}
+	b.conns[0].to.Down()
+	b.take(&caller{})
+	if len(b.conns) != 2 || b.f.links != 1 {
+		t.Errorf("%d connections opened, %d counted", len(b.conns), b.f.links)
+	}
+}
+
 func TestNeverTwoAttemptsAtOnce(t *testing.T) {
 	b := newBench(t, 9)
 	id := b.take(&caller{})
--- a/internal/wire/pg/pg_test.go
+++ b/internal/wire/pg/pg_test.go
@@ -174,13 +174,23 @@
 		t.Errorf("d=0: %+v, error %v", s, err)
 	}
 	for _, bad := range []string{"SELECT 1", "/**/", "'a' /*/", strings.Replace(read, "d=480", "d=-1", 1),
-		strings.Replace(read, "d=480,", "", 1), strings.Replace(read, "cluster=2", "cluster=x", 1), read + " SELECT 1"} {
+		strings.Replace(read, "d=480,", "", 1), strings.Replace(read, "id=9b1f03aa5c7e2d41,", "", 1),
+		strings.Replace(read, "c=basket", "id=2", 1), strings.Replace(read, "cluster=2", "cluster=x", 1), read + " SELECT 1"} {
 		if s, err := ParseStatement(bad); err == nil {
 			t.Errorf("%q passed as %+v", bad, s)
 		}
 	}
 }
 
+func TestCodesThatBlameTheStatement(t *testing.T) {
+	for code, want := range map[string]bool{"08P01": true, "22P02": true, "42601": true, "XX000": false, "53300": false,
+		"25006": false, "72000": false, "57P03": false} {
+		if Unfit(code) != want {
+			t.Errorf("%s: %v", code, !want)
+		}
+	}
+}
+
 // A refusal's hint is rounded up and stands in the field D.
 func TestRefusalCarriesItsHint(t *testing.T) {
 	m, n, _ := Next(AppendRefused(nil, 1500*time.Microsecond))
--- a/internal/wire/pg/reply.go
+++ b/internal/wire/pg/reply.go
@@ -108,6 +108,11 @@
 	return body[6:], int(n) == len(body)-6
 }
 
+// Unfit tells of the codes for a statement that is at fault itself: protocol violations, bad data, bad syntax.
+func Unfit(code string) bool {
+	return code == CodeProtocol || strings.HasPrefix(code, "22") || strings.HasPrefix(code, "42")
+}
+
 func errorCode(body []byte) string {
 	for len(body) > 1 {
 		field, rest, ok := bytes.Cut(body[1:], []byte{0})
--- a/internal/wire/pg/statement.go
+++ b/internal/wire/pg/statement.go
@@ -11,6 +11,7 @@
 // Statement is one request: its text and what the comment at its end says of it.
 type Statement struct {
 	Text    string
+	ID      string
 	Session uint64 // from the quoted key; never 0
 	Class   string
 	Wait    time.Duration // how long the client waits, counted from its sending
@@ -40,19 +41,16 @@
 		return s, ErrStatement
 	}
 	s.Session = sessionOf(key)
-	seen := 0
+	grouped := false
 	for at := from + 2; at < to; {
 		end := at + strings.IndexByte(text[at:to]+",", ',')
 		name, value, _ := strings.Cut(strings.TrimSpace(text[at:end]), "=")
 		var err error
 		switch name {
-		case "id", "c":
-			if seen++; value == "" {
-				return s, ErrStatement
-			}
-			if name == "c" {
-				s.Class = value
-			}
+		case "id":
+			s.ID = value
+		case "c":
+			s.Class = value
 		case "d":
 			var ms int64
 			ms, err = strconv.ParseInt(value, 10, 64)
@@ -63,10 +61,9 @@
 			s.Wait = time.Duration(ms) * time.Millisecond
 			s.waitAt = at + strings.Index(text[at:end], value)
 			s.waitEnd = s.waitAt + len(value)
-			seen++
 		case "cluster":
 			s.Group, err = strconv.Atoi(value)
-			seen++
+			grouped = true
 		case "after":
 			s.After, err = strconv.ParseInt(value, 10, 64)
 		case "r":
@@ -77,7 +74,7 @@
 		}
 		at = end + 1
 	}
-	if seen != 4 {
+	if s.ID == "" || s.Class == "" || s.waitEnd == 0 || !grouped {
 		return s, ErrStatement
 	}
 	return s, nil
