Count no database connection that failed to come up; an answer without its end is spoilt

Change: the opener counts the dials that were given up (GivenUp) and ends each count with its dial; Front counts links that are open. An answer with no end 100 ms after its first bytes is spoilt, while there is time for another attempt. Tests: refused connections leave nothing counted (state, net); an answer's first bytes alone are a reset. They fail without the change.

--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -22,8 +22,13 @@
 	loadQuery    = "SHOW load"
 )
 
+// answerPatience is how long an answer may take from its first bytes to its end, which a database writes at once. One
+// that doesn't end is spoilt; waited for until the client's time is up, it leaves none for another attempt.
+const answerPatience = 100 * time.Millisecond
+
 var (
 	errNoRow   = errors.New("an answer without its one row")
+	errNoEnd   = errors.New("an answer without its end")
 	errUnasked = errors.New("an answer that nobody asked for")
 )
 
@@ -32,9 +37,13 @@
 	Loop           *Loop
 	ConnectTimeout time.Duration
 
-	toldAt time.Duration // when spoilt bytes were last logged
+	toldAt  time.Duration // when spoilt bytes were last logged
+	givenUp int           // dials whose connection nobody waits for any more
 }
 
+// GivenUp implements state.Opener.
+func (d *Databases) GivenUp() int { return d.givenUp }
+
 // tellSpoilt is how often it is logged that databases send what is no answer, at most.
 const tellSpoilt = 10 * time.Second
 
@@ -54,10 +63,13 @@
 	in      buffer
 	out     []byte
 	reply   pg.Reply
+	dialled bool // the dial has ended, one way or the other
 	up      bool
 	owes    bool // an answer: to the startup message, or to the last command
 	probing bool // the last command was one for the load report
 	closed  bool
+	rest    state.Deadline // set while a part of an answer has come
+	begun   bool
 }
 
 // Open implements state.Opener. Only the connecting itself waits, and it does so beside the loop.
@@ -98,12 +110,13 @@
 }
 
 func (db *database) connected(conn netpoll.Connection, err error) {
+	db.dialled = true
 	switch {
 	case db.closed:
+		db.d.givenUp--
 		if err == nil {
 			conn.Close()
 		}
-		db.to.Down()
 		return
 	case err != nil:
 		db.lost(err)
@@ -165,11 +178,11 @@
 		return
 	}
 	db.closed = true
+	db.whole()
 	if db.conn != nil {
 		db.conn.Close()
-		if !db.up {
-			db.d.Loop.Post(db.to.Down)
-		}
+	} else if !db.dialled {
+		db.d.givenUp++
 	}
 }
 
@@ -209,13 +222,30 @@
 		if used += n; n == 0 || db.reply.Ready() {
 			db.in.cut(used)
 			if n > 0 {
+				db.whole()
 				db.ready()
+			} else if db.owes && db.up && !db.begun {
+				db.begun = true
+				db.d.Loop.deadlines.Set(&db.rest, db.d.Loop.clock.Now()+answerPatience, db.stalled)
 			}
 			return
 		}
 	}
 }
 
+// whole ends the wait for the rest of an answer.
+func (db *database) whole() {
+	db.begun = false
+	db.d.Loop.deadlines.Clear(&db.rest)
+}
+
+// stalled finds an answer without its end, unless that has come and only the loop was late.
+func (db *database) stalled() {
+	if db.begun = false; db.conn.Reader().Len() == 0 {
+		db.spoilt(errNoEnd)
+	}
+}
+
 // ready hands over the answer that is now whole; the first one ends the start of the session. What has come behind
 // it is left where it is: it makes the connection unfit for another command, but the answer counts.
 func (db *database) ready() {
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -438,6 +438,44 @@
 	}
 }
 
+// An answer that does not end is a failed attempt long before the client's time is up.
+func TestAnswerWithoutItsEndIsSpoilt(t *testing.T) {
+	begun := make(chan struct{})
+	s, front, loop := proxy(t, member(t, func(c stdnet.Conn, text string) bool {
+		c.Write(row(text)[:9])
+		close(begun)
+		return true
+	}), 8, 1)
+	p := dial(t, s)
+	p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("a")))
+	<-begun
+	if types, _ := p.said(len(welcome) + 2); types != welcome+"EZ" {
+		t.Errorf("the client got %q", types)
+	}
+	got := make(chan uint64)
+	loop.Post(func() { got <- front.Counters.Reset })
+	if n := <-got; n != 1 {
+		t.Errorf("%d resets", n)
+	}
+}
+
+// Refused connections and ones that are spoilt at their start must leave nothing counted behind.
+func TestConnectionsThatNeverComeUpAreNotCounted(t *testing.T) {
+	s, _, loop := proxy(t, "127.0.0.1:1", 8, 1)
+	p := dial(t, s)
+	p.conn.Write(pg.AppendStartup(nil, "client", "core"))
+	p.said(len(welcome))
+	for i := range 40 { // more than there is room for
+		p.conn.Write(pg.AppendQuery(nil, query(fmt.Sprint(i))))
+		p.said(2)
+	}
+	got := make(chan int)
+	loop.Post(func() { got <- s.front.Links() })
+	if n := <-got; n != 0 {
+		t.Errorf("%d connections are counted", n)
+	}
+}
+
 // A proxy that stops must not leave behind what it has read but not looked at.
 func TestDrainWaitsForWhatHasBeenReadOnly(t *testing.T) {
 	s, _, loop := proxy(t, member(t, echo), 8, 1)
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -145,6 +145,9 @@
 // Pending tells how many requests wait for their answer.
 func (f *Front) Pending() int { return len(f.requests) }
 
+// Links tells how many connections to databases are counted as open.
+func (f *Front) Links() int { return f.links }
+
 // Take takes in a client's request. The error tells of a request that this deployment doesn't have; then there
 // will be no answer.
 func (f *Front) Take(in Request) (logic.RequestID, error) {
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -14,10 +14,11 @@
 // that crosses the close would end as a reset.
 const idlePart = 0.9
 
-// Opener opens connections to databases. It returns at once; the listener's methods are called later. A connection
-// that is closed before it is up holds its descriptor until Down tells that it has been given up.
+// Opener opens connections to databases. It returns at once; the listener's methods are called later.
 type Opener interface {
 	Open(address string, to Listener) Conn
+	// GivenUp counts connections that were closed in the making and hold their descriptor still.
+	GivenUp() int
 }
 
 // Conn is a connection to a database. Close may be called at any time, also before it is up.
@@ -74,7 +75,6 @@
 	conn    Conn
 	state   linkState
 	probing bool          // it is the one for probes
-	waits   bool          // it is closed, but still in the making
 	asked   time.Duration // when the probe was written
 	attempt *attempt
 }
@@ -104,7 +104,7 @@
 
 // open starts a connection, if need be in the place of one that is idle elsewhere.
 func (f *Front) open(m *member) *link {
-	if f.links >= f.cfg.MaxLinks && !f.makeRoom() {
+	if f.links+f.opener.GivenUp() >= f.cfg.MaxLinks && !f.makeRoom() {
 		return nil
 	}
 	f.links++
@@ -146,11 +146,8 @@
 	if l.state == linkClosed {
 		return
 	}
-	if l.state != linkOpening {
-		f.links--
-	}
-	l.waits = l.state == linkOpening
 	l.state = linkClosed
+	f.links--
 	f.Deadlines.Clear(&l.Deadline)
 	l.conn.Close()
 	m := l.m
@@ -238,10 +235,6 @@
 // have.
 func (l *link) Down() {
 	if l.state == linkClosed {
-		if l.waits {
-			l.waits = false
-			l.f.links--
-		}
 		return
 	}
 	r := Reply{Result: logic.Reset}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -23,6 +23,8 @@
 	req   logic.Request
 	onReq func()
 	depth int
+
+	givenUp int
 }
 
 func (b *bench) Now() time.Duration  { return b.now }
@@ -54,6 +56,7 @@
 func (b *bench) Abandoned(time.Duration, logic.RequestID) { b.note("abandoned") }
 func (b *bench) Watch(bool)                               {}
 func (b *bench) Fetch()                                   {}
+func (b *bench) GivenUp() int                             { return b.givenUp }
 func (b *bench) Open(address string, to Listener) Conn {
 	c := &conn{address: address, to: to}
 	b.conns = append(b.conns, c)
@@ -258,19 +261,21 @@
 	}
 }
 
-// A connection that is given up while it is made holds its descriptor until the dial has ended.
-func TestConnectionInTheMakingCountsUntilItsEnd(t *testing.T) {
+// A connection that is given up while it is made holds its descriptor until the dial has ended. Those that fail by
+// themselves hold none: counted for good, they left no room for any connection.
+func TestConnectionsInTheMakingAreCounted(t *testing.T) {
 	b := newBench(t, 1)
-	b.f.Cancel(b.take(&caller{}), 0)
-	b.take(&caller{})
-	if len(b.conns) != 1 {
-		t.Errorf("%d connections where there is room for one", len(b.conns))
+	for range 9 {
+		b.take(&caller{})
+		b.conns[len(b.conns)-1].to.Down()
 	}
-	b.conns[0].to.Down()
-	b.take(&caller{})
-	if len(b.conns) != 2 || b.f.links != 1 {
+	if len(b.conns) != 9 || b.f.links != 0 {
 		t.Errorf("%d connections opened, %d counted", len(b.conns), b.f.links)
 	}
+	b.givenUp = 1
+	if b.take(&caller{}); len(b.conns) != 9 {
+		t.Errorf("there was no descriptor for another connection")
+	}
 }
 
 func TestNeverTwoAttemptsAtOnce(t *testing.T) {
