Close clients idle for 2 s before there is need, and make room also for those closed at the listener

A probe every half second showed 128 idle clients from 2.7 s on: a third of the 384 descriptors, the most that is opened for requests. Change: over a third of the places, clients idle for 2 s are closed in time, not only when newcomers find no place. One in four descriptors is for databases. A client closed at the listener, which the loop never sees, lets the loop make room.

--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -28,6 +28,7 @@
 	silentFor  = 250 * time.Millisecond
 	silentPart = 4
 	idleFor    = 2 * time.Second
+	easyPart   = 3 // beyond one in so many of the places, idle clients are closed before there is need
 
 	tellCrowded = 10 * time.Second // no more than one line about it
 )
@@ -47,8 +48,10 @@
 	buffered    int       // bytes that wait in clients' buffers for the rest of their query
 	maxBuffered int       // beyond that, who holds more than a little is told to come again
 	maxClients  int
+	easy        int // beyond these, idle ones are closed in time
 	maxExcess   int // further ones that are told to come again
 	excess      int
+	easing      state.Deadline
 	crowdedAt   time.Duration // when it was last told that there are too many
 	draining    bool
 }
@@ -57,7 +60,7 @@
 // clients are turned away with an answer.
 func NewServer(loop *Loop, clock state.Clock, front *state.Front, maxClients, maxExcess, maxBuffered int) *Server {
 	return &Server{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front,
-		clients: map[*client]struct{}{}, maxClients: maxClients, maxExcess: maxExcess, maxBuffered: maxBuffered}
+		clients: map[*client]struct{}{}, maxClients: maxClients, easy: maxClients / easyPart, maxExcess: maxExcess, maxBuffered: maxBuffered}
 }
 
 // Listen opens the address and starts to accept.
@@ -77,6 +80,12 @@
 		return err
 	}
 	s.listener = &listener{Listener: converted, most: int64(s.maxClients + s.maxExcess)}
+	s.listener.full = func() {
+		s.loop.Post(func() {
+			s.listener.asking.Store(false)
+			s.makeRoom()
+		})
+	}
 	s.events, err = netpoll.NewEventLoop(
 		func(ctx context.Context, _ netpoll.Connection) error {
 			ctx.Value(clientKey{}).(*client).readable()
@@ -109,6 +118,9 @@
 	ended atomic.Bool
 	most  int64 // connections that may be open
 	open  atomic.Int64
+
+	full   func() // lets the loop make room
+	asking atomic.Bool
 }
 
 // Accept implements netpoll.Listener. The poller still asks once when the socket has been shut down. It accepts
@@ -124,6 +136,9 @@
 	if l.open.Add(1) > l.most {
 		l.open.Add(-1)
 		conn.Close()
+		if !l.asking.Swap(true) { // who is closed here can't make room by coming
+			l.full()
+		}
 		return nil, nil
 	}
 	return conn, nil
@@ -153,6 +168,7 @@
 	}
 	s.clients[c] = struct{}{}
 	c.settle()
+	s.ease()
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		s.loop.Post(c.closed)
 		return nil
@@ -171,22 +187,41 @@
 	now := s.clock.Now()
 	for {
 		e := s.silent.Front()
-		if manySilent := s.silent.Len() > s.maxClients/silentPart; !manySilent && !s.crowded() {
+		full := s.crowded() || len(s.clients) >= s.maxClients+s.maxExcess
+		if manySilent := s.silent.Len() > s.maxClients/silentPart; !manySilent && !full {
 			return
 		} else if e == nil || !manySilent && now-e.Value.(*client).since < silentFor {
 			if e = s.idle.Front(); e == nil || now-e.Value.(*client).since < idleFor {
 				return
 			}
 		}
+		s.closeFor(e.Value.(*client), now)
+	}
+}
+
+// ease closes clients that are idle for long where many are connected. The place that one holds may be one of those
+// that others need: what stands before the proxies opens no more than a share of its descriptors.
+func (s *Server) ease() {
+	now := s.clock.Now()
+	for e := s.idle.Front(); e != nil && len(s.clients) > s.easy; e = s.idle.Front() {
 		c := e.Value.(*client)
-		if c.conn.Reader().Len() > 0 { // it has spoken, which the loop has yet to see
-			c.since = now
-			c.list.MoveToBack(e)
-			continue
+		if due := c.since + idleFor; due > now {
+			s.deadlines.Set(&s.easing, due, s.ease)
+			return
 		}
-		s.front.Counters.MadeRoom++
-		c.hangUp()
+		s.closeFor(c, now)
+	}
+}
+
+// closeFor closes a client for others, unless it has spoken, which the loop has yet to see.
+func (s *Server) closeFor(c *client, now time.Duration) {
+	if c.conn.Reader().Len() > 0 {
+		c.since = now
+		c.list.MoveToBack(c.place)
+		return
 	}
+	s.front.Counters.MadeRoom++
+	c.hangUp()
 }
 
 // Drain ends the listener; clients are closed as soon as they are owed nothing.
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -19,7 +19,7 @@
 	// Descriptors: some for the process itself, the rest for both sides.
 	spareSockets = 24
 	excessPart   = 16 // one in so many is for clients that are turned away with an answer
-	linkPart     = 3  // and three in eight are for databases
+	linkPart     = 4  // and one in four is for databases: a few dozen serve hundreds of clients
 
 	bufferPart  = 8        // one in so many bytes is for what clients have sent of their queries; netpoll may hold as much
 	mostBuffers = 32 << 20 // where there is room for more, too
@@ -92,7 +92,7 @@
 		sockets = defaultSockets
 	}
 	sockets -= spareSockets
-	links, excess := sockets*linkPart/8, sockets/excessPart
+	links, excess := sockets/linkPart, sockets/excessPart
 	clients := sockets - links - excess
 	if clients <= 0 || links <= 0 {
 		return nil, fmt.Errorf("configuration: limits.sockets: %d are too few", cfg.Sockets)
