Add havenlab: a modelled fleet behind sockets, open-loop load, and scenarios to play

Change: internal/lab/fleet is a deterministic model of groups of databases (cores, waiting room, cold start, log and single-threaded apply, detection, election, drain, hang, slow, crash, lag, key dedup, a late list) on a clock that is handed in. standin puts it behind PostgreSQL v3 and discovery HTTP on 127.0.0.1:0; load sends open loop and counts latency from the intended time (hdrhistogram); scenario reads Starlark, with all errors of a file at their places. havenlab up and havenlab run start the real program as a process of its own.

--- /dev/null
+++ b/cmd/havenlab/main.go
@@ -0,0 +1,10 @@
+// Command havenlab is the project's own bench: stand-in databases, load and experiments.
+package main
+
+import (
+	"os"
+
+	"havenproxy/internal/lab/command"
+)
+
+func main() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/lab/launch/launch.go
@@ -0,0 +1,213 @@
+package launch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/standin"
+	"havenproxy/logic"
+)
+
+// Options say how the program is started.
+type Options struct {
+	Binary   string // the program; empty = havenproxy beside this one
+	Listen   string // 127.0.0.1:0 where empty
+	Operator string // an operator's file, if any
+	MemoryMB int    // 192
+	Sockets  int    // 1024
+	Cores    int    // GOMAXPROCS of the program; 0 = as the machine has
+	Fronts   int    // how many proxies share the traffic; 1
+	Seed     uint64
+	Log      io.Writer // its log lines; nil = dropped
+	Known    bool      // it knows the list at its start, as after a restart
+}
+
+// Proxy is a running program.
+type Proxy struct {
+	Address string
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	err     error
+	dir     string
+}
+
+// Config writes the configuration of a proxy before a world, in the platform's form.
+func Config(w *standin.World, cfg fleet.Config, o Options) ([]byte, error) {
+	type class map[string]any
+	var classes []class
+	var freshness []string
+	var ages []int64
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	for _, c := range cfg.Classes {
+		j := class{"name": c.Name, "aim": us(c.Aim), "hard_limit": us(c.Limit), "effect": "free", "key_scope": "all", "worth": c.Worth}
+		if c.Effect == logic.Guarded {
+			j["effect"], j["key_scope"], j["dedup_window"] = "guarded", "cell", us(c.DedupWindow)
+		}
+		classes = append(classes, j)
+		freshness = append(freshness, map[logic.Freshness]string{logic.Any: "any", logic.Bounded: "bounded", logic.Session: "session",
+			logic.Fresh: "fresh", logic.Write: "write"}[c.Read])
+		ages = append(ages, us(c.MaxAge))
+	}
+	known := json.RawMessage(`{"generation":0,"reset":true,"instances":[]}`)
+	if o.Known {
+		known, _, _ = w.Listing()
+	}
+	return json.MarshalIndent(map[string]any{
+		"name": "lab", "listen": o.Listen, "discovery": w.Discovery(), "seed": fmt.Sprintf("%016x", o.Seed+1),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": o.MemoryMB, "sockets": o.Sockets},
+		"known":  known,
+		"settings": map[string]any{
+			"discovery": "on_request", "fleet_size": max(o.Fronts, 1), "tick": 5000, "zone": 0, "zones": cfg.Zones,
+			"domain": map[string]any{"freshness": freshness, "max_age": ages, "list_role": "none", "server_checks": "wait",
+				"session_marks": "carried", "stamps": true},
+			"limits": map[string]any{"connect_timeout": 250000, "idle_close": 30000000, "max_attempts": 6,
+				"max_retry_after": 500000, "may_cancel": true, "parallel_tries": false, "probes": true, "retry_after": true},
+			"reporting":       map[string]any{"fields": []string{"x0", "x1", "inflight"}, "how": "probe"},
+			"request_classes": classes,
+			"safety":          map[string]any{"cold": 13000000, "cold_share": 0.18, "fall_multiple": 2.5},
+		}}, "", " ")
+}
+
+// beside finds a program in the folder of the running one.
+func beside(name string) (string, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(filepath.Dir(self), name)
+	if _, err := os.Stat(path); err != nil {
+		return "", fmt.Errorf("%s is not beside this program: run `make build`, or name it with --proxy", name)
+	}
+	return path, nil
+}
+
+// freePort finds a port that nobody listens on now. The program can't tell a port that it chose itself.
+func freePort() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// Start runs the program before a world and waits until it serves.
+func Start(ctx context.Context, w *standin.World, cfg fleet.Config, o Options) (*Proxy, error) {
+	var err error
+	if o.Binary == "" {
+		if o.Binary, err = beside("havenproxy"); err != nil {
+			return nil, err
+		}
+	}
+	if o.Listen == "" {
+		if o.Listen, err = freePort(); err != nil {
+			return nil, err
+		}
+	}
+	if o.MemoryMB == 0 {
+		o.MemoryMB = 192
+	}
+	if o.Sockets == 0 {
+		o.Sockets = 1024
+	}
+	text, err := Config(w, cfg, o)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "havenlab")
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, err
+	}
+	p := &Proxy{Address: o.Listen, ended: make(chan struct{}), dir: dir}
+	p.cmd = exec.Command(o.Binary)
+	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_LISTEN="+o.Listen)
+	if o.Operator != "" {
+		p.cmd.Env = append(p.cmd.Env, "HAVEN_OPERATOR="+o.Operator)
+	}
+	if o.Cores > 0 {
+		p.cmd.Env = append(p.cmd.Env, fmt.Sprintf("GOMAXPROCS=%d", o.Cores))
+	}
+	// Ctrl-C on the terminal reaches the whole foreground group; the program is to be stopped by us, in order.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	var first bytes.Buffer
+	out := io.Writer(&first)
+	if o.Log != nil {
+		out = io.MultiWriter(o.Log, &first)
+	}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() { p.err = p.cmd.Wait(); close(p.ended) }()
+	for {
+		conn, err := net.DialTimeout("tcp", o.Listen, time.Second)
+		if err == nil {
+			conn.Close()
+			return p, nil
+		}
+		select {
+		case <-p.ended:
+			return nil, fmt.Errorf("the proxy ended at its start: %v: %s", p.err, strings.TrimSpace(first.String()))
+		case <-ctx.Done():
+			p.Stop(time.Second)
+			return nil, ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Pid is the program's process.
+func (p *Proxy) Pid() int { return p.cmd.Process.Pid }
+
+// Ended is closed when the program has ended.
+func (p *Proxy) Ended() <-chan struct{} { return p.ended }
+
+// Signal sends the program a signal.
+func (p *Proxy) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Usage tells the CPU time that the program has used, and the most memory it held, in bytes; after its end only.
+func (p *Proxy) Usage() (cpu time.Duration, memory int64) {
+	select {
+	case <-p.ended:
+	default:
+		return 0, 0
+	}
+	s := p.cmd.ProcessState
+	if u, ok := s.SysUsage().(*syscall.Rusage); ok {
+		memory = u.Maxrss << 10
+	}
+	return s.UserTime() + s.SystemTime(), memory
+}
+
+// ErrKilled tells that the program had to be killed.
+var ErrKilled = errors.New("the proxy did not end by itself and was killed")
+
+// Stop ends the program by SIGTERM, and by SIGKILL where it is still there after so long.
+func (p *Proxy) Stop(patience time.Duration) error {
+	defer os.RemoveAll(p.dir)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+		return p.err
+	case <-time.After(patience):
+		p.cmd.Process.Kill()
+		<-p.ended
+		return ErrKilled
+	}
+}
--- /dev/null
+++ b/internal/lab/play/play.go
@@ -0,0 +1,112 @@
+// Package play runs a scenario on the real clock: stand-ins, the real program before them, load, faults at their times.
+package play
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"havenproxy/internal/lab/launch"
+	"havenproxy/internal/lab/load"
+	"havenproxy/internal/lab/scenario"
+	"havenproxy/internal/lab/standin"
+)
+
+// Run is what a run came to.
+type Run struct {
+	Scenario string        `json:"scenario"`
+	Seed     uint64        `json:"seed"`
+	Load     *load.Result  `json:"load"`
+	CPU      time.Duration `json:"proxy_cpu_ns"`
+	Memory   int64         `json:"proxy_memory_bytes"` // the most that it held
+	Log      []string      `json:"proxy_log"`
+	Events   []string      `json:"events"`
+}
+
+// Count tells how many lines of the proxy's log hold a text.
+func (r *Run) Count(text string) (n int) {
+	for _, line := range r.Log {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(b)
+}
+
+func (l *lines) all() (out []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for s := bufio.NewScanner(bytes.NewReader(l.buf.Bytes())); s.Scan(); {
+		out = append(out, s.Text())
+	}
+	return out
+}
+
+// settle is how long the program gets to know its databases before the load begins.
+const settle = time.Second
+
+// Play plays a scenario once.
+func Play(ctx context.Context, s *scenario.Scenario, seed uint64, o launch.Options, progress func(time.Duration, load.Sample)) (*Run, error) {
+	run := &Run{Scenario: s.Name, Seed: seed}
+	var mu sync.Mutex
+	cfg := s.Fleet
+	cfg.Seed = seed
+	var began time.Duration
+	w, err := standin.New(cfg, func(at time.Duration, text string) {
+		mu.Lock()
+		defer mu.Unlock()
+		run.Events = append(run.Events, fmt.Sprintf("%8.3f %s", (at-began).Seconds(), text))
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	var log lines
+	o.Log, o.Seed = &log, seed
+	if o.Cores == 0 {
+		o.Cores = s.Cores
+	}
+	p, err := launch.Start(ctx, w, cfg, o)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(settle)
+	began = w.Now()
+	var timers []*time.Timer
+	for _, f := range s.Faults {
+		timers = append(timers, time.AfterFunc(f.At, func() { w.Inject(f.Fault) }))
+	}
+	run.Load, err = load.Run(ctx, load.Config{Address: p.Address, Seed: seed, Classes: s.Classes, Groups: cfg.Groups, Rate: s.Rate,
+		For: s.Length, Sockets: s.Sockets, Sessions: s.Sessions, HotSession: s.HotSession, Retry: s.Retry, Progress: progress})
+	for _, t := range timers {
+		t.Stop()
+	}
+	select {
+	case <-p.Ended():
+		return nil, fmt.Errorf("the proxy ended in the middle: %s", strings.Join(log.all(), "\n"))
+	default:
+	}
+	if stopErr := p.Stop(8 * time.Second); err == nil {
+		err = stopErr
+	}
+	run.CPU, run.Memory = p.Usage()
+	run.Log = log.all()
+	mu.Lock()
+	defer mu.Unlock()
+	return run, err
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,306 @@
+// Package scenario reads what is played in the lab: a fleet, traffic over time, faults at times. One Starlark file
+// serves both clocks: sockets in real time, and the model alone.
+//
+//	fleet(groups = 3, members = 3)
+//	traffic(demand = 0.9, shape = sine(period = "10s", swing = 0.15), length = "60s")
+//	fault("crash", at = "20s", group = 0, lasts = "10s")
+//
+// demand is a part of the fleet's capacity: of the work that its warm databases can do. Applying the log has a thread of
+// its own and takes nothing of it.
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"time"
+
+	"go.starlark.net/starlark"
+
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/launch"
+	"havenproxy/internal/lab/load"
+	"havenproxy/internal/operator/star"
+	"havenproxy/logic"
+)
+
+// Scenario is a file, read.
+type Scenario struct {
+	Name    string
+	Fleet   fleet.Config
+	Classes []load.Class
+	Load    float64 // of the capacity, before the shape
+	RPS     float64 // requests a second instead, if above zero
+	Shape   Shape
+	Length  time.Duration
+	Sockets int
+	// Sessions of each group; HotSession is the part of a group's requests that one of them sends.
+	Sessions   int
+	HotSession float64
+	Retry      load.Retry
+	Faults     []TimedFault
+	Cores      int // GOMAXPROCS of the proxy; 0 = the machine's
+}
+
+// TimedFault is a fault with its time.
+type TimedFault struct {
+	At time.Duration
+	fleet.Fault
+}
+
+// Shape is the course of the load over time, as a multiple.
+type Shape interface {
+	starlark.Value
+	At(t time.Duration) float64
+}
+
+type shape struct {
+	name string
+	at   func(time.Duration) float64
+}
+
+func (s *shape) At(t time.Duration) float64 { return s.at(t) }
+func (s *shape) String() string             { return s.name }
+func (s *shape) Type() string               { return "shape" }
+func (s *shape) Freeze()                    {}
+func (s *shape) Truth() starlark.Bool       { return true }
+func (s *shape) Hash() (uint32, error)      { return 0, fmt.Errorf("a shape is no key") }
+
+// Read reads a file. The error tells all that is wrong with it.
+func Read(path string) (*Scenario, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, src)
+}
+
+// Parse reads a scenario's text.
+func Parse(name string, src []byte) (*Scenario, error) {
+	s := &Scenario{Name: name, Load: 0.6, Shape: &shape{"steady", func(time.Duration) float64 { return 1 }}, Length: 30 * time.Second,
+		Sockets: 300, Sessions: 400, Fleet: fleet.Config{Groups: 3, Members: 3, Zones: launch.Zones()}}
+	shares := launch.Shares()
+	for i, c := range launch.Classes() {
+		late := 0.0
+		switch c.Read { // what the yards say an answer past its time is worth
+		case logic.Fresh:
+			late = 0.2
+		case logic.Write:
+			late = 0.3
+		}
+		s.Fleet.Classes = append(s.Fleet.Classes, c)
+		s.Classes = append(s.Classes, load.Class{Class: c.Class, Share: shares[i], LateWorth: late})
+	}
+	err := star.Exec(name, src, map[string]star.Func{
+		"fleet": s.fleet, "traffic": s.traffic, "fault": s.fault, "request_class": s.class, "proxy": s.proxy,
+		"steady": func(c *star.Call) starlark.Value { return s.Shape },
+		"sine":   sine, "square": square, "steps": steps, "ramp": ramp,
+	})
+	if err != nil {
+		return nil, err
+	}
+	slices.SortStableFunc(s.Faults, func(a, b TimedFault) int { return int(a.At - b.At) })
+	return s, nil
+}
+
+const (
+	day    = 24 * time.Hour
+	minute = time.Minute
+)
+
+func (s *Scenario) fleet(c *star.Call) starlark.Value {
+	f := &s.Fleet
+	f.Groups = c.Int("groups", f.Groups, 1, 1000)
+	f.Members = c.Int("members", f.Members, 1, 64)
+	f.Cores = c.Int("cores", f.Cores, 1, 256)
+	f.WaitingRoom = c.Int("waiting_room", f.WaitingRoom, 0, 1<<16)
+	f.Cold = c.Duration("cold", f.Cold, 0, minute*10)
+	f.ColdShare = c.Float("cold_share", f.ColdShare, 0.01, 1)
+	f.Detection = spanArg(c, "detection", f.Detection)
+	f.Election = spanArg(c, "election", f.Election)
+	f.HandOver = spanArg(c, "hand_over", f.HandOver)
+	f.ListDelay = spanArg(c, "list_delay", f.ListDelay)
+	f.LogDelay = spanArg(c, "log_delay", f.LogDelay)
+	return nil
+}
+
+// spanArg takes ["1s", "3s"] or "2s".
+func spanArg(c *star.Call, name string, otherwise fleet.Span) fleet.Span {
+	v := c.Value(name)
+	if v == nil {
+		return otherwise
+	}
+	if list, ok := v.(*starlark.List); ok && list.Len() == 2 {
+		from, ok1 := c.Span(name, list.Index(0))
+		to, ok2 := c.Span(name, list.Index(1))
+		if ok1 && ok2 && (from < 0 || to < from) {
+			c.Errorf(name, "%s runs from %v to %v", name, from, to)
+		}
+		return fleet.Span{From: from, To: to}
+	}
+	d, _ := c.Span(name, v)
+	return fleet.Span{From: d, To: d}
+}
+
+func (s *Scenario) traffic(c *star.Call) starlark.Value {
+	s.Load = c.Float("demand", s.Load, 0.001, 100)
+	s.RPS = c.Float("rps", s.RPS, 0.1, 1e6)
+	s.Length = c.Duration("length", s.Length, 100*time.Millisecond, day)
+	s.Sockets = c.Int("sockets", s.Sockets, 1, 20000)
+	s.Sessions = c.Int("sessions", s.Sessions, 1, 1<<20)
+	s.HotSession = c.Float("hot_session", s.HotSession, 0, 1)
+	s.Retry.Most = c.Int("retries", s.Retry.Most, 0, 100)
+	s.Retry.Honour = c.Bool("honour_hint", s.Retry.Honour)
+	s.Retry.Wait = c.Duration("retry_wait", s.Retry.Wait, 0, minute)
+	if v := c.Value("shape"); v != nil {
+		if sh, ok := v.(Shape); ok {
+			s.Shape = sh
+		} else {
+			c.Errorf("shape", "shape is %s, one of steady(), sine(), square(), steps(), ramp() was expected", v.Type())
+		}
+	}
+	return nil
+}
+
+func (s *Scenario) proxy(c *star.Call) starlark.Value {
+	s.Cores = c.Int("cores", s.Cores, 0, 1024)
+	return nil
+}
+
+func (s *Scenario) class(c *star.Call) starlark.Value {
+	name := c.First("name")
+	var names []string
+	at := -1
+	for i := range s.Classes {
+		names = append(names, s.Classes[i].Name)
+		if s.Classes[i].Name == name {
+			at = i
+		}
+	}
+	if at < 0 {
+		if name != "" {
+			c.Errorf("", "no class %q%s", name, star.Nearest(name, names))
+		}
+		at = 0
+	}
+	l, f := &s.Classes[at], &s.Fleet.Classes[at]
+	l.Share = c.Float("share", l.Share, 0, 1e6)
+	l.Worth = c.Float("worth", l.Worth, 0, 1e6)
+	l.LateWorth = c.Float("late_worth", l.LateWorth, 0, 1)
+	l.Aim = c.Duration("aim", l.Aim, time.Millisecond, minute)
+	l.Limit = c.Duration("limit", l.Limit, time.Millisecond, minute)
+	f.Work = spanArg(c, "work", f.Work)
+	if l.Limit < l.Aim {
+		c.Errorf("", "%s: its limit %v is below its aim %v", name, l.Limit, l.Aim)
+	}
+	f.Class = l.Class
+	return nil
+}
+
+func (s *Scenario) fault(c *star.Call) starlark.Value {
+	kind := c.First("kind")
+	var kinds []string
+	for _, k := range fleet.Kinds {
+		kinds = append(kinds, string(k))
+	}
+	if kind != "" && !slices.Contains(kinds, kind) {
+		c.Errorf("", "no fault %q, one of %v was expected%s", kind, kinds, star.Nearest(kind, kinds))
+	}
+	x := TimedFault{At: c.Duration("at", 0, 0, day)}
+	x.Kind = fleet.Kind(kind)
+	x.Group = c.Int("group", 0, 0, s.Fleet.Groups-1)
+	x.Member = fleet.Primary
+	if v := c.Value("member"); v != nil {
+		if word, ok := starlark.AsString(v); ok {
+			if word != "primary" {
+				c.Errorf("member", "member is %q, a number or \"primary\" was expected", word)
+			}
+		} else {
+			x.Member = c.Int("member", 0, 0, s.Fleet.Members-1)
+		}
+	}
+	x.For = c.Duration("lasts", 10*time.Second, time.Millisecond, day)
+	x.Factor = c.Float("factor", 6, 1, 1000)
+	x.Delay = c.Duration("delay", 2*time.Second, 0, minute)
+	s.Faults = append(s.Faults, x)
+	return nil
+}
+
+// ---- Shapes ----
+
+func sine(c *star.Call) starlark.Value {
+	period := c.Duration("period", 10*time.Second, 10*time.Millisecond, day)
+	swing := c.Float("swing", 0.15, 0, 1)
+	return &shape{"sine", func(t time.Duration) float64 {
+		return 1 + swing*math.Sin(2*math.Pi*float64(t%period)/float64(period))
+	}}
+}
+
+func square(c *star.Call) starlark.Value {
+	period := c.Duration("period", 10*time.Second, 10*time.Millisecond, day)
+	swing := c.Float("swing", 0.15, 0, 1)
+	return &shape{"square", func(t time.Duration) float64 {
+		if t%period < period/2 {
+			return 1 + swing
+		}
+		return 1 - swing
+	}}
+}
+
+func ramp(c *star.Call) starlark.Value {
+	from, to := c.Float("start", 1, 0, 1000), c.Float("end", 1, 0, 1000)
+	over := c.Duration("over", 30*time.Second, time.Millisecond, day)
+	return &shape{"ramp", func(t time.Duration) float64 {
+		return from + (to-from)*min(float64(t)/float64(over), 1)
+	}}
+}
+
+// steps takes {"0s": 1, "10s": 3, "15s": 1}.
+func steps(c *star.Call) starlark.Value {
+	type step struct {
+		at time.Duration
+		x  float64
+	}
+	var list []step
+	c.Table("at", func(key string, v starlark.Value) {
+		at, ok1 := c.Span("at", starlark.String(key))
+		x, ok2 := c.Number("at", v, 0, 1000)
+		if ok1 && ok2 {
+			list = append(list, step{at, x})
+		}
+	})
+	slices.SortFunc(list, func(a, b step) int { return int(a.at - b.at) })
+	return &shape{"steps", func(t time.Duration) float64 {
+		x := 1.0
+		for _, s := range list {
+			if t >= s.at {
+				x = s.x
+			}
+		}
+		return x
+	}}
+}
+
+// Capacity is the requests a second that the fleet's warm databases can just do, all groups alike.
+func (s *Scenario) Capacity() float64 {
+	cores := s.Fleet.Cores
+	if cores == 0 {
+		cores = 3
+	}
+	sum, work := 0.0, 0.0
+	for i, c := range s.Classes {
+		w := (s.Fleet.Classes[i].Work.From + s.Fleet.Classes[i].Work.To).Seconds() / 2
+		sum, work = sum+c.Share, work+c.Share*w
+	}
+	return float64(s.Fleet.Groups*s.Fleet.Members*cores) / (work / sum)
+}
+
+// Rate is the traffic at a time, in requests a second.
+func (s *Scenario) Rate(t time.Duration) float64 {
+	base := s.RPS
+	if base == 0 {
+		base = s.Load * s.Capacity()
+	}
+	return base * s.Shape.At(t)
+}
--- /dev/null
+++ b/internal/lab/standin/discovery.go
@@ -0,0 +1,130 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"havenproxy/internal/lab/fleet"
+)
+
+// lister is the service that lists the databases.
+type lister struct {
+	w       *World
+	address string
+	srv     *http.Server
+
+	mu      sync.Mutex
+	changed chan struct{} // closed when there is news
+}
+
+type instance struct {
+	ID        string  `json:"instanceId"`
+	Address   string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Machine   string  `json:"machineType"`
+	Group     int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMs int64   `json:"startedAtMs"`
+}
+
+type listing struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []instance `json:"instances"`
+}
+
+func newLister(w *World) (*lister, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &lister{w: w, address: ln.Addr().String(), changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/endpoints", l.serve)
+	l.srv = &http.Server{Handler: mux}
+	w.done.Add(1)
+	go func() { defer w.done.Done(); l.srv.Serve(ln) }()
+	return l, nil
+}
+
+func (l *lister) close() { l.srv.Close() }
+
+func (l *lister) news() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *lister) wait() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// Listing gives the list as the service tells it now, as JSON, and whether it answers.
+func (w *World) Listing() (out []byte, generation int64, ok bool) {
+	w.With(func(now time.Duration, f *fleet.Fleet) {
+		var entries []fleet.Entry
+		entries, generation, ok = f.List(now)
+		l := listing{Generation: generation, Reset: true}
+		for _, e := range entries {
+			m := f.Members()[e.Member]
+			in := instance{ID: fmt.Sprintf("s-%08x", e.Member+1), Address: w.databases[e.Member].address, Zone: w.zone(m.Zone),
+				Machine: "lab", Group: m.Group, Lifecycle: stateWord(e.State), Weight: 1}
+			if e.Started > 0 {
+				in.StartedMs = w.Unix(e.Started).UnixMilli()
+			}
+			if in.Lifecycle != "terminated" {
+				l.Instances = append(l.Instances, in)
+			}
+		}
+		out, _ = json.Marshal(l)
+	})
+	return out, generation, ok
+}
+
+func (w *World) zone(i int) string {
+	if len(w.cfg.Zones) == 0 {
+		return "a"
+	}
+	return w.cfg.Zones[i]
+}
+
+func (l *lister) serve(out http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	watch := err == nil
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	end := time.NewTimer(time.Duration(min(max(wait, 0), 60000)) * time.Millisecond)
+	defer end.Stop()
+	for {
+		changed := l.wait()
+		body, generation, ok := l.w.Listing()
+		if !ok {
+			http.Error(out, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if !watch || generation > after {
+			out.Header().Set("Content-Type", "application/json")
+			out.Write(body)
+			return
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			watch, after = true, generation-1
+			fmt.Fprintf(out, `{"generation":%d,"reset":false,"instances":[]}`, generation)
+			return
+		case <-r.Context().Done():
+			return
+		case <-l.w.stop:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/standin/postgres.go
@@ -0,0 +1,297 @@
+package standin
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/wire/pg"
+	"havenproxy/logic"
+)
+
+// database is a member of the fleet behind a listener.
+type database struct {
+	w       *World
+	id      int
+	address string
+	ln      net.Listener
+	conns   map[*session]struct{}
+}
+
+// session is a connection to a database.
+type session struct {
+	db   *database
+	conn net.Conn
+	buf  []byte
+	mu   sync.Mutex // of writes
+	out  []byte
+}
+
+func (db *database) listen(address string) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	db.ln, db.address = ln, ln.Addr().String()
+	db.w.done.Add(1)
+	go db.accept(ln)
+	return nil
+}
+
+// turn follows the model's process; the world's lock is held.
+func (db *database) turn(to fleet.Liveness) {
+	switch to {
+	case fleet.Down:
+		db.shut()
+	case fleet.Up:
+		if db.ln == nil {
+			if err := db.listen(db.address); err != nil {
+				db.w.warn("can't listen again", err)
+			}
+		}
+	}
+}
+
+// shut ends the listener and all connections; the world's lock is held.
+func (db *database) shut() {
+	if db.ln != nil {
+		db.ln.Close()
+		db.ln = nil
+	}
+	for s := range db.conns {
+		reset(s.conn)
+	}
+	clear(db.conns)
+}
+
+func (db *database) accept(ln net.Listener) {
+	defer db.w.done.Done()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		s := &session{db: db, conn: conn}
+		db.w.mu.Lock()
+		if db.ln != ln { // it died meanwhile
+			reset(conn)
+		} else {
+			db.conns[s] = struct{}{}
+		}
+		db.w.mu.Unlock()
+		db.w.done.Add(1)
+		go s.serve()
+	}
+}
+
+// serve reads statements one at a time and hands them to the model. The next one is read at once, so that a
+// connection that is closed while a statement runs is noticed.
+func (s *session) serve() {
+	w := s.db.w
+	defer w.done.Done()
+	defer func() {
+		w.mu.Lock()
+		delete(s.db.conns, s)
+		w.mu.Unlock()
+		s.conn.Close()
+	}()
+	for {
+		opening, err := take(s, func(b []byte) (pg.Opening, int, error) { return pg.NextOpening(b) })
+		if err != nil {
+			return
+		}
+		if opening == pg.OpenEncrypted {
+			s.write(pg.AppendRefuseEncryption(nil))
+			continue
+		}
+		if opening == pg.OpenCancel {
+			return
+		}
+		break
+	}
+	if !s.hung() {
+		s.write(pg.AppendWelcome(nil))
+	}
+	var ticket fleet.Ticket
+	defer func() { w.With(func(now time.Duration, f *fleet.Fleet) { f.Withdraw(now, ticket) }) }()
+	for {
+		m, err := take(s, pg.Next)
+		if err != nil || m.Type == pg.TypeTerminate {
+			return
+		}
+		if m.Type != pg.TypeQuery {
+			s.write(pg.AppendFatal(nil, pg.CodeProtocol, "simple queries only"))
+			return
+		}
+		text, err := pg.QueryText(m)
+		if err != nil {
+			return
+		}
+		ticket = s.query(string(text))
+	}
+}
+
+// hung tells whether the process gives no answers, even to a greeting.
+func (s *session) hung() (is bool) {
+	s.db.w.With(func(_ time.Duration, f *fleet.Fleet) { is = f.Liveness(s.db.id) != fleet.Up })
+	return is
+}
+
+func (s *session) query(text string) (t fleet.Ticket) {
+	w := s.db.w
+	switch trimmed := strings.Trim(text, " \t\r\n;"); {
+	case trimmed == "":
+		s.write(pg.AppendEmpty(nil))
+		return t
+	case strings.EqualFold(trimmed, "SELECT 1"), strings.EqualFold(trimmed, "SHOW load"):
+		w.With(func(now time.Duration, f *fleet.Fleet) {
+			if r, ok := f.Probe(now, s.db.id); ok {
+				value := "1"
+				if trimmed[1] != 'E' && trimmed[1] != 'e' {
+					value = fmt.Sprintf("x0=%.6f,x1=%d,inflight=%d", float64(w.Unix(r.Position).UnixMicro())/1e6, b2i(r.Role == logic.RolePrimary), r.Inflight)
+				}
+				s.write(appendRow(nil, value, "", 0))
+			}
+		})
+		return t
+	}
+	st, err := pg.ParseStatement(text)
+	class := -1
+	for i, c := range w.cfg.Classes {
+		if c.Name == st.Class {
+			class = i
+		}
+	}
+	if err != nil || class < 0 {
+		s.write(pg.AppendReady(errorOf("08P01", "not a statement of this deployment")))
+		return t
+	}
+	w.With(func(now time.Duration, f *fleet.Fleet) {
+		q := fleet.Query{Class: class, Key: keyOf(text), Deadline: now + st.Wait}
+		if st.After > 0 {
+			q.After = time.UnixMilli(st.After).Sub(w.start)
+		}
+		t = f.Submit(now, s.db.id, q, func(r fleet.Reply) { s.write(w.encode(st.ID, class, r)) })
+	})
+	return t
+}
+
+// keyOf finds the value of k in a statement's comment.
+func keyOf(text string) string {
+	_, rest, ok := strings.Cut(text[strings.LastIndex(text, "/*"):], ",k=")
+	if !ok {
+		return ""
+	}
+	return rest[:strings.IndexAny(rest+",", ", *")]
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// encode puts the model's answer into messages. Its value names the request and how far the data goes, so that who
+// asked can tell a wrong answer and one that is too old. Positions are rounded down, so that data never looks fresher; a
+// commit is rounded up, so that a session asks for no less than it wrote.
+func (w *World) encode(id string, class int, r fleet.Reply) []byte {
+	role := pg.RoleReplica
+	if r.Role == logic.RolePrimary {
+		role = pg.RolePrimary
+	}
+	at := w.Unix(r.Position).UnixMilli()
+	var out []byte
+	switch r.Result {
+	case fleet.Served:
+		if w.cfg.Classes[class].Read == logic.Write {
+			at++
+		}
+		return appendRow(nil, id+"@"+strconv.FormatInt(at, 10), role, at)
+	case fleet.NotPrimary:
+		out = errorOf(pg.CodeReadOnly, "this is no primary")
+	case fleet.TooFarBack:
+		out = errorOf(pg.CodeTooFarBack, "too far behind")
+	case fleet.TurnedAway:
+		out = errorOf(pg.CodeTooMany, "turned away")
+	default:
+		out = errorOf("XX000", "deposed")
+	}
+	return pg.AppendReady(appendParams(out, role, at))
+}
+
+// appendRow writes an answer of one row, the way PROTOCOL words it: role and position stand before ReadyForQuery.
+func appendRow(dst []byte, value, role string, atMs int64) []byte {
+	dst = message(dst, 'T', func(b []byte) []byte {
+		b = append(b, 0, 1)
+		b = append(b, "val\x00"...)
+		b = append(b, 0, 0, 0, 0, 0, 0)
+		b = binary.BigEndian.AppendUint32(b, 25) // text
+		return append(b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0)
+	})
+	dst = message(dst, 'D', func(b []byte) []byte {
+		b = append(b, 0, 1)
+		b = binary.BigEndian.AppendUint32(b, uint32(len(value)))
+		return append(b, value...)
+	})
+	dst = message(dst, 'C', func(b []byte) []byte { return append(b, "SELECT 1\x00"...) })
+	return pg.AppendReady(appendParams(dst, role, atMs))
+}
+
+func appendParams(dst []byte, role string, atMs int64) []byte {
+	if role != "" {
+		dst = message(dst, 'S', func(b []byte) []byte { return append(append(append(b, "role\x00"...), role...), 0) })
+	}
+	if atMs > 0 {
+		dst = message(dst, 'S', func(b []byte) []byte {
+			return append(strconv.AppendInt(append(b, "applied_ms\x00"...), atMs, 10), 0)
+		})
+	}
+	return dst
+}
+
+func errorOf(code, text string) []byte {
+	return message(nil, 'E', func(b []byte) []byte {
+		return fmt.Appendf(b, "SERROR\x00VERROR\x00C%s\x00M%s\x00\x00", code, text)
+	})
+}
+
+func message(dst []byte, kind byte, body func([]byte) []byte) []byte {
+	at := len(dst) + 1
+	dst = body(append(dst, kind, 0, 0, 0, 0))
+	binary.BigEndian.PutUint32(dst[at:], uint32(len(dst)-at))
+	return dst
+}
+
+// write sends bytes; the model's answers are small, so it does not wait on a peer that reads.
+func (s *session) write(b []byte) {
+	s.conn.SetWriteDeadline(time.Now().Add(time.Second))
+	s.conn.Write(b)
+}
+
+// take reads until a whole message is there.
+func take[T any](s *session, next func([]byte) (T, int, error)) (out T, err error) {
+	for {
+		got, n, err := next(s.buf)
+		if err != nil {
+			return out, err
+		}
+		if n > 0 {
+			s.out = append(s.out[:0], s.buf[:n]...) // the message outlives the buffer's next change
+			got, _, _ = next(s.out)
+			s.buf = append(s.buf[:0], s.buf[n:]...)
+			return got, nil
+		}
+		chunk := make([]byte, 4096)
+		k, err := s.conn.Read(chunk)
+		if err != nil {
+			return out, err
+		}
+		s.buf = append(s.buf, chunk[:k]...)
+	}
+}
--- /dev/null
+++ b/internal/operator/star/star.go
@@ -0,0 +1,415 @@
+// Package star reads a Starlark file that describes something by calls, such as level("busy", dwell = "5s"), into
+// typed values. It tells all that is wrong with a file at once, each with file:line:column, names the nearest known
+// word for an unknown one, and bounds what a file may cost: Starlark has no recursion and no endless loops, its steps
+// are counted, and nothing is loaded from elsewhere. What the calls mean is the business of the packages that use it.
+package star
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.starlark.net/resolve"
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+)
+
+// MaxSteps bounds the execution of a file; a large one takes some thousand.
+const MaxSteps = 1_000_000
+
+// MaxSize bounds a file, in bytes.
+const MaxSize = 1 << 20
+
+// Errors are all that is wrong with a file, in its order.
+type Errors []Error
+
+// Error is one thing that is wrong, with its place.
+type Error struct {
+	Pos  syntax.Position
+	Text string
+}
+
+func (e Error) Error() string { return fmt.Sprintf("%s: %s", e.Pos, e.Text) }
+
+// Error gives a line for each.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, x := range e {
+		lines[i] = x.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Func is a word of a file: what a call of it does. What it gives is the call's value in the file; nil = None.
+type Func func(*Call) starlark.Value
+
+type file struct {
+	calls map[place]*syntax.CallExpr
+	errs  Errors
+}
+
+type place struct{ line, col int32 }
+
+var options = &syntax.FileOptions{Set: true, TopLevelControl: true, GlobalReassign: false}
+
+// Exec runs a file with the words that it may use. The error, if any, is an Errors.
+func Exec(name string, src []byte, words map[string]Func) error {
+	if len(src) > MaxSize {
+		return Errors{{syntax.MakePosition(&name, 1, 1), fmt.Sprintf("%d bytes, %d at most", len(src), MaxSize)}}
+	}
+	f := &file{calls: map[place]*syntax.CallExpr{}}
+	tree, err := options.Parse(name, src, 0)
+	if err != nil {
+		return f.fail(name, err)
+	}
+	syntax.Walk(tree, func(n syntax.Node) bool {
+		if c, ok := n.(*syntax.CallExpr); ok {
+			f.calls[place{c.Lparen.Line, c.Lparen.Col}] = c
+		}
+		return true
+	})
+	known := starlark.StringDict{}
+	for word, do := range words {
+		known[word] = starlark.NewBuiltin(word, func(t *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+			c := f.call(t, word, args, kwargs)
+			out := do(c)
+			c.unknown()
+			if out == nil {
+				out = starlark.None
+			}
+			return out, nil
+		})
+	}
+	thread := &starlark.Thread{Name: name, Print: func(*starlark.Thread, string) {}}
+	thread.SetMaxExecutionSteps(MaxSteps)
+	program, err := starlark.FileProgram(tree, known.Has)
+	if err == nil {
+		_, err = program.Init(thread, known)
+	}
+	if err != nil {
+		return f.fail(name, err)
+	}
+	if len(f.errs) > 0 {
+		return f.errs
+	}
+	return nil
+}
+
+// fail adds what ended the run to what was found before.
+func (f *file) fail(name string, err error) Errors {
+	var syn syntax.Error
+	var res resolve.ErrorList
+	var eval *starlark.EvalError
+	switch {
+	case errors.As(err, &syn):
+		f.errs = append(f.errs, Error{syn.Pos, syn.Msg})
+	case errors.As(err, &res):
+		for _, e := range res {
+			f.errs = append(f.errs, Error{e.Pos, e.Msg})
+		}
+	case errors.As(err, &eval):
+		pos := syntax.MakePosition(&name, 1, 1)
+		for _, fr := range eval.CallStack { // the innermost place in the file
+			if fr.Pos.Filename() == name {
+				pos = fr.Pos
+			}
+		}
+		f.errs = append(f.errs, Error{pos, eval.Msg})
+	default:
+		f.errs = append(f.errs, Error{syntax.MakePosition(&name, 1, 1), err.Error()})
+	}
+	return f.errs
+}
+
+// Call is one call of a word. Its methods take out arguments, each with its default where it is absent, and note what
+// is wrong with them; the caller goes on, so that all errors of a file are found in one run.
+type Call struct {
+	Word string
+	Pos  syntax.Position
+	f    *file
+	expr *syntax.CallExpr
+	pos  starlark.Tuple
+	args map[string]starlark.Value
+	keys []string // in the order of the file
+	used map[string]bool
+	next int // positional arguments taken
+}
+
+func (f *file) call(t *starlark.Thread, word string, args starlark.Tuple, kwargs []starlark.Tuple) *Call {
+	c := &Call{Word: word, Pos: t.CallFrame(1).Pos, f: f, pos: args, args: map[string]starlark.Value{}, used: map[string]bool{}}
+	c.expr = f.calls[place{c.Pos.Line, c.Pos.Col}]
+	for _, kv := range kwargs {
+		k := string(kv[0].(starlark.String))
+		c.args[k] = kv[1]
+		c.keys = append(c.keys, k)
+	}
+	return c
+}
+
+// Errorf notes an error at an argument; an empty name stands for the call.
+func (c *Call) Errorf(arg, format string, a ...any) {
+	pos := c.Pos
+	if c.expr != nil {
+		pos, _ = c.expr.Span()
+		for _, x := range c.expr.Args {
+			if b, ok := x.(*syntax.BinaryExpr); ok && b.Op == syntax.EQ {
+				if id, ok := b.X.(*syntax.Ident); ok && id.Name == arg {
+					pos = id.NamePos
+				}
+			}
+		}
+	}
+	c.f.errs = append(c.f.errs, Error{pos, fmt.Sprintf(format, a...)})
+}
+
+// First takes the next positional argument as a string, or the one of that name.
+func (c *Call) First(name string) string {
+	if c.next < len(c.pos) {
+		v := c.pos[c.next]
+		c.next++
+		c.used[name] = true
+		if s, ok := starlark.AsString(v); ok && s != "" {
+			return s
+		}
+		c.Errorf("", "%s: %s is %s, a name was expected", c.Word, name, v.Type())
+		return ""
+	}
+	s := c.String(name, "")
+	if s == "" {
+		c.Errorf(name, "%s: %s is missing, a name was expected", c.Word, name)
+	}
+	return s
+}
+
+// Has tells whether an argument is there.
+func (c *Call) Has(name string) bool { _, ok := c.args[name]; return ok }
+
+// Value takes an argument as it is; nil = absent.
+func (c *Call) Value(name string) starlark.Value {
+	c.used[name] = true
+	return c.args[name]
+}
+
+// String takes a string.
+func (c *Call) String(name, otherwise string) string {
+	v := c.Value(name)
+	if v == nil {
+		return otherwise
+	}
+	s, ok := starlark.AsString(v)
+	if !ok {
+		c.Errorf(name, "%s is %s, a string was expected", name, v.Type())
+		return otherwise
+	}
+	return s
+}
+
+// Choice takes one of several words.
+func (c *Call) Choice(name, otherwise string, words ...string) string {
+	s := c.String(name, otherwise)
+	if !slices.Contains(words, s) {
+		c.Errorf(name, "%s is %q, one of %s was expected%s", name, s, strings.Join(words, ", "), Nearest(s, words))
+		return otherwise
+	}
+	return s
+}
+
+// Bool takes True or False.
+func (c *Call) Bool(name string, otherwise bool) bool {
+	v := c.Value(name)
+	if v == nil {
+		return otherwise
+	}
+	b, ok := v.(starlark.Bool)
+	if !ok {
+		c.Errorf(name, "%s is %s, True or False was expected", name, v.Type())
+		return otherwise
+	}
+	return bool(b)
+}
+
+// Int takes a whole number.
+func (c *Call) Int(name string, otherwise, least, most int) int {
+	v := c.Value(name)
+	if v == nil {
+		return otherwise
+	}
+	n, err := starlark.AsInt32(v)
+	if err != nil || n < least || n > most {
+		c.Errorf(name, "%s is %s, a whole number from %d to %d was expected", name, v, least, most)
+		return otherwise
+	}
+	return n
+}
+
+// Float takes a number.
+func (c *Call) Float(name string, otherwise, least, most float64) float64 {
+	v := c.Value(name)
+	if v == nil {
+		return otherwise
+	}
+	n, ok := c.Number(name, v, least, most)
+	if !ok {
+		return otherwise
+	}
+	return n
+}
+
+// Number reads a number that stands somewhere in an argument.
+func (c *Call) Number(name string, v starlark.Value, least, most float64) (float64, bool) {
+	n, ok := starlark.AsFloat(v)
+	if _, isBool := v.(starlark.Bool); isBool || !ok || !(n >= least && n <= most) {
+		c.Errorf(name, "%s is %s, a number from %s to %s was expected", name, v, number(least), number(most))
+		return 0, false
+	}
+	return n, true
+}
+
+func number(x float64) string {
+	if math.IsInf(x, 0) {
+		return "any"
+	}
+	return strconv.FormatFloat(x, 'g', -1, 64)
+}
+
+// Duration takes a length of time: a string with a unit, or a number under a name that ends in _ms or _s.
+func (c *Call) Duration(name string, otherwise, least, most time.Duration) time.Duration {
+	found, at := otherwise, ""
+	for _, form := range []struct {
+		suffix string
+		unit   time.Duration
+	}{{"", 0}, {"_ms", time.Millisecond}, {"_s", time.Second}} {
+		key := name + form.suffix
+		v := c.Value(key)
+		if v == nil {
+			continue
+		}
+		if at != "" {
+			c.Errorf(key, "%s and %s are the same setting", at, key)
+			return otherwise
+		}
+		at = key
+		if form.unit == 0 {
+			d, ok := c.Span(key, v)
+			if !ok {
+				return otherwise
+			}
+			found = d
+		} else {
+			n, ok := c.Number(key, v, 0, 1e9)
+			if !ok {
+				return otherwise
+			}
+			found = time.Duration(n * float64(form.unit))
+		}
+	}
+	if at != "" && (found < least || found > most) {
+		c.Errorf(at, "%s is %v, %v to %v was expected", at, found, least, most)
+		return otherwise
+	}
+	return found
+}
+
+// Span reads a length of time that stands somewhere in an argument, such as "300ms".
+func (c *Call) Span(name string, v starlark.Value) (time.Duration, bool) {
+	s, ok := starlark.AsString(v)
+	d, err := time.ParseDuration(s)
+	if !ok || err != nil {
+		c.Errorf(name, "%s is %s, a length of time with its unit was expected, such as \"300ms\" or \"5s\"", name, v)
+		return 0, false
+	}
+	return d, true
+}
+
+// Table takes a dictionary with strings as keys, in its order.
+func (c *Call) Table(name string, each func(key string, v starlark.Value)) {
+	v := c.Value(name)
+	if v == nil {
+		return
+	}
+	d, ok := v.(*starlark.Dict)
+	if !ok {
+		c.Errorf(name, "%s is %s, a table {name: value} was expected", name, v.Type())
+		return
+	}
+	for _, kv := range d.Items() {
+		key, ok := starlark.AsString(kv[0])
+		if !ok {
+			c.Errorf(name, "%s has the key %s, a string was expected", name, kv[0])
+			continue
+		}
+		each(key, kv[1])
+	}
+}
+
+// List takes a list.
+func (c *Call) List(name string, each func(v starlark.Value)) {
+	v := c.Value(name)
+	if v == nil {
+		return
+	}
+	list, ok := v.(*starlark.List)
+	if !ok {
+		c.Errorf(name, "%s is %s, a list was expected", name, v.Type())
+		return
+	}
+	for i := range list.Len() {
+		each(list.Index(i))
+	}
+}
+
+// unknown complains of what nobody took.
+func (c *Call) unknown() {
+	if c.next < len(c.pos) {
+		c.Errorf("", "%s takes %d arguments without a name, %d are given", c.Word, c.next, len(c.pos))
+	}
+	var words []string
+	for w := range c.used {
+		words = append(words, w)
+	}
+	slices.Sort(words)
+	for _, k := range c.keys {
+		if !c.used[k] {
+			c.Errorf(k, "%s has no setting %q%s", c.Word, k, Nearest(k, words))
+		}
+	}
+}
+
+// Nearest gives " (did you mean ...?)" with the known word that is nearest to one, or nothing if none is near.
+func Nearest(word string, known []string) string {
+	best, at := len(word)/2+1, ""
+	for _, k := range known {
+		if d := distance(word, k); d < best {
+			best, at = d, k
+		}
+	}
+	if at == "" {
+		return ""
+	}
+	return fmt.Sprintf(" (did you mean %q?)", at)
+}
+
+// distance counts the letters to add, drop or change between two words (Levenshtein).
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(cost, row[j]+1, diagonal+1)
+		}
+	}
+	return row[len(b)]
+}
