--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The project's tasks. `make check` is all that has to pass before a commit.
 
-POLICY    = logic/logic.go
+POLICY    = logic/logic.go logic/plan.go
 MAX_LINES = 950
 MAX_WIDTH = 110
 
@@ -19,7 +19,7 @@
 
 # The decision module is to stay small enough to be read in one sitting.
 size:
-	@lines=$$(grep -cv '^[[:space:]]*$$' $(POLICY)); \
+	@lines=$$(cat $(POLICY) | grep -cv '^[[:space:]]*$$'); \
 	[ "$$lines" -le $(MAX_LINES) ] || { echo "$(POLICY) holds $$lines non-blank lines, $(MAX_LINES) at most"; exit 1; }; \
 	echo "$(POLICY): $$lines non-blank lines, $(MAX_LINES) at most"
 	@long=$$(awk 'length($$0) > $(MAX_WIDTH) { print FILENAME ":" FNR }' $(POLICY)); \
--- a/cmd/havenproxy/main.go
+++ b/cmd/havenproxy/main.go
@@ -2,16 +2,9 @@
 package main
 
 import (
-	"log/slog"
 	"os"
 
-	"havenproxy/internal/run"
+	"havenproxy/internal/cli"
 )
 
-func main() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run.Main(); err != nil {
-		slog.Error("can't run", "error", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/console/console.go
@@ -0,0 +1,195 @@
+// Package console answers the administrators' console: SHOW LEVELS and the like, as ordinary result sets, as PgBouncer's
+// admin console does. It makes tables from what state tells at that moment; who is asked, and over what connection, is
+// package net's business. It changes nothing.
+package console
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"havenproxy/internal/state"
+)
+
+// Database is the name that leads to the console.
+const Database = "havenproxy"
+
+// Table is a result set.
+type Table struct {
+	Columns []string
+	Rows    [][]string
+}
+
+func (t *Table) add(values ...any) {
+	row := make([]string, len(values))
+	for i, v := range values {
+		switch v := v.(type) {
+		case float64:
+			row[i] = fmt.Sprintf("%.3f", v)
+		case time.Duration:
+			row[i] = fmt.Sprintf("%.1f", v.Seconds())
+		default:
+			row[i] = fmt.Sprint(v)
+		}
+	}
+	t.Rows = append(t.Rows, row)
+}
+
+// Client is a client's connection.
+type Client struct {
+	Address string
+	State   string
+	Since   time.Duration // how long it has been so
+	Waiting int           // requests under way
+	Bytes   int           // of a query that has come in part
+}
+
+// Source is what the tables are made of.
+type Source interface {
+	Front() *state.Front
+	// Clients gives the connections, at most so many; all counts them.
+	Clients(most int) (list []Client, all int)
+}
+
+type view struct {
+	help string
+	make func(Source) Table
+}
+
+var views = map[string]view{
+	"LEVELS":    {"levels of reduced service: one row a group", levelsTable},
+	"CLASSES":   {"classes of request, with what became of their requests since the start", classesTable},
+	"DATABASES": {"databases as the router sees them", databasesTable},
+	"POOLS":     {"connections to databases", poolsTable},
+	"CLIENTS":   {"clients' connections, 500 at most", clientsTable},
+	"COUNTERS":  {"all counters since the start", countersTable},
+	"HISTORY":   {"the last changes of level, the newest first", historyTable},
+}
+
+// Views are the words behind SHOW, in order.
+func Views() []string {
+	out := []string{"HELP"}
+	for name := range views {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Answer gives the table that a statement asks for. The error tells what is known instead.
+func Answer(text string, s Source) (Table, error) {
+	words := strings.Fields(strings.Trim(strings.ToUpper(text), " \t\r\n;"))
+	if len(words) == 2 && words[0] == "SHOW" {
+		if words[1] == "HELP" {
+			return help(), nil
+		}
+		if v, ok := views[words[1]]; ok {
+			return v.make(s), nil
+		}
+	}
+	return Table{}, fmt.Errorf("the console knows SHOW %s; SHOW HELP tells more", strings.Join(Views(), ", SHOW "))
+}
+
+func help() Table {
+	t := Table{Columns: []string{"command", "shows"}}
+	for _, name := range Views() {
+		if v, ok := views[name]; ok {
+			t.add("SHOW "+name, v.help)
+		} else {
+			t.add("SHOW "+name, "this")
+		}
+	}
+	return t
+}
+
+func levelsTable(s Source) Table {
+	t := Table{Columns: []string{"group", "level", "number", "since_s", "pressure", "admits", "offered", "capacity", "lost", "changes_1m", "dwell_s", "frozen", "why", "to_leave"}}
+	f := s.Front()
+	now, classes := f.Now(), f.Classes()
+	highest, at := -1, state.GroupLevel{}
+	for _, l := range f.Levels() {
+		if l.Level > highest {
+			highest, at = l.Level, l
+		}
+		var admits []string
+		for i, share := range l.Admit {
+			if share < 1 {
+				admits = append(admits, fmt.Sprintf("%s=%.2f", classes[i].Name, share))
+			}
+		}
+		t.add(l.Group, l.Name, l.Level, now-l.Since, l.Pressure, or(strings.Join(admits, " "), "all"), l.Offered, l.Capacity, l.Lost, l.Changes, l.Dwell, or(l.Frozen, "-"), l.Why, l.Leave)
+	}
+	if highest >= 0 {
+		t.add("all", at.Name, at.Level, now-at.Since, at.Pressure, "-", 0.0, 0.0, 0.0, 0, time.Duration(0), "-", fmt.Sprintf("the highest level, that of group %d", at.Group), "-")
+	}
+	return t
+}
+
+func or(s, otherwise string) string {
+	if s == "" {
+		return otherwise
+	}
+	return s
+}
+
+func classesTable(s Source) Table {
+	t := Table{Columns: []string{"class", "reads", "worth", "aim_ms", "limit_ms", "taken", "served", "refused", "failed", "abandoned"}}
+	for _, c := range s.Front().Classes() {
+		t.add(c.Name, c.Reads, c.Worth, c.Aim.Milliseconds(), c.Limit.Milliseconds(), c.Taken, c.Served, c.Refused, c.Failed, c.Abandoned)
+	}
+	return t
+}
+
+func databasesTable(s Source) Table {
+	t := Table{Columns: []string{"name", "address", "group", "listed", "role", "health", "out", "limit", "strain", "ping_ms", "behind_ms"}}
+	for _, d := range s.Front().Databases() {
+		behind := "-"
+		if d.Behind >= 0 {
+			behind = fmt.Sprint(d.Behind.Milliseconds())
+		}
+		t.add(d.Name, d.Address, d.Group, d.State, d.Role, d.Health, d.Out, d.Limit, d.Strain, float64(d.Ping.Microseconds())/1e3, behind)
+	}
+	return t
+}
+
+func poolsTable(s Source) Table {
+	t := Table{Columns: []string{"name", "address", "busy", "idle", "opening", "probe"}}
+	for _, p := range s.Front().Pools() {
+		t.add(p.Name, p.Address, p.Busy, p.Idle, p.Opening, p.Probe)
+	}
+	return t
+}
+
+// mostClients bounds the rows of SHOW CLIENTS.
+const mostClients = 500
+
+func clientsTable(s Source) Table {
+	t := Table{Columns: []string{"address", "state", "since_s", "waiting", "part_bytes"}}
+	list, all := s.Clients(mostClients)
+	for _, c := range list {
+		t.add(c.Address, c.State, c.Since, c.Waiting, c.Bytes)
+	}
+	if left := all - len(list); left > 0 {
+		t.add(fmt.Sprintf("and %d more", left), "-", time.Duration(0), 0, 0)
+	}
+	return t
+}
+
+func countersTable(s Source) Table {
+	t := Table{Columns: []string{"name", "value"}}
+	for _, a := range s.Front().Counters.LogValue().Group() {
+		t.add(a.Key, a.Value.String())
+	}
+	return t
+}
+
+func historyTable(s Source) Table {
+	t := Table{Columns: []string{"at", "group", "from", "to", "reason"}}
+	all := s.Front().LevelHistory()
+	for i := len(all) - 1; i >= 0; i-- {
+		c := all[i]
+		t.add(time.Unix(0, int64(c.At)).UTC().Format("2006-01-02 15:04:05.000"), c.Group, c.From, c.To, c.Reason)
+	}
+	return t
+}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -101,6 +101,7 @@
 	f.StringVar(&o.Binary, "proxy", "", "the program to start (default: havenproxy beside havenlab)")
 	f.StringVar(&o.Listen, "listen", "", "the proxy's address (default: a free port on 127.0.0.1)")
 	f.StringVar(&o.Operator, "operator", "", "the operator's file that the proxy gets")
+	f.IntVar(&o.Pin, "pin", 0, "the one CPU that the proxy may use, counted from 1 (default: any)")
 	f.IntVar(&o.Cores, "cores", 0, "GOMAXPROCS of the proxy (default: the machine's)")
 	f.IntVar(&o.Sockets, "proxy-sockets", 1024, "descriptors that the proxy may hold")
 }
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -11,10 +11,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"havenproxy/internal/lab/fleet"
 	"havenproxy/internal/lab/standin"
 	"havenproxy/logic"
@@ -27,6 +30,7 @@
 	Operator string // an operator's file, if any
 	MemoryMB int    // 192
 	Sockets  int    // 1024
+	Pin      int    // the one CPU that the program may use, counted from 1; 0 = any
 	Cores    int    // GOMAXPROCS of the program; 0 = as the machine has
 	Fronts   int    // how many proxies share the traffic; 1
 	Seed     uint64
@@ -151,7 +155,7 @@
 		out = io.MultiWriter(o.Log, &first)
 	}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	if err := p.cmd.Start(); err != nil {
+	if err := startPinned(p.cmd, o.Pin); err != nil {
 		return nil, err
 	}
 	go func() { p.err = p.cmd.Wait(); close(p.ended) }()
@@ -172,6 +176,25 @@
 	}
 }
 
+// startPinned starts a command on one CPU: a child inherits the mask of the thread that starts it.
+func startPinned(cmd *exec.Cmd, cpu int) error {
+	if cpu <= 0 {
+		return cmd.Start()
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var before, one unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &before); err != nil {
+		return err
+	}
+	one.Set(cpu - 1)
+	if err := unix.SchedSetaffinity(0, &one); err != nil {
+		return fmt.Errorf("can't pin to CPU %d: %w", cpu, err)
+	}
+	defer unix.SchedSetaffinity(0, &before)
+	return cmd.Start()
+}
+
 // Pid is the program's process.
 func (p *Proxy) Pid() int { return p.cmd.Process.Pid }
 
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -96,7 +96,7 @@
 		"fleet": s.fleet, "traffic": s.traffic, "fault": s.fault, "request_class": s.class, "proxy": s.proxy,
 		"steady": func(c *star.Call) starlark.Value { return s.Shape },
 		"sine":   sine, "square": square, "steps": steps, "ramp": ramp,
-	})
+	}, nil)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/lab/virtual/virtual.go
@@ -0,0 +1,556 @@
+// Package virtual plays a fleet, its clients and one proxy on a virtual clock: the model's databases, the true
+// internal/state with the true decisions behind it, and clients that ask by a schedule. Nothing runs beside it, so the
+// same seed gives the same run, and a minute takes a fraction of a second. What it leaves out: sockets, their
+// handshakes and the proxy's own work.
+package virtual
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/launch"
+	"havenproxy/internal/levels"
+	"havenproxy/internal/state"
+	"havenproxy/logic"
+)
+
+// base is the virtual clock's start: far from zero, which stands for "long ago" in the router.
+const base = 24 * time.Hour
+
+// Config describes a run.
+type Config struct {
+	Fleet  fleet.Config
+	Shares []float64 // of the classes
+	Seed   uint64
+	Rate   func(t time.Duration) float64 // requests a second, all groups together
+	For    time.Duration
+	Faults []Fault
+	Levels *levels.Config // nil = off
+
+	Sessions   int     // of a group; 300
+	HotSession float64 // part of a group's requests that one session sends
+	Retries    int     // further tries of a refused request
+	RetryWait  time.Duration
+	Honour     bool          // wait for the hint
+	Way        time.Duration // one way between proxy and databases; 0.2 ms
+	Still      []Still       // the proxy's loop stands still
+	At         []Action
+}
+
+// Fault is a fault with its time.
+type Fault struct {
+	At time.Duration
+	fleet.Fault
+}
+
+// Still is a time in which the proxy does nothing.
+type Still struct{ At, For time.Duration }
+
+// Action is something that a test does to the proxy at a time.
+type Action struct {
+	At time.Duration
+	Do func(*state.Front)
+}
+
+// ClassResult is what became of a class.
+type ClassResult struct {
+	Offered, InAim, Late, Refused, Failed, Silent int
+	Tries                                         int
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Classes   []ClassResult
+	Worth     float64 // earned, as a part of what was asked for
+	Changes   []state.LevelChange
+	PerGroup  []int              // level changes
+	Most      int                // of changes within any minute, of any group
+	Fell      int                // databases that fell over while cold
+	Levels    []state.GroupLevel // at the end
+	Kept      int                // groups that the router keeps at the end
+	Fleet     *fleet.Fleet
+	BySession [2]ClassResult // of the one that sends the most, and of the others
+}
+
+// InAim is the part of a class that was answered in time.
+func (r *Result) InAim(class int) float64 {
+	return float64(r.Classes[class].InAim) / float64(max(r.Classes[class].Offered, 1))
+}
+
+// Yard gives the fleet of the timber yards, with the shares of its classes.
+func Yard(seed uint64) Config {
+	return Config{Seed: seed, Fleet: fleet.Config{Seed: seed, Groups: 1, Members: 3, Zones: launch.Zones(), Classes: launch.Classes()},
+		Shares: launch.Shares(), For: time.Minute}
+}
+
+// LogicConfig is what the router is told of a fleet.
+func LogicConfig(f fleet.Config, seed uint64) logic.Config {
+	c := logic.Config{Seed: seed, Fronts: 1, Tick: 5 * time.Millisecond, Pull: true, Carried: true, Checks: logic.ChecksWait,
+		MayProbe: true, MayCancel: true, MayComeBack: true, MaxAttempts: 6, MaxComeBack: 500 * time.Millisecond,
+		Cold: 13 * time.Second, ColdShare: 0.18, FallMultiple: 2.5}
+	for _, x := range f.Classes {
+		c.Classes = append(c.Classes, x.Class)
+	}
+	return c
+}
+
+// Capacity is the requests a second that the warm fleet can just do.
+func (c *Config) Capacity() float64 {
+	cores := c.Fleet.Cores
+	if cores == 0 {
+		cores = 3
+	}
+	sum, work := 0.0, 0.0
+	for i, x := range c.Fleet.Classes {
+		sum += c.Shares[i]
+		work += c.Shares[i] * (x.Work.From + x.Work.To).Seconds() / 2
+	}
+	return float64(c.Fleet.Groups*c.Fleet.Members*cores) / (work / sum)
+}
+
+// clock is the virtual clock.
+type clock struct{ now time.Duration }
+
+func (c *clock) Now() time.Duration  { return c.now }
+func (c *clock) Unix() time.Duration { return c.now + 1_700_000_000*time.Second }
+
+type world struct {
+	cfg          Config
+	clock        *clock
+	fleet        *fleet.Fleet
+	front        *state.Front
+	rng          *rand.Rand
+	todo         state.Deadlines
+	conns        map[int][]*conn
+	res          Result
+	late         time.Duration // the proxy stands still until then
+	inbox        []func()      // what waits for it
+	watch        bool
+	open         int
+	worth, asked float64
+	ids          uint64
+	after        map[uint64]time.Duration
+}
+
+// at lets something happen at a time.
+func (w *world) at(at time.Duration, do func()) { w.todo.Set(&state.Deadline{}, at, do) }
+
+// proxy does something at the proxy, once it has the time.
+func (w *world) proxy(do func()) {
+	if w.clock.now < w.late {
+		w.inbox = append(w.inbox, do)
+		return
+	}
+	do()
+}
+
+// Play plays a run to its end, until every request has its answer.
+func Play(cfg Config) *Result {
+	if cfg.Sessions == 0 {
+		cfg.Sessions = 300
+	}
+	if cfg.Way == 0 {
+		cfg.Way = 200 * time.Microsecond
+	}
+	w := &world{cfg: cfg, clock: &clock{base}, rng: rand.New(rand.NewPCG(cfg.Seed, 0x71c)), conns: map[int][]*conn{},
+		after: map[uint64]time.Duration{}}
+	w.res.Classes = make([]ClassResult, len(cfg.Fleet.Classes))
+	var err error
+	w.fleet, err = fleet.New(cfg.Fleet, base, fleet.Observer{
+		Liveness: w.turned,
+		Listed:   func() { w.at(w.clock.now+time.Millisecond, func() { w.proxy(w.news) }) },
+		Log: func(_ time.Duration, text string) {
+			if strings.HasSuffix(text, "pushed while cold") {
+				w.res.Fell++
+			}
+		}})
+	if err != nil {
+		panic(err)
+	}
+	w.front, err = state.New(state.Config{Logic: LogicConfig(cfg.Fleet, cfg.Seed), Zones: cfg.Fleet.Zones, IdleClose: 30 * time.Second,
+		ConnectTimeout: 250 * time.Millisecond, MaxLinks: 1 << 20}, w.clock, w)
+	if err != nil {
+		panic(err)
+	}
+	if cfg.Levels != nil {
+		w.front.Reduce(cfg.Levels)
+	}
+	w.front.Start(w, w.list(logic.ListCached))
+	w.schedule()
+	for _, f := range cfg.Faults {
+		w.at(base+f.At, func() { w.fleet.Inject(w.clock.now, f.Fault) })
+	}
+	for _, a := range cfg.At {
+		w.at(base+a.At, func() { w.proxy(func() { a.Do(w.front) }) })
+	}
+	for _, s := range cfg.Still {
+		w.at(base+s.At, func() { w.late = w.clock.now + s.For })
+		w.at(base+s.At+s.For, func() {
+			in := w.inbox
+			w.inbox = nil
+			for _, do := range in {
+				do()
+			}
+		})
+	}
+	w.run()
+	w.res.Worth = w.worth / max(w.asked, 1)
+	w.res.Changes = w.front.LevelHistory()
+	w.res.Levels = w.front.Levels()
+	w.res.Fleet = w.fleet
+	w.countChanges()
+	return &w.res
+}
+
+func (w *world) countChanges() {
+	w.res.PerGroup = make([]int, w.cfg.Fleet.Groups)
+	for i, c := range w.res.Changes {
+		w.res.PerGroup[c.Group]++
+		n := 0
+		for _, d := range w.res.Changes[i:] {
+			if d.Group == c.Group && d.At-c.At < time.Minute {
+				n++
+			}
+		}
+		w.res.Most = max(w.res.Most, n)
+	}
+}
+
+// run carries out all that is due, in the order of time, until nobody waits for an answer any more.
+func (w *world) run() {
+	end := base + w.cfg.For
+	for w.clock.now < end || w.open > 0 {
+		next := time.Duration(math.MaxInt64)
+		if at, ok := w.fleet.Next(); ok {
+			next = min(next, at)
+		}
+		if at, ok := w.todo.Next(); ok {
+			next = min(next, at)
+		}
+		if at, ok := w.front.Deadlines.Next(); ok {
+			next = min(next, max(at, w.late))
+		}
+		w.clock.now = max(w.clock.now, next)
+		w.fleet.Advance(w.clock.now)
+		w.todo.Run(w.clock.now)
+		if w.clock.now >= w.late {
+			w.front.Deadlines.Run(w.clock.now)
+		}
+	}
+}
+
+// ---- Clients ----
+
+func (w *world) schedule() {
+	t := w.clock.now
+	var next func()
+	plan := func() {
+		for {
+			rate := w.cfg.Rate(t - base)
+			gap := 20 * time.Millisecond
+			if rate > 0 {
+				if g := time.Duration(w.rng.ExpFloat64() / rate * 1e9); g <= gap {
+					t += g
+					break
+				}
+			}
+			if t += gap; t >= base+w.cfg.For {
+				break
+			}
+		}
+		if t < base+w.cfg.For {
+			w.at(t, next)
+		}
+	}
+	next = func() {
+		w.arrive()
+		plan()
+	}
+	plan()
+}
+
+type request struct {
+	w       *world
+	class   int
+	group   int
+	session uint64
+	hot     bool
+	key     string
+	due     time.Duration
+	until   time.Duration
+	tries   int
+	over    bool
+	id      logic.RequestID
+}
+
+func (w *world) arrive() {
+	sum := 0.0
+	for _, s := range w.cfg.Shares {
+		sum += s
+	}
+	x, class := w.rng.Float64()*sum, 0
+	for class = range w.cfg.Shares {
+		if x < w.cfg.Shares[class] {
+			break
+		}
+		x -= w.cfg.Shares[class]
+	}
+	r := &request{w: w, class: class, group: w.rng.IntN(w.cfg.Fleet.Groups), due: w.clock.now}
+	n := 1 + w.rng.IntN(w.cfg.Sessions)
+	if r.hot = w.rng.Float64() < w.cfg.HotSession; r.hot {
+		n = 0
+	}
+	r.session = uint64(r.group)<<32 + uint64(n)*0x9e3779b97f4a7c15 + 1
+	c := &w.cfg.Fleet.Classes[class]
+	r.until = r.due + c.Limit
+	w.open++
+	w.asked += c.Worth
+	w.res.Classes[class].Offered++
+	w.at(r.until+time.Second, func() { // an answer that never comes
+		if !r.over {
+			r.end(&w.res.Classes[class].Silent, 0)
+		}
+	})
+	r.try()
+}
+
+func (r *request) try() {
+	w := r.w
+	w.res.Classes[r.class].Tries++
+	r.tries++
+	w.proxy(func() {
+		c := &w.cfg.Fleet.Classes[r.class]
+		in := state.Request{Class: c.Name, Wait: r.until - w.clock.now, Session: r.session, Group: r.group, Command: command{r}, Caller: r}
+		if at := w.after[r.session]; at > 0 && c.Read == logic.Session {
+			in.After = int64((w.clock.Unix() - w.clock.now + at) / time.Millisecond)
+		}
+		if in.Wait <= 0 {
+			r.Refused(0)
+			return
+		}
+		r.id, _ = w.front.Take(in)
+	})
+}
+
+func (r *request) end(count *int, part float64) {
+	if r.over {
+		return
+	}
+	r.over = true
+	*count++
+	r.w.open--
+	r.w.worth += part * r.w.cfg.Fleet.Classes[r.class].Worth
+	b := &r.w.res.BySession[1]
+	if r.hot {
+		b = &r.w.res.BySession[0]
+	}
+	b.Offered++
+	if part == 1 {
+		b.InAim++
+	}
+}
+
+// Served implements state.Caller.
+func (r *request) Served([]byte) {
+	k := &r.w.res.Classes[r.class]
+	c := &r.w.cfg.Fleet.Classes[r.class]
+	if c.Read == logic.Write {
+		r.w.after[r.session] = r.w.clock.now
+	}
+	if r.w.clock.now-r.due <= c.Aim {
+		r.end(&k.InAim, 1)
+		return
+	}
+	late := map[logic.Freshness]float64{logic.Fresh: 0.2, logic.Write: 0.3}[c.Read]
+	r.end(&k.Late, late)
+}
+
+// Refused implements state.Caller.
+func (r *request) Refused(comeBack time.Duration) {
+	w := r.w
+	wait := w.cfg.RetryWait
+	if w.cfg.Honour {
+		wait = max(wait, comeBack)
+	}
+	if r.tries > w.cfg.Retries || w.clock.now+wait >= r.until {
+		r.end(&w.res.Classes[r.class].Refused, 0)
+		return
+	}
+	w.at(w.clock.now+max(wait, time.Millisecond), r.try)
+}
+
+// Failed implements state.Caller.
+func (r *request) Failed() { r.end(&r.w.res.Classes[r.class].Failed, 0) }
+
+type command struct{ r *request }
+
+// AppendTo implements state.Command; nothing is written here.
+func (command) AppendTo(dst []byte, _ time.Duration) []byte { return dst }
+
+// ---- Databases, as the proxy sees them ----
+
+type conn struct {
+	w      *world
+	m      int
+	to     state.Listener
+	up     bool
+	closed bool
+	ticket fleet.Ticket
+	out    bool
+}
+
+// Open implements state.Opener. The address is the member's number.
+func (w *world) Open(address string, to state.Listener) state.Conn {
+	m := 0
+	for _, d := range address {
+		m = m*10 + int(d-'0')
+	}
+	c := &conn{w: w, m: m, to: to}
+	w.conns[m] = append(w.conns[m], c)
+	w.at(w.clock.now+3*w.cfg.Way, func() {
+		switch {
+		case c.closed:
+		case w.fleet.Liveness(m) == fleet.Down:
+			w.proxy(c.down)
+		case w.fleet.Liveness(m) == fleet.Up:
+			c.up = true
+			w.proxy(func() {
+				if !c.closed {
+					c.to.Up()
+				}
+			})
+		}
+	})
+	return c
+}
+
+// GivenUp implements state.Opener.
+func (w *world) GivenUp() int { return 0 }
+
+func (c *conn) down() {
+	if !c.closed {
+		c.Close()
+		c.to.Down()
+	}
+}
+
+// turned ends connections to a database that died.
+func (w *world) turned(m int, l fleet.Liveness) {
+	if l != fleet.Down {
+		return
+	}
+	for _, c := range w.conns[m] {
+		w.at(w.clock.now+w.cfg.Way, func() { w.proxy(c.down) })
+	}
+}
+
+// Send implements state.Conn.
+func (c *conn) Send(cmd state.Command, wait time.Duration) error {
+	r := cmd.(command).r
+	w := c.w
+	until := w.clock.now + wait
+	w.at(w.clock.now+w.cfg.Way, func() {
+		if c.closed {
+			return
+		}
+		c.ticket = w.fleet.Submit(w.clock.now, c.m, fleet.Query{Class: r.class, Key: r.key, After: w.after[r.session], Deadline: until}, func(p fleet.Reply) {
+			w.at(w.clock.now+w.cfg.Way, func() {
+				w.proxy(func() {
+					if !c.closed {
+						c.to.Reply(w.reply(p))
+					}
+				})
+			})
+		})
+		c.out = true
+	})
+	return nil
+}
+
+func (w *world) reply(p fleet.Reply) state.Reply {
+	out := state.Reply{Role: p.Role, Position: int64((w.clock.Unix() - w.clock.now + p.Position) / time.Millisecond)}
+	out.Result = [...]logic.Result{fleet.Served: logic.OK, fleet.NotPrimary: logic.Miss, fleet.TooFarBack: logic.Miss,
+		fleet.TurnedAway: logic.Full, fleet.Broken: logic.Failed}[p.Result]
+	return out
+}
+
+// Probe implements state.Conn.
+func (c *conn) Probe() error {
+	w := c.w
+	w.at(w.clock.now+w.cfg.Way, func() {
+		r, ok := w.fleet.Probe(w.clock.now, c.m)
+		if !ok || c.closed {
+			return
+		}
+		w.at(w.clock.now+w.cfg.Way, func() {
+			w.proxy(func() {
+				if !c.closed {
+					c.to.Reply(state.Reply{Result: logic.OK, Load: state.Load{Told: true, Role: r.Role, Queue: -1,
+						Position: (w.clock.Unix() - w.clock.now + r.Position).Seconds()}})
+				}
+			})
+		})
+	})
+	return nil
+}
+
+// Quiet implements state.Conn.
+func (c *conn) Quiet() bool { return !c.closed }
+
+// Close implements state.Conn.
+func (c *conn) Close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.w.conns[c.m] = slices.DeleteFunc(c.w.conns[c.m], func(x *conn) bool { return x == c })
+	if c.out {
+		w := c.w
+		w.at(w.clock.now+w.cfg.Way, func() { w.fleet.Withdraw(w.clock.now, c.ticket) })
+	}
+}
+
+// ---- The list ----
+
+func (w *world) list(kind logic.ListKind) state.List {
+	entries, _, _ := w.fleet.List(w.clock.now)
+	out := state.List{Kind: kind}
+	for _, e := range entries {
+		m := w.fleet.Members()[e.Member]
+		x := state.Entry{Name: name(e.Member), Address: digits(e.Member), Zone: w.cfg.Fleet.Zones[m.Zone], Group: m.Group, State: e.State, Size: 1}
+		if e.Started > 0 {
+			x.Started = w.clock.Unix() - w.clock.now + e.Started
+		}
+		if e.State != logic.Gone {
+			out.Entries = append(out.Entries, x)
+		}
+	}
+	return out
+}
+
+func (w *world) news() {
+	if w.watch {
+		w.front.Listed(w.list(logic.ListFull))
+	}
+}
+
+// Watch implements state.Watcher.
+func (w *world) Watch(on bool) {
+	w.watch = on
+	w.Fetch()
+}
+
+// Fetch implements state.Watcher.
+func (w *world) Fetch() {
+	w.at(w.clock.now+time.Millisecond, func() {
+		if _, _, ok := w.fleet.List(w.clock.now); !ok {
+			w.proxy(func() { w.front.ListFailed(errDown) })
+			return
+		}
+		w.proxy(func() { w.front.Listed(w.list(logic.ListFull)) })
+	})
+}
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"havenproxy/internal/console"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
 	"havenproxy/logic"
@@ -48,8 +49,10 @@
 	held  int  // bytes of its buffer that are in the server's account
 	asked bool // it has sent a whole query
 	half  bool // it has sent a part of one, and the timer runs for the rest
+	admin bool // it is at the console
 	slots []*slot
 	timer state.Deadline
+	room  state.Deadline // of the console's answers
 
 	list  *list.List // the server's silent or idle clients, or nil
 	place *list.Element
@@ -106,7 +109,7 @@
 	if !c.asked {
 		return // the time since it came runs
 	}
-	half := len(c.in.bytes) > 0 && len(c.slots) < maxPipelined
+	half := len(c.in.bytes) > 0 && c.takesMore()
 	switch {
 	case half && (anew || !c.half):
 		c.s.deadlines.Set(&c.timer, c.s.clock.Now()+queryPatience, c.tooSlow)
@@ -116,6 +119,11 @@
 	c.half = half
 }
 
+// takesMore tells whether another query is read. The console takes one at a time: its answers are large.
+func (c *client) takesMore() bool {
+	return len(c.slots) < maxPipelined && !(c.admin && len(c.slots) > 0)
+}
+
 func (c *client) tooSlow() { c.malformed(errTooSlow) }
 
 func (c *client) malformed(err error) {
@@ -156,7 +164,7 @@
 	if c.phase == phaseStartup {
 		return c.startup(buf)
 	}
-	if len(c.slots) >= maxPipelined {
+	if !c.takesMore() {
 		return 0, nil
 	}
 	m, n, err := pg.Next(buf)
@@ -191,6 +199,7 @@
 		c.s.front.Counters.TurnedAway++
 		c.leave(pg.CodeTooMany, "too many clients")
 	default:
+		c.admin = c.s.console && pg.Opened(buf, "database") == console.Database && c.local()
 		c.phase = phaseServing
 		c.write(pg.AppendWelcome(nil))
 	}
@@ -208,6 +217,11 @@
 		sl.give(pg.AppendEmpty(nil))
 		return nil
 	}
+	if c.admin {
+		c.slots = append(c.slots, sl)
+		c.show(sl, text)
+		return nil
+	}
 	st, err := pg.ParseStatement(text)
 	if err != nil {
 		return err
@@ -247,7 +261,7 @@
 	if n == 0 {
 		return
 	}
-	held := len(c.slots) >= maxPipelined
+	held := len(c.slots) >= maxPipelined || c.admin
 	c.slots = append(c.slots[:0], c.slots[n:]...)
 	c.write(out)
 	if last {
@@ -318,6 +332,7 @@
 	}
 	c.phase = phaseClosed
 	c.s.deadlines.Clear(&c.timer)
+	c.s.deadlines.Clear(&c.room)
 	c.abandon()
 	c.in.bytes = nil
 	c.account()
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -54,6 +54,7 @@
 	easing      state.Deadline
 	crowdedAt   time.Duration // when it was last told that there are too many
 	draining    bool
+	console     bool // clients on loopback may use it
 }
 
 // NewServer makes a server for at most so many clients, whose half-sent queries may hold so many bytes; a few more
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,207 @@
+// Package operator reads the operator's file: settings that the platform doesn't give, in Starlark, as one typed and
+// checked value. A file is read against the deployment's classes, so that a name that doesn't exist is found at once.
+// It does no more than read: who puts the value into effect is package run.
+//
+//	console(enabled = True)
+//	levels(enabled = True, dwell = "5s")
+//	level("lean", admit = {"katalog": 0.5})
+//	pin("lean", group = 2)
+package operator
+
+import (
+	"math"
+	"os"
+	"time"
+
+	"go.starlark.net/starlark"
+
+	"havenproxy/internal/levels"
+	"havenproxy/internal/operator/star"
+	"havenproxy/logic"
+)
+
+// File is the operator's file. Its zero value is what holds without one.
+type File struct {
+	Console Console
+	// Levels of reduced service; nil = off.
+	Levels *levels.Config
+}
+
+// Console is the administrators' console.
+type Console struct {
+	Enabled bool // for clients on loopback that connect to the database "havenproxy"
+}
+
+// Read reads a file for a deployment with these classes. The error names all that is wrong, a line each.
+func Read(path string, classes []levels.Class) (*File, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, src, classes)
+}
+
+// Parse reads a file's text.
+func Parse(name string, src []byte, classes []levels.Class) (*File, error) {
+	p := &parser{classes: classes, pins: map[logic.GroupID]string{}, caps: map[logic.GroupID]string{}}
+	for _, c := range classes {
+		p.classNames = append(p.classNames, c.Name)
+	}
+	if err := star.Exec(name, src, map[string]star.Func{
+		"console": p.console, "levels": p.levels, "level": p.level,
+		"pin": func(c *star.Call) starlark.Value { return p.hold(c, p.pins) },
+		"cap": func(c *star.Call) starlark.Value { return p.hold(c, p.caps) },
+	}, p.names); err != nil {
+		return nil, err
+	}
+	return &p.file, p.finish()
+}
+
+type parser struct {
+	file       File
+	classes    []levels.Class
+	classNames []string
+	enabled    bool
+	called     bool
+	cfg        levels.Config
+	ladder     []levels.Level
+	pins, caps map[logic.GroupID]string
+	holds      []*star.Call
+}
+
+func (p *parser) console(c *star.Call) starlark.Value {
+	p.file.Console.Enabled = c.Bool("enabled", true)
+	return nil
+}
+
+func (p *parser) levels(c *star.Call) starlark.Value {
+	if p.called {
+		c.Errorf("", "levels() is called a second time")
+	}
+	p.called, p.enabled = true, c.Bool("enabled", true)
+	g, minute := &p.cfg, time.Minute
+	g.Enter = c.Float("enter", 0, 0.001, 1)
+	g.EnterAfter = c.Duration("enter_after", 0, 100*time.Millisecond, minute)
+	g.Leave = c.Float("leave", 0, 0.001, 1)
+	g.Fill = c.Float("fill", 0, 0.1, 10)
+	g.Margin = c.Float("margin", 0, 0.1, 1)
+	g.Dwell = c.Duration("dwell", 0, time.Second, 10*minute)
+	g.DwellMost = c.Duration("dwell_most", 0, time.Second, 60*minute)
+	g.Quick = c.Duration("quick_return", 0, time.Second, 60*minute)
+	g.Calm = c.Duration("calm", 0, time.Second, 60*minute)
+	g.Settle = c.Duration("settle", 0, 100*time.Millisecond, minute)
+	g.Blind = c.Duration("blind", 0, time.Second, 10*minute)
+	g.Fall = c.Int("changes_a_minute", 0, 1, 60)
+	if d := g.WithDefaults(); d.Leave >= d.Enter {
+		c.Errorf("leave", "leave is %v, it must be below enter, which is %v", d.Leave, d.Enter)
+	} else if d.DwellMost < d.Dwell {
+		c.Errorf("dwell_most", "dwell_most is %v, it must not be below dwell, which is %v", d.DwellMost, d.Dwell)
+	}
+	return nil
+}
+
+// level adds one to the ladder: what it doesn't say of a class is as at the level below.
+func (p *parser) level(c *star.Call) starlark.Value {
+	name := c.First("name")
+	for _, l := range p.ladder {
+		if l.Name == name && name != "" {
+			c.Errorf("", "level %q is there twice", name)
+		}
+	}
+	if name == "normal" {
+		c.Errorf("", "\"normal\" is the level that admits everything; it needs no description")
+	}
+	l := levels.Level{Name: name, Rules: make([]levels.Rule, len(p.classes))}
+	below := "normal"
+	for i := range l.Rules {
+		l.Rules[i] = levels.Rule{Admit: 1, Repeats: true, ComeBack: 500 * time.Millisecond}
+		if n := len(p.ladder); n > 0 {
+			l.Rules[i], below = p.ladder[n-1].Rules[i], p.ladder[n-1].Name
+		}
+	}
+	each := func(arg string, set func(*levels.Rule, starlark.Value)) {
+		c.Table(arg, func(key string, v starlark.Value) {
+			for i, n := range p.classNames {
+				if n == key {
+					set(&l.Rules[i], v)
+					return
+				}
+			}
+			c.Errorf(arg, "%s: no class %q%s", arg, key, star.Nearest(key, p.classNames))
+		})
+	}
+	each("admit", func(r *levels.Rule, v starlark.Value) {
+		if x, ok := c.Number("admit", v, 0, 1); ok {
+			if x > r.Admit {
+				c.Errorf("admit", "level %q admits %v of a class, more than %v at %q below it", name, x, r.Admit, below)
+			}
+			r.Admit = x
+		}
+	})
+	each("repeats", func(r *levels.Rule, v starlark.Value) {
+		b, ok := v.(starlark.Bool)
+		if !ok {
+			c.Errorf("repeats", "repeats: %s, True or False was expected", v)
+		}
+		r.Repeats = bool(b)
+	})
+	each("come_back", func(r *levels.Rule, v starlark.Value) {
+		if d, ok := c.Span("come_back", v); ok {
+			if d < 0 || d > time.Minute {
+				c.Errorf("come_back", "come_back is %v, 0s to 1m0s was expected", d)
+			}
+			r.ComeBack = d
+		}
+	})
+	p.ladder = append(p.ladder, l)
+	return nil
+}
+
+// hold notes a pin or a cap.
+func (p *parser) hold(c *star.Call, in map[logic.GroupID]string) starlark.Value {
+	name := c.First("level")
+	group := levels.AllGroups
+	if c.Has("group") {
+		group = logic.GroupID(c.Int("group", 0, 0, math.MaxInt32))
+	}
+	if _, twice := in[group]; twice {
+		c.Errorf("", "%s() is called twice for the same group", c.Word)
+	}
+	in[group] = name
+	if name != "" {
+		p.holds = append(p.holds, c)
+	}
+	return nil
+}
+
+// names checks the levels that pins and caps name; they may be described further down.
+func (p *parser) names() {
+	var names []string
+	for _, l := range p.full() {
+		names = append(names, l.Name)
+	}
+	for _, c := range p.holds {
+		c.Rewind()
+		c.Among("level", c.First("level"), names)
+	}
+}
+
+// full is the whole ladder: the file's own, or the one that ships.
+func (p *parser) full() []levels.Level {
+	ladder := levels.Default(p.classes)
+	if len(p.ladder) == 0 {
+		return ladder
+	}
+	return append(ladder[:1:1], p.ladder...)
+}
+
+func (p *parser) finish() error {
+	if !p.enabled {
+		return nil
+	}
+	cfg := p.cfg
+	cfg.Classes, cfg.Ladder, cfg.Pin, cfg.Cap = p.classes, p.full(), p.pins, p.caps
+	cfg = cfg.WithDefaults()
+	p.file.Levels = &cfg
+	return cfg.Check()
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,112 @@
+package operator
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"havenproxy/internal/levels"
+	"havenproxy/logic"
+)
+
+var classes = []levels.Class{{Name: "stok-bakis", Worth: 3}, {Name: "kendi-siparis", Worth: 1}, {Name: "katalog", Worth: 1},
+	{Name: "yukleme-kontrol", Worth: 3}, {Name: "kayit-yaz", Worth: 3, Heavy: true}}
+
+func TestTheFileThatShips(t *testing.T) {
+	f, err := Read("../../deploy/operator.star", classes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := f.Levels
+	if !f.Console.Enabled || l == nil || len(l.Ladder) != 5 || l.Ladder[3].Rules[2].Admit != 0.8 || l.Ladder[4].Rules[1].Admit != 0 ||
+		l.Ladder[4].Rules[2].ComeBack != 500*time.Millisecond || l.Dwell != 5*time.Second || l.Ladder[4].Rules[4].Admit != 1 {
+		t.Errorf("%+v", f)
+	}
+}
+
+func TestAnEmptyFileIsLikeNone(t *testing.T) {
+	f, err := Parse("empty.star", []byte("# nothing\n"), classes)
+	if err != nil || f.Levels != nil || f.Console.Enabled {
+		t.Errorf("%+v, %v", f, err)
+	}
+}
+
+func TestUnitsPinsAndLoops(t *testing.T) {
+	f, err := Parse("x.star", []byte(`
+levels(dwell_ms = 2500, enter_after_s = 2)
+for name, share in [("a", 0.5), ("b", 0.25)]:
+    level(name, admit = {"katalog": share}, repeats = {"katalog": False})
+pin("a", group = 2)
+cap("b")
+`), classes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := f.Levels
+	if l.Dwell != 2500*time.Millisecond || l.EnterAfter != 2*time.Second || len(l.Ladder) != 3 || l.Ladder[2].Rules[2].Admit != 0.25 ||
+		l.Ladder[1].Rules[2].Repeats || l.Pin[2] != "a" || l.Cap[levels.AllGroups] != "b" {
+		t.Errorf("%+v", l)
+	}
+	if _, ok := l.Pin[logic.GroupID(1)]; ok {
+		t.Error("a pin that nobody set")
+	}
+}
+
+// All errors of a file at once, each at its place, with the nearest known word.
+func TestErrorsAreToldAllAtOnce(t *testing.T) {
+	_, err := Parse("bad.star", []byte(`levels(dwel = "5s", enter = 2)
+level("lean", admit = {"katalok": 0.5})
+level("spare", admit = {"katalog": "half"})
+level("spare")
+level("more", come_back = {"katalog": "soon"})
+pin("leen")
+`), classes)
+	if err == nil {
+		t.Fatal("no error")
+	}
+	for _, want := range []string{
+		`bad.star:1:8: levels has no setting "dwel" (did you mean "dwell"?)`,
+		`bad.star:1:21: enter is 2, a number from 0.001 to 1 was expected`,
+		`bad.star:2:15: admit: no class "katalok" (did you mean "katalog"?)`,
+		`bad.star:3:16: admit is "half", a number from 0 to 1 was expected`,
+		`bad.star:4:1: level "spare" is there twice`,
+		`bad.star:5:15: come_back is "soon", a length of time with its unit was expected`,
+		`bad.star:6:1: level is "leen", one of normal, lean, spare, spare, more was expected (did you mean "lean"?)`,
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("missing: %s", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(err)
+	}
+}
+
+// A file can neither run on, nor call itself, nor reach for others.
+func TestWhatAFileMayCost(t *testing.T) {
+	for name, want := range map[string]struct{ text, err string }{
+		"endless":      {"def f():\n    for i in range(1000000000):\n        x = i\nf()\n", "too many steps"},
+		"recursion":    {"def f():\n    f()\nf()\n", "called recursively"},
+		"while":        {"while True:\n    pass\n", "while"},
+		"load":         {`load("other.star", "x")`, "load"},
+		"unknown word": {"levles()\n", "undefined: levles"},
+		"syntax":       {"levels(\n", "x.star:2:1"},
+		"large":        {strings.Repeat("#", 2<<20), "at most"},
+		"memory":       {"x = 'aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa' * 900000000\n", "excessive repeat"},
+		"more below":   {"level('a', admit = {'katalog': 0.2})\nlevel('b', admit = {'katalog': 0.5})\n", "more than 0.2 at \"a\" below it"},
+		"normal":       {"level('normal')\n", "needs no description"},
+		"leave":        {"levels(enter = 0.05, leave = 0.06)\n", "must be below enter"},
+		"pin twice":    {"pin('core', group = 1)\npin('core', group = 1)\n", "twice"},
+	} {
+		if _, err := Parse("x.star", []byte(want.text), classes); err == nil || !strings.Contains(err.Error(), want.err) {
+			t.Errorf("%s: %v, want %q", name, err, want.err)
+		}
+	}
+}
+
+func TestAMissingFile(t *testing.T) {
+	if _, err := Read("no/such/file.star", classes); !os.IsNotExist(err) {
+		t.Error(err)
+	}
+}
--- a/internal/operator/star/star.go
+++ b/internal/operator/star/star.go
@@ -5,6 +5,7 @@
 package star
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -56,8 +57,9 @@
 
 var options = &syntax.FileOptions{Set: true, TopLevelControl: true, GlobalReassign: false}
 
-// Exec runs a file with the words that it may use. The error, if any, is an Errors.
-func Exec(name string, src []byte, words map[string]Func) error {
+// Exec runs a file with the words that it may use. finish, if any, runs behind a file that came to its end: it checks
+// what only the whole file tells, by the calls that it kept. The error, if any, is an Errors.
+func Exec(name string, src []byte, words map[string]Func, finish func()) error {
 	if len(src) > MaxSize {
 		return Errors{{syntax.MakePosition(&name, 1, 1), fmt.Sprintf("%d bytes, %d at most", len(src), MaxSize)}}
 	}
@@ -93,7 +95,13 @@
 	if err != nil {
 		return f.fail(name, err)
 	}
+	if finish != nil {
+		finish()
+	}
 	if len(f.errs) > 0 {
+		slices.SortStableFunc(f.errs, func(a, b Error) int {
+			return cmp.Or(cmp.Compare(a.Pos.Line, b.Pos.Line), cmp.Compare(a.Pos.Col, b.Pos.Col))
+		})
 		return f.errs
 	}
 	return nil
@@ -185,6 +193,9 @@
 	return s
 }
 
+// Rewind lets the positional arguments be taken once more.
+func (c *Call) Rewind() { c.next = 0 }
+
 // Has tells whether an argument is there.
 func (c *Call) Has(name string) bool { _, ok := c.args[name]; return ok }
 
@@ -211,13 +222,21 @@
 // Choice takes one of several words.
 func (c *Call) Choice(name, otherwise string, words ...string) string {
 	s := c.String(name, otherwise)
-	if !slices.Contains(words, s) {
-		c.Errorf(name, "%s is %q, one of %s was expected%s", name, s, strings.Join(words, ", "), Nearest(s, words))
+	if !c.Among(name, s, words) {
 		return otherwise
 	}
 	return s
 }
 
+// Among complains of a word that is none of those known.
+func (c *Call) Among(name, word string, words []string) bool {
+	if slices.Contains(words, word) {
+		return true
+	}
+	c.Errorf(name, "%s is %q, one of %s was expected%s", name, word, strings.Join(words, ", "), Nearest(word, words))
+	return false
+}
+
 // Bool takes True or False.
 func (c *Call) Bool(name string, otherwise bool) bool {
 	v := c.Value(name)
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -7,10 +7,12 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
 	"havenproxy/internal/net"
+	"havenproxy/internal/operator"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/settings"
 )
@@ -35,13 +37,18 @@
 	defaultConnectTimeout = 250 * time.Millisecond
 )
 
+// Options are what the command line says.
+type Options struct {
+	Operator string // the operator's file; empty = none
+}
+
 // Main runs the proxy until it is told to stop.
-func Main() error {
+func Main(o Options) error {
 	path := os.Getenv("EDGE_CONFIG")
 	if path == "" {
 		return fmt.Errorf("EDGE_CONFIG is not set")
 	}
-	cfg, err := readConfig(path)
+	cfg, own, err := readAll(path, o.Operator)
 	if err != nil {
 		return err
 	}
@@ -55,9 +62,11 @@
 	if err != nil {
 		return err
 	}
+	p.loop.Post(func() { p.apply(own) })
 	slog.Info("started", "name", cfg.Name, "listen", p.server.Address(), "discovery", cfg.Discovery,
-		"databases", len(cfg.Known.Instances))
-	go p.signals(caught, path)
+		"databases", len(cfg.Known.Instances),
+		"operator", o.Operator)
+	go p.signals(caught, path, o.Operator)
 	p.loop.Run()
 	slog.Info("stopped", "unanswered", p.front.Pending(), "counters", &p.front.Counters)
 	return nil
@@ -71,6 +80,43 @@
 	return settings.ParseConfig(text)
 }
 
+// readAll reads the configuration and the operator's file, which is checked against the former's classes. Its errors
+// are told in one line.
+func readAll(path, file string) (settings.Config, *operator.File, error) {
+	cfg, err := readConfig(path)
+	if err != nil {
+		return cfg, nil, err
+	}
+	own, err := readOperator(file, cfg)
+	if err != nil {
+		return cfg, nil, fmt.Errorf("operator's file: %s", strings.ReplaceAll(err.Error(), "\n", "; "))
+	}
+	return cfg, own, nil
+}
+
+func readOperator(file string, cfg settings.Config) (*operator.File, error) {
+	if file == "" {
+		return &operator.File{}, nil
+	}
+	return operator.Read(file, state.LevelClasses(cfg.Settings.Config))
+}
+
+// Check tells what is wrong with a configuration and with an operator's file, if one is named; a line for each error.
+func Check(path, file string) error {
+	cfg, err := readConfig(path)
+	if err != nil {
+		return err
+	}
+	_, err = readOperator(file, cfg)
+	return err
+}
+
+// apply puts the operator's file into effect; it is called on the loop.
+func (p *proxy) apply(own *operator.File) {
+	p.front.Reduce(own.Levels)
+	p.server.Console(own.Console.Enabled)
+}
+
 // proxy is the running program.
 type proxy struct {
 	loop      *net.Loop
@@ -127,24 +173,25 @@
 	return p, nil
 }
 
-// signals hands signals to the loop; path is that of the configuration.
-func (p *proxy) signals(caught <-chan os.Signal, path string) {
+// signals hands signals to the loop; path is that of the configuration, file the operator's.
+func (p *proxy) signals(caught <-chan os.Signal, path, file string) {
 	for s := range caught {
 		switch s {
 		case syscall.SIGUSR1:
 			p.loop.Post(func() { slog.Info("counters", "pending", p.front.Pending(), "counters", &p.front.Counters) })
 		case syscall.SIGHUP:
-			p.reload(path)
+			p.reload(path, file)
 		default:
 			p.loop.Post(p.stop)
 		}
 	}
 }
 
-// reload reads the configuration again and asks the discovery that it names now. All else stays as it was at the
-// start: requests, pins and connections are kept. A file that can't be used changes nothing.
-func (p *proxy) reload(path string) {
-	cfg, err := readConfig(path)
+// reload reads both files again. It asks the discovery that the configuration names now, and puts the operator's file
+// into effect; all else stays as it was at the start: requests, pins and connections are kept. If either can't be used,
+// nothing is changed.
+func (p *proxy) reload(path, file string) {
+	cfg, own, err := readAll(path, file)
 	if err != nil {
 		slog.Error("can't reload", "error", err)
 		return
@@ -152,6 +199,7 @@
 	p.loop.Post(func() {
 		slog.Info("reloaded", "discovery", cfg.Discovery)
 		p.discovery.Move(cfg.Discovery)
+		p.apply(own)
 	})
 }
 
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -120,7 +120,7 @@
 			os.WriteFile(file, []byte(text), 0o600)
 		}
 		t.Setenv("EDGE_CONFIG", path)
-		if err := Main(); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+		if err := Main(Options{}); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("error %v, want one line with %q", err, want)
 		}
 	}
@@ -186,7 +186,9 @@
 	write(strings.Replace(text, "127.0.0.1:1", before, 1))
 	t.Setenv("EDGE_CONFIG", path)
 	ended := make(chan error)
-	go func() { ended <- Main() }()
+	own := filepath.Join(t.TempDir(), "operator.star")
+	os.WriteFile(own, []byte("levels()\n"), 0o600)
+	go func() { ended <- Main(Options{Operator: own}) }()
 	_, address, _ := strings.Cut(log.until(t, "msg=started"), "listen=")
 	client, err := net.Dial("tcp", strings.Fields(address)[0])
 	if err != nil {
@@ -204,6 +206,12 @@
 		t.Errorf("a bad file is told as %q", line)
 	}
 	write(strings.Replace(text, "127.0.0.1:1", after, 1))
+	os.WriteFile(own, []byte("levels(dwel = '5s')\nlevel('a', admit = {'anny': 0})\n"), 0o600)
+	syscall.Kill(os.Getpid(), syscall.SIGHUP) // a bad operator's file: nothing of either file is taken over
+	if line := log.until(t, "can't reload"); strings.Count(line, "\n") != 1 || !strings.Contains(line, "dwell") || !strings.Contains(line, "anny") {
+		t.Errorf("a bad operator's file is told as %q", line)
+	}
+	os.WriteFile(own, []byte("levels()\npin('normal')\nconsole()\n"), 0o600)
 	syscall.Kill(os.Getpid(), syscall.SIGHUP)
 	log.until(t, "msg=reloaded")
 	for _, want := range []string{"/v1/endpoints", "/v1/endpoints?after=7&wait_ms=10000"} {
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -12,6 +12,7 @@
 	Opened, ClosedIdle                             uint64 // database connections
 	ListCalls, ListFailures                        uint64
 	Clients, MadeRoom, TurnedAway, Malformed       uint64 // client connections
+	LevelChanges                                   uint64
 }
 
 // LogValue lets slog print the counters.
@@ -27,5 +28,6 @@
 		slog.Uint64("opened", c.Opened), slog.Uint64("closed_idle", c.ClosedIdle),
 		slog.Uint64("list_calls", c.ListCalls), slog.Uint64("list_failures", c.ListFailures),
 		slog.Uint64("clients", c.Clients), slog.Uint64("made_room", c.MadeRoom),
-		slog.Uint64("turned_away", c.TurnedAway), slog.Uint64("malformed", c.Malformed))
+		slog.Uint64("turned_away", c.TurnedAway), slog.Uint64("malformed", c.Malformed),
+		slog.Uint64("level_changes", c.LevelChanges))
 }
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -71,6 +71,7 @@
 	opener  Opener
 	watcher Watcher
 	router  logic.Events
+	planned *logic.Router // the same, as the levels see it
 
 	queue []func() // events, for the router gets them one at a time
 	busy  bool
@@ -84,6 +85,9 @@
 	members     map[logic.MemberID]*member
 	links       int
 	listFailing bool
+
+	reduced  reduced
+	perClass []ClassCounters
 }
 
 type request struct {
@@ -115,8 +119,10 @@
 	for i, c := range cfg.Logic.Classes {
 		f.classes[c.Name] = i
 	}
+	f.perClass = make([]ClassCounters, len(cfg.Logic.Classes))
 	var err error
-	f.router, err = logic.New(cfg.Logic, f)
+	f.planned, err = logic.New(cfg.Logic, f)
+	f.router = f.planned
 	return f, err
 }
 
@@ -164,9 +170,10 @@
 	}
 	f.lastID++
 	f.Counters.Taken++
+	f.perClass[class].Taken++
 	q := &request{id: f.lastID, name: in.Name, class: class, cmd: in.Command, caller: in.Caller}
 	f.requests[q.id] = q
-	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group),
+	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group), Caller: in.Session,
 		Deadline: f.clock.Now() + max(in.Wait-wayHome, 0), Retry: in.Retry}
 	switch f.cfg.Logic.Classes[class].Read { // elsewhere the key names no session
 	case logic.Session:
@@ -186,6 +193,7 @@
 	}
 	q.caller = nil
 	f.Counters.Abandoned++
+	f.perClass[q.class].Abandoned++
 	f.tell(func() {
 		f.router.Abandoned(f.clock.Now(), id)
 		f.forget(q)
@@ -201,7 +209,7 @@
 }
 
 // answer ends a request; a second answer never comes through.
-func (f *Front) answer(id logic.RequestID, count *uint64, give func(Caller)) {
+func (f *Front) answer(id logic.RequestID, count *uint64, of func(*ClassCounters) *uint64, give func(Caller)) {
 	q := f.requests[id]
 	if q == nil || q.caller == nil {
 		return
@@ -209,18 +217,23 @@
 	caller := q.caller
 	q.caller = nil
 	*count++
+	*of(&f.perClass[q.class])++
 	give(caller)
 	f.forget(q)
 }
 
+func servedOf(c *ClassCounters) *uint64  { return &c.Served }
+func refusedOf(c *ClassCounters) *uint64 { return &c.Refused }
+func failedOf(c *ClassCounters) *uint64  { return &c.Failed }
+
 // Refuse implements logic.Actions.
 func (f *Front) Refuse(id logic.RequestID, comeBack time.Duration) {
-	f.answer(id, &f.Counters.Refused, func(c Caller) { c.Refused(comeBack) })
+	f.answer(id, &f.Counters.Refused, refusedOf, func(c Caller) { c.Refused(comeBack) })
 }
 
 // Fail implements logic.Actions.
 func (f *Front) Fail(id logic.RequestID) {
-	f.answer(id, &f.Counters.Failed, Caller.Failed)
+	f.answer(id, &f.Counters.Failed, failedOf, Caller.Failed)
 }
 
 // Send implements logic.Actions. The outcome is told later, also where nothing can be sent.
@@ -285,10 +298,10 @@
 	a.to.heard(r, false)
 	switch {
 	case r.Result == logic.OK:
-		f.answer(q.id, &f.Counters.Served, func(c Caller) { c.Served(r.Body) })
+		f.answer(q.id, &f.Counters.Served, servedOf, func(c Caller) { c.Served(r.Body) })
 	case r.Unfit: // no member can use it, and none is to blame: it has failed, and the router learns no more
 		r.Result = logic.Cancelled
-		f.answer(q.id, &f.Counters.Failed, Caller.Failed)
+		f.answer(q.id, &f.Counters.Failed, failedOf, Caller.Failed)
 	}
 	now := f.clock.Now()
 	o := logic.Outcome{Request: q.id, Attempt: a.n, Member: a.to.id, Result: r.Result, Took: now - a.sentAt,
--- /dev/null
+++ b/internal/state/show.go
@@ -0,0 +1,94 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"havenproxy/logic"
+)
+
+// What an operator may see. Each call makes a copy of what holds now; nothing here changes anything.
+
+// Now is the front's clock.
+func (f *Front) Now() time.Duration { return f.clock.Now() }
+
+// ClassView is a class with what became of its requests.
+type ClassView struct {
+	logic.Class
+	Reads string
+	ClassCounters
+}
+
+// ClassCounters count a class's requests since the start.
+type ClassCounters struct{ Taken, Served, Refused, Failed, Abandoned uint64 }
+
+// Classes gives the deployment's classes in their order.
+func (f *Front) Classes() (out []ClassView) {
+	for i, c := range f.cfg.Logic.Classes {
+		reads := [...]string{logic.Any: "any", logic.Bounded: "bounded", logic.Session: "session", logic.Fresh: "fresh", logic.Write: "write"}[c.Read]
+		out = append(out, ClassView{c, reads, f.perClass[i]})
+	}
+	return out
+}
+
+// DatabaseView is a database as the router sees it.
+type DatabaseView struct {
+	Name, Address string
+	Group         int
+	State         string // as listed
+	logic.MemberFacts
+	Role   string
+	Health string
+	Behind time.Duration // age of the newest position known; negative = none is known
+}
+
+// Databases gives all of them, by group and name.
+func (f *Front) Databases() (out []DatabaseView) {
+	for _, m := range f.names {
+		d := DatabaseView{Name: m.name, Address: m.address, State: stateName(m.state), Health: "ok", Behind: -1}
+		if facts, ok := f.planned.Member(f.clock.Now(), m.id); ok {
+			d.MemberFacts, d.Group = facts, int(facts.Group)
+			switch {
+			case facts.Silent:
+				d.Health = "silent"
+			case facts.Benched:
+				d.Health = "failing"
+			case facts.Cold:
+				d.Health = "cold"
+			}
+			if facts.Position > 0 {
+				d.Behind = f.clock.Now() - facts.Position
+			}
+		}
+		d.Role = roleNames[d.MemberFacts.Role]
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b DatabaseView) int { return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Name, b.Name)) })
+	return out
+}
+
+// PoolView is the connections to a database.
+type PoolView struct {
+	Name, Address       string
+	Busy, Idle, Opening int
+	Probe               string
+}
+
+// Pools gives the connections by database, by name.
+func (f *Front) Pools() (out []PoolView) {
+	for _, m := range f.names {
+		p := PoolView{Name: m.name, Address: m.address, Idle: len(m.idle), Opening: len(m.opening), Probe: "none"}
+		for l := range m.links {
+			if l.state == linkBusy {
+				p.Busy++
+			}
+		}
+		if m.probe != nil {
+			p.Probe = [...]string{linkOpening: "opening", linkIdle: "idle", linkBusy: "busy", linkClosed: "closed"}[m.probe.state]
+		}
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b PoolView) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -106,6 +106,24 @@
 	return o, int(size), nil
 }
 
+// Opened gives a name's value in the startup message that begins buf, such as "database"; NextOpening must have found
+// it whole.
+func Opened(buf []byte, name string) string {
+	size := int(binary.BigEndian.Uint32(buf))
+	for rest := buf[8:size]; len(rest) > 0; {
+		key, behind, ok := bytes.Cut(rest, []byte{0})
+		value, behind, ok2 := bytes.Cut(behind, []byte{0})
+		if !ok || !ok2 || len(key) == 0 {
+			break
+		}
+		if string(key) == name {
+			return string(value)
+		}
+		rest = behind
+	}
+	return ""
+}
+
 // QueryText gives the text of a Query message.
 func QueryText(m Message) ([]byte, error) {
 	if len(m.Body) == 0 || bytes.IndexByte(m.Body, 0) != len(m.Body)-1 {
--- a/internal/wire/pg/reply.go
+++ b/internal/wire/pg/reply.go
@@ -113,13 +113,16 @@
 	return code == CodeProtocol || strings.HasPrefix(code, "22") || strings.HasPrefix(code, "42")
 }
 
-func errorCode(body []byte) string {
+func errorCode(body []byte) string { return errorField(body, 'C') }
+
+// errorField gives a field of an ErrorResponse; empty = it has none.
+func errorField(body []byte, name byte) string {
 	for len(body) > 1 {
 		field, rest, ok := bytes.Cut(body[1:], []byte{0})
 		if !ok {
 			return ""
 		}
-		if body[0] == 'C' {
+		if body[0] == name {
 			return string(field)
 		}
 		body = rest
--- a/logic/api.go
+++ b/logic/api.go
@@ -136,6 +136,7 @@
 	Tenant   int // index into Config.Tenants
 	Group    GroupID
 	Session  SessionID
+	Caller   uint64        // the same with each try of one caller, for draws; 0 = each request by itself
 	Deadline time.Duration // when the client gives this try up
 	TokenAge time.Duration // Config.Carried: how long ago the session's last write was committed; 0 = none
 	Retry    bool          // the client says that it is a repeat
--- /dev/null
+++ b/logic/facts.go
@@ -0,0 +1,101 @@
+package logic
+
+import "time"
+
+// What a router tells of its groups to those who plan; nothing here decides.
+
+// Tally counts what became of a class's requests in a group.
+type Tally struct {
+	Offered   int           // anew: repeats of what was refused a moment ago are none
+	Repeats   int           // those
+	Shed      int           // of Offered, turned away by the plan
+	InAim     int           // answered in time,
+	Late      int           // too late, or its client has left
+	Refused   int           // turned away by limits
+	NoPrimary int           // refused for want of a primary: no sign of load
+	Failed    int           // answered with a failure
+	Cost      time.Duration // bare answer time, as learned
+}
+
+// GroupFacts is what a router knows of a group's state.
+type GroupFacts struct {
+	Members int     // that are ready
+	Usable  int     // and not silent
+	Warmth  float64 // sum of the usable ones' parts of their capacity
+	Primary bool    // a primary is known
+	Strain  float64 // mean of the usable ones' answer times over aims
+	Classes []Tally // since the last time
+}
+
+// Groups gives the groups that a list has named, in the order of their first listing.
+func (r *Router) Groups() []GroupID { return r.listed }
+
+// Facts gives what is known of a group, and begins its counts anew. The slice in out is used again.
+func (r *Router) Facts(now time.Duration, id GroupID, out *GroupFacts) bool {
+	g := r.groups[id]
+	if g == nil {
+		return false
+	}
+	*out = GroupFacts{Primary: g.primary != nil, Classes: append(out.Classes[:0], g.tally...)}
+	for i := range out.Classes {
+		out.Classes[i].Cost = r.cost[i]
+		g.tally[i] = Tally{}
+	}
+	for _, m := range g.members {
+		if m.State != Ready {
+			continue
+		}
+		out.Members++
+		if m.silent {
+			continue
+		}
+		out.Usable++
+		out.Strain += m.strain
+		if out.Warmth++; m.cold && now-m.coldFrom < r.cfg.Cold {
+			out.Warmth -= (1 - r.cfg.ColdShare) * (1 - max(0, float64(now-m.coldFrom))/float64(r.cfg.Cold))
+		}
+	}
+	out.Strain /= float64(max(out.Usable, 1))
+	return true
+}
+
+// tallyOf is where a request is counted.
+func (q *request) tallyOf() *Tally { return &q.group.tally[q.Class] }
+
+// drawKey names the request's caller and class.
+func (q *request) drawKey() uint64 { return callerKey(&q.Request) }
+
+// countEnd counts how a request ended whose outcome finished it.
+func (q *request) countEnd(now time.Duration, o Outcome) {
+	switch t := q.tallyOf(); {
+	case o.Result != OK: // abandoned, and counted then, or unfit, which is nobody's load
+	case now-q.at <= q.class.Aim:
+		t.InAim++
+	default:
+		t.Late++
+	}
+}
+
+// MemberFacts is what a router knows of a member.
+type MemberFacts struct {
+	Group    GroupID
+	Role     Role
+	Silent   bool
+	Benched  bool // it fails more than others, and is tried now and then only
+	Cold     bool
+	Out      int           // attempts under way
+	Limit    float64       // how many may be
+	Strain   float64       // answer time over aim
+	Ping     time.Duration // 0 = never answered
+	Position time.Duration // it has applied all commits up to then; 0 = not known
+}
+
+// Member gives what is known of a member.
+func (r *Router) Member(now time.Duration, id MemberID) (MemberFacts, bool) {
+	m := r.members[id]
+	if m == nil {
+		return MemberFacts{}, false
+	}
+	return MemberFacts{Group: m.Group, Role: m.role, Silent: m.silent, Benched: r.failsMore(m), Cold: m.cold && now-m.coldFrom < r.cfg.Cold,
+		Out: len(m.out), Limit: m.limit, Strain: m.strain, Ping: m.ping, Position: m.position}, true
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -94,6 +94,7 @@
 		members: map[MemberID]*member{}, groups: map[GroupID]*group{}, requests: map[RequestID]*request{},
 		cost: make([]time.Duration, len(cfg.Classes)), slow: make([]time.Duration, len(cfg.Classes)),
 		shares: make([]decaying, len(cfg.Tenants)), retries: retryReserve}
+	r.nobody = r.newGroup()
 	r.pins.init(keepEntries)
 	r.commits.init(keepEntries)
 	for i, c := range cfg.Classes {
@@ -165,6 +166,10 @@
 	}
 	delete(r.members, m.ID)
 	m.group.members = slices.DeleteFunc(m.group.members, func(x *member) bool { return x == m })
+	if len(m.group.members) == 0 {
+		delete(r.groups, m.Group)
+		r.listed = slices.DeleteFunc(r.listed, func(g GroupID) bool { return g == m.Group })
+	}
 	return true
 }
 
@@ -475,7 +480,12 @@
 		r.act.Fail(in.ID)
 		return
 	}
-	q := &request{Request: in, class: &r.cfg.Classes[in.Class], group: r.groupOf(in.Group)}
+	g := r.askedOf(in.Group)
+	if !r.admits(now, &in, g) {
+		r.shed(&in, g)
+		return
+	}
+	q := &request{Request: in, class: &r.cfg.Classes[in.Class], group: g, at: now}
 	r.requests[in.ID] = q
 	q.group.rate.add(now, thinSpan)
 	q.over = r.beyondShare(now, in.Tenant)
@@ -594,8 +604,15 @@
 		if !q.over && q.Tenant >= 0 && q.Tenant < len(r.shares) {
 			r.shares[q.Tenant].sum--
 		}
+		if t := q.tallyOf(); q.class.primaryMode() && q.group.primary == nil {
+			t.NoPrimary++
+		} else {
+			t.Refused++
+			q.group.draws.refuse(now, q.drawKey())
+		}
 		r.act.Refuse(q.ID, hint)
 	} else {
+		q.tallyOf().Failed++
 		r.act.Fail(q.ID)
 	}
 	r.drop(q)
@@ -628,6 +645,7 @@
 	r.begin(now)
 	if q := r.requests[id]; q != nil && !q.done {
 		q.done = true
+		q.tallyOf().Late++
 		for _, a := range q.tries {
 			if a.open {
 				r.strain(now, a.to, q.class.Aim, strainLate)
@@ -650,7 +668,11 @@
 	a.ran = !o.Result.NeverRan()
 	q.ran = q.ran || a.ran
 	r.note(now, a, o)
-	if q.done = q.done || o.Finished; q.done {
+	if o.Finished && !q.done {
+		q.done = true
+		q.countEnd(now, o)
+	}
+	if q.done {
 		r.drop(q)
 		return
 	}
@@ -665,7 +687,8 @@
 
 // mayRepeat bounds further attempts: few a request, few of all traffic (not to feed an overload), in time.
 func (r *Router) mayRepeat(now time.Duration, q *request) bool {
-	return !q.done && len(q.tries) < readTries && r.retries >= 1 && now+r.cost[q.Class] < q.Deadline
+	return !q.done && len(q.tries) < readTries && q.repeats() && r.retries >= 1 &&
+		now+r.cost[q.Class] < q.Deadline
 }
 
 // note learns from an outcome: signs of life, role, position, answer time, failures, commits and pins.
@@ -897,6 +920,7 @@
 	r.held = nil
 	for _, q := range held {
 		q.held = false
+		q.group = r.askedOf(q.Group) // a list may have named it meanwhile
 		switch {
 		case q.done:
 		case r.opening(now, q.group) && now+r.cost[q.Class] < q.Deadline-2*housekeeping:
--- a/logic/state.go
+++ b/logic/state.go
@@ -21,7 +21,9 @@
 	tickAt    time.Duration        // the last housekeeping
 	stoodAt   time.Duration        // when housekeeping was late: this front had stood still
 	members   map[MemberID]*member // looked up only, never ranged over
-	groups    map[GroupID]*group   // likewise
+	groups    map[GroupID]*group   // likewise; those that a list has named
+	listed    []GroupID            // their order
+	nobody    *group               // stands for groups that no list has named
 	order     []*member            // all members, in the order in which they were first listed
 	requests  map[RequestID]*request
 	held      []*request
@@ -84,6 +86,10 @@
 	longWork float64 // the part of it that is long
 	rate     decaying
 	term     int // counts changes of primary; a pin of another term is void
+
+	plan  []Admission // of reduced service, by class; empty = all is admitted
+	tally []Tally     // by class
+	draws draws
 }
 
 type request struct {
@@ -92,7 +98,8 @@
 	group *group
 	token time.Duration // session reads: the commit that must be covered
 	tries []*attempt
-	ran   bool // some attempt may have run
+	ran   bool          // some attempt may have run
+	at    time.Duration // when it came
 	done  bool
 	over  bool // beyond its tenant's share
 	held  bool // it waits for pings
@@ -137,13 +144,25 @@
 	d.sum, d.last = d.at(now, span)+1, now
 }
 
+func (r *Router) newGroup() *group { return &group{tally: make([]Tally, len(r.cfg.Classes))} }
+
+// groupOf finds the group that a list names, or makes it.
 func (r *Router) groupOf(id GroupID) *group {
 	if r.groups[id] == nil {
-		r.groups[id] = &group{}
+		r.groups[id] = r.newGroup()
+		r.listed = append(r.listed, id)
 	}
 	return r.groups[id]
 }
 
+// askedOf finds the group that a request names. One that no list has named is not kept: clients could name millions.
+func (r *Router) askedOf(id GroupID) *group {
+	if g := r.groups[id]; g != nil {
+		return g
+	}
+	return r.nobody
+}
+
 func (q *request) pinKey() pinKey { return pinKey{q.Session, q.Class, q.Group} }
 
 func (q *request) tried(m *member) bool {
