--- /dev/null
+++ b/internal/lab/command/command_test.go
@@ -0,0 +1,173 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"havenproxy/internal/lab/play"
+)
+
+// The real program, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "havenlab")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "havenproxy")
+	if out, err := exec.Command("go", "build", "-o", binary, "havenproxy/cmd/havenproxy").CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out), err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// output is written by one goroutine and read by another.
+type output struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.Buffer.Write(b)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.Buffer.String()
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "x.star")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestBadInputIsExit2(t *testing.T) {
+	bad := write(t, "fleet(gruops = 2)\ntraffic(demand = 'x')\n")
+	for args, want := range map[string]string{
+		"run " + bad:        "x.star:2:9: demand is",
+		"run":               "arg",
+		"run no-such.star":  "no-such.star",
+		"run x --no-such":   "no-such",
+		"up --groups 0":     "at least one",
+		"up --groups three": "three",
+	} {
+		var out, errs output
+		if code := Main(strings.Fields(args), &out, &errs); code != 2 || !strings.Contains(errs.String(), want) {
+			t.Errorf("%s: exit %d: %s", args, code, errs.String())
+		}
+	}
+}
+
+// Little traffic, so that nothing here depends on how quick the machine is: what is checked are promises, not figures.
+func TestRunPlaysTheRealProgram(t *testing.T) {
+	file := write(t, "fleet(groups = 2, members = 2)\ntraffic(rps = 40, length = '2s')\nfault('drain', at = '500ms', group = 0)\n")
+	own := write(t, "levels()\npin('core', group = 1)\n")
+	result := filepath.Join(t.TempDir(), "out.json")
+	var out, errs output
+	if code := Main([]string{"run", file, "--proxy", binary, "--operator", own, "--json", result, "--seed", "5"}, &out, &errs); code != 0 {
+		t.Fatalf("exit %d: %s%s", code, out.String(), errs.String())
+	}
+	text, err := os.ReadFile(result)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var runs []play.Run
+	if err := json.Unmarshal(text, &runs); err != nil || len(runs) != 1 {
+		t.Fatal(err)
+	}
+	r := runs[0]
+	offered := 0
+	for _, c := range r.Load.Classes {
+		if offered += c.Offered; c.Outcomes["silent"] > 0 {
+			t.Errorf("%s: %v", c.Name, c.Outcomes)
+		}
+	}
+	if offered < 40 || len(r.Load.Faults) > 0 || len(r.Events) == 0 || r.Count("level changed") == 0 || r.Memory == 0 {
+		t.Errorf("%d offered, faults %v, events %v", offered, r.Load.Faults, r.Events)
+	}
+	if !strings.Contains(out.String(), "kayit-yaz") {
+		t.Error(out.String())
+	}
+}
+
+// What `up` prints works, its console too, and Ctrl-C stops all of it in good order.
+func TestUpServesAndStops(t *testing.T) {
+	own := write(t, "console()\nlevels()\n")
+	var out, errs output
+	ended := make(chan int, 1)
+	go func() { ended <- Main([]string{"up", "--proxy", binary, "--groups", "1", "--operator", own}, &out, &errs) }()
+	port := ""
+	for end := time.Now().Add(20 * time.Second); port == ""; time.Sleep(20 * time.Millisecond) {
+		if m := regexp.MustCompile(`port=(\d+)`).FindStringSubmatch(out.String()); m != nil && strings.Contains(out.String(), "Ctrl-C") {
+			port = m[1]
+		}
+		if time.Now().After(end) {
+			t.Fatal(out.String(), errs.String())
+		}
+	}
+	ask := func(database, text string) (string, error) {
+		cfg, err := pgx.ParseConfig("postgres://client@127.0.0.1:" + port + "/" + database + "?sslmode=disable")
+		if err != nil {
+			return "", err
+		}
+		cfg.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
+		conn, err := pgx.ConnectConfig(context.Background(), cfg)
+		if err != nil {
+			return "", err
+		}
+		defer conn.Close(context.Background())
+		var s string
+		rows, err := conn.Query(context.Background(), text)
+		if err != nil {
+			return "", err
+		}
+		defer rows.Close()
+		if rows.Next() {
+			v, err := rows.Values()
+			if err != nil {
+				return "", err
+			}
+			s = fmt.Sprint(v[0])
+		}
+		return s, rows.Err()
+	}
+	if s, err := ask("core", "SELECT val FROM state WHERE uid = '7f3a9c21e0b4d655' /* id=a1,c=katalog,d=20000,cluster=0 */"); err != nil || !strings.HasPrefix(s, "a1@") {
+		t.Errorf("%q, %v", s, err)
+	}
+	if s, err := ask("havenproxy", "SHOW DATABASES"); err != nil || !strings.HasPrefix(s, "s-") {
+		t.Errorf("%q, %v", s, err)
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGINT)
+	select {
+	case code := <-ended:
+		if code != 0 {
+			t.Errorf("exit %d: %s", code, errs.String())
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("it does not stop")
+	}
+}
