--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
 	"strings"
 	"syscall"
@@ -53,7 +52,6 @@
 	if err != nil {
 		return err
 	}
-	atLeastTwoPs()
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
@@ -74,15 +72,6 @@
 	return nil
 }
 
-// atLeastTwoPs lets the loop go on while netpoll's poller waits. On a machine of one core Go has one P; the poller
-// waits in a system call that Go takes for a short one and leaves it the P, until sysmon takes it back, up to 10 ms
-// later. GOMAXPROCS in the environment is the operator's word.
-func atLeastTwoPs() {
-	if os.Getenv("GOMAXPROCS") == "" && runtime.GOMAXPROCS(0) < 2 {
-		runtime.GOMAXPROCS(2)
-	}
-}
-
 func readConfig(path string) (settings.Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
