Learn a group's capacity from the start of a strain, not from the quiet before it

Change: while losses go on, the work done is counted from their start; nothing is learned in the first 0.5 s. A test jumps from quiet to 1.3 and fails without it.

--- a/internal/lab/command/command_test.go
+++ b/internal/lab/command/command_test.go
@@ -119,7 +119,9 @@
 	own := write(t, "console()\nlevels()\n")
 	var out, errs output
 	ended := make(chan int, 1)
-	go func() { ended <- Main([]string{"up", "--proxy", binary, "--groups", "1", "--operator", own}, &out, &errs) }()
+	go func() {
+		ended <- Main([]string{"up", "--proxy", binary, "--groups", "1", "--operator", own}, &out, &errs)
+	}()
 	port := ""
 	for end := time.Now().Add(20 * time.Second); port == ""; time.Sleep(20 * time.Millisecond) {
 		if m := regexp.MustCompile(`port=(\d+)`).FindStringSubmatch(out.String()); m != nil && strings.Contains(out.String(), "Ctrl-C") {
--- a/internal/levels/controller.go
+++ b/internal/levels/controller.go
@@ -21,8 +21,9 @@
 	// At the start nothing is known of the group.
 	startTime = 2 * time.Second
 
-	learnSpan = 3 * time.Second // over which a group's served work is averaged, for its capacity
-	learnRate = 0.3             // of the way from the capacity in hand to what is seen, a second
+	learnSpan = 3 * time.Second        // over which a group's served work is averaged, for its capacity
+	learnFrom = 500 * time.Millisecond // so much of a strain is seen before anything is learned of it
+	learnRate = 0.3                    // of the way from the capacity in hand to what is seen, a second
 	// While a group is reduced and its answers come easily, its capacity may be larger than was seen: it is taken to
 	// grow by this part a second, so that the way back is tried.
 	hopeful  = 0.03
@@ -46,10 +47,13 @@
 	offered  []average // a second, by class: what was asked for anew
 	served   []average
 	lost     []average
-	cost     []float64 // seconds of work a request, by class
-	done     average   // work a second that is served, averaged for the capacity
-	capacity float64   // work a second of one warm database; 0 = not known
-	pressure float64   // how far the shares have gone from the level below to this one, 0 to 1
+	cost     []float64     // seconds of work a request, by class
+	did      float64       // work a second that was served in the last tick
+	done     average       // work a second that is served, averaged for the capacity
+	spell    time.Duration // how long losses have gone on without a break,
+	spellDid float64       // and the work done in it
+	capacity float64       // work a second of one warm database; 0 = not known
+	pressure float64       // how far the shares have gone from the level below to this one, 0 to 1
 	plan     []logic.Admission
 	warmth   float64
 	strain   float64
@@ -235,6 +239,7 @@
 	for i := range c.served {
 		done += float64(f.Classes[i].InAim+f.Classes[i].Late) * c.cost[i]
 	}
+	c.did = done / dt.Seconds()
 	c.done.add(done, dt, learnSpan)
 	c.warmth = f.Warmth
 	c.strain += weight * (f.Strain - c.strain)
@@ -288,14 +293,28 @@
 	return n * window.Seconds()
 }
 
-// learn follows the work that one warm database does. What a strained group serves is what it can do; what an easy
-// one serves is a lower bound.
+// learn follows the work that one warm database does. What a strained group serves is what it can do: counted from the
+// start of the strain alone, for before it less was asked, and a jump from quiet would leave the capacity far too low.
+// What an easy group serves is a lower bound.
 func (c *Controller) learn(dt time.Duration) {
+	strained := c.loss(c.level) > c.cfg.Enter
+	if !strained {
+		c.spell, c.spellDid = 0, 0
+	}
 	if c.warmth <= 0 {
 		return
 	}
 	each, step := c.done.v/c.warmth, learnRate*dt.Seconds()
-	strained := c.loss(c.level) > c.cfg.Enter
+	if strained {
+		c.spell += dt
+		c.spellDid += c.did * dt.Seconds()
+		if c.spell < learnFrom {
+			return
+		}
+		if c.spell < 2*learnSpan {
+			each = c.spellDid / c.spell.Seconds() / c.warmth
+		}
+	}
 	switch {
 	case strained && c.capacity == 0:
 		c.capacity = each
--- a/internal/levels/levels_test.go
+++ b/internal/levels/levels_test.go
@@ -135,6 +135,24 @@
 	}
 }
 
+// The capacity is not what a quiet group was doing before a jump: it would look far smaller than it is, and far too much
+// would be shed.
+func TestLevelsDontMistakeQuietForLittleCapacity(t *testing.T) {
+	for seed := range uint64(5) {
+		for _, quiet := range []float64{0, 0.3} {
+			r := play(t, seed, func(at time.Duration) float64 {
+				if at < 6*time.Second {
+					return quiet
+				}
+				return 1.3
+			}, 20*time.Second, nil)
+			if l := r.Levels[0]; len(r.Changes) == 0 || r.Changes[0].To == "core" || l.Capacity < 0.75*l.Offered/1.3 {
+				t.Errorf("seed %d, quiet %.1f: a capacity of %.1f core s/s with %.1f offered:%s", seed, quiet, l.Capacity, l.Offered, story(r))
+			}
+		}
+	}
+}
+
 // A jump is answered by one change to where the work fits, not by one level after the other.
 func TestLevelsAnswerAJump(t *testing.T) {
 	for seed := range uint64(5) {
--- /dev/null
+++ b/internal/wire/mysql/mysql_test.go
@@ -0,0 +1,303 @@
+package mysql
+
+import (
+	"database/sql"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	driver "github.com/go-sql-driver/mysql"
+	"pgregory.net/rapid"
+)
+
+// The same verdict every time: one seed, and no files of failures.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func open(t *testing.T, s *server, login, options string) *sql.DB {
+	t.Helper()
+	db, err := sql.Open("mysql", login+"@tcp("+s.ln.Addr().String()+")/core?"+options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { db.Close() })
+	return db
+}
+
+// go-sql-driver logs in by each method, and not with a wrong password.
+func TestTheDriverLogsInByEachMethod(t *testing.T) {
+	key, err := NewKey()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newServer(t, map[string]string{"none": "", "native": HashNative("pw1"), "sha2": HashSHA2("pw2"),
+		"salted": HashSalted("pw3", []byte("some salt"))})
+	s.key = key
+	for login, ok := range map[string]bool{"none": true, "native:pw1": true, "sha2:pw2": true, "salted:pw3": true,
+		"native:pw2": false, "sha2:pw1": false, "salted:no": false, "nobody:x": false, "sha2": false} {
+		err := open(t, s, login, "allowNativePasswords=true").Ping()
+		if (err == nil) != ok {
+			t.Errorf("%s: %v", login, err)
+		}
+		var denied *driver.MySQLError
+		if !ok && (!errors.As(err, &denied) || denied.Number != ErrAccessDenied) {
+			t.Errorf("%s: %v", login, err)
+		}
+	}
+}
+
+func TestSecretsAreReadAndNeverPrinted(t *testing.T) {
+	for _, text := range []string{HashNative("geheim"), HashSHA2("geheim"), HashSalted("geheim", []byte("12345678"))} {
+		s, err := ParseSecret(text)
+		if out := fmt.Sprintf("%v %+v %#v %s", s, s, s, s); err != nil || strings.Contains(out, "[") {
+			t.Errorf("%s, %v", out, err)
+		}
+	}
+	for _, text := range []string{"geheim", "*12", "sha2:zz", "salted:12:34", "salted:"} {
+		if _, err := ParseSecret(text); err == nil || strings.Contains(err.Error(), "geheim") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// Text and prepared statements, with and without the server's newer ways, through a driver that nobody here wrote.
+func TestTheDriverAsksInEveryWay(t *testing.T) {
+	for name, caps := range map[string]uint32{"all": ServerCaps, "no DEPRECATE_EOF": ServerCaps &^ ClientDeprecateEOF,
+		"no attributes": ServerCaps &^ (ClientQueryAttributes | ClientSessionTrack)} {
+		s := newServer(t, map[string]string{"u": ""})
+		s.caps = caps
+		db := open(t, s, "u", "")
+		db.SetMaxOpenConns(1)
+		var got string
+		if err := db.QueryRow("SELECT 'a'").Scan(&got); err != nil || got != "SELECT 'a'" {
+			t.Errorf("%s: text: %q, %v", name, got, err)
+		}
+		when := time.Date(2026, 12, 1, 10, 0, 0, 0, time.UTC)
+		for range 2 { // the second execution brings no new types in some clients
+			err := db.QueryRow("SELECT ?, ?, ?, ?, ?", 42, "text", nil, 1.5, when).Scan(&got)
+			if err != nil || got != "SELECT ?, ?, ?, ?, ?|42|text|NULL|1.5|?" && !strings.HasPrefix(got, "SELECT ?, ?, ?, ?, ?|42|text|NULL|1.5|2026") {
+				t.Errorf("%s: prepared: %q, %v", name, got, err)
+			}
+		}
+		// The driver sends large values in pieces.
+		if err := db.QueryRow("SELECT ?", strings.Repeat("long", 60_000)).Scan(&got); err != nil && !strings.Contains(err.Error(), "packet") {
+			t.Errorf("%s: long: %v", name, err)
+		}
+		if r, err := db.Exec("UPDATE state"); err != nil {
+			t.Errorf("%s: exec: %v", name, err)
+		} else if n, _ := r.RowsAffected(); n != 1 {
+			t.Errorf("%s: %d rows", name, n)
+		}
+		var bad *driver.MySQLError
+		if _, err := db.Exec("BAD"); !errors.As(err, &bad) || bad.Number != ErrParse || string(bad.SQLState[:]) != "42000" {
+			t.Errorf("%s: error: %v", name, err)
+		}
+		if err := db.Ping(); err != nil {
+			t.Errorf("%s: behind an error: %v", name, err)
+		}
+		inline := open(t, s, "u", "interpolateParams=true")
+		if err := inline.QueryRow("SELECT ?", "x'y").Scan(&got); err != nil || !strings.Contains(got, `x\'y`) {
+			t.Errorf("%s: interpolated: %q, %v", name, got, err)
+		}
+	}
+}
+
+func TestAPacketOver16MiBIsRefusedByItsHead(t *testing.T) {
+	for _, size := range []int{MaxPacket + 1, 1<<24 - 1} {
+		if _, _, _, err := Next([]byte{byte(size), byte(size >> 8), byte(size >> 16), 0}, MaxPacket); err != ErrTooLarge {
+			t.Errorf("%d bytes: %v", size, err)
+		}
+	}
+}
+
+var cuts = rapid.SliceOf(rapid.IntRange(1, 40))
+
+// feed gives the parser a stream in pieces, as a connection would.
+func feed(stream []byte, cuts []int, take func(body []byte, seq byte) error) error {
+	var buf []byte
+	for at := 0; at < len(stream); {
+		n := len(stream) - at
+		if len(cuts) > 0 {
+			n, cuts = min(cuts[0], n), cuts[1:]
+		}
+		buf, at = append(buf, stream[at:at+n]...), at+n
+		for {
+			body, seq, n, err := Next(buf, MaxPacket)
+			if err != nil {
+				return err
+			}
+			if n == 0 {
+				break
+			}
+			if err := take(body, seq); err != nil {
+				return err
+			}
+			buf = buf[n:]
+		}
+	}
+	if len(buf) > 0 {
+		return fmt.Errorf("%d bytes are left", len(buf))
+	}
+	return nil
+}
+
+// An answer in any cuts, from a server with any capabilities, passed on to a client with any others, reads the same.
+func TestAnswersInAnyCutsBetweenAnyPeers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from := uint32(ClientProtocol41) | rapid.SampledFrom([]uint32{0, ClientDeprecateEOF, ClientSessionTrack, ClientDeprecateEOF | ClientSessionTrack}).Draw(t, "server")
+		to := uint32(ClientProtocol41) | rapid.SampledFrom([]uint32{0, ClientDeprecateEOF, ClientDeprecateEOF | ClientSessionTrack}).Draw(t, "client")
+		word := rapid.StringMatching(`[a-z]{0,300}`)
+		names := rapid.SliceOfN(word, 1, 4).Draw(t, "names")
+		r := Reply{IsResult: true}
+		for _, n := range names {
+			r.Columns = append(r.Columns, AppendColumn(nil, 0, n, TypeVarString)[headLen:])
+		}
+		for range rapid.IntRange(0, 5).Draw(t, "rows") {
+			r.Rows = append(r.Rows, AppendTextRow(nil, 0, rapid.SliceOfN(word, len(names), len(names)).Draw(t, "row")...)[headLen:])
+		}
+		pass := func(r *Reply, caps uint32) *Reply {
+			var out Reply
+			out.Expect(caps, false)
+			if err := feed(r.AppendTo(nil, 1, caps), cuts.Draw(t, "cuts"), out.Add); err != nil || !out.Whole() {
+				t.Fatalf("%+v, %v", out, err)
+			}
+			return &out
+		}
+		got := pass(pass(&r, from), to)
+		if !reflect.DeepEqual(got.Columns, r.Columns) || len(got.Rows) != len(r.Rows) || len(r.Rows) > 0 && !reflect.DeepEqual(got.Rows, r.Rows) {
+			t.Fatalf("%+v", got)
+		}
+	})
+}
+
+func TestOKTellsRoleAndPosition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		caps := uint32(ClientProtocol41 | ClientSessionTrack)
+		ends := rapid.Bool().Draw(t, "ends")
+		at := rapid.Int64Range(0, 1<<52).Draw(t, "at")
+		body, _, _, _ := Next(AppendOK(nil, 3, OK{Affected: rapid.Uint64().Draw(t, "n"), Info: "i"}, caps, ends, VarRole, "replica", VarPosition, fmt.Sprint(at)), MaxPacket)
+		ok, err := ParseOK(body, caps)
+		if err != nil || ok.Role() != "replica" || ok.Position() != at || ok.Info != "i" {
+			t.Fatalf("%+v, %v", ok, err)
+		}
+	})
+	for _, bad := range []string{"-1", "x", "99999999999999999999", "9007199254740993"} {
+		if ok := (OK{Vars: map[string]string{VarPosition: bad}}); ok.Position() != 0 {
+			t.Errorf("%s is taken for %d", bad, ok.Position())
+		}
+	}
+}
+
+// What a bad server sends is an error at its first wrong packet.
+func TestAnswersThatMakeNoSense(t *testing.T) {
+	column, row := AppendColumn(nil, 0, "c", TypeVarString)[headLen:], []byte{1, 'x'}
+	caps := uint32(ClientProtocol41 | ClientDeprecateEOF)
+	okBody := AppendOK(nil, 0, OK{}, caps, false)[headLen:]
+	endBody := AppendOK(nil, 0, OK{}, caps, true)[headLen:]
+	many := [][]byte{{1}, column}
+	for range 3 * MaxAnswer / 1000 {
+		many = append(many, make([]byte, 1000))
+		many[len(many)-1][0] = 1
+	}
+	for name, packets := range map[string][][]byte{
+		"noise":                  {{0xfb, 1, 2}},
+		"a file is asked for":    {{0xfb}},
+		"no columns":             {{0}},
+		"columns beyond number":  {{0xfc, 0xff, 0xff}},
+		"an empty packet":        {{1}, {}},
+		"a second copy":          {okBody, okBody},
+		"a copy behind its rows": {{1}, column, row, endBody, {1}},
+		"without end":            many,
+	} {
+		var r Reply
+		r.Expect(caps, false)
+		var err error
+		for i, p := range packets {
+			if err = r.Add(p, byte(i+1)); err != nil {
+				break
+			}
+		}
+		if err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	var r Reply
+	r.Expect(caps, false)
+	if err := r.Add(okBody, 2); err != ErrSequence {
+		t.Errorf("out of order: %v", err)
+	}
+}
+
+func TestGarbageIsAnErrorAndNoPanic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { parseAll(rapid.SliceOfN(rapid.Byte(), 0, 120).Draw(t, "junk")) })
+}
+
+// parseAll gives junk to every parser.
+func parseAll(junk []byte) {
+	for _, caps := range []uint32{ClientProtocol41, ServerCaps} {
+		ParseErr(junk)
+		ParseOK(junk, caps)
+		ParseLogin(junk)
+		ParseHandshake(junk)
+		ParseAuthSwitch(junk)
+		ParseChangeUser(junk, caps)
+		ParseQuery(junk, caps)
+		ParseLongData(junk)
+		for _, params := range []int{0, 1, 3, 9} {
+			x, err := ParseExecute(junk, params, nil, caps, nil)
+			if err == nil {
+				for _, v := range x.Values {
+					v.Text()
+				}
+				AppendExecute(nil, 1, params, &x, caps)
+			}
+		}
+		for _, prepare := range []bool{false, true} {
+			var r Reply
+			r.Expect(caps, prepare)
+			seq := byte(1)
+			for rest := junk; len(rest) > 0; seq++ { // cut into packets by its own bytes
+				n := min(int(rest[0])%24+1, len(rest))
+				if r.Add(rest[:n], seq) != nil {
+					break
+				}
+				rest = rest[n:]
+			}
+			if r.Whole() {
+				r.AppendTo(nil, 1, caps)
+			}
+		}
+	}
+}
+
+func FuzzParsers(f *testing.F) {
+	f.Add(AppendLogin(nil, 1, Login{Caps: ServerCaps, User: "u", Auth: make([]byte, 32), Database: "core", Plugin: CachingSHA2})[headLen:])
+	f.Add(AppendHandshake(nil, Handshake{Version: "8", Scramble: make([]byte, ScrambleLen), Caps: ServerCaps, Plugin: CachingSHA2})[headLen:])
+	f.Add(AppendOK(nil, 1, OK{Info: "i"}, ServerCaps, true, VarRole, "primary")[headLen:])
+	f.Add(AppendErr(nil, 1, ErrParse, "x")[headLen:])
+	f.Add(AppendExecute(nil, 1, 2, &Execute{Nulls: []byte{1}, Types: []byte{TypeLong, 0, TypeVarString, 0}, Rest: []byte{1, 'x'}}, ServerCaps)[headLen:])
+	f.Add([]byte{0x16, 0, 0, 0, 1, 0, 1, 0, 0, 0, 0})
+	f.Fuzz(func(_ *testing.T, junk []byte) { parseAll(junk) })
+}
+
+func BenchmarkReply(b *testing.B) {
+	r := Reply{IsResult: true, Columns: [][]byte{AppendColumn(nil, 0, "val", TypeVarString)[headLen:]}, Rows: [][]byte{AppendTextRow(nil, 0, "value")[headLen:]}}
+	stream := r.AppendTo(nil, 1, ServerCaps)
+	var got Reply
+	out := make([]byte, 0, 1024)
+	b.ReportAllocs()
+	for b.Loop() {
+		got.Expect(ServerCaps, false)
+		feed(stream, nil, got.Add)
+		out = got.AppendTo(out[:0], 1, ServerCaps)
+	}
+}
