--- a/internal/lab/command/command_test.go
+++ b/internal/lab/command/command_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"database/sql"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -15,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-sql-driver/mysql"
 	"github.com/jackc/pgx/v5"
 
 	"havenproxy/internal/lab/play"
@@ -114,6 +117,67 @@
 	}
 }
 
+// MySQL end to end: go-sql-driver, which nobody here wrote, against the real program before modelled databases, in text,
+// prepared and with its values put into the text.
+func TestUpServesMySQL(t *testing.T) {
+	var out, errs output
+	ended := make(chan int, 1)
+	go func() { ended <- Main([]string{"up", "--mysql", "--proxy", binary, "--groups", "2"}, &out, &errs) }()
+	port := ""
+	for end := time.Now().Add(20 * time.Second); port == ""; time.Sleep(20 * time.Millisecond) {
+		if m := regexp.MustCompile(`-P (\d+)`).FindStringSubmatch(out.String()); m != nil && strings.Contains(out.String(), "Ctrl-C") {
+			port = m[1]
+		}
+		if time.Now().After(end) {
+			t.Fatal(out.String(), errs.String())
+		}
+	}
+	for _, options := range []string{"", "interpolateParams=true"} {
+		db, err := sql.Open("mysql", "client@tcp(127.0.0.1:"+port+")/core?"+options)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got string
+		if err := db.QueryRow("SELECT val FROM state WHERE uid = 'x' /* c=katalog,cluster=0,d=20000 */").Scan(&got); err != nil || !strings.HasPrefix(got, "@") {
+			t.Errorf("text: %q, %v", got, err)
+		}
+		read, err := db.Prepare("SELECT val FROM state WHERE uid = ? /* c=stok-bakis,cluster=1,d=20000,session=?1 */")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 20 { // more than one database answers, each with the statement prepared first
+			if err := read.QueryRow(fmt.Sprint("key", i)).Scan(&got); err != nil {
+				t.Errorf("prepared: %v", err)
+			}
+		}
+		if options == "" {
+			if err := db.QueryRow("INSERT INTO state (uid, val) VALUES (?, ?) /* c=kayit-yaz,cluster=1,k=?2,id=?1,d=20000 */", "w1", "k1").Scan(&got); err != nil || !strings.HasPrefix(got, "w1@") {
+				t.Errorf("write: %q, %v", got, err)
+			}
+		}
+		var refused *mysql.MySQLError
+		if _, err := db.Exec("SELECT 1 /* c=katalog,cluster=77,d=20000 */"); !errors.As(err, &refused) || refused.Number != 1040 {
+			t.Errorf("an unknown group: %v", err)
+		}
+		if _, err := db.Exec("UPDATE state"); !errors.As(err, &refused) || !strings.Contains(refused.Message, "cluster=") {
+			t.Errorf("without a comment: %v", err)
+		}
+		if _, err := db.Prepare("SELECT 1 /* c=nothing,cluster=0 */"); err == nil {
+			t.Error("an unknown class is prepared")
+		}
+		db.Close()
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGINT)
+	select {
+	case code := <-ended:
+		if code != 0 {
+			t.Errorf("exit %d: %s", code, errs.String())
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("it does not stop")
+	}
+}
+
 // What `up` prints works, its console too, and Ctrl-C stops all of it in good order.
 func TestUpServesAndStops(t *testing.T) {
 	own := write(t, "console()\nlevels()\n")
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -28,6 +28,7 @@
 	Binary   string // the program; empty = havenproxy beside this one
 	Listen   string // 127.0.0.1:0 where empty
 	Operator string // an operator's file, if any
+	MySQL    string // where it listens for MySQL's clients; empty = it doesn't; "free" = on a free port
 	MemoryMB int    // 192
 	Sockets  int    // 1024
 	Pin      int    // the one CPU that the program may use, counted from 1; 0 = any
@@ -41,6 +42,7 @@
 // Proxy is a running program.
 type Proxy struct {
 	Address string
+	MySQL   string // where it listens for MySQL's clients; empty = nowhere
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	err     error
@@ -139,6 +141,17 @@
 		return nil, err
 	}
 	p := &Proxy{Address: o.Listen, ended: make(chan struct{}), dir: dir}
+	if o.MySQL != "" {
+		if o.MySQL == "free" {
+			if o.MySQL, err = freePort(); err != nil {
+				return nil, err
+			}
+		}
+		if o.Operator, err = withMySQL(dir, o.Operator, o.MySQL); err != nil {
+			return nil, err
+		}
+		p.MySQL = o.MySQL
+	}
 	p.cmd = exec.Command(o.Binary)
 	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_LISTEN="+o.Listen)
 	if o.Operator != "" {
@@ -176,6 +189,19 @@
 	}
 }
 
+// withMySQL makes an operator's file that says what another one does, if any, and switches MySQL on.
+func withMySQL(dir, file, address string) (string, error) {
+	var text []byte
+	if file != "" {
+		var err error
+		if text, err = os.ReadFile(file); err != nil {
+			return "", err
+		}
+	}
+	path := filepath.Join(dir, "operator.star")
+	return path, os.WriteFile(path, fmt.Appendf(text, "\nmysql(listen = %q)\n", address), 0o600)
+}
+
 // startPinned starts a command on one CPU: a child inherits the mask of the thread that starts it.
 func startPinned(cmd *exec.Cmd, cpu int) error {
 	if cpu <= 0 {
--- a/internal/lab/standin/world.go
+++ b/internal/lab/standin/world.go
@@ -23,14 +23,24 @@
 	done  sync.WaitGroup
 
 	cfg       fleet.Config
+	mysql     bool
 	databases []*database
 	list      *lister
 	log       func(at time.Duration, text string)
 }
 
+// Option changes what New starts.
+type Option func(*World)
+
+// MySQL lets the databases speak MySQL.
+func MySQL(on bool) Option { return func(w *World) { w.mysql = on } }
+
 // New starts a fleet's databases and its list, each on a port of its own on 127.0.0.1. log may be nil.
-func New(cfg fleet.Config, log func(at time.Duration, text string)) (*World, error) {
+func New(cfg fleet.Config, log func(at time.Duration, text string), options ...Option) (*World, error) {
 	w := &World{start: time.Now(), wake: make(chan struct{}, 1), stop: make(chan struct{}), cfg: cfg, log: log}
+	for _, o := range options {
+		o(w)
+	}
 	var err error
 	w.fleet, err = fleet.New(cfg, 0, fleet.Observer{
 		Liveness: func(m int, l fleet.Liveness) { w.databases[m].turn(l) },
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -386,6 +386,9 @@
 // Failed implements state.Caller.
 func (r *request) Failed() { r.end(&r.w.res.Classes[r.class].Failed, 0) }
 
+// Unfit implements state.Caller.
+func (r *request) Unfit([]byte) { r.Failed() }
+
 type command struct{ r *request }
 
 // AppendTo implements state.Command; nothing is written here.
@@ -404,7 +407,7 @@
 }
 
 // Open implements state.Opener. The address is the member's number.
-func (w *world) Open(address string, to state.Listener) state.Conn {
+func (w *world) Open(address string, _ int, to state.Listener) state.Conn {
 	m := 0
 	for _, d := range address {
 		m = m*10 + int(d-'0')
--- a/internal/levels/controller.go
+++ b/internal/levels/controller.go
@@ -30,6 +30,9 @@
 	easy     = 0.45 // strain up to which answers come easily
 	costRate = 0.02 // how fast a class's cost is learned, a tick, in calm
 
+	// A group whose members are colder than this on the mean, the silent ones counted as wholly cold, is not judged.
+	warmEnough = 0.85
+
 	tighten = 3.0 // the most that the pressure rises a second,
 	loosen  = 0.3 // and falls: sessions that are let in again must show their work first
 )
@@ -66,6 +69,8 @@
 	changes   [8]time.Duration
 	changed   int
 
+	usable      int // members, as last told
+	members     int
 	noPrimary   time.Duration // since when there is none; 0 = there is one
 	frozenUntil time.Duration
 	frozen      string
@@ -139,10 +144,12 @@
 	if c.freeze(now, dt, f) {
 		// What is seen now says nothing of load. It starts again from what it knew; time in which nothing was seen is
 		// no calm either.
-		c.lossSince = 0
+		c.lossSince, c.spell, c.spellDid = 0, 0, 0
 		if c.fitSince > 0 {
 			c.fitSince += dt
 		}
+		// What it sheds is let in again as far as the level below goes: the reason for it may be gone.
+		c.pressure = max(c.pressure-loosen*dt.Seconds(), 0)
 		return Decision{Level: c.level, From: c.level}
 	}
 	c.measure(f, dt)
@@ -200,6 +207,18 @@
 		c.frozenUntil = max(c.frozenUntil, now+c.cfg.Settle)
 		c.frozen = "no database of the group answers"
 	}
+	// Members that come and go, and cold ones, make their group refuse at any load: what each bears is bounded then.
+	if f.Usable != c.usable || f.Members != c.members {
+		if c.members > 0 {
+			c.frozenUntil = max(c.frozenUntil, now+c.cfg.Settle)
+			c.frozen = "databases come and go"
+		}
+		c.usable, c.members = f.Usable, f.Members
+	}
+	if f.Warmth < warmEnough*float64(f.Members) {
+		c.frozenUntil = max(c.frozenUntil, now+1)
+		c.frozen = "some databases are cold or silent"
+	}
 	switch {
 	case !f.Primary && c.noPrimary == 0:
 		c.noPrimary = now
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -3,12 +3,10 @@
 import (
 	"container/list"
 	"errors"
-	"strings"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 
-	"havenproxy/internal/console"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
 	"havenproxy/logic"
@@ -39,20 +37,44 @@
 	phaseClosed
 )
 
+// end says why a connection ends from this side.
+type end uint8
+
+const (
+	endMalformed end = iota
+	endTooMany       // clients
+	endNoMemory
+)
+
+// speaker is the protocol of a client: what stands between its bytes and requests. All that isn't the protocol's, the
+// places, the time a client has, the order of answers, is the client's.
+type speaker interface {
+	greet(c *client) // it has come
+	// next handles the first message of buf and tells its length; 0 = nothing to do yet.
+	next(c *client, buf []byte) (int, error)
+	served(sl *slot, body []byte) []byte
+	refused(sl *slot, comeBack time.Duration) []byte
+	failed(sl *slot) []byte
+	unfit(sl *slot, body []byte) []byte // body, where there is one, is the database's own word
+	fatal(why end, text string) []byte
+	pipelines() int // queries that may be under way
+}
+
 // client is a connection of a client.
 type client struct {
-	s     *Server
-	conn  netpoll.Connection
-	in    buffer
-	phase phase
-	full  bool // beyond the proxy's limit: it is turned away once it has spoken
-	held  int  // bytes of its buffer that are in the server's account
-	asked bool // it has sent a whole query
-	half  bool // it has sent a part of one, and the timer runs for the rest
-	admin bool // it is at the console
-	slots []*slot
-	timer state.Deadline
-	room  state.Deadline // of the console's answers
+	s      *Server
+	speaks speaker
+	conn   netpoll.Connection
+	in     buffer
+	phase  phase
+	full   bool // beyond the proxy's limit: it is turned away once it has spoken
+	held   int  // bytes of its buffer that are in the server's account
+	asked  bool // it has sent a whole query
+	half   bool // it has sent a part of one, and the timer runs for the rest
+	admin  bool // it is at the console
+	slots  []*slot
+	timer  state.Deadline
+	room   state.Deadline // of the console's answers
 
 	list  *list.List // the server's silent or idle clients, or nil
 	place *list.Element
@@ -98,7 +120,7 @@
 			return
 		}
 		c.s.front.Counters.TurnedAway++ // half a query has not been taken yet
-		c.leave(pg.CodeTooMany, "no memory for a query of this size now")
+		c.leave(endNoMemory, "no memory for a query of this size now")
 	}
 	c.in.cut(len(c.in.bytes)) // what comes behind the end is nobody's
 	c.account()
@@ -121,14 +143,14 @@
 
 // takesMore tells whether another query is read. The console takes one at a time: its answers are large.
 func (c *client) takesMore() bool {
-	return len(c.slots) < maxPipelined && !(c.admin && len(c.slots) > 0)
+	return len(c.slots) < c.speaks.pipelines() && !(c.admin && len(c.slots) > 0)
 }
 
 func (c *client) tooSlow() { c.malformed(errTooSlow) }
 
 func (c *client) malformed(err error) {
 	c.s.front.Counters.Malformed++
-	c.leave(pg.CodeProtocol, err.Error())
+	c.leave(endMalformed, err.Error())
 }
 
 // settle puts the client among those that may be closed for want of room: the silent ones, which have sent no whole
@@ -160,89 +182,37 @@
 }
 
 // next handles the first message of buf and tells its length; 0 = nothing to do yet.
-func (c *client) next(buf []byte) (int, error) {
-	if c.phase == phaseStartup {
-		return c.startup(buf)
-	}
-	if !c.takesMore() {
-		return 0, nil
-	}
-	m, n, err := pg.Next(buf)
-	if n == 0 || err != nil {
-		return 0, err
-	}
-	switch m.Type {
-	case pg.TypeTerminate:
-		c.hangUp()
-		return n, nil
-	case pg.TypeQuery:
-		text, err := pg.QueryText(m)
-		if err != nil {
-			return n, err
-		}
-		return n, c.query(string(text))
-	}
-	return n, pg.ErrMalformed // simple queries only
-}
-
-func (c *client) startup(buf []byte) (int, error) {
-	o, n, err := pg.NextOpening(buf)
-	if n == 0 || err != nil {
-		return 0, err
-	}
-	switch {
-	case o == pg.OpenEncrypted:
-		c.write(pg.AppendRefuseEncryption(nil))
-	case o == pg.OpenCancel:
-		c.hangUp()
-	case c.full:
-		c.s.front.Counters.TurnedAway++
-		c.leave(pg.CodeTooMany, "too many clients")
-	default:
-		c.admin = c.s.console && pg.Opened(buf, "database") == console.Database && c.local()
-		c.phase = phaseServing
-		c.write(pg.AppendWelcome(nil))
-	}
-	return n, nil
-}
+func (c *client) next(buf []byte) (int, error) { return c.speaks.next(c, buf) }
 
-func (c *client) query(text string) error {
+// spoke notes a whole query: the client is no silent one.
+func (c *client) spoke() {
 	if !c.asked {
 		c.asked = true
 		c.s.deadlines.Clear(&c.timer)
 	}
-	sl := &slot{c: c}
-	if strings.Trim(text, " \t\r\n;") == "" {
-		c.slots = append(c.slots, sl)
-		sl.give(pg.AppendEmpty(nil))
-		return nil
-	}
-	if c.admin {
-		c.slots = append(c.slots, sl)
-		c.show(sl, text)
-		return nil
-	}
-	st, err := pg.ParseStatement(text)
-	if err != nil {
-		return err
-	}
+}
+
+// take gives a request to the front, in its place in the order of answers. On an error there will be no answer.
+func (c *client) take(sl *slot, in state.Request) (err error) {
+	in.Caller = sl
 	c.slots = append(c.slots, sl)
-	sl.id, err = c.s.front.Take(state.Request{Name: st.ID, Class: st.Class, Wait: st.Wait, Session: st.Session, Group: st.Group,
-		After: st.After, Retry: st.Retry, Command: &st, Caller: sl})
-	if err != nil {
+	if sl.id, err = c.s.front.Take(in); err != nil {
 		c.slots = c.slots[:len(c.slots)-1]
 	}
 	return err
 }
 
 // Served implements state.Caller.
-func (sl *slot) Served(body []byte) { sl.give(pg.AppendServed(nil, body)) }
+func (sl *slot) Served(body []byte) { sl.give(sl.c.speaks.served(sl, body)) }
 
 // Refused implements state.Caller.
-func (sl *slot) Refused(comeBack time.Duration) { sl.give(pg.AppendRefused(nil, comeBack)) }
+func (sl *slot) Refused(comeBack time.Duration) { sl.give(sl.c.speaks.refused(sl, comeBack)) }
 
 // Failed implements state.Caller.
-func (sl *slot) Failed() { sl.give(pg.AppendFailed(nil)) }
+func (sl *slot) Failed() { sl.give(sl.c.speaks.failed(sl)) }
+
+// Unfit implements state.Caller.
+func (sl *slot) Unfit(body []byte) { sl.give(sl.c.speaks.unfit(sl, body)) }
 
 // give notes an answer and writes all that are next in order.
 func (sl *slot) give(answer []byte) {
@@ -261,7 +231,7 @@
 	if n == 0 {
 		return
 	}
-	held := len(c.slots) >= maxPipelined || c.admin
+	held := len(c.slots) >= c.speaks.pipelines() || c.admin
 	c.slots = append(c.slots[:0], c.slots[n:]...)
 	c.write(out)
 	if last {
@@ -289,7 +259,7 @@
 
 // leave gives the client a last word, behind the answers that are still due: what it asked before it broke the
 // protocol has been taken. The connection closes only once the client has had the time to read that.
-func (c *client) leave(code, text string) {
+func (c *client) leave(why end, text string) {
 	if c.phase >= phaseLeaving {
 		return
 	}
@@ -297,7 +267,7 @@
 	c.s.deadlines.Clear(&c.timer)
 	sl := &slot{c: c, last: true}
 	c.slots = append(c.slots, sl)
-	sl.give(pg.AppendFatal(nil, code, text))
+	sl.give(c.speaks.fatal(why, text))
 }
 
 // closeIdle closes a connection that owes nothing.
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -36,6 +36,10 @@
 type Databases struct {
 	Loop           *Loop
 	ConnectTimeout time.Duration
+	// MySQL tells whether a group's databases speak MySQL; nil = none does. They are entered by this user.
+	MySQL         func(group int) bool
+	MySQLUser     string
+	MySQLPassword string
 
 	toldAt  time.Duration // when spoilt bytes were last logged
 	givenUp int           // dials whose connection nobody waits for any more
@@ -73,7 +77,10 @@
 }
 
 // Open implements state.Opener. Only the connecting itself waits, and it does so beside the loop.
-func (d *Databases) Open(address string, to state.Listener) state.Conn {
+func (d *Databases) Open(address string, group int, to state.Listener) state.Conn {
+	if d.MySQL != nil && d.MySQL(group) {
+		return d.openMySQL(address, to)
+	}
 	db := &database{d: d, address: address, to: to}
 	connect(d.Loop, address, d.ConnectTimeout, db.connected)
 	return db
@@ -141,6 +148,10 @@
 
 // Send implements state.Conn.
 func (db *database) Send(cmd state.Command, wait time.Duration) error {
+	if _, ours := cmd.(*pg.Statement); !ours { // a MySQL client asked for a group of PostgreSQL's
+		db.d.Loop.Post(func() { db.to.Reply(state.Reply{Result: logic.Failed, Unfit: true}) })
+		return nil
+	}
 	db.reply.Reset()
 	db.owes, db.probing = true, false
 	db.out = cmd.AppendTo(db.out[:0], wait)
@@ -289,12 +300,19 @@
 	if db.probing && r.Result == logic.OK {
 		report = db.reply.Row()
 	}
-	if l := pg.ParseReport(report); l.Told {
-		r.Load = state.Load{Told: true, Role: roleOf(l.Role), Position: l.Position, Queue: l.Queue}
-	}
+	r.Load = loadOf(report)
 	return r
 }
 
+// loadOf reads a load report.
+func loadOf(report string) state.Load {
+	l := pg.ParseReport(report)
+	if !l.Told {
+		return state.Load{}
+	}
+	return state.Load{Told: true, Role: roleOf(l.Role), Position: l.Position, Queue: l.Queue}
+}
+
 func roleOf(name string) logic.Role {
 	switch name {
 	case pg.RolePrimary:
--- /dev/null
+++ b/internal/net/mysql_test.go
@@ -0,0 +1,478 @@
+package net
+
+import (
+	"bytes"
+	"database/sql"
+	"errors"
+	"fmt"
+	stdnet "net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	driver "github.com/go-sql-driver/mysql"
+
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire/mysql"
+	"havenproxy/logic"
+)
+
+// mysqlPeer reads packets off a connection.
+type mysqlPeer struct {
+	conn stdnet.Conn
+	buf  []byte
+}
+
+func (p *mysqlPeer) next() (body []byte, seq byte, err error) {
+	for {
+		body, seq, n, err := mysql.Next(p.buf, 1<<24)
+		if err != nil {
+			return nil, 0, err
+		}
+		if n > 0 {
+			body = bytes.Clone(body)
+			p.buf = append(p.buf[:0], p.buf[n:]...)
+			return body, seq, nil
+		}
+		chunk := make([]byte, 4096)
+		p.conn.SetReadDeadline(time.Now().Add(patience))
+		k, err := p.conn.Read(chunk)
+		if err != nil {
+			return nil, 0, err
+		}
+		p.buf = append(p.buf, chunk[:k]...)
+	}
+}
+
+// mysqlMember is a database of a few lines; the test says what it answers to a command. False ends the connection.
+func mysqlMember(t *testing.T, caps uint32, answer func(conn stdnet.Conn, body []byte, caps uint32) bool) string {
+	t.Helper()
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				p := &mysqlPeer{conn: conn}
+				conn.Write(mysql.AppendHandshake(nil, mysql.Handshake{Version: "8", Scramble: bytes.Repeat([]byte{'s'}, mysql.ScrambleLen), Caps: caps, Plugin: mysql.NativePassword}))
+				body, seq, err := p.next()
+				if err != nil {
+					return
+				}
+				l, err := mysql.ParseLogin(body)
+				if err != nil {
+					return
+				}
+				conn.Write(mysql.AppendOK(nil, seq+1, mysql.OK{}, l.Caps&caps, false))
+				for {
+					body, _, err := p.next()
+					if err != nil || !answer(conn, body, l.Caps&caps) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// mysqlAnswer is an ordinary database's: PREPARE gives a number, EXECUTE and a text one row.
+func mysqlAnswer(conn stdnet.Conn, body []byte, caps uint32) bool {
+	column := mysql.AppendColumn(nil, 0, "val", mysql.TypeVarString)[4:]
+	r := mysql.Reply{IsResult: true, Columns: [][]byte{column}}
+	switch body[0] {
+	case mysql.ComStmtPrepare:
+		n := bytes.Count(bytes.SplitN(body, []byte("/*"), 2)[0], []byte("?"))
+		var params [][]byte
+		for range n {
+			params = append(params, column)
+		}
+		conn.Write(mysql.AppendPrepared(nil, 1, mysql.Prepared{Statement: 5, Columns: 1, Params: n}, params, [][]byte{column}, caps))
+	case mysql.ComStmtExecute:
+		r.Rows = [][]byte{mysql.AppendBinaryRow(nil, 0, "executed")[4:]}
+		conn.Write(r.AppendTo(nil, 1, caps))
+	case mysql.ComQuery:
+		r.Rows = [][]byte{mysql.AppendTextRow(nil, 0, string(body[1:]))[4:]}
+		conn.Write(r.AppendTo(nil, 1, caps))
+	}
+	return true
+}
+
+// mysqlProxy runs a server with a MySQL front before members that speak MySQL, all of group 0.
+func mysqlProxy(t *testing.T, users map[string]mysql.Secret, members ...string) (*Server, *state.Front, *Loop) {
+	t.Helper()
+	s, front, loop := proxy(t, members[0], 8, 2)
+	done := make(chan error)
+	loop.Post(func() {
+		d := front.Opener().(*Databases)
+		d.MySQL = func(int) bool { return true }
+		done <- s.ListenMySQL("127.0.0.1:0", &MySQLOptions{Users: users})
+	})
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if len(members) > 1 {
+		loop.Post(func() {
+			list := state.List{Kind: logic.ListFull}
+			for i, m := range members {
+				list.Entries = append(list.Entries, state.Entry{Name: fmt.Sprint("m", i), Address: m, State: logic.Ready})
+			}
+			front.Listed(list)
+		})
+	}
+	return s, front, loop
+}
+
+func mysqlOpen(t *testing.T, s *Server, options string) *sql.DB {
+	t.Helper()
+	db, err := sql.Open("mysql", "u@tcp("+s.MySQLAddress()+")/core?"+options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	db.SetMaxOpenConns(1)
+	t.Cleanup(func() { db.Close() })
+	return db
+}
+
+const mysqlRead = "SELECT val FROM state WHERE uid = ? /* c=any,cluster=0,d=15000,session=?1 */"
+
+func counters(front *state.Front, loop *Loop) state.Counters {
+	got := make(chan state.Counters)
+	loop.Post(func() { got <- front.Counters })
+	return <-got
+}
+
+// Servers old and new, and a client in text and prepared.
+func TestMySQLThroughTheProxy(t *testing.T) {
+	for _, caps := range []uint32{mysql.ServerCaps, mysql.ServerCaps &^ (mysql.ClientDeprecateEOF | mysql.ClientSessionTrack)} {
+		s, _, _ := mysqlProxy(t, nil, mysqlMember(t, caps, mysqlAnswer))
+		db := mysqlOpen(t, s, "")
+		var got string
+		if err := db.QueryRow("SELECT 1 /* c=any,cluster=0,d=15000 */").Scan(&got); err != nil || !strings.HasPrefix(got, "SELECT 1 /* c=any,cluster=0,d=1") {
+			t.Errorf("%q, %v", got, err)
+		}
+		for range 3 {
+			if err := db.QueryRow(mysqlRead, "x").Scan(&got); err != nil || got != "executed" {
+				t.Errorf("%q, %v", got, err)
+			}
+		}
+	}
+}
+
+// The same text, prepared by many clients, is one entry on a database's connection.
+func TestAStatementIsPreparedOnceAConnection(t *testing.T) {
+	var prepares, executes atomic.Int32
+	s, _, _ := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+		switch body[0] {
+		case mysql.ComStmtPrepare:
+			prepares.Add(1)
+		case mysql.ComStmtExecute:
+			executes.Add(1)
+		}
+		return mysqlAnswer(conn, body, caps)
+	}))
+	for range 6 { // one behind the other: one connection to the database serves all
+		db := mysqlOpen(t, s, "")
+		st, err := db.Prepare(mysqlRead)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 5 {
+			var got string
+			if err := st.QueryRow("x").Scan(&got); err != nil {
+				t.Fatal(err)
+			}
+		}
+		db.Close()
+	}
+	// Each client's own PREPARE goes to a database once, for its answer; executions add none.
+	if p, e := prepares.Load(), executes.Load(); p > 6 || e != 30 {
+		t.Errorf("%d prepared, %d executed", p, e)
+	}
+}
+
+// A server that forgot a statement gets it once more, and that is no second run.
+func TestAForgottenStatementIsPreparedOnceMore(t *testing.T) {
+	for forgets, ok := range map[int32]bool{1: true, 99: false} {
+		var n, prepares atomic.Int32
+		s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+			if body[0] == mysql.ComStmtPrepare {
+				prepares.Add(1)
+			}
+			if body[0] == mysql.ComStmtExecute && n.Add(1) <= forgets {
+				conn.Write(mysql.AppendErr(nil, 1, mysql.ErrUnknownStatement, "unknown"))
+				return true
+			}
+			return mysqlAnswer(conn, body, caps)
+		}))
+		var got string
+		err := mysqlOpen(t, s, "").QueryRow(mysqlRead, "x").Scan(&got)
+		if (err == nil) != ok {
+			t.Errorf("forgets %d times: %q, %v", forgets, got, err)
+		}
+		c := counters(front, loop)
+		if ok && (prepares.Load() != 2 || c.Sent != 2) {
+			t.Errorf("%d prepared, %d attempts", prepares.Load(), c.Sent)
+		}
+		if !ok && c.Reset+c.TimedOut+c.Error > 0 {
+			t.Errorf("it counts as a run: %+v", c)
+		}
+	}
+}
+
+// What breaks while a statement is prepared for an execution has never run; what breaks behind EXECUTE may have.
+func TestAFailureWhilePreparingHasNeverRun(t *testing.T) {
+	for _, at := range []byte{mysql.ComStmtPrepare, mysql.ComStmtExecute} {
+		var seen atomic.Int32
+		s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+			if body[0] == mysql.ComStmtPrepare && seen.Add(1) == 1 {
+				mysqlAnswer(conn, body, caps) // the client's own
+				return false                  // and the connection ends behind it
+			}
+			if body[0] == at {
+				return false
+			}
+			return mysqlAnswer(conn, body, caps)
+		}))
+		var got string
+		if err := mysqlOpen(t, s, "").QueryRow(mysqlRead, "x").Scan(&got); err == nil {
+			t.Errorf("%#x: it was answered", at)
+		}
+		c := counters(front, loop)
+		if never := at == mysql.ComStmtPrepare; never != (c.Reset == 0) || never != (c.ConnectFailed > 0) {
+			t.Errorf("%#x: %d reset, %d could not connect", at, c.Reset, c.ConnectFailed)
+		}
+	}
+}
+
+// A text that databases refuse: the client hears their word at once, and no member is blamed.
+func TestABadStatementIsItsOwnFault(t *testing.T) {
+	s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+		conn.Write(mysql.AppendErr(nil, 1, mysql.ErrParse, "no such table"))
+		return true
+	}))
+	db := mysqlOpen(t, s, "")
+	var said *driver.MySQLError
+	for _, do := range []func() error{
+		func() error { _, err := db.Prepare(mysqlRead); return err },
+		func() error { _, err := db.Exec("SELECT 1 /* c=any,cluster=0 */"); return err },
+	} {
+		if err := do(); !errors.As(err, &said) || said.Number != mysql.ErrParse || said.Message != "no such table" {
+			t.Error(err)
+		}
+	}
+	if c := counters(front, loop); c.Sent != 2 || c.Failed != 2 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Bad clients get an error or a close, and nobody else notices.
+func TestBadMySQLClients(t *testing.T) {
+	s, _, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, mysqlAnswer))
+	login := mysql.AppendLogin(nil, 1, mysql.Login{Caps: mysql.ServerCaps &^ mysql.ClientQueryAttributes, User: "u", Plugin: mysql.CachingSHA2})
+	command := func(body ...byte) []byte { return mysql.AppendPacket(append([]byte(nil), login...), 0, body) }
+	for name, c := range map[string]struct {
+		sends  []byte
+		number uint16
+		stays  bool
+	}{
+		"wrong sequence":    {mysql.AppendPacket(append([]byte(nil), login...), 3, []byte{mysql.ComPing}), mysql.ErrOutOfOrder, false},
+		"login out of turn": {mysql.AppendPacket(nil, 7, []byte("x")), mysql.ErrOutOfOrder, false},
+		"half a login":      {mysql.AppendPacket(nil, 1, []byte{1, 2, 3}), mysql.ErrHandshake, false},
+		"16 MiB":            {append(append([]byte(nil), login...), 0xff, 0xff, 0xff, 0, 3), mysql.ErrPacketTooLarge, false},
+		"unknown command":   {command(0x7e), mysql.ErrUnknownCommand, true},
+		"an empty packet":   {command(), mysql.ErrMalformedPacket, false},
+		"never prepared":    {command(mysql.ComStmtExecute, 9, 0, 0, 0, 0, 1, 0, 0, 0), mysql.ErrUnknownStatement, true},
+		"a number cut off":  {command(mysql.ComStmtExecute, 9), mysql.ErrMalformedPacket, false},
+		"no comment":        {command(append([]byte{mysql.ComQuery}, "DELETE FROM x"...)...), mysql.ErrFailed, true},
+		"half a packet":     {append(append([]byte(nil), login...), 50, 0, 0, 0, 3), mysql.ErrMalformedPacket, false},
+		"silence":           {nil, mysql.ErrHandshake, false},
+	} {
+		conn, err := stdnet.Dial("tcp", s.MySQLAddress())
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := &mysqlPeer{conn: conn}
+		p.next()
+		conn.Write(c.sends)
+		var told *mysql.ServerError
+		in := false // it has logged in
+		for end := time.Now().Add(patience); told == nil && time.Now().Before(end); {
+			if name == "half a packet" && in || name == "silence" {
+				skip(s, queryPatience)
+			}
+			body, _, err := p.next()
+			if err != nil {
+				break
+			}
+			if in = true; body[0] == 0xff {
+				e, _ := mysql.ParseErr(body)
+				told = &e
+			}
+		}
+		if told == nil || told.Number != c.number {
+			t.Errorf("%s: %+v, want %d", name, told, c.number)
+		}
+		if c.stays {
+			conn.Write(mysql.AppendCommand(nil, mysql.ComPing, ""))
+			if body, _, err := p.next(); err != nil || body[0] != 0 {
+				t.Errorf("%s: behind it %v, %v", name, body, err)
+			}
+		}
+		conn.Close()
+	}
+	_ = loop
+	if err := mysqlOpen(t, s, "").Ping(); err != nil {
+		t.Errorf("another client: %v", err)
+	}
+}
+
+// Parameters that don't fit, and too many statements, are told; the connection goes on.
+func TestMySQLStatementsAreBoundedAndChecked(t *testing.T) {
+	s, _, _ := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, mysqlAnswer))
+	conn, err := stdnet.Dial("tcp", s.MySQLAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	p := &mysqlPeer{conn: conn}
+	caps := uint32(mysql.ServerCaps &^ mysql.ClientQueryAttributes)
+	p.next()
+	conn.Write(mysql.AppendLogin(nil, 1, mysql.Login{Caps: caps, User: "u", Plugin: mysql.CachingSHA2}))
+	p.next()
+	ask := func(b []byte, prepare bool) *mysql.Reply {
+		conn.Write(b)
+		var r mysql.Reply
+		for r.Expect(caps, prepare); !r.Whole(); {
+			body, seq, err := p.next()
+			if err == nil {
+				err = r.Add(body, seq)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		return &r
+	}
+	first := ask(mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true)
+	if first.Err != nil || first.Prepared.Params != 1 {
+		t.Fatalf("%+v", first)
+	}
+	id := byte(first.Prepared.Statement)
+	for name, body := range map[string][]byte{
+		"no NULL bitmap":       {mysql.ComStmtExecute, id, 0, 0, 0, 0, 1, 0, 0, 0},
+		"no types yet":         {mysql.ComStmtExecute, id, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0},
+		"a type there isn't":   {mysql.ComStmtExecute, id, 0, 0, 0, 0, 1, 0, 0, 0, 0, 1, 0x77, 0},
+		"a value cut off":      {mysql.ComStmtExecute, id, 0, 0, 0, 0, 1, 0, 0, 0, 0, 1, mysql.TypeLongLong, 0, 1, 2},
+		"a length that lies":   {mysql.ComStmtExecute, id, 0, 0, 0, 0, 1, 0, 0, 0, 0, 1, mysql.TypeVarString, 0, 0xfe, 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0},
+		"a NULL for a session": {mysql.ComStmtExecute, id, 0, 0, 0, 0, 1, 0, 0, 0, 1, 1, mysql.TypeVarString, 0},
+	} {
+		if r := ask(mysql.AppendPacket(nil, 0, body), false); r.Err == nil {
+			t.Errorf("%s: answered", name)
+		}
+	}
+	good := []byte{mysql.ComStmtExecute, id, 0, 0, 0, 0, 1, 0, 0, 0, 0, 1, mysql.TypeVarString, 0, 1, 'x'}
+	if r := ask(mysql.AppendPacket(nil, 0, good), false); r.Err != nil {
+		t.Errorf("behind them: %v", r.Err)
+	}
+	// A value in pieces reaches the database that executes.
+	conn.Write(mysql.AppendLongData(nil, uint32(id), 0, []byte("pie")))
+	conn.Write(mysql.AppendLongData(nil, uint32(id), 0, []byte("ces")))
+	if r := ask(mysql.AppendPacket(nil, 0, []byte{mysql.ComStmtExecute, id, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0}), false); r.Err != nil {
+		t.Errorf("in pieces: %v", r.Err)
+	}
+	var told *mysql.ServerError
+	for n := 1; n <= maxStatements && told == nil; n++ {
+		told = ask(mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true).Err
+	}
+	if told == nil || told.Number != mysql.ErrTooManyStatements {
+		t.Errorf("too many: %v", told)
+	}
+	conn.Write(mysql.AppendStatement(nil, mysql.ComStmtClose, uint32(id)))
+	if r := ask(mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true); r.Err != nil {
+		t.Errorf("with room again: %v", r.Err)
+	}
+}
+
+// Bad servers: nothing of theirs reaches a client as an answer.
+func TestBadMySQLServers(t *testing.T) {
+	ok := mysql.AppendOK(nil, 1, mysql.OK{}, mysql.ServerCaps, false)
+	for name, says := range map[string][]byte{
+		"noise":            bytes.Repeat([]byte{0xfb}, 300),
+		"out of order":     mysql.AppendOK(nil, 9, mysql.OK{}, mysql.ServerCaps, false),
+		"without end":      mysql.AppendPacket(nil, 1, []byte{1}),
+		"a file, please":   mysql.AppendPacket(nil, 1, []byte{0xfb, 'x'}),
+		"columns too many": mysql.AppendPacket(nil, 1, []byte{0xfc, 0xff, 0xff}),
+	} {
+		s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+			conn.Write(says)
+			return true
+		}))
+		if _, err := mysqlOpen(t, s, "").Exec("SELECT 1 /* c=any,cluster=0,d=15000 */"); err == nil {
+			t.Errorf("%s: answered", name)
+		}
+		if c := counters(front, loop); c.Served > 0 || c.Reset+c.TimedOut == 0 {
+			t.Errorf("%s: %+v", name, c)
+		}
+	}
+	// A second copy makes the connection unfit for the next command; the first counts.
+	s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+		conn.Write(append(append([]byte(nil), ok...), ok...))
+		return true
+	}))
+	db := mysqlOpen(t, s, "")
+	for range 3 {
+		if _, err := db.Exec("SELECT 1 /* c=any,cluster=0,d=15000 */"); err != nil {
+			t.Errorf("a second copy: %v", err)
+		}
+	}
+	if c := counters(front, loop); c.Served != 3 || c.Opened < 3 {
+		t.Errorf("a second copy: %+v", c)
+	}
+}
+
+// Logins by their secrets, through the proxy.
+func TestMySQLUsersLogIn(t *testing.T) {
+	secret := func(text string) mysql.Secret {
+		s, err := mysql.ParseSecret(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	key, err := mysql.NewKey()
+	if err != nil {
+		t.Fatal(err)
+	}
+	users := map[string]mysql.Secret{"native": secret(mysql.HashNative("a")), "sha2": secret(mysql.HashSHA2("b")),
+		"salted": secret(mysql.HashSalted("c", []byte("some salt")))}
+	s, _, loop := proxy(t, "127.0.0.1:1", 8, 2)
+	done := make(chan error)
+	loop.Post(func() { done <- s.ListenMySQL("127.0.0.1:0", &MySQLOptions{Users: users, Key: key}) })
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		login string
+		ok    bool
+	}{{"native:a", true}, {"sha2:b", true}, {"salted:c", true}, {"salted:c", true}, {"native:b", false}, {"sha2:a", false}, {"salted:b", false},
+		{"nobody:a", false}, {"sha2", false}, {"native", false}} {
+		db, err := sql.Open("mysql", c.login+"@tcp("+s.MySQLAddress()+")/core")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var said *driver.MySQLError
+		if err := db.Ping(); (err == nil) != c.ok || !c.ok && (!errors.As(err, &said) || said.Number != mysql.ErrAccessDenied) {
+			t.Errorf("%s: %v", c.login, err)
+		}
+		db.Close()
+	}
+}
--- /dev/null
+++ b/internal/net/postgres_client.go
@@ -0,0 +1,103 @@
+package net
+
+import (
+	"strings"
+	"time"
+
+	"havenproxy/internal/console"
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire/pg"
+)
+
+// postgres speaks PostgreSQL with a client. It keeps nothing of its own.
+type postgres struct{}
+
+func (postgres) greet(*client) {} // the client speaks first
+
+func (postgres) pipelines() int { return maxPipelined }
+
+// next handles the first message of buf and tells its length; 0 = nothing to do yet.
+func (postgres) next(c *client, buf []byte) (int, error) {
+	if c.phase == phaseStartup {
+		return postgres{}.startup(c, buf)
+	}
+	if !c.takesMore() {
+		return 0, nil
+	}
+	m, n, err := pg.Next(buf)
+	if n == 0 || err != nil {
+		return 0, err
+	}
+	switch m.Type {
+	case pg.TypeTerminate:
+		c.hangUp()
+		return n, nil
+	case pg.TypeQuery:
+		text, err := pg.QueryText(m)
+		if err != nil {
+			return n, err
+		}
+		return n, postgres{}.query(c, string(text))
+	}
+	return n, pg.ErrMalformed // simple queries only
+}
+
+func (postgres) startup(c *client, buf []byte) (int, error) {
+	o, n, err := pg.NextOpening(buf)
+	if n == 0 || err != nil {
+		return 0, err
+	}
+	switch {
+	case o == pg.OpenEncrypted:
+		c.write(pg.AppendRefuseEncryption(nil))
+	case o == pg.OpenCancel:
+		c.hangUp()
+	case c.full:
+		c.s.front.Counters.TurnedAway++
+		c.leave(endTooMany, "too many clients")
+	default:
+		c.admin = c.s.console && pg.Opened(buf, "database") == console.Database && c.local()
+		c.phase = phaseServing
+		c.write(pg.AppendWelcome(nil))
+	}
+	return n, nil
+}
+
+func (postgres) query(c *client, text string) error {
+	c.spoke()
+	sl := &slot{c: c}
+	if strings.Trim(text, " \t\r\n;") == "" {
+		c.slots = append(c.slots, sl)
+		sl.give(pg.AppendEmpty(nil))
+		return nil
+	}
+	if c.admin {
+		c.slots = append(c.slots, sl)
+		c.show(sl, text)
+		return nil
+	}
+	st, err := pg.ParseStatement(text)
+	if err != nil {
+		return err
+	}
+	return c.take(sl, state.Request{Name: st.ID, Class: st.Class, Wait: st.Wait, Session: st.Session, Group: st.Group,
+		After: st.After, Retry: st.Retry, Command: &st})
+}
+
+func (postgres) served(_ *slot, body []byte) []byte { return pg.AppendServed(nil, body) }
+
+func (postgres) refused(_ *slot, comeBack time.Duration) []byte {
+	return pg.AppendRefused(nil, comeBack)
+}
+
+func (postgres) failed(*slot) []byte { return pg.AppendFailed(nil) }
+
+func (postgres) unfit(*slot, []byte) []byte { return pg.AppendFailed(nil) }
+
+func (postgres) fatal(why end, text string) []byte {
+	code := pg.CodeTooMany
+	if why == endMalformed {
+		code = pg.CodeProtocol
+	}
+	return pg.AppendFatal(nil, code, text)
+}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -39,9 +39,9 @@
 	clock     state.Clock
 	deadlines *state.Deadlines
 	front     *state.Front
-	listener  *listener
-	events    netpoll.EventLoop
+	listeners []*listener
 
+	open        atomic.Int64 // connections that were accepted and not closed yet
 	clients     map[*client]struct{}
 	silent      list.List // those that have sent no whole query yet, the oldest first
 	idle        list.List // those that are owed nothing, idle for longest first
@@ -64,8 +64,13 @@
 		clients: map[*client]struct{}{}, maxClients: maxClients, easy: maxClients / easyPart, maxExcess: maxExcess, maxBuffered: maxBuffered}
 }
 
-// Listen opens the address and starts to accept.
+// Listen opens the address for PostgreSQL's clients and starts to accept.
 func (s *Server) Listen(address string) error {
+	return s.listen(address, func() speaker { return postgres{} })
+}
+
+// listen opens an address for clients that speak what one of them says.
+func (s *Server) listen(address string, speaks func() speaker) error {
 	lc := stdnet.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) { // accepted sockets inherit it
 			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
@@ -80,33 +85,36 @@
 	if err != nil {
 		return err
 	}
-	s.listener = &listener{Listener: converted, most: int64(s.maxClients + s.maxExcess)}
-	s.listener.full = func() {
+	l := &listener{Listener: converted, most: int64(s.maxClients + s.maxExcess), open: &s.open}
+	l.full = func() {
 		s.loop.Post(func() {
-			s.listener.asking.Store(false)
+			l.asking.Store(false)
 			s.makeRoom()
 		})
 	}
-	s.events, err = netpoll.NewEventLoop(
+	events, err := netpoll.NewEventLoop(
 		func(ctx context.Context, _ netpoll.Connection) error {
 			ctx.Value(clientKey{}).(*client).readable()
 			return nil
 		},
 		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
-			conn.AddCloseCallback(func(netpoll.Connection) error { s.listener.open.Add(-1); return nil })
+			conn.AddCloseCallback(func(netpoll.Connection) error { s.open.Add(-1); return nil })
 			return context.Background()
 		}),
-		netpoll.WithOnConnect(s.accept),
+		netpoll.WithOnConnect(func(ctx context.Context, conn netpoll.Connection) context.Context {
+			return s.accept(ctx, conn, speaks())
+		}),
 		netpoll.WithWriteTimeout(writePatience),
 		netpoll.WithIdleTimeout(keepAlive))
 	if err != nil {
 		return err
 	}
 	go func() { // Serve blocks until the listener ends
-		if err := s.events.Serve(s.listener); err != nil && !s.listener.ended.Load() {
+		if err := events.Serve(l); err != nil && !l.ended.Load() {
 			slog.Error("listener ended", "error", err)
 		}
 	}()
+	s.listeners = append(s.listeners, l)
 	return nil
 }
 
@@ -117,8 +125,8 @@
 type listener struct {
 	netpoll.Listener
 	ended atomic.Bool
-	most  int64 // connections that may be open
-	open  atomic.Int64
+	most  int64         // connections that may be open
+	open  *atomic.Int64 // of all listeners together
 
 	full   func() // lets the loop make room
 	asking atomic.Bool
@@ -151,13 +159,13 @@
 }
 
 // Address tells where it listens.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.listeners[0].Addr().String() }
 
 type clientKey struct{}
 
 // accept makes the client of a new connection; it runs on the loop, before anything that the client sent.
-func (s *Server) accept(ctx context.Context, conn netpoll.Connection) context.Context {
-	c := &client{s: s, conn: conn}
+func (s *Server) accept(ctx context.Context, conn netpoll.Connection, speaks speaker) context.Context {
+	c := &client{s: s, conn: conn, speaks: speaks}
 	s.front.Counters.Clients++
 	s.makeRoom()
 	if c.full = s.crowded(); c.full {
@@ -177,6 +185,8 @@
 	s.deadlines.Set(&c.timer, s.clock.Now()+queryPatience, c.tooSlow)
 	if s.excess > s.maxExcess { // not even a descriptor for an answer
 		c.hangUp()
+	} else {
+		speaks.greet(c)
 	}
 	return context.WithValue(ctx, clientKey{}, c)
 }
@@ -228,7 +238,9 @@
 // Drain ends the listener; clients are closed as soon as they are owed nothing.
 func (s *Server) Drain() {
 	s.draining = true
-	s.listener.end()
+	for _, l := range s.listeners {
+		l.end()
+	}
 }
 
 // Drained closes the clients that are owed nothing and tells whether none is left. What netpoll has read and
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"net"
 	"os"
 	"time"
 
@@ -25,6 +26,16 @@
 	Console Console
 	// Levels of reduced service; nil = off.
 	Levels *levels.Config
+	MySQL  *MySQL // nil = off
+}
+
+// MySQL is a second front, for clients and databases that speak MySQL.
+type MySQL struct {
+	Listen       string
+	Groups       map[int]bool      // whose databases speak MySQL; nil = all
+	Users        map[string]string // clients' users with their passwords' hashes; none = anyone, without a password
+	ServerUser   string            // by which databases are entered
+	PasswordFile string            // that holds this user's password; empty = it has none
 }
 
 // Console is the administrators' console.
@@ -48,7 +59,7 @@
 		p.classNames = append(p.classNames, c.Name)
 	}
 	if err := star.Exec(name, src, map[string]star.Func{
-		"console": p.console, "levels": p.levels, "level": p.level,
+		"console": p.console, "levels": p.levels, "level": p.level, "mysql": p.mysql,
 		"pin": func(c *star.Call) starlark.Value { return p.hold(c, p.pins) },
 		"cap": func(c *star.Call) starlark.Value { return p.hold(c, p.caps) },
 	}, p.names); err != nil {
@@ -74,6 +85,38 @@
 	return nil
 }
 
+func (p *parser) mysql(c *star.Call) starlark.Value {
+	if p.file.MySQL != nil {
+		c.Errorf("", "mysql() is called a second time")
+	}
+	m := &MySQL{Listen: c.String("listen", ""), ServerUser: c.String("server_user", "client"), PasswordFile: c.String("server_password_file", "")}
+	if _, port, err := net.SplitHostPort(m.Listen); err != nil || port == "" {
+		c.Errorf("listen", "listen is %q, an address with its port was expected, such as \"127.0.0.1:3306\"", m.Listen)
+	}
+	c.List("groups", func(v starlark.Value) {
+		n, err := starlark.AsInt32(v)
+		if err != nil || n < 0 {
+			c.Errorf("groups", "groups holds %s, the numbers of groups were expected", v)
+		}
+		if m.Groups == nil {
+			m.Groups = map[int]bool{}
+		}
+		m.Groups[n] = true
+	})
+	c.Table("users", func(name string, v starlark.Value) {
+		hash, ok := starlark.AsString(v)
+		if !ok { // never shown: it may be a password all the same
+			c.Errorf("users", "users: the secret of %q is %s, a hash as a string was expected", name, v.Type())
+		}
+		if m.Users == nil {
+			m.Users = map[string]string{}
+		}
+		m.Users[name] = hash
+	})
+	p.file.MySQL = m
+	return nil
+}
+
 func (p *parser) levels(c *star.Call) starlark.Value {
 	if p.called {
 		c.Errorf("", "levels() is called a second time")
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -14,6 +14,7 @@
 	"havenproxy/internal/net"
 	"havenproxy/internal/operator"
 	"havenproxy/internal/state"
+	"havenproxy/internal/wire/mysql"
 	"havenproxy/internal/wire/settings"
 )
 
@@ -62,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if err := p.listenMySQL(own.MySQL); err != nil {
+		return err
+	}
 	p.loop.Post(func() { p.apply(own) })
 	slog.Info("started", "name", cfg.Name, "listen", p.server.Address(), "discovery", cfg.Discovery,
 		"databases", len(cfg.Known.Instances),
@@ -98,7 +102,11 @@
 	if file == "" {
 		return &operator.File{}, nil
 	}
-	return operator.Read(file, state.LevelClasses(cfg.Settings.Config))
+	own, err := operator.Read(file, state.LevelClasses(cfg.Settings.Config))
+	if err == nil && own.MySQL != nil {
+		_, err = mysqlUsers(own.MySQL)
+	}
+	return own, err
 }
 
 // Check tells what is wrong with a configuration and with an operator's file, if one is named; a line for each error.
@@ -115,10 +123,62 @@
 func (p *proxy) apply(own *operator.File) {
 	p.front.Reduce(own.Levels)
 	p.server.Console(own.Console.Enabled)
+	if p.mysql != nil && own.MySQL != nil { // its address and groups stay as they were at the start
+		p.mysql.Users, _ = mysqlUsers(own.MySQL)
+	}
+}
+
+// mysqlUsers reads the secrets of MySQL's users.
+func mysqlUsers(m *operator.MySQL) (map[string]mysql.Secret, error) {
+	users := map[string]mysql.Secret{}
+	for name, text := range m.Users {
+		secret, err := mysql.ParseSecret(text)
+		if err != nil {
+			return nil, fmt.Errorf("mysql: user %q: %w", name, err)
+		}
+		users[name] = secret
+	}
+	return users, nil
+}
+
+// listenMySQL starts the second front, if there is one; nothing runs before the loop does.
+func (p *proxy) listenMySQL(m *operator.MySQL) error {
+	if m == nil {
+		return nil
+	}
+	users, err := mysqlUsers(m)
+	if err != nil {
+		return err
+	}
+	p.mysql = &net.MySQLOptions{Users: users}
+	for _, s := range users {
+		if s.Kind == mysql.SecretSalted && p.mysql.Key == nil {
+			if p.mysql.Key, err = mysql.NewKey(); err != nil {
+				return err
+			}
+		}
+	}
+	if m.PasswordFile != "" {
+		text, err := os.ReadFile(m.PasswordFile)
+		if err != nil {
+			return fmt.Errorf("mysql: %w", err)
+		}
+		p.databases.MySQLPassword = strings.TrimRight(string(text), "\r\n")
+	}
+	p.databases.MySQLUser = m.ServerUser
+	p.databases.MySQL = func(group int) bool { return m.Groups == nil || m.Groups[group] }
+	if err := p.server.ListenMySQL(m.Listen, p.mysql); err != nil {
+		return err
+	}
+	slog.Info("MySQL is spoken", "listen", p.server.MySQLAddress(), "users", len(users))
+	return nil
 }
 
 // proxy is the running program.
 type proxy struct {
+	databases *net.Databases
+	mysql     *net.MySQLOptions // nil = it has no such front
+
 	loop      *net.Loop
 	clock     state.Clock
 	front     *state.Front
@@ -159,7 +219,7 @@
 		p.patience = min(max(p.patience, c.Limit), longestPatience)
 	}
 	p.loop = net.NewLoop(p.clock, &p.front.Deadlines)
-	databases.Loop = p.loop
+	databases.Loop, p.databases = p.loop, databases
 	buffers := mostBuffers
 	if cfg.MemoryMB > 0 {
 		buffers = min(cfg.MemoryMB<<20/bufferPart, mostBuffers)
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -22,6 +22,7 @@
 	Served(body []byte) // as a database gave it; valid during the call only
 	Refused(comeBack time.Duration)
 	Failed()
+	Unfit(body []byte) // the request is at fault; body is what the database said, if it said more than that
 }
 
 // Command is a request as its client worded it.
@@ -267,13 +268,19 @@
 
 // expire ends an attempt whose time is up. One that was never written has found no connection.
 func (f *Front) expire(a *attempt) {
-	if a.sent {
+	if a.sent && !a.preparing() {
 		f.drop(a, Reply{Result: logic.TimedOut})
 	} else {
 		f.drop(a, Reply{Result: logic.ConnectFailed})
 	}
 }
 
+// preparing tells of an attempt whose connection has written something for its sake, but not the request itself.
+func (a *attempt) preparing() bool {
+	p, ok := a.link.conn.(interface{ Preparing() bool })
+	return ok && p.Preparing()
+}
+
 // drop ends an attempt that got no answer: whatever still comes on its connection is nobody's.
 func (f *Front) drop(a *attempt, r Reply) {
 	if l := a.link; l != nil {
@@ -301,7 +308,7 @@
 		f.answer(q.id, &f.Counters.Served, servedOf, func(c Caller) { c.Served(r.Body) })
 	case r.Unfit: // no member can use it, and none is to blame: it has failed, and the router learns no more
 		r.Result = logic.Cancelled
-		f.answer(q.id, &f.Counters.Failed, failedOf, Caller.Failed)
+		f.answer(q.id, &f.Counters.Failed, failedOf, func(c Caller) { c.Unfit(r.Body) })
 	}
 	now := f.clock.Now()
 	o := logic.Outcome{Request: q.id, Attempt: a.n, Member: a.to.id, Result: r.Result, Took: now - a.sentAt,
@@ -356,3 +363,14 @@
 
 // Log implements logic.Actions.
 func (f *Front) Log(text string) { slog.Info("router", "says", text) }
+
+// LimitOf is how long clients of a class wait at most; 0 = there is no such class.
+func (f *Front) LimitOf(class string) time.Duration {
+	if i, ok := f.classes[class]; ok {
+		return f.cfg.Logic.Classes[i].Limit
+	}
+	return 0
+}
+
+// Opener is what opens connections to databases.
+func (f *Front) Opener() Opener { return f.opener }
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -16,7 +16,7 @@
 
 // Opener opens connections to databases. It returns at once; the listener's methods are called later.
 type Opener interface {
-	Open(address string, to Listener) Conn
+	Open(address string, group int, to Listener) Conn
 	// GivenUp counts connections that were closed in the making and hold their descriptor still.
 	GivenUp() int
 }
@@ -110,7 +110,7 @@
 	f.links++
 	f.Counters.Opened++
 	l := &link{f: f, m: m}
-	l.conn = f.opener.Open(m.address, l)
+	l.conn = f.opener.Open(m.address, m.group, l)
 	f.Deadlines.Set(&l.Deadline, f.clock.Now()+f.cfg.ConnectTimeout, l.Down)
 	return l
 }
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -30,6 +30,7 @@
 	id      logic.MemberID
 	name    string
 	address string
+	group   int
 	state   logic.MemberState
 	seen    bool // in the whole list in hand
 
@@ -86,6 +87,7 @@
 		f.names[e.Name], f.members[m.id] = m, m
 		slog.Info("database listed", "name", e.Name, "address", e.Address, "group", e.Group, "state", stateName(e.State))
 	}
+	m.group = e.Group
 	if m.address != e.Address && e.Address != "" {
 		m.address = e.Address
 		f.closeIdle(m) // they lead to where it was
--- /dev/null
+++ b/internal/state/prepared/prepared.go
@@ -0,0 +1,100 @@
+// Package prepared keeps what is prepared on a database's connection, and decides what has to happen before a statement
+// can be executed there. It knows statements as texts and the numbers that a server gave them, and no protocol. It is
+// pure: what it answers is to be carried out by whoever owns the connection.
+package prepared
+
+import "container/list"
+
+// Cache holds the statements of one connection, the least recently used of which gives way. It is not safe for
+// concurrent use.
+type Cache struct {
+	most    int
+	entries map[string]*list.Element
+	order   list.List // the one used last in front
+}
+
+type entry struct {
+	text string
+	id   uint32
+}
+
+// New makes a cache for so many statements, one at least.
+func New(most int) *Cache { return &Cache{most: max(most, 1), entries: map[string]*list.Element{}} }
+
+// Len tells how many statements are held.
+func (c *Cache) Len() int { return len(c.entries) }
+
+// Use gives the number of a statement that is prepared here, and notes its use.
+func (c *Cache) Use(text string) (id uint32, ok bool) {
+	e := c.entries[text]
+	if e == nil {
+		return 0, false
+	}
+	c.order.MoveToFront(e)
+	return e.Value.(*entry).id, true
+}
+
+// Put notes that a statement has been prepared. What has to give way for it is to be closed at the server.
+func (c *Cache) Put(text string, id uint32) (closes uint32, must bool) {
+	if e := c.entries[text]; e != nil {
+		was := e.Value.(*entry)
+		closes, must = was.id, was.id != id
+		was.id = id
+		c.order.MoveToFront(e)
+		return closes, must
+	}
+	if len(c.entries) >= c.most {
+		e := c.order.Back()
+		old := e.Value.(*entry)
+		c.order.Remove(e)
+		delete(c.entries, old.text)
+		closes, must = old.id, true
+	}
+	c.entries[text] = c.order.PushFront(&entry{text, id})
+	return closes, must
+}
+
+// Forget drops a statement that the server has forgotten.
+func (c *Cache) Forget(text string) {
+	if e := c.entries[text]; e != nil {
+		c.order.Remove(e)
+		delete(c.entries, text)
+	}
+}
+
+// Step is what has to happen next for an execution.
+type Step uint8
+
+// The steps.
+const (
+	Execute Step = iota // it is prepared: execute
+	Prepare             // prepare it first
+	GiveUp              // it can't be prepared here: it was, and the server forgot it again
+)
+
+// Run is one execution on its way. A server that forgot its statement gets it once more, not twice: one that forgets at
+// once would keep the request until its time is up. Neither preparing nor a forgotten statement has run anything.
+type Run struct {
+	Text     string
+	prepared int
+	Sent     bool // EXECUTE's last byte was written, and no word came back that it was for nothing
+}
+
+// Next gives the next step on a connection.
+func (r *Run) Next(c *Cache) (Step, uint32) {
+	if id, ok := c.Use(r.Text); ok {
+		r.Sent = true
+		return Execute, id
+	}
+	if r.prepared >= 2 {
+		return GiveUp, 0
+	}
+	r.prepared++
+	return Prepare, 0
+}
+
+// Forgotten notes that the server didn't know the statement: nothing has run.
+func (r *Run) Forgotten(c *Cache) {
+	c.Forget(r.Text)
+	r.Sent = false
+}
--- /dev/null
+++ b/internal/state/prepared/prepared_test.go
@@ -0,0 +1,63 @@
+package prepared
+
+import (
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Against a model of a few lines: the cache never holds more than its bound, and names each number to close once.
+func TestTheCacheClosesWhatItDrops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.IntRange(1, 5).Draw(t, "most")
+		c := New(most)
+		open, next := map[uint32]bool{}, uint32(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			text := strconv.Itoa(rapid.IntRange(0, 8).Draw(t, "text"))
+			if id, ok := c.Use(text); ok {
+				if !open[id] {
+					t.Fatalf("%d was closed", id)
+				}
+				if rapid.IntRange(0, 5).Draw(t, "forget") == 0 {
+					c.Forget(text)
+					delete(open, id) // the server doesn't know it
+				}
+				continue
+			}
+			next++
+			open[next] = true
+			if id, must := c.Put(text, next); must {
+				if !open[id] || id == next {
+					t.Fatalf("%d is to be closed", id)
+				}
+				delete(open, id)
+			}
+			if c.Len() > most || c.Len() != len(open) {
+				t.Fatalf("%d held, %d open, %d at most", c.Len(), len(open), most)
+			}
+		}
+	})
+}
+
+func TestAServerThatForgetsGetsItOnceMore(t *testing.T) {
+	c := New(4)
+	r := Run{Text: "a"}
+	if s, _ := r.Next(c); s != Prepare || r.Sent {
+		t.Fatal(s)
+	}
+	c.Put("a", 7)
+	if s, id := r.Next(c); s != Execute || id != 7 || !r.Sent {
+		t.Fatal(s, id)
+	}
+	r.Forgotten(c)
+	if s, _ := r.Next(c); s != Prepare || r.Sent {
+		t.Fatal(s)
+	}
+	c.Put("a", 8)
+	r.Next(c)
+	r.Forgotten(c)
+	if s, _ := r.Next(c); s != GiveUp || r.Sent {
+		t.Fatal(s)
+	}
+}
--- a/internal/state/unlisted_test.go
+++ b/internal/state/unlisted_test.go
@@ -41,3 +41,4 @@
 func (r *refusals) Served([]byte)           {}
 func (r *refusals) Refused(_ time.Duration) { r.n++ }
 func (r *refusals) Failed()                 {}
+func (r *refusals) Unfit([]byte)            {}
--- a/internal/wire/mysql/mysql_test.go
+++ b/internal/wire/mysql/mysql_test.go
@@ -111,6 +111,17 @@
 	}
 }
 
+func TestWhatErrorsMean(t *testing.T) {
+	for e, want := range map[ServerError]Outcome{{Number: 1290}: Miss, {Number: 1792}: Miss, {Number: 1836}: Miss, {Number: 1644, State: "72000"}: Miss,
+		{Number: 1644, State: "45000"}: MayHaveRun, {Number: 1040}: TurnedAway, {Number: 1203}: TurnedAway, {Number: 3159}: TurnedAway,
+		{Number: 1053}: TurnedAway, {Number: 1243}: Forgotten, {Number: 1064}: Unfit, {Number: 1210}: Unfit, {Number: 1461}: Unfit,
+		{Number: 1047}: Unfit, {Number: 1153}: Unfit, {Number: 1835}: Unfit, {Number: 1105}: MayHaveRun, {Number: 2013}: MayHaveRun, {Number: 1317}: MayHaveRun} {
+		if got := OutcomeOf(&e); got != want {
+			t.Errorf("%d: %d, want %d", e.Number, got, want)
+		}
+	}
+}
+
 func TestAPacketOver16MiBIsRefusedByItsHead(t *testing.T) {
 	for _, size := range []int{MaxPacket + 1, 1<<24 - 1} {
 		if _, _, _, err := Next([]byte{byte(size), byte(size >> 8), byte(size >> 16), 0}, MaxPacket); err != ErrTooLarge {
--- a/internal/wire/mysql/packet.go
+++ b/internal/wire/mysql/packet.go
@@ -215,13 +215,13 @@
 	ErrReadOnlyMode       = 1836 // HY000
 	ErrReadOnlyTrx        = 1792 // 25006
 	ErrFailed             = 1105 // HY000: unknown error
-	ErrTooFarBehind       = 1317 // 70100: interrupted; the stand-ins' word for a replica that is too far behind
+	ErrTooFarBehind       = 1644 // 72000: signalled by a server's own guard; as PostgreSQL's databases say it here
 	ErrServerIsolated     = 3159 // HY000
 )
 
 var states = map[uint16]string{ErrTooManyConnections: "08004", ErrHandshake: "08S01", ErrAccessDenied: "28000", ErrUnknownCommand: "08S01",
 	ErrServerShutdown: "08S01", ErrParse: "42000", ErrPacketTooLarge: "08S01", ErrOutOfOrder: "08S01", ErrUserLimit: "42000",
-	ErrTooManyStatements: "42000", ErrReadOnlyTrx: "25006", ErrTooFarBehind: "70100"}
+	ErrTooManyStatements: "42000", ErrReadOnlyTrx: "25006", ErrTooFarBehind: "72000"}
 
 // AppendErr writes an ERR packet.
 func AppendErr(dst []byte, seq byte, number uint16, text string) []byte {
--- a/internal/wire/mysql/result.go
+++ b/internal/wire/mysql/result.go
@@ -377,10 +377,14 @@
 	Forgotten                 // the server doesn't know the prepared statement any more: never begun
 )
 
-// OutcomeOf says what an error number means. docs/operators/mysql.md shows the table.
-func OutcomeOf(number uint16) Outcome {
-	switch number {
-	case ErrReadOnly, ErrReadOnlyMode, ErrReadOnlyTrx, ErrTooFarBehind:
+// OutcomeOf says what an error means. docs/operators/mysql.md shows the table.
+func OutcomeOf(e *ServerError) Outcome {
+	switch e.Number {
+	case ErrTooFarBehind: // any signal has this number; its state tells which
+		if e.State == states[ErrTooFarBehind] {
+			return Miss
+		}
+	case ErrReadOnly, ErrReadOnlyMode, ErrReadOnlyTrx:
 		return Miss
 	case ErrTooManyConnections, ErrUserLimit, ErrServerIsolated, ErrServerShutdown:
 		return TurnedAway
