--- a/internal/lab/command/run.go
+++ b/internal/lab/command/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -19,6 +20,7 @@
 	var runs int
 	var jsonPath string
 	var showLog bool
+	var protocol string
 	var o launch.Options
 	c := &cobra.Command{
 		Use:   "run SCENARIO",
@@ -36,6 +38,12 @@
 			if err != nil {
 				return fmt.Errorf("%w: bad scenario:\n%w", ErrUsage, err)
 			}
+			if protocol != "" {
+				if !slices.Contains(load.Protocols, protocol) {
+					return fmt.Errorf("%w: --protocol is %q, one of %v was expected", ErrUsage, protocol, load.Protocols)
+				}
+				s.Protocol = protocol
+			}
 			out := c.OutOrStdout()
 			var all []*play.Run
 			for i := range runs {
@@ -74,6 +82,7 @@
 	f.Uint64Var(&seed, "seed", 1, "of all random numbers; with --runs the first of several")
 	f.IntVar(&runs, "runs", 1, "how often, each with the next seed")
 	f.StringVar(&jsonPath, "json", "", "write all figures to this file")
+	f.StringVar(&protocol, "protocol", "", "what clients and databases speak, in place of the scenario's: postgres, mysql or mysql-prepared")
 	f.BoolVar(&showLog, "log", false, "print the proxy's log behind the figures")
 	proxyFlags(c, &o)
 	return c
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -44,9 +44,13 @@
 	Sessions   int
 	HotSession float64 // part of each group's requests that one session sends
 	Retry      Retry
+	Protocol   string                           // "postgres", "mysql" or "mysql-prepared"; the first where empty
 	Progress   func(at time.Duration, s Sample) // once a second
 }
 
+// Protocols are what clients can speak.
+var Protocols = []string{"postgres", "mysql", "mysql-prepared"}
+
 // Outcome is how a request ended for its client.
 type Outcome uint8
 
@@ -231,17 +235,26 @@
 
 // work is one socket: it sends one request at a time, on a connection that it keeps.
 func (g *generator) work() {
-	c := &conn{address: g.cfg.Address}
+	var c asker = &conn{address: g.cfg.Address}
+	if g.cfg.Protocol != "" && g.cfg.Protocol != Protocols[0] {
+		c = &mysqlConn{address: g.cfg.Address, prepared: g.cfg.Protocol == Protocols[2]}
+	}
 	defer c.close()
 	for r := g.pop(); r != nil; r = g.pop() {
 		g.try(c, r)
 	}
 }
 
+// asker is a client's connection, of either protocol.
+type asker interface {
+	ask(r *request, class *Class, after int64, until time.Time) answer
+	close()
+}
+
 // slack is what an answer may be late against the client's own clock before it counts as missing.
 const slack = 50 * time.Millisecond
 
-func (g *generator) try(c *conn, r *request) {
+func (g *generator) try(c asker, r *request) {
 	class := &g.cfg.Classes[r.class]
 	until := r.due.Add(class.Limit)
 	now := time.Now()
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -67,11 +67,12 @@
 	cfg := s.Fleet
 	cfg.Seed = seed
 	var began time.Duration
+	speaksMySQL := strings.HasPrefix(s.Protocol, "mysql")
 	w, err := standin.New(cfg, func(at time.Duration, text string) {
 		mu.Lock()
 		defer mu.Unlock()
 		run.Events = append(run.Events, fmt.Sprintf("%8.3f %s", (at-began).Seconds(), text))
-	})
+	}, standin.MySQL(speaksMySQL))
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +82,9 @@
 	if o.Cores == 0 {
 		o.Cores = s.Cores
 	}
+	if speaksMySQL {
+		o.MySQL = "free"
+	}
 	p, err := launch.Start(ctx, w, cfg, o)
 	if err != nil {
 		return nil, err
@@ -91,7 +95,11 @@
 	for _, f := range s.Faults {
 		timers = append(timers, time.AfterFunc(f.At, func() { w.Inject(f.Fault) }))
 	}
-	run.Load, err = load.Run(ctx, load.Config{Address: p.Address, Seed: seed, Classes: s.Classes, Groups: cfg.Groups, Rate: s.Rate,
+	address := p.Address
+	if speaksMySQL {
+		address = p.MySQL
+	}
+	run.Load, err = load.Run(ctx, load.Config{Address: address, Protocol: s.Protocol, Seed: seed, Classes: s.Classes, Groups: cfg.Groups, Rate: s.Rate,
 		For: s.Length, Sockets: s.Sockets, Sessions: s.Sessions, HotSession: s.HotSession, Retry: s.Retry, Progress: progress})
 	for _, t := range timers {
 		t.Stop()
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -40,7 +40,8 @@
 	HotSession float64
 	Retry      load.Retry
 	Faults     []TimedFault
-	Cores      int // GOMAXPROCS of the proxy; 0 = the machine's
+	Protocol   string // of clients and databases: one of load.Protocols
+	Cores      int    // GOMAXPROCS of the proxy; 0 = the machine's
 }
 
 // TimedFault is a fault with its time.
@@ -150,6 +151,7 @@
 	s.Sockets = c.Int("sockets", s.Sockets, 1, 20000)
 	s.Sessions = c.Int("sessions", s.Sessions, 1, 1<<20)
 	s.HotSession = c.Float("hot_session", s.HotSession, 0, 1)
+	s.Protocol = c.Choice("protocol", load.Protocols[0], load.Protocols...)
 	s.Retry.Most = c.Int("retries", s.Retry.Most, 0, 100)
 	s.Retry.Honour = c.Bool("honour_hint", s.Retry.Honour)
 	s.Retry.Wait = c.Duration("retry_wait", s.Retry.Wait, 0, minute)
--- a/internal/levels/controller.go
+++ b/internal/levels/controller.go
@@ -26,9 +26,10 @@
 	learnRate = 0.3                    // of the way from the capacity in hand to what is seen, a second
 	// While a group is reduced and its answers come easily, its capacity may be larger than was seen: it is taken to
 	// grow by this part a second, so that the way back is tried.
-	hopeful  = 0.03
-	easy     = 0.45 // strain up to which answers come easily
-	costRate = 0.02 // how fast a class's cost is learned, a tick, in calm
+	hopeful      = 0.03
+	healthyFades = 0.005 // a second
+	easy         = 0.45  // strain up to which answers come easily
+	costRate     = 0.02  // how fast a class's cost is learned, a tick, in calm
 
 	// A group whose members are colder than this on the mean, the silent ones counted as wholly cold, is not judged.
 	warmEnough = 0.85
@@ -53,6 +54,7 @@
 	cost     []float64     // seconds of work a request, by class
 	did      float64       // work a second that was served in the last tick
 	done     average       // work a second that is served, averaged for the capacity
+	healthy  float64       // work a second of one warm database, as last seen without losses; fades
 	spell    time.Duration // how long losses have gone on without a break,
 	spellDid float64       // and the work done in it
 	capacity float64       // work a second of one warm database; 0 = not known
@@ -74,7 +76,7 @@
 	noPrimary   time.Duration // since when there is none; 0 = there is one
 	frozenUntil time.Duration
 	frozen      string
-	settled     bool
+	unjudged    time.Duration // how long it has been frozen without a break
 }
 
 // average is a rate a second, averaged over a time. Its weight grows from nothing to one, so that it is no lower at the
@@ -150,8 +152,14 @@
 		}
 		// What it sheds is let in again as far as the level below goes: the reason for it may be gone.
 		c.pressure = max(c.pressure-loosen*dt.Seconds(), 0)
+		// Where databases come and go without end there would never be a way out.
+		if c.unjudged += dt; c.level > 0 && c.unjudged >= max(c.cfg.Blind, c.dwell) && c.recent(now) < c.cfg.Fall {
+			c.unjudged = 0
+			return c.change(now, c.level-1, fmt.Sprintf("nothing could be judged for %v: %s", max(c.cfg.Blind, c.dwell), c.frozen))
+		}
 		return Decision{Level: c.level, From: c.level}
 	}
+	c.unjudged = 0
 	c.measure(f, dt)
 	if now-c.startAt < startTime {
 		return Decision{Level: c.level, From: c.level}
@@ -324,6 +332,12 @@
 		return
 	}
 	each, step := c.done.v/c.warmth, learnRate*dt.Seconds()
+	// Trouble makes a group serve little, and lose much, for other reasons than load. What it did in good order a while
+	// ago it is taken to be able to do, less and less.
+	c.healthy -= healthyFades * dt.Seconds() * c.healthy
+	if c.loss(c.level) <= c.cfg.Leave && c.done.weight > 0.9 {
+		c.healthy = max(c.healthy, each)
+	}
 	if strained {
 		c.spell += dt
 		c.spellDid += c.did * dt.Seconds()
@@ -342,6 +356,9 @@
 	case c.level > 0 && c.strain < easy && c.loss(c.level) <= c.cfg.Leave:
 		c.capacity += hopeful * dt.Seconds() * c.capacity
 	}
+	if c.capacity > 0 {
+		c.capacity = max(c.capacity, c.healthy)
+	}
 }
 
 // press moves the pressure towards where the admitted work is what the group can do.
@@ -482,6 +499,7 @@
 		copy(n.cost, c.cost)
 		n.done = c.done
 	}
+	n.healthy, n.usable, n.members = c.healthy, c.usable, c.members
 	n.capacity, n.warmth, n.strain, n.startAt, n.last = c.capacity, c.warmth, c.strain, c.startAt, c.last
 	n.since, n.why, n.level, n.changes, n.changed = c.since, c.why, to, c.changes, c.changed
 	n.noPrimary, n.frozenUntil, n.frozen, n.leftAt = c.noPrimary, c.frozenUntil, c.frozen, c.leftAt
--- a/internal/levels/levels_test.go
+++ b/internal/levels/levels_test.go
@@ -147,6 +147,56 @@
 	}
 }
 
+// script drives a controller by a script of events: ten ticks a second of what happened.
+type script struct {
+	c   *levels.Controller
+	now time.Duration
+}
+
+func newScript() *script {
+	l := shipped(virtual.Yard(1))
+	return &script{c: levels.NewController(&l, 0, 0)}
+}
+
+// run lets a time pass in which each class is asked for ten times a tick and a part of that is lost.
+func (s *script) run(d time.Duration, lost float64, members func(tick int) int) {
+	for i := range int(d / (100 * time.Millisecond)) {
+		s.now += 100 * time.Millisecond
+		n := members(i)
+		f := &logic.GroupFacts{Members: n, Usable: n, Warmth: float64(n), Primary: true, Strain: 0.2, Classes: make([]logic.Tally, 5)}
+		for k := range f.Classes {
+			gone := int(10 * lost)
+			f.Classes[k] = logic.Tally{Offered: 10, InAim: 10 - gone, Refused: gone, Cost: 50 * time.Millisecond}
+		}
+		s.c.Tick(s.now, f)
+	}
+}
+
+func three(int) int { return 3 }
+
+// Trouble of another kind makes a group serve little; it is no smaller for that.
+func TestLevelsDontMistakeTroubleForLittleCapacity(t *testing.T) {
+	s := newScript()
+	s.run(20*time.Second, 0, three)
+	offered := s.c.Status(s.now).Offered
+	s.run(6*time.Second, 0.7, three)
+	if st := s.c.Status(s.now); st.Level == 0 || st.Capacity < 0.9*offered {
+		t.Errorf("level %q, a capacity of %.1f core s/s where %.1f were served a moment ago", st.Name, st.Capacity, offered)
+	}
+}
+
+// Where databases come and go without end nothing can be judged, and there is a way out all the same.
+func TestLevelsFindAWayOutOfEndlessChange(t *testing.T) {
+	s := newScript()
+	s.run(10*time.Second, 0, three)
+	s.run(10*time.Second, 0.7, three)
+	was := s.c.Level()
+	s.run(30*time.Second, 0, func(tick int) int { return 2 + tick/10%2 })
+	if was == 0 || s.c.Level() >= was {
+		t.Errorf("from level %d to %d: %+v", was, s.c.Level(), s.c.Status(s.now))
+	}
+}
+
 // The capacity is not what a quiet group was doing before a jump: it would look far smaller than it is, and far too much
 // would be shed.
 func TestLevelsDontMistakeQuietForLittleCapacity(t *testing.T) {
