--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -188,10 +188,6 @@
 // Members gives all databases; they are read only.
 func (f *Fleet) Members() []*Member { return f.members }
 
-// Capacity is the work that a group's warm databases can do, in core seconds a second; a group's replicas give a part
-// of theirs to applying the log, which grows with the writes.
-func (f *Fleet) Capacity() float64 { return float64(f.cfg.Cores * f.cfg.Members) }
-
 // MeanWork is the mean work of a class, in seconds of one core.
 func (f *Fleet) MeanWork(class int) float64 {
 	w := f.cfg.Classes[class].Work
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -221,15 +221,9 @@
 	return cmd.Start()
 }
 
-// Pid is the program's process.
-func (p *Proxy) Pid() int { return p.cmd.Process.Pid }
-
 // Ended is closed when the program has ended.
 func (p *Proxy) Ended() <-chan struct{} { return p.ended }
 
-// Signal sends the program a signal.
-func (p *Proxy) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
-
 // Usage tells the CPU time that the program has used, and the most memory it held, in bytes; after its end only.
 func (p *Proxy) Usage() (cpu time.Duration, memory int64) {
 	select {
--- a/internal/levels/controller.go
+++ b/internal/levels/controller.go
@@ -286,14 +286,6 @@
 	return w
 }
 
-// admitted is the work that is let in now.
-func (c *Controller) admitted() (w float64) {
-	for i := range c.offered {
-		w += c.offered[i].v * c.share(i) * c.cost[i]
-	}
-	return w
-}
-
 // loss is the part of the worth that is lost of the classes that a level protects: those of which it admits no less
 // than now. For what a level sheds itself, going up is no cure.
 func (c *Controller) loss(level int) float64 {
