Test that a cold database's refusals change no level, and fail without the rule

Need: the end-to-end test of a cold database that joins stays green without the freeze, so it proves harm's absence only. Change: a script of events in which a cold member's group loses 40%: no change while cold, one when it is warm. Result: with the rule on warmth taken out the group goes to 'scarce' and the test is red.

--- a/internal/levels/levels_test.go
+++ b/internal/levels/levels_test.go
@@ -149,8 +149,9 @@
 
 // script drives a controller by a script of events: ten ticks a second of what happened.
 type script struct {
-	c   *levels.Controller
-	now time.Duration
+	c    *levels.Controller
+	now  time.Duration
+	cold float64 // parts of members that are not warm
 }
 
 func newScript() *script {
@@ -163,7 +164,7 @@
 	for i := range int(d / (100 * time.Millisecond)) {
 		s.now += 100 * time.Millisecond
 		n := members(i)
-		f := &logic.GroupFacts{Members: n, Usable: n, Warmth: float64(n), Primary: true, Strain: 0.2, Classes: make([]logic.Tally, 5)}
+		f := &logic.GroupFacts{Members: n, Usable: n, Warmth: float64(n) - s.cold, Primary: true, Strain: 0.2, Classes: make([]logic.Tally, 5)}
 		for k := range f.Classes {
 			gone := int(10 * lost)
 			f.Classes[k] = logic.Tally{Offered: 10, InAim: 10 - gone, Refused: gone, Cost: 50 * time.Millisecond}
@@ -172,6 +173,22 @@
 	}
 }
 
+// A cold database that has joined bears little, and its group refuses for that: no sign of load.
+func TestLevelsStandStillWhileADatabaseIsCold(t *testing.T) {
+	s := newScript()
+	s.run(10*time.Second, 0, three)
+	s.cold = 0.8
+	s.run(8*time.Second, 0.4, three)
+	if st := s.c.Status(s.now); st.Level != 0 || st.Frozen == "" {
+		t.Errorf("%+v", st)
+	}
+	s.cold = 0 // warm now, and the losses go on
+	s.run(4*time.Second, 0.4, three)
+	if s.c.Level() == 0 {
+		t.Error("a warm group that loses is not judged")
+	}
+}
+
 func three(int) int { return 3 }
 
 // Trouble of another kind makes a group serve little; it is no smaller for that.
