--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,7 +51,7 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
-	root.AddCommand(serveCommand(&f), checkCommand(&f), statusCommand(), versionCommand())
+	root.AddCommand(serveCommand(&f), checkCommand(&f), statusCommand(), secretCommand(), versionCommand())
 	err := root.Execute()
 	switch {
 	case err == nil:
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"havenproxy/internal/wire/mysql"
 	"havenproxy/internal/wire/pg"
 )
 
@@ -90,3 +91,62 @@
 		t.Errorf("nobody there: exit %d", code)
 	}
 }
+
+// What the sub-command prints is what the operator's file takes, and fits the password; the password itself isn't shown.
+func TestSecrets(t *testing.T) {
+	const password = "Çam-kereste 7"
+	for _, kind := range []string{"salted", "sha2", "native"} {
+		in, err := os.Open(write(t, password+"\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		was := os.Stdin
+		os.Stdin = in
+		code, out, errs := call("secret", "--kind", kind)
+		os.Stdin = was
+		in.Close()
+		s, err := mysql.ParseSecret(strings.TrimSpace(out))
+		if code != 0 || err != nil || strings.Contains(out+errs, password) {
+			t.Fatalf("%s: %d, %q, %q, %v", kind, code, out, errs, err)
+		}
+		scramble := bytes.Repeat([]byte{'s'}, mysql.ScrambleLen)
+		right, wrong := true, false
+		if kind == "salted" {
+			_, right = s.Full(password)
+			_, wrong = s.Full("x")
+		} else {
+			for p, ok := range map[string]*bool{password: &right, "x": &wrong} {
+				answer, err := mysql.AnswerScramble(s.Plugin(), p, scramble)
+				if err != nil {
+					t.Fatal(err)
+				}
+				*ok = s.Fast(scramble, answer)
+			}
+		}
+		if !right || wrong {
+			t.Errorf("%s: right %v, wrong %v", kind, right, wrong)
+		}
+	}
+	for args, in := range map[string]string{"secret": "", "secret --kind md5": "x\n"} {
+		f, err := os.Open(write(t, in))
+		if err != nil {
+			t.Fatal(err)
+		}
+		was := os.Stdin
+		os.Stdin = f
+		if code, out, _ := call(strings.Fields(args)...); code != 2 || out != "" {
+			t.Errorf("%s: %d, %q", args, code, out)
+		}
+		os.Stdin = was
+		f.Close()
+	}
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "in")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -99,18 +100,35 @@
 	return path, nil
 }
 
+// Ports for programs are taken from below those that the kernel gives to connections: one of those could take a port
+// between the look and the program's listening.
+const lowPort, ports = 20000, 12000
+
 // freePort finds a port that nobody listens on now. The program can't tell a port that it chose itself.
 func freePort() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 50 {
+		address := fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(ports))
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", address); err == nil {
+			return address, ln.Close()
+		}
+	}
+	return "", err
+}
+
+// Start runs the program before a world and waits until it serves. Another program may take a port that was free at the
+// look: then it is started once more, on others.
+func Start(ctx context.Context, w *standin.World, cfg fleet.Config, o Options) (p *Proxy, err error) {
+	for range 5 {
+		if p, err = start(ctx, w, cfg, o); err == nil || o.Listen != "" && o.MySQL != "free" || !strings.Contains(err.Error(), "address already in use") {
+			break
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return p, err
 }
 
-// Start runs the program before a world and waits until it serves.
-func Start(ctx context.Context, w *standin.World, cfg fleet.Config, o Options) (*Proxy, error) {
+func start(ctx context.Context, w *standin.World, cfg fleet.Config, o Options) (*Proxy, error) {
 	var err error
 	if o.Binary == "" {
 		if o.Binary, err = beside("havenproxy"); err != nil {
--- a/internal/lab/load/conn.go
+++ b/internal/lab/load/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -30,55 +31,72 @@
 	asked time.Time
 }
 
-// conn is a client's connection, opened at need and kept.
-type conn struct {
+// socket is a client's connection, opened at need and kept.
+type socket struct {
 	address string
 	c       net.Conn
 	used    bool
 	buf     []byte
 }
 
-func (c *conn) close() {
-	if c.c != nil {
-		c.c.Close()
-		c.c = nil
+func (s *socket) up() bool { return s.c != nil }
+
+func (s *socket) close() {
+	if s.c != nil {
+		s.c.Close()
+		s.c = nil
 	}
-	c.buf = nil
+	s.buf = nil
 }
 
-func (c *conn) open(until time.Time) error {
+func (s *socket) dial(until time.Time) error {
 	var err error
-	if c.c, err = net.DialTimeout("tcp", c.address, time.Until(until)); err != nil {
-		c.c = nil
-		return err
-	}
-	c.used = false
-	c.c.SetDeadline(until.Add(slack))
-	if _, err := c.c.Write(pg.AppendStartup(nil, "client", "core")); err != nil {
+	if s.c, err = net.DialTimeout("tcp", s.address, time.Until(until)); err != nil {
+		s.c = nil
 		return err
 	}
+	s.used = false
+	return s.c.SetDeadline(until.Add(slack))
+}
+
+// next gives the first message that a protocol's parser finds; it stays valid.
+func next[T any](s *socket, parse func([]byte) (m T, n int, err error)) (T, error) {
 	for {
-		m, err := c.next()
-		switch {
-		case err != nil:
-			return err
-		case m.Type == 'E':
-			return errRefused
-		case m.Type == 'Z':
-			return nil
+		m, n, err := parse(s.buf)
+		if err != nil || n > 0 {
+			s.buf = s.buf[n:]
+			return m, err
 		}
+		chunk := [4096]byte{}
+		if n, err = s.c.Read(chunk[:]); err != nil {
+			return m, err
+		}
+		s.buf = append(s.buf[:len(s.buf):len(s.buf)], chunk[:n]...)
 	}
 }
 
-var errRefused = fmt.Errorf("turned away at the door")
+// lost says of a request whose connection has ended what became of it: crossed tells that the connection was closed before
+// the request came there.
+func (s *socket) lost(err error, fresh, begun bool) (crossed bool) {
+	var timeout net.Error
+	s.close()
+	return !fresh && !begun && !(errors.As(err, &timeout) && timeout.Timeout())
+}
 
-var ids atomic.Uint64
+// talker speaks a protocol over a socket.
+type talker interface {
+	up() bool
+	close()
+	open(until time.Time) error
+	// once asks on a connection that is up. crossed tells that this was closed before the request came there.
+	once(r *request, class *Class, after int64, until time.Time) (a answer, crossed bool)
+}
 
 // ask sends a request and waits for its answer until the client's time is over. A connection that the proxy closed
 // between two requests is not the request's fault: it goes out once more on a new one.
-func (c *conn) ask(r *request, class *Class, after int64, until time.Time) answer {
+func ask(c talker, r *request, class *Class, after int64, until time.Time) answer {
 	for again := false; ; again = true {
-		if c.c == nil {
+		if !c.up() {
 			if err := c.open(until); err != nil {
 				c.close()
 				if err == errRefused {
@@ -94,10 +112,37 @@
 	}
 }
 
+// conn speaks PostgreSQL.
+type conn struct{ socket }
+
+func (c *conn) open(until time.Time) error {
+	if err := c.dial(until); err != nil {
+		return err
+	}
+	if _, err := c.c.Write(pg.AppendStartup(nil, "client", "core")); err != nil {
+		return err
+	}
+	for {
+		m, err := next(&c.socket, pg.Next)
+		switch {
+		case err != nil:
+			return err
+		case m.Type == 'E':
+			return errRefused
+		case m.Type == 'Z':
+			return nil
+		}
+	}
+}
+
+var errRefused = fmt.Errorf("turned away at the door")
+
+var ids atomic.Uint64
+
 func (c *conn) once(r *request, class *Class, after int64, until time.Time) (a answer, crossed bool) {
 	id := strconv.FormatUint(ids.Add(1), 16) + "-" + strconv.FormatUint(r.sess.id, 16)
 	a.asked = time.Now()
-	text := c.statement(id, r, class, after, until.Sub(a.asked))
+	text := statement(id, r, class, after, until.Sub(a.asked))
 	c.c.SetDeadline(until.Add(slack))
 	fresh := !c.used
 	c.used = true
@@ -107,17 +152,13 @@
 	}
 	begun := false
 	for {
-		m, err := c.next()
+		m, err := next(&c.socket, pg.Next)
 		if err != nil {
-			timeout := false
-			if e, ok := err.(net.Error); ok {
-				timeout = e.Timeout()
-			}
-			c.close()
+			crossed := c.lost(err, fresh, begun)
 			if a.kind == refused || a.kind == failed { // a fatal error needs nothing behind it
 				return a, false
 			}
-			return answer{asked: a.asked}, !fresh && !begun && !timeout
+			return answer{asked: a.asked}, crossed
 		}
 		begun = true
 		switch m.Type {
@@ -141,7 +182,7 @@
 	}
 }
 
-func (c *conn) statement(id string, r *request, class *Class, after int64, wait time.Duration) string {
+func statement(id string, r *request, class *Class, after int64, wait time.Duration) string {
 	comment := fmt.Sprintf("id=%s,c=%s,d=%d", id, class.Name, max(wait.Milliseconds(), 0))
 	verb := "SELECT val FROM state WHERE uid = '%016x'"
 	if class.Read == logic.Write {
@@ -155,25 +196,6 @@
 	return fmt.Sprintf(verb, r.sess.id) + " /* " + comment + " */"
 }
 
-// next reads a whole message; its body is valid until the next call.
-func (c *conn) next() (pg.Message, error) {
-	for {
-		if m, n, err := pg.Next(c.buf); err != nil {
-			return m, err
-		} else if n > 0 {
-			out := pg.Message{Type: m.Type, Body: bytes.Clone(m.Body)}
-			c.buf = append(c.buf[:0], c.buf[n:]...)
-			return out, nil
-		}
-		chunk := [4096]byte{}
-		n, err := c.c.Read(chunk[:])
-		if err != nil {
-			return pg.Message{}, err
-		}
-		c.buf = append(c.buf, chunk[:n]...)
-	}
-}
-
 // field gives a field of an ErrorResponse.
 func field(body []byte, name byte) string {
 	for len(body) > 1 {
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -235,9 +235,10 @@
 
 // work is one socket: it sends one request at a time, on a connection that it keeps.
 func (g *generator) work() {
-	var c asker = &conn{address: g.cfg.Address}
+	at := socket{address: g.cfg.Address}
+	var c talker = &conn{at}
 	if g.cfg.Protocol != "" && g.cfg.Protocol != Protocols[0] {
-		c = &mysqlConn{address: g.cfg.Address, prepared: g.cfg.Protocol == Protocols[2]}
+		c = &mysqlConn{socket: at, prepared: g.cfg.Protocol == Protocols[2]}
 	}
 	defer c.close()
 	for r := g.pop(); r != nil; r = g.pop() {
@@ -245,16 +246,10 @@
 	}
 }
 
-// asker is a client's connection, of either protocol.
-type asker interface {
-	ask(r *request, class *Class, after int64, until time.Time) answer
-	close()
-}
-
 // slack is what an answer may be late against the client's own clock before it counts as missing.
 const slack = 50 * time.Millisecond
 
-func (g *generator) try(c asker, r *request) {
+func (g *generator) try(c talker, r *request) {
 	class := &g.cfg.Classes[r.class]
 	until := r.due.Add(class.Limit)
 	now := time.Now()
@@ -276,7 +271,7 @@
 		after = r.sess.after
 		r.sess.mu.Unlock()
 	}
-	a := c.ask(r, class, after, until)
+	a := ask(c, r, class, after, until)
 	now = time.Now()
 	switch a.kind {
 	case served:
--- a/internal/lab/load/mysql.go
+++ b/internal/lab/load/mysql.go
@@ -1,9 +1,7 @@
 package load
 
 import (
-	"bytes"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -16,94 +14,50 @@
 const clientCaps = mysql.ClientLongPassword | mysql.ClientProtocol41 | mysql.ClientSecureConnection | mysql.ClientPluginAuth |
 	mysql.ClientConnectWithDB | mysql.ClientDeprecateEOF
 
-// mysqlConn is a MySQL client's connection, opened at need and kept, with the statements that it has prepared.
+// mysqlConn speaks MySQL, with the statements that it has prepared.
 type mysqlConn struct {
-	address  string
+	socket
 	prepared bool // by prepared statements; otherwise by texts
-	c        net.Conn
-	used     bool
-	buf      []byte
 	known    map[string]uint32
 }
 
-func (c *mysqlConn) close() {
-	if c.c != nil {
-		c.c.Close()
-		c.c = nil
-	}
-	c.buf, c.known = nil, nil
+type packet struct {
+	body []byte
+	seq  byte
 }
 
-func (c *mysqlConn) next() (body []byte, seq byte, err error) {
-	for {
-		body, seq, n, err := mysql.Next(c.buf, mysql.MaxPacket)
-		if err != nil {
-			return nil, 0, err
-		}
-		if n > 0 {
-			body = bytes.Clone(body)
-			c.buf = append(c.buf[:0], c.buf[n:]...)
-			return body, seq, nil
-		}
-		chunk := [4096]byte{}
-		k, err := c.c.Read(chunk[:])
-		if err != nil {
-			return nil, 0, err
-		}
-		c.buf = append(c.buf, chunk[:k]...)
-	}
+func nextPacket(buf []byte) (p packet, n int, err error) {
+	p.body, p.seq, n, err = mysql.Next(buf, mysql.MaxPacket)
+	return p, n, err
 }
 
 func (c *mysqlConn) open(until time.Time) error {
-	var err error
-	if c.c, err = net.DialTimeout("tcp", c.address, time.Until(until)); err != nil {
-		c.c = nil
+	if err := c.dial(until); err != nil {
 		return err
 	}
-	c.used, c.known = false, map[string]uint32{}
-	c.c.SetDeadline(until.Add(slack))
-	body, seq, err := c.next()
+	c.known = map[string]uint32{}
+	p, err := next(&c.socket, nextPacket)
 	if err != nil {
 		return err
 	}
-	if body[0] == 0xff {
+	if len(p.body) > 0 && p.body[0] == 0xff {
 		return errRefused
 	}
-	if _, err := mysql.ParseHandshake(body); err != nil {
+	if _, err := mysql.ParseHandshake(p.body); err != nil {
 		return err
 	}
-	if _, err := c.c.Write(mysql.AppendLogin(nil, seq+1, mysql.Login{Caps: clientCaps, User: "client", Database: "core", Plugin: mysql.CachingSHA2})); err != nil {
+	if _, err := c.c.Write(mysql.AppendLogin(nil, p.seq+1, mysql.Login{Caps: clientCaps, User: "client", Database: "core", Plugin: mysql.CachingSHA2})); err != nil {
 		return err
 	}
-	if body, _, err = c.next(); err != nil {
+	if p, err = next(&c.socket, nextPacket); err != nil {
 		return err
 	}
-	if body[0] != 0 {
+	if len(p.body) == 0 || p.body[0] != 0 {
 		return errRefused
 	}
 	return nil
 }
 
-// ask sends a request and waits for its answer until the client's time is over. As with PostgreSQL, a connection that
-// was closed between two requests is not the request's fault.
-func (c *mysqlConn) ask(r *request, class *Class, after int64, until time.Time) answer {
-	for again := false; ; again = true {
-		if c.c == nil {
-			if err := c.open(until); err != nil {
-				c.close()
-				if err == errRefused {
-					return answer{kind: refused}
-				}
-				return answer{}
-			}
-		}
-		a, crossed := c.once(r, class, after, until)
-		if !crossed || again {
-			return a
-		}
-	}
-}
-
 func (c *mysqlConn) once(r *request, class *Class, after int64, until time.Time) (a answer, crossed bool) {
 	id := strconv.FormatUint(ids.Add(1), 16) + "-" + strconv.FormatUint(r.sess.id, 16)
 	a.asked = time.Now()
@@ -111,12 +65,7 @@
 	fresh := !c.used
 	c.used = true
 	lost := func(err error, begun bool) (answer, bool) {
-		timeout := false
-		if e, ok := err.(net.Error); ok {
-			timeout = e.Timeout()
-		}
-		c.close()
-		return answer{asked: a.asked}, !fresh && !begun && !timeout
+		return answer{asked: a.asked}, c.lost(err, fresh, begun)
 	}
 	key := fmt.Sprintf("%016x", r.sess.id)
 	var out []byte
@@ -144,7 +93,7 @@
 		}
 		out = mysql.AppendExecute(nil, statement, len(values), &x, clientCaps)
 	} else {
-		out = mysql.AppendCommand(nil, mysql.ComQuery, (&conn{}).statement(id, r, class, after, until.Sub(a.asked)))
+		out = mysql.AppendCommand(nil, mysql.ComQuery, statement(id, r, class, after, until.Sub(a.asked)))
 	}
 	p, err := c.command(out, false)
 	if err != nil {
@@ -194,12 +143,16 @@
 		return nil, err
 	}
 	var r mysql.Reply
-	for r.Expect(clientCaps, prepare); !r.Whole(); {
-		body, seq, err := c.next()
+	r.Expect(clientCaps, prepare)
+	if c.prepared {
+		r.Binary()
+	}
+	for !r.Whole() {
+		p, err := next(&c.socket, nextPacket)
 		if err != nil {
 			return nil, err
 		}
-		if err := r.Add(body, seq); err != nil {
+		if err := r.Add(p.body, p.seq); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -44,6 +44,7 @@
 	endMalformed end = iota
 	endTooMany       // clients
 	endNoMemory
+	endTooOften // it tried what it may not so often
 )
 
 // speaker is the protocol of a client: what stands between its bytes and requests. All that isn't the protocol's, the
@@ -58,6 +59,7 @@
 	unfit(sl *slot, body []byte) []byte // body, where there is one, is the database's own word
 	fatal(why end, text string) []byte
 	pipelines() int // queries that may be under way
+	gone(c *client) // the connection has ended
 }
 
 // client is a connection of a client.
@@ -68,7 +70,8 @@
 	in     buffer
 	phase  phase
 	full   bool // beyond the proxy's limit: it is turned away once it has spoken
-	held   int  // bytes of its buffer that are in the server's account
+	held   int  // bytes of its buffer, and extra, that are in the server's account
+	extra  int  // bytes that the speaker keeps for requests to come
 	asked  bool // it has sent a whole query
 	half   bool // it has sent a part of one, and the timer runs for the rest
 	admin  bool // it is at the console
@@ -177,8 +180,9 @@
 
 // account keeps the server's sum of what all clients' buffers hold.
 func (c *client) account() {
-	c.s.buffered += len(c.in.bytes) - c.held
-	c.held = len(c.in.bytes)
+	now := len(c.in.bytes) + c.extra
+	c.s.buffered += now - c.held
+	c.held = now
 }
 
 // next handles the first message of buf and tells its length; 0 = nothing to do yet.
@@ -305,6 +309,7 @@
 	c.s.deadlines.Clear(&c.room)
 	c.abandon()
 	c.in.bytes = nil
+	c.speaks.gone(c)
 	c.account()
 	c.settle()
 	delete(c.s.clients, c)
--- a/internal/net/mysql_client.go
+++ b/internal/net/mysql_client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/rand"
 	"errors"
 	"fmt"
 	"strconv"
@@ -19,6 +18,16 @@
 	maxStatements = 1024
 	// What a client may have sent of values in pieces, all its statements together.
 	maxLongData = 256 << 10
+	// What one client's statements may take, and those of all clients. Of a text that many have prepared there is one copy,
+	// but it is counted with each.
+	maxTexts    = 1 << 20
+	maxAllTexts = 8 << 20
+	// overStatement is what a statement takes beside its text.
+	overStatement = 300
+	// What databases said of statements is kept for so many texts, in so many bytes, and so long.
+	keptShapes = 1024
+	shapeRoom  = 1 << 20
+	shapeKeep  = time.Minute
 )
 
 var (
@@ -29,43 +38,6 @@
 	errPacketsTooBig = mysql.ErrTooLarge
 )
 
-// MySQLOptions is what MySQL's front needs.
-type MySQLOptions struct {
-	Users map[string]mysql.Secret // empty = anyone, without a password
-	Key   *mysql.Key              // for full exchanges; nil = there are none
-}
-
-// ListenMySQL opens an address for MySQL's clients.
-func (s *Server) ListenMySQL(address string, o *MySQLOptions) error {
-	front := &mysqlFront{options: o, cached: map[string]mysql.Secret{}}
-	return s.listen(address, func() speaker { return &mysqlSpeaker{front: front, statements: map[uint32]*mysqlStatement{}} })
-}
-
-// MySQLAddress tells where MySQL's clients are listened for; empty = nowhere.
-func (s *Server) MySQLAddress() string {
-	if len(s.listeners) < 2 {
-		return ""
-	}
-	return s.listeners[len(s.listeners)-1].Addr().String()
-}
-
-// mysqlFront is what all MySQL clients share.
-type mysqlFront struct {
-	options *MySQLOptions
-	cached  map[string]mysql.Secret // of users who went through a full exchange
-	last    uint32
-}
-
-type loginPhase uint8
-
-const (
-	loginFirst loginPhase = iota
-	loginSwitched
-	loginKey // it may ask for the key
-	loginSealed
-	loginDone
-)
-
 // mysqlStatement is a statement that a client has prepared: a text with what it says of itself.
 type mysqlStatement struct {
 	text   string
@@ -73,8 +45,11 @@
 	params int
 	types  []byte // of its parameters, as last told
 	long   map[int][]byte
+	over   bool // more came in pieces than may
 }
 
+func (st *mysqlStatement) size() int { return len(st.text) + overStatement }
+
 // mysqlSpeaker speaks MySQL with one client.
 type mysqlSpeaker struct {
 	front      *mysqlFront
@@ -82,11 +57,13 @@
 	caps       uint32
 	scramble   []byte
 	user       string
+	changing   bool // by COM_CHANGE_USER
 	seq        byte // of the next packet to the client
 	statements map[uint32]*mysqlStatement
 	last       uint32
-	longBytes  int
+	textBytes  int             // of the statements
 	preparing  *mysqlStatement // its PREPARE is out
+	running    *mysqlStatement // its EXECUTE is out
 }
 
 func (m *mysqlSpeaker) pipelines() int { return 1 }
@@ -97,11 +74,7 @@
 		c.leave(endTooMany, "too many clients")
 		return
 	}
-	m.scramble = make([]byte, mysql.ScrambleLen)
-	rand.Read(m.scramble)
-	for i := range m.scramble { // clients take it for a text
-		m.scramble[i] = m.scramble[i]%94 + 33
-	}
+	m.newScramble()
 	m.front.last++
 	c.write(mysql.AppendHandshake(nil, mysql.Handshake{Version: mysql.ServerVersion, ID: m.front.last, Scramble: m.scramble,
 		Caps: mysql.ServerCaps, Plugin: mysql.CachingSHA2}))
@@ -109,7 +82,7 @@
 }
 
 func (m *mysqlSpeaker) next(c *client, buf []byte) (int, error) {
-	if !c.takesMore() {
+	if !c.takesMore() || m.phase == loginChecking {
 		return 0, nil
 	}
 	body, seq, n, err := mysql.Next(buf, mysql.MaxPacket)
@@ -136,103 +109,6 @@
 	return n, m.command(c, body)
 }
 
-// ---- Login ----
-
-func (m *mysqlSpeaker) send(c *client, add func(dst []byte, seq byte) []byte) {
-	out := add(nil, m.seq)
-	c.write(out)
-	m.seq++
-}
-
-func (m *mysqlSpeaker) login(c *client, body []byte) error {
-	switch m.phase {
-	case loginFirst:
-		l, err := mysql.ParseLogin(body)
-		if err != nil {
-			return err
-		}
-		m.caps, m.user = l.Caps&mysql.ServerCaps, l.User
-		return m.check(c, l.Plugin, l.Auth)
-	case loginSwitched:
-		secret := m.secret()
-		return m.check(c, secret.Plugin(), body)
-	case loginKey:
-		if !mysql.AsksKey(body) {
-			return errDenied // a password in clear, which nobody should send here
-		}
-		m.phase = loginSealed
-		m.send(c, func(dst []byte, seq byte) []byte { return mysql.AppendAuthMore(dst, seq, m.front.options.Key.PEM()) })
-		return nil
-	default:
-		password, err := m.front.options.Key.Open(body, m.scramble)
-		if err != nil {
-			return errDenied
-		}
-		secret := m.front.options.Users[m.user]
-		fast, ok := secret.Full(password)
-		if !ok {
-			return errDenied
-		}
-		m.front.cached[m.user] = fast // no more than there are users
-		m.welcome(c)
-		return nil
-	}
-}
-
-// secret is that of the user who logs in; an unknown one has one that nothing fits.
-func (m *mysqlSpeaker) secret() mysql.Secret {
-	if len(m.front.options.Users) == 0 {
-		return mysql.Secret{}
-	}
-	if s, ok := m.front.cached[m.user]; ok {
-		return s
-	}
-	if s, ok := m.front.options.Users[m.user]; ok {
-		return s
-	}
-	return mysql.Secret{Kind: mysql.SecretSHA2}
-}
-
-func (m *mysqlSpeaker) check(c *client, plugin string, auth []byte) error {
-	if len(m.front.options.Users) == 0 {
-		m.welcome(c)
-		return nil
-	}
-	secret := m.secret()
-	if plugin != secret.Plugin() {
-		if m.phase == loginSwitched {
-			return errDenied
-		}
-		m.phase = loginSwitched
-		m.send(c, func(dst []byte, seq byte) []byte {
-			return mysql.AppendAuthSwitch(dst, seq, secret.Plugin(), m.scramble)
-		})
-		return nil
-	}
-	switch {
-	case secret.Fast(m.scramble, auth):
-		if secret.Kind == mysql.SecretSHA2 {
-			m.send(c, func(dst []byte, seq byte) []byte { return mysql.AppendAuthMore(dst, seq, mysql.FastOK) })
-		}
-		m.welcome(c)
-		return nil
-	case secret.Kind == mysql.SecretSalted && m.front.options.Key != nil && len(auth) > 0:
-		m.phase = loginKey
-		m.send(c, func(dst []byte, seq byte) []byte { return mysql.AppendAuthMore(dst, seq, mysql.FullNeeded) })
-		return nil
-	}
-	return errDenied
-}
-
-func (m *mysqlSpeaker) welcome(c *client) {
-	m.phase = loginDone
-	m.ok(c)
-}
-
-func (m *mysqlSpeaker) ok(c *client) {
-	m.send(c, func(dst []byte, seq byte) []byte { return mysql.AppendOK(dst, seq, mysql.OK{}, m.caps, false) })
-}
-
 // ---- Commands ----
 
 func (m *mysqlSpeaker) command(c *client, body []byte) error {
@@ -247,16 +123,15 @@
 			return mysql.AppendOK(dst, seq, mysql.OK{}, m.caps, m.caps&mysql.ClientDeprecateEOF != 0)
 		})
 	case mysql.ComResetConnection:
-		m.forgetAll()
+		m.forgetAll(c)
 		m.ok(c)
 	case mysql.ComChangeUser:
 		l, err := mysql.ParseChangeUser(body, m.caps)
 		if err != nil {
 			return err
 		}
-		m.forgetAll()
-		m.user, m.phase = l.User, loginFirst
-		return m.check(c, "", nil) // always by the method's own exchange, on the scramble in hand
+		m.forgetAll(c)
+		return m.changeUser(c, l.User)
 	case mysql.ComQuery:
 		text, attributes, err := mysql.ParseQuery(body, m.caps)
 		if err != nil {
@@ -268,13 +143,13 @@
 	case mysql.ComStmtExecute:
 		return m.execute(c, body)
 	case mysql.ComStmtLongData:
-		m.longData(body)
+		m.longData(c, body)
 	case mysql.ComStmtClose, mysql.ComStmtReset:
 		id, err := mysql.StatementOf(body)
 		if err != nil {
 			return err
 		}
-		m.drop(id, body[0] == mysql.ComStmtClose)
+		m.drop(c, id, body[0] == mysql.ComStmtClose)
 		if body[0] == mysql.ComStmtReset {
 			if m.statements[id] == nil {
 				m.refuse(c, mysql.ErrUnknownStatement, "unknown statement")
@@ -328,7 +203,22 @@
 		m.refuse(c, mysql.ErrFailed, errNoHints.Error())
 		return
 	}
-	m.take(c, &h, &mysqlQuery{text: text, waitAt: h.WaitAt, waitEnd: h.WaitEnd})
+	m.take(c, &h, &mysqlQuery{text: text, waitAt: h.WaitAt, waitEnd: h.WaitEnd, rows: asksRows(text)})
+}
+
+// asksRows tells that a text asks for rows for sure: then an OK is none of its answers. SELECT ... INTO has no rows, and
+// what stands in a comment or a quoted text doesn't matter: when in doubt it doesn't ask.
+func asksRows(text string) bool {
+	text = strings.TrimLeft(text, " \t\r\n(")
+	if len(text) < 7 || !strings.EqualFold(text[:6], "select") {
+		return false
+	}
+	for i := 6; i+4 <= len(text); i++ {
+		if text[i]|0x20 == 'i' && strings.EqualFold(text[i:i+4], "into") {
+			return false
+		}
+	}
+	return true
 }
 
 // attribute takes the words that came beside a statement.
@@ -362,13 +252,24 @@
 		m.refuse(c, mysql.ErrTooManyStatements, fmt.Sprintf("%d statements are prepared on this connection, which is all that it may", len(m.statements)))
 		return
 	}
+	if size := len(text) + overStatement; m.textBytes+size > maxTexts || m.front.textBytes+size > maxAllTexts {
+		m.refuse(c, mysql.ErrTooManyStatements, fmt.Sprintf("no room for another prepared statement: those of this connection hold %d KiB, those of all %d KiB; close some",
+			m.textBytes>>10, m.front.textBytes>>10))
+		return
+	}
 	h, err := routing.Parse(text)
 	if err != nil || h.Class == "" || !h.Grouped {
 		m.refuse(c, mysql.ErrFailed, errFixedGroup.Error())
 		return
 	}
+	st := &mysqlStatement{text: text, hints: h}
+	if shape, same, ok := m.front.shapes.Of(c.s.clock.Now(), h.Group, text); ok {
+		st.text = same // one copy for all
+		c.write(m.rebuilt(st, false, shape))
+		return
+	}
 	// Preparing has no session and no key: whoever may run it may prepare it.
-	m.preparing = &mysqlStatement{text: text, hints: h}
+	m.preparing = st
 	ask := routing.Hints{Class: h.Class, Group: h.Group, Wait: h.Wait, Waits: h.Waits}
 	if !m.take(c, &ask, &mysqlPrepare{text}) {
 		m.preparing = nil
@@ -385,6 +286,11 @@
 		m.refuse(c, mysql.ErrUnknownStatement, "unknown statement")
 		return nil
 	}
+	if st.over {
+		m.dropLong(c, st)
+		m.refuse(c, mysql.ErrPacketTooLarge, fmt.Sprintf("the values that came in pieces take more than there is room for (%d KiB a connection)", maxLongData>>10))
+		return nil
+	}
 	x, err := mysql.ParseExecute(bytes.Clone(body), st.params, st.types, m.caps, func(i int) bool { return st.long[i] != nil })
 	if err != nil {
 		m.refuse(c, mysql.ErrMalformedPacket, "parameters that don't fit the statement")
@@ -410,58 +316,93 @@
 		m.refuse(c, mysql.ErrWrongArguments, "a parameter that the statement's comment names has no value that fits")
 		return nil
 	}
-	cmd := &mysqlExecute{text: st.text, params: st.params, x: x, long: st.long}
-	for _, data := range st.long { // the request has them now
-		m.longBytes -= len(data)
+	cmd := &mysqlExecute{text: st.text, params: st.params, x: x, long: st.long, wait: -1}
+	for _, r := range h.Refs {
+		if r.Word == "d" {
+			cmd.wait = r.Param
+		}
+	}
+	m.dropLong(c, st) // the request has them now
+	if m.running = st; !m.take(c, &h, cmd) {
+		m.running = nil
 	}
-	st.long = nil
-	m.take(c, &h, cmd)
 	return nil
 }
 
-// longData gathers a value that comes in pieces. It has no answer; what is too much is told at the execution, whose
-// parameters then don't fit.
-func (m *mysqlSpeaker) longData(body []byte) {
+// longData gathers a value that comes in pieces. It has no answer; what is too much is told at the execution.
+func (m *mysqlSpeaker) longData(c *client, body []byte) {
 	d, err := mysql.ParseLongData(body)
 	st := m.statements[d.Statement]
-	if err != nil || st == nil || d.Param >= st.params || m.longBytes+len(d.Data) > maxLongData {
+	if err != nil || st == nil || d.Param >= st.params {
+		return // the execution's parameters won't fit
+	}
+	if st.over = st.over || c.extra+len(d.Data) > maxLongData || c.s.buffered+len(d.Data) > c.s.maxBuffered; st.over {
+		m.dropLong(c, st)
+		st.over = true
 		return
 	}
 	if st.long == nil {
 		st.long = map[int][]byte{}
 	}
 	st.long[d.Param] = append(append(make([]byte, 0, len(st.long[d.Param])+len(d.Data)), st.long[d.Param]...), d.Data...)
-	m.longBytes += len(d.Data)
+	c.extra += len(d.Data)
+	c.account()
+}
+
+// dropLong forgets a statement's values in pieces.
+func (m *mysqlSpeaker) dropLong(c *client, st *mysqlStatement) {
+	for _, data := range st.long {
+		c.extra -= len(data)
+	}
+	st.long, st.over = nil, false
+	c.account()
 }
 
 // drop forgets a statement, or only its values in pieces.
-func (m *mysqlSpeaker) drop(id uint32, whole bool) {
+func (m *mysqlSpeaker) drop(c *client, id uint32, whole bool) {
 	st := m.statements[id]
 	if st == nil {
 		return
 	}
-	for _, data := range st.long {
-		m.longBytes -= len(data)
-	}
-	st.long = nil
+	m.dropLong(c, st)
 	if whole {
 		delete(m.statements, id)
+		m.textBytes -= st.size()
+		m.front.textBytes -= st.size()
 	}
 }
 
-func (m *mysqlSpeaker) forgetAll() {
-	m.statements, m.longBytes = map[uint32]*mysqlStatement{}, 0
+func (m *mysqlSpeaker) forgetAll(c *client) {
+	for id := range m.statements {
+		m.drop(c, id, true)
+	}
 }
 
+func (m *mysqlSpeaker) gone(c *client) { m.forgetAll(c) }
+
 // ---- Answers ----
 
 // served passes an answer on. It came in the form of connections to databases; a client that speaks another gets it in
 // its own.
-func (m *mysqlSpeaker) served(_ *slot, body []byte) []byte {
-	st := m.preparing
-	m.preparing = nil
+func (m *mysqlSpeaker) served(sl *slot, body []byte) []byte {
+	st, binary := m.preparing, m.running != nil
+	m.preparing, m.running = nil, nil
+	if st == nil {
+		if out, ok := mysql.Relay(nil, body, m.caps); ok {
+			return out
+		}
+	} else {
+		m.front.shapes.Learn(sl.c.s.clock.Now(), st.hints.Group, st.text, body)
+	}
+	return m.rebuilt(st, binary, body)
+}
+
+// rebuilt writes an answer in the client's form; st is the statement that it tells of, nil for any other answer.
+func (m *mysqlSpeaker) rebuilt(st *mysqlStatement, binary bool, body []byte) []byte {
 	var r mysql.Reply
-	r.Expect(linkCaps, st != nil)
+	if r.Expect(linkCaps, st != nil); binary {
+		r.Binary()
+	}
 	for len(body) > 0 {
 		payload, seq, n, err := mysql.Next(body, mysql.MaxPacket)
 		if n == 0 || err != nil || r.Add(payload, seq) != nil {
@@ -473,27 +414,32 @@
 		m.last++
 		st.params = r.Prepared.Params
 		m.statements[m.last] = st
+		m.textBytes += st.size()
+		m.front.textBytes += st.size()
 		r.Prepared.Statement = m.last
 	}
 	return r.AppendTo(nil, m.seq, m.caps)
 }
 
 func (m *mysqlSpeaker) refused(_ *slot, comeBack time.Duration) []byte {
-	m.preparing = nil
+	m.preparing, m.running = nil, nil
 	text := "no member can take this now"
-	if comeBack > 0 {
+	if comeBack > 0 { // otherwise there is no knowing
 		text += fmt.Sprintf("; come again after %d ms", (comeBack+time.Millisecond-1)/time.Millisecond)
 	}
 	return mysql.AppendErr(nil, m.seq, mysql.ErrTooManyConnections, text)
 }
 
 func (m *mysqlSpeaker) failed(*slot) []byte {
-	m.preparing = nil
+	m.preparing, m.running = nil, nil
 	return mysql.AppendErr(nil, m.seq, mysql.ErrFailed, "no member answered in time")
 }
 
 func (m *mysqlSpeaker) unfit(_ *slot, body []byte) []byte {
-	m.preparing = nil
+	if st := m.running; st != nil { // its table may be another now
+		m.front.shapes.Forget(st.hints.Group, st.text)
+	}
+	m.preparing, m.running = nil, nil
 	if payload, _, n, err := mysql.Next(body, mysql.MaxPacket); n > 0 && err == nil {
 		if e, err := mysql.ParseErr(payload); err == nil {
 			return mysql.AppendErr(nil, m.seq, e.Number, e.Text)
@@ -505,7 +451,7 @@
 func (m *mysqlSpeaker) fatal(why end, text string) []byte {
 	number := uint16(mysql.ErrMalformedPacket)
 	switch {
-	case why == endTooMany || why == endNoMemory:
+	case why == endTooMany || why == endNoMemory || why == endTooOften:
 		number = mysql.ErrTooManyConnections
 	case text == errDenied.Error():
 		number = mysql.ErrAccessDenied
--- a/internal/net/mysql_database.go
+++ b/internal/net/mysql_database.go
@@ -2,12 +2,8 @@
 
 import (
 	"errors"
-	stdnet "net"
-	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"havenproxy/internal/state"
 	"havenproxy/internal/state/prepared"
 	"havenproxy/internal/wire/mysql"
@@ -33,7 +29,8 @@
 // mysqlQuery is a text for a MySQL database.
 type mysqlQuery struct {
 	text            string
-	waitAt, waitEnd int // where the number of d stands; 0 = nowhere
+	waitAt, waitEnd int  // where the number of d stands; 0 = nowhere
+	rows            bool // it asks for rows: an OK is no answer to it
 }
 
 // mysqlPrepare asks a database to prepare a statement, so that its client learns what it holds.
@@ -45,6 +42,7 @@
 	params int
 	x      mysql.Execute
 	long   map[int][]byte // values that came in pieces
+	wait   int            // the parameter that says how long the client waits; negative = none does
 }
 
 // AppendTo implements state.Command.
@@ -72,61 +70,29 @@
 	mysqlReady
 )
 
-// mysqlDatabase is a connection to a MySQL database. It implements state.Conn.
+// mysqlDatabase is a connection to a MySQL database.
 type mysqlDatabase struct {
-	d       *Databases
-	address string
-	to      state.Listener
-	conn    netpoll.Connection
-	in      buffer
-	out     []byte
+	link
 	raw     []byte // the packets of the answer in hand, as they came
 	phase   mysqlPhase
 	caps    uint32
-	seq     byte
 	reply   mysql.Reply
 	cache   *prepared.Cache
 	run     *prepared.Run // of the execution in hand
 	execute *mysqlExecute
-	asks    string // the text that is being prepared; empty = none
-	owes    bool
-	probing bool
-	dialled bool
-	closed  bool
-	rest    state.Deadline
-	begun   bool
+	asks    string        // the text that is being prepared; empty = none
+	until   time.Duration // the client's time for it
+	away    *state.Reply  // the word with which the server turns this connection away
 }
 
 func (d *Databases) openMySQL(address string, to state.Listener) state.Conn {
-	db := &mysqlDatabase{d: d, address: address, to: to, cache: prepared.New(keptStatements)}
-	connect(d.Loop, address, d.ConnectTimeout, db.connected)
+	db := &mysqlDatabase{cache: prepared.New(keptStatements)}
+	db.link.open(d, address, to, db)
 	return db
 }
 
-func (db *mysqlDatabase) connected(conn netpoll.Connection, err error) {
-	db.dialled = true
-	switch {
-	case db.closed:
-		db.d.givenUp--
-		if err == nil {
-			conn.Close()
-		}
-		return
-	case err != nil:
-		db.lost(err)
-		return
-	}
-	db.conn, db.owes = conn, true
-	attach(db.d.Loop, conn, db.readable, func() { db.lost(nil) })
-}
-
-func (db *mysqlDatabase) write(b []byte) error {
-	if db.closed || db.conn == nil {
-		return stdnet.ErrClosed
-	}
-	_, err := db.conn.Write(b)
-	return err
-}
+// start implements talker: the server speaks first.
+func (db *mysqlDatabase) start() error { return nil }
 
 // Send implements state.Conn. A statement that isn't prepared here is prepared first; its time is a part of the
 // request's, and a failure until EXECUTE has been written has run nothing.
@@ -134,20 +100,20 @@
 	db.owes, db.probing, db.run, db.execute, db.asks = true, false, nil, nil, ""
 	switch cmd := cmd.(type) {
 	case *mysqlExecute:
-		db.execute, db.run = cmd, &prepared.Run{Text: cmd.text}
+		db.execute, db.run, db.until = cmd, &prepared.Run{Text: cmd.text}, db.d.Loop.clock.Now()+wait
 		return db.step()
 	case *mysqlPrepare:
 		db.asks = cmd.text
 		db.expect(true)
-	default:
-		db.expect(false)
-	}
-	db.out = cmd.AppendTo(db.out[:0], wait)
-	err := db.write(db.out)
-	if cap(db.out) > keepRoom {
-		db.out = nil
+	case *mysqlQuery:
+		if db.expect(false); cmd.rows {
+			db.reply.Due()
+		}
+	default: // a PostgreSQL client asked for a group of MySQL's
+		db.misfit()
+		return nil
 	}
-	return err
+	return db.writeOut(cmd.AppendTo(db.out[:0], wait))
 }
 
 // Preparing tells that the request in hand has not been written yet, though something was for its sake.
@@ -155,150 +121,98 @@
 
 // step writes what is next for the execution in hand.
 func (db *mysqlDatabase) step() error {
-	switch what, id := db.run.Next(db.cache); what {
+	switch what, st := db.run.Next(db.cache); what {
 	case prepared.Prepare:
 		db.asks = db.run.Text
 		db.expect(true)
-		return db.write(mysql.AppendCommand(nil, mysql.ComStmtPrepare, db.run.Text))
+		db.d.Counters.Prepares++
+		return db.writeOut(mysql.AppendCommand(db.out[:0], mysql.ComStmtPrepare, db.run.Text))
 	case prepared.Execute:
 		db.asks = ""
 		db.expect(false)
+		if db.reply.Binary(); st.Rows {
+			db.reply.Due()
+		}
+		db.d.Counters.Executes++
 		out := db.out[:0]
 		for param, data := range db.execute.long {
-			out = mysql.AppendLongData(out, id, param, data)
+			out = mysql.AppendLongData(out, st.ID, param, data)
 		}
-		db.out = mysql.AppendExecute(out, id, db.execute.params, &db.execute.x, db.caps)
-		return db.write(db.out)
+		x := &db.execute.x
+		if x.Sets = db.execute.wait >= 0; x.Sets { // what preparing took is gone; rounded down, as in a text
+			x.Param, x.Number = db.execute.wait, max(int64((db.until-db.d.Loop.clock.Now())/time.Millisecond), 1)
+		}
+		return db.writeOut(mysql.AppendExecute(out, st.ID, db.execute.params, x, db.caps))
 	}
 	return errForgot
 }
 
 func (db *mysqlDatabase) expect(prepare bool) {
+	if cap(db.raw) > keepRoom {
+		db.raw = nil
+	}
 	db.raw = db.raw[:0]
 	db.reply.Expect(db.caps, prepare)
+	if db.caps == linkCaps && !db.probing { // it is passed on as it comes
+		db.reply.Skim()
+	}
 }
 
 // Probe implements state.Conn.
 func (db *mysqlDatabase) Probe() error {
 	db.owes, db.probing, db.run, db.asks = true, true, nil, ""
 	db.expect(false)
-	return db.write(mysql.AppendCommand(nil, mysql.ComQuery, loadQueryMySQL))
+	return db.writeOut(mysql.AppendCommand(db.out[:0], mysql.ComQuery, loadQueryMySQL))
 }
 
-// Quiet implements state.Conn.
-func (db *mysqlDatabase) Quiet() bool {
-	if db.closed || db.conn == nil || db.owes || !db.conn.IsActive() || len(db.in.bytes) > 0 || db.conn.Reader().Len() > 0 {
-		return false
-	}
-	c, ok := db.conn.(netpoll.Conn)
-	if !ok {
-		return true
-	}
-	_, _, err := syscall.Recvfrom(c.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN
-}
+// ready implements talker.
+func (db *mysqlDatabase) ready() bool { return db.phase == mysqlReady }
 
-// Close implements state.Conn.
-func (db *mysqlDatabase) Close() {
-	if db.closed {
-		return
-	}
-	db.closed = true
-	db.whole()
-	if db.conn != nil {
-		db.conn.Close()
-	} else if !db.dialled {
-		db.d.givenUp++
-	}
+// ended implements talker. While preparing, nothing has run.
+func (db *mysqlDatabase) ended(error) (state.Reply, bool) {
+	return state.Reply{Result: logic.ConnectFailed}, db.ready() && db.owes && db.Preparing()
 }
 
-// lost tells the state that the connection has ended, unless it closed it itself.
-func (db *mysqlDatabase) lost(error) {
-	if db.closed {
-		return
+// take implements talker.
+func (db *mysqlDatabase) take(buf []byte) (n int, whole bool, err error) {
+	body, seq, n, err := mysql.Next(buf, mysql.MaxPacket)
+	if n == 0 || err != nil {
+		return 0, false, err
 	}
-	never := db.phase == mysqlReady && db.owes && db.Preparing()
-	db.Close()
-	if never {
-		db.to.Reply(state.Reply{Result: logic.ConnectFailed})
-		return
-	}
-	db.to.Down()
-}
-
-func (db *mysqlDatabase) readable() {
-	if err := db.in.fill(db.conn.Reader()); err != nil {
-		db.lost(err)
-		return
+	if !db.owes {
+		return n, false, errUnasked
 	}
-	for used := 0; !db.closed; {
-		body, seq, n, err := mysql.Next(db.in.bytes[used:], mysql.MaxPacket)
-		switch {
-		case err != nil:
-		case n > 0 && !db.owes:
-			err = errUnasked
-		case n > 0 && db.phase != mysqlReady:
-			err = db.login(body, seq)
-		case n > 0:
-			if err = db.reply.Add(body, seq); err == nil {
-				db.raw = append(db.raw, db.in.bytes[used:used+n]...)
-			}
-		}
-		if err != nil {
-			db.spoilt(err)
-			return
-		}
-		used += n
-		done := n > 0 && (db.phase == mysqlReady && (db.reply.Whole() || !db.owes))
-		if n > 0 && !done {
-			continue
-		}
-		db.in.cut(used)
-		if done {
-			db.whole()
-			db.answered()
-		} else if db.owes && db.phase == mysqlReady && !db.begun && !db.probing && len(db.raw) > 0 {
-			db.begun = true
-			db.d.Loop.deadlines.Set(&db.rest, db.d.Loop.clock.Now()+answerPatience, db.stalled)
-		}
-		return
+	if db.phase != mysqlReady {
+		whole, err = db.login(body, seq)
+		return n, whole, err
 	}
-}
-
-func (db *mysqlDatabase) whole() {
-	db.begun = false
-	db.d.Loop.deadlines.Clear(&db.rest)
-}
-
-func (db *mysqlDatabase) stalled() {
-	if db.begun = false; db.conn.Reader().Len() == 0 {
-		db.spoilt(errNoEnd)
+	if err = db.reply.Add(body, seq); err == nil {
+		db.raw = append(db.raw, buf[:n]...)
 	}
+	return n, db.reply.Whole(), err
 }
 
-// login takes a packet of the handshake.
-func (db *mysqlDatabase) login(body []byte, seq byte) error {
+// login takes a packet of the handshake, and tells whether it was the last.
+func (db *mysqlDatabase) login(body []byte, seq byte) (done bool, err error) {
 	if len(body) == 0 {
-		return mysql.ErrMalformed
+		return false, mysql.ErrMalformed
 	}
 	if body[0] == 0xff { // turned away at the door, or the login is wrong
 		e, err := mysql.ParseErr(body)
 		if err != nil {
-			return err
+			return false, err
 		}
 		r := db.failure(&e)
 		if r.Result != logic.Full {
-			return errLogin
+			return false, errLogin
 		}
-		db.Close()
-		db.d.Loop.Post(func() { db.to.Reply(r) })
-		return nil
+		db.away = &r
+		return true, nil
 	}
-	switch db.phase {
-	case mysqlGreeting:
+	if db.phase == mysqlGreeting {
 		h, err := mysql.ParseHandshake(body)
 		if err != nil {
-			return err
+			return false, err
 		}
 		db.caps = linkCaps & h.Caps
 		auth, err := mysql.AnswerScramble(h.Plugin, db.d.MySQLPassword, h.Scramble)
@@ -306,36 +220,40 @@
 			auth = nil // it will ask for a method that both know
 		}
 		db.phase = mysqlLogin
-		return db.write(mysql.AppendLogin(nil, seq+1, mysql.Login{Caps: db.caps, User: db.d.mysqlUser(), Auth: auth, Database: databaseName, Plugin: h.Plugin}))
-	default:
-		switch {
-		case body[0] == 0x00:
-			if _, err := mysql.ParseOK(body, db.caps); err != nil {
-				return err
-			}
-			db.phase, db.owes = mysqlReady, false
-			db.to.Up()
-			return nil
-		case body[0] == 0xfe:
-			plugin, scramble, err := mysql.ParseAuthSwitch(body)
-			if err != nil {
-				return err
-			}
-			auth, err := mysql.AnswerScramble(plugin, db.d.MySQLPassword, scramble)
-			if err != nil {
-				return err
-			}
-			return db.write(mysql.AppendPacket(nil, seq+1, auth))
-		case len(body) == 2 && body[0] == 0x01 && body[1] == mysql.FastOK[0]:
-			return nil
+		return false, db.write(mysql.AppendLogin(nil, seq+1, mysql.Login{Caps: db.caps, User: db.d.mysqlUser(), Auth: auth,
+			Database: databaseName, Plugin: h.Plugin}))
+	}
+	switch {
+	case body[0] == 0x00:
+		_, err := mysql.ParseOK(body, db.caps)
+		return err == nil, err
+	case body[0] == 0xfe:
+		plugin, scramble, err := mysql.ParseAuthSwitch(body)
+		if err != nil {
+			return false, err
 		}
+		auth, err := mysql.AnswerScramble(plugin, db.d.MySQLPassword, scramble)
+		if err != nil {
+			return false, err
+		}
+		return false, db.write(mysql.AppendPacket(nil, seq+1, auth))
+	case len(body) == 2 && body[0] == 0x01 && body[1] == mysql.FastOK[0]:
+		return false, nil
 	}
-	return errLogin
+	return false, errLogin
 }
 
-// answered hands a whole answer over, or goes on with what it was for.
+// answered implements talker: it hands a whole answer over, or goes on with what it was for.
 func (db *mysqlDatabase) answered() {
-	if !db.owes { // the login's
+	switch {
+	case db.away != nil:
+		r := *db.away
+		db.Close()
+		db.d.Loop.Post(func() { db.to.Reply(r) })
+		return
+	case db.phase != mysqlReady:
+		db.phase, db.owes = mysqlReady, false
+		db.to.Up()
 		return
 	}
 	if e := db.reply.Err; e != nil && db.run != nil && db.run.Sent && mysql.OutcomeOf(e) == mysql.Forgotten {
@@ -344,8 +262,9 @@
 		return
 	}
 	if db.asks != "" && db.reply.Err == nil {
-		if id, must := db.cache.Put(db.asks, db.reply.Prepared.Statement); must {
-			db.write(mysql.AppendStatement(nil, mysql.ComStmtClose, id)) // it has no answer
+		closes, must := db.cache.Put(db.asks, prepared.Statement{ID: db.reply.Prepared.Statement, Rows: db.reply.Prepared.Columns > 0})
+		if must && db.clean() {
+			db.write(mysql.AppendStatement(nil, mysql.ComStmtClose, closes)) // it has no answer
 		}
 		if db.run != nil {
 			db.goOn()
@@ -356,28 +275,19 @@
 	db.to.Reply(db.outcome())
 }
 
-// goOn takes the next step of an execution; where it can't, nothing has run.
+// goOn takes the next step of an execution. Nothing goes out behind bytes that are left over, nor where there is no
+// further step: then nothing has run.
 func (db *mysqlDatabase) goOn() {
-	if err := db.step(); err != nil {
-		db.owes = false
+	err := errUnasked
+	if db.clean() {
+		err = db.step()
+	}
+	if err != nil {
 		db.Close()
-		db.to.Reply(state.Reply{Result: logic.ConnectFailed})
+		db.d.Loop.Post(func() { db.to.Reply(state.Reply{Result: logic.ConnectFailed}) })
 	}
 }
 
-func (db *mysqlDatabase) spoilt(err error) {
-	db.d.noteSpoilt(db.address, err)
-	never := db.phase == mysqlReady && db.owes && db.Preparing()
-	db.Close()
-	db.d.Loop.Post(func() {
-		if never {
-			db.to.Reply(state.Reply{Result: logic.ConnectFailed})
-			return
-		}
-		db.to.Spoilt()
-	})
-}
-
 // outcome puts an answer into the terms of the decisions.
 func (db *mysqlDatabase) outcome() state.Reply {
 	if e := db.reply.Err; e != nil {
@@ -386,7 +296,7 @@
 	if db.caps != linkCaps { // a server without the newer ways
 		db.raw = db.reply.AppendTo(db.raw[:0], 1, linkCaps)
 	}
-	r := state.Reply{Result: logic.OK, Body: db.raw, Role: roleOf(db.reply.OK.Role()), Position: db.reply.OK.Position()}
+	r := state.Reply{Result: logic.OK, Body: db.raw, Role: roleOf(db.reply.OK.Role), Position: db.reply.OK.Position}
 	if db.probing && len(db.reply.Rows) == 1 && len(db.reply.Rows[0]) > 1 {
 		r.Load = loadOf(string(db.reply.Rows[0][1:])) // one short text: one byte of length
 	}
--- /dev/null
+++ b/internal/net/mysql_hard_test.go
@@ -0,0 +1,510 @@
+package net
+
+import (
+	"bytes"
+	"database/sql"
+	"errors"
+	"fmt"
+	stdnet "net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	driver "github.com/go-sql-driver/mysql"
+
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire/mysql"
+	"havenproxy/logic"
+)
+
+// script is a member that notes what it is asked and may answer in its own way.
+type script struct {
+	mu    sync.Mutex
+	asked []byte   // the commands, by their first byte
+	long  []string // what came in pieces, in its order
+	last  []byte   // the last EXECUTE
+}
+
+func (sc *script) note(body []byte) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.asked = append(sc.asked, body[0])
+	switch body[0] {
+	case mysql.ComStmtLongData:
+		d, _ := mysql.ParseLongData(body)
+		sc.long = append(sc.long, string(d.Data))
+	case mysql.ComStmtExecute:
+		sc.last = bytes.Clone(body)
+	}
+}
+
+func (sc *script) count(command byte) int {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return bytes.Count(sc.asked, []byte{command})
+}
+
+// twoMembers runs a proxy before two members. The first that gets an EXECUTE or a text turns it away, once.
+func twoMembers(t *testing.T, slow time.Duration) (s *Server, front *state.Front, loop *Loop, all *script) {
+	all = &script{}
+	var turned atomic.Bool
+	var members []string
+	for range 2 {
+		members = append(members, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+			all.note(body)
+			switch {
+			case body[0] == mysql.ComStmtExecute && !turned.Swap(true):
+				conn.Write(mysql.AppendErr(nil, 1, mysql.ErrTooManyConnections, "not now"))
+				return true
+			case body[0] == mysql.ComStmtPrepare && turned.Load():
+				time.Sleep(slow)
+			}
+			return mysqlAnswer(conn, body, caps)
+		}))
+	}
+	s, front, loop = mysqlProxy(t, nil, members...)
+	return s, front, loop, all
+}
+
+// A statement prepared on one server is executed on another: it is prepared there first, and the time that takes is off the
+// client's, also as the server is told of it.
+func TestAStatementMovesWithItsRequest(t *testing.T) {
+	const slow = 120 * time.Millisecond
+	s, front, loop, all := twoMembers(t, slow)
+	p := mysqlDial(t, s, mysql.ServerCaps&^mysql.ClientQueryAttributes)
+	const text = "SELECT val FROM state WHERE uid = ? AND ? > 0 AND ? != '' /* c=any,cluster=0,session=?1,d=?2 */"
+	r := p.ask(t, mysql.ServerCaps, mysql.AppendCommand(nil, mysql.ComStmtPrepare, text), true)
+	if r.Err != nil {
+		t.Fatal(r.Err)
+	}
+	for _, piece := range []string{"a long ", "value"} {
+		p.conn.Write(mysql.AppendLongData(nil, r.Prepared.Statement, 2, []byte(piece)))
+	}
+	x := mysql.Execute{Nulls: []byte{0}, Types: []byte{mysql.TypeVarString, 0, mysql.TypeLongLong, 0, mysql.TypeBlob, 0},
+		Rest: append([]byte{1, 'x'}, 0x98, 0x3a, 0, 0, 0, 0, 0, 0)} // 15,000 ms
+	if r := p.ask(t, mysql.ServerCaps, mysql.AppendExecute(nil, r.Prepared.Statement, 3, &x, 0), false); r.Err != nil || len(r.Rows) != 1 {
+		t.Fatalf("%+v", r)
+	}
+	// Once for the client, once at the second member; no member is asked to prepare what it has.
+	if n, e := all.count(mysql.ComStmtPrepare), all.count(mysql.ComStmtExecute); n < 2 || n > 3 || e != 2 {
+		t.Errorf("%d prepared, %d executed", n, e)
+	}
+	if got := strings.Join(all.long, "|"); got != "a long value|a long value" {
+		t.Errorf("in pieces: %q", got)
+	}
+	got, err := mysql.ParseExecute(all.last, 3, nil, 0, func(i int) bool { return i == 2 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	told, _ := got.Values[1].Text()
+	if ms, _ := strconv.Atoi(told); ms > int((15*time.Second-slow)/time.Millisecond) || ms < 10000 {
+		t.Errorf("the second server is told of %s ms", told)
+	}
+	if c := counters(front, loop); c.Full != 1 || c.Served != 2 || c.Reset > 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// A client that closes its statement while the execution is out gets its answer, and the statement is gone behind it.
+func TestAStatementIsClosedBehindItsExecution(t *testing.T) {
+	wait := make(chan struct{})
+	s, _, _ := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+		if body[0] == mysql.ComStmtExecute {
+			<-wait
+		}
+		return mysqlAnswer(conn, body, caps)
+	}))
+	caps := uint32(mysql.ServerCaps &^ mysql.ClientQueryAttributes)
+	p := mysqlDial(t, s, caps)
+	id := p.ask(t, caps, mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true).Prepared.Statement
+	x := mysql.Execute{Nulls: []byte{0}, Types: []byte{mysql.TypeVarString, 0}, Rest: []byte{1, 'x'}}
+	execute := mysql.AppendExecute(nil, id, 1, &x, 0)
+	time.AfterFunc(30*time.Millisecond, func() { close(wait) })
+	if r := p.ask(t, caps, mysql.AppendStatement(bytes.Clone(execute), mysql.ComStmtClose, id), false); r.Err != nil || len(r.Columns) != 1 {
+		t.Fatalf("%+v", r)
+	}
+	if r := p.ask(t, caps, execute, false); r.Err == nil || r.Err.Number != mysql.ErrUnknownStatement {
+		t.Fatalf("behind its end: %+v", r)
+	}
+}
+
+// The same text from 500 clients is one entry on the server, and one question to it.
+func TestFiveHundredClientsPrepareOneStatement(t *testing.T) {
+	all := &script{}
+	s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+		all.note(body)
+		return mysqlAnswer(conn, body, caps)
+	}))
+	caps := uint32(mysql.ServerCaps &^ mysql.ClientQueryAttributes)
+	for range 500 {
+		p := mysqlDial(t, s, caps)
+		id := p.ask(t, caps, mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true).Prepared.Statement
+		x := mysql.Execute{Nulls: []byte{0}, Types: []byte{mysql.TypeVarString, 0}, Rest: []byte{1, 'x'}}
+		if r := p.ask(t, caps, mysql.AppendExecute(nil, id, 1, &x, 0), false); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+		p.conn.Close()
+	}
+	if n, e := all.count(mysql.ComStmtPrepare), all.count(mysql.ComStmtExecute); n != 1 || e != 500 {
+		t.Errorf("%d prepared, %d executed", n, e)
+	}
+	if c := counters(front, loop); c.Sent != 501 {
+		t.Errorf("%d attempts: a PREPARE that was known is none", c.Sent)
+	}
+}
+
+// What a server said of a statement is forgotten once it refuses the statement itself.
+func TestAShapeIsForgottenWithItsTable(t *testing.T) {
+	all := &script{}
+	var gone atomic.Bool
+	s, _, _ := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+		all.note(body)
+		if gone.Load() {
+			conn.Write(mysql.AppendErr(nil, 1, mysql.ErrParse, "no such table"))
+			return true
+		}
+		return mysqlAnswer(conn, body, caps)
+	}))
+	db := mysqlOpen(t, s, "")
+	var got string
+	if err := db.QueryRow(mysqlRead, "x").Scan(&got); err != nil {
+		t.Fatal(err)
+	}
+	gone.Store(true)
+	var said *driver.MySQLError
+	for range 2 { // the first by its execution, the second by its PREPARE
+		if err := db.QueryRow(mysqlRead, "x").Scan(&got); !errors.As(err, &said) || said.Number != mysql.ErrParse {
+			t.Error(err)
+		}
+	}
+	if n := all.count(mysql.ComStmtPrepare); n != 2 {
+		t.Errorf("%d prepared", n)
+	}
+}
+
+// Parameters of 60 MB: as one packet they are refused by its head; in pieces nothing beyond the bound is kept, and the
+// execution says so. The connection goes on, and so does its bookkeeping.
+func TestParametersOf60MB(t *testing.T) {
+	s, _, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, mysqlAnswer))
+	caps := uint32(mysql.ServerCaps &^ mysql.ClientQueryAttributes)
+	p := mysqlDial(t, s, caps)
+	id := p.ask(t, caps, mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true).Prepared.Statement
+	piece, most := bytes.Repeat([]byte{'x'}, 100<<10), 0
+	for sent := 0; sent < 60<<20; sent += len(piece) {
+		if _, err := p.conn.Write(mysql.AppendLongData(nil, id, 0, piece)); err != nil {
+			t.Fatal(err)
+		}
+		if sent%(6<<20) == 0 {
+			got := make(chan int)
+			loop.Post(func() { got <- s.buffered })
+			most = max(most, <-got)
+		}
+	}
+	x := mysql.Execute{Nulls: []byte{0}, Types: []byte{mysql.TypeBlob, 0}}
+	execute := mysql.AppendExecute(nil, id, 1, &x, 0)
+	if r := p.ask(t, caps, execute, false); r.Err == nil || r.Err.Number != mysql.ErrPacketTooLarge {
+		t.Errorf("in pieces: %+v", r)
+	}
+	if most > 2*maxLongData+2*mysql.MaxPacket {
+		t.Errorf("%d bytes were held", most)
+	}
+	p.conn.Write(mysql.AppendLongData(nil, id, 0, []byte("small")))
+	if r := p.ask(t, caps, execute, false); r.Err != nil {
+		t.Errorf("behind it: %v", r.Err)
+	}
+	p.conn.Write([]byte{0xff, 0xff, 0xff, 0, mysql.ComStmtExecute}) // 16 MiB, with more to come
+	body, _, err := p.next()
+	if e, _ := mysql.ParseErr(body); err != nil || e.Number != mysql.ErrPacketTooLarge {
+		t.Errorf("as one packet: %v, %v", e, err)
+	}
+}
+
+// Bytes left over behind the answer to a PREPARE: the execution doesn't go out behind them, so it has never run.
+func TestNothingIsExecutedBehindASecondCopy(t *testing.T) {
+	all := &script{}
+	s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+		all.note(body)
+		if body[0] == mysql.ComStmtPrepare && all.count(mysql.ComStmtPrepare) == 1 {
+			mysqlAnswer(conn, body, caps) // the client's own,
+			return false                  // and the next is another connection's
+		}
+		if body[0] == mysql.ComStmtPrepare { // in one write: apart, the second might come behind the EXECUTE
+			var twice gathered
+			mysqlAnswer(&twice, body, caps)
+			conn.Write(append(twice.bytes, twice.bytes...))
+			return true
+		}
+		return mysqlAnswer(conn, body, caps)
+	}))
+	p := mysqlDial(t, s, mysql.ServerCaps&^mysql.ClientQueryAttributes)
+	id := p.ask(t, mysql.ServerCaps, mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true).Prepared.Statement
+	x := mysql.Execute{Nulls: []byte{0}, Types: []byte{mysql.TypeVarString, 0}, Rest: []byte{1, 'x'}}
+	if r := p.ask(t, mysql.ServerCaps, mysql.AppendExecute(nil, id, 1, &x, 0), false); r.Err == nil {
+		t.Error("answered")
+	}
+	if n := all.count(mysql.ComStmtExecute); n > 0 {
+		t.Errorf("%d went out behind bytes that were left over", n)
+	}
+	if c := counters(front, loop); c.Reset > 0 || c.ConnectFailed == 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// gathered keeps what is written.
+type gathered struct {
+	stdnet.Conn
+	bytes []byte
+}
+
+func (g *gathered) Write(b []byte) (int, error) {
+	g.bytes = append(g.bytes, b...)
+	return len(b), nil
+}
+
+// Answers whose parts don't fit each other may have run, and reach no client.
+func TestAnswersThatDoNotFitTheirCount(t *testing.T) {
+	column := mysql.AppendColumn(nil, 0, "val", mysql.TypeVarString)[4:]
+	packets := func(caps uint32, bodies ...[]byte) (out []byte) {
+		for i, b := range bodies {
+			out = mysql.AppendPacket(out, byte(i+1), b)
+		}
+		return mysql.AppendOK(out, byte(len(bodies)+1), mysql.OK{}, caps, true)
+	}
+	for name, says := range map[string]func(caps uint32) []byte{
+		"an OK where rows are due":  func(caps uint32) []byte { return mysql.AppendOK(nil, 1, mysql.OK{}, caps, false) },
+		"a column too many":         func(caps uint32) []byte { return packets(caps, []byte{1}, column, column, []byte{0, 0, 1, 'x'}) },
+		"a column too few":          func(caps uint32) []byte { return packets(caps, []byte{2}, column, []byte{0, 0, 1, 'x'}) },
+		"a row of too few values":   func(caps uint32) []byte { return packets(caps, []byte{2}, column, column, []byte{1, 'x'}) },
+		"a definition that is none": func(caps uint32) []byte { return packets(caps, []byte{1}, []byte{1, 'x'}, []byte{0, 0, 1, 'x'}) },
+	} {
+		for _, prepares := range []bool{false, true} {
+			s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+				if body[0] == mysql.ComStmtPrepare || body[0] == mysql.ComStmtClose {
+					return mysqlAnswer(conn, body, caps)
+				}
+				conn.Write(says(caps))
+				return true
+			}))
+			db := mysqlOpen(t, s, "")
+			var got string
+			var err error
+			if prepares {
+				err = db.QueryRow(mysqlRead, "x").Scan(&got)
+			} else {
+				err = db.QueryRow("SELECT 1 /* c=any,cluster=0,d=15000 */").Scan(&got)
+			}
+			if c := counters(front, loop); err == nil || c.Reset == 0 {
+				t.Errorf("%s, prepared %v: %v, %q, %+v", name, prepares, err, got, c)
+			}
+		}
+	}
+}
+
+// mysqlUsersProxy runs a proxy whose MySQL clients have to log in.
+func mysqlUsersProxy(t *testing.T, users map[string]string) (*Server, *Loop, *MySQLOptions) {
+	t.Helper()
+	key, err := mysql.NewKey()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &MySQLOptions{Users: map[string]mysql.Secret{}, Key: key}
+	for name, text := range users {
+		if o.Users[name], err = mysql.ParseSecret(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, _, loop := proxy(t, "127.0.0.1:1", 64, 2)
+	done := make(chan error)
+	loop.Post(func() { done <- s.ListenMySQL("127.0.0.1:0", o) })
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	return s, loop, o
+}
+
+func mysqlPing(s *Server, user, password string) error {
+	db, err := sql.Open("mysql", user+":"+password+"@tcp("+s.MySQLAddress()+")/core")
+	if err != nil {
+		return err
+	}
+	defer db.Close()
+	return db.Ping()
+}
+
+// Passwords that are tried by the hundreds: they are turned away, with the time to come back, and others get in meanwhile.
+func TestPasswordsTriedByTheHundreds(t *testing.T) {
+	for kind, secret := range map[string]string{"sha2": mysql.HashSHA2("right"), "salted": mysql.HashSalted("right", []byte("some salt"))} {
+		s, _, _ := mysqlUsersProxy(t, map[string]string{"victim": secret, "other": mysql.HashNative("o")})
+		denied, away := 0, 0
+		var said *driver.MySQLError
+		for i := range 300 {
+			switch err := mysqlPing(s, "victim", fmt.Sprint("guess", i)); {
+			case !errors.As(err, &said):
+				t.Fatalf("%s: %v", kind, err)
+			case said.Number == mysql.ErrAccessDenied:
+				denied++
+			case said.Number == mysql.ErrTooManyConnections && strings.Contains(said.Message, "come again after"):
+				away++
+			}
+		}
+		if denied+away != 300 || denied > 20 || away < 200 {
+			t.Errorf("%s: %d denied, %d turned away", kind, denied, away)
+		}
+		if err := mysqlPing(s, "other", "o"); err != nil {
+			t.Errorf("%s: another user: %v", kind, err)
+		}
+		if err := mysqlPing(s, "victim", "right"); err == nil {
+			t.Errorf("%s: let in before its time", kind)
+		}
+		skip(s, 31*time.Second)
+		if err := mysqlPing(s, "victim", "right"); err != nil {
+			t.Errorf("%s: behind its time: %v", kind, err)
+		}
+	}
+}
+
+// A password that the operator has changed is worth nothing any more, also for a user who has been through a full exchange.
+func TestAChangedPasswordEndsTheOldOne(t *testing.T) {
+	s, loop, o := mysqlUsersProxy(t, map[string]string{"u": mysql.HashSalted("old", []byte("some salt"))})
+	for range 2 { // the second by the fast path
+		if err := mysqlPing(s, "u", "old"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	changed, err := mysql.ParseSecret(mysql.HashSalted("new", []byte("some salt")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	loop.Post(func() { o.Users = map[string]mysql.Secret{"u": changed}; close(done) })
+	<-done
+	if err := mysqlPing(s, "u", "old"); err == nil {
+		t.Error("the old password gets in")
+	}
+	if err := mysqlPing(s, "u", "new"); err != nil {
+		t.Errorf("the new one: %v", err)
+	}
+}
+
+// COM_CHANGE_USER has a scramble of its own; half of it is ended like half a login.
+func TestChangingTheUser(t *testing.T) {
+	s, _, _ := mysqlUsersProxy(t, map[string]string{"a": mysql.HashNative("pa"), "b": mysql.HashNative("pb")})
+	open := func() (*mysqlPeer, []byte) {
+		conn, err := stdnet.Dial("tcp", s.MySQLAddress())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		p := &mysqlPeer{conn: conn}
+		body, _, _ := p.next()
+		h, err := mysql.ParseHandshake(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		auth, _ := mysql.AnswerScramble(mysql.NativePassword, "pa", h.Scramble)
+		caps := uint32(mysql.ServerCaps &^ mysql.ClientQueryAttributes)
+		conn.Write(mysql.AppendLogin(nil, 1, mysql.Login{Caps: caps, User: "a", Auth: auth, Plugin: mysql.NativePassword}))
+		if body, _, err := p.next(); err != nil || body[0] != 0 {
+			t.Fatal(body, err)
+		}
+		return p, h.Scramble
+	}
+	change := append(append([]byte{mysql.ComChangeUser}, "b\x00\x00core\x00"...), 45, 0)
+	for name, with := range map[string]func(old, anew []byte) []byte{
+		"by the new scramble": func(_, anew []byte) []byte { return anew },
+		"by the old one":      func(old, _ []byte) []byte { return old },
+	} {
+		p, old := open()
+		p.conn.Write(mysql.AppendPacket(nil, 0, change))
+		body, seq, err := p.next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, anew, err := mysql.ParseAuthSwitch(body)
+		if err != nil || bytes.Equal(anew, old) {
+			t.Fatalf("%x, %v", body, err)
+		}
+		auth, _ := mysql.AnswerScramble(mysql.NativePassword, "pb", with(old, anew))
+		p.conn.Write(mysql.AppendPacket(nil, seq+1, auth))
+		body, _, err = p.next()
+		if ok := err == nil && body[0] == 0; ok != (name == "by the new scramble") {
+			t.Errorf("%s: %x, %v", name, body, err)
+		}
+	}
+	p, _ := open()
+	p.conn.Write(mysql.AppendPacket(nil, 0, change))
+	p.next()
+	skip(s, queryPatience)
+	body, _, err := p.next()
+	if e, _ := mysql.ParseErr(body); err != nil || e.Number == 0 {
+		t.Errorf("half of it: %x, %v", body, err)
+	}
+}
+
+// Query attributes say of a request what its text doesn't, and don't reach the database.
+func TestQueryAttributes(t *testing.T) {
+	all := &script{}
+	s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, func(conn stdnet.Conn, body []byte, caps uint32) bool {
+		all.note(body)
+		return mysqlAnswer(conn, body, caps)
+	}))
+	const caps = mysql.ServerCaps
+	p := mysqlDial(t, s, caps)
+	attributes := func(dst []byte, of map[string]string) []byte {
+		var values []byte
+		dst = append(dst, make([]byte, (len(of)+7)/8)...)
+		dst = append(dst, 1)
+		for name, v := range of {
+			dst = append(append(append(dst, mysql.TypeVarString, 0), byte(len(name))), name...)
+			values = append(append(values, byte(len(v))), v...)
+		}
+		return append(dst, values...)
+	}
+	text := "SELECT 1 /* c=any */"
+	body := append(attributes([]byte{mysql.ComQuery, 2, 1}, map[string]string{"cluster": "0", "d": "15000"}), text...)
+	if r := p.ask(t, caps, mysql.AppendPacket(nil, 0, body), false); r.Err != nil {
+		t.Fatal(r.Err)
+	}
+	body = append([]byte{mysql.ComQuery, 0, 1}, text...) // without them there is no group
+	if r := p.ask(t, caps, mysql.AppendPacket(nil, 0, body), false); r.Err == nil {
+		t.Error("served without a group")
+	}
+	st := p.ask(t, caps, mysql.AppendCommand(nil, mysql.ComStmtPrepare, "SELECT 1 /* c=any,cluster=0 */"), true)
+	if st.Err != nil {
+		t.Fatal(st.Err)
+	}
+	id := byte(st.Prepared.Statement)
+	body = attributes([]byte{mysql.ComStmtExecute, id, 0, 0, 0, 0x08, 1, 0, 0, 0, 1}, map[string]string{"d": "0"})
+	if r := p.ask(t, caps, mysql.AppendPacket(nil, 0, body), false); r.Err == nil {
+		t.Error("served though its time had run out, as its attribute says")
+	}
+	if c := counters(front, loop); c.Served != 2 || all.count(mysql.ComStmtExecute) != 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// A refusal is 1040 with the time to come back, where there is one.
+func TestMySQLRefusals(t *testing.T) {
+	for after, want := range map[time.Duration]string{0: "now", 1500 * time.Microsecond: "now; come again after 2 ms"} {
+		body, _, _, err := mysql.Next((&mysqlSpeaker{seq: 1}).refused(nil, after), mysql.MaxPacket)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e, err := mysql.ParseErr(body)
+		if err != nil || e.Number != mysql.ErrTooManyConnections || e.State != "08004" || !strings.HasSuffix(e.Text, want) {
+			t.Errorf("%+v, %v", e, err)
+		}
+	}
+	s, front, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, mysqlAnswer))
+	done := make(chan struct{})
+	loop.Post(func() { s.front.Listed(state.List{Kind: logic.ListFull}); close(done) })
+	<-done
+	var said *driver.MySQLError
+	_, err := mysqlOpen(t, s, "").Exec("SELECT 1 /* c=any,cluster=0,d=15000 */")
+	if c := counters(front, loop); !errors.As(err, &said) || said.Number != mysql.ErrTooManyConnections || c.Refused != 1 {
+		t.Errorf("%v, %+v", err, c)
+	}
+}
--- a/internal/net/mysql_test.go
+++ b/internal/net/mysql_test.go
@@ -45,6 +45,44 @@
 	}
 }
 
+// ask sends a command and reads its whole answer.
+func (p *mysqlPeer) ask(t *testing.T, caps uint32, b []byte, prepare bool) *mysql.Reply {
+	t.Helper()
+	p.conn.Write(b)
+	var r mysql.Reply
+	r.Expect(caps, prepare)
+	if len(b) > 4 && b[4] == mysql.ComStmtExecute {
+		r.Binary()
+	}
+	for !r.Whole() {
+		body, seq, err := p.next()
+		if err == nil {
+			err = r.Add(body, seq)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return &r
+}
+
+// mysqlDial opens a client's connection that does without a driver.
+func mysqlDial(t *testing.T, s *Server, caps uint32) *mysqlPeer {
+	t.Helper()
+	conn, err := stdnet.Dial("tcp", s.MySQLAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	p := &mysqlPeer{conn: conn}
+	p.next()
+	conn.Write(mysql.AppendLogin(nil, 1, mysql.Login{Caps: caps, User: "u", Plugin: mysql.CachingSHA2}))
+	if body, _, err := p.next(); err != nil || body[0] != 0 {
+		t.Fatal(body, err)
+	}
+	return p
+}
+
 // mysqlMember is a database of a few lines; the test says what it answers to a command. False ends the connection.
 func mysqlMember(t *testing.T, caps uint32, answer func(conn stdnet.Conn, body []byte, caps uint32) bool) string {
 	t.Helper()
@@ -337,31 +375,11 @@
 
 // Parameters that don't fit, and too many statements, are told; the connection goes on.
 func TestMySQLStatementsAreBoundedAndChecked(t *testing.T) {
-	s, _, _ := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, mysqlAnswer))
-	conn, err := stdnet.Dial("tcp", s.MySQLAddress())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	p := &mysqlPeer{conn: conn}
+	s, _, loop := mysqlProxy(t, nil, mysqlMember(t, mysql.ServerCaps, mysqlAnswer))
 	caps := uint32(mysql.ServerCaps &^ mysql.ClientQueryAttributes)
-	p.next()
-	conn.Write(mysql.AppendLogin(nil, 1, mysql.Login{Caps: caps, User: "u", Plugin: mysql.CachingSHA2}))
-	p.next()
-	ask := func(b []byte, prepare bool) *mysql.Reply {
-		conn.Write(b)
-		var r mysql.Reply
-		for r.Expect(caps, prepare); !r.Whole(); {
-			body, seq, err := p.next()
-			if err == nil {
-				err = r.Add(body, seq)
-			}
-			if err != nil {
-				t.Fatal(err)
-			}
-		}
-		return &r
-	}
+	p := mysqlDial(t, s, caps)
+	conn := p.conn
+	ask := func(b []byte, prepare bool) *mysql.Reply { return p.ask(t, caps, b, prepare) }
 	first := ask(mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true)
 	if first.Err != nil || first.Prepared.Params != 1 {
 		t.Fatalf("%+v", first)
@@ -390,16 +408,45 @@
 		t.Errorf("in pieces: %v", r.Err)
 	}
 	var told *mysql.ServerError
-	for n := 1; n <= maxStatements && told == nil; n++ {
-		told = ask(mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true).Err
+	refused := 0
+	for range 10000 { // the bound is told each time, and the connection goes on
+		if err := ask(mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true).Err; err != nil {
+			told = err
+			refused++
+		}
 	}
-	if told == nil || told.Number != mysql.ErrTooManyStatements {
-		t.Errorf("too many: %v", told)
+	if told == nil || told.Number != mysql.ErrTooManyStatements || refused != 10000-maxStatements+1 {
+		t.Errorf("too many: %v, %d times", told, refused)
 	}
 	conn.Write(mysql.AppendStatement(nil, mysql.ComStmtClose, uint32(id)))
 	if r := ask(mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true); r.Err != nil {
 		t.Errorf("with room again: %v", r.Err)
 	}
+	// Long texts have a bound of their own: their number would allow a gigabyte.
+	long, n := strings.Replace(mysqlRead, "val", strings.Repeat("v", 200<<10), 1), 0
+	for told = nil; told == nil && n < 20; n++ {
+		conn.Write(mysql.AppendStatement(nil, mysql.ComStmtClose, uint32(n+2)))
+		told = ask(mysql.AppendCommand(nil, mysql.ComStmtPrepare, long), true).Err
+	}
+	if told == nil || told.Number != mysql.ErrTooManyStatements || n > maxTexts/len(long)+1 {
+		t.Errorf("long texts: %v at the %d.", told, n)
+	}
+	conn.Close()
+	held := -1
+	for end := time.Now().Add(patience); held != 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		got := make(chan int)
+		loop.Post(func() {
+			sum := s.buffered
+			for c := range s.clients {
+				sum += c.speaks.(*mysqlSpeaker).textBytes + 1
+			}
+			got <- sum
+		})
+		held = <-got
+	}
+	if held != 0 {
+		t.Errorf("%d bytes are held for a client that has gone", held)
+	}
 }
 
 // Bad servers: nothing of theirs reaches a client as an answer.
@@ -430,7 +477,7 @@
 	}))
 	db := mysqlOpen(t, s, "")
 	for range 3 {
-		if _, err := db.Exec("SELECT 1 /* c=any,cluster=0,d=15000 */"); err != nil {
+		if _, err := db.Exec("UPDATE x SET y = 1 /* c=any,cluster=0,d=15000 */"); err != nil {
 			t.Errorf("a second copy: %v", err)
 		}
 	}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -55,7 +55,7 @@
 		t.Fatal(err)
 	}
 	loop := NewLoop(clock, &front.Deadlines)
-	databases.Loop = loop
+	databases.Loop, databases.Counters = loop, &front.Counters
 	s := NewServer(loop, clock, front, clients, excess, 32<<20)
 	s.easy = clients // each test closes clients for one reason
 	if err := s.Listen("127.0.0.1:0"); err != nil {
--- a/internal/net/postgres_client.go
+++ b/internal/net/postgres_client.go
@@ -14,6 +14,8 @@
 
 func (postgres) greet(*client) {} // the client speaks first
 
+func (postgres) gone(*client) {}
+
 func (postgres) pipelines() int { return maxPipelined }
 
 // next handles the first message of buf and tells its length; 0 = nothing to do yet.
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -151,13 +151,14 @@
 		return err
 	}
 	p.mysql = &net.MySQLOptions{Users: users}
-	for _, s := range users {
-		if s.Kind == mysql.SecretSalted && p.mysql.Key == nil {
-			if p.mysql.Key, err = mysql.NewKey(); err != nil {
-				return err
-			}
+	go func() { // it takes tenths of a second, in which nobody is to wait; users may come to need it at a SIGHUP
+		key, err := mysql.NewKey()
+		if err != nil {
+			slog.Error("no key for MySQL's full logins", "error", err)
+			return
 		}
-	}
+		p.loop.Post(func() { p.mysql.Key = key })
+	}()
 	if m.PasswordFile != "" {
 		text, err := os.ReadFile(m.PasswordFile)
 		if err != nil {
@@ -219,7 +220,7 @@
 		p.patience = min(max(p.patience, c.Limit), longestPatience)
 	}
 	p.loop = net.NewLoop(p.clock, &p.front.Deadlines)
-	databases.Loop, p.databases = p.loop, databases
+	databases.Loop, databases.Counters, p.databases = p.loop, &p.front.Counters, databases
 	buffers := mostBuffers
 	if cfg.MemoryMB > 0 {
 		buffers = min(cfg.MemoryMB<<20/bufferPart, mostBuffers)
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -13,6 +13,9 @@
 	ListCalls, ListFailures                        uint64
 	Clients, MadeRoom, TurnedAway, Malformed       uint64 // client connections
 	LevelChanges                                   uint64
+	// Of MySQL: executions of prepared statements written to databases, and statements that had to be prepared on a
+	// connection before one.
+	Executes, Prepares uint64
 }
 
 // LogValue lets slog print the counters.
@@ -29,5 +32,6 @@
 		slog.Uint64("list_calls", c.ListCalls), slog.Uint64("list_failures", c.ListFailures),
 		slog.Uint64("clients", c.Clients), slog.Uint64("made_room", c.MadeRoom),
 		slog.Uint64("turned_away", c.TurnedAway), slog.Uint64("malformed", c.Malformed),
-		slog.Uint64("level_changes", c.LevelChanges))
+		slog.Uint64("level_changes", c.LevelChanges),
+		slog.Uint64("executes", c.Executes), slog.Uint64("prepares", c.Prepares))
 }
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -193,6 +193,10 @@
 		return
 	}
 	f.Deadlines.Clear(&l.Deadline)
+	if !l.conn.Quiet() { // more came than the welcome; nothing has been written
+		l.fail(Reply{Result: logic.ConnectFailed})
+		return
+	}
 	if l.probing {
 		f.ask(l)
 		return
--- a/internal/state/prepared/prepared.go
+++ b/internal/state/prepared/prepared.go
@@ -13,9 +13,15 @@
 	order   list.List // the one used last in front
 }
 
+// Statement is what a server says of a statement that it has prepared.
+type Statement struct {
+	ID   uint32 // by which the server knows it, on this connection
+	Rows bool   // its executions answer with rows
+}
+
 type entry struct {
 	text string
-	id   uint32
+	Statement
 }
 
 // New makes a cache for so many statements, one at least.
@@ -24,22 +30,22 @@
 // Len tells how many statements are held.
 func (c *Cache) Len() int { return len(c.entries) }
 
-// Use gives the number of a statement that is prepared here, and notes its use.
-func (c *Cache) Use(text string) (id uint32, ok bool) {
+// Use gives a statement that is prepared here, and notes its use.
+func (c *Cache) Use(text string) (st Statement, ok bool) {
 	e := c.entries[text]
 	if e == nil {
-		return 0, false
+		return st, false
 	}
 	c.order.MoveToFront(e)
-	return e.Value.(*entry).id, true
+	return e.Value.(*entry).Statement, true
 }
 
 // Put notes that a statement has been prepared. What has to give way for it is to be closed at the server.
-func (c *Cache) Put(text string, id uint32) (closes uint32, must bool) {
+func (c *Cache) Put(text string, st Statement) (closes uint32, must bool) {
 	if e := c.entries[text]; e != nil {
 		was := e.Value.(*entry)
-		closes, must = was.id, was.id != id
-		was.id = id
+		closes, must = was.ID, was.ID != st.ID
+		was.Statement = st
 		c.order.MoveToFront(e)
 		return closes, must
 	}
@@ -48,9 +54,9 @@
 		old := e.Value.(*entry)
 		c.order.Remove(e)
 		delete(c.entries, old.text)
-		closes, must = old.id, true
+		closes, must = old.ID, true
 	}
-	c.entries[text] = c.order.PushFront(&entry{text, id})
+	c.entries[text] = c.order.PushFront(&entry{text, st})
 	return closes, must
 }
 
@@ -81,16 +87,16 @@
 }
 
 // Next gives the next step on a connection.
-func (r *Run) Next(c *Cache) (Step, uint32) {
-	if id, ok := c.Use(r.Text); ok {
+func (r *Run) Next(c *Cache) (Step, Statement) {
+	if st, ok := c.Use(r.Text); ok {
 		r.Sent = true
-		return Execute, id
+		return Execute, st
 	}
 	if r.prepared >= 2 {
-		return GiveUp, 0
+		return GiveUp, Statement{}
 	}
 	r.prepared++
-	return Prepare, 0
+	return Prepare, Statement{}
 }
 
 // Forgotten notes that the server didn't know the statement: nothing has run.
--- a/internal/state/prepared/prepared_test.go
+++ b/internal/state/prepared/prepared_test.go
@@ -15,7 +15,8 @@
 		open, next := map[uint32]bool{}, uint32(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			text := strconv.Itoa(rapid.IntRange(0, 8).Draw(t, "text"))
-			if id, ok := c.Use(text); ok {
+			if st, ok := c.Use(text); ok {
+				id := st.ID
 				if !open[id] {
 					t.Fatalf("%d was closed", id)
 				}
@@ -27,7 +28,7 @@
 			}
 			next++
 			open[next] = true
-			if id, must := c.Put(text, next); must {
+			if id, must := c.Put(text, Statement{ID: next}); must {
 				if !open[id] || id == next {
 					t.Fatalf("%d is to be closed", id)
 				}
@@ -46,15 +47,15 @@
 	if s, _ := r.Next(c); s != Prepare || r.Sent {
 		t.Fatal(s)
 	}
-	c.Put("a", 7)
-	if s, id := r.Next(c); s != Execute || id != 7 || !r.Sent {
-		t.Fatal(s, id)
+	c.Put("a", Statement{ID: 7})
+	if s, st := r.Next(c); s != Execute || st.ID != 7 || !r.Sent {
+		t.Fatal(s, st)
 	}
 	r.Forgotten(c)
 	if s, _ := r.Next(c); s != Prepare || r.Sent {
 		t.Fatal(s)
 	}
-	c.Put("a", 8)
+	c.Put("a", Statement{ID: 8})
 	r.Next(c)
 	r.Forgotten(c)
 	if s, _ := r.Next(c); s != GiveUp || r.Sent {
--- /dev/null
+++ b/internal/state/prepared/shapes_test.go
@@ -0,0 +1,58 @@
+package prepared
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Against a plain map: what is given is what was learned last, no older than it may be, and the room is kept.
+func TestShapesKeepTheirRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most, room := rapid.IntRange(1, 5).Draw(t, "most"), rapid.IntRange(40, 120).Draw(t, "room")
+		s := NewShapes(most, room, time.Second)
+		type known struct {
+			answer string
+			at     time.Duration
+		}
+		model, now := map[string]known{}, time.Duration(1)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			text := strconv.Itoa(rapid.IntRange(0, 7).Draw(t, "text"))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				a := rapid.StringN(0, 30, 30).Draw(t, "answer")
+				s.Learn(now, 1, text, []byte(a))
+				model[text] = known{a, now}
+			case 1:
+				s.Forget(1, text)
+				delete(model, text)
+			default:
+				got, _, ok := s.Of(now, 1, text)
+				if m, was := model[text]; ok && (!was || string(got) != m.answer || now-m.at >= time.Second) {
+					t.Fatalf("%q of %q, learned %q", got, text, m.answer)
+				}
+				if _, _, other := s.Of(now, 2, text); other {
+					t.Fatal("another group's")
+				}
+			}
+			if n, bytes := s.Len(); n > most || bytes > room || bytes < 0 {
+				t.Fatalf("%d entries, %d bytes", n, bytes)
+			}
+		}
+	})
+}
+
+func TestALargeShapeIsNotKept(t *testing.T) {
+	s := NewShapes(10, 400, time.Second)
+	s.Learn(1, 1, "a", make([]byte, 50))
+	s.Learn(1, 1, "b", make([]byte, 200))
+	if _, _, ok := s.Of(1, 1, "b"); ok {
+		t.Error("half of the room in one")
+	}
+	if _, _, ok := s.Of(1, 1, "a"); !ok {
+		t.Error("it drove out another")
+	}
+}
--- a/internal/wire/mysql/auth.go
+++ b/internal/wire/mysql/auth.go
@@ -1,6 +1,7 @@
 package mysql
 
 import (
+	"bytes"
 	"crypto/rand"
 	"crypto/rsa"
 	"crypto/sha1"
@@ -40,6 +41,11 @@
 // GoString hides it from %#v.
 func (Secret) GoString() string { return "(secret)" }
 
+// Equal tells whether two secrets are the same.
+func (s *Secret) Equal(o *Secret) bool {
+	return s.Kind == o.Kind && s.Native == o.Native && s.SHA2 == o.SHA2 && s.Salted == o.Salted && bytes.Equal(s.Salt, o.Salt)
+}
+
 // saltRounds makes a guess at a salted secret expensive.
 const saltRounds = 5000
 
--- a/internal/wire/mysql/command.go
+++ b/internal/wire/mysql/command.go
@@ -61,6 +61,7 @@
 // Value is a parameter's value. Raw is its binary form, as it came; a part of the packet.
 type Value struct {
 	Null bool
+	Long bool // it came by COM_STMT_SEND_LONG_DATA
 	Type byte
 	Raw  []byte
 }
@@ -124,6 +125,7 @@
 			continue
 		}
 		if long != nil && long(i) {
+			v.Long = true
 			continue
 		}
 		switch v.Type {
@@ -201,6 +203,11 @@
 	Rest       []byte // the values
 	Values     []Value
 	Attributes []Attribute
+
+	// Sets tells that one parameter, which has a value, goes out with another number: what is left of the client's time.
+	Sets   bool
+	Param  int
+	Number int64
 }
 
 // StatementOf gives the id of a statement in a COM_STMT_*.
@@ -278,7 +285,7 @@
 // rawLen is the length of a value's binary form with the length before it.
 func rawLen(v Value) int {
 	switch {
-	case v.Null:
+	case v.Null, v.Long:
 		return 0
 	case v.Type == TypeDate || v.Type == TypeDatetime || v.Type == TypeTimestamp || v.Type == TypeTime:
 		return 1 + len(v.Raw)
@@ -288,6 +295,32 @@
 	return len(appendLenEnc(nil, uint64(len(v.Raw)))) + len(v.Raw)
 }
 
+// withNumber writes the values with another number in the place of one parameter's, in the form that this has. One that has
+// none for it, such as a date, stays as it is.
+func (x *Execute) withNumber(dst []byte, param int, n int64) []byte {
+	at := 0
+	for _, v := range x.Values[:param] {
+		at += rawLen(v)
+	}
+	v := x.Values[param]
+	end := at + rawLen(v)
+	dst = append(dst, x.Rest[:at]...)
+	switch {
+	case v.Null || v.Long || width(v.Type) < 0 || v.Type == TypeFloat || v.Type == TypeDouble:
+		dst = append(dst, x.Rest[at:end]...)
+	case width(v.Type) > 0:
+		if bits := 8*width(v.Type) - 1; bits < 63 { // it was no larger before
+			n = min(n, 1<<bits-1)
+		}
+		for i := range width(v.Type) {
+			dst = append(dst, byte(n>>(8*i)))
+		}
+	default:
+		dst = appendLenStr(dst, strconv.FormatInt(n, 10))
+	}
+	return append(dst, x.Rest[end:]...)
+}
+
 // AppendExecute writes a COM_STMT_EXECUTE for a database that knows the statement by another id. The types always go
 // along, for that server may not have seen them. Attributes stay here.
 func AppendExecute(dst []byte, statement uint32, params int, x *Execute, caps uint32) []byte {
@@ -305,7 +338,11 @@
 				dst = append(dst, 0)
 			}
 		}
-		dst = append(dst, x.Rest...)
+		if x.Sets {
+			dst = x.withNumber(dst, x.Param, x.Number)
+		} else {
+			dst = append(dst, x.Rest...)
+		}
 	}
 	return end(dst, at)
 }
--- a/internal/wire/mysql/mysql_test.go
+++ b/internal/wire/mysql/mysql_test.go
@@ -1,6 +1,7 @@
 package mysql
 
 import (
+	"bytes"
 	"database/sql"
 	"errors"
 	"flag"
@@ -190,6 +191,94 @@
 	})
 }
 
+// What is relayed reads as what is taken apart and written again; what a server tells of itself stays behind.
+func TestRelayedAnswersReadTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from := uint32(ClientProtocol41 | ClientDeprecateEOF | ClientSessionTrack)
+		to := uint32(ClientProtocol41) | rapid.SampledFrom([]uint32{0, ClientDeprecateEOF, ClientDeprecateEOF | ClientSessionTrack}).Draw(t, "client")
+		names := rapid.SliceOfN(rapid.StringMatching(`[a-z]{0,300}`), 1, 4).Draw(t, "names")
+		answer := AppendPacket(nil, 1, []byte{byte(len(names))})
+		seq := byte(2)
+		for _, n := range names {
+			answer = AppendColumn(answer, seq, n, TypeVarString)
+			seq++
+		}
+		for range rapid.IntRange(0, 400).Draw(t, "rows") { // also beyond one round of sequence numbers
+			answer = AppendTextRow(answer, seq, names...)
+			seq++
+		}
+		answer = AppendOK(answer, seq, OK{Warnings: 3}, from, true, VarRole, RolePrimary, VarPosition, "77")
+		var whole Reply
+		whole.Expect(from, false)
+		if err := feed(answer, nil, whole.Add); err != nil || whole.OK.Role != RolePrimary || whole.OK.Position != 77 {
+			t.Fatalf("%+v, %v", whole.OK, err)
+		}
+		out, ok := Relay(nil, answer, to)
+		if ok != (to&ClientDeprecateEOF != 0) {
+			t.Fatal("relayed to a client of another form, or not to one of the same")
+		}
+		if ok && !bytes.Equal(out, whole.AppendTo(nil, 1, to)) {
+			t.Fatalf("%x\n%x", out, whole.AppendTo(nil, 1, to))
+		}
+	})
+	for _, none := range [][]byte{nil, AppendOK(nil, 1, OK{}, ServerCaps, false), AppendErr(nil, 1, ErrParse, "x"), {1, 0, 0, 1, 1}, {9, 0, 0, 1, 1}} {
+		if _, ok := Relay(nil, none, ServerCaps); ok {
+			t.Errorf("%x is relayed", none)
+		}
+	}
+}
+
+// One parameter goes out with another number, in the form that it had; the others stay as they were.
+func TestOneParameterGoesOutWithAnotherNumber(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := Execute{Nulls: make([]byte, 2)}
+		n := rapid.IntRange(1, 9).Draw(t, "params")
+		var want []string
+		for i := range n {
+			kind := rapid.SampledFrom([]byte{TypeLongLong, TypeLong, TypeShort, TypeVarString, TypeDouble, TypeDate, TypeNull}).Draw(t, "type")
+			x.Types = append(x.Types, kind, 0)
+			switch w := width(kind); {
+			case kind == TypeNull:
+				x.Nulls[i/8] |= 1 << (i % 8)
+			case kind == TypeDate:
+				x.Rest = append(x.Rest, 4, 1, 2, 3, 4)
+			case w > 0:
+				x.Rest = append(x.Rest, rapid.SliceOfN(rapid.Byte(), w, w).Draw(t, "value")...)
+			default:
+				x.Rest = appendLenStr(x.Rest, rapid.StringN(0, 300, 300).Draw(t, "text"))
+			}
+		}
+		x.Nulls = x.Nulls[:(n+7)/8]
+		read := func(x *Execute) Execute {
+			body, _, _, err := Next(AppendExecute(nil, 7, n, x, 0), MaxPacket)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := ParseExecute(body, n, nil, 0, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return got
+		}
+		before := read(&x)
+		for _, v := range before.Values {
+			s, _ := v.Text()
+			want = append(want, s)
+		}
+		before.Sets, before.Param, before.Number = true, rapid.IntRange(0, n-1).Draw(t, "which"), rapid.Int64Range(1, 30000).Draw(t, "number")
+		switch k := x.Types[2*before.Param]; k {
+		case TypeLongLong, TypeLong, TypeShort, TypeVarString:
+			want[before.Param] = fmt.Sprint(before.Number)
+		}
+		after := read(&before)
+		for i, v := range after.Values {
+			if s, _ := v.Text(); s != want[i] {
+				t.Fatalf("parameter %d of type %#x is %q, want %q", i, v.Type, s, want[i])
+			}
+		}
+	})
+}
+
 func TestOKTellsRoleAndPosition(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		caps := uint32(ClientProtocol41 | ClientSessionTrack)
@@ -197,13 +286,13 @@
 		at := rapid.Int64Range(0, 1<<52).Draw(t, "at")
 		body, _, _, _ := Next(AppendOK(nil, 3, OK{Affected: rapid.Uint64().Draw(t, "n"), Info: "i"}, caps, ends, VarRole, "replica", VarPosition, fmt.Sprint(at)), MaxPacket)
 		ok, err := ParseOK(body, caps)
-		if err != nil || ok.Role() != "replica" || ok.Position() != at || ok.Info != "i" {
+		if err != nil || ok.Role != RoleReplica || ok.Position != at || ok.Info != "i" {
 			t.Fatalf("%+v, %v", ok, err)
 		}
 	})
 	for _, bad := range []string{"-1", "x", "99999999999999999999", "9007199254740993"} {
-		if ok := (OK{Vars: map[string]string{VarPosition: bad}}); ok.Position() != 0 {
-			t.Errorf("%s is taken for %d", bad, ok.Position())
+		if at := positionOf(bad); at != 0 {
+			t.Errorf("%s is taken for %d", bad, at)
 		}
 	}
 }
@@ -220,14 +309,18 @@
 		many[len(many)-1][0] = 1
 	}
 	for name, packets := range map[string][][]byte{
-		"noise":                  {{0xfb, 1, 2}},
-		"a file is asked for":    {{0xfb}},
-		"no columns":             {{0}},
-		"columns beyond number":  {{0xfc, 0xff, 0xff}},
-		"an empty packet":        {{1}, {}},
-		"a second copy":          {okBody, okBody},
-		"a copy behind its rows": {{1}, column, row, endBody, {1}},
-		"without end":            many,
+		"a row in a definition's place": {{2}, column, row, endBody},
+		"a definition in a row's place": {{1}, column, column, endBody},
+		"a row with bytes left over":    {{1}, column, {1, 'x', 'y'}},
+		"a row that is cut off":         {{1}, column, {5, 'x'}},
+		"noise":                         {{0xfb, 1, 2}},
+		"a file is asked for":           {{0xfb}},
+		"no columns":                    {{0}},
+		"columns beyond number":         {{0xfc, 0xff, 0xff}},
+		"an empty packet":               {{1}, {}},
+		"a second copy":                 {okBody, okBody},
+		"a copy behind its rows":        {{1}, column, row, endBody, {1}},
+		"without end":                   many,
 	} {
 		var r Reply
 		r.Expect(caps, false)
@@ -300,6 +393,61 @@
 	f.Fuzz(func(_ *testing.T, junk []byte) { parseAll(junk) })
 }
 
+// What a database sends, as a stream: whatever is taken for an answer reads the same once it has been written for a client
+// of any form, and nothing more is kept than the bound allows.
+func FuzzAnswers(f *testing.F) {
+	column := AppendColumn(nil, 0, "val", TypeVarString)[headLen:]
+	text := Reply{IsResult: true, Columns: [][]byte{column}, Rows: [][]byte{AppendTextRow(nil, 0, "value")[headLen:]}}
+	f.Add(text.AppendTo(nil, 1, ServerCaps), uint8(0))
+	f.Add(text.AppendTo(nil, 1, ClientProtocol41), uint8(4))
+	binary := Reply{IsResult: true, Columns: [][]byte{column}, Rows: [][]byte{AppendBinaryRow(nil, 0, "value")[headLen:]}}
+	f.Add(binary.AppendTo(nil, 1, ServerCaps), uint8(2))
+	f.Add(AppendPrepared(nil, 1, Prepared{1, 1, 1}, [][]byte{column}, [][]byte{column}, ServerCaps), uint8(1))
+	f.Add(AppendOK(nil, 1, OK{Info: "i"}, ServerCaps, false, VarRole, RolePrimary, VarPosition, "1767225600123"), uint8(0))
+	f.Add(AppendErr(nil, 1, ErrReadOnly, "x"), uint8(2))
+	f.Fuzz(func(t *testing.T, stream []byte, how uint8) {
+		caps := uint32(ServerCaps)
+		if how&4 != 0 {
+			caps &^= ClientDeprecateEOF | ClientSessionTrack
+		}
+		expect := func(r *Reply, caps uint32) {
+			if r.Expect(caps, how&1 != 0); how&2 != 0 {
+				r.Binary()
+			}
+		}
+		var r Reply
+		expect(&r, caps)
+		used := 0
+		for !r.Whole() {
+			body, seq, n, err := Next(stream[used:], MaxPacket)
+			if n == 0 || err != nil || r.Add(body, seq) != nil {
+				return
+			}
+			used += n
+		}
+		if r.size > MaxAnswer {
+			t.Fatal("more is kept than may be")
+		}
+		for _, to := range []uint32{ServerCaps, ClientProtocol41} {
+			out := r.AppendTo(nil, 1, to)
+			var again Reply
+			expect(&again, to)
+			if err := feed(out, nil, again.Add); err != nil || !again.Whole() {
+				t.Fatalf("written for %x it reads %v", to, err)
+			}
+			if (again.Err == nil) != (r.Err == nil) {
+				t.Fatalf("written for %x it is %v", to, again.Err)
+			}
+			if r.Err == nil && (!reflect.DeepEqual(again.Rows, r.Rows) || !reflect.DeepEqual(again.Columns, r.Columns)) {
+				t.Fatalf("written for %x it is another", to)
+			}
+			if relayed, ok := Relay(nil, stream[:used], to); ok && caps == ServerCaps && r.IsResult && r.Err == nil && !bytes.Equal(relayed, out) {
+				t.Fatalf("relayed for %x it is another", to)
+			}
+		}
+	})
+}
+
 func BenchmarkReply(b *testing.B) {
 	r := Reply{IsResult: true, Columns: [][]byte{AppendColumn(nil, 0, "val", TypeVarString)[headLen:]}, Rows: [][]byte{AppendTextRow(nil, 0, "value")[headLen:]}}
 	stream := r.AppendTo(nil, 1, ServerCaps)
--- a/internal/wire/mysql/result.go
+++ b/internal/wire/mysql/result.go
@@ -16,7 +16,9 @@
 	Affected, InsertID uint64
 	Status, Warnings   uint16
 	Info               string
-	Vars               map[string]string // system variables that the session tracks, where they changed
+	// What session tracking tells of the server, where it tells it; see Role and Position.
+	Role     string // RolePrimary, RoleReplica or empty
+	Position int64  // Unix milliseconds; 0 = not told, or no sense
 }
 
 // AppendOK writes an OK packet; vars are name and value in turn, for a peer with ClientSessionTrack. As the end of a
@@ -28,7 +30,7 @@
 		head = 0xfe
 	}
 	dst = appendLenEnc(appendLenEnc(append(dst, head), ok.Affected), ok.InsertID)
-	status := ok.Status | StatusAutocommit
+	status := ok.Status&^StatusSessionStateChanged | StatusAutocommit // a change that isn't written here isn't announced
 	track := caps&ClientSessionTrack != 0 && len(vars) > 0
 	if track {
 		status |= StatusSessionStateChanged
@@ -76,14 +78,16 @@
 			if kind != 0 { // schemas, GTIDs and the like are passed over
 				continue
 			}
-			name, value := string(data.lenStr()), string(data.lenStr())
+			name, value := data.lenStr(), data.lenStr()
 			if data.bad {
 				return ok, ErrMalformed
 			}
-			if ok.Vars == nil {
-				ok.Vars = map[string]string{}
+			switch string(name) {
+			case VarRole:
+				ok.Role = roleOf(value)
+			case VarPosition:
+				ok.Position = positionOf(string(value))
 			}
-			ok.Vars[name] = value
 		}
 	}
 	return ok, r.err()
@@ -181,6 +185,10 @@
 
 	caps    uint32
 	prepare bool
+	skims   bool
+	binary  bool // its rows are
+	due     bool // a result set is: an OK in its place is no answer
+	columns int
 	phase   phase
 	left    int
 	seq     byte
@@ -192,6 +200,38 @@
 	*r = Reply{caps: caps, prepare: prepare, seq: 1, Columns: r.Columns[:0], Params: r.Params[:0], Rows: r.Rows[:0]}
 }
 
+// Skim makes the reply check the packets of the answer that it expects, and count them, without keeping the payloads:
+// for whoever passes the bytes on as they come.
+func (r *Reply) Skim() { r.skims = true }
+
+// Due makes the reply insist on a result set.
+func (r *Reply) Due() { r.due = true }
+
+// Binary makes the reply expect rows in the binary form, as executions of prepared statements have them.
+func (r *Reply) Binary() { r.binary = true }
+
+// fits tells whether a row holds as many values as there are columns. Of a binary one, whose values depend on the
+// columns' types, only the head is looked at.
+func (r *Reply) fits(row []byte) bool {
+	if r.binary {
+		return row[0] == 0 && len(row) >= 1+(r.columns+9)/8
+	}
+	in := &reader{b: row}
+	for range r.columns {
+		if len(in.b) > 0 && in.b[0] == 0xfb { // NULL
+			in.b = in.b[1:]
+		} else if in.lenStr(); in.bad {
+			return false
+		}
+	}
+	return len(in.b) == 0
+}
+
+// isDefinition tells whether a packet may be a column's definition: the first thing in one is its catalogue, always "def".
+func isDefinition(body []byte) bool {
+	return len(body) > 4 && body[0] == 3 && string(body[1:4]) == "def"
+}
+
 // Whole tells whether all of it has come.
 func (r *Reply) Whole() bool { return r.phase == whole }
 
@@ -213,12 +253,19 @@
 		r.Err, r.phase = &e, whole
 		return err
 	}
-	keep := func(list *[][]byte) { *list = append(*list, append([]byte(nil), body...)) }
+	keep := func(list *[][]byte) {
+		if !r.skims {
+			*list = append(*list, append([]byte(nil), body...))
+		}
+	}
 	var err error
 	switch r.phase {
 	case awaitsFirst:
 		return r.first(body)
 	case awaitsColumns:
+		if !isDefinition(body) {
+			return ErrMalformed
+		}
 		keep(&r.Columns)
 		r.step(awaitsColumnsEOF, awaitsRows)
 	case awaitsColumnsEOF:
@@ -230,15 +277,23 @@
 			r.phase = whole
 		case r.caps&ClientDeprecateEOF == 0 && isEOF(body):
 			r.phase = whole
+		case !r.fits(body):
+			return ErrMalformed
 		default:
 			keep(&r.Rows)
 		}
 	case awaitsParamDefs:
+		if !isDefinition(body) {
+			return ErrMalformed
+		}
 		keep(&r.Params)
 		r.step(awaitsParamsEOF, r.behindParams())
 	case awaitsParamsEOF:
 		err = r.eof(body, r.behindParams())
 	case awaitsColumnDefs:
+		if !isDefinition(body) {
+			return ErrMalformed
+		}
 		keep(&r.Columns)
 		r.step(awaitsColumnDefsEOF, whole)
 	case awaitsColumnDefsEOF:
@@ -266,6 +321,9 @@
 	}
 	switch body[0] {
 	case 0x00:
+		if r.due {
+			return ErrMalformed
+		}
 		r.OK, err = ParseOK(body, r.caps)
 		r.phase = whole
 		return err
@@ -277,7 +335,7 @@
 	if in.bad || len(in.b) > 0 || n == 0 || n > maxColumns {
 		return ErrMalformed
 	}
-	r.IsResult, r.phase, r.left = true, awaitsColumns, int(n)
+	r.IsResult, r.phase, r.left, r.columns = true, awaitsColumns, int(n), int(n)
 	return nil
 }
 
@@ -315,6 +373,30 @@
 	return nil
 }
 
+// Relay writes an answer for a client as it came, from a server with session tracking and without EOF packets to a client
+// without EOF packets: only the last packet is another, for what the server tells of itself is not for clients. The answer
+// is whole and starts with sequence number 1. False = it has to be taken apart: it is no result set, or the client speaks
+// in another form.
+func Relay(dst, answer []byte, caps uint32) ([]byte, bool) {
+	if caps&ClientDeprecateEOF == 0 || len(answer) <= headLen || answer[headLen] == 0x00 || answer[headLen] == 0xff {
+		return dst, false
+	}
+	last := 0
+	for at := 0; at < len(answer); {
+		_, _, n, err := Next(answer[at:], MaxPacket)
+		if n == 0 || err != nil {
+			return dst, false
+		}
+		last, at = at, at+n
+	}
+	ok, err := ParseOK(answer[last+headLen:], ClientSessionTrack)
+	if err != nil {
+		return dst, false
+	}
+	dst = append(dst, answer[:last]...)
+	return AppendOK(dst, answer[last+3], OK{Warnings: ok.Warnings}, caps, true), true
+}
+
 // AppendTo writes the answer for a client, whose capabilities may be others than those towards the database.
 func (r *Reply) AppendTo(dst []byte, seq byte, caps uint32) []byte {
 	switch {
@@ -352,13 +434,25 @@
 	VarPosition = "applied_ms"
 )
 
-// Role and Position give what an OK packet tells of its server: "primary", "replica" or nothing, and the position as
-// Unix milliseconds, 0 where it is not told or makes no sense.
-func (ok *OK) Role() string { return ok.Vars[VarRole] }
+// The roles that VarRole tells.
+const (
+	RolePrimary = "primary"
+	RoleReplica = "replica"
+)
+
+func roleOf(value []byte) string {
+	switch string(value) {
+	case RolePrimary:
+		return RolePrimary
+	case RoleReplica:
+		return RoleReplica
+	}
+	return ""
+}
 
-// Position is the position that an OK packet tells, in Unix milliseconds; 0 = none.
-func (ok *OK) Position() int64 {
-	ms, err := strconv.ParseInt(ok.Vars[VarPosition], 10, 64)
+// positionOf reads a position in Unix milliseconds; 0 = it makes no sense.
+func positionOf(value string) int64 {
+	ms, err := strconv.ParseInt(value, 10, 64)
 	if err != nil || ms < 0 || ms >= 1<<53 {
 		return 0
 	}
