--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -14,7 +15,11 @@
 	"havenproxy/logic"
 )
 
+// hold tells whether requests are held while a group has no primary.
+var hold = flag.Bool("hold", false, "hold requests that need a primary while there is none, where that pays")
+
 func main() {
+	flag.Parse()
 	if err := run(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "drill:", err)
 		os.Exit(1)
@@ -98,6 +103,7 @@
 	h.instances[e.Instance] = in
 	s, err := settings.Parse(e.Settings, e.Seed)
 	if err == nil {
+		s.Config.Handover.Hold = *hold
 		in.scale = sim.Scale{Origin: s.Origin, Fields: s.Fields}
 		in.router, err = logic.New(s.Config, &h.out)
 	}
--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -28,3 +28,11 @@
 # Hold a group at a level, or go no higher than one (without group: all of them):
 #   pin("lean", group = 2)
 #   cap("scarce")
+
+# While a group has no primary: hold what is likely to be served in time. docs/operators/handover.md tells what each
+# setting does.
+handover(
+    hold = True,
+    drain_from = "450ms", drain_to = "800ms",   # how long switches take, before any was seen
+    death_from = "2s", death_to = "7s",
+)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -64,6 +64,7 @@
 	"POOLS":     {"connections to databases", poolsTable},
 	"CLIENTS":   {"clients' connections, 500 at most", clientsTable},
 	"COUNTERS":  {"all counters since the start", countersTable},
+	"SWITCHES":  {"groups and their primaries, and the last switches", switchesTable},
 	"HISTORY":   {"the last changes of level, the newest first", historyTable},
 }
 
@@ -153,6 +154,14 @@
 	return t
 }
 
+func switchesTable(s Source) Table {
+	t := Table{Columns: []string{"group", "phase", "for_s", "cause", "from", "to", "rivals", "held", "refused", "held_bytes", "expected_s"}}
+	for _, x := range s.Front().Switches() {
+		t.add(x.Group, x.Phase, x.For, x.Cause, x.From, x.To, x.Rivals, x.Held, x.Refused, x.Bytes, x.Expected)
+	}
+	return t
+}
+
 func poolsTable(s Source) Table {
 	t := Table{Columns: []string{"name", "address", "busy", "idle", "opening", "probe"}}
 	for _, p := range s.Front().Pools() {
--- /dev/null
+++ b/internal/handover/doubt.go
@@ -0,0 +1,59 @@
+package handover
+
+import "time"
+
+// Suspicion is how likely it is that a member back from a silence has been started anew, and is cold. A cut in the network
+// looks the same at first; what is heard since tells the two apart.
+type Suspicion struct {
+	since time.Duration // the silence's beginning
+	back  time.Duration // its end
+	doubt float64       // 0 = it never stopped; 1 = it may have
+}
+
+// A silence this long may have been a restart.
+const restart = time.Second
+
+// wentOn is the doubt left by a replica whose log did not stop: one that was down has some of it to catch up.
+const wentOn = 0.5
+
+func (s *Suspicion) lost(now time.Duration) { s.since, s.back = now, 0 }
+
+func (s *Suspicion) heard(now time.Duration) {
+	s.back = now
+	if now-s.since > restart {
+		s.doubt = 1
+	}
+}
+
+func (s *Suspicion) born() { s.doubt = 1 }
+
+// Suspect gives the doubt about a member.
+func (s *Seat) Suspect() float64 { return s.suspect.doubt }
+
+// Kept notes an answer on a connection that was up at a time: a process that had ended would have ended it. What was told as
+// born since is another matter.
+func (s *Seat) Kept(opened, born time.Duration) bool {
+	x := &s.suspect
+	if x.doubt == 0 || opened <= 0 || opened >= x.since || born > x.since || x.back == 0 {
+		return false
+	}
+	x.doubt = 0
+	return true
+}
+
+// WentOn notes a replica's position with its first word behind a silence.
+func (s *Seat) WentOn(behind time.Duration) {
+	if x := &s.suspect; x.back > 0 && s.Role == Replica && behind < 100*time.Millisecond {
+		x.doubt = min(x.doubt, wentOn)
+	}
+}
+
+// Unborn notes that the list, which names each start within late, has named none since the silence.
+func (s *Seat) Unborn(now, late, born time.Duration) bool {
+	x := &s.suspect
+	if x.doubt == 0 || x.back == 0 || born > x.since || now-x.back < late {
+		return false
+	}
+	x.doubt = 0
+	return true
+}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,441 @@
+package handover
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	ms = time.Millisecond
+	s  = time.Second
+)
+
+// three makes a group of three whose first member is primary, at 10 s.
+func three(t *testing.T, cfg Config) (*Handover, *Group, []*Seat) {
+	t.Helper()
+	cfg.Hold = true
+	h := New(cfg)
+	if err := h.cfg.Check(); err != nil {
+		t.Fatal(err)
+	}
+	g := h.Group(0)
+	var seats []*Seat
+	for id := uint64(1); id <= 3; id++ {
+		x := g.Join(id)
+		g.Listed(9*s, x, Ready)
+		role := Replica
+		if id == 1 {
+			role = Primary
+		}
+		g.Says(10*s, x, role, 10*s)
+		seats = append(seats, x)
+	}
+	if g.Primary() != seats[0] || g.phase != Steady {
+		t.Fatalf("%v", g.Status(10*s))
+	}
+	return h, g, seats
+}
+
+func wants(t *testing.T, g *Group, now time.Duration, phase Phase, primary uint64) {
+	t.Helper()
+	g.Tick(now)
+	st := g.Status(now)
+	if st.Phase != phase || st.Primary != primary {
+		t.Fatalf("at %v: %v, primary %d; want %v, %d", now, st.Phase, st.Primary, phase, primary)
+	}
+}
+
+func TestADrainHandsOver(t *testing.T) {
+	h, g, m := three(t, Config{})
+	g.Listed(11*s, m[0], Draining)
+	wants(t, g, 11*s, Drains, 0)
+	g.Says(11*s+200*ms, m[0], Primary, 11*s+200*ms) // it finishes what it has; nothing new goes there
+	wants(t, g, 11*s+300*ms, Drains, 0)
+	g.Says(11*s+600*ms, m[1], Primary, 11*s+590*ms)
+	wants(t, g, 11*s+600*ms, Found, 2)
+	g.Served(11*s + 700*ms)
+	wants(t, g, 11*s+700*ms, Settling, 2)
+	wants(t, g, 14*s, Steady, 2)
+	e := h.Ended()
+	if len(e) != 1 || e[0].Cause != Planned || e[0].From != 1 || e[0].To != 2 || e[0].Length != 600*ms {
+		t.Errorf("%+v", e)
+	}
+}
+
+func TestADeathIsLostAndThenAnElection(t *testing.T) {
+	h, g, m := three(t, Config{})
+	g.Silent(12*s, m[0])
+	wants(t, g, 12*s, Lost, 0)
+	wants(t, g, 13*s+ms, Electing, 0)
+	g.Says(15*s, m[2], Primary, 15*s)
+	wants(t, g, 15*s, Found, 3)
+	if e := h.Ended(); len(e) != 1 || e[0].Cause != Silence || e[0].Length != 3*s {
+		t.Errorf("%+v", e)
+	}
+}
+
+// A primary that dies while it hands over: the switch goes on, as a death, whose end is expected later.
+func TestADrainThatDies(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Listed(11*s, m[0], Draining)
+	near := g.Status(11*s + 300*ms).Expected
+	g.Silent(11*s+300*ms, m[0])
+	wants(t, g, 11*s+300*ms, Lost, 0)
+	if far := g.Status(11*s + 300*ms).Expected; far < 2*near || g.cause != Silence {
+		t.Errorf("expected in %v, while it drained in %v, cause %v", far, near, g.cause)
+	}
+}
+
+// Two switches within a second, the newly elected draining at once.
+func TestTheNewlyElectedDrains(t *testing.T) {
+	h, g, m := three(t, Config{})
+	g.Listed(11*s, m[0], Draining)
+	g.Says(11*s+500*ms, m[1], Primary, 11*s+500*ms)
+	g.Listed(11*s+600*ms, m[1], Draining)
+	wants(t, g, 11*s+600*ms, Drains, 0)
+	g.Says(11*s+990*ms, m[2], Primary, 11*s+990*ms)
+	wants(t, g, 11*s+990*ms, Found, 3)
+	if e := h.Ended(); len(e) != 2 || e[0].From != 2 || e[1].From != 1 {
+		t.Errorf("%+v", e)
+	}
+	if g.Term() != 3 {
+		t.Errorf("term %d", g.Term())
+	}
+}
+
+// A ping's answer that left before the switch, and comes after it, names nobody.
+func TestAnOldWordNamesNobody(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Silent(12*s, m[0])
+	g.Says(15*s, m[1], Primary, 15*s)
+	g.Heard(15*s+10*ms, m[0])
+	g.Says(15*s+10*ms, m[0], Primary, 11*s+900*ms) // it was true then
+	wants(t, g, 15*s+10*ms, Found, 2)
+}
+
+// A hang that ends after the election: the old primary still believes, and answers late. Its words are new, its claim is old.
+func TestTheOldPrimaryStillBelieves(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Silent(12*s, m[0])
+	g.Says(15*s, m[1], Primary, 15*s)
+	g.Heard(16*s, m[0])
+	for at := 16 * s; at < 18*s; at += 100 * ms {
+		g.Says(at, m[0], Primary, at)
+		if p := g.Primary(); p != m[1] {
+			t.Fatalf("at %v the old primary is believed", at)
+		}
+		g.Says(at+50*ms, m[1], Primary, at+50*ms)
+		if g.Rivals() != 1 {
+			t.Fatalf("%d rivals", g.Rivals())
+		}
+	}
+	if g.Term() != 2 {
+		t.Errorf("term %d: two claims flapped", g.Term())
+	}
+	g.Says(18*s, m[0], Replica, 18*s)
+	if g.Rivals() != 0 || g.Primary() != m[1] {
+		t.Error("the truth changes nothing")
+	}
+}
+
+// Elected, lost, and the first elected again while nobody could hear of it: the silent one's later claim gives way to a claim
+// that goes on well behind its silence.
+func TestASilentClaimGivesWay(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Silent(12*s, m[0])
+	g.Says(15*s, m[1], Primary, 15*s)
+	g.Heard(15*s+500*ms, m[0])
+	g.Silent(20*s, m[1])
+	g.Says(20*s+100*ms, m[0], Primary, 20*s+100*ms)
+	wants(t, g, 20*s+100*ms, Lost, 0) // as in the test above, it may only believe so
+	g.Says(21*s+100*ms, m[0], Primary, 21*s+100*ms)
+	wants(t, g, 21*s+100*ms, Found, 1)
+}
+
+// A list that names the old primary for ten seconds more outweighs nobody's own word.
+func TestAStaleListNamesNobody(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Silent(12*s, m[0])
+	g.Says(15*s, m[1], Primary, 15*s)
+	for at := 15 * s; at < 25*s; at += s {
+		g.Heard(at, m[0])
+		g.Told(at, m[0], at-5*s, true)
+		if g.Primary() != m[1] {
+			t.Fatalf("at %v the list is believed", at)
+		}
+	}
+	g.Born(m[2], 25*s)
+	g.Told(26*s, m[2], 26*s, true)
+	if g.Primary() != m[1] {
+		t.Error("the list's word on one that has not spoken outweighs one that has")
+	}
+}
+
+// A set that loses all but one member.
+func TestAGroupThatIsLeftWithOne(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Silent(11*s, m[0])
+	g.Silent(11*s, m[1])
+	g.Listed(11*s, m[1], Gone)
+	g.Leave(12*s, m[1])
+	wants(t, g, 13*s, Electing, 0)
+	g.Says(17*s, m[2], Primary, 17*s)
+	wants(t, g, 17*s, Found, 3)
+	g.Leave(18*s, m[0])
+	g.Silent(19*s, m[2])
+	wants(t, g, 19*s, Lost, 0)
+	g.Heard(19*s+50*ms, m[2])
+	wants(t, g, 19*s+50*ms, Found, 3)
+	if g.Term() != 2 {
+		t.Errorf("term %d: one that returns unchanged begins none", g.Term())
+	}
+}
+
+func write(id uint64, at, limit time.Duration) Held {
+	return Held{ID: id, At: at, Until: at + limit, Cost: 80 * ms, Aim: 600 * ms, Late: 0.3, Worth: 3, Size: 100}
+}
+
+func TestHeldWhereItPays(t *testing.T) {
+	_, g, m := three(t, Config{})
+	if ok, _, _ := g.Hold(10*s, write(1, 10*s, 3*s)); ok {
+		t.Error("held though there is a primary")
+	}
+	g.Listed(11*s, m[0], Draining)
+	if ok, _, _ := g.Hold(11*s, write(1, 11*s, 3*s)); !ok {
+		t.Error("a drain takes 0.8 s, a write has 3")
+	}
+	short := write(2, 11*s, 300*ms)
+	if ok, hint, _ := g.Hold(11*s, short); ok || hint < 400*ms || hint > 800*ms {
+		t.Errorf("held with 300 ms left: %v; come back after %v", ok, hint)
+	}
+	_, g, m = three(t, Config{})
+	g.Silent(12*s, m[0])
+	if ok, hint, _ := g.Hold(12*s, write(1, 12*s, 3*s)); ok || hint < 3*s {
+		t.Errorf("held at the beginning of a death, which takes 2 to 7 s; hint %v", hint)
+	}
+	if ok, _, _ := g.Hold(16*s, write(2, 16*s, 3*s)); !ok {
+		t.Error("refused when the election is due")
+	}
+}
+
+// What was likely and isn't any more goes at once, before half of its time where that can be.
+func TestWhatNoLongerPaysIsLetGo(t *testing.T) {
+	h, g, m := three(t, Config{})
+	for i := range 30 { // a group whose drains take 0.5 s
+		h.lengths.add(Planned, 0, 500*ms+time.Duration(i)*ms, 10*s)
+	}
+	g.Listed(11*s, m[0], Draining)
+	q := write(1, 11*s, 3*s)
+	if ok, _, _ := g.Hold(11*s, q); !ok {
+		t.Fatal("not held")
+	}
+	q.Was = true
+	gone := time.Duration(0)
+	for now := 11 * s; now < 14*s; now += 10 * ms {
+		if ok, _, _ := g.Hold(now, q); !ok {
+			gone = now - 11*s
+			break
+		}
+	}
+	if gone == 0 || gone > 2900*ms || g.Holds() != 0 {
+		t.Errorf("let go after %v, %d held", gone, g.Holds())
+	}
+	if gone < 800*ms {
+		t.Errorf("let go after %v already", gone)
+	}
+}
+
+// The room is kept by worth: what earns least is pushed out at once, and what earns less than all that is there stays out.
+func TestTheRoomIsKeptByWorth(t *testing.T) {
+	_, g, m := three(t, Config{MostHeld: 3, MostBytes: 1000})
+	g.Listed(11*s, m[0], Draining)
+	hold := func(id uint64, worth float64, size int) (bool, []uint64) {
+		q := write(id, 11*s, 3*s)
+		q.Worth, q.Size = worth, size
+		ok, _, pushed := g.Hold(11*s, q)
+		return ok, pushed
+	}
+	for id := uint64(1); id <= 3; id++ {
+		if ok, _ := hold(id, float64(id), 100); !ok {
+			t.Fatal(id)
+		}
+	}
+	if ok, _ := hold(4, 0.5, 100); ok {
+		t.Error("the least of all is let in")
+	}
+	if ok, pushed := hold(5, 2.5, 100); !ok || len(pushed) != 1 || pushed[0] != 1 {
+		t.Errorf("%v, pushed %v", ok, pushed)
+	}
+	if ok, pushed := hold(6, 9, 900); !ok || len(pushed) != 3-1 && len(pushed) != 3 {
+		t.Errorf("900 of 1,000 bytes: %v, pushed %v", ok, pushed)
+	}
+	if ok, _ := hold(7, 99, 1001); ok {
+		t.Error("larger than the room")
+	}
+	if st := g.Status(11 * s); st.Bytes > 1000 || st.Held > 3 {
+		t.Errorf("%+v", st)
+	}
+}
+
+// The least time left goes first, and one in four is one of those with the most.
+func TestTheOrderOfLeaving(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Listed(11*s, m[0], Draining)
+	for id := uint64(1); id <= 8; id++ {
+		g.Hold(11*s, write(id, 11*s, 2*s+time.Duration(id)*ms))
+	}
+	got := g.Waiting()
+	want := []uint64{1, 2, 3, 8, 4, 5, 6, 7}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("%v, want %v", got, want)
+		}
+	}
+}
+
+// Behind a new primary that is full, those wait who can be served before their time is over.
+func TestWaitingForRoomAtANewPrimary(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Listed(11*s, m[0], Draining)
+	g.Says(11*s+500*ms, m[1], Primary, 11*s+500*ms)
+	q := write(1, 11*s, 3*s)
+	if ok, _, _ := g.Hold(11*s+500*ms, q); !ok {
+		t.Error("the first in line is sent away")
+	}
+	q.ID, q.Ahead = 2, 200 // 200 * 80 ms / 3 = 5.3 s
+	if ok, _, _ := g.Hold(11*s+500*ms, q); ok {
+		t.Error("the 200th is held for 2.5 s")
+	}
+	g.Served(11*s + 600*ms)
+	g.Tick(14 * s)
+	if ok, _, _ := g.Hold(14*s, write(3, 14*s, 3*s)); ok {
+		t.Error("held behind a primary that is no news any more: limits decide there")
+	}
+}
+
+// Against numbers worked out by hand: the prior's nine points of weight 1/3 each, and 0.3 beyond them.
+func TestWhatIsLikely(t *testing.T) {
+	h := New(Config{})
+	close := func(got, want float64) {
+		t.Helper()
+		if math.Abs(got-want) > 1e-9 {
+			t.Errorf("%v, want %v", got, want)
+		}
+	}
+	// Points at 2.277, 2.833, 3.388, ... 6.722 s. Within 3 s of the beginning there are two of them, and 0.3 beyond at 3/3.
+	close(h.lengths.within(Silence, 0, 0, 0, 3*s), (2.0/3+0.3)/3.3)
+	// At 3 s two are over; three more lie within another 2 s.
+	close(h.lengths.within(Silence, 0, 0, 3*s, 2*s), (3.0/3+0.3*2/5)/(7.0/3+0.3))
+	// Beyond all of them it lasts about as long again.
+	close(h.lengths.within(Silence, 0, 0, 8*s, 8*s), 0.5)
+	if got := h.lengths.remaining(Silence, 0, 0, 0, 0.5); (got - 4500*ms).Abs() > ms {
+		t.Errorf("the middle is %v", got)
+	}
+	if got := h.lengths.remaining(Silence, 0, 0, 9*s, 0.5); got != 9*s {
+		t.Errorf("beyond all: %v", got)
+	}
+}
+
+// A group learns its own lengths, another's count less, and old ones fade.
+func TestLengthsAreLearned(t *testing.T) {
+	h := New(Config{Fade: time.Minute})
+	for i := range 20 {
+		h.lengths.add(Silence, 1, 1500*ms, time.Duration(i)*s)
+	}
+	own, other := h.lengths.within(Silence, 1, 20*s, 0, 2*s), h.lengths.within(Silence, 2, 20*s, 0, 2*s)
+	if before := New(Config{}).lengths.within(Silence, 1, 20*s, 0, 2*s); own < 0.75 || other > own || other < before+0.1 {
+		t.Errorf("own %.2f, another's %.2f, before %.2f", own, other, before)
+	}
+	if later := h.lengths.within(Silence, 1, 20*s+10*time.Minute, 0, 2*s); later > 0.2 {
+		t.Errorf("ten half-lives later: %.2f", later)
+	}
+}
+
+// Whatever was seen, probabilities are some, grow with time, and agree with what is left.
+func TestProbabilitiesMakeSense(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := New(Config{})
+		now := time.Minute
+		for range rapid.IntRange(0, 100).Draw(t, "switches") {
+			c := Cause(rapid.IntRange(0, int(causes)-1).Draw(t, "cause"))
+			h.lengths.add(c, rapid.IntRange(0, 3).Draw(t, "group"), time.Duration(rapid.IntRange(1, 20000).Draw(t, "ms"))*ms, now)
+			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "gap")) * s
+		}
+		c, g := Cause(rapid.IntRange(0, int(causes)-1).Draw(t, "of")), rapid.IntRange(0, 4).Draw(t, "for")
+		elapsed := time.Duration(rapid.IntRange(0, 30000).Draw(t, "elapsed")) * ms
+		last := 0.0
+		for d := time.Duration(0); d < 40*s; d += 500 * ms {
+			p := h.lengths.within(c, g, now, elapsed, d)
+			if p < last-1e-9 || p > 1+1e-9 || math.IsNaN(p) {
+				t.Fatalf("within %v: %v after %v", d, p, last)
+			}
+			last = p
+		}
+		if left := h.lengths.remaining(c, g, now, elapsed, 0.5); left < 0 {
+			t.Fatalf("%v are left", left)
+		}
+	})
+}
+
+// A repeat must not be under way any more when the group would take it for a new one, its work and the ways included.
+func TestTheWindowForRepeats(t *testing.T) {
+	c := Config{}.WithDefaults()
+	until := c.ResendUntil(10*s, 3*s, 200*ms)
+	if until != 10*s+3*s-200*ms-100*ms {
+		t.Errorf("%v", until)
+	}
+	if c.ResendUntil(10*s, 3*s, 20*s) != 12*s-100*ms {
+		t.Error("work beyond a third of the window leaves nothing")
+	}
+}
+
+// Back from a silence: a cut or a restart?
+func TestACutIsNoRestart(t *testing.T) {
+	away := func(long time.Duration) (*Group, *Seat) {
+		_, g, m := three(t, Config{})
+		g.Silent(20*s, m[1])
+		g.Heard(20*s+long, m[1])
+		return g, m[1]
+	}
+	if _, x := away(900 * ms); x.Suspect() != 0 {
+		t.Error("nothing starts anew within a second")
+	}
+	if _, x := away(3 * s); x.Suspect() != 1 {
+		t.Error("without evidence it counts as started anew")
+	}
+	if _, x := away(3 * s); !x.Kept(15*s, 0) || x.Suspect() != 0 {
+		t.Error("a connection from before the silence answers on")
+	}
+	if _, x := away(3 * s); x.Kept(23*s, 0) || x.Kept(15*s, 21*s) || x.Kept(0, 0) || x.Suspect() != 1 {
+		t.Error("a new connection, a start that was told, or nothing, proves it alive")
+	}
+	if _, x := away(3 * s); x.Unborn(25*s, 5*s, 0) || !x.Unborn(28*s, 5*s, 0) {
+		t.Error("the list is given its time, and then believed")
+	}
+	if _, x := away(3 * s); x.Unborn(40*s, 5*s, 22*s) {
+		t.Error("the list names its start")
+	}
+	if _, x := away(3 * s); true {
+		if x.WentOn(50 * ms); x.Suspect() != wentOn {
+			t.Error("a log that went on says nothing")
+		}
+	}
+	g, x := away(3 * s)
+	x.Kept(15*s, 0)
+	g.Born(x, 22*s)
+	if x.Suspect() != 1 {
+		t.Error("a start that is told later doesn't count")
+	}
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	for _, c := range []Config{{Likely: 2}, {Likely: 0.3, Keep: 0.5}, {Drain: Prior{2 * s, s}}, {Death: Prior{-s, s}}} {
+		c = c.WithDefaults()
+		if c.Check() == nil {
+			t.Errorf("%+v is taken", c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/handover/hold.go
@@ -0,0 +1,172 @@
+package handover
+
+import (
+	"slices"
+	"time"
+)
+
+// wayHome is what of a request's time is kept back: a served one has to come to its client.
+const wayHome = 5 * time.Millisecond
+
+// leastHint keeps the refused from coming back at once where a primary is expected any moment.
+const leastHint = 50 * time.Millisecond
+
+// Held is a request that needs a primary, as far as holding it is concerned.
+type Held struct {
+	ID    uint64
+	At    time.Duration // when it came
+	Until time.Duration // when its client gives up; or, if it may have run, when a repeat is too late
+	Cost  time.Duration // bare answer time
+	Aim   time.Duration // answers within it earn the full worth,
+	Late  float64       // later ones this part of it
+	Worth float64
+	Size  int  // bytes
+	Ran   bool // it may have run: letting it go is a failure, whenever
+	Was   bool // it is held already
+	Ahead int  // held requests that leave before it, where a primary is known,
+	Width int  // and how many that works on at once
+}
+
+// room is what holding takes.
+type room struct {
+	in    map[uint64]Held
+	bytes int
+}
+
+// Hold decides on a request that finds no primary, or one that is new and full: whether it is held, and when its client is to
+// come back otherwise. pushed are requests that have to make room for it: they are to be refused at once.
+func (g *Group) Hold(now time.Duration, q Held) (ok bool, hint time.Duration, pushed []uint64) {
+	c := &g.h.cfg
+	if !c.Hold || g.leader == nil || g.primary != nil && !g.Releasing() {
+		return false, 0, nil
+	}
+	if !g.pays(now, q) {
+		g.Release(q.ID)
+		g.refused++
+		return false, g.hint(now), nil
+	}
+	g.Release(q.ID) // it may be there already
+	for len(g.room.in) >= c.MostHeld || g.room.bytes+q.Size > c.MostBytes {
+		least, found := g.least()
+		if !found || least.Worth >= q.Worth {
+			g.refused++
+			return false, g.hint(now), pushed
+		}
+		g.Release(least.ID)
+		g.refused++
+		pushed = append(pushed, least.ID)
+	}
+	g.room.in[q.ID] = q
+	g.room.bytes += q.Size
+	g.held = max(g.held, len(g.room.in))
+	return true, 0, pushed
+}
+
+// pays weighs holding a request against refusing it now. It is held only if it is likely to be served in its time, and if
+// what it would earn outweighs what a late refusal would cost. It is asked again while it is held, so that one whose
+// chances have sunk goes at once, before half of its time where that can be.
+func (g *Group) pays(now time.Duration, q Held) bool {
+	c := &g.h.cfg
+	left := q.Until - now - q.Cost - wayHome
+	if left <= 0 || now-q.At >= c.MostTime {
+		return false
+	}
+	p, soon := 1.0, 1.0
+	if g.primary == nil {
+		elapsed := now - g.from
+		p = g.h.lengths.within(g.cause, g.id, now, elapsed, left)
+		soon = g.h.lengths.within(g.cause, g.id, now, elapsed, q.At+q.Aim-now-q.Cost-wayHome)
+	} else { // those before it go first, each of which takes its time
+		ahead := time.Duration(q.Ahead) * q.Cost / time.Duration(max(q.Width, leastWidth))
+		if ahead > left {
+			return false
+		}
+		if now+ahead+q.Cost+wayHome > q.At+q.Aim {
+			soon = 0
+		}
+	}
+	need := c.Likely
+	if q.Was {
+		need = c.Keep
+	}
+	if p < need {
+		return false
+	}
+	if q.Ran {
+		return true
+	}
+	earns := soon + q.Late*(p-soon)
+	return earns >= (1-p)*c.LateCost
+}
+
+// leastWidth is how many held requests a new primary is taken to work on at once, at least.
+const leastWidth = 3
+
+// least finds the held request that earns least.
+func (g *Group) least() (least Held, found bool) {
+	for _, x := range g.room.in {
+		if !found || x.Worth < least.Worth || x.Worth == least.Worth && order(x, least) > 0 {
+			least, found = x, true
+		}
+	}
+	return least, found
+}
+
+// Release takes a request out: it is sent, or its client has gone.
+func (g *Group) Release(id uint64) {
+	if q, ok := g.room.in[id]; ok {
+		g.room.bytes -= q.Size
+		delete(g.room.in, id)
+	}
+}
+
+// youngPart: of so many that leave, one is the one with the most time left. Otherwise a backlog that takes longer than the
+// classes' aims would make everybody late who comes meanwhile.
+const youngPart = 4
+
+// Waiting gives the held requests in the order in which they are to leave: those with the least time left first, with some
+// of the others between.
+func (g *Group) Waiting() []uint64 {
+	if len(g.room.in) == 0 {
+		return nil
+	}
+	list := make([]Held, 0, len(g.room.in))
+	for _, q := range g.room.in {
+		list = append(list, q)
+	}
+	slices.SortFunc(list, order)
+	out := make([]uint64, 0, len(list))
+	for n := 1; len(list) > 0; n++ {
+		if n%youngPart == 0 {
+			out, list = append(out, list[len(list)-1].ID), list[:len(list)-1]
+		} else {
+			out, list = append(out, list[0].ID), list[1:]
+		}
+	}
+	return out
+}
+
+// Holds tells how many requests are held.
+func (g *Group) Holds() int { return len(g.room.in) }
+
+// Releasing tells that a primary is new: what finds it full may be held until it has room.
+func (g *Group) Releasing() bool { return g.phase == Found || g.phase == Settling }
+
+// hint is when the refused are to come back: when a primary is more likely than not.
+func (g *Group) hint(now time.Duration) time.Duration {
+	if g.primary != nil || g.leader == nil {
+		return 0
+	}
+	return max(g.h.lengths.remaining(g.cause, g.id, now, now-g.from, 0.5), leastHint)
+}
+
+// ResendUntil gives until when a repeat of a guarded request may be under way whose first attempt may have run: its last byte
+// went out at first, so it was applied no earlier, and the group drops repeats for window from then. A repeat may wait in
+// the database's queue up to its deadline and takes its work behind that, slow as it may be; margin covers the ways and
+// the clocks. Before its class has been answered, work is a guess: it counts as a third of the window at most.
+func (c *Config) ResendUntil(first, window, work time.Duration) time.Duration {
+	return first + window - min(work, window/3) - c.Margin
+}
+
+// Config gives the settings in force.
+func (h *Handover) Config() *Config { return &h.cfg }
--- /dev/null
+++ b/internal/handover/lead.go
@@ -0,0 +1,310 @@
+package handover
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// kept is how many switches are remembered to be shown.
+const kept = 10
+
+// Handover follows all groups. It is not safe for concurrent use; times must not go back.
+type Handover struct {
+	cfg     Config
+	lengths estimator
+	ended   []Switch
+}
+
+// New makes one. A zero Config holds nothing.
+func New(cfg Config) *Handover {
+	h := &Handover{}
+	h.Configure(cfg)
+	return h
+}
+
+// Configure puts other settings into force. What was learned stays.
+func (h *Handover) Configure(cfg Config) {
+	h.cfg = cfg.WithDefaults()
+	h.lengths.configure(&h.cfg)
+}
+
+// Ended gives the last switches that have ended, the newest first.
+func (h *Handover) Ended() []Switch {
+	out := slices.Clone(h.ended)
+	slices.Reverse(out)
+	return out
+}
+
+// Group is one group's place.
+type Group struct {
+	h       *Handover
+	id      int
+	seats   []*Seat
+	primary *Seat
+	leader  *Seat // the last known primary, also while it can't be reached
+	term    int
+	phase   Phase
+	since   time.Duration
+	cause   Cause
+	began   time.Duration // the switch under way
+	from    time.Duration // its present cause: a drain may end in a death
+	old     uint64        // who was primary before it
+	held    int           // at most at once
+	refused int
+	room    room
+}
+
+// Seat is one member's place in its group.
+type Seat struct {
+	ID       uint64
+	Role     Role
+	At       time.Duration // when the role was true at the member
+	claim    time.Duration // since when it has said that it is primary, without a word against it
+	told     bool          // that it is, is the list's word alone
+	presence Presence
+	silent   bool
+	lostAt   time.Duration
+	suspect  Suspicion
+}
+
+// Group makes the place of a group.
+func (h *Handover) Group(id int) *Group {
+	return &Group{h: h, id: id, room: room{in: map[uint64]Held{}}}
+}
+
+// Join makes a member's place.
+func (g *Group) Join(id uint64) *Seat {
+	s := &Seat{ID: id}
+	g.seats = append(g.seats, s)
+	return s
+}
+
+// Leave forgets a member.
+func (g *Group) Leave(now time.Duration, s *Seat) {
+	g.seats = slices.DeleteFunc(g.seats, func(x *Seat) bool { return x == s })
+	if g.leader == s {
+		g.leader = nil
+	}
+	g.Review(now)
+}
+
+// Primary gives the member that takes writes now, nil where none is known or it can't be reached.
+func (g *Group) Primary() *Seat { return g.primary }
+
+// Leader gives the last known primary, also while it can't be reached.
+func (g *Group) Leader() *Seat { return g.leader }
+
+// Term counts the changes of primary.
+func (g *Group) Term() int { return g.term }
+
+// Born notes that a member's process has started anew: its role is open again.
+func (g *Group) Born(s *Seat, at time.Duration) {
+	s.Role, s.At, s.claim, s.told = Unknown, at, 0, false
+	s.suspect.born()
+}
+
+// Listed notes what the list says of a member's presence.
+func (g *Group) Listed(now time.Duration, s *Seat, p Presence) {
+	if s.presence != p {
+		s.presence = p
+		g.Review(now)
+	}
+}
+
+// Told takes the list's word that a member was primary at a time. The list is seconds late, so it counts only where
+// nothing newer was heard from the member itself.
+func (g *Group) Told(now time.Duration, s *Seat, at time.Duration, late bool) {
+	if s.Role == Unknown || at > s.At && late {
+		s.Role, s.At, s.told, s.claim = Primary, at, true, at
+		g.Review(now)
+	}
+}
+
+// Says takes a member's own word on its role, true at a time. Words come late and out of order: one that is older than
+// what is known says nothing, such as a ping's answer that left before a switch and comes after it.
+func (g *Group) Says(now time.Duration, s *Seat, role Role, at time.Duration) {
+	if role == Unknown || at < s.At {
+		return
+	}
+	was := s.Role
+	s.At = at
+	if role == Primary && (was != Primary || s.told) {
+		s.claim = at
+	}
+	s.Role, s.told = role, false
+	if was != role || role == Primary && g.primary != s {
+		g.Review(now)
+	}
+}
+
+// Silent notes that a member owes answers and gives none.
+func (g *Group) Silent(now time.Duration, s *Seat) {
+	if !s.silent {
+		s.silent, s.lostAt = true, now
+		s.suspect.lost(now)
+		g.Review(now)
+	}
+}
+
+// Heard notes a sign of life, and tells whether it ends a silence.
+func (g *Group) Heard(now time.Duration, s *Seat) bool {
+	if !s.silent {
+		return false
+	}
+	s.silent = false
+	s.suspect.heard(now)
+	g.Review(now)
+	return true
+}
+
+// Served notes that the primary has answered a write.
+func (g *Group) Served(now time.Duration) {
+	if g.phase == Found {
+		g.enter(now, Settling)
+	}
+}
+
+// claimant finds who is primary by all that was said. Of two who say so, the one whose claim began later was elected later:
+// the other has not heard of it yet, as after a hang, and its words, however new, don't count. But a claim that has fallen
+// silent gives way to one that goes on behind it: there may have been a further election, back to the first, of which only
+// the silent one could tell. The list's word gives way to anybody's own.
+func (g *Group) claimant() *Seat {
+	var best *Seat
+	for _, s := range g.seats {
+		if s.Role == Primary && (best == nil || g.before(s, best)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// before tells whether a's claim counts more than b's.
+func (g *Group) before(a, b *Seat) bool {
+	if a.told != b.told {
+		return b.told
+	}
+	if a.claim == b.claim {
+		return a.At > b.At
+	}
+	if a.claim < b.claim {
+		return !g.before(b, a)
+	}
+	return !(a.silent && b.At > a.lostAt+g.h.cfg.Blip)
+}
+
+// Rivals counts the members that claim to be primary beside the one that counts as it.
+func (g *Group) Rivals() (n int) {
+	for _, s := range g.seats {
+		if s.Role == Primary && s != g.primary && s.presence == Ready && !s.silent && !s.told {
+			n++
+		}
+	}
+	return n
+}
+
+// Review finds the primary anew. One that was silent and returns unchanged begins no new term.
+func (g *Group) Review(now time.Duration) {
+	best := g.claimant()
+	g.primary = nil
+	if best != nil && !best.silent && best.presence == Ready {
+		if g.primary = best; best != g.leader {
+			g.term++
+			g.leader = best
+		}
+	}
+	g.step(now)
+}
+
+// Tick moves on what moves by time alone.
+func (g *Group) Tick(now time.Duration) { g.step(now) }
+
+func (g *Group) enter(now time.Duration, p Phase) {
+	if g.phase != p {
+		g.phase, g.since = p, now
+	}
+}
+
+// step moves the phase.
+func (g *Group) step(now time.Duration) {
+	if g.primary != nil {
+		switch {
+		case g.phase == Unheard:
+			g.enter(now, Steady)
+		case g.phase == Drains || g.phase == Lost || g.phase == Electing:
+			g.found(now)
+		case (g.phase == Found || g.phase == Settling) && now-g.since >= g.h.cfg.Settle:
+			g.enter(now, Steady)
+		}
+		return
+	}
+	if g.leader == nil {
+		if g.phase != Unheard {
+			g.enter(now, Unheard)
+		}
+		return
+	}
+	cause := g.why()
+	switch {
+	case g.phase == Steady || g.phase == Found || g.phase == Settling || g.phase == Unheard: // it begins
+		g.began, g.from, g.cause, g.old, g.held, g.refused = now, now, cause, g.leader.ID, 0, 0
+	case cause != g.cause && cause != Planned: // a primary that dies while it hands over; one that is lost may be listed as draining later
+		g.cause, g.from = cause, now
+	}
+	switch {
+	case g.cause == Planned:
+		g.enter(now, Drains)
+	case now-g.from >= g.h.cfg.Blip:
+		g.enter(now, Electing)
+	default:
+		g.enter(now, Lost)
+	}
+}
+
+// why tells why the last known primary is none.
+func (g *Group) why() Cause {
+	l := g.leader
+	switch {
+	case l.presence == Gone:
+		return Absence
+	case l.silent:
+		return Silence
+	}
+	return Planned // it drains, says that it is a replica, or another's claim, which can't be reached, is newer
+}
+
+func (g *Group) found(now time.Duration) {
+	g.h.lengths.add(g.cause, g.id, now-g.from, now)
+	g.h.ended = append(g.h.ended, Switch{Group: g.id, Cause: g.cause, From: g.old, To: g.primary.ID, Began: g.began,
+		Length: now - g.began, Held: g.held, Refused: g.refused})
+	if len(g.h.ended) > kept {
+		g.h.ended = g.h.ended[1:]
+	}
+	g.enter(now, Found)
+}
+
+// Searching tells how often a member is to be pinged while another primary is awaited; 0 = as always. All proxies look at
+// once, so each looks the less often the more there are.
+func (g *Group) Searching(now time.Duration, proxies int) time.Duration {
+	if !g.h.cfg.Hold || g.primary != nil || g.leader == nil {
+		return 0
+	}
+	if g.cause != Planned && len(g.room.in) == 0 && g.h.lengths.within(g.cause, g.id, now, now-g.from, time.Second) < 0.05 {
+		return 0
+	}
+	return g.h.cfg.Search * time.Duration(max(1, (proxies+3)/4))
+}
+
+// Status tells where the group stands.
+func (g *Group) Status(now time.Duration) Status {
+	s := Status{Phase: g.phase, Since: g.since, Rivals: g.Rivals(), Held: len(g.room.in), Bytes: g.room.bytes, Cause: g.cause}
+	if g.primary != nil {
+		s.Primary = g.primary.ID
+	} else if g.leader != nil {
+		s.Expected = g.h.lengths.remaining(g.cause, g.id, now, now-g.from, 0.5)
+	}
+	return s
+}
+
+// order is that in which what is held leaves: the least time left first.
+func order(a, b Held) int { return cmp.Or(cmp.Compare(a.Until, b.Until), cmp.Compare(a.ID, b.ID)) }
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -37,7 +37,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", ErrUsage, err) })
-	root.AddCommand(upCommand(), runCommand())
+	root.AddCommand(upCommand(), runCommand(), switchesCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(errs, "havenlab:", strings.TrimPrefix(err.Error(), ErrUsage.Error()+": "))
 		if errors.Is(err, ErrUsage) {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -194,6 +194,11 @@
 	return (w.From + w.To).Seconds() / 2
 }
 
+// Capacity is the work that a database can do now in a second, in seconds of a warm core.
+func (f *Fleet) Capacity(member int) float64 {
+	return f.members[member].speed() * float64(f.cfg.Cores)
+}
+
 // Liveness tells how a database's process looks.
 func (f *Fleet) Liveness(member int) Liveness { return f.members[member].live }
 
--- a/internal/lab/launch/classes.go
+++ b/internal/lab/launch/classes.go
@@ -27,6 +27,7 @@
 		of("kayit-yaz", logic.Write, 600*ms, 3000*ms, 3, 62*ms, 110*ms),
 	}
 	out[0].MaxAge = 300 * ms
+	out[3].Late, out[4].Late = 0.2, 0.3
 	w := &out[4]
 	w.Effect, w.Scope, w.DedupWindow = logic.Guarded, logic.ScopeCell, 3*time.Second
 	return out
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -58,7 +58,7 @@
 	var ages []int64
 	us := func(d time.Duration) int64 { return d.Microseconds() }
 	for _, c := range cfg.Classes {
-		j := class{"name": c.Name, "aim": us(c.Aim), "hard_limit": us(c.Limit), "effect": "free", "key_scope": "all", "worth": c.Worth}
+		j := class{"name": c.Name, "aim": us(c.Aim), "hard_limit": us(c.Limit), "effect": "free", "key_scope": "all", "worth": c.Worth, "late_value": c.Late}
 		if c.Effect == logic.Guarded {
 			j["effect"], j["key_scope"], j["dedup_window"] = "guarded", "cell", us(c.DedupWindow)
 		}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"havenproxy/internal/lab/history"
 	"havenproxy/logic"
 )
 
@@ -46,6 +47,7 @@
 	Retry      Retry
 	Protocol   string                           // "postgres", "mysql" or "mysql-prepared"; the first where empty
 	Progress   func(at time.Duration, s Sample) // once a second
+	Record     bool                             // the history of writes, for a checker
 }
 
 // Protocols are what clients can speak.
@@ -272,7 +274,12 @@
 		r.sess.mu.Unlock()
 	}
 	a := ask(c, r, class, after, until)
+	called := now
 	now = time.Now()
+	if g.cfg.Record && r.key != "" {
+		g.rec.write(history.Write{Key: r.key, Group: r.group, Call: called.Sub(g.rec.start), Return: now.Sub(g.rec.start),
+			End: map[kind]history.End{silent: history.Unanswered, served: history.Served, refused: history.Refused, failed: history.Failed}[a.kind]})
+	}
 	switch a.kind {
 	case served:
 		g.check(r, class, a, after)
--- a/internal/lab/load/record.go
+++ b/internal/lab/load/record.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"havenproxy/internal/lab/history"
 )
 
 // Sample is what happened in one second of the schedule, by the time at which requests were due.
@@ -41,6 +43,8 @@
 	LateP99 float64        `json:"generator_late_p99_ms"`
 	LateMax float64        `json:"generator_late_max_ms"`
 	Seconds []Sample       `json:"seconds"`
+
+	Writes []history.Write `json:"-"` // with Config.Record
 }
 
 // Class finds a class's result by name.
@@ -61,6 +65,7 @@
 	seconds []Sample
 	faults  map[string]int
 	late    *hdrhistogram.Histogram
+	writes  []history.Write
 }
 
 // Histograms hold 1 us to 60 s with three digits.
@@ -86,6 +91,12 @@
 	r.classes[class].Refusals++
 }
 
+func (r *recorder) write(w history.Write) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes = append(r.writes, w)
+}
+
 func (r *recorder) fault(what string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,7 +147,7 @@
 func (r *recorder) result() *Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &Result{Classes: r.classes, Faults: r.faults, Seconds: r.seconds, Worst10: 1,
+	out := &Result{Classes: r.classes, Faults: r.faults, Seconds: r.seconds, Worst10: 1, Writes: r.writes,
 		LateP99: float64(r.late.ValueAtQuantile(99)) / 1e3, LateMax: float64(r.late.Max()) / 1e3}
 	worth, asked := 0.0, 0.0
 	for i := range out.Classes {
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/history"
 	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/lab/load"
 	"havenproxy/internal/lab/scenario"
@@ -25,6 +27,9 @@
 	Memory   int64         `json:"proxy_memory_bytes"` // the most that it held
 	Log      []string      `json:"proxy_log"`
 	Events   []string      `json:"events"`
+
+	// Of a scenario whose fleet is audited: writes whose history no group may have.
+	Violations []string `json:"violations,omitempty"`
 }
 
 // Count tells how many lines of the proxy's log hold a text.
@@ -57,6 +62,9 @@
 	return out
 }
 
+// audit is how long what failed has to take effect before keys are counted.
+const audit = 5 * time.Second
+
 // settle is how long the program gets to know its databases before the load begins.
 const settle = time.Second
 
@@ -100,10 +108,19 @@
 		address = p.MySQL
 	}
 	run.Load, err = load.Run(ctx, load.Config{Address: address, Protocol: s.Protocol, Seed: seed, Classes: s.Classes, Groups: cfg.Groups, Rate: s.Rate,
-		For: s.Length, Sockets: s.Sockets, Sessions: s.Sessions, HotSession: s.HotSession, Retry: s.Retry, Progress: progress})
+		For: s.Length, Sockets: s.Sockets, Sessions: s.Sessions, HotSession: s.HotSession, Retry: s.Retry, Progress: progress,
+		Record: cfg.Audit})
 	for _, t := range timers {
 		t.Stop()
 	}
+	if cfg.Audit && err == nil {
+		time.Sleep(audit)
+		w.With(func(_ time.Duration, f *fleet.Fleet) {
+			for _, v := range history.Check(run.Load.Writes, f.Applied) {
+				run.Violations = append(run.Violations, v.String())
+			}
+		})
+	}
 	select {
 	case <-p.Ended():
 		return nil, fmt.Errorf("the proxy ended in the middle: %s", strings.Join(log.all(), "\n"))
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -8,16 +8,22 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"havenproxy/internal/handover"
 	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/history"
 	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/levels"
 	"havenproxy/internal/state"
 	"havenproxy/logic"
 )
 
+// pushed is the time after an election in which the work sent to the new primary is counted.
+const pushed = 2 * time.Second
+
 // base is the virtual clock's start: far from zero, which stands for "long ago" in the router.
 const base = 24 * time.Hour
 
@@ -30,7 +36,10 @@
 	For    time.Duration
 	Faults []Fault
 	Levels *levels.Config // nil = off
+	// Handover is what the proxy holds while a group has no primary.
+	Handover handover.Config
 
+	Proxies    int     // that share the traffic; 1
 	Sessions   int     // of a group; 300
 	HotSession float64 // part of a group's requests that one session sends
 	Retries    int     // further tries of a refused request
@@ -39,6 +48,7 @@
 	Way        time.Duration // one way between proxy and databases; 0.2 ms
 	Still      []Still       // the proxy's loop stands still
 	At         []Action
+	Record     bool // the history of writes, for a checker; it needs Fleet.Audit
 }
 
 // Fault is a fault with its time.
@@ -73,7 +83,19 @@
 	Levels    []state.GroupLevel // at the end
 	Kept      int                // groups that the router keeps at the end
 	Fleet     *fleet.Fleet
-	BySession [2]ClassResult // of the one that sends the most, and of the others
+	Writes    []history.Write // with Config.Record
+	Switches  []Election      // in their order
+	Held      int             // requests held at the end
+	BySession [2]ClassResult  // of the one that sends the most, and of the others
+}
+
+// Election is a database that became primary, with what followed.
+type Election struct {
+	At     time.Duration
+	Group  int
+	Member int
+	First  time.Duration // until the first write was served by it; 0 = none was
+	Push   float64       // work sent to it in its first 2 s, against what it could do then
 }
 
 // InAim is the part of a class that was answered in time.
@@ -122,27 +144,34 @@
 	cfg          Config
 	clock        *clock
 	fleet        *fleet.Fleet
-	front        *state.Front
+	nodes        []*node
 	rng          *rand.Rand
 	todo         state.Deadlines
 	conns        map[int][]*conn
 	res          Result
-	late         time.Duration // the proxy stands still until then
-	inbox        []func()      // what waits for it
-	watch        bool
+	newest       map[int]int // a group's last election, in res.Switches
 	open         int
 	worth, asked float64
 	ids          uint64
 	after        map[uint64]time.Duration
 }
 
+// node is one proxy.
+type node struct {
+	w     *world
+	front *state.Front
+	late  time.Duration // it stands still until then
+	inbox []func()      // what waits for it
+	watch bool
+}
+
 // at lets something happen at a time.
 func (w *world) at(at time.Duration, do func()) { w.todo.Set(&state.Deadline{}, at, do) }
 
 // proxy does something at the proxy, once it has the time.
-func (w *world) proxy(do func()) {
-	if w.clock.now < w.late {
-		w.inbox = append(w.inbox, do)
+func (n *node) proxy(do func()) {
+	if n.w.clock.now < n.late {
+		n.inbox = append(n.inbox, do)
 		return
 	}
 	do()
@@ -157,12 +186,19 @@
 		cfg.Way = 200 * time.Microsecond
 	}
 	w := &world{cfg: cfg, clock: &clock{base}, rng: rand.New(rand.NewPCG(cfg.Seed, 0x71c)), conns: map[int][]*conn{},
-		after: map[uint64]time.Duration{}}
+		after: map[uint64]time.Duration{}, newest: map[int]int{}}
 	w.res.Classes = make([]ClassResult, len(cfg.Fleet.Classes))
 	var err error
 	w.fleet, err = fleet.New(cfg.Fleet, base, fleet.Observer{
 		Liveness: w.turned,
-		Listed:   func() { w.at(w.clock.now+time.Millisecond, func() { w.proxy(w.news) }) },
+		Role:     w.elected,
+		Listed: func() {
+			w.at(w.clock.now+time.Millisecond, func() {
+				for _, n := range w.nodes {
+					n.proxy(n.news)
+				}
+			})
+		},
 		Log: func(_ time.Duration, text string) {
 			if strings.HasSuffix(text, "pushed while cold") {
 				w.res.Fell++
@@ -171,27 +207,34 @@
 	if err != nil {
 		panic(err)
 	}
-	w.front, err = state.New(state.Config{Logic: LogicConfig(cfg.Fleet, cfg.Seed), Zones: cfg.Fleet.Zones, IdleClose: 30 * time.Second,
-		ConnectTimeout: 250 * time.Millisecond, MaxLinks: 1 << 20}, w.clock, w)
-	if err != nil {
-		panic(err)
-	}
-	if cfg.Levels != nil {
-		w.front.Reduce(cfg.Levels)
+	for i := range max(cfg.Proxies, 1) {
+		n := &node{w: w}
+		decide := LogicConfig(cfg.Fleet, cfg.Seed+uint64(i)<<32)
+		decide.Handover, decide.Fronts = cfg.Handover, max(cfg.Proxies, 1)
+		n.front, err = state.New(state.Config{Logic: decide, Zones: cfg.Fleet.Zones, IdleClose: 30 * time.Second,
+			ConnectTimeout: 250 * time.Millisecond, MaxLinks: 1 << 20}, w.clock, n)
+		if err != nil {
+			panic(err)
+		}
+		if cfg.Levels != nil {
+			n.front.Reduce(cfg.Levels)
+		}
+		w.nodes = append(w.nodes, n)
+		n.front.Start(n, w.list(logic.ListCached))
 	}
-	w.front.Start(w, w.list(logic.ListCached))
 	w.schedule()
 	for _, f := range cfg.Faults {
 		w.at(base+f.At, func() { w.fleet.Inject(w.clock.now, f.Fault) })
 	}
+	first := w.nodes[0]
 	for _, a := range cfg.At {
-		w.at(base+a.At, func() { w.proxy(func() { a.Do(w.front) }) })
+		w.at(base+a.At, func() { first.proxy(func() { a.Do(first.front) }) })
 	}
 	for _, s := range cfg.Still {
-		w.at(base+s.At, func() { w.late = w.clock.now + s.For })
+		w.at(base+s.At, func() { first.late = w.clock.now + s.For })
 		w.at(base+s.At+s.For, func() {
-			in := w.inbox
-			w.inbox = nil
+			in := first.inbox
+			first.inbox = nil
 			for _, do := range in {
 				do()
 			}
@@ -199,8 +242,15 @@
 	}
 	w.run()
 	w.res.Worth = w.worth / max(w.asked, 1)
-	w.res.Changes = w.front.LevelHistory()
-	w.res.Levels = w.front.Levels()
+	w.res.Changes = first.front.LevelHistory()
+	w.res.Levels = first.front.Levels()
+	for _, n := range w.nodes {
+		for _, x := range n.front.Switches() {
+			if x.Phase != "ended" {
+				w.res.Held += x.Held
+			}
+		}
+	}
 	w.res.Fleet = w.fleet
 	w.countChanges()
 	return &w.res
@@ -231,14 +281,18 @@
 		if at, ok := w.todo.Next(); ok {
 			next = min(next, at)
 		}
-		if at, ok := w.front.Deadlines.Next(); ok {
-			next = min(next, max(at, w.late))
+		for _, n := range w.nodes {
+			if at, ok := n.front.Deadlines.Next(); ok {
+				next = min(next, max(at, n.late))
+			}
 		}
 		w.clock.now = max(w.clock.now, next)
 		w.fleet.Advance(w.clock.now)
 		w.todo.Run(w.clock.now)
-		if w.clock.now >= w.late {
-			w.front.Deadlines.Run(w.clock.now)
+		for _, n := range w.nodes {
+			if w.clock.now >= n.late {
+				n.front.Deadlines.Run(w.clock.now)
+			}
 		}
 	}
 }
@@ -273,8 +327,26 @@
 	plan()
 }
 
+// elected notes a new primary.
+func (w *world) elected(m int, r logic.Role) {
+	if r == logic.RolePrimary {
+		g := w.fleet.Members()[m].Group
+		w.newest[g] = len(w.res.Switches)
+		w.res.Switches = append(w.res.Switches, Election{At: w.clock.now - base, Group: g, Member: m})
+	}
+}
+
+// election is that of a member which has just become primary.
+func (w *world) election(m int) *Election {
+	if i, ok := w.newest[w.fleet.Members()[m].Group]; ok && w.res.Switches[i].Member == m {
+		return &w.res.Switches[i]
+	}
+	return nil
+}
+
 type request struct {
 	w       *world
+	n       *node
 	class   int
 	group   int
 	session uint64
@@ -285,6 +357,8 @@
 	tries   int
 	over    bool
 	id      logic.RequestID
+	called  time.Duration // the try in hand
+	served  int           // the database that answered last
 }
 
 func (w *world) arrive() {
@@ -299,8 +373,15 @@
 		}
 		x -= w.cfg.Shares[class]
 	}
-	r := &request{w: w, class: class, group: w.rng.IntN(w.cfg.Fleet.Groups), due: w.clock.now}
+	r := &request{w: w, n: w.nodes[0], class: class, group: w.rng.IntN(w.cfg.Fleet.Groups), due: w.clock.now}
+	if len(w.nodes) > 1 {
+		r.n = w.nodes[w.rng.IntN(len(w.nodes))]
+	}
 	n := 1 + w.rng.IntN(w.cfg.Sessions)
+	if w.cfg.Record && w.cfg.Fleet.Classes[class].Read == logic.Write {
+		w.ids++
+		r.key = strconv.FormatUint(w.ids, 10)
+	}
 	if r.hot = w.rng.Float64() < w.cfg.HotSession; r.hot {
 		n = 0
 	}
@@ -312,6 +393,7 @@
 	w.res.Classes[class].Offered++
 	w.at(r.until+time.Second, func() { // an answer that never comes
 		if !r.over {
+			r.record(history.Unanswered)
 			r.end(&w.res.Classes[class].Silent, 0)
 		}
 	})
@@ -322,7 +404,8 @@
 	w := r.w
 	w.res.Classes[r.class].Tries++
 	r.tries++
-	w.proxy(func() {
+	r.called = w.clock.now
+	r.n.proxy(func() {
 		c := &w.cfg.Fleet.Classes[r.class]
 		in := state.Request{Class: c.Name, Wait: r.until - w.clock.now, Session: r.session, Group: r.group, Command: command{r}, Caller: r}
 		if at := w.after[r.session]; at > 0 && c.Read == logic.Session {
@@ -332,10 +415,17 @@
 			r.Refused(0)
 			return
 		}
-		r.id, _ = w.front.Take(in)
+		r.id, _ = r.n.front.Take(in)
 	})
 }
 
+// record notes the end of a try to write.
+func (r *request) record(e history.End) {
+	if r.key != "" {
+		r.w.res.Writes = append(r.w.res.Writes, history.Write{Key: r.key, Group: r.group, Call: r.called, Return: r.w.clock.now, End: e})
+	}
+}
+
 func (r *request) end(count *int, part float64) {
 	if r.over {
 		return
@@ -358,20 +448,24 @@
 func (r *request) Served([]byte) {
 	k := &r.w.res.Classes[r.class]
 	c := &r.w.cfg.Fleet.Classes[r.class]
+	r.record(history.Served)
 	if c.Read == logic.Write {
 		r.w.after[r.session] = r.w.clock.now
+		if e := r.w.election(r.served); e != nil && e.First == 0 {
+			e.First = r.w.clock.now - base - e.At
+		}
 	}
 	if r.w.clock.now-r.due <= c.Aim {
 		r.end(&k.InAim, 1)
 		return
 	}
-	late := map[logic.Freshness]float64{logic.Fresh: 0.2, logic.Write: 0.3}[c.Read]
-	r.end(&k.Late, late)
+	r.end(&k.Late, c.Late)
 }
 
 // Refused implements state.Caller.
 func (r *request) Refused(comeBack time.Duration) {
 	w := r.w
+	r.record(history.Refused)
 	wait := w.cfg.RetryWait
 	if w.cfg.Honour {
 		wait = max(wait, comeBack)
@@ -384,7 +478,10 @@
 }
 
 // Failed implements state.Caller.
-func (r *request) Failed() { r.end(&r.w.res.Classes[r.class].Failed, 0) }
+func (r *request) Failed() {
+	r.record(history.Failed)
+	r.end(&r.w.res.Classes[r.class].Failed, 0)
+}
 
 // Unfit implements state.Caller.
 func (r *request) Unfit([]byte) { r.Failed() }
@@ -398,6 +495,7 @@
 
 type conn struct {
 	w      *world
+	n      *node
 	m      int
 	to     state.Listener
 	up     bool
@@ -407,21 +505,21 @@
 }
 
 // Open implements state.Opener. The address is the member's number.
-func (w *world) Open(address string, _ int, to state.Listener) state.Conn {
-	m := 0
+func (n *node) Open(address string, _ int, to state.Listener) state.Conn {
+	w, m := n.w, 0
 	for _, d := range address {
 		m = m*10 + int(d-'0')
 	}
-	c := &conn{w: w, m: m, to: to}
+	c := &conn{w: w, n: n, m: m, to: to}
 	w.conns[m] = append(w.conns[m], c)
 	w.at(w.clock.now+3*w.cfg.Way, func() {
 		switch {
 		case c.closed:
 		case w.fleet.Liveness(m) == fleet.Down:
-			w.proxy(c.down)
+			n.proxy(c.down)
 		case w.fleet.Liveness(m) == fleet.Up:
 			c.up = true
-			w.proxy(func() {
+			n.proxy(func() {
 				if !c.closed {
 					c.to.Up()
 				}
@@ -432,7 +530,7 @@
 }
 
 // GivenUp implements state.Opener.
-func (w *world) GivenUp() int { return 0 }
+func (n *node) GivenUp() int { return 0 }
 
 func (c *conn) down() {
 	if !c.closed {
@@ -447,7 +545,7 @@
 		return
 	}
 	for _, c := range w.conns[m] {
-		w.at(w.clock.now+w.cfg.Way, func() { w.proxy(c.down) })
+		w.at(w.clock.now+w.cfg.Way, func() { c.n.proxy(c.down) })
 	}
 }
 
@@ -460,10 +558,14 @@
 		if c.closed {
 			return
 		}
+		if e := w.election(c.m); e != nil && w.clock.now-base-e.At < pushed {
+			e.Push += w.fleet.MeanWork(r.class) / (w.fleet.Capacity(c.m) * pushed.Seconds())
+		}
 		c.ticket = w.fleet.Submit(w.clock.now, c.m, fleet.Query{Class: r.class, Key: r.key, After: w.after[r.session], Deadline: until}, func(p fleet.Reply) {
 			w.at(w.clock.now+w.cfg.Way, func() {
-				w.proxy(func() {
+				c.n.proxy(func() {
 					if !c.closed {
+						r.served = c.m
 						c.to.Reply(w.reply(p))
 					}
 				})
@@ -490,7 +592,7 @@
 			return
 		}
 		w.at(w.clock.now+w.cfg.Way, func() {
-			w.proxy(func() {
+			c.n.proxy(func() {
 				if !c.closed {
 					c.to.Reply(state.Reply{Result: logic.OK, Load: state.Load{Told: true, Role: r.Role, Queue: -1,
 						Position: (w.clock.Unix() - w.clock.now + r.Position).Seconds()}})
@@ -535,25 +637,26 @@
 	return out
 }
 
-func (w *world) news() {
-	if w.watch {
-		w.front.Listed(w.list(logic.ListFull))
+func (n *node) news() {
+	if n.watch {
+		n.front.Listed(n.w.list(logic.ListFull))
 	}
 }
 
 // Watch implements state.Watcher.
-func (w *world) Watch(on bool) {
-	w.watch = on
-	w.Fetch()
+func (n *node) Watch(on bool) {
+	n.watch = on
+	n.Fetch()
 }
 
 // Fetch implements state.Watcher.
-func (w *world) Fetch() {
+func (n *node) Fetch() {
+	w := n.w
 	w.at(w.clock.now+time.Millisecond, func() {
 		if _, _, ok := w.fleet.List(w.clock.now); !ok {
-			w.proxy(func() { w.front.ListFailed(errDown) })
+			n.proxy(func() { n.front.ListFailed(errDown) })
 			return
 		}
-		w.proxy(func() { w.front.Listed(w.list(logic.ListFull)) })
+		n.proxy(func() { n.front.Listed(w.list(logic.ListFull)) })
 	})
 }
--- /dev/null
+++ b/internal/limit/cold.go
@@ -0,0 +1,26 @@
+package limit
+
+import "time"
+
+// Account keeps a started database from being pushed over: it fills with the work that may be sent, is never above zero,
+// so that the sum of all proxies is bounded, and starts in a random debt, so that they don't begin together.
+type Account struct {
+	bank float64 // seconds of work; zero at most
+	at   time.Duration
+}
+
+// NewAccount makes one that no start has opened yet.
+func NewAccount() Account { return Account{at: -1} }
+
+// Bears brings the account up to now and tells whether something may be sent. from is when the database started, debt what
+// its account starts with, fill the work that it bears in a second.
+func (a *Account) Bears(now, from time.Duration, debt func() float64, fill float64) bool {
+	if a.at < from {
+		a.bank, a.at = -debt(), now
+	}
+	a.bank, a.at = min(a.bank+fill*(now-a.at).Seconds(), 0), now
+	return a.bank >= 0
+}
+
+// Take notes work that is sent, in seconds.
+func (a *Account) Take(work float64) { a.bank -= work }
--- /dev/null
+++ b/internal/limit/limit.go
@@ -0,0 +1,74 @@
+// Package limit bounds how many requests one proxy has out at one database: by how its answers stand against their aims
+// (additive increase, multiplicative decrease), against slow databases behind quick pings, crowds and overload. It is pure.
+package limit
+
+import "time"
+
+const (
+	weightMany = 0.1 // an answer's weight where they are many;
+	weightRare = 0.5 // and where many aims have passed since the last one
+	rareAims   = 4.0
+	startAll   = 36.0 // what all proxies together may have out at an unknown database,
+	ownAtLeast = 3.0  // but no less than this each; a lower limit rises to it by itself, one each easeEvery
+	easeEvery  = 10 * time.Second
+	floorAll   = 2.0                    // what they leave a strained one, so that it can show its recovery
+	cutEvery   = 100 * time.Millisecond // let one cut show before the next
+)
+
+const (
+	// High is the strain above which exponential-like answer times begin to miss their aims in number.
+	High = 0.5
+	// Late is what an attempt counts that ended without an answer in time.
+	Late = 2.0
+)
+
+// Limit is one database's, at one proxy.
+type Limit struct {
+	Strain float64       // answer time over aim, moving average
+	Most   float64       // how many attempts may be out
+	Judged time.Duration // when an answer was last held against its aim
+	Eased  time.Duration // when a low limit last rose by itself
+
+	proxies int
+	cutAt   time.Duration
+	turned  bool // a request was turned away since the limit last grew
+}
+
+// New makes the limit of an unknown database, of which so many proxies have each their part.
+func New(proxies int) Limit {
+	l := Limit{proxies: max(proxies, 1)}
+	l.Forget()
+	return l
+}
+
+// Forget begins anew: the database may be another than it was.
+func (l *Limit) Forget() { l.Most, l.Strain = startAll/float64(l.proxies), 0 }
+
+// Filled tells whether the database has this proxy's fill, of which a request may take part. The broken part of a limit
+// counts as a chance, by luck from 0 to 1.
+func (l *Limit) Filled(now time.Duration, out int, part, luck float64) bool {
+	if l.Most < ownAtLeast {
+		l.Most = min(l.Most+float64(now-l.Eased)/float64(easeEvery), ownAtLeast)
+	}
+	l.Eased = now
+	free := l.Most*part - float64(out)
+	full := free <= 0 || free < 1 && luck >= free
+	l.turned = l.turned || full
+	return full
+}
+
+// Judge holds an answer against its aim: x is its time over the aim, Late at most. out counts those still out.
+func (l *Limit) Judge(now, aim time.Duration, x float64, out int) {
+	weight := min(max(float64(now-l.Judged)/(rareAims*float64(aim)), weightMany), weightRare)
+	l.Judged = now
+	l.Strain += weight * (x - l.Strain)
+	n := float64(out + 1)
+	switch {
+	case l.Strain > High && now-l.cutAt >= cutEvery:
+		l.Most = max(floorAll/float64(l.proxies), min(l.Most, n)*(1-weight))
+		l.cutAt = now
+	case l.Strain <= High && (l.turned || n >= l.Most/2):
+		l.Most += min(2/max(l.Most, 1), l.Most)
+		l.turned = false
+	}
+}
--- a/internal/net/mysql_database.go
+++ b/internal/net/mysql_database.go
@@ -59,6 +59,18 @@
 	return mysql.AppendCommand(dst, mysql.ComStmtPrepare, p.text)
 }
 
+// Size is how many bytes of a client it holds.
+func (q *mysqlQuery) Size() int { return len(q.text) }
+
+// Size is how many bytes of a client it holds, the text aside, which is the statement's.
+func (e *mysqlExecute) Size() int {
+	n := len(e.x.Rest)
+	for _, data := range e.long {
+		n += len(data)
+	}
+	return n
+}
+
 // AppendTo implements state.Command; what goes out depends on the connection.
 func (e *mysqlExecute) AppendTo(dst []byte, _ time.Duration) []byte { return dst }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 
 	"go.starlark.net/starlark"
 
+	"havenproxy/internal/handover"
 	"havenproxy/internal/levels"
 	"havenproxy/internal/operator/star"
 	"havenproxy/logic"
@@ -27,6 +28,8 @@
 	// Levels of reduced service; nil = off.
 	Levels *levels.Config
 	MySQL  *MySQL // nil = off
+	// Handover says what is held while a group has no primary; the zero value holds nothing.
+	Handover handover.Config
 }
 
 // MySQL is a second front, for clients and databases that speak MySQL.
@@ -59,7 +62,7 @@
 		p.classNames = append(p.classNames, c.Name)
 	}
 	if err := star.Exec(name, src, map[string]star.Func{
-		"console": p.console, "levels": p.levels, "level": p.level, "mysql": p.mysql,
+		"console": p.console, "levels": p.levels, "level": p.level, "mysql": p.mysql, "handover": p.handover,
 		"pin": func(c *star.Call) starlark.Value { return p.hold(c, p.pins) },
 		"cap": func(c *star.Call) starlark.Value { return p.hold(c, p.caps) },
 	}, p.names); err != nil {
@@ -74,6 +77,7 @@
 	classNames []string
 	enabled    bool
 	called     bool
+	handed     bool
 	cfg        levels.Config
 	ladder     []levels.Level
 	pins, caps map[logic.GroupID]string
@@ -85,6 +89,37 @@
 	return nil
 }
 
+// handover reads what is held while a group has no primary.
+func (p *parser) handover(c *star.Call) starlark.Value {
+	if p.handed {
+		c.Errorf("", "handover() is called a second time")
+	}
+	p.handed = true
+	minute := time.Minute
+	h := handover.Config{Hold: c.Bool("hold", true)}
+	h.Likely = c.Float("likely", 0, 0.01, 1)
+	h.Keep = c.Float("keep", 0, 0.01, 1)
+	h.LateCost = c.Float("late_cost", 0, 0.001, 1)
+	h.MostHeld = c.Int("most_held", 0, 1, 1<<16)
+	h.MostBytes = c.Int("most_bytes", 0, 1<<10, 1<<30)
+	h.MostTime = c.Duration("most_time", 0, 10*time.Millisecond, minute)
+	h.Drain.From = c.Duration("drain_from", 450*time.Millisecond, 0, minute)
+	h.Drain.To = c.Duration("drain_to", 800*time.Millisecond, time.Millisecond, minute)
+	h.Death.From = c.Duration("death_from", 2*time.Second, 0, 10*minute)
+	h.Death.To = c.Duration("death_to", 7*time.Second, time.Millisecond, 10*minute)
+	h.Fade = c.Duration("fade", 0, time.Second, 24*60*minute)
+	h.Blip = c.Duration("blip", 0, 10*time.Millisecond, minute)
+	h.Settle = c.Duration("settle", 0, 10*time.Millisecond, minute)
+	h.Search = c.Duration("search", 0, 5*time.Millisecond, 10*time.Second)
+	h.Margin = c.Duration("margin", 0, time.Millisecond, 10*time.Second)
+	h = h.WithDefaults()
+	if err := h.Check(); err != nil {
+		c.Errorf("", "%v", err)
+	}
+	p.file.Handover = h
+	return nil
+}
+
 func (p *parser) mysql(c *star.Call) starlark.Value {
 	if p.file.MySQL != nil {
 		c.Errorf("", "mysql() is called a second time")
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -122,6 +122,7 @@
 // apply puts the operator's file into effect; it is called on the loop.
 func (p *proxy) apply(own *operator.File) {
 	p.front.Reduce(own.Levels)
+	p.front.Handover(own.Handover)
 	p.server.Console(own.Console.Enabled)
 	if p.mysql != nil && own.MySQL != nil { // its address and groups stay as they were at the start
 		p.mysql.Users, _ = mysqlUsers(own.MySQL)
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -176,6 +176,9 @@
 	f.requests[q.id] = q
 	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group), Caller: in.Session,
 		Deadline: f.clock.Now() + max(in.Wait-wayHome, 0), Retry: in.Retry}
+	if c, ok := in.Command.(interface{ Size() int }); ok {
+		out.Size = c.Size()
+	}
 	switch f.cfg.Logic.Classes[class].Read { // elsewhere the key names no session
 	case logic.Session:
 		out.Session, out.TokenAge = logic.SessionID(in.Session), tokenAge(f.clock, in.After)
@@ -313,7 +316,7 @@
 	now := f.clock.Now()
 	o := logic.Outcome{Request: q.id, Attempt: a.n, Member: a.to.id, Result: r.Result, Took: now - a.sentAt,
 		Finished: q.caller == nil, Role: r.Role, Position: place(f.clock, time.Duration(r.Position)*time.Millisecond),
-		Load: f.report(r)}
+		Load: f.report(r), Opened: r.opened}
 	f.forget(q)
 	f.tell(func() { f.router.Outcome(f.clock.Now(), o) })
 }
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -48,6 +48,8 @@
 	Role     logic.Role
 	Position int64 // Unix milliseconds; 0 = not told
 	Load     Load
+
+	opened time.Duration // since when its connection was up
 }
 
 // Load is a load report; Told is false where there was none.
@@ -76,6 +78,7 @@
 	state   linkState
 	probing bool          // it is the one for probes
 	asked   time.Duration // when the probe was written
+	upAt    time.Duration // when it came up
 	attempt *attempt
 }
 
@@ -193,6 +196,7 @@
 		return
 	}
 	f.Deadlines.Clear(&l.Deadline)
+	l.upAt = f.clock.Now()
 	if !l.conn.Quiet() { // more came than the welcome; nothing has been written
 		l.fail(Reply{Result: logic.ConnectFailed})
 		return
@@ -225,12 +229,14 @@
 	}
 	if l.probing {
 		took := f.clock.Now() - l.asked
+		r.opened = l.upAt
 		f.rest(l)
 		f.probed(l.m, r, took)
 		return
 	}
 	a := l.attempt
 	l.attempt, a.link = nil, nil
+	r.opened = l.upAt
 	f.rest(l)
 	f.end(a, r)
 }
@@ -311,7 +317,7 @@
 		f.Counters.ProbesOK++
 	}
 	m.heard(r, true)
-	p := logic.Probed{Member: m.id, Result: r.Result, Took: took, Report: f.report(r)}
+	p := logic.Probed{Member: m.id, Result: r.Result, Took: took, Report: f.report(r), Opened: r.opened}
 	f.tell(func() { f.router.Probed(f.clock.Now(), p) })
 }
 
--- a/internal/state/show.go
+++ b/internal/state/show.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"havenproxy/internal/handover"
 	"havenproxy/logic"
 )
 
@@ -68,6 +69,50 @@
 	return out
 }
 
+// SwitchView is a group's place with its primary, or a switch that has ended.
+type SwitchView struct {
+	Group    int
+	Phase    string // "ended" for one that has
+	For      time.Duration
+	Cause    string // of the switch; empty where there is none
+	From, To string // members' names; empty where not known
+	Rivals   int
+	Held     int
+	Refused  int
+	Bytes    int
+	Expected time.Duration // until a primary is back
+}
+
+// Switches gives the groups' places in their order, and behind them the last switches that have ended, the newest first.
+func (f *Front) Switches() (out []SwitchView) {
+	now := f.clock.Now()
+	groups, ended := f.planned.Switches(now)
+	name := func(id uint64) string {
+		if m := f.members[logic.MemberID(id)]; m != nil {
+			return m.name
+		}
+		return ""
+	}
+	for _, id := range f.planned.Groups() {
+		s := groups[id]
+		v := SwitchView{Group: int(id), Phase: s.Phase.String(), For: now - s.Since, To: name(s.Primary), Rivals: s.Rivals, Held: s.Held,
+			Bytes: s.Bytes, Expected: s.Expected}
+		if s.Primary == 0 && s.Phase != handover.Unheard {
+			v.Cause = s.Cause.String()
+		}
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b SwitchView) int { return cmp.Compare(a.Group, b.Group) })
+	for _, s := range ended {
+		out = append(out, SwitchView{Group: s.Group, Phase: "ended", For: s.Length, Cause: s.Cause.String(), From: name(s.From), To: name(s.To),
+			Held: s.Held, Refused: s.Refused})
+	}
+	return out
+}
+
+// Handover puts other settings for switches into force; they must have passed their Check.
+func (f *Front) Handover(cfg handover.Config) { f.planned.Handover(cfg) }
+
 // PoolView is the connections to a database.
 type PoolView struct {
 	Name, Address       string
--- a/internal/wire/mysql/mysql_test.go
+++ b/internal/wire/mysql/mysql_test.go
@@ -460,3 +460,21 @@
 		out = got.AppendTo(out[:0], 1, ServerCaps)
 	}
 }
+
+func BenchmarkRelay(b *testing.B) {
+	r := Reply{IsResult: true, Columns: [][]byte{AppendColumn(nil, 0, "val", TypeVarString)[headLen:]}, Rows: [][]byte{AppendTextRow(nil, 0, "value")[headLen:]}}
+	stream := r.AppendTo(nil, 1, ServerCaps)
+	var got Reply
+	out := make([]byte, 0, 1024)
+	b.ReportAllocs()
+	for b.Loop() {
+		got.Expect(ServerCaps, false)
+		got.Skim()
+		for at := 0; at < len(stream); {
+			body, seq, n, _ := Next(stream[at:], MaxPacket)
+			got.Add(body, seq)
+			at += n
+		}
+		out, _ = Relay(out[:0], stream, ServerCaps)
+	}
+}
--- a/internal/wire/pg/statement.go
+++ b/internal/wire/pg/statement.go
@@ -29,6 +29,9 @@
 	return Statement{text, h}, err
 }
 
+// Size is how many bytes it holds.
+func (s *Statement) Size() int { return len(s.Text) }
+
 // AppendTo writes the statement for a database that has so long to answer. Only the number of d is changed; it
 // is rounded down, so that the database never works on what nobody waits for.
 func (s *Statement) AppendTo(dst []byte, wait time.Duration) []byte {
--- a/internal/wire/settings/settings.go
+++ b/internal/wire/settings/settings.go
@@ -20,6 +20,7 @@
 	Stream bool    `json:"stream"`
 	Window float64 `json:"dedup_window"`
 	Worth  float64 `json:"worth"`
+	Late   float64 `json:"late_value"`
 }
 
 type settingsJSON struct {
@@ -146,5 +147,5 @@
 		return logic.Class{}, err
 	}
 	return logic.Class{Name: c.Name, Read: read, Aim: micros(c.Aim), Limit: micros(c.Limit), Effect: effect,
-		Scope: scope, DedupWindow: micros(c.Window), Worth: c.Worth, Stream: c.Stream}, nil
+		Scope: scope, DedupWindow: micros(c.Window), Worth: c.Worth, Late: c.Late, Stream: c.Stream}, nil
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -1,6 +1,10 @@
 package logic
 
-import "time"
+import (
+	"time"
+
+	"havenproxy/internal/handover"
+)
 
 // All times are durations on the front's own clock, which starts anywhere and only moves forward.
 // All ids are opaque: the router compares them and hands them back, nothing more.
@@ -90,6 +94,7 @@
 	Scope       KeyScope
 	DedupWindow time.Duration
 	Worth       float64
+	Late        float64 // part of the worth that an answer later than Aim earns
 	Stream      bool
 }
 
@@ -127,6 +132,8 @@
 	ColdShare    float64       // a started member's capacity is at least this part of its usual one
 	FallMultiple float64       // a cold member that is sent more than this times its capacity falls over
 	DrainOnly    bool          // only a listed drain binds, "gone" doesn't
+
+	Handover handover.Config // what is held while a group has no primary; nothing by itself
 }
 
 // Request is one try of a client.
@@ -140,6 +147,7 @@
 	Deadline time.Duration // when the client gives this try up
 	TokenAge time.Duration // Config.Carried: how long ago the session's last write was committed; 0 = none
 	Retry    bool          // the client says that it is a repeat
+	Size     int           // in bytes; 0 = not told
 }
 
 // Result is how an attempt or a probe ended.
@@ -174,6 +182,7 @@
 	Role     Role          // what the answer told of the member's role
 	Position time.Duration // all commits up to then are applied (rounded down); of an OK write: its commit
 	Load     Report        // where answers carry reports
+	Opened   time.Duration // since when the connection was up that brought the answer; 0 = not told
 }
 
 // Report is what a member says of itself, somewhat old.
@@ -189,6 +198,7 @@
 	Result Result
 	Took   time.Duration
 	Report Report
+	Opened time.Duration // as in Outcome
 }
 
 // MemberState is what the list knows of a member's process.
--- a/logic/facts.go
+++ b/logic/facts.go
@@ -1,6 +1,10 @@
 package logic
 
-import "time"
+import (
+	"time"
+
+	"havenproxy/internal/handover"
+)
 
 // What a router tells of its groups to those who plan; nothing here decides.
 
@@ -50,15 +54,35 @@
 			continue
 		}
 		out.Usable++
-		out.Strain += m.strain
-		if out.Warmth++; m.cold && now-m.coldFrom < r.cfg.Cold {
-			out.Warmth -= (1 - r.cfg.ColdShare) * (1 - max(0, float64(now-m.coldFrom))/float64(r.cfg.Cold))
-		}
+		out.Strain += m.Strain
+		out.Warmth += r.warmth(now, m)
 	}
 	out.Strain /= float64(max(out.Usable, 1))
 	return true
 }
 
+// warmth is the part of its usual work that a member can be taken to do: less while it is cold, as far as it is doubtful
+// that it never stopped.
+func (r *Router) warmth(now time.Duration, m *member) float64 {
+	if !m.cold || now-m.coldFrom >= r.cfg.Cold {
+		return 1
+	}
+	part := r.cfg.ColdShare + (1-r.cfg.ColdShare)*max(0, float64(now-m.coldFrom))/float64(r.cfg.Cold)
+	return 1 - m.seat.Suspect()*(1-part)
+}
+
+// Switches gives the groups' places with their primaries, and the last switches that have ended, the newest first.
+func (r *Router) Switches(now time.Duration) (groups map[GroupID]handover.Status, ended []handover.Switch) {
+	groups = map[GroupID]handover.Status{}
+	for _, id := range r.listed {
+		groups[id] = r.groups[id].lead.Status(now)
+	}
+	return groups, r.lead.Ended()
+}
+
+// Handover puts other settings for switches into force.
+func (r *Router) Handover(cfg handover.Config) { r.lead.Configure(cfg) }
+
 // tallyOf is where a request is counted.
 func (q *request) tallyOf() *Tally { return &q.group.tally[q.Class] }
 
@@ -96,6 +120,6 @@
 	if m == nil {
 		return MemberFacts{}, false
 	}
-	return MemberFacts{Group: m.Group, Role: m.role, Silent: m.silent, Benched: r.failsMore(m), Cold: m.cold && now-m.coldFrom < r.cfg.Cold,
-		Out: len(m.out), Limit: m.limit, Strain: m.strain, Ping: m.ping, Position: m.position}, true
+	return MemberFacts{Group: m.Group, Role: m.role(), Silent: m.silent, Benched: r.failsMore(m), Cold: m.cold && now-m.coldFrom < r.cfg.Cold,
+		Out: len(m.out), Limit: m.Most, Strain: m.Strain, Ping: m.ping, Position: m.position}, true
 }
--- /dev/null
+++ b/logic/hold_test.go
@@ -0,0 +1,290 @@
+package logic
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"havenproxy/internal/handover"
+)
+
+// holding is a deployment that holds writes through a switch, one attempt at a time.
+func holding() Config {
+	cfg := testConfig()
+	cfg.Parallel, cfg.Handover = false, handover.Config{Hold: true}
+	w := &cfg.Classes[clsGuarded]
+	w.Aim, w.Limit, w.DedupWindow, w.Late = 600*ms, 3*time.Second, 3*time.Second, 0.3
+	return cfg
+}
+
+// drain lists a member as draining.
+func (f *front) drain(m MemberID) {
+	f.r.Members(f.now, List{Kind: ListDelta, Entries: []Member{{ID: m, State: Draining}}})
+}
+
+// passAs lets time go by with another primary, or none; members in mute say nothing.
+func (f *front) passAs(primary MemberID, d time.Duration, mute ...MemberID) {
+	for end := f.now + d; f.now < end; {
+		f.now += 10 * ms
+		f.r.Timer(f.now, tickTimer)
+		ask := f.probes
+		f.probes = nil
+		for _, m := range ask {
+			if slices.Contains(mute, m) {
+				continue
+			}
+			rep := Report{Role: RoleReplica, Position: f.now - 10*ms}
+			if m == primary {
+				rep = Report{Role: RolePrimary, Position: f.now}
+			}
+			f.r.Probed(f.now, Probed{Member: m, Took: ms, Report: rep})
+		}
+	}
+}
+
+func TestAWriteIsHeldThroughADrain(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.drain(1)
+	id := f.request(clsGuarded, 1)
+	f.passAs(0, 500*ms)
+	if f.count(id) > 0 || f.finals[id] != "" {
+		t.Fatalf("%d sends, %q", f.count(id), f.finals[id])
+	}
+	before := f.now
+	for f.count(id) == 0 && f.now < before+time.Second {
+		f.passAs(2, 10*ms)
+	}
+	if s := f.mustSend(id); s.to != 2 || f.now-before > 60*ms {
+		t.Errorf("sent to %d, %v after the election: a ping's period and a way were wanted", s.to, f.now-before)
+	}
+	f.serve(id, 80*ms)
+	if n := f.r.groups[0].lead.Holds(); n != 0 {
+		t.Errorf("%d are held", n)
+	}
+}
+
+func TestNothingIsHeldWithoutTheSetting(t *testing.T) {
+	cfg := holding()
+	cfg.Handover.Hold = false
+	f := settled(t, cfg, 3)
+	f.drain(1)
+	f.wantFinal(f.request(clsGuarded, 1), "refused")
+}
+
+// A death takes longer than a write's client waits: it hears so at once, and when to come back.
+func TestADeathRefusesAtOnceUntilItsEndIsNear(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.request(clsGuarded, 1) // it makes the member owe something
+	f.passAs(0, 600*ms, 1)
+	id := f.request(clsGuarded, 2)
+	f.wantFinal(id, "refused")
+	if f.hints[id] < 200*ms {
+		t.Errorf("come back after %v", f.hints[id])
+	}
+	f.passAs(0, 4500*ms, 1)
+	late := f.request(clsGuarded, 3)
+	if f.finals[late] != "" {
+		t.Fatalf("%q though the election is due", f.finals[late])
+	}
+	f.passAs(2, 100*ms, 1)
+	if s := f.mustSend(late); s.to != 2 {
+		t.Errorf("sent to %d", s.to)
+	}
+}
+
+// What is held and can't be served in time any more is answered at once, before its client gives up.
+func TestAHeldWriteHasItsAnswerInTime(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.drain(1)
+	id, at := f.request(clsGuarded, 1), f.now
+	f.passAs(0, 4*time.Second)
+	f.wantFinal(id, "refused")
+	if f.count(id) > 0 || f.r.groups[0].lead.Holds() > 0 {
+		t.Errorf("%d sends, %d held", f.count(id), f.r.groups[0].lead.Holds())
+	}
+	_ = at
+}
+
+func TestAClientThatLeavesWhileHeld(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.drain(1)
+	id := f.request(clsGuarded, 1)
+	f.passAs(0, 200*ms)
+	f.r.Abandoned(f.now, id)
+	f.passAs(2, 500*ms)
+	if f.count(id) > 0 || f.finals[id] != "" || f.r.groups[0].lead.Holds() > 0 || len(f.r.requests) > 0 {
+		t.Errorf("%d sends, %q, %d requests kept", f.count(id), f.finals[id], len(f.r.requests))
+	}
+}
+
+// A hundred held at once leave as the new primary's limit allows, and none of them is forgotten.
+func TestHeldWritesLeaveAtAPace(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.drain(1)
+	var ids []RequestID
+	for i := range 100 {
+		ids = append(ids, f.request(clsGuarded, SessionID(i+1)))
+	}
+	f.passAs(0, 400*ms)
+	if n := f.r.groups[0].lead.Holds(); n != 100 {
+		t.Fatalf("%d held", n)
+	}
+	most, served := 0, 0
+	for end := f.now + 3*time.Second; f.now < end; {
+		f.passAs(2, 10*ms)
+		m := f.r.members[2]
+		most = max(most, len(m.out))
+		for _, a := range slices.Clone(m.out) {
+			if f.now-a.sentAt >= 40*ms {
+				served++
+				f.finals[a.req.ID] = "served"
+				f.r.Outcome(f.now, Outcome{Request: a.req.ID, Attempt: a.n, Member: 2, Result: OK, Took: f.now - a.sentAt,
+					Finished: true, Role: RolePrimary, Position: f.now})
+			}
+		}
+	}
+	if most > 40 || served < 90 {
+		t.Errorf("%d out at once, %d served", most, served)
+	}
+	for _, id := range ids {
+		if f.finals[id] == "" {
+			t.Errorf("request %d has no answer", id)
+		}
+	}
+}
+
+// A write that a primary took before it fell silent may have run. It goes to the new one with its key while that drops a
+// repeat, and fails, never 'refused', once that is no longer sure.
+func TestAWriteThatMayHaveRunFollowsItsGroup(t *testing.T) {
+	for _, c := range []struct {
+		back  time.Duration
+		sends int
+	}{{1500 * ms, 2}, {2900 * ms, 1}} {
+		cfg := holding()
+		cfg.Classes[clsGuarded].Limit = 6 * time.Second // its client outlasts the window
+		f := settled(t, cfg, 3)
+		id := f.request(clsGuarded, 1)
+		if f.mustSend(id).to != 1 {
+			t.Fatal("not sent to the primary")
+		}
+		f.passAs(0, c.back, 1)
+		f.passAs(2, 200*ms, 1)
+		if f.cancels > 0 {
+			s, _ := f.last(id)
+			if s.n == 0 {
+				f.r.Outcome(f.now, Outcome{Request: id, Member: 1, Result: Cancelled, Took: f.now - s.at})
+			}
+		}
+		f.passAs(2, 200*ms, 1)
+		if f.count(id) != c.sends {
+			t.Errorf("back after %v: %d sends, %d called off, want %d sends", c.back, f.count(id), f.cancels, c.sends)
+			continue
+		}
+		if c.sends == 2 {
+			if s := f.serve(id, 80*ms); s.to != 2 {
+				t.Errorf("the repeat went to %d", s.to)
+			}
+			continue
+		}
+		f.end(f.mustSend(id), TimedOut)
+		f.wantFinal(id, "failed")
+	}
+}
+
+// One millisecond either side of the last moment for a repeat.
+func TestALateResendByAMillisecond(t *testing.T) {
+	for _, after := range []time.Duration{-ms, 0, ms} {
+		cfg := holding()
+		cfg.Classes[clsGuarded].Limit = 6 * time.Second
+		f := settled(t, cfg, 3)
+		id := f.request(clsGuarded, 1)
+		s := f.mustSend(id)
+		q := f.r.requests[id]
+		a := q.tries[0]
+		a.ran = true // its end will be a failure
+		until := f.r.until(q, a)
+		if until >= s.at+3*time.Second-f.r.slow[clsGuarded]+ms {
+			t.Fatalf("%v after the first attempt a repeat is still let out", until-s.at)
+		}
+		a.ran = false
+		f.passAs(1, until-f.r.cost[clsGuarded]-f.now-20*ms)
+		f.now = until - f.r.cost[clsGuarded] + after
+		f.end(s, Failed)
+		if want := 1; after < 0 {
+			want = 2
+			if f.count(id) != want {
+				t.Errorf("%v: %d sends", after, f.count(id))
+			}
+		} else if f.count(id) != want || f.finals[id] != "failed" {
+			t.Errorf("%v: %d sends, %q", after, f.count(id), f.finals[id])
+		}
+	}
+}
+
+// Two requests with the same key, the first held: a client's own retry. Both have their answers, each goes out once.
+func TestAClientsOwnRetryWhileTheFirstIsHeld(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.drain(1)
+	first := f.request(clsGuarded, 7)
+	f.passAs(0, 300*ms)
+	f.nextID++
+	again := f.nextID
+	f.r.Request(f.now, Request{ID: again, Class: clsGuarded, Session: 7, Deadline: f.now + 2*time.Second, Retry: true})
+	f.passAs(2, 300*ms)
+	for _, id := range []RequestID{first, again} {
+		if f.count(id) != 1 {
+			t.Errorf("request %d went out %d times", id, f.count(id))
+		}
+		f.serve(id, 20*ms)
+	}
+}
+
+// While another primary is awaited, pings look for it, spread over the fronts.
+func TestThePrimaryIsLookedFor(t *testing.T) {
+	for fronts, least := range map[int]int{2: 15, 40: 3} {
+		cfg := holding()
+		cfg.Fronts = fronts
+		f := settled(t, cfg, 3)
+		f.request(clsBounded, 0)
+		f.drain(1)
+		f.request(clsGuarded, 1)
+		n := 0
+		for range 100 {
+			f.now += 10 * ms
+			f.probes = nil
+			f.r.Timer(f.now, tickTimer)
+			for _, m := range f.probes {
+				n++
+				f.r.Probed(f.now, Probed{Member: m, Took: ms, Report: Report{Role: RoleReplica, Position: f.now - 10*ms}})
+			}
+		}
+		if n < least || n > 45 {
+			t.Errorf("%d fronts: %d pings in a second", fronts, n)
+		}
+	}
+}
+
+// A member that answers on a connection from before its silence never stopped: it is not cold.
+func TestACutMemberIsNotCold(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		f := settled(t, holding(), 4)
+		before := f.now
+		f.request(clsBounded, 0)
+		f.passAs(1, 3*time.Second, 3)
+		f.r.Probed(f.now, Probed{Member: 3, Result: TimedOut})
+		f.passAs(1, 2*time.Second)
+		m := f.r.members[3]
+		if m.silent || !m.cold {
+			t.Fatalf("silent %v, cold %v", m.silent, m.cold)
+		}
+		opened := f.now
+		if kept {
+			opened = before
+		}
+		f.r.probe(f.now, m)
+		f.r.Probed(f.now, Probed{Member: 3, Took: ms, Opened: opened, Report: Report{Role: RoleReplica, Position: f.now - 10*ms}})
+		if m.cold == kept {
+			t.Errorf("answered on a connection from before: %v, cold: %v", kept, m.cold)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,6 +12,9 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"havenproxy/internal/handover"
+	"havenproxy/internal/limit"
 )
 
 const (
@@ -46,20 +49,10 @@
 	failLimit  = 0.35
 	benchFor   = time.Second // then one trial
 
-	strainWeight = 0.1 // an answer's weight where they are many;
-	strainRare   = 0.5 // and where many aims have passed since the last one
-	rareAims     = 4.0
-	strainHigh   = 0.5  // of the aim: above, exponential-like answer times begin to miss it in number
-	strainLate   = 2.0  // what an attempt counts that ended without an answer in time
-	limitStart   = 36.0 // what all fronts together may have out at an unknown member,
-	limitOwn     = 3.0  // but no less than this each; a lower limit rises to it by itself, one each limitEase
-	limitEase    = 10 * time.Second
-	limitFloor   = 2.0                    // what they leave a strained one, so that it can show its recovery
-	cutEvery     = 100 * time.Millisecond // let one cut show before the next
-	meritMin     = 0.25                   // what the least class may fill all the same
-	queueLong    = 1.0                    // requests waiting: all that the member works on at once is taken
-	reportLife   = time.Second
-	spillPart    = 0.7 // of the primary's limit that reads may fill; the rest is for writes
+	meritMin   = 0.25 // what the least class may fill all the same
+	queueLong  = 1.0  // requests waiting: all that the member works on at once is taken
+	reportLife = time.Second
+	spillPart  = 0.7 // of the primary's limit that reads may fill; the rest is for writes
 
 	retryPart    = 0.2  // further attempts, of all traffic
 	retryReserve = 30.0 // for a short spell of failures
@@ -67,18 +60,14 @@
 	hintNoPrimary = 500 * time.Millisecond // a hand-over takes seconds
 	hintCrowded   = 150 * time.Millisecond // a crowd eases in a few service times
 
-	listRoleAge  = 5 * time.Second        // a list's role is seconds old
-	askAgainMin  = 500 * time.Millisecond // list calls that fail are spaced out
-	askAgainMax  = 4 * time.Second
+	listRoleAge  = 5 * time.Second  // a list's role is seconds old
 	forgetSilent = 30 * time.Second // that a silent member is kept where a list doesn't bind
-	callPatient  = 5 * time.Second  // a call without any reply is taken for failed
 
 	fallPart    = 0.5     // of the multiple of its capacity that a cold member may be sent
 	workWeight  = 0.005   // the mix of work, over the last hundreds of requests
 	aimOverCost = 4       // before any answer: aims leave room for a few times the bare work
 	costPart    = 0.3     // the quantile of a class's answer times that stands for its bare work
 	slowPart    = 0.95    // the one past which an answer is overdue
-	costStep    = 0.05    // how fast that estimate moves
 	missWeight  = 0.02    // of one attempt in the share of answers that don't come
 	missLimit   = 0.05    // an ordinary day stays far below
 	keepEntries = 1 << 15 // pins, and commits
@@ -93,8 +82,8 @@
 	r := &Router{cfg: cfg, act: actions, rng: rand.New(rand.NewPCG(cfg.Seed, 0x9e3779b97f4a7c15)),
 		members: map[MemberID]*member{}, groups: map[GroupID]*group{}, requests: map[RequestID]*request{},
 		cost: make([]time.Duration, len(cfg.Classes)), slow: make([]time.Duration, len(cfg.Classes)),
-		shares: make([]decaying, len(cfg.Tenants)), retries: retryReserve}
-	r.nobody = r.newGroup()
+		shares: make([]decaying, len(cfg.Tenants)), retries: retryReserve, lead: handover.New(cfg.Handover)}
+	r.nobody = r.newGroup(-1)
 	r.pins.init(keepEntries)
 	r.commits.init(keepEntries)
 	for i, c := range cfg.Classes {
@@ -111,7 +100,9 @@
 // Members takes in news of the list.
 func (r *Router) Members(now time.Duration, l List) {
 	r.begin(now)
-	r.callAnswered(now, l.Kind)
+	if r.cfg.Pull && l.Kind != ListCached {
+		r.calls.Answered(now, l.Kind == ListFailed, r.rng.Float64())
+	}
 	if l.Kind == ListFailed {
 		return
 	}
@@ -131,13 +122,14 @@
 	m := r.members[e.ID]
 	if m == nil {
 		g := r.groupOf(e.Group)
-		m = &member{group: g, limit: r.share(limitStart), bankAt: -1}
+		m = &member{group: g, Limit: limit.New(r.cfg.Fronts), account: limit.NewAccount()}
+		m.seat = g.lead.Join(uint64(e.ID))
 		r.members[e.ID] = m
 		r.order = append(r.order, m)
 		g.members = append(g.members, m) // a Born above zero makes it cold, below
 	}
 	if e.Born > m.Born { // restarted: its role is open again, its log goes on from where it stood
-		m.role, m.roleAt = RoleUnknown, e.Born
+		m.group.lead.Born(m.seat, e.Born)
 		m.coldFrom, m.cold = e.Born, true
 	}
 	m.listed = e.State != Gone
@@ -145,27 +137,26 @@
 		e.State = m.State
 	}
 	m.Member = e
+	m.group.lead.Listed(now, m.seat, handover.Presence(e.State))
 	if e.Primary && r.cfg.ListRole != ListRoleNone {
-		// A list is seconds late: it counts only where this front has seen nothing newer itself.
-		at := max(now-listRoleAge, e.Born)
-		if m.role == RoleUnknown || at > m.roleAt && r.cfg.ListRole == ListRoleLate {
-			m.role, m.roleAt = RolePrimary, at
-		}
+		m.group.lead.Told(now, m.seat, max(now-listRoleAge, e.Born), r.cfg.ListRole == ListRoleLate)
 	}
-	r.review(m.group)
+	r.follow(now, m.group)
 }
 
 // leftOut treats a member that the list leaves out as gone, if lists bind, and tells whether to forget it.
 func (r *Router) leftOut(now time.Duration, m *member) bool {
 	if m.State != Gone && !r.cfg.DrainOnly {
 		m.State = Gone
-		r.review(m.group)
+		m.group.lead.Listed(now, m.seat, handover.Gone)
+		r.follow(now, m.group)
 	}
 	if len(m.out) > 0 || m.probing || m.State == Ready && (!m.silent || now-m.lostAt <= forgetSilent) {
 		return false
 	}
 	delete(r.members, m.ID)
 	m.group.members = slices.DeleteFunc(m.group.members, func(x *member) bool { return x == m })
+	m.group.lead.Leave(now, m.seat)
 	if len(m.group.members) == 0 {
 		delete(r.groups, m.Group)
 		r.listed = slices.DeleteFunc(r.listed, func(g GroupID) bool { return g == m.Group })
@@ -173,18 +164,22 @@
 	return true
 }
 
-// review finds the primary anew: whose word is newest, where ready and not silent. A change voids all pins.
-func (r *Router) review(g *group) {
-	var best *member
-	for _, m := range g.members {
-		if m.role == RolePrimary && (best == nil || m.roleAt > best.roleAt) {
-			best = m
-		}
+// follow takes over who is primary. What a silent one still owes is called off where another can take it.
+func (r *Router) follow(now time.Duration, g *group) {
+	was := g.primary
+	if g.primary = nil; g.lead.Primary() != nil {
+		g.primary = r.members[MemberID(g.lead.Primary().ID)]
+	}
+	if p := g.primary; p == nil || p == was || !r.cfg.MayCancel || !r.lead.Config().Hold {
+		return
 	}
-	if g.primary = nil; best != nil && !best.silent && best.State == Ready {
-		if g.primary = best; best != g.leader { // one that was silent and returns unchanged voids nothing
-			g.term++
-			g.leader = best
+	for _, m := range g.members {
+		for _, a := range m.out {
+			q := a.req
+			if m.silent && !a.calledOff && q.class.primaryMode() && r.mayRepeat(now, q) && now < r.until(q, a) {
+				a.calledOff = true
+				r.act.Cancel(q.ID, a.n)
+			}
 		}
 	}
 }
@@ -195,14 +190,8 @@
 		m.placedAt = now
 		m.position = max(m.position, min(position, now))
 	}
-	if role == RoleUnknown || at < m.roleAt {
-		return
-	}
-	m.roleAt = at
-	if m.role != role || role == RolePrimary && m.group.primary != m { // a list may have named it before
-		m.role = role
-		r.review(m.group)
-	}
+	m.group.lead.Says(now, m.seat, handover.Role(role), at)
+	r.follow(now, m.group)
 }
 
 // heard notes a sign of life. A member back from a long silence may have restarted: it counts as cold.
@@ -210,11 +199,12 @@
 	m.heardAt = now
 	if m.silent {
 		m.silent = false
+		m.group.lead.Heard(now, m.seat)
 		if now-m.lostAt > coldSilence {
 			m.coldFrom, m.cold = now, true
-			m.limit, m.strain = r.share(limitStart), 0
+			m.Forget()
 		}
-		r.review(m.group)
+		r.follow(now, m.group)
 	}
 }
 
@@ -224,7 +214,8 @@
 		return
 	}
 	m.silent, m.lostAt = true, now
-	r.review(m.group)
+	m.group.lead.Silent(now, m.seat)
+	r.follow(now, m.group)
 	r.hedge(now, m)
 }
 
@@ -237,7 +228,7 @@
 		if !a.overdue && age > max(2*r.slow[q.Class], q.class.Aim) {
 			a.overdue = true
 			r.failed(now, m, 1)
-			if m.strain < strainHigh && !m.silent {
+			if m.Strain < limit.High && !m.silent {
 				r.missing += missWeight * (1 - r.missing)
 			}
 		}
@@ -248,7 +239,7 @@
 	}
 }
 
-func (r *Router) loses(m *member) bool { return r.missing > missLimit && m.strain < strainHigh }
+func (r *Router) loses(m *member) bool { return r.missing > missLimit && m.Strain < limit.High }
 
 // ---- Selection: mode, filter, window, pin ----
 
@@ -279,23 +270,11 @@
 	return true
 }
 
-// filled tells whether the member has this front's fill; the broken part of a limit counts as a chance.
-func (r *Router) filled(now time.Duration, m *member, part float64) bool {
-	if m.limit < limitOwn {
-		m.limit = min(m.limit+float64(now-m.easedAt)/float64(limitEase), limitOwn)
-	}
-	m.easedAt = now
-	free := m.limit*part - float64(len(m.out))
-	full := free <= 0 || free < 1 && r.luck >= free
-	m.turned = m.turned || full
-	return full
-}
-
 // crowded tells whether the member has no room for a read: it is filled, or its last report shows requests
 // that wait, the one sign of what other fronts send. Answers in time since then outrank a report.
 func (r *Router) crowded(now time.Duration, m *member, part float64) bool {
 	waits := m.queue >= queueLong && now-m.queueAt < reportLife
-	return waits && (m.judgedAt <= m.queueAt || m.strain >= strainHigh) || r.filled(now, m, part)
+	return waits && (m.Judged <= m.queueAt || m.Strain >= limit.High) || m.Filled(now, len(m.out), part, r.luck)
 }
 
 // merit gives the part of a member's limit that the request may fill: the less worth its class earns for its
@@ -324,12 +303,12 @@
 			r.inquire(now, q, len(q.group.members), func(*member) bool { return true })
 			return nil, hintNoPrimary
 		}
-		if r.filled(now, p, part) || !r.bears(now, p) {
+		if p.Filled(now, len(p.out), part, r.luck) || !r.bears(now, p) {
 			return nil, hintCrowded
 		}
 		return p, 0
 	}
-	if at, ok := r.pins.get(q.pinKey()); ok && q.Session != 0 && at.term == q.group.term &&
+	if at, ok := r.pins.get(q.pinKey()); ok && q.Session != 0 && at.term == q.group.lead.Term() &&
 		r.eligible(now, q, at.to) && q.qualifies(at.to, now) && !r.crowded(now, at.to, part) {
 		return at.to, 0
 	}
@@ -361,7 +340,7 @@
 
 // eligible tells whether a replica may be sent the request at all, its position and crowding aside.
 func (r *Router) eligible(now time.Duration, q *request, m *member) bool {
-	return m.role != RolePrimary && r.usable(m, now) && !q.tried(m)
+	return m.role() != RolePrimary && r.usable(m, now) && !q.tried(m)
 }
 
 // pick draws from the replicas that pass the filter, within the ping window of the quickest.
@@ -527,16 +506,56 @@
 		}
 		return 0
 	}
-	if c, ok := r.commits.get(in.Session); ok {
-		return c
-	}
-	return r.forgotten
+	return r.commits.of(in.Session)
 }
 
 func (r *Router) start(now time.Duration, q *request) {
 	if ok, hint := r.route(now, q); !ok && !q.held && !q.open() {
+		r.giveUp(now, q, hint, q.group.lead.Holds())
+	}
+}
+
+// giveUp holds a request for a primary that is likely to come in time, and otherwise answers it at once.
+func (r *Router) giveUp(now time.Duration, q *request, hint time.Duration, ahead int) {
+	if !q.class.primaryMode() {
 		r.finish(now, q, hint)
+		return
+	}
+	h := q.asHeld(r.cost[q.Class], ahead)
+	for _, a := range q.tries {
+		h.Until = min(h.Until, r.until(q, a))
+	}
+	ok, better, pushed := q.group.lead.Hold(now, h)
+	for _, id := range pushed {
+		r.finish(now, r.requests[RequestID(id)], better)
+	}
+	if q.waits = ok; !ok {
+		r.finish(now, q, cmp.Or(better, hint))
+	}
+}
+
+// release lets go what waits for a primary, as far as that bears it, and looks anew at what has to wait on.
+func (r *Router) release(now time.Duration, g *group) {
+	for i, id := range g.lead.Waiting() {
+		q := r.requests[RequestID(id)]
+		if q == nil || q.done || q.held || q.open() {
+			continue
+		}
+		if ok, hint := r.route(now, q); ok {
+			g.lead.Release(id)
+			q.waits = false
+		} else if !q.held {
+			r.giveUp(now, q, hint, i)
+		}
+	}
+}
+
+// until is when a repeat is too late, given an earlier attempt.
+func (r *Router) until(q *request, a *attempt) time.Duration {
+	if q.class.Effect != Guarded || !a.open && !a.ran {
+		return q.Deadline
 	}
+	return min(q.Deadline, r.lead.Config().ResendUntil(a.sentAt, q.class.DedupWindow, r.slow[q.Class]))
 }
 
 func (r *Router) hold(q *request) {
@@ -555,21 +574,25 @@
 // send is the only place that sends a request; each rule is checked here last.
 func (r *Router) send(now time.Duration, q *request, m *member) bool {
 	if q.Deadline-now <= r.cost[q.Class] { // it can't be served; sinking, the estimate is tried again
-		quantile(&r.cost[q.Class], 0, costPart)
+		limit.Quantile(&r.cost[q.Class], 0, costPart)
 		return false
 	}
 	if q.done || m.group != q.group || m.State != Ready || !r.effectAllows(now, q, m) ||
 		r.cfg.MaxAttempts > 0 && len(q.tries) >= r.cfg.MaxAttempts {
 		return false
 	}
+	until := q.Deadline
+	for _, a := range q.tries { // a repeat isn't to be under way any more when the group takes it for a new one
+		until = min(until, r.until(q, a))
+	}
 	if len(q.tries) > 0 {
 		r.retries--
 	}
 	a := &attempt{req: q, n: len(q.tries), to: m, sentAt: now, open: true}
 	q.tries = append(q.tries, a)
 	m.out = append(m.out, a)
-	m.bank -= r.cost[q.Class].Seconds() // of no matter unless it is cold
-	r.act.Send(q.ID, m.ID, q.Deadline-now)
+	m.account.Take(r.cost[q.Class].Seconds()) // of no matter unless it is cold
+	r.act.Send(q.ID, m.ID, until-now)
 	return true
 }
 
@@ -581,7 +604,7 @@
 	for _, a := range q.tries {
 		switch {
 		case q.class.Effect == Free || !a.open && !a.ran:
-		case q.class.Effect == SingleShot, now-a.sentAt >= q.class.DedupWindow-r.cfg.Tick,
+		case q.class.Effect == SingleShot, now+r.cost[q.Class] >= r.until(q, a),
 			q.class.Scope == ScopeZone && a.to.Zone != m.Zone:
 			return false
 		}
@@ -595,6 +618,7 @@
 		return
 	}
 	q.done = true
+	q.group.lead.Release(uint64(q.ID))
 	if !q.ran && !q.open() || q.class.Effect == Free || q.class.Effect == Guarded && q.class.Scope == ScopeAll {
 		// Jitter, so that the refused don't come back together.
 		hint = min(hint/2+time.Duration(r.rng.Int64N(int64(hint)+1)), r.cfg.MaxComeBack)
@@ -645,10 +669,11 @@
 	r.begin(now)
 	if q := r.requests[id]; q != nil && !q.done {
 		q.done = true
+		q.group.lead.Release(uint64(id))
 		q.tallyOf().Late++
 		for _, a := range q.tries {
 			if a.open {
-				r.strain(now, a.to, q.class.Aim, strainLate)
+				r.strain(now, a.to, q.class.Aim, limit.Late)
 			}
 		}
 		r.drop(q)
@@ -672,6 +697,9 @@
 		q.done = true
 		q.countEnd(now, o)
 	}
+	if q.group.lead.Holds() > 0 && a.to == q.group.primary {
+		defer r.release(now, q.group) // there is room
+	}
 	if q.done {
 		r.drop(q)
 		return
@@ -681,7 +709,7 @@
 		ok, hint = r.route(now, q)
 	}
 	if !ok && !q.open() && !q.held {
-		r.finish(now, q, hint)
+		r.giveUp(now, q, hint, q.group.lead.Holds())
 	}
 }
 
@@ -703,10 +731,12 @@
 		}
 		if q.class.Read == Write && o.Result == OK { // the position is the commit's, not the member's
 			if !r.cfg.Carried && q.Session != 0 {
-				r.remember(q.Session, position, now)
+				r.commits.add(q.Session, cmp.Or(position, now))
 			}
 			position = 0
+			q.group.lead.Served(now)
 		}
+		r.evidence(now, m, o.Opened)
 		r.learn(m, role, position, now, now)
 		if o.Load.Queue >= 0 {
 			m.queue, m.queueAt = o.Load.Queue, now
@@ -716,21 +746,21 @@
 	switch o.Result {
 	case OK:
 		took := now - a.sentAt
-		quantile(&r.cost[q.Class], took, costPart)
-		quantile(&r.slow[q.Class], took, slowPart)
-		r.strain(now, m, q.class.Aim, min(float64(took)/float64(q.class.Aim), strainLate))
+		limit.Quantile(&r.cost[q.Class], took, costPart)
+		limit.Quantile(&r.slow[q.Class], took, slowPart)
+		r.strain(now, m, q.class.Aim, min(float64(took)/float64(q.class.Aim), limit.Late))
 		r.failed(now, m, 0)
 		r.missing -= missWeight * r.missing
-		if q.class.Read != Write && q.Session != 0 && m.role == RoleReplica {
-			r.pins.put(q.pinKey(), pin{m, q.group.term})
+		if q.class.Read != Write && q.Session != 0 && m.role() == RoleReplica {
+			r.pins.put(q.pinKey(), pin{m, q.group.lead.Term()})
 		}
 	case TimedOut:
 		if !r.loses(m) {
-			r.strain(now, m, q.class.Aim, strainLate)
+			r.strain(now, m, q.class.Aim, limit.Late)
 		}
 	case Failed, Full, ConnectFailed, Reset:
 		if r.failed(now, m, 1); o.Result == Full {
-			r.strain(now, m, q.class.Aim, strainLate)
+			r.strain(now, m, q.class.Aim, limit.Late)
 		}
 		if o.Result == ConnectFailed {
 			r.probe(now, m)
@@ -749,37 +779,12 @@
 // failsMore tells a failing member from failures that strike all alike (a bad network, a broken release).
 func (r *Router) failsMore(m *member) bool { return m.failing > failLimit+2*r.failing }
 
-func (r *Router) remember(s SessionID, commit, now time.Duration) {
-	old, _ := r.commits.get(s)
-	dropped, _ := r.commits.put(s, max(old, cmp.Or(commit, now)))
-	r.forgotten = max(r.forgotten, dropped)
-}
-
 // ---- Guards: crowding, cold members ----
 
-func quantile(to *time.Duration, sample time.Duration, part float64) {
-	if sample <= *to {
-		part--
-	}
-	*to += time.Duration(part * costStep * float64(*to))
-}
-
-// strain moves a member's limit by its answers, against slow members behind quick pings, crowds and overload.
+// strain holds an answer against its aim, unless it may be this front that is late.
 func (r *Router) strain(now time.Duration, m *member, aim time.Duration, x float64) {
-	if r.stood(now) {
-		return
-	}
-	weight := min(max(float64(now-m.judgedAt)/(rareAims*float64(aim)), strainWeight), strainRare)
-	m.judgedAt = now
-	m.strain += weight * (x - m.strain)
-	out := float64(len(m.out) + 1)
-	switch {
-	case m.strain > strainHigh && now-m.cutAt >= cutEvery:
-		m.limit = max(r.share(limitFloor), min(m.limit, out)*(1-weight))
-		m.cutAt = now
-	case m.strain <= strainHigh && (m.turned || out >= m.limit/2):
-		m.limit += min(2/max(m.limit, 1), m.limit)
-		m.turned = false
+	if !r.stood(now) {
+		m.Judge(now, aim, x, len(m.out))
 	}
 }
 
@@ -793,18 +798,21 @@
 	if m.cold = m.cold && now-m.coldFrom < r.cfg.Cold; !m.cold {
 		return true
 	}
-	part := r.cfg.ColdShare + (1-r.cfg.ColdShare)*max(0, float64(now-m.coldFrom))/float64(r.cfg.Cold)
-	if m.bankAt < m.coldFrom {
-		m.bank, m.bankAt = -r.rng.Float64()*m.group.work, now
-	}
+	part := r.warmth(now, m)
 	part *= max(r.cfg.FallMultiple*fallPart, 1) / float64(len(m.group.members))
-	fill := part * r.rateOf(now, m.group) * m.group.work
-	m.bank, m.bankAt = min(m.bank+fill*(now-m.bankAt).Seconds(), 0), now
-	return m.bank >= 0
+	debt := func() float64 { return r.rng.Float64() * m.group.work }
+	return m.account.Bears(now, m.coldFrom, debt, part*r.rateOf(now, m.group)*m.group.work)
 }
 
 // ---- Probing, silence and discovery ----
 
+// evidence holds what is heard of a member back from a silence against the doubt that it has started anew.
+func (r *Router) evidence(now time.Duration, m *member, opened time.Duration) {
+	if m.cold && (m.seat.Kept(opened, m.Born) || r.calls.Well() && m.seat.Unborn(now, listRoleAge, m.Born)) {
+		m.cold = false
+	}
+}
+
 // begin starts the router's clockwork at its first event.
 func (r *Router) begin(now time.Duration) {
 	if r.started {
@@ -824,10 +832,10 @@
 		return
 	}
 	r.act.SetTimer(tickTimer, now+max(housekeeping, r.cfg.Tick))
-	if r.callAt > 0 && now-r.callAt > callPatient {
-		r.callAnswered(now, ListFailed)
+	if r.calls.Overdue(now) {
+		r.calls.Answered(now, true, r.rng.Float64())
 	}
-	if r.askAt > 0 && now >= r.askAt {
+	if r.calls.Due(now) {
 		r.ask(now)
 	}
 	if r.stood(now) {
@@ -838,6 +846,9 @@
 		}
 	}
 	r.tickAt = now
+	for _, id := range r.listed {
+		r.groups[id].lead.Tick(now)
+	}
 	r.retryHeld(now)
 }
 
@@ -857,9 +868,12 @@
 	owes := len(m.out) > 0 && !m.silent &&
 		now-max(m.heardAt, m.out[0].sentAt, m.probedAt) > max(quietAsk, r.slow[m.out[0].req.Class]/2)
 	g, period, steady := m.group, r.pingPeriod(now), pingEvery
-	if m.role == RolePrimary {
+	if m.role() == RolePrimary {
 		period = pingEvery
 	}
+	if often := g.lead.Searching(now, r.cfg.Fronts); often > 0 && since >= often && !m.silent {
+		r.probe(now, m)
+	}
 	if r.thin(now, g) {
 		owes = owes || m.silent && since >= silentAsk && g.rate.last > m.probedAt
 		steady = time.Duration(min(float64(len(g.members))/(thinPart*r.rateOf(now, g)), 3600) * 1e9)
@@ -891,6 +905,7 @@
 		m.ping = cmp.Or(m.ping, max(p.Took, 1))
 		m.ping += time.Duration(pingWeight * float64(p.Took-m.ping))
 		r.heard(m, now)
+		r.evidence(now, m, p.Opened)
 		// A primary stands at the present, so its position dates the report; a replica's is no later.
 		m.queue, m.queueAt = p.Report.Queue, now
 		r.learn(m, p.Report.Role, p.Report.Position, cmp.Or(p.Report.Position, now), now)
@@ -929,20 +944,12 @@
 			r.start(now, q)
 		}
 	}
+	for _, id := range r.listed {
+		r.release(now, r.groups[id])
+	}
 }
 
 func (r *Router) ask(now time.Duration) {
-	r.askAt, r.callAt = 0, now
+	r.calls.Called(now)
 	r.act.Watch(true)
 }
-
-// callAnswered follows the one outstanding list call.
-func (r *Router) callAnswered(now time.Duration, kind ListKind) {
-	if !r.cfg.Pull || kind == ListCached {
-		return
-	}
-	r.callAt = 0
-	if kind == ListFailed {
-		r.askAt = now + askAgainMin + time.Duration(r.rng.Int64N(int64(askAgainMax-askAgainMin)))
-	}
-}
--- a/logic/recent.go
+++ b/logic/recent.go
@@ -1,5 +1,7 @@
 package logic
 
+import "time"
+
 // recent is a map of at most cap entries that drops the oldest key first.
 type recent[K comparable, V any] struct {
 	m    map[K]V
@@ -31,3 +33,23 @@
 	t.m[k] = v
 	return dropped, did
 }
+
+// commits remembers each session's last commit, and of those it had to drop the newest: a floor for sessions that aren't
+// known any more.
+type commits struct {
+	recent[SessionID, time.Duration]
+	forgotten time.Duration
+}
+
+func (c *commits) of(s SessionID) time.Duration {
+	if at, ok := c.get(s); ok {
+		return at
+	}
+	return c.forgotten
+}
+
+func (c *commits) add(s SessionID, commit time.Duration) {
+	old, _ := c.get(s)
+	dropped, _ := c.put(s, max(old, commit))
+	c.forgotten = max(c.forgotten, dropped)
+}
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -344,18 +344,18 @@
 // After a stall the answers that had waited with this front looked late, and cut the limits of all members.
 func TestStandingStillMovesNoLimit(t *testing.T) {
 	f := settled(t, testConfig(), 3)
-	before := f.r.members[1].limit
+	before := f.r.members[1].Most
 	ids := []RequestID{f.request(clsUnsafe, 1), f.request(clsUnsafe, 2), f.request(clsUnsafe, 3)}
 	f.now += 900 * ms
 	f.end(f.mustSend(ids[0]), OK)
 	f.r.Timer(f.now, tickTimer)
 	f.end(f.mustSend(ids[1]), OK)
-	if m := f.r.members[1]; m.limit != before || m.strain != 0 {
-		t.Errorf("limit %v of %v and strain %v after answers that waited with this front", m.limit, before, m.strain)
+	if m := f.r.members[1]; m.Most != before || m.Strain != 0 {
+		t.Errorf("limit %v of %v and strain %v after answers that waited with this front", m.Most, before, m.Strain)
 	}
 	f.pass(600 * ms)
 	f.end(f.mustSend(ids[2]), OK)
-	if f.r.members[1].strain == 0 {
+	if f.r.members[1].Strain == 0 {
 		t.Error("a late answer no longer counts")
 	}
 }
@@ -367,7 +367,7 @@
 	sent := 0
 	for i := 0; i < 200; i++ {
 		for _, m := range f.r.order {
-			m.limit, m.easedAt = 0.5, f.now
+			m.Most, m.Eased = 0.5, f.now
 		}
 		id := f.request(clsAny, 0)
 		if s, ok := f.last(id); ok {
--- a/logic/state.go
+++ b/logic/state.go
@@ -5,6 +5,9 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"havenproxy/internal/handover"
+	"havenproxy/internal/limit"
 )
 
 // What a router keeps; what is done with it is in logic.go.
@@ -15,21 +18,21 @@
 	act Actions
 	rng *rand.Rand
 
-	started   bool
-	luck      float64 // of the request in hand, against the broken part of limits
-	startAt   time.Duration
-	tickAt    time.Duration        // the last housekeeping
-	stoodAt   time.Duration        // when housekeeping was late: this front had stood still
-	members   map[MemberID]*member // looked up only, never ranged over
-	groups    map[GroupID]*group   // likewise; those that a list has named
-	listed    []GroupID            // their order
-	nobody    *group               // stands for groups that no list has named
-	order     []*member            // all members, in the order in which they were first listed
-	requests  map[RequestID]*request
-	held      []*request
-	pins      recent[pinKey, pin]
-	commits   recent[SessionID, time.Duration]
-	forgotten time.Duration // the newest commit dropped from commits
+	started  bool
+	luck     float64 // of the request in hand, against the broken part of limits
+	startAt  time.Duration
+	tickAt   time.Duration        // the last housekeeping
+	stoodAt  time.Duration        // when housekeeping was late: this front had stood still
+	members  map[MemberID]*member // looked up only, never ranged over
+	groups   map[GroupID]*group   // likewise; those that a list has named
+	listed   []GroupID            // their order
+	nobody   *group               // stands for groups that no list has named
+	order    []*member            // all members, in the order in which they were first listed
+	requests map[RequestID]*request
+	held     []*request
+	lead     *handover.Handover
+	pins     recent[pinKey, pin]
+	commits  commits
 
 	cost      []time.Duration // per class, the bare answer time
 	slow      []time.Duration // and the time past which an answer is overdue
@@ -40,8 +43,7 @@
 	failing   float64         // share of quick failures at all members, moving average
 	retries   float64         // further attempts that may still be made
 
-	callAt time.Duration // when the outstanding list call was made; 0 = none
-	askAt  time.Duration // when to call next; 0 = no need
+	calls limit.Calls // of the list
 }
 
 // member is this front's view of one process.
@@ -49,9 +51,8 @@
 	Member
 	listed   bool
 	group    *group
-	role     Role
-	roleAt   time.Duration // when the role was true at the member
-	position time.Duration // it has applied all commits up to then; a lower bound that only grows
+	seat     *handover.Seat // its role, and the doubt whether it has started anew
+	position time.Duration  // it has applied all commits up to then; a lower bound that only grows
 
 	ping     time.Duration // moving average; 0 = never answered
 	probing  bool
@@ -61,31 +62,24 @@
 	silent   bool
 	lostAt   time.Duration // since when silent
 
-	out      []*attempt    // this front's attempts there, oldest first
-	strain   float64       // answer time over aim, moving average
-	limit    float64       // how many attempts may be out
-	judgedAt time.Duration // the last answer held against its aim
-	easedAt  time.Duration
-	queue    float64 // requests that it last reported to be waiting
+	out []*attempt // this front's attempts there, oldest first
+	limit.Limit
+	account  limit.Account // while cold
+	queue    float64       // requests that it last reported to be waiting
 	queueAt  time.Duration
-	cutAt    time.Duration
-	turned   bool          // a request was turned away since the limit last grew
 	failing  float64       // share of quick failures, moving average
 	benched  time.Duration // no trial before
 	coldFrom time.Duration
 	cold     bool
-	bank     float64 // while cold: work that may be sent, in seconds; zero at most
-	bankAt   time.Duration
 }
 
 type group struct {
 	members  []*member
-	primary  *member
-	leader   *member // the last known primary, also while it is silent
-	work     float64 // what arrives, moving average of bare work a request
-	longWork float64 // the part of it that is long
+	lead     *handover.Group // who is primary, and what waits for one
+	primary  *member         // as lead says, here for quick use
+	work     float64         // what arrives, moving average of bare work a request
+	longWork float64         // the part of it that is long
 	rate     decaying
-	term     int // counts changes of primary; a pin of another term is void
 
 	plan  []Admission // of reduced service, by class; empty = all is admitted
 	tally []Tally     // by class
@@ -103,6 +97,7 @@
 	done  bool
 	over  bool // beyond its tenant's share
 	held  bool // it waits for pings
+	waits bool // it waits for a primary
 
 	asked   int           // how many rounds of pings were sent for it
 	askedAt time.Duration // the last
@@ -144,12 +139,14 @@
 	d.sum, d.last = d.at(now, span)+1, now
 }
 
-func (r *Router) newGroup() *group { return &group{tally: make([]Tally, len(r.cfg.Classes))} }
+func (r *Router) newGroup(id GroupID) *group {
+	return &group{tally: make([]Tally, len(r.cfg.Classes)), lead: r.lead.Group(int(id))}
+}
 
 // groupOf finds the group that a list names, or makes it.
 func (r *Router) groupOf(id GroupID) *group {
 	if r.groups[id] == nil {
-		r.groups[id] = r.newGroup()
+		r.groups[id] = r.newGroup(id)
 		r.listed = append(r.listed, id)
 	}
 	return r.groups[id]
@@ -163,6 +160,19 @@
 	return r.nobody
 }
 
+// asHeld is the request as far as holding it is concerned.
+func (q *request) asHeld(cost time.Duration, ahead int) handover.Held {
+	width := 0
+	if p := q.group.primary; p != nil {
+		width = int(p.Most / 2) // of what may be out there, a part waits
+	}
+	return handover.Held{ID: uint64(q.ID), At: q.at, Until: q.Deadline, Cost: cost, Aim: q.class.Aim, Late: q.class.Late,
+		Worth: q.class.Worth, Size: q.Size, Ran: q.ran, Was: q.waits, Ahead: ahead, Width: width}
+}
+
+// role is what the member was when it last spoke.
+func (m *member) role() Role { return Role(m.seat.Role) }
+
 func (q *request) pinKey() pinKey { return pinKey{q.Session, q.Class, q.Group} }
 
 func (q *request) tried(m *member) bool {
