Answer what is held for a group that the list drops, and give held requests time for a slow answer

Held writes were sent with too little left and failed.

Change: a group that goes refuses what it holds at once; a held request needs room for a slow answer, not a bare one. Tests of what survived when its guard was taken out (old words, values in pieces, a freed place, what may have run).

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -114,6 +114,8 @@
 	g.Heard(15*s+10*ms, m[0])
 	g.Says(15*s+10*ms, m[0], Primary, 11*s+900*ms) // it was true then
 	wants(t, g, 15*s+10*ms, Found, 2)
+	g.Says(15*s+20*ms, m[1], Replica, 14*s) // it was, then
+	wants(t, g, 15*s+20*ms, Found, 2)
 }
 
 // A hang that ends after the election: the old primary still believes, and answers late. Its words are new, its claim is old.
@@ -216,6 +218,11 @@
 	if ok, hint, _ := g.Hold(12*s, write(1, 12*s, 3*s)); ok || hint < 3*s {
 		t.Errorf("held at the beginning of a death, which takes 2 to 7 s; hint %v", hint)
 	}
+	ran := write(3, 12*s, 3*s) // it can only fail, early or late: that is no reason to keep it for nothing
+	ran.Ran = true
+	if ok, _, _ := g.Hold(12*s, ran); ok {
+		t.Error("one that may have run is held though nobody will take it in time")
+	}
 	if ok, _, _ := g.Hold(16*s, write(2, 16*s, 3*s)); !ok {
 		t.Error("refused when the election is due")
 	}
--- a/internal/handover/hold.go
+++ b/internal/handover/hold.go
@@ -16,7 +16,8 @@
 	ID    uint64
 	At    time.Duration // when it came
 	Until time.Duration // when its client gives up; or, if it may have run, when a repeat is too late
-	Cost  time.Duration // bare answer time
+	Cost  time.Duration // bare answer time,
+	Slow  time.Duration // and that of a slow answer, which must fit into what is left
 	Aim   time.Duration // answers within it earn the full worth,
 	Late  float64       // later ones this part of it
 	Worth float64
@@ -67,7 +68,7 @@
 // chances have sunk goes at once, before half of its time where that can be.
 func (g *Group) pays(now time.Duration, q Held) bool {
 	c := &g.h.cfg
-	left := q.Until - now - q.Cost - wayHome
+	left := q.Until - now - max(q.Slow, q.Cost) - wayHome
 	if left <= 0 || now-q.At >= c.MostTime {
 		return false
 	}
--- a/logic/hold_test.go
+++ b/logic/hold_test.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// A list that drops the whole group: what is held for it has its answer at once, also where the group comes back.
+func TestAGroupThatTheListDropsAnswersWhatItHolds(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.drain(1)
+	id := f.request(clsGuarded, 1)
+	f.passAs(0, 50*ms)
+	f.r.Members(f.now, List{Kind: ListFull})
+	f.list(ListFull, 3)
+	f.wantFinal(id, "refused")
+	if len(f.r.requests) > 0 {
+		t.Errorf("%d requests are kept", len(f.r.requests))
+	}
+}
+
 // A hundred held at once leave as the new primary's limit allows, and none of them is forgotten.
 func TestHeldWritesLeaveAtAPace(t *testing.T) {
 	f := settled(t, holding(), 3)
@@ -140,6 +154,9 @@
 				f.finals[a.req.ID] = "served"
 				f.r.Outcome(f.now, Outcome{Request: a.req.ID, Attempt: a.n, Member: 2, Result: OK, Took: f.now - a.sentAt,
 					Finished: true, Role: RolePrimary, Position: f.now})
+				if f.r.groups[0].lead.Holds() > 0 && m.out[len(m.out)-1].sentAt != f.now {
+					t.Fatalf("a place was freed, %d wait, and none goes", f.r.groups[0].lead.Holds())
+				}
 			}
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -158,6 +158,9 @@
 	m.group.members = slices.DeleteFunc(m.group.members, func(x *member) bool { return x == m })
 	m.group.lead.Leave(now, m.seat)
 	if len(m.group.members) == 0 {
+		for _, id := range m.group.lead.Waiting() { // nobody would look at them any more
+			r.finish(now, r.requests[RequestID(id)], hintNoPrimary)
+		}
 		delete(r.groups, m.Group)
 		r.listed = slices.DeleteFunc(r.listed, func(g GroupID) bool { return g == m.Group })
 	}
@@ -362,8 +365,8 @@
 	return nil
 }
 
-// inquire holds a request that known positions and roles don't serve while it pings members drawn at random,
-// where traffic is too thin to ping all the time. It tells whether the request is to wait.
+// inquire holds what known positions and roles don't serve while it pings members drawn at random, where
+// traffic is too thin to ping all the time. It tells whether the request is to wait.
 func (r *Router) inquire(now time.Duration, q *request, n int, filter func(*member) bool) bool {
 	if !r.cfg.MayProbe || !r.thin(now, q.group) || now+askWait+r.cost[q.Class] >= q.Deadline {
 		return false
@@ -428,15 +431,13 @@
 	})
 }
 
-// long tells of reads that any member may answer and that run long against the tightest bound: they may stall
-// applying. Spread at random they would push every replica out of the filter in turn.
+// long tells of reads that may stall applying: spread at random they push each replica out of the filter.
 func (r *Router) long(q *request) bool {
 	return q.class.Read == Any && r.tightest > 0 && r.cost[q.Class] > r.tightest/longPart
 }
 
-// stragglers gives where long reads go: to the replicas furthest behind, as many as their part of the group's
-// work asks for. When they are crowded, further long reads are refused: one more replica stalled costs more
-// than they are worth.
+// stragglers gives where long reads go: to the replicas furthest behind, as many as their part of the work
+// asks for. When those are crowded, long reads are refused: one more stalled costs more than they are worth.
 func (r *Router) stragglers(now time.Duration, q *request) []*member {
 	var all []*member
 	for _, m := range q.group.members {
@@ -521,7 +522,7 @@
 		r.finish(now, q, hint)
 		return
 	}
-	h := q.asHeld(r.cost[q.Class], ahead)
+	h := q.asHeld(r.cost[q.Class], r.usual(q), ahead)
 	for _, a := range q.tries {
 		h.Until = min(h.Until, r.until(q, a))
 	}
@@ -541,11 +542,14 @@
 		if q == nil || q.done || q.held || q.open() {
 			continue
 		}
-		if ok, hint := r.route(now, q); ok {
-			g.lead.Release(id)
-			q.waits = false
-		} else if !q.held {
-			r.giveUp(now, q, hint, i)
+		if now+r.usual(q) < q.Deadline { // what would only just come in time may run, and fail
+			if ok, _ := r.route(now, q); ok {
+				g.lead.Release(id)
+				q.waits = false
+			}
+		}
+		if q.waits && !q.held {
+			r.giveUp(now, q, hintCrowded, i)
 		}
 	}
 }
@@ -719,7 +723,7 @@
 		now+r.cost[q.Class] < q.Deadline
 }
 
-// note learns from an outcome: signs of life, role, position, answer time, failures, commits and pins.
+// note learns from an outcome: signs of life, role, position, time, failures, commits and pins.
 func (r *Router) note(now time.Duration, a *attempt, o Outcome) {
 	q, m := a.req, a.to
 	switch o.Result {
@@ -798,8 +802,7 @@
 	if m.cold = m.cold && now-m.coldFrom < r.cfg.Cold; !m.cold {
 		return true
 	}
-	part := r.warmth(now, m)
-	part *= max(r.cfg.FallMultiple*fallPart, 1) / float64(len(m.group.members))
+	part := r.warmth(now, m) * max(r.cfg.FallMultiple*fallPart, 1) / float64(len(m.group.members))
 	debt := func() float64 { return r.rng.Float64() * m.group.work }
 	return m.account.Bears(now, m.coldFrom, debt, part*r.rateOf(now, m.group)*m.group.work)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -161,15 +161,18 @@
 }
 
 // asHeld is the request as far as holding it is concerned.
-func (q *request) asHeld(cost time.Duration, ahead int) handover.Held {
+func (q *request) asHeld(cost, slow time.Duration, ahead int) handover.Held {
 	width := 0
 	if p := q.group.primary; p != nil {
 		width = int(p.Most / 2) // of what may be out there, a part waits
 	}
-	return handover.Held{ID: uint64(q.ID), At: q.at, Until: q.Deadline, Cost: cost, Aim: q.class.Aim, Late: q.class.Late,
+	return handover.Held{ID: uint64(q.ID), At: q.at, Until: q.Deadline, Cost: cost, Slow: slow, Aim: q.class.Aim, Late: q.class.Late,
 		Worth: q.class.Worth, Size: q.Size, Ran: q.ran, Was: q.waits, Ahead: ahead, Width: width}
 }
 
+// usual is what an answer takes that is slow for its class, but not late.
+func (r *Router) usual(q *request) time.Duration { return min(r.slow[q.Class], q.class.Aim) }
+
 // role is what the member was when it last spoke.
 func (m *member) role() Role { return Role(m.seat.Role) }
 
