--- a/internal/lab/command/command_test.go
+++ b/internal/lab/command/command_test.go
@@ -20,7 +20,10 @@
 	"github.com/go-sql-driver/mysql"
 	"github.com/jackc/pgx/v5"
 
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/lab/play"
+	"havenproxy/internal/lab/standin"
 )
 
 // The real program, built once.
@@ -237,3 +240,55 @@
 		t.Fatal("it does not stop")
 	}
 }
+
+// A write is held while its primary hands over, and the proxy gets SIGTERM: it has its answer, and the proxy ends in good
+// order behind it.
+func TestAHeldWriteOutlivesSIGTERM(t *testing.T) {
+	cfg := fleet.Config{Seed: 3, Groups: 1, Members: 3, Zones: launch.Zones(), Classes: launch.Classes()}
+	w, err := standin.New(cfg, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	var log output
+	p, err := launch.Start(t.Context(), w, cfg, launch.Options{Binary: binary, Operator: write(t, "handover()\n"), Log: &log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := pgx.ParseConfig("postgres://client@" + p.Address + "/core?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
+	conn, err := pgx.ConnectConfig(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := func(id string) (got string, err error) {
+		err = conn.QueryRow(t.Context(), fmt.Sprintf("INSERT INTO state (uid, val) VALUES ('7f3a9c21e0b4d655', 'x') RETURNING val /* id=%s,c=kayit-yaz,d=20000,k=k-%s,cluster=0 */", id, id)).Scan(&got)
+		return got, err
+	}
+	if got, err := put("w1"); err != nil || !strings.HasPrefix(got, "w1@") {
+		t.Fatalf("%q, %v", got, err)
+	}
+	w.Inject(fleet.Fault{Kind: fleet.Drain, Member: fleet.Primary, For: time.Second})
+	for end := time.Now().Add(20 * time.Second); !strings.Contains(log.String(), "to=draining") && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	type answer struct {
+		got string
+		err error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		got, err := put("w2")
+		answered <- answer{got, err}
+	}()
+	time.Sleep(30 * time.Millisecond) // it is on its way, and held until another is primary
+	if err := p.Stop(20 * time.Second); err != nil {
+		t.Errorf("%v\n%s", err, log.String())
+	}
+	if a := <-answered; a.err != nil || !strings.HasPrefix(a.got, "w2@") {
+		t.Errorf("%q, %v\n%s", a.got, a.err, log.String())
+	}
+}
--- a/internal/lab/command/switches.go
+++ b/internal/lab/command/switches.go
@@ -71,7 +71,7 @@
 
 func switchesCommand() *cobra.Command {
 	var p switches.Plan
-	var hold, unguarded bool
+	var hold, unguarded, compare bool
 	var kinds []string
 	var sockets time.Duration
 	var o launch.Options
@@ -95,6 +95,14 @@
 			}
 			slog.SetDefault(slog.New(slog.DiscardHandler)) // many proxies' lines say little here
 			began := time.Now()
+			if compare {
+				p.Hold.Hold = false
+				off := switches.Virtual(p)
+				p.Hold.Hold = true
+				on := switches.Virtual(p)
+				fmt.Fprintf(c.OutOrStdout(), "off: %von:  %von against off, the same seeds:\n%v", off, on, switches.Differences(off, on))
+				return nil
+			}
 			r := switches.Virtual(p)
 			fmt.Fprintf(c.OutOrStdout(), "%vin %.1f s\n", r, time.Since(began).Seconds())
 			if len(r.Violations) > 0 || r.Silent > 0 {
@@ -114,6 +122,7 @@
 	f.Float64Var(&p.Rate, "rps", 0, "requests a second, all groups together (default: 20 a group)")
 	f.BoolVar(&hold, "hold", false, "proxies hold requests that need a primary, as handover() in the operator's file does")
 	f.BoolVar(&unguarded, "unguarded", false, "take the guard on repeats out, to see that the check finds what it prevents")
+	f.BoolVar(&compare, "compare", false, "play everything without and with the hold, and compare run by run")
 	f.DurationVar(&p.Writes, "writes", 0, "how long clients wait for a write (default: the class's limit)")
 	f.IntVar(&p.Retries, "retries", 3, "further tries of a refused request")
 	f.StringSliceVar(&kinds, "kind", nil, "kinds of trouble (default: all): drain, crash, 'short hang', 'long hang', 'drain+crash', 'drain twice', 'hang+crash'")
--- a/internal/lab/switches/switches.go
+++ b/internal/lab/switches/switches.go
@@ -215,6 +215,20 @@
 	r.First, r.Push = append(r.First, o.First...), append(r.Push, o.Push...)
 }
 
+// Differences compares two reports of the same plan, run by run: what the second has more of.
+func Differences(a, b *Report) string {
+	line := func(name string, x, y []float64) string {
+		var d []float64
+		for i := range min(len(x), len(y)) {
+			d = append(d, y[i]-x[i])
+		}
+		mean, dev := stat.MeanStdDev(d, nil)
+		return fmt.Sprintf("%-14s %+.4f, standard error %.4f, least %+.4f, most %+.4f, %d pairs\n", name, mean, stat.StdErr(dev, float64(len(d))),
+			slices.Min(d), slices.Max(d), len(d))
+	}
+	return line("worth", a.Worth, b.Worth) + line("writes in aim", a.InAim, b.InAim)
+}
+
 // quantile of values in order.
 func quantile(x []float64, p float64) float64 {
 	if len(x) == 0 {
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,86 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever is sent and when, a cold database gets no more than its fill over any time, and one piece of work beyond.
+func TestAnAccountBoundsTheWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, fill := NewAccount(), rapid.Float64Range(0.01, 3).Draw(t, "fill")
+		now, from := time.Hour, time.Hour
+		sent, largest := 0.0, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			work := rapid.Float64Range(0.001, 0.5).Draw(t, "work")
+			if a.Bears(now, from, func() float64 { return 0.1 }, fill) {
+				a.Take(work)
+				sent, largest = sent+work, max(largest, work)
+			}
+			if sent > fill*(now-from).Seconds()+largest+1e-9 {
+				t.Fatalf("%v sent in %v at %v a second", sent, now-from, fill)
+			}
+		}
+	})
+}
+
+func TestCallsAreSpacedOutWhereTheyFail(t *testing.T) {
+	var c Calls
+	now := time.Hour
+	c.Called(now)
+	if c.Due(now+time.Hour) || c.Overdue(now+4*time.Second) || !c.Overdue(now+6*time.Second) {
+		t.Fatal("a second call goes out beside the first, or its end is waited for without end")
+	}
+	for _, draw := range []float64{0, 0.5, 0.999} {
+		c.Called(now)
+		c.Answered(now, true, draw)
+		if c.Well() || c.Due(now+againMin-1) || !c.Due(now+againMax) {
+			t.Fatalf("%+v", c)
+		}
+	}
+	c.Called(now)
+	c.Answered(now, false, 0.5)
+	if !c.Well() || c.Due(now+time.Hour) {
+		t.Fatalf("%+v", c)
+	}
+}
+
+func TestALimitFallsWithLateAnswersAndComesBack(t *testing.T) {
+	l := New(4)
+	if l.Most != 9 {
+		t.Fatal(l.Most)
+	}
+	now := time.Hour
+	for range 40 {
+		now += 50 * time.Millisecond
+		l.Judge(now, 100*time.Millisecond, Late, 5)
+	}
+	if l.Most > 1 || l.Strain < High {
+		t.Fatalf("%+v after forty late answers", l)
+	}
+	for range 200 {
+		now += 50 * time.Millisecond
+		l.Filled(now, 3, 1, 0)
+		l.Judge(now, 100*time.Millisecond, 0.1, 3)
+	}
+	if l.Most < 3 || l.Strain > High {
+		t.Fatalf("%+v after two hundred good ones", l)
+	}
+}
+
+// The estimate finds the quantile that it is asked for.
+func TestQuantile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		part := rapid.SampledFrom([]float64{0.3, 0.5, 0.95}).Draw(t, "part")
+		est := time.Duration(rapid.IntRange(1, 1000).Draw(t, "from")) * time.Millisecond
+		for i := range 4000 {
+			Quantile(&est, time.Duration(1+(i*7919)%1000)*time.Millisecond, part)
+		}
+		if want := time.Duration(part*1000) * time.Millisecond; (est - want).Abs() > 250*time.Millisecond {
+			t.Fatalf("%v of 1 to 1,000 ms: %v", part, est)
+		}
+	})
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -105,6 +105,34 @@
 	}
 }
 
+// The settings of switches, their defaults and their bounds.
+func TestHandoverSettings(t *testing.T) {
+	f, err := Parse("x.star", []byte("handover(likely = 0.7, drain_to = '1s', most_held = 20, margin_ms = 250)\n"), classes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := f.Handover
+	if !h.Hold || h.Likely != 0.7 || h.Keep != 0.45 || h.Drain.To != time.Second || h.Drain.From != 450*time.Millisecond ||
+		h.MostHeld != 20 || h.Margin != 250*time.Millisecond || h.Death.To != 7*time.Second {
+		t.Errorf("%+v", h)
+	}
+	if f, err := Parse("x.star", []byte("handover(hold = False)\n"), classes); err != nil || f.Handover.Hold {
+		t.Error(f, err)
+	}
+	for text, want := range map[string]string{
+		"handover(likely = 2)":               "likely is 2",
+		"handover(likely = 0.3, keep = 0.5)": "keep is 0.5",
+		"handover(death_from = '9s')":        "death is 9s to 7s",
+		"handover(margin = '-1s')":           "margin is",
+		"handover()\nhandover()":             "second time",
+		"handover(hodl = True)":              "did you mean \"hold\"",
+	} {
+		if _, err := Parse("x.star", []byte(text+"\n"), classes); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
 func TestAMissingFile(t *testing.T) {
 	if _, err := Read("no/such/file.star", classes); !os.IsNotExist(err) {
 		t.Error(err)
