--- a/internal/lab/switches/switches.go
+++ b/internal/lab/switches/switches.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"runtime"
 	"slices"
@@ -244,6 +245,12 @@
 	s := fmt.Sprintf("%d switches in %d runs; %d keys, tries: %d served, %d refused, %d failed, %d without answer\n", r.Switches, r.Runs, r.Keys,
 		r.Ends[history.Served], r.Ends[history.Refused], r.Ends[history.Failed], r.Ends[history.Unanswered])
 	s += fmt.Sprintf("worth %.4f (deviation of runs %.4f), writes in aim %.4f (%.4f)\n", mean, dev, aim, aimDev)
+	for _, name := range slices.Sorted(maps.Keys(r.Classes)) {
+		c := r.Classes[name]
+		part := func(n int) float64 { return float64(n) / float64(max(c.Offered, 1)) }
+		s += fmt.Sprintf("  %-16s %7d: in aim %.4f, late %.4f, refused %.4f, failed %.4f\n", name, c.Offered, part(c.InAim), part(c.Late),
+			part(c.Refused), part(c.Failed))
+	}
 	s += fmt.Sprintf("from an election to the first write served: median %.0f ms, 95%% within %.0f ms\n", 1e3*quantile(r.First, 0.5), 1e3*quantile(r.First, 0.95))
 	s += fmt.Sprintf("work sent to a new primary in 2 s, against what it can do: median %.2f, 95%% below %.2f, most %.2f; pushed over while cold: %d\n",
 		quantile(r.Push, 0.5), quantile(r.Push, 0.95), quantile(r.Push, 1), r.Fell)
