Weigh what is held against what its work earns in a group that has none to spare

Two tests of MySQL's links raced with the end of a connection.

Change: a held request has a price, the worth of a second of the group's work by the strain of its members. The tests wait until the proxy has noticed the end.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -228,6 +228,29 @@
 	}
 }
 
+// Where there is no work to spare, a write that would come late takes from others more than it earns; one that may have run
+// is not weighed, and where there is some to spare nothing is.
+func TestHoldingHasItsPrice(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Listed(11*s, m[0], Draining)
+	q := write(1, 11*s, 3*s) // in its aim with 0.2, late otherwise: it earns 3 * 0.45 for 0.08 s of work
+	for _, c := range []struct {
+		price float64
+		ran   bool
+		held  bool
+	}{{0, false, true}, {10, false, true}, {36, false, false}, {36, true, true}} {
+		q.Price, q.Ran = c.price, c.ran
+		if ok, _, _ := g.Hold(11*s, q); ok != c.held {
+			t.Errorf("price %v, may have run %v: held %v", c.price, c.ran, ok)
+		}
+	}
+	late := write(2, 11*s+500*ms, 3*s) // it comes when the switch is nearly over, and will be in its aim
+	late.Price = 30
+	if ok, _, _ := g.Hold(11*s+500*ms, late); !ok {
+		t.Error("one that will be in its aim is refused")
+	}
+}
+
 // What was likely and isn't any more goes at once, before half of its time where that can be.
 func TestWhatNoLongerPaysIsLetGo(t *testing.T) {
 	h, g, m := three(t, Config{})
--- a/internal/handover/hold.go
+++ b/internal/handover/hold.go
@@ -21,11 +21,12 @@
 	Aim   time.Duration // answers within it earn the full worth,
 	Late  float64       // later ones this part of it
 	Worth float64
-	Size  int  // bytes
-	Ran   bool // it may have run: letting it go is a failure, whenever
-	Was   bool // it is held already
-	Ahead int  // held requests that leave before it, where a primary is known,
-	Width int  // and how many that works on at once
+	Price float64 // what a second of the group's work earns where there is none to spare; 0 = there is
+	Size  int     // bytes
+	Ran   bool    // it may have run: letting it go is a failure, whenever
+	Was   bool    // it is held already
+	Ahead int     // held requests that leave before it, where a primary is known,
+	Width int     // and how many that works on at once
 }
 
 // room is what holding takes.
@@ -97,7 +98,7 @@
 		return true
 	}
 	earns := soon + q.Late*(p-soon)
-	return earns >= (1-p)*c.LateCost
+	return earns*q.Worth >= (1-p)*c.LateCost*q.Worth+p*q.Price*q.Cost.Seconds()
 }
 
 // leastWidth is how many held requests a new primary is taken to work on at once, at least.
--- a/internal/net/mysql_hard_test.go
+++ b/internal/net/mysql_hard_test.go
@@ -241,6 +241,7 @@
 	}))
 	p := mysqlDial(t, s, mysql.ServerCaps&^mysql.ClientQueryAttributes)
 	id := p.ask(t, mysql.ServerCaps, mysql.AppendCommand(nil, mysql.ComStmtPrepare, mysqlRead), true).Prepared.Statement
+	noLinks(t, front, loop)
 	x := mysql.Execute{Nulls: []byte{0}, Types: []byte{mysql.TypeVarString, 0}, Rest: []byte{1, 'x'}}
 	if r := p.ask(t, mysql.ServerCaps, mysql.AppendExecute(nil, id, 1, &x, 0), false); r.Err == nil {
 		t.Error("answered")
--- a/internal/net/mysql_test.go
+++ b/internal/net/mysql_test.go
@@ -188,6 +188,21 @@
 	return <-got
 }
 
+// noLinks waits until the proxy has noticed that the databases have ended its connections.
+func noLinks(t *testing.T, front *state.Front, loop *Loop) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		n := make(chan int)
+		loop.Post(func() { n <- front.Links() })
+		if <-n == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the connections are still there")
+		}
+	}
+}
+
 // Servers old and new, and a client in text and prepared.
 func TestMySQLThroughTheProxy(t *testing.T) {
 	for _, caps := range []uint32{mysql.ServerCaps, mysql.ServerCaps &^ (mysql.ClientDeprecateEOF | mysql.ClientSessionTrack)} {
@@ -280,8 +295,13 @@
 			}
 			return mysqlAnswer(conn, body, caps)
 		}))
+		st, err := mysqlOpen(t, s, "").Prepare(mysqlRead)
+		if err != nil {
+			t.Fatal(err)
+		}
+		noLinks(t, front, loop)
 		var got string
-		if err := mysqlOpen(t, s, "").QueryRow(mysqlRead, "x").Scan(&got); err == nil {
+		if err := st.QueryRow("x").Scan(&got); err == nil {
 			t.Errorf("%#x: it was answered", at)
 		}
 		c := counters(front, loop)
--- a/logic/hold_test.go
+++ b/logic/hold_test.go
@@ -131,6 +131,25 @@
 	}
 }
 
+// The price of a group's work: nothing while its members are at ease, what its requests earn once they are full.
+func TestTheGroupsPrice(t *testing.T) {
+	f := settled(t, holding(), 3)
+	for range 400 {
+		f.serve(f.request(clsAny, 0), ms)
+		f.now += 5 * ms
+	}
+	g := f.r.groups[0]
+	if p := g.price(); p != 0 {
+		t.Errorf("%v at ease", p)
+	}
+	for _, m := range g.members {
+		m.Strain = 1
+	}
+	if p, want := g.price(), g.worth/g.work; p != want || p <= 0 {
+		t.Errorf("%v when all are full, want %v", p, want)
+	}
+}
+
 // A hundred held at once leave as the new primary's limit allows, and none of them is forgotten.
 func TestHeldWritesLeaveAtAPace(t *testing.T) {
 	f := settled(t, holding(), 3)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -470,12 +470,7 @@
 	q.group.rate.add(now, thinSpan)
 	q.over = r.beyondShare(now, in.Tenant)
 	r.retries = min(r.retries+retryPart, retryReserve)
-	cost := r.cost[q.Class].Seconds()
-	q.group.work += workWeight * (cost - q.group.work)
-	if !r.long(q) {
-		cost = 0
-	}
-	q.group.longWork += workWeight * (cost - q.group.longWork)
+	q.group.mixed(r.cost[q.Class].Seconds(), q.class.Worth, r.long(q))
 	if q.class.Read == Bounded {
 		r.boundedAt = now
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -79,6 +79,7 @@
 	primary  *member         // as lead says, here for quick use
 	work     float64         // what arrives, moving average of bare work a request
 	longWork float64         // the part of it that is long
+	worth    float64         // moving average of a request's worth
 	rate     decaying
 
 	plan  []Admission // of reduced service, by class; empty = all is admitted
@@ -163,16 +164,46 @@
 // asHeld is the request as far as holding it is concerned.
 func (q *request) asHeld(cost, slow time.Duration, ahead int) handover.Held {
 	width := 0
+	price := q.group.price()
 	if p := q.group.primary; p != nil {
 		width = int(p.Most / 2) // of what may be out there, a part waits
 	}
 	return handover.Held{ID: uint64(q.ID), At: q.at, Until: q.Deadline, Cost: cost, Slow: slow, Aim: q.class.Aim, Late: q.class.Late,
-		Worth: q.class.Worth, Size: q.Size, Ran: q.ran, Was: q.waits, Ahead: ahead, Width: width}
+		Worth: q.class.Worth, Price: price, Size: q.Size, Ran: q.ran, Was: q.waits, Ahead: ahead, Width: width}
 }
 
 // usual is what an answer takes that is slow for its class, but not late.
 func (r *Router) usual(q *request) time.Duration { return min(r.slow[q.Class], q.class.Aim) }
 
+// mixed notes a request in the group's mix of work.
+func (g *group) mixed(cost, worth float64, long bool) {
+	g.work += workWeight * (cost - g.work)
+	g.worth += workWeight * (worth - g.worth)
+	if !long {
+		cost = 0
+	}
+	g.longWork += workWeight * (cost - g.longWork)
+}
+
+// Between these strains of its members a group's work gets its price: the lower is that of members at ease.
+const strainFree, strainFull = 0.3, limit.High
+
+// price is what a second of the group's work earns, as far as there is none to spare: what a held request takes there,
+// others don't get.
+func (g *group) price() float64 {
+	sum, n := 0.0, 0
+	for _, m := range g.members {
+		if m.State == Ready && !m.silent {
+			sum += min(max((m.Strain-strainFree)/(strainFull-strainFree), 0), 1)
+			n++
+		}
+	}
+	if n == 0 || g.work <= 0 {
+		return 0
+	}
+	return sum / float64(n) * g.worth / g.work
+}
+
 // role is what the member was when it last spoke.
 func (m *member) role() Role { return Role(m.seat.Role) }
 
