--- a/internal/handover/doubt.go
+++ b/internal/handover/doubt.go
@@ -13,9 +13,6 @@
 // A silence this long may have been a restart.
 const restart = time.Second
 
-// wentOn is the doubt left by a replica whose log did not stop: one that was down has some of it to catch up.
-const wentOn = 0.5
-
 func (s *Suspicion) lost(now time.Duration) { s.since, s.back = now, 0 }
 
 func (s *Suspicion) heard(now time.Duration) {
@@ -41,13 +38,6 @@
 	return true
 }
 
-// WentOn notes a replica's position with its first word behind a silence.
-func (s *Seat) WentOn(behind time.Duration) {
-	if x := &s.suspect; x.back > 0 && s.Role == Replica && behind < 100*time.Millisecond {
-		x.doubt = min(x.doubt, wentOn)
-	}
-}
-
 // Unborn notes that the list, which names each start within late, has named none since the silence.
 func (s *Seat) Unborn(now, late, born time.Duration) bool {
 	x := &s.suspect
