Mend what a second reading found in switches: starts undone by a cut, a dead primary that leaves the list

Change: starts told and starts doubted are apart, in handover, which alone keeps silence and cold now; the switch outlives its primary's seat; hints are spread below what clients heed; the command checks its input.

--- a/internal/handover/estimate.go
+++ b/internal/handover/estimate.go
@@ -77,16 +77,10 @@
 		}
 		m.x, m.w = append(m.x, l.of.Seconds()), append(m.w, weight)
 	}
-	sort.Sort(byLength{m.x, m.w})
+	stat.SortWeighted(m.x, m.w)
 	return m.x, m.w
 }
 
-type byLength struct{ x, w []float64 }
-
-func (b byLength) Len() int           { return len(b.x) }
-func (b byLength) Less(i, j int) bool { return b.x[i] < b.x[j] }
-func (b byLength) Swap(i, j int)      { b.x[i], b.x[j] = b.x[j], b.x[i]; b.w[i], b.w[j] = b.w[j], b.w[i] }
-
 // within gives the probability that a switch which has lasted for so long ends within a further time. Beyond all that was
 // seen it may last for about as long again as it has: the tail of a length without a scale.
 func (e *estimator) within(c Cause, group int, now, elapsed, further time.Duration) float64 {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -424,35 +424,98 @@
 
 // Back from a silence: a cut or a restart?
 func TestACutIsNoRestart(t *testing.T) {
+	const lasts = 13 * s
 	away := func(long time.Duration) (*Group, *Seat) {
 		_, g, m := three(t, Config{})
 		g.Silent(20*s, m[1])
-		g.Heard(20*s+long, m[1])
+		if back, doubted := g.Heard(20*s+long, m[1]); !back || doubted != (long > s) {
+			t.Fatalf("after %v: back %v, doubted %v", long, back, doubted)
+		}
 		return g, m[1]
 	}
-	if _, x := away(900 * ms); x.Suspect() != 0 {
-		t.Error("nothing starts anew within a second")
-	}
-	if _, x := away(3 * s); x.Suspect() != 1 {
-		t.Error("without evidence it counts as started anew")
-	}
-	if _, x := away(3 * s); !x.Kept(15*s, 0) || x.Suspect() != 0 {
-		t.Error("a connection from before the silence answers on")
+	cold := func(x *Seat, now, from time.Duration, why string) {
+		t.Helper()
+		if at, is := x.Cold(now, lasts); is != (from > 0) || at != from {
+			t.Errorf("%s: cold %v from %v, want %v", why, is, at, from)
+		}
 	}
-	if _, x := away(3 * s); x.Kept(23*s, 0) || x.Kept(15*s, 21*s) || x.Kept(0, 0) || x.Suspect() != 1 {
-		t.Error("a new connection, a start that was told, or nothing, proves it alive")
+	_, x := away(900 * ms)
+	cold(x, 21*s, 0, "nothing starts anew within a second")
+	_, x = away(3 * s)
+	cold(x, 24*s, 23*s, "without evidence it counts as started anew")
+	cold(x, 37*s, 0, "its time is over")
+	_, x = away(3 * s)
+	x.Kept(15 * s)
+	cold(x, 24*s, 0, "a connection from before the silence answers on")
+	_, x = away(3 * s)
+	x.Kept(23 * s)
+	x.Kept(0)
+	cold(x, 24*s, 23*s, "a new connection, or nothing, proves nothing")
+	x.Unborn(27*s, 5*s)
+	cold(x, 27*s, 23*s, "the list has its time")
+	x.Unborn(28*s, 5*s)
+	cold(x, 28*s, 0, "and is believed then")
+	g, x := away(3 * s)
+	g.Born(x, 22*s)
+	x.Unborn(30*s, 5*s)
+	cold(x, 30*s, 23*s, "the list names its start")
+}
+
+// A start that was told is certain, whatever is heard behind a later silence.
+func TestAStartIsNotUndoneByALaterCut(t *testing.T) {
+	for name, evidence := range map[string]func(*Seat){"connection": func(x *Seat) { x.Kept(19*s + 500*ms) }, "list": func(x *Seat) { x.Unborn(27*s, 5*s) }} {
+		_, g, m := three(t, Config{})
+		g.Born(m[1], 19*s)
+		g.Silent(20*s, m[1])
+		g.Heard(22*s, m[1])
+		evidence(m[1])
+		if from, cold := m[1].Cold(27*s, 13*s); !cold || from != 19*s {
+			t.Errorf("%s: cold %v from %v", name, cold, from)
+		}
 	}
-	if _, x := away(3 * s); x.Unborn(25*s, 5*s, 0) || !x.Unborn(28*s, 5*s, 0) {
-		t.Error("the list is given its time, and then believed")
+}
+
+// A short silence behind a long one: a connection from between the two says nothing of the first.
+func TestABlipClearsNoDoubt(t *testing.T) {
+	_, g, m := three(t, Config{})
+	g.Silent(20*s, m[1])
+	g.Heard(23*s, m[1])
+	g.Silent(25*s, m[1])
+	g.Heard(25*s+200*ms, m[1])
+	m[1].Kept(24 * s)
+	if from, cold := m[1].Cold(26*s, 13*s); !cold || from != 23*s {
+		t.Errorf("cold %v from %v", cold, from)
+	}
+	g.Silent(26*s, m[1])
+	g.Heard(28*s, m[1])
+	m[1].Kept(24 * s) // it may have started anew in the first
+	if from, cold := m[1].Cold(29*s, 13*s); !cold || from != 28*s {
+		t.Errorf("behind a second: cold %v from %v", cold, from)
+	}
+	m[1].Kept(15 * s)
+	if _, cold := m[1].Cold(29*s, 13*s); cold {
+		t.Error("a connection from before all of them")
 	}
-	if _, x := away(3 * s); x.Unborn(40*s, 5*s, 22*s) {
-		t.Error("the list names its start")
+}
+
+// The list drops a dead primary before another is elected: the switch goes on, by the clock that has run since the silence.
+func TestTheListDropsADeadPrimary(t *testing.T) {
+	h, g, m := three(t, Config{})
+	g.Silent(12*s, m[0])
+	before := g.Status(15 * s).Expected
+	g.Listed(15*s, m[0], Gone)
+	if after := g.Status(15 * s).Expected; after != before {
+		t.Errorf("expected in %v, and once the list says so in %v", before, after)
+	}
+	g.Leave(15*s, m[0])
+	wants(t, g, 15*s+ms, Electing, 0)
+	if ok, _, _ := g.Hold(16*s, write(1, 16*s, 3*s)); !ok {
+		t.Error("refused when the election is due")
 	}
-	g, x := away(3 * s)
-	x.Kept(15*s, 0)
-	g.Born(x, 22*s)
-	if x.Suspect() != 1 {
-		t.Error("a start that is told later doesn't count")
+	g.Says(16*s+500*ms, m[2], Primary, 16*s+500*ms)
+	wants(t, g, 16*s+500*ms, Found, 3)
+	if e := h.Ended(); len(e) != 1 || e[0].Length != 4500*ms || e[0].From != 1 || e[0].Cause != Silence {
+		t.Errorf("%+v", e)
 	}
 }
 
--- a/internal/handover/hold.go
+++ b/internal/handover/hold.go
@@ -39,7 +39,7 @@
 // come back otherwise. pushed are requests that have to make room for it: they are to be refused at once.
 func (g *Group) Hold(now time.Duration, q Held) (ok bool, hint time.Duration, pushed []uint64) {
 	c := &g.h.cfg
-	if !c.Hold || g.leader == nil || g.primary != nil && !g.Releasing() {
+	if !c.Hold || !g.led || g.primary != nil && !g.Releasing() {
 		return false, 0, nil
 	}
 	if !g.pays(now, q) {
@@ -156,7 +156,7 @@
 
 // hint is when the refused are to come back: when a primary is more likely than not.
 func (g *Group) hint(now time.Duration) time.Duration {
-	if g.primary != nil || g.leader == nil {
+	if g.primary != nil || !g.led {
 		return 0
 	}
 	return max(g.h.lengths.remaining(g.cause, g.id, now, now-g.from, 0.5), leastHint)
--- a/internal/handover/lead.go
+++ b/internal/handover/lead.go
@@ -42,14 +42,15 @@
 	id      int
 	seats   []*Seat
 	primary *Seat
-	leader  *Seat // the last known primary, also while it can't be reached
+	leader  *Seat // the last known primary, also while it can't be reached; nil once the list has dropped it
+	led     bool  // there has been one
 	term    int
 	phase   Phase
 	since   time.Duration
 	cause   Cause
 	began   time.Duration // the switch under way
 	from    time.Duration // its present cause: a drain may end in a death
-	old     uint64        // who was primary before it
+	old     uint64        // the primary before it
 	held    int           // at most at once
 	refused int
 	room    room
@@ -63,9 +64,10 @@
 	claim    time.Duration // since when it has said that it is primary, without a word against it
 	told     bool          // that it is, is the list's word alone
 	presence Presence
-	silent   bool
-	lostAt   time.Duration
-	suspect  Suspicion
+	suspect  suspicion
+
+	Silent bool          // it owes answers and gives none,
+	LostAt time.Duration // since then
 }
 
 // Group makes the place of a group.
@@ -80,7 +82,7 @@
 	return s
 }
 
-// Leave forgets a member.
+// Leave forgets a member. A primary that died is often dropped from the list before another is elected: the switch goes on.
 func (g *Group) Leave(now time.Duration, s *Seat) {
 	g.seats = slices.DeleteFunc(g.seats, func(x *Seat) bool { return x == s })
 	if g.leader == s {
@@ -92,16 +94,13 @@
 // Primary gives the member that takes writes now, nil where none is known or it can't be reached.
 func (g *Group) Primary() *Seat { return g.primary }
 
-// Leader gives the last known primary, also while it can't be reached.
-func (g *Group) Leader() *Seat { return g.leader }
-
 // Term counts the changes of primary.
 func (g *Group) Term() int { return g.term }
 
 // Born notes that a member's process has started anew: its role is open again.
 func (g *Group) Born(s *Seat, at time.Duration) {
 	s.Role, s.At, s.claim, s.told = Unknown, at, 0, false
-	s.suspect.born()
+	s.suspect.bornAt = at
 }
 
 // Listed notes what the list says of a member's presence.
@@ -140,22 +139,22 @@
 
 // Silent notes that a member owes answers and gives none.
 func (g *Group) Silent(now time.Duration, s *Seat) {
-	if !s.silent {
-		s.silent, s.lostAt = true, now
+	if !s.Silent {
+		s.Silent, s.LostAt = true, now
 		s.suspect.lost(now)
 		g.Review(now)
 	}
 }
 
-// Heard notes a sign of life, and tells whether it ends a silence.
-func (g *Group) Heard(now time.Duration, s *Seat) bool {
-	if !s.silent {
-		return false
+// Heard notes a sign of life. back tells that it ends a silence, and doubted that the member may have started anew in it.
+func (g *Group) Heard(now time.Duration, s *Seat) (back, doubted bool) {
+	if !s.Silent {
+		return false, false
 	}
-	s.silent = false
-	s.suspect.heard(now)
+	s.Silent = false
+	doubted = s.suspect.heard(now)
 	g.Review(now)
-	return true
+	return true, doubted
 }
 
 // Served notes that the primary has answered a write.
@@ -190,13 +189,13 @@
 	if a.claim < b.claim {
 		return !g.before(b, a)
 	}
-	return !(a.silent && b.At > a.lostAt+g.h.cfg.Blip)
+	return !(a.Silent && b.At > a.LostAt+g.h.cfg.Blip)
 }
 
 // Rivals counts the members that claim to be primary beside the one that counts as it.
 func (g *Group) Rivals() (n int) {
 	for _, s := range g.seats {
-		if s.Role == Primary && s != g.primary && s.presence == Ready && !s.silent && !s.told {
+		if s.Role == Primary && s != g.primary && s.presence == Ready && !s.Silent && !s.told {
 			n++
 		}
 	}
@@ -207,10 +206,10 @@
 func (g *Group) Review(now time.Duration) {
 	best := g.claimant()
 	g.primary = nil
-	if best != nil && !best.silent && best.presence == Ready {
+	if best != nil && !best.Silent && best.presence == Ready {
 		if g.primary = best; best != g.leader {
 			g.term++
-			g.leader = best
+			g.leader, g.led = best, true
 		}
 	}
 	g.step(now)
@@ -230,6 +229,7 @@
 	if g.primary != nil {
 		switch {
 		case g.phase == Unheard:
+			g.old = g.primary.ID
 			g.enter(now, Steady)
 		case g.phase == Drains || g.phase == Lost || g.phase == Electing:
 			g.found(now)
@@ -238,17 +238,14 @@
 		}
 		return
 	}
-	if g.leader == nil {
-		if g.phase != Unheard {
-			g.enter(now, Unheard)
-		}
+	if !g.led {
 		return
 	}
 	cause := g.why()
 	switch {
-	case g.phase == Steady || g.phase == Found || g.phase == Settling || g.phase == Unheard: // it begins
-		g.began, g.from, g.cause, g.old, g.held, g.refused = now, now, cause, g.leader.ID, 0, 0
-	case cause != g.cause && cause != Planned: // a primary that dies while it hands over; one that is lost may be listed as draining later
+	case g.phase == Steady || g.phase == Found || g.phase == Settling: // it begins
+		g.began, g.from, g.cause, g.held, g.refused = now, now, cause, 0, 0
+	case g.cause == Planned && cause != Planned: // a primary that dies while it hands over
 		g.cause, g.from = cause, now
 	}
 	switch {
@@ -265,9 +262,9 @@
 func (g *Group) why() Cause {
 	l := g.leader
 	switch {
-	case l.presence == Gone:
+	case l == nil || l.presence == Gone:
 		return Absence
-	case l.silent:
+	case l.Silent:
 		return Silence
 	}
 	return Planned // it drains, says that it is a replica, or another's claim, which can't be reached, is newer
@@ -280,13 +277,14 @@
 	if len(g.h.ended) > kept {
 		g.h.ended = g.h.ended[1:]
 	}
+	g.old = g.primary.ID
 	g.enter(now, Found)
 }
 
 // Searching tells how often a member is to be pinged while another primary is awaited; 0 = as always. All proxies look at
 // once, so each looks the less often the more there are.
 func (g *Group) Searching(now time.Duration, proxies int) time.Duration {
-	if !g.h.cfg.Hold || g.primary != nil || g.leader == nil {
+	if !g.h.cfg.Hold || g.primary != nil || !g.led {
 		return 0
 	}
 	if g.cause != Planned && len(g.room.in) == 0 && g.h.lengths.within(g.cause, g.id, now, now-g.from, time.Second) < 0.05 {
@@ -300,7 +298,7 @@
 	s := Status{Phase: g.phase, Since: g.since, Rivals: g.Rivals(), Held: len(g.room.in), Bytes: g.room.bytes, Cause: g.cause}
 	if g.primary != nil {
 		s.Primary = g.primary.ID
-	} else if g.leader != nil {
+	} else if g.led {
 		s.Expected = g.h.lengths.remaining(g.cause, g.id, now, now-g.from, 0.5)
 	}
 	return s
--- a/internal/lab/command/command_test.go
+++ b/internal/lab/command/command_test.go
@@ -80,6 +80,12 @@
 		"run x --no-such":   "no-such",
 		"up --groups 0":     "at least one",
 		"up --groups three": "three",
+
+		"switches --kind nonsense":        "one of",
+		"switches --groups -1":            "--groups is -1",
+		"switches --retries -1":           "below zero",
+		"switches --sockets 2m --compare": "virtual clock only",
+		"switches --sockets 5s":           "1m0s",
 	} {
 		var out, errs output
 		if code := Main(strings.Fields(args), &out, &errs); code != 2 || !strings.Contains(errs.String(), want) {
@@ -88,6 +94,20 @@
 	}
 }
 
+// A small run says how it went by its exit code too: troubles that elect nobody are no success.
+func TestSwitchesCommand(t *testing.T) {
+	for args, code := range map[string]int{"switches --count 20 --hold": 0, "switches --count 20 --kind": 1} {
+		a := strings.Fields(args)
+		if code == 1 {
+			a = append(a, "short hang")
+		}
+		var out, errs output
+		if got := Main(a, &out, &errs); got != code || !strings.Contains(out.String(), "violations: 0") {
+			t.Errorf("%s: exit %d: %s%s", args, got, out.String(), errs.String())
+		}
+	}
+}
+
 // Little traffic, so that nothing here depends on how quick the machine is: what is checked are promises, not figures.
 func TestRunPlaysTheRealProgram(t *testing.T) {
 	file := write(t, "fleet(groups = 2, members = 2)\ntraffic(rps = 40, length = '2s')\nfault('drain', at = '500ms', group = 0)\n")
--- a/internal/lab/command/switches.go
+++ b/internal/lab/command/switches.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -84,8 +85,25 @@
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			for _, k := range kinds {
+				if !slices.Contains(switches.Kinds, switches.Kind(k)) {
+					return fmt.Errorf("%w: --kind is %q, one of %q was expected", ErrUsage, k, switches.Kinds)
+				}
 				p.Kinds = append(p.Kinds, switches.Kind(k))
 			}
+			for name, n := range map[string]int{"--count": p.Count, "--groups": p.Groups, "--members": p.Members, "--proxies": p.Proxies} {
+				if n < 1 {
+					return fmt.Errorf("%w: %s is %d, at least 1 was expected", ErrUsage, name, n)
+				}
+			}
+			if p.Rate < 0 || p.Writes < 0 || p.Retries < 0 || sockets < 0 {
+				return fmt.Errorf("%w: --rps, --writes, --retries and --sockets can't be below zero", ErrUsage)
+			}
+			if sockets > 0 && (compare || unguarded || p.Writes > 0 || p.Proxies > 1) {
+				return fmt.Errorf("%w: --sockets plays one real program as it is: --compare, --unguarded, --writes and --proxies go with the virtual clock only", ErrUsage)
+			}
+			if sockets > 0 && sockets < time.Minute {
+				return fmt.Errorf("%w: --sockets is %v; troubles come 12 to 24 s apart, at least 1m0s was expected", ErrUsage, sockets)
+			}
 			p.Hold = handover.Config{Hold: hold}
 			if unguarded {
 				p.Hold.Margin = -time.Hour
@@ -105,6 +123,9 @@
 			}
 			r := switches.Virtual(p)
 			fmt.Fprintf(c.OutOrStdout(), "%vin %.1f s\n", r, time.Since(began).Seconds())
+			if r.Switches < p.Count {
+				return fmt.Errorf("only %d switches of the %d asked for: such troubles elect too few", r.Switches, p.Count)
+			}
 			if len(r.Violations) > 0 || r.Silent > 0 {
 				return fmt.Errorf("%d keys have a history that no group may have, %d requests had no answer", len(r.Violations), r.Silent)
 			}
--- a/internal/lab/switches/switches.go
+++ b/internal/lab/switches/switches.go
@@ -120,18 +120,15 @@
 	Ends           map[history.End]int // of tries to write
 	Keys           int
 	Violations     []history.Violation
-	Worth          []float64        // of each run
-	InAim          []float64        // part of the writes, of each run
-	First          []float64        // seconds from an election to the first write served by the new primary, in order
-	Push           []float64        // work sent to a new primary in its first 2 s against what it could do, in order
-	Fell           int              // databases pushed over while cold
-	Silent         int              // requests without an answer
-	Classes        map[string]ByEnd // by class
+	Worth          []float64                      // of each run
+	InAim          []float64                      // part of the writes, of each run
+	First          []float64                      // seconds from an election to the first write served by the new primary, in order
+	Push           []float64                      // work sent to a new primary in its first 2 s against what it could do, in order
+	Fell           int                            // databases pushed over while cold
+	Silent         int                            // requests without an answer
+	Classes        map[string]virtual.ClassResult // by class
 }
 
-// ByEnd counts a class's requests.
-type ByEnd struct{ Offered, InAim, Late, Refused, Failed, Silent int }
-
 // Virtual plays as many runs as it takes, side by side; the same plan gives the same report.
 func Virtual(p Plan) *Report {
 	if p.Groups == 0 {
@@ -144,7 +141,7 @@
 		p.Rate = 20 * float64(p.Groups)
 	}
 	p.Hold.MostTime = max(p.Hold.MostTime, p.Writes)
-	out := &Report{Ends: map[history.End]int{}, Classes: map[string]ByEnd{}}
+	out := &Report{Ends: map[history.End]int{}, Classes: map[string]virtual.ClassResult{}}
 	workers := runtime.GOMAXPROCS(0)
 	// A short hang is over before another is elected: what has no switches must not be played for ever.
 	for next := uint64(0); out.Switches < p.Count && out.Runs < max(p.Count/10, 4); next += uint64(workers) {
@@ -172,11 +169,11 @@
 func (p *Plan) one(seed uint64) *Report {
 	cfg := p.Config(seed)
 	r := virtual.Play(cfg)
-	out := &Report{Runs: 1, Ends: map[history.End]int{}, Classes: map[string]ByEnd{}, Worth: []float64{r.Worth}, Fell: r.Fell}
+	out := &Report{Runs: 1, Ends: map[history.End]int{}, Classes: map[string]virtual.ClassResult{}, Worth: []float64{r.Worth}, Fell: r.Fell}
 	for i, c := range r.Classes {
 		out.Silent += c.Silent
 		name := cfg.Fleet.Classes[i].Name
-		out.Classes[name] = ByEnd{c.Offered, c.InAim, c.Late, c.Refused, c.Failed, c.Silent}
+		out.Classes[name] = c
 		if cfg.Fleet.Classes[i].Read == logic.Write {
 			out.InAim = append(out.InAim, r.InAim(i))
 		}
@@ -209,7 +206,8 @@
 	}
 	for k, n := range o.Classes {
 		c := r.Classes[k]
-		r.Classes[k] = ByEnd{c.Offered + n.Offered, c.InAim + n.InAim, c.Late + n.Late, c.Refused + n.Refused, c.Failed + n.Failed, c.Silent + n.Silent}
+		r.Classes[k] = virtual.ClassResult{Offered: c.Offered + n.Offered, InAim: c.InAim + n.InAim, Late: c.Late + n.Late, Refused: c.Refused + n.Refused,
+			Failed: c.Failed + n.Failed, Silent: c.Silent + n.Silent, Tries: c.Tries + n.Tries}
 	}
 	r.Violations = append(r.Violations, o.Violations...)
 	r.Worth, r.InAim = append(r.Worth, o.Worth...), append(r.InAim, o.InAim...)
--- a/logic/facts.go
+++ b/logic/facts.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		out.Members++
-		if m.silent {
+		if m.seat.Silent {
 			continue
 		}
 		out.Usable++
@@ -61,14 +61,13 @@
 	return true
 }
 
-// warmth is the part of its usual work that a member can be taken to do: less while it is cold, as far as it is doubtful
-// that it never stopped.
+// warmth is the part of its usual work that a member can be taken to do: less while it is cold, or may be.
 func (r *Router) warmth(now time.Duration, m *member) float64 {
-	if !m.cold || now-m.coldFrom >= r.cfg.Cold {
+	from, cold := m.seat.Cold(now, r.cfg.Cold)
+	if !cold {
 		return 1
 	}
-	part := r.cfg.ColdShare + (1-r.cfg.ColdShare)*max(0, float64(now-m.coldFrom))/float64(r.cfg.Cold)
-	return 1 - m.seat.Suspect()*(1-part)
+	return r.cfg.ColdShare + (1-r.cfg.ColdShare)*max(0, float64(now-from))/float64(r.cfg.Cold)
 }
 
 // Switches gives the groups' places with their primaries, and the last switches that have ended, the newest first.
@@ -120,6 +119,6 @@
 	if m == nil {
 		return MemberFacts{}, false
 	}
-	return MemberFacts{Group: m.Group, Role: m.role(), Silent: m.silent, Benched: r.failsMore(m), Cold: m.cold && now-m.coldFrom < r.cfg.Cold,
+	return MemberFacts{Group: m.Group, Role: m.role(), Silent: m.seat.Silent, Benched: r.failsMore(m), Cold: r.warmth(now, m) < 1,
 		Out: len(m.out), Limit: m.Most, Strain: m.Strain, Ping: m.ping, Position: m.position}, true
 }
--- a/logic/hold_test.go
+++ b/logic/hold_test.go
@@ -150,6 +150,41 @@
 	}
 }
 
+// Those refused in a death are told different times, none beyond what clients heed: they must not return in one moment.
+func TestTheRefusedDoNotReturnTogether(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.request(clsGuarded, 1)
+	f.passAs(0, 600*ms, 1)
+	seen := map[time.Duration]int{}
+	for i := range 60 {
+		id := f.request(clsGuarded, SessionID(i+2))
+		f.wantFinal(id, "refused")
+		if f.hints[id] > f.r.cfg.MaxComeBack || f.hints[id] < 100*ms {
+			t.Fatalf("come back after %v", f.hints[id])
+		}
+		seen[f.hints[id].Truncate(50*ms)]++
+	}
+	for at, n := range seen {
+		if n > 20 {
+			t.Errorf("%d of 60 come back at %v", n, at)
+		}
+	}
+}
+
+// Switched off in the middle of a switch, what is held has its answer at once.
+func TestSwitchingTheHoldOff(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.drain(1)
+	id := f.request(clsGuarded, 1)
+	f.passAs(0, 100*ms)
+	f.r.Handover(handover.Config{})
+	f.passAs(0, 10*ms)
+	f.wantFinal(id, "refused")
+	if f.r.groups[0].lead.Holds() > 0 {
+		t.Error("it is held still")
+	}
+}
+
 // A hundred held at once leave as the new primary's limit allows, and none of them is forgotten.
 func TestHeldWritesLeaveAtAPace(t *testing.T) {
 	f := settled(t, holding(), 3)
@@ -310,8 +345,8 @@
 		f.r.Probed(f.now, Probed{Member: 3, Result: TimedOut})
 		f.passAs(1, 2*time.Second)
 		m := f.r.members[3]
-		if m.silent || !m.cold {
-			t.Fatalf("silent %v, cold %v", m.silent, m.cold)
+		if m.seat.Silent || f.r.warmth(f.now, m) == 1 {
+			t.Fatalf("silent %v, cold %v", m.seat.Silent, f.r.warmth(f.now, m))
 		}
 		opened := f.now
 		if kept {
@@ -319,8 +354,8 @@
 		}
 		f.r.probe(f.now, m)
 		f.r.Probed(f.now, Probed{Member: 3, Took: ms, Opened: opened, Report: Report{Role: RoleReplica, Position: f.now - 10*ms}})
-		if m.cold == kept {
-			t.Errorf("answered on a connection from before: %v, cold: %v", kept, m.cold)
+		if (f.r.warmth(f.now, m) < 1) == kept {
+			t.Errorf("answered on a connection from before: %v, cold: %v", kept, f.r.warmth(f.now, m))
 		}
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,7 +43,6 @@
 
 	silentAfter = 80 * time.Millisecond  // pings pass beside the queue: so long tells of the machine or the way
 	quietAsk    = 150 * time.Millisecond // a member that owes answers so long is pinged out of turn
-	coldSilence = time.Second            // a silence this long may have been a restart: treat the member as cold
 
 	failWeight = 0.2 // two or three failures in a row cross failLimit
 	failLimit  = 0.35
@@ -130,7 +129,6 @@
 	}
 	if e.Born > m.Born { // restarted: its role is open again, its log goes on from where it stood
 		m.group.lead.Born(m.seat, e.Born)
-		m.coldFrom, m.cold = e.Born, true
 	}
 	m.listed = e.State != Gone
 	if r.cfg.DrainOnly && !m.listed { // the list is no proof of what runs: its pings and answers tell
@@ -151,12 +149,13 @@
 		m.group.lead.Listed(now, m.seat, handover.Gone)
 		r.follow(now, m.group)
 	}
-	if len(m.out) > 0 || m.probing || m.State == Ready && (!m.silent || now-m.lostAt <= forgetSilent) {
+	if len(m.out) > 0 || m.probing || m.State == Ready && (!m.seat.Silent || now-m.seat.LostAt <= forgetSilent) {
 		return false
 	}
 	delete(r.members, m.ID)
 	m.group.members = slices.DeleteFunc(m.group.members, func(x *member) bool { return x == m })
 	m.group.lead.Leave(now, m.seat)
+	r.follow(now, m.group) // the one that left may have stood before another
 	if len(m.group.members) == 0 {
 		for _, id := range m.group.lead.Waiting() { // nobody would look at them any more
 			r.finish(now, r.requests[RequestID(id)], hintNoPrimary)
@@ -179,7 +178,7 @@
 	for _, m := range g.members {
 		for _, a := range m.out {
 			q := a.req
-			if m.silent && !a.calledOff && q.class.primaryMode() && r.mayRepeat(now, q) && now < r.until(q, a) {
+			if m.seat.Silent && !a.calledOff && q.class.primaryMode() && r.mayRepeat(now, q) && now < r.until(q, a) {
 				a.calledOff = true
 				r.act.Cancel(q.ID, a.n)
 			}
@@ -200,23 +199,20 @@
 // heard notes a sign of life. A member back from a long silence may have restarted: it counts as cold.
 func (r *Router) heard(m *member, now time.Duration) {
 	m.heardAt = now
-	if m.silent {
-		m.silent = false
-		m.group.lead.Heard(now, m.seat)
-		if now-m.lostAt > coldSilence {
-			m.coldFrom, m.cold = now, true
-			m.Forget()
-		}
+	back, doubted := m.group.lead.Heard(now, m.seat)
+	if doubted {
+		m.Forget()
+	}
+	if back {
 		r.follow(now, m.group)
 	}
 }
 
 // lost marks a member that owes answers and gives none; reads that are safe to repeat are sent elsewhere.
 func (r *Router) lost(m *member, now time.Duration) {
-	if m.silent {
+	if m.seat.Silent {
 		return
 	}
-	m.silent, m.lostAt = true, now
 	m.group.lead.Silent(now, m.seat)
 	r.follow(now, m.group)
 	r.hedge(now, m)
@@ -231,12 +227,12 @@
 		if !a.overdue && age > max(2*r.slow[q.Class], q.class.Aim) {
 			a.overdue = true
 			r.failed(now, m, 1)
-			if m.Strain < limit.High && !m.silent {
+			if m.Strain < limit.High && !m.seat.Silent {
 				r.missing += missWeight * (1 - r.missing)
 			}
 		}
 		lost := r.loses(m) && age > r.slow[q.Class] && !r.long(q)
-		if (m.silent || lost) && a == q.tries[len(q.tries)-1] && !q.held && r.mayRepeat(now, q) {
+		if (m.seat.Silent || lost) && a == q.tries[len(q.tries)-1] && !q.held && r.mayRepeat(now, q) {
 			r.route(now, q)
 		}
 	}
@@ -264,7 +260,7 @@
 
 // usable tells whether anything may be sent to the member at all: ready, not silent, not benched.
 func (r *Router) usable(m *member, now time.Duration) bool {
-	if m.State != Ready || m.silent {
+	if m.State != Ready || m.seat.Silent {
 		return false
 	}
 	if r.failsMore(m) { // one trial at a time
@@ -380,7 +376,7 @@
 	var list []*member
 	for _, m := range q.group.members {
 		if more && m.State == Ready && !m.probing && now-m.probedAt >= askAgain &&
-			(!m.silent || q.asked == 0 && n > 1) && filter(m) {
+			(!m.seat.Silent || q.asked == 0 && n > 1) && filter(m) {
 			list = append(list, m)
 		}
 	}
@@ -441,7 +437,7 @@
 func (r *Router) stragglers(now time.Duration, q *request) []*member {
 	var all []*member
 	for _, m := range q.group.members {
-		if r.eligible(now, q, m) && q.qualifies(m, now) && !m.cold {
+		if r.eligible(now, q, m) && q.qualifies(m, now) && r.warmth(now, m) == 1 {
 			all = append(all, m)
 		}
 	}
@@ -522,6 +518,7 @@
 		h.Until = min(h.Until, r.until(q, a))
 	}
 	ok, better, pushed := q.group.lead.Hold(now, h)
+	better = min(better, r.cfg.MaxComeBack*2/3) // behind that all would come back in one moment
 	for _, id := range pushed {
 		r.finish(now, r.requests[RequestID(id)], better)
 	}
@@ -794,20 +791,21 @@
 // what this front has for each member of the group, times half the multiple that the rule allows. It starts
 // in a random debt and is never above zero, so that the sum of all fronts is bounded.
 func (r *Router) bears(now time.Duration, m *member) bool {
-	if m.cold = m.cold && now-m.coldFrom < r.cfg.Cold; !m.cold {
+	from, cold := m.seat.Cold(now, r.cfg.Cold)
+	if !cold {
 		return true
 	}
 	part := r.warmth(now, m) * max(r.cfg.FallMultiple*fallPart, 1) / float64(len(m.group.members))
 	debt := func() float64 { return r.rng.Float64() * m.group.work }
-	return m.account.Bears(now, m.coldFrom, debt, part*r.rateOf(now, m.group)*m.group.work)
+	return m.account.Bears(now, from, debt, part*r.rateOf(now, m.group)*m.group.work)
 }
 
 // ---- Probing, silence and discovery ----
 
 // evidence holds what is heard of a member back from a silence against the doubt that it has started anew.
 func (r *Router) evidence(now time.Duration, m *member, opened time.Duration) {
-	if m.cold && (m.seat.Kept(opened, m.Born) || r.calls.Well() && m.seat.Unborn(now, listRoleAge, m.Born)) {
-		m.cold = false
+	if m.seat.Kept(opened); r.calls.Well() {
+		m.seat.Unborn(now, listRoleAge)
 	}
 }
 
@@ -863,17 +861,17 @@
 	r.hedge(now, m)
 	since := now - m.probedAt
 	// Where most answers take long anyway, a ping for each that is owed would cost more than it saves.
-	owes := len(m.out) > 0 && !m.silent &&
+	owes := len(m.out) > 0 && !m.seat.Silent &&
 		now-max(m.heardAt, m.out[0].sentAt, m.probedAt) > max(quietAsk, r.slow[m.out[0].req.Class]/2)
 	g, period, steady := m.group, r.pingPeriod(now), pingEvery
 	if m.role() == RolePrimary {
 		period = pingEvery
 	}
-	if often := g.lead.Searching(now, r.cfg.Fronts); often > 0 && since >= often && !m.silent {
+	if often := g.lead.Searching(now, r.cfg.Fronts); often > 0 && since >= often && !m.seat.Silent {
 		r.probe(now, m)
 	}
 	if r.thin(now, g) {
-		owes = owes || m.silent && since >= silentAsk && g.rate.last > m.probedAt
+		owes = owes || m.seat.Silent && since >= silentAsk && g.rate.last > m.probedAt
 		steady = time.Duration(min(float64(len(g.members))/(thinPart*r.rateOf(now, g)), 3600) * 1e9)
 		period = steady
 	}
@@ -923,7 +921,7 @@
 		return false
 	}
 	return len(g.members) == 0 || slices.ContainsFunc(g.members, func(m *member) bool {
-		return m.State == Ready && m.heardAt == 0 && !m.silent
+		return m.State == Ready && m.heardAt == 0 && !m.seat.Silent
 	})
 }
 
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -273,7 +273,7 @@
 	f.now += 900 * ms
 	f.r.Timer(f.now, tickTimer)
 	for _, m := range f.r.order {
-		if m.silent {
+		if m.seat.Silent {
 			t.Fatalf("member %d counts as silent for a second in which nobody listened", m.ID)
 		}
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -59,18 +59,14 @@
 	probedAt time.Duration // the last probe sent
 	heardAt  time.Duration // the last sign of life
 	placedAt time.Duration // the last news of its position
-	silent   bool
-	lostAt   time.Duration // since when silent
 
 	out []*attempt // this front's attempts there, oldest first
 	limit.Limit
-	account  limit.Account // while cold
-	queue    float64       // requests that it last reported to be waiting
-	queueAt  time.Duration
-	failing  float64       // share of quick failures, moving average
-	benched  time.Duration // no trial before
-	coldFrom time.Duration
-	cold     bool
+	account limit.Account // while cold
+	queue   float64       // requests that it last reported to be waiting
+	queueAt time.Duration
+	failing float64       // share of quick failures, moving average
+	benched time.Duration // no trial before
 }
 
 type group struct {
@@ -193,7 +189,7 @@
 func (g *group) price() float64 {
 	sum, n := 0.0, 0
 	for _, m := range g.members {
-		if m.State == Ready && !m.silent {
+		if m.State == Ready && !m.seat.Silent {
 			sum += min(max((m.Strain-strainFree)/(strainFull-strainFree), 0), 1)
 			n++
 		}
