Free the place of what is sent, keep a witness of a silence, and use the library's caches

Need, by running what was written: with three proxies a list that dropped a group ended the proxy: a request that waited for pings and for a primary kept its place in the room once it was sent, and was gone when the room was emptied. The evidence that a member back from a silence never stopped had never been seen at work: by then all its connections are closed. Three caches were hand-written, limits of clients' statements stood in net, two test set-ups were copies.

Change: what is sent gives its place back, wherever it is sent from. The connection of a silence's first overdue probe stays as a witness, and its late answer ends the doubt; a hung database of the model answers its probes late, as a process does. golang-lru's simplelru for the three caches, prepared.Room for statements, one listen() and one up() in the tests. SHOW SWITCHES shows no age for a group never heard of.

--- a/internal/net/mysql_client.go
+++ b/internal/net/mysql_client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"havenproxy/internal/state"
+	"havenproxy/internal/state/prepared"
 	"havenproxy/internal/wire/mysql"
 	"havenproxy/internal/wire/routing"
 )
@@ -22,8 +23,6 @@
 	// but it is counted with each.
 	maxTexts    = 1 << 20
 	maxAllTexts = 8 << 20
-	// overStatement is what a statement takes beside its text.
-	overStatement = 300
 	// What databases said of statements is kept for so many texts, in so many bytes, and so long.
 	keptShapes = 1024
 	shapeRoom  = 1 << 20
@@ -48,8 +47,6 @@
 	over   bool // more came in pieces than may
 }
 
-func (st *mysqlStatement) size() int { return len(st.text) + overStatement }
-
 // mysqlSpeaker speaks MySQL with one client.
 type mysqlSpeaker struct {
 	front      *mysqlFront
@@ -61,7 +58,7 @@
 	seq        byte // of the next packet to the client
 	statements map[uint32]*mysqlStatement
 	last       uint32
-	textBytes  int             // of the statements
+	share      prepared.Share
 	preparing  *mysqlStatement // its PREPARE is out
 	running    *mysqlStatement // its EXECUTE is out
 }
@@ -248,13 +245,8 @@
 }
 
 func (m *mysqlSpeaker) prepare(c *client, text string) {
-	if len(m.statements) >= maxStatements {
-		m.refuse(c, mysql.ErrTooManyStatements, fmt.Sprintf("%d statements are prepared on this connection, which is all that it may", len(m.statements)))
-		return
-	}
-	if size := len(text) + overStatement; m.textBytes+size > maxTexts || m.front.textBytes+size > maxAllTexts {
-		m.refuse(c, mysql.ErrTooManyStatements, fmt.Sprintf("no room for another prepared statement: those of this connection hold %d KiB, those of all %d KiB; close some",
-			m.textBytes>>10, m.front.textBytes>>10))
+	if err := m.share.Fits(text); err != nil {
+		m.refuse(c, mysql.ErrTooManyStatements, err.Error())
 		return
 	}
 	h, err := routing.Parse(text)
@@ -367,8 +359,7 @@
 	m.dropLong(c, st)
 	if whole {
 		delete(m.statements, id)
-		m.textBytes -= st.size()
-		m.front.textBytes -= st.size()
+		m.share.Drop(st.text)
 	}
 }
 
@@ -414,8 +405,7 @@
 		m.last++
 		st.params = r.Prepared.Params
 		m.statements[m.last] = st
-		m.textBytes += st.size()
-		m.front.textBytes += st.size()
+		m.share.Take(st.text)
 		r.Prepared.Statement = m.last
 	}
 	return r.AppendTo(nil, m.seq, m.caps)
--- a/internal/net/mysql_login.go
+++ b/internal/net/mysql_login.go
@@ -23,8 +23,10 @@
 // ListenMySQL opens an address for MySQL's clients.
 func (s *Server) ListenMySQL(address string, o *MySQLOptions) error {
 	front := &mysqlFront{options: o, cached: map[string]fullLogin{}, guard: logins.New(logins.Config{}),
-		shapes: prepared.NewShapes(keptShapes, shapeRoom, shapeKeep), checking: make(chan struct{}, 1)}
-	return s.listen(address, func() speaker { return &mysqlSpeaker{front: front, statements: map[uint32]*mysqlStatement{}} })
+		shapes: prepared.NewShapes(keptShapes, shapeRoom, shapeKeep), room: prepared.NewRoom(maxAllTexts), checking: make(chan struct{}, 1)}
+	return s.listen(address, func() speaker {
+		return &mysqlSpeaker{front: front, share: front.room.Share(maxStatements, maxTexts), statements: map[uint32]*mysqlStatement{}}
+	})
 }
 
 // MySQLAddress tells where MySQL's clients are listened for; empty = nowhere.
@@ -37,13 +39,13 @@
 
 // mysqlFront is what all MySQL clients share.
 type mysqlFront struct {
-	options   *MySQLOptions
-	cached    map[string]fullLogin // of users who went through a full exchange
-	guard     *logins.Guard
-	checking  chan struct{} // one check of a password at a time, beside the loop
-	shapes    *prepared.Shapes
-	textBytes int // of all clients' statements
-	last      uint32
+	options  *MySQLOptions
+	cached   map[string]fullLogin // of users who went through a full exchange
+	guard    *logins.Guard
+	checking chan struct{} // one check of a password at a time, beside the loop
+	shapes   *prepared.Shapes
+	room     *prepared.Room // for all clients' statements
+	last     uint32
 }
 
 // fullLogin is what a full exchange has shown: the secret that it was checked against, and the one for the fast path. Once
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -73,8 +73,8 @@
 	return s, front, loop
 }
 
-// member is a database of a few lines: it answers each query with its own text, or as the test says.
-func member(t *testing.T, answer func(conn stdnet.Conn, text string) bool) string {
+// listen serves each connection to a port of its own.
+func listen(t *testing.T, serve func(conn stdnet.Conn)) (address string) {
 	t.Helper()
 	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -89,27 +89,35 @@
 			}
 			go func() {
 				defer conn.Close()
-				peer := &peer{conn: conn}
-				if _, err := peer.next(func(b []byte) (int, error) { _, n, err := pg.NextOpening(b); return n, err }); err != nil {
-					return
-				}
-				conn.Write(pg.AppendWelcome(nil))
-				for {
-					m, err := peer.message()
-					if err != nil {
-						return
-					}
-					text, _ := pg.QueryText(m)
-					if !answer(conn, string(text)) {
-						return
-					}
-				}
+				serve(conn)
 			}()
 		}
 	}()
 	return ln.Addr().String()
 }
 
+// member is a database of a few lines: it answers each query with its own text, or as the test says.
+func member(t *testing.T, answer func(conn stdnet.Conn, text string) bool) string {
+	t.Helper()
+	return listen(t, func(conn stdnet.Conn) {
+		peer := &peer{conn: conn}
+		if _, err := peer.next(func(b []byte) (int, error) { _, n, err := pg.NextOpening(b); return n, err }); err != nil {
+			return
+		}
+		conn.Write(pg.AppendWelcome(nil))
+		for {
+			m, err := peer.message()
+			if err != nil {
+				return
+			}
+			text, _ := pg.QueryText(m)
+			if !answer(conn, string(text)) {
+				return
+			}
+		}
+	})
+}
+
 func row(text string) []byte {
 	value := append([]byte{0, 1, 0, 0, byte(len(text) >> 8), byte(len(text))}, text...)
 	out := append([]byte{'D', 0, 0, byte((len(value) + 4) >> 8), byte(len(value) + 4)}, value...)
--- a/internal/state/logins/logins.go
+++ b/internal/state/logins/logins.go
@@ -3,8 +3,9 @@
 package logins
 
 import (
-	"container/list"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Config bounds what logins may cost.
@@ -45,7 +46,6 @@
 type Who struct{ Peer, User string }
 
 type record struct {
-	who      Who
 	failures int
 	last     time.Duration // of the last failure
 	until    time.Duration // no try before
@@ -54,27 +54,27 @@
 // Guard is the state. It is not safe for concurrent use.
 type Guard struct {
 	cfg    Config
-	known  map[Who]*list.Element
-	order  list.List // the one that failed last in front
+	known  *simplelru.LRU[Who, *record] // those that failed, the least recently seen of which is forgotten
 	checks map[string]int
 	busy   int
 }
 
 // New makes a guard.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg.WithDefaults(), known: map[Who]*list.Element{}, checks: map[string]int{}}
+	g := &Guard{cfg: cfg.WithDefaults(), checks: map[string]int{}}
+	g.known, _ = simplelru.NewLRU[Who, *record](g.cfg.Peers, nil)
+	return g
 }
 
 // Try tells whether a login may be looked at now; otherwise how long its peer has to wait. A try that comes too early
 // doesn't lengthen the wait: a program that only retries gets in once its password has been mended.
 func (g *Guard) Try(now time.Duration, who Who) (wait time.Duration, ok bool) {
-	e := g.known[who]
-	if e == nil {
+	r, ok := g.known.Peek(who)
+	if !ok {
 		return 0, true
 	}
-	r := e.Value.(*record)
 	if now-r.last >= g.cfg.Fade && now >= r.until {
-		g.forget(e)
+		g.known.Remove(who)
 		return 0, true
 	}
 	if now < r.until {
@@ -85,19 +85,14 @@
 
 // Failed notes a wrong password, or a user that there isn't: nobody is to tell one from the other by the waits.
 func (g *Guard) Failed(now time.Duration, who Who) {
-	e := g.known[who]
-	if e == nil {
-		if len(g.known) >= g.cfg.Peers {
-			g.forget(g.order.Back())
-		}
-		e = g.order.PushFront(&record{who: who})
-		g.known[who] = e
+	r, ok := g.known.Get(who)
+	if !ok {
+		r = &record{}
+		g.known.Add(who, r)
 	}
-	r := e.Value.(*record)
 	if r.last > 0 && now-r.last >= g.cfg.Fade {
 		r.failures = 0
 	}
-	g.order.MoveToFront(e)
 	r.failures, r.last = r.failures+1, now
 	if over := r.failures - g.cfg.Free; over > 0 {
 		wait := g.cfg.MostOf
@@ -112,18 +107,10 @@
 }
 
 // Passed notes a right password.
-func (g *Guard) Passed(who Who) {
-	if e := g.known[who]; e != nil {
-		g.forget(e)
-	}
-}
-
-func (g *Guard) forget(e *list.Element) {
-	delete(g.known, g.order.Remove(e).(*record).who)
-}
+func (g *Guard) Passed(who Who) { g.known.Remove(who) }
 
 // Known counts the peers that are remembered.
-func (g *Guard) Known() int { return len(g.known) }
+func (g *Guard) Known() int { return g.known.Len() }
 
 // Check asks for a costly check on behalf of a peer. One that is let in is to be ended by Checked; others are turned away
 // at once, for they would wait behind all of those.
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -41,6 +41,7 @@
 	opening []*link
 	links   map[*link]struct{} // all, but for the one for probes
 	probe   *link
+	witness *link // an earlier one for probes, whose answer is overdue
 }
 
 // Listed takes in news of the list.
@@ -122,7 +123,7 @@
 // forgetGone drops a member that is gone, once no connection to it is left: databases come and go under new names
 // all day. Where the list binds no one, only a whole list that leaves it out tells that it won't be sent to again.
 func (f *Front) forgetGone(m *member) {
-	if m.state == logic.Gone && (!m.seen || !f.cfg.Logic.DrainOnly) && len(m.links) == 0 && m.probe == nil &&
+	if m.state == logic.Gone && (!m.seen || !f.cfg.Logic.DrainOnly) && len(m.links) == 0 && m.probe == nil && m.witness == nil &&
 		f.names[m.name] == m {
 		delete(f.names, m.name)
 		delete(f.members, m.id)
@@ -175,4 +176,7 @@
 	if m.probe != nil && m.probe.state == linkIdle {
 		f.close(m.probe)
 	}
+	if m.witness != nil {
+		f.close(m.witness)
+	}
 }
--- a/internal/state/prepared/prepared.go
+++ b/internal/state/prepared/prepared.go
@@ -3,15 +3,7 @@
 // pure: what it answers is to be carried out by whoever owns the connection.
 package prepared
 
-import "container/list"
-
-// Cache holds the statements of one connection, the least recently used of which gives way. It is not safe for
-// concurrent use.
-type Cache struct {
-	most    int
-	entries map[string]*list.Element
-	order   list.List // the one used last in front
-}
+import "github.com/hashicorp/golang-lru/v2/simplelru"
 
 // Statement is what a server says of a statement that it has prepared.
 type Statement struct {
@@ -19,54 +11,40 @@
 	Rows bool   // its executions answer with rows
 }
 
-type entry struct {
-	text string
-	Statement
+// Cache holds the statements of one connection, the least recently used of which gives way. It is not safe for
+// concurrent use.
+type Cache struct {
+	most int
+	lru  *simplelru.LRU[string, Statement]
 }
 
 // New makes a cache for so many statements, one at least.
-func New(most int) *Cache { return &Cache{most: max(most, 1), entries: map[string]*list.Element{}} }
+func New(most int) *Cache {
+	most = max(most, 1)
+	lru, _ := simplelru.NewLRU[string, Statement](most, nil) // its one error is a size below one
+	return &Cache{most, lru}
+}
 
 // Len tells how many statements are held.
-func (c *Cache) Len() int { return len(c.entries) }
+func (c *Cache) Len() int { return c.lru.Len() }
 
 // Use gives a statement that is prepared here, and notes its use.
-func (c *Cache) Use(text string) (st Statement, ok bool) {
-	e := c.entries[text]
-	if e == nil {
-		return st, false
-	}
-	c.order.MoveToFront(e)
-	return e.Value.(*entry).Statement, true
-}
+func (c *Cache) Use(text string) (st Statement, ok bool) { return c.lru.Get(text) }
 
 // Put notes that a statement has been prepared. What has to give way for it is to be closed at the server.
 func (c *Cache) Put(text string, st Statement) (closes uint32, must bool) {
-	if e := c.entries[text]; e != nil {
-		was := e.Value.(*entry)
+	if was, ok := c.lru.Peek(text); ok {
 		closes, must = was.ID, was.ID != st.ID
-		was.Statement = st
-		c.order.MoveToFront(e)
-		return closes, must
-	}
-	if len(c.entries) >= c.most {
-		e := c.order.Back()
-		old := e.Value.(*entry)
-		c.order.Remove(e)
-		delete(c.entries, old.text)
+	} else if c.lru.Len() >= c.most {
+		_, old, _ := c.lru.RemoveOldest()
 		closes, must = old.ID, true
 	}
-	c.entries[text] = c.order.PushFront(&entry{text, st})
+	c.lru.Add(text, st)
 	return closes, must
 }
 
 // Forget drops a statement that the server has forgotten.
-func (c *Cache) Forget(text string) {
-	if e := c.entries[text]; e != nil {
-		c.order.Remove(e)
-		delete(c.entries, text)
-	}
-}
+func (c *Cache) Forget(text string) { c.lru.Remove(text) }
 
 // Step is what has to happen next for an execution.
 type Step uint8
--- a/internal/state/show.go
+++ b/internal/state/show.go
@@ -97,7 +97,9 @@
 		s := groups[id]
 		v := SwitchView{Group: int(id), Phase: s.Phase.String(), For: now - s.Since, To: name(s.Primary), Rivals: s.Rivals, Held: s.Held,
 			Bytes: s.Bytes, Expected: s.Expected}
-		if s.Primary == 0 && s.Phase != handover.Unheard {
+		if s.Phase == handover.Unheard { // since the group is known, which is not what an operator asks
+			v.For = 0
+		} else if s.Primary == 0 {
 			v.Cause = s.Cause.String()
 		}
 		out = append(out, v)
--- a/logic/api.go
+++ b/logic/api.go
@@ -247,6 +247,8 @@
 	Outcome(now time.Duration, o Outcome)
 	Probed(now time.Duration, p Probed)
 	Timer(now time.Duration, id TimerID)
+	// Kept tells that a connection which was up since opened has brought a very late answer.
+	Kept(now time.Duration, id MemberID, opened time.Duration)
 	Abandoned(now time.Duration, id RequestID) // the client left; nothing more is owed
 }
 
--- a/logic/hold_test.go
+++ b/logic/hold_test.go
@@ -185,6 +185,27 @@
 	}
 }
 
+// A request may wait for pings and for a primary at once, where traffic is thin. Once it is sent, however it came to that, it
+// waits for neither: a place in the room that stayed taken was a request's that no longer was.
+func TestWhatWaitsForBothWaitsForNeitherOnceSent(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.drain(1)
+	id := f.request(clsGuarded, 1)
+	f.passAs(0, 200*ms)
+	if f.r.groups[0].lead.Holds() != 1 {
+		t.Fatal("it doesn't wait for a primary")
+	}
+	f.r.hold(f.r.requests[id]) // as inquire does
+	for end := f.now + time.Second; f.count(id) == 0 && f.now < end; {
+		f.passAs(2, 10*ms)
+	}
+	f.serve(id, 20*ms)
+	if n := f.r.groups[0].lead.Holds(); n > 0 || len(f.r.requests) > 0 {
+		t.Errorf("%d are held, %d requests kept", n, len(f.r.requests))
+	}
+	f.r.Members(f.now, List{Kind: ListFull}) // what is held is answered now
+}
+
 // A hundred held at once leave as the new primary's limit allows, and none of them is forgotten.
 func TestHeldWritesLeaveAtAPace(t *testing.T) {
 	f := settled(t, holding(), 3)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -529,16 +529,14 @@
 
 // release lets go what waits for a primary, as far as that bears it, and looks anew at what has to wait on.
 func (r *Router) release(now time.Duration, g *group) {
+	g.lead.Tick(now)
 	for i, id := range g.lead.Waiting() {
 		q := r.requests[RequestID(id)]
 		if q == nil || q.done || q.held || q.open() {
 			continue
 		}
 		if now+r.usual(q) < q.Deadline { // what would only just come in time may run, and fail
-			if ok, _ := r.route(now, q); ok {
-				g.lead.Release(id)
-				q.waits = false
-			}
+			r.route(now, q)
 		}
 		if q.waits && !q.held {
 			r.giveUp(now, q, hintCrowded, i)
@@ -581,6 +579,10 @@
 	for _, a := range q.tries { // a repeat isn't to be under way any more when the group takes it for a new one
 		until = min(until, r.until(q, a))
 	}
+	if q.waits { // however it came to be sent
+		q.waits = false
+		q.group.lead.Release(uint64(q.ID))
+	}
 	if len(q.tries) > 0 {
 		r.retries--
 	}
@@ -610,7 +612,7 @@
 
 // finish is the only place that gives a final answer: a refusal where a repeat can do no harm, or a failure.
 func (r *Router) finish(now time.Duration, q *request, hint time.Duration) {
-	if q.done {
+	if q == nil || q.done {
 		return
 	}
 	q.done = true
@@ -809,6 +811,14 @@
 	}
 }
 
+// Kept notes a very late answer on a connection that outlived a silence.
+func (r *Router) Kept(now time.Duration, id MemberID, opened time.Duration) {
+	if m := r.members[id]; m != nil {
+		r.heard(m, now)
+		r.evidence(now, m, opened)
+	}
+}
+
 // begin starts the router's clockwork at its first event.
 func (r *Router) begin(now time.Duration) {
 	if r.started {
@@ -842,9 +852,6 @@
 		}
 	}
 	r.tickAt = now
-	for _, id := range r.listed {
-		r.groups[id].lead.Tick(now)
-	}
 	r.retryHeld(now)
 }
 
