--- a/internal/handover/hold.go
+++ b/internal/handover/hold.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -122,27 +123,32 @@
 	}
 }
 
-// youngPart: of so many that leave, one is the one with the most time left. Otherwise a backlog that takes longer than the
-// classes' aims would make everybody late who comes meanwhile.
-const youngPart = 4
+// latePart: of so many that leave, one is among those that come late anyway, while there are others. What a new primary bears
+// is least at its beginning, and an answer in its aim earns more than a late one; but nobody is to wait for nothing.
+const latePart = 4
 
-// Waiting gives the held requests in the order in which they are to leave: those with the least time left first, with some
-// of the others between.
-func (g *Group) Waiting() []uint64 {
+// Waiting gives the held requests in the order in which they are to leave: those that can still be answered within their aims,
+// the most pressing first, with some of the others between, and then the others, the least time left first.
+func (g *Group) Waiting(now time.Duration) []uint64 {
 	if len(g.room.in) == 0 {
 		return nil
 	}
-	list := make([]Held, 0, len(g.room.in))
+	var soon, late []Held
 	for _, q := range g.room.in {
-		list = append(list, q)
+		if now+q.Cost+wayHome <= q.At+q.Aim {
+			soon = append(soon, q)
+		} else {
+			late = append(late, q)
+		}
 	}
-	slices.SortFunc(list, order)
-	out := make([]uint64, 0, len(list))
-	for n := 1; len(list) > 0; n++ {
-		if n%youngPart == 0 {
-			out, list = append(out, list[len(list)-1].ID), list[:len(list)-1]
+	slices.SortFunc(soon, func(a, b Held) int { return cmp.Or(cmp.Compare(a.At+a.Aim, b.At+b.Aim), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(late, order)
+	out := make([]uint64, 0, len(g.room.in))
+	for n := 1; len(soon)+len(late) > 0; n++ {
+		if len(soon) > 0 && (n%latePart != 0 || len(late) == 0) {
+			out, soon = append(out, soon[0].ID), soon[1:]
 		} else {
-			out, list = append(out, list[0].ID), list[1:]
+			out, late = append(out, late[0].ID), late[1:]
 		}
 	}
 	return out
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -154,7 +154,7 @@
 	m.group.lead.Leave(now, m.seat)
 	r.follow(now, m.group) // the one that left may have stood before another
 	if len(m.group.members) == 0 {
-		for _, id := range m.group.lead.Waiting() { // nobody would look at them any more
+		for _, id := range m.group.lead.Waiting(now) { // nobody would look at them any more
 			r.finish(now, r.requests[RequestID(id)], hintNoPrimary)
 		}
 		delete(r.groups, m.Group)
@@ -528,7 +528,7 @@
 // release lets go what waits for a primary, as far as that bears it, and looks anew at what has to wait on.
 func (r *Router) release(now time.Duration, g *group) {
 	g.lead.Tick(now)
-	for i, id := range g.lead.Waiting() {
+	for i, id := range g.lead.Waiting(now) {
 		q := r.requests[RequestID(id)]
 		if q == nil || q.done || q.held || q.open() {
 			continue
