--- a/internal/handover/hold.go
+++ b/internal/handover/hold.go
@@ -157,6 +157,9 @@
 // Holds tells how many requests are held.
 func (g *Group) Holds() int { return len(g.room.in) }
 
+// Stirs tells that something is to be done by time alone: a switch goes on, or something is held.
+func (g *Group) Stirs() bool { return g.phase != Steady && g.phase != Unheard || len(g.room.in) > 0 }
+
 // Releasing tells that a primary is new: what finds it full may be held until it has room.
 func (g *Group) Releasing() bool { return g.phase == Found || g.phase == Settling }
 
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -37,7 +37,8 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", ErrUsage, err) })
-	root.AddCommand(upCommand(), runCommand(), switchesCommand(), modelCommand(), compareCommand())
+	root.AddCommand(upCommand(), runCommand(), switchesCommand(), modelCommand(), compareCommand(), sweepCommand(),
+		sensitivityCommand(), worstCommand(), fitCommand(), growthCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(errs, "havenlab:", strings.TrimPrefix(err.Error(), ErrUsage.Error()+": "))
 		if errors.Is(err, ErrUsage) {
--- a/internal/lab/command/compare.go
+++ b/internal/lab/command/compare.go
@@ -51,7 +51,7 @@
 		Long: "An experiment is a scenario with variant(), question() and runs() in it. All variants meet the same days; the first is\n" +
 			"what the others are held against. It stops as soon as all questions are answered or the budget of runs is spent, and\n" +
 			"never names a winner inside the noise.",
-		Example: "  havenlab compare deploy/lab/compare-hold.star\n  havenlab compare deploy/lab/compare-hold.star --html hold.html --sockets 10",
+		Example: "  havenlab compare deploy/lab/compare/hold.star\n  havenlab compare deploy/lab/compare/hold.star --html hold.html --sockets 10",
 		Args:    oneFile,
 		RunE: func(c *cobra.Command, args []string) error {
 			e, err := readExperiment(args[0])
@@ -61,6 +61,11 @@
 			if len(e.Variants) < 2 {
 				return fmt.Errorf("%w: %s names %d variants, two at least are needed", ErrUsage, args[0], len(e.Variants))
 			}
+			if sockets != 0 {
+				if err := e.OnSockets(sockets); err != nil {
+					return fmt.Errorf("%w: %w", ErrUsage, err)
+				}
+			}
 			quiet()
 			out, began := c.OutOrStdout(), time.Now()
 			model, err := e.Play(c.Context(), seed, func(x *experiment.Outcome) {
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -91,7 +91,8 @@
 	Variants  []*Variant // the first is what the others are held against
 	Questions []Question
 	Rule      verdict.Rule
-	Sockets   int // pairs to be played on sockets as well, where that is asked for
+	Sweep     *Sweep // nil = the variants are written out
+	Sockets   int    // pairs to be played on sockets as well, where that is asked for
 }
 
 // Read reads an experiment's file: a scenario with variant(), question() and runs() in it.
@@ -108,7 +109,7 @@
 	e := &Experiment{Name: strings.TrimSuffix(filepath.Base(path), ".star"), Path: path}
 	p := &parser{e: e, dir: filepath.Dir(path)}
 	var err error
-	e.Scenario, err = scenario.ParseWith(path, src, map[string]star.Func{"variant": p.variant, "question": p.question, "runs": p.runs}, p.finish)
+	e.Scenario, err = scenario.ParseWith(path, src, map[string]star.Func{"variant": p.variant, "question": p.question, "runs": p.runs, "sweep": p.sweep}, p.finish)
 	if err != nil {
 		return nil, err
 	}
@@ -254,6 +255,7 @@
 		c.Fleet.Classes[i].Class = k.Class
 		c.Fleet.Classes[i].Late = k.LateWorth
 	}
+	c.Arrivals, _ = s.Arrivals(seed)
 	for _, f := range s.Faults {
 		c.Faults = append(c.Faults, virtual.Fault{At: f.At, Fault: f.Fault})
 	}
--- a/internal/lab/experiment/sockets.go
+++ b/internal/lab/experiment/sockets.go
@@ -27,19 +27,30 @@
 	return false
 }
 
-// PlaySockets plays so many pairs against the real program on loopback, one run behind the other, each with its seed. The same
-// seed gives the same schedule of requests and the same fate of the databases, as far as the machine's own time allows.
-func (e *Experiment) PlaySockets(ctx context.Context, seed uint64, pairs int, o launch.Options) (*Outcome, error) {
+// OnSockets tells what speaks against playing so many pairs on sockets.
+func (e *Experiment) OnSockets(pairs int) error {
+	if pairs < 5 {
+		return fmt.Errorf("%d pairs on sockets: at least 5 were expected", pairs)
+	}
 	for _, v := range e.Variants {
 		if only := e.scenarioOf(v).ModelOnly(); len(only) > 0 {
-			return nil, fmt.Errorf("variant %q: sockets can't play %s", v.Name, strings.Join(only, ", "))
+			return fmt.Errorf("variant %q: sockets can't play %s", v.Name, strings.Join(only, ", "))
 		}
 	}
 	for _, q := range e.Questions {
 		if !q.askedOnSockets() {
-			return nil, fmt.Errorf("question %q: it is answered in the model alone", q.Key())
+			return fmt.Errorf("question %q: it is answered in the model alone", q.Key())
 		}
 	}
+	return nil
+}
+
+// PlaySockets plays so many pairs against the real program on loopback, one run behind the other, each with its seed. The same
+// seed gives the same schedule of requests and the same fate of the databases, as far as the machine's own time allows.
+func (e *Experiment) PlaySockets(ctx context.Context, seed uint64, pairs int, o launch.Options) (*Outcome, error) {
+	if err := e.OnSockets(pairs); err != nil {
+		return nil, err
+	}
 	dir, err := os.MkdirTemp("", "havenlab")
 	if err != nil {
 		return nil, err
@@ -47,9 +58,6 @@
 	defer os.RemoveAll(dir)
 	own := *e
 	own.Rule.Looks = []int{pairs}
-	if pairs < 5 {
-		return nil, fmt.Errorf("%d pairs on sockets: at least 5 were expected", pairs)
-	}
 	return own.play(ctx, seed, max(o.Together, 1), "sockets", func(ctx context.Context, v *Variant, seed uint64) (map[string]float64, error) {
 		o := o
 		if v.Binary != "" {
--- a/internal/lab/fleet/api.go
+++ b/internal/lab/fleet/api.go
@@ -23,7 +23,8 @@
 // Class is a class of request with the work that one costs a core of a warm database.
 type Class struct {
 	logic.Class
-	Work Span
+	Work        Span
+	Exponential bool // work is exponential round the middle of the span, instead of even over it
 }
 
 // Config describes a fleet. The zero value of an optional field takes the default that its comment names.
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -395,6 +396,13 @@
 // work is what a query takes of a warm core.
 func (f *Fleet) work(q *Query) time.Duration {
 	s := f.cfg.Classes[q.Class].Work
+	if f.cfg.Classes[q.Class].Exponential {
+		luck := q.Luck
+		if luck <= 0 {
+			luck = 1 - f.rng.Float64()
+		}
+		return time.Duration(-math.Log(luck) * float64(s.From+s.To) / 2)
+	}
 	if q.Luck > 0 {
 		return s.From + time.Duration(q.Luck*float64(s.To-s.From))
 	}
--- a/internal/lab/load/conn.go
+++ b/internal/lab/load/conn.go
@@ -34,6 +34,7 @@
 // socket is a client's connection, opened at need and kept.
 type socket struct {
 	address string
+	dialer  func(until time.Time) (net.Conn, error) // nil = TCP to the address
 	c       net.Conn
 	used    bool
 	buf     []byte
@@ -51,7 +52,12 @@
 
 func (s *socket) dial(until time.Time) error {
 	var err error
-	if s.c, err = net.DialTimeout("tcp", s.address, time.Until(until)); err != nil {
+	if s.dialer != nil {
+		s.c, err = s.dialer(until)
+	} else {
+		s.c, err = net.DialTimeout("tcp", s.address, time.Until(until))
+	}
+	if err != nil {
 		s.c = nil
 		return err
 	}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 // Config describes the load. A zero Sockets means 200, a zero Sessions 400 a group.
 type Config struct {
 	Address    string
+	Dial       func(until time.Time) (net.Conn, error) // in place of TCP to the address; nil = that
 	Seed       uint64
 	Classes    []Class
 	Groups     int
@@ -220,7 +222,7 @@
 
 // work is one socket: it sends one request at a time, on a connection that it keeps.
 func (g *generator) work() {
-	at := socket{address: g.cfg.Address}
+	at := socket{address: g.cfg.Address, dialer: g.cfg.Dial}
 	var c talker = &conn{at}
 	if g.cfg.Protocol != "" && g.cfg.Protocol != Protocols[0] {
 		c = &mysqlConn{socket: at, prepared: g.cfg.Protocol == Protocols[2]}
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -107,7 +107,11 @@
 	if speaksMySQL {
 		address = p.MySQL
 	}
-	run.Load, err = load.Run(ctx, load.Config{Address: address, Protocol: s.Protocol, Seed: seed, Classes: s.Classes, Groups: cfg.Groups, Rate: s.Rate,
+	source, leftOut := s.Arrivals(seed)
+	if leftOut > 0 {
+		run.Events = append(run.Events, fmt.Sprintf("%8.3f %d requests of the trace are of classes that the scenario doesn't have", 0.0, leftOut))
+	}
+	run.Load, err = load.Run(ctx, load.Config{Address: address, Arrivals: source, Protocol: s.Protocol, Seed: seed, Classes: s.Classes, Groups: cfg.Groups, Rate: s.Rate,
 		For: s.Length, Sockets: s.Sockets, Sessions: s.Sessions, HotSession: s.HotSession, Retry: s.Retry, Progress: progress,
 		Record: cfg.Audit})
 	for _, t := range timers {
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/palette/moreland"
 	"gonum.org/v1/plot/plotter"
@@ -26,7 +27,16 @@
 
 var dashes = [][]vg.Length{nil, {6, 3}, {2, 2}, {8, 3, 2, 3}, {12, 4}, {4, 4, 1, 4}, {1, 3}}
 
-func newCanvas(c vg.CanvasSizer) draw.Canvas { return draw.New(c) }
+// newCanvas leaves a margin: labels of the last ticks reach beyond the axes.
+func newCanvas(c vg.CanvasSizer) draw.Canvas {
+	return draw.Crop(draw.New(c), 0, -0.6*vg.Centimeter, 0.1*vg.Centimeter, -0.3*vg.Centimeter)
+}
+
+// besides makes room for the legend at the right of a plot over time, where it hides no line.
+func besides(p *plot.Plot, s *scenario.Scenario) {
+	p.X.Min, p.X.Max = 0, 1.22*s.Length.Seconds()
+	p.Legend.Top, p.Legend.Padding = true, vg.Points(2)
+}
 
 func newPlot(x, y string) *plot.Plot {
 	p := plot.New()
@@ -95,7 +105,7 @@
 func inAimOverTime(s *scenario.Scenario, r *virtual.Result) (part, error) {
 	p := newPlot("time of the request, s", "answered in aim, %")
 	p.Y.Min, p.Y.Max = 0, 105
-	p.Legend.Top = false
+	besides(p, s)
 	for i := range s.Classes {
 		var xy plotter.XYs
 		for t, x := range r.Seconds {
@@ -130,6 +140,7 @@
 		return part{}, nil
 	}
 	p.Y.Min, p.Y.Max = 0, 1.1*most
+	besides(p, s)
 	if err := line(p, 6, "asked", offered); err != nil {
 		return part{}, err
 	}
@@ -209,6 +220,7 @@
 		}
 	}
 	p.Y.Min, p.Y.Max = 0, top+0.5
+	besides(p, s)
 	if err := marks(p, s, 0, top+0.5); err != nil {
 		return part{}, err
 	}
@@ -243,7 +255,7 @@
 
 // forest draws the differences of a question, with their intervals.
 func forest(q experiment.Question, outcomes []*experiment.Outcome) (*plot.Plot, vg.Length, error) {
-	p := newPlot(fmt.Sprintf("difference in %s", q.Key()), "")
+	p := newPlot(fmt.Sprintf("difference: %s", q.Key()), "")
 	var names []string
 	low, high := 0.0, 0.0
 	row := 0.0
@@ -283,3 +295,138 @@
 	p.X.Min, p.X.Max = low-pad, high+pad
 	return p, vg.Length(2.5+1.0*row) * vg.Centimeter, nil
 }
+
+// Growth is what a fleet of one size costs.
+type Growth struct {
+	Proxies    int     `json:"proxies"`
+	Databases  int     `json:"databases"`
+	Rate       float64 `json:"requests_per_s"`
+	Worth      float64 `json:"worth"`
+	Probes     float64 `json:"probes_per_request"`
+	ProbeWork  float64 `json:"probe_work"` // part of the databases' capacity that answers probes
+	Misroutes  float64 `json:"misroutes_per_request"`
+	FirstWrite float64 `json:"first_write_ms"` // from an election, the median
+	Links      float64 `json:"links_per_database"`
+	CPU        float64 `json:"proxy_us_per_request"` // of the decisions and their state, no sockets
+	Idle       float64 `json:"idle_proxy"`           // part of a core that a proxy's clockwork takes by itself
+	Wall       float64 `json:"wall_per_model_s"`
+	Memory     float64 `json:"memory_mb"`
+	Steps      float64 `json:"steps_per_s"`
+}
+
+// GrowthPlot draws costs against the number of proxies times databases, on log scales.
+func GrowthPlot(path string, rows []Growth) error {
+	p := newPlot("proxies x databases", "")
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.Legend.Left = true
+	for i, x := range []struct {
+		name string
+		of   func(Growth) float64
+	}{{"wall s a model s", func(g Growth) float64 { return g.Wall }}, {"memory, GB", func(g Growth) float64 { return g.Memory / 1e3 }},
+		{"probes a request", func(g Growth) float64 { return g.Probes }}, {"misroutes a request", func(g Growth) float64 { return g.Misroutes }},
+		{"proxy us a request / 100", func(g Growth) float64 { return g.CPU / 100 }}, {"idle proxy, part of a core", func(g Growth) float64 { return g.Idle }}} {
+		var xy plotter.XYs
+		for _, g := range rows {
+			if y := x.of(g); y > 0 {
+				xy = append(xy, plotter.XY{X: float64(g.Proxies * g.Databases), Y: y})
+			}
+		}
+		if len(xy) < 2 {
+			continue
+		}
+		if err := line(p, i, x.name, xy); err != nil {
+			return err
+		}
+	}
+	return p.Save(width, 1.6*height, path)
+}
+
+// SweepPlot draws a sweep's first question: means with their standard errors, or a heat map of two settings.
+func SweepPlot(path string, o *experiment.Outcome) error {
+	e := o.Experiment
+	s, key := e.Sweep, e.Questions[0].Key()
+	if len(s.Names) == 2 {
+		return sweepMap(path, o)
+	}
+	p := newPlot(s.Names[0], key)
+	var xy plotter.XYs
+	var errs plotter.YErrors
+	for i, v := range e.Variants {
+		var x []float64
+		for _, r := range o.Runs[v.Name] {
+			x = append(x, r[key])
+		}
+		mean, dev := stat.MeanStdDev(x, nil)
+		se := stat.StdErr(dev, float64(len(x)))
+		xy = append(xy, plotter.XY{X: float64(i), Y: mean})
+		errs = append(errs, struct{ Low, High float64 }{se, se})
+	}
+	if err := line(p, 0, key, xy); err != nil {
+		return err
+	}
+	bars, err := plotter.NewYErrorBars(struct {
+		plotter.XYs
+		plotter.YErrors
+	}{xy, errs})
+	if err != nil {
+		return err
+	}
+	bars.Color = colours[0]
+	p.Add(bars)
+	p.NominalX(s.Values[0]...)
+	p.Legend = plot.NewLegend()
+	return p.Save(width, height, path)
+}
+
+type sweepGrid struct {
+	o   *experiment.Outcome
+	key string
+}
+
+func (g sweepGrid) Dims() (c, r int) {
+	s := g.o.Experiment.Sweep
+	return len(s.Values[0]), len(s.Values[1])
+}
+func (g sweepGrid) Z(c, r int) float64 {
+	s := g.o.Experiment.Sweep
+	return g.o.Mean(g.o.Experiment.Variants[r*len(s.Values[0])+c].Name, g.key)
+}
+func (g sweepGrid) X(c int) float64 { return float64(c) }
+func (g sweepGrid) Y(r int) float64 { return float64(r) }
+
+func sweepMap(path string, o *experiment.Outcome) error {
+	e := o.Experiment
+	s, key := e.Sweep, e.Questions[0].Key()
+	g := sweepGrid{o, key}
+	p := newPlot(s.Names[0], s.Names[1])
+	low, high := math.Inf(1), math.Inf(-1)
+	var labels plotter.XYLabels
+	for c := range s.Values[0] {
+		for r := range s.Values[1] {
+			z := g.Z(c, r)
+			low, high = min(low, z), max(high, z)
+			labels.XYs = append(labels.XYs, plotter.XY{X: float64(c), Y: float64(r)})
+			labels.Labels = append(labels.Labels, fmt.Sprintf("%.4f", z))
+		}
+	}
+	m := moreland.ExtendedBlackBody()
+	m.SetMin(low)
+	m.SetMax(high + 1e-12)
+	h := plotter.NewHeatMap(g, m.Palette(100))
+	text, err := plotter.NewLabels(labels) // the numbers themselves: a colour is no figure
+	if err != nil {
+		return err
+	}
+	for i := range text.TextStyle {
+		text.TextStyle[i].XAlign, text.TextStyle[i].YAlign = -0.5, -0.5
+		if z := g.Z(i/len(s.Values[1]), i%len(s.Values[1])); z < (low+high)/2 {
+			text.TextStyle[i].Color = color.White
+		}
+	}
+	p.Add(h, text)
+	p.NominalX(s.Values[0]...)
+	p.NominalY(s.Values[1]...)
+	p.Title.Text = key
+	return p.Save(width, 1.4*height, path)
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -14,16 +14,19 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
 	"go.starlark.net/starlark"
 
+	"havenproxy/internal/lab/arrivals"
 	"havenproxy/internal/lab/fleet"
 	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/lab/load"
 	"havenproxy/internal/operator/star"
+	"havenproxy/internal/trace"
 	"havenproxy/logic"
 )
 
@@ -45,6 +48,10 @@
 	Protocol   string // of clients and databases: one of load.Protocols
 	Cores      int    // GOMAXPROCS of the proxy; 0 = the machine's
 
+	// Recorded traffic in place of what Rate, shares and sessions would give; nil = those.
+	Trace *trace.Trace
+	Speed float64 // so many times as fast as it was
+
 	// What the model alone plays; on sockets there are one proxy and the machine's own loopback.
 	Proxies int
 	Roam    float64       // part of the requests that don't come to their session's proxy
@@ -127,7 +134,7 @@
 		"fleet": s.fleet, "traffic": s.traffic, "fault": s.fault, "request_class": s.class, "proxy": s.proxy,
 		"steady": func(c *star.Call) starlark.Value { return s.Shape },
 		"sine":   sine, "square": square, "steps": steps, "ramp": ramp, "diurnal": diurnal, "bursts": bursts,
-		"network": s.network, "cut": s.cut,
+		"network": s.network, "cut": s.cut, "replay": s.replay,
 	}
 	for word, do := range words {
 		all[word] = do
@@ -212,6 +219,42 @@
 	return nil
 }
 
+// replay takes a trace that lies in the scenario's folder or below it.
+func (s *Scenario) replay(c *star.Call) starlark.Value {
+	name := c.First("file")
+	s.Speed = c.Float("speed", 1, 0.01, 1000)
+	if name == "" {
+		return nil
+	}
+	if !filepath.IsLocal(name) {
+		c.Errorf("", "replay: %q, a file in the scenario's folder was expected", name)
+		return nil
+	}
+	var err error
+	if s.Trace, err = trace.Load(filepath.Join(filepath.Dir(s.Name), name)); err != nil {
+		c.Errorf("", "replay: %v", err)
+		return nil
+	}
+	if len(s.Trace.Records) == 0 {
+		c.Errorf("", "replay: %s holds no requests", name)
+	}
+	return nil
+}
+
+// Arrivals gives what clients ask in one run. leftOut counts requests of a trace whose classes the scenario doesn't have.
+func (s *Scenario) Arrivals(seed uint64) (source arrivals.Source, leftOut int) {
+	var shares []float64
+	var names []string
+	for _, c := range s.Classes {
+		shares, names = append(shares, c.Share), append(names, c.Name)
+	}
+	if s.Trace != nil {
+		return arrivals.Replay(s.Trace, names, s.Fleet.Groups, s.Speed, s.Length, seed)
+	}
+	return arrivals.New(arrivals.Config{Seed: seed, Rate: s.Rate, For: s.Length, Shares: shares, Groups: s.Fleet.Groups, Sessions: s.Sessions,
+		HotSession: s.HotSession}), 0
+}
+
 func (s *Scenario) network(c *star.Call) starlark.Value {
 	s.Way = c.Duration("way", s.Way, time.Microsecond, minute)
 	s.Jitter = c.Duration("jitter", s.Jitter, 0, minute)
@@ -242,11 +285,27 @@
 			at = i
 		}
 	}
-	if at < 0 {
+	reads := []string{"any", "bounded", "session", "fresh", "write"}
+	switch {
+	case at < 0 && c.Has("reads"): // one of the scenario's own
+		at = len(s.Classes)
+		own := logic.Class{Name: name, Aim: 300 * time.Millisecond, Limit: 1200 * time.Millisecond, Worth: 1}
+		switch own.Read = logic.Freshness(slices.Index(reads, c.Choice("reads", "any", reads...))); own.Read {
+		case logic.Bounded:
+			own.MaxAge = c.Duration("max_age", 300*time.Millisecond, time.Millisecond, minute)
+		case logic.Write:
+			own.Effect, own.Scope, own.DedupWindow = logic.Guarded, logic.ScopeCell, 3*time.Second
+		}
+		s.Classes = append(s.Classes, load.Class{Class: own})
+		s.Fleet.Classes = append(s.Fleet.Classes, fleet.Class{Class: own, Work: fleet.Span{From: 40 * time.Millisecond, To: 70 * time.Millisecond}})
+	case at < 0:
 		if name != "" {
 			c.Errorf("", "no class %q%s", name, star.Nearest(name, names))
 		}
 		at = 0
+	case c.Has("reads"):
+		c.Errorf("reads", "class %q is there already: what it reads can't be changed", name)
+		c.Value("reads")
 	}
 	l, f := &s.Classes[at], &s.Fleet.Classes[at]
 	l.Share = c.Float("share", l.Share, 0, 1e6)
@@ -255,6 +314,7 @@
 	l.Aim = c.Duration("aim", l.Aim, time.Millisecond, minute)
 	l.Limit = c.Duration("limit", l.Limit, time.Millisecond, minute)
 	f.Work = spanArg(c, "work", f.Work)
+	f.Exponential = c.Bool("exponential", f.Exponential)
 	l.Late = l.LateWorth
 	if l.Limit < l.Aim {
 		c.Errorf("", "%s: its limit %v is below its aim %v", name, l.Limit, l.Aim)
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -66,6 +66,7 @@
 	Tune       func(*logic.Config) // what the platform tells the proxies, before they start
 	Still      []Still             // the proxy's loop stands still
 	At         []Action
+	Clocked    bool // Result.InProxies and InTimers are wanted
 	Heat       bool // Result.Load is wanted
 	Record     bool // the history of writes, for a checker; it needs Fleet.Audit
 }
@@ -126,7 +127,11 @@
 	Load      [][]float64               // of each database in each second: its work, as a part of what its warm cores can do
 	Counters  state.Counters            // of all proxies
 	Steps     int                       // of the engine
-	Events    []Event                   // faults and what came of them
+	Links     int                       // connections to databases at the end
+	// The true time that the proxies' decisions and state took, on this machine: for what came to them, and for what they do by
+	// the clock. With Config.Clocked.
+	InProxies, InTimers time.Duration
+	Events              []Event // faults and what came of them
 }
 
 // Election is a database that became primary, with what followed.
@@ -219,10 +224,16 @@
 		n.inbox = append(n.inbox, do)
 		return
 	}
+	if n.w.cfg.Clocked {
+		defer n.w.clocked(time.Now(), &n.w.res.InProxies)
+	}
 	do()
 	n.arm()
 }
 
+// clocked adds the true time that something took.
+func (w *world) clocked(began time.Time, to *time.Duration) { *to += time.Since(began) }
+
 // arm sees to it that the proxy is looked at when its first deadline is due. So a step costs nothing for the proxies that it
 // doesn't concern.
 func (n *node) arm() {
@@ -238,6 +249,9 @@
 
 func (n *node) due() {
 	n.armed = 0
+	if n.w.cfg.Clocked {
+		defer n.w.clocked(time.Now(), &n.w.res.InTimers)
+	}
 	if n.w.clock.now >= n.late {
 		n.front.Deadlines.Run(n.w.clock.now)
 	}
@@ -358,6 +372,7 @@
 	w.res.Changes = first.front.LevelHistory()
 	w.res.Levels = first.front.Levels()
 	for _, n := range w.nodes {
+		w.res.Links += n.front.Links()
 		addCounters(&w.res.Counters, &n.front.Counters)
 		for _, x := range n.front.Switches() {
 			if x.Phase != "ended" {
--- /dev/null
+++ b/internal/ping/ping.go
@@ -0,0 +1,86 @@
+// Package ping says when a database is pinged: steadily, and as often as bounded reads need to know positions; at need where
+// traffic is too thin for that; out of turn where answers are owed, or a primary is looked for. It is pure.
+package ping
+
+import "time"
+
+const (
+	every     = time.Second // steady period
+	boundPart = 4           // while bounded reads run, at least every bound/boundPart
+
+	// Thin traffic: where those periods give a member over thinAll pings a second from all proxies, and cost over thinPings a
+	// request here, pings go out at need, and thinPart of requests in steady use.
+	thinAll   = 20.0 // about a hundredth of a core
+	thinPings = 2.0
+	thinPart  = 0.05
+	silentAsk = 4 * time.Second // a silent member is tried again so often, while requests come
+
+	// Quiet is how long a member may owe answers before it is pinged out of turn.
+	Quiet = 150 * time.Millisecond
+
+	// Rest is how long a member may go without a look.
+	Rest = 50 * time.Millisecond
+)
+
+// Schedule is one proxy's.
+type Schedule struct {
+	Proxies  int           // that ping the same databases
+	Tick     time.Duration // the grain of the proxy's clock
+	Tightest time.Duration // bound of any class; 0 = none has one
+
+	bounded time.Duration // when the last bounded read came
+}
+
+// Bounded notes a bounded read.
+func (s *Schedule) Bounded(now time.Duration) { s.bounded = now }
+
+// Period is how old a replica's position may get.
+func (s *Schedule) Period(now time.Duration) time.Duration {
+	if s.Tightest > 0 && now-s.bounded < every {
+		return min(every, max(s.Tightest/boundPart, s.Tick))
+	}
+	return every
+}
+
+// Thin tells whether pings at that period are too many for a group's members and this proxy's requests to it, in a second.
+func (s *Schedule) Thin(now time.Duration, members int, rate float64) bool {
+	pings := 1 / s.Period(now).Seconds()
+	return pings*float64(s.Proxies) > thinAll && pings*float64(members) > thinPings*rate
+}
+
+// Member is what there is to know of one.
+type Member struct {
+	Probed   time.Duration // the last ping; 0 = never
+	Placed   time.Duration // the last news of its position
+	Owes     bool          // answers, for longer than they usually take
+	Silent   bool
+	Primary  bool          // as it last said: it stands at the present
+	Headless bool          // its group has no primary
+	Search   time.Duration // between pings while one is looked for; 0 = that is not so
+	Members  int           // of its group
+	Rate     float64       // requests a second to its group
+	Asked    time.Duration // the last of them
+}
+
+// Due tells whether a member is to be pinged now, and until when it need not be looked at unless something happens to it.
+func (s *Schedule) Due(now time.Duration, m *Member) (due bool, until time.Duration) {
+	since, period, steady, owes := now-m.Probed, s.Period(now), every, m.Owes
+	if m.Primary {
+		period = every
+	}
+	if m.Probed == 0 || m.Search > 0 && since >= m.Search && !m.Silent {
+		return true, 0
+	}
+	if s.Thin(now, m.Members, m.Rate) {
+		owes = owes || m.Silent && since >= silentAsk && m.Asked > m.Probed
+		steady = time.Duration(min(float64(m.Members)/(thinPart*m.Rate), 3600) * 1e9)
+		period = steady
+	}
+	if owes || since >= steady || since >= period && now-m.Placed >= period || steady == every && m.Headless && since >= min(period, Quiet) {
+		return true, 0
+	}
+	if m.Owes || m.Silent || m.Headless || m.Search > 0 {
+		return false, 0
+	}
+	return false, min(now+Rest, m.Probed+steady, max(m.Probed, m.Placed)+period)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,33 +15,25 @@
 
 	"havenproxy/internal/handover"
 	"havenproxy/internal/limit"
+	"havenproxy/internal/ping"
 )
 
 const (
-	pingEvery    = time.Second // steady ping period
-	longPart     = 3           // a read of over bound/longPart may push a replica out of the filter
-	boundPart    = 4           // while bounded reads run, ping at least every bound/boundPart
-	pingWeight   = 0.2         // moving average: about the last ten pings
-	readTries    = 3           // a read's members in all: the first and up to two more
+	longPart     = 3   // a read of over bound/longPart may push a replica out of the filter
+	pingWeight   = 0.2 // moving average: about the last ten pings
+	readTries    = 3   // a read's members in all: the first and up to two more
 	stoodStill   = 100 * time.Millisecond
 	housekeeping = 10 * time.Millisecond  // how finely silence, pings and held requests are looked at
 	freshHold    = 300 * time.Millisecond // a new router waits so long for pings, which take milliseconds
 
 	shareSpan = time.Second // a tenant's traffic is held against its quota over this
 
-	// Thin traffic: where those periods give a member over thinAll pings a second from all fronts, and cost over
-	// thinPings a request here, pings go out at need, and thinPart of requests in steady use.
-	thinAll   = 20.0 // about a hundredth of a core
-	thinPings = 2.0
-	thinPart  = 0.05
 	thinSpan  = 10 * time.Second      // over which traffic is counted
 	askWait   = 25 * time.Millisecond // a ping takes a few milliseconds; then others are asked
 	askAgain  = 100 * time.Millisecond
 	askRounds = 2
-	silentAsk = 4 * time.Second // a silent member is tried again so often, while requests come
 
-	silentAfter = 80 * time.Millisecond  // pings pass beside the queue: so long tells of the machine or the way
-	quietAsk    = 150 * time.Millisecond // a member that owes answers so long is pinged out of turn
+	silentAfter = 80 * time.Millisecond // pings pass beside the queue: so long tells of the machine or the way
 
 	meritMin   = 0.25 // what the least class may fill all the same
 	queueLong  = 1.0  // requests waiting: all that the member works on at once is taken
@@ -77,14 +69,15 @@
 	r := &Router{cfg: cfg, act: actions, rng: rand.New(rand.NewPCG(cfg.Seed, 0x9e3779b97f4a7c15)),
 		members: map[MemberID]*member{}, groups: map[GroupID]*group{}, requests: map[RequestID]*request{},
 		cost: make([]time.Duration, len(cfg.Classes)), slow: make([]time.Duration, len(cfg.Classes)),
-		shares: make([]decaying, len(cfg.Tenants)), retries: retryReserve, lead: handover.New(cfg.Handover)}
+		shares: make([]decaying, len(cfg.Tenants)), retries: retryReserve, lead: handover.New(cfg.Handover),
+		pings: ping.Schedule{Proxies: cfg.Fronts, Tick: cfg.Tick}}
 	r.nobody = r.newGroup(-1)
 	r.pins.init(keepEntries)
 	r.commits.init(keepEntries)
 	for i, c := range cfg.Classes {
 		r.cost[i], r.slow[i] = c.Aim/aimOverCost, c.Aim
-		if c.Read == Bounded && (r.tightest == 0 || c.MaxAge < r.tightest) {
-			r.tightest = c.MaxAge
+		if c.Read == Bounded && (r.pings.Tightest == 0 || c.MaxAge < r.pings.Tightest) {
+			r.pings.Tightest = c.MaxAge
 		}
 	}
 	return r, nil
@@ -159,6 +152,7 @@
 		}
 		delete(r.groups, m.Group)
 		r.listed = slices.DeleteFunc(r.listed, func(g GroupID) bool { return g == m.Group })
+		r.stirring = slices.DeleteFunc(r.stirring, func(g *group) bool { return g == m.group })
 	}
 	return true
 }
@@ -169,6 +163,7 @@
 	if g.primary = nil; g.lead.Primary() != nil {
 		g.primary = r.members[MemberID(g.lead.Primary().ID)]
 	}
+	r.stir(g)
 	if p := g.primary; p == nil || p == was || !r.cfg.MayCancel || !r.lead.Config().Hold {
 		return
 	}
@@ -395,23 +390,15 @@
 	return true
 }
 
-// thin tells whether pings at the design's periods are too many for the members and this front's requests.
+// thin tells of traffic for which pings at their periods are too many.
 func (r *Router) thin(now time.Duration, g *group) bool {
-	pings := 1 / r.pingPeriod(now).Seconds()
-	return pings*float64(r.cfg.Fronts) > thinAll && pings*float64(len(g.members)) > thinPings*r.rateOf(now, g)
+	return r.pings.Thin(now, len(g.members), r.rateOf(now, g))
 }
 
 func (r *Router) rateOf(now time.Duration, g *group) float64 {
 	return g.rate.at(now, thinSpan) / min(thinSpan, now-r.startAt+time.Second).Seconds()
 }
 
-func (r *Router) pingPeriod(now time.Duration) time.Duration {
-	if r.tightest > 0 && now-r.boundedAt < pingEvery {
-		return min(pingEvery, max(r.tightest/boundPart, r.cfg.Tick))
-	}
-	return pingEvery
-}
-
 // nearest keeps those within the ping window of the quickest.
 func (r *Router) nearest(list []*member) []*member {
 	quickest := time.Duration(-1)
@@ -427,7 +414,7 @@
 
 // long tells of reads that may stall applying: spread at random they push each replica out of the filter.
 func (r *Router) long(q *request) bool {
-	return q.class.Read == Any && r.tightest > 0 && r.cost[q.Class] > r.tightest/longPart
+	return q.class.Read == Any && r.pings.Tightest > 0 && r.cost[q.Class] > r.pings.Tightest/longPart
 }
 
 // stragglers gives where long reads go: to the replicas furthest behind, as many as their part of the work
@@ -466,7 +453,7 @@
 	r.retries = min(r.retries+retryPart, retryReserve)
 	q.group.mixed(r.cost[q.Class].Seconds(), q.class.Worth, r.long(q))
 	if q.class.Read == Bounded {
-		r.boundedAt = now
+		r.pings.Bounded(now)
 	}
 	q.token = r.tokenOf(now, &in)
 	if r.opening(now, q.group) {
@@ -520,6 +507,7 @@
 	for _, id := range pushed {
 		r.finish(now, r.requests[RequestID(id)], better)
 	}
+	r.stir(q.group)
 	if q.waits = ok; !ok {
 		r.finish(now, q, cmp.Or(better, hint))
 	}
@@ -587,6 +575,7 @@
 	a := &attempt{req: q, n: len(q.tries), to: m, sentAt: now, open: true}
 	q.tries = append(q.tries, a)
 	m.out = append(m.out, a)
+	r.wake(m)
 	m.account.Take(r.cost[q.Class].Seconds()) // of no matter unless it is cold
 	r.act.Send(q.ID, m.ID, until-now)
 	return true
@@ -840,8 +829,20 @@
 	if r.stood(now) {
 		r.stoodAt = now
 	} else {
-		for _, m := range r.order {
-			r.look(now, m)
+		list := r.order
+		if now < r.allAt { // all are looked at now and then, and those with something under way each time
+			list = r.awake
+		} else {
+			r.allAt = now + ping.Rest
+		}
+		r.awake, r.spare = r.spare[:0], r.awake
+		for _, m := range list {
+			if m.awake = false; m.stirs() || now >= m.restsTill {
+				r.look(now, m)
+			}
+			if m.stirs() || m.restsTill < r.allAt {
+				r.wake(m)
+			}
 		}
 	}
 	r.tickAt = now
@@ -859,24 +860,14 @@
 		r.lost(m, now)
 	}
 	r.hedge(now, m)
-	since := now - m.probedAt
 	// Where most answers take long anyway, a ping for each that is owed would cost more than it saves.
 	owes := len(m.out) > 0 && !m.seat.Silent &&
-		now-max(m.heardAt, m.out[0].sentAt, m.probedAt) > max(quietAsk, r.slow[m.out[0].req.Class]/2)
-	g, period, steady := m.group, r.pingPeriod(now), pingEvery
-	if m.role() == RolePrimary {
-		period = pingEvery
-	}
-	if often := g.lead.Searching(now, r.cfg.Fronts); often > 0 && since >= often && !m.seat.Silent {
-		r.probe(now, m)
-	}
-	if r.thin(now, g) {
-		owes = owes || m.seat.Silent && since >= silentAsk && g.rate.last > m.probedAt
-		steady = time.Duration(min(float64(len(g.members))/(thinPart*r.rateOf(now, g)), 3600) * 1e9)
-		period = steady
-	}
-	if m.probedAt == 0 || owes || since >= steady || since >= period && now-m.placedAt >= period ||
-		steady == pingEvery && g.primary == nil && since >= min(period, quietAsk) {
+		now-max(m.heardAt, m.out[0].sentAt, m.probedAt) > max(ping.Quiet, r.slow[m.out[0].req.Class]/2)
+	g, due := m.group, false
+	due, m.restsTill = r.pings.Due(now, &ping.Member{Probed: m.probedAt, Placed: m.placedAt, Owes: owes,
+		Silent: m.seat.Silent, Primary: m.role() == RolePrimary, Headless: g.primary == nil, Asked: g.rate.last,
+		Search: g.lead.Searching(now, r.cfg.Fronts), Members: len(g.members), Rate: r.rateOf(now, g)})
+	if due {
 		r.probe(now, m)
 	}
 }
@@ -884,6 +875,7 @@
 func (r *Router) probe(now time.Duration, m *member) {
 	if r.cfg.MayProbe && !m.probing && m.State == Ready {
 		m.probing, m.probedAt = true, now
+		r.wake(m)
 		r.act.Probe(m.ID)
 	}
 }
@@ -915,7 +907,11 @@
 			m.seat.Refused()
 		}
 	}
-	r.retryHeld(now)
+	if len(r.held) > 0 {
+		r.retryHeld(now)
+	} else if m.group.lead.Stirs() {
+		r.release(now, m.group)
+	}
 }
 
 // opening tells whether a group is unknown to a fresh router: not all its members have answered a ping.
@@ -943,8 +939,13 @@
 			r.start(now, q)
 		}
 	}
-	for _, id := range r.listed {
-		r.release(now, r.groups[id])
+	list := r.stirring
+	r.stirring = nil
+	for _, g := range list {
+		if g.stirs = g.lead.Stirs(); g.stirs {
+			r.stirring = append(r.stirring, g)
+			r.release(now, g)
+		}
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -8,6 +8,7 @@
 
 	"havenproxy/internal/handover"
 	"havenproxy/internal/limit"
+	"havenproxy/internal/ping"
 )
 
 // What a router keeps; what is done with it is in logic.go.
@@ -26,6 +27,10 @@
 	members  map[MemberID]*member // looked up only, never ranged over
 	groups   map[GroupID]*group   // likewise; those that a list has named
 	listed   []GroupID            // their order
+	awake    []*member            // that have something under way: they are looked at each time, all others now and then
+	spare    []*member            // room for the next such list
+	allAt    time.Duration        // when all are to be looked at
+	stirring []*group             // where something is to be done by time alone
 	nobody   *group               // stands for groups that no list has named
 	order    []*member            // all members, in the order in which they were first listed
 	requests map[RequestID]*request
@@ -34,16 +39,15 @@
 	pins     recent[pinKey, pin]
 	commits  commits
 
-	cost      []time.Duration // per class, the bare answer time
-	slow      []time.Duration // and the time past which an answer is overdue
-	boundedAt time.Duration   // when the last bounded read came
-	tightest  time.Duration   // the tightest bound of any class
-	shares    []decaying      // what each tenant has asked for within its quota
-	missing   float64         // share of answers that don't come though their members answer in time, moving average
-	failures  limit.Failures  // quick ones, at all members
-	retries   float64         // further attempts that may still be made
+	cost     []time.Duration // per class, the bare answer time
+	slow     []time.Duration // and the time past which an answer is overdue
+	shares   []decaying      // what each tenant has asked for within its quota
+	missing  float64         // share of answers that don't come though their members answer in time, moving average
+	failures limit.Failures  // quick ones, at all members
+	retries  float64         // further attempts that may still be made
 
 	calls limit.Calls // of the list
+	pings ping.Schedule
 }
 
 // member is this front's view of one process.
@@ -54,11 +58,13 @@
 	seat     *handover.Seat // its role, and the doubt whether it has started anew
 	position time.Duration  // it has applied all commits up to then; a lower bound that only grows
 
-	ping     time.Duration // moving average; 0 = never answered
-	probing  bool
-	probedAt time.Duration // the last probe sent
-	heardAt  time.Duration // the last sign of life
-	placedAt time.Duration // the last news of its position
+	ping      time.Duration // moving average; 0 = never answered
+	probing   bool
+	probedAt  time.Duration // the last probe sent
+	heardAt   time.Duration // the last sign of life
+	placedAt  time.Duration // the last news of its position
+	restsTill time.Duration // it need not be looked at before, unless something happens
+	awake     bool          // it is in the list of those that are looked at each time
 
 	out []*attempt // this front's attempts there, oldest first
 	limit.Limit
@@ -72,6 +78,7 @@
 	members  []*member
 	lead     *handover.Group // who is primary, and what waits for one
 	primary  *member         // as lead says, here for quick use
+	stirs    bool            // it is in the list of those that stir
 	work     float64         // what arrives, moving average of bare work a request
 	longWork float64         // the part of it that is long
 	worth    float64         // moving average of a request's worth
@@ -199,6 +206,31 @@
 	return sum / float64(n) * g.worth / g.work
 }
 
+// stirs tells of a member with something under way, or whose group looks for a primary.
+func (m *member) stirs() bool { return len(m.out) > 0 || m.probing || m.group.primary == nil }
+
+// wake lets a member be looked at each time.
+func (r *Router) wake(m *member) {
+	if !m.awake {
+		m.awake = true
+		r.awake = append(r.awake, m)
+	}
+}
+
+// stir lets a group be looked at each time while something is to be done there by time alone, and its members while it has no
+// primary.
+func (r *Router) stir(g *group) {
+	if !g.stirs && g.lead.Stirs() {
+		g.stirs = true
+		r.stirring = append(r.stirring, g)
+	}
+	if g.primary == nil {
+		for _, m := range g.members {
+			r.wake(m)
+		}
+	}
+}
+
 // role is what the member was when it last spoke.
 func (m *member) role() Role { return Role(m.seat.Role) }
 
