Hold the model against sockets, report pages, and what grows with size

Change: havenlab report; pictures as PNG; the model has the quiet second that sockets have before the load; a verdict needs its interval to agree; the design note with all measurements.

--- a/internal/lab/command/compare.go
+++ b/internal/lab/command/compare.go
@@ -42,7 +42,7 @@
 
 func compareCommand() *cobra.Command {
 	var seed uint64
-	var jsonPath, htmlPath string
+	var jsonPath, htmlPath, pictures string
 	var sockets int
 	var o launch.Options
 	c := &cobra.Command{
@@ -94,7 +94,7 @@
 				}
 			}
 			if htmlPath != "" {
-				return report.Comparison(htmlPath, outcomes)
+				return report.Comparison(htmlPath, pictures, outcomes)
 			}
 			return nil
 		},
@@ -103,6 +103,7 @@
 	f.Uint64Var(&seed, "seed", 1, "of the first pair; each further one has the next")
 	f.StringVar(&jsonPath, "json", "", "write all figures to this file")
 	f.StringVar(&htmlPath, "html", "", "write a page with the comparison to this file")
+	f.StringVar(&pictures, "png", "", "with --html: write its pictures as PNG files into this folder")
 	f.IntVar(&sockets, "sockets", 0, "play so many pairs against the real program on loopback as well, and hold them against the model")
 	proxyFlags(c, &o)
 	return c
@@ -124,7 +125,7 @@
 }
 
 func signed(x float64) string {
-	if x > 0 {
+	if x > 0 && !math.IsInf(x, 0) {
 		return "+" + figure(x)
 	}
 	return figure(x)
@@ -181,7 +182,7 @@
 func modelCommand() *cobra.Command {
 	var seed uint64
 	var runs int
-	var jsonPath, htmlPath, operatorPath string
+	var jsonPath, htmlPath, pictures, operatorPath string
 	c := &cobra.Command{
 		Use:   "model SCENARIO",
 		Short: "Play a scenario in the model alone: no sockets, a virtual clock, the true decisions",
@@ -214,7 +215,7 @@
 			}
 			took := time.Since(began)
 			if htmlPath != "" {
-				if err := report.Page(htmlPath, e.Name, e.Scenario, last); err != nil {
+				if err := report.Page(htmlPath, pictures, e.Name, e.Scenario, last); err != nil {
 					return err
 				}
 			}
@@ -235,6 +236,7 @@
 	f.StringVar(&operatorPath, "operator", "", "the operator's file that the proxies get")
 	f.StringVar(&jsonPath, "json", "", "write the figures to this file; - = print them instead of the table")
 	f.StringVar(&htmlPath, "html", "", "write a page about the last run to this file")
+	f.StringVar(&pictures, "png", "", "with --html: write its pictures as PNG files into this folder")
 	return c
 }
 
--- a/internal/lab/command/explore.go
+++ b/internal/lab/command/explore.go
@@ -1,10 +1,12 @@
 package command
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"runtime"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -14,6 +16,7 @@
 	"havenproxy/internal/lab/experiment"
 	"havenproxy/internal/lab/fit"
 	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/play"
 	"havenproxy/internal/lab/report"
 	"havenproxy/internal/lab/search"
 	"havenproxy/internal/lab/virtual"
@@ -254,3 +257,43 @@
 	f.StringVar(&outPath, "out", "", "write the scenario to this file")
 	return c
 }
+
+func reportCommand() *cobra.Command {
+	var scenarioPath, outPath, pictures string
+	c := &cobra.Command{
+		Use:     "report RUNS.json",
+		Short:   "Write a page about runs on sockets that `havenlab run --json` has kept",
+		Example: "  havenlab run deploy/lab/crash.star --json crash.json\n  havenlab report crash.json --scenario deploy/lab/crash.star --out crash.html --png pictures",
+		Args:    oneFile,
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			var runs []*play.Run
+			if err := json.Unmarshal(text, &runs); err != nil || len(runs) == 0 || runs[0].Load == nil {
+				return fmt.Errorf("%w: %s holds no runs of `havenlab run --json`: %v", ErrUsage, args[0], err)
+			}
+			if scenarioPath == "" { // where it was played, if that is still there
+				scenarioPath = runs[0].Scenario
+			}
+			e, err := readExperiment(scenarioPath)
+			if err != nil {
+				return err
+			}
+			if outPath == "" {
+				outPath = strings.TrimSuffix(args[0], ".json") + ".html"
+			}
+			if err := report.RunPage(outPath, pictures, e.Scenario, runs); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), outPath)
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&scenarioPath, "scenario", "", "the scenario that was played (default: as the runs name it)")
+	f.StringVar(&outPath, "out", "", "the page (default: beside the runs)")
+	f.StringVar(&pictures, "png", "", "write its pictures as PNG files into this folder")
+	return c
+}
--- a/internal/lab/command/explore_test.go
+++ b/internal/lab/command/explore_test.go
@@ -105,7 +105,19 @@
 	operator := filepath.Join(dir, "operator.star")
 	os.WriteFile(salt, []byte("sixteen secret bytes"), 0o600)
 	os.WriteFile(operator, []byte("trace(file = '"+day+"', salt_file = '"+salt+"', most_mb = 1)\n"), 0o600)
-	lab(t, 0, "run", write(t, "fleet(groups = 2, members = 3)\ntraffic(rps = 150, length = '4s', sessions = 40)\n"), "--proxy", binary, "--operator", operator)
+	played := write(t, "fleet(groups = 2, members = 3)\ntraffic(rps = 150, length = '4s', sessions = 40)\nfault('slow', at = '1s', lasts = '1s')\n")
+	runs := filepath.Join(dir, "runs.json")
+	lab(t, 0, "run", played, "--proxy", binary, "--operator", operator, "--json", runs)
+	page := strings.TrimSpace(lab(t, 0, "report", runs, "--png", filepath.Join(dir, "pictures")))
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	holds(t, string(text), "Longest answers", "slow, group 0", "uncorrected p50", "<svg", "What happened")
+	if list, err := os.ReadDir(filepath.Join(dir, "pictures")); err != nil || len(list) != 2 {
+		t.Error(list, err)
+	}
+	lab(t, 2, "report", operator)
 	tr, err := trace.Load(day)
 	if err != nil || tr.Cut || tr.Damaged > 0 {
 		t.Fatalf("%v, %+v", err, tr)
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -23,6 +23,7 @@
 	"go.starlark.net/starlark"
 
 	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/play"
 	"havenproxy/internal/lab/scenario"
 	"havenproxy/internal/lab/verdict"
 	"havenproxy/internal/lab/virtual"
@@ -249,6 +250,7 @@
 	c := virtual.Config{Seed: seed, Fleet: s.Fleet, For: s.Length, Rate: s.Rate, Sessions: s.Sessions, HotSession: s.HotSession,
 		Retries: s.Retry.Most, RetryWait: s.Retry.Wait, Honour: s.Retry.Honour, Proxies: s.Proxies, Roam: s.Roam, Way: s.Way, Jitter: s.Jitter, Loss: s.Loss}
 	c.Fleet.Seed = seed
+	c.Before = play.Settle // as on sockets: what a proxy learns in a quiet second counts
 	c.Fleet.Classes = slices.Clone(s.Fleet.Classes)
 	for i, k := range s.Classes {
 		c.Shares = append(c.Shares, k.Share)
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -65,8 +65,8 @@
 // audit is how long what failed has to take effect before keys are counted.
 const audit = 5 * time.Second
 
-// settle is how long the program gets to know its databases before the load begins.
-const settle = time.Second
+// Settle is how long the program gets to know its databases before the load begins.
+const Settle = time.Second
 
 // Play plays a scenario once.
 func Play(ctx context.Context, s *scenario.Scenario, seed uint64, o launch.Options, progress func(time.Duration, load.Sample)) (*Run, error) {
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(settle)
+	time.Sleep(Settle)
 	began = w.Now()
 	var timers []*time.Timer
 	for _, f := range s.Faults {
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -6,6 +6,7 @@
 	"html/template"
 	"math"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -46,10 +47,39 @@
 	Title, Text string
 	Head        []string
 	Rows        [][]string
-	Picture     template.HTML
+	Picture     template.HTML // of plot, if there is one
+	plot        *plot.Plot
+	high        vg.Length
 }
 
-func write(path, title string, parts []part) error {
+// write writes a page, and its pictures as PNG files into a folder, if one is named.
+func write(path, pictures, title string, parts []part) error {
+	if pictures != "" {
+		if err := os.MkdirAll(pictures, 0o755); err != nil {
+			return err
+		}
+	}
+	for i := range parts {
+		p := &parts[i]
+		if p.plot == nil {
+			continue
+		}
+		var err error
+		if p.Picture, err = svg(p.plot, p.high); err != nil {
+			return err
+		}
+		if pictures != "" {
+			name := strings.Map(func(r rune) rune {
+				if r >= 'a' && r <= 'z' || r >= '0' && r <= '9' {
+					return r
+				}
+				return '-'
+			}, strings.ToLower(p.Title))
+			if err := p.plot.Save(width, p.high, filepath.Join(pictures, fmt.Sprintf("%02d-%s.png", i, name))); err != nil {
+				return err
+			}
+		}
+	}
 	var out bytes.Buffer
 	if err := page.Execute(&out, struct {
 		Title string
@@ -75,8 +105,8 @@
 	return template.HTML(text), nil
 }
 
-// Page writes one self-contained page about a run in the model.
-func Page(path, name string, s *scenario.Scenario, r *virtual.Result) error {
+// Page writes one self-contained page about a run in the model, and its pictures as PNG files into a folder, if one is named.
+func Page(path, pictures, name string, s *scenario.Scenario, r *virtual.Result) error {
 	parts := []part{summary(s, r)}
 	for _, draw := range []func(*scenario.Scenario, *virtual.Result) (part, error){inAimOverTime, trafficOverTime, latencies, levelsOverTime, heat} {
 		p, err := draw(s, r)
@@ -94,7 +124,7 @@
 		}
 		parts = append(parts, e)
 	}
-	return write(path, name, parts)
+	return write(path, pictures, name, parts)
 }
 
 func summary(s *scenario.Scenario, r *virtual.Result) part {
@@ -120,8 +150,9 @@
 	return sum / float64(n)
 }
 
-// Comparison writes a page about an experiment: a forest plot for each question, model and sockets side by side.
-func Comparison(path string, outcomes []*experiment.Outcome) error {
+// Comparison writes a page about an experiment: a forest plot for each question, model and sockets side by side. Its pictures
+// go into a folder as well, if one is named.
+func Comparison(path, pictures string, outcomes []*experiment.Outcome) error {
 	first := outcomes[0]
 	e := first.Experiment
 	parts := []part{{Title: "In short", Text: fmt.Sprintf("%d variants, held against %q. An interval covers all of its question's differences together at the last look, so what has a winner is outside the noise.",
@@ -139,13 +170,9 @@
 		if err != nil {
 			return err
 		}
-		picture, err := svg(p, h)
-		if err != nil {
-			return err
-		}
-		parts = append(parts, part{Title: q.Key(), Picture: picture})
+		parts = append(parts, part{Title: q.Key(), plot: p, high: h})
 	}
-	return write(path, e.Name, parts)
+	return write(path, pictures, e.Name, parts)
 }
 
 func finite(x, otherwise float64) float64 {
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -98,8 +98,7 @@
 }
 
 func finished(p *plot.Plot, title, text string) (part, error) {
-	picture, err := svg(p, height)
-	return part{Title: title, Text: text, Picture: picture}, err
+	return part{Title: title, Text: text, plot: p, high: height}, nil
 }
 
 func inAimOverTime(s *scenario.Scenario, r *virtual.Result) (part, error) {
--- a/internal/lab/verdict/verdict.go
+++ b/internal/lab/verdict/verdict.go
@@ -155,7 +155,8 @@
 	for i, c := range order {
 		worst = max(worst, min(1, c.P*float64(len(order)-i)))
 		c.Adjusted = worst
-		if c.Adjusted <= share && c.Answer == CannotTell {
+		// The interval has to agree: it holds for all of the family at once, and a winner that it doesn't show is none.
+		if c.Adjusted <= share && c.Answer == CannotTell && (c.Low > 0 || c.High < 0) {
 			c.At = len(c.Diffs)
 			if c.Answer = Worse; c.Mean > 0 != c.Less {
 				c.Answer = Better
--- a/internal/lab/verdict/verdict_test.go
+++ b/internal/lab/verdict/verdict_test.go
@@ -241,7 +241,7 @@
 	}
 }
 
-// The interval holds the mean, and what has an answer needs no more runs.
+// The interval holds the mean, a winner's has no zero in it, and what has an answer needs no more runs.
 func TestIntervalsAndAnswersAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(5, 40).Draw(t, "pairs")
@@ -254,6 +254,9 @@
 			if !(c.Low <= c.Mean && c.Mean <= c.High) || c.P < 0 || c.P > 1 || c.Adjusted < c.P {
 				t.Fatalf("%+v", c)
 			}
+			if c.Answer != CannotTell && c.Low <= 0 && c.High >= 0 {
+				t.Fatalf("%v, though the interval is %v to %v", c.Answer, c.Low, c.High)
+			}
 			if c.Answer == CannotTell != (c.More != 0) {
 				t.Fatalf("%v, needs %d more", c.Answer, c.More)
 			}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -51,12 +51,13 @@
 	// Handover is what the proxy holds while a group has no primary.
 	Handover handover.Config
 
-	Proxies    int     // that share the traffic; 1
-	Roam       float64 // part of the requests that don't come to their session's proxy
-	ProxySeed  uint64  // of the proxies' own draws; 0 = Seed. Another one gives another run of the same day
-	Sessions   int     // of a group; 300
-	HotSession float64 // part of a group's requests that one session sends
-	Retries    int     // further tries of a refused request
+	Before     time.Duration // a quiet time before the first request, in which proxies get to know their databases
+	Proxies    int           // that share the traffic; 1
+	Roam       float64       // part of the requests that don't come to their session's proxy
+	ProxySeed  uint64        // of the proxies' own draws; 0 = Seed. Another one gives another run of the same day
+	Sessions   int           // of a group; 300
+	HotSession float64       // part of a group's requests that one session sends
+	Retries    int           // further tries of a refused request
 	RetryWait  time.Duration
 	Honour     bool          // wait for the hint
 	Way        time.Duration // one way between proxy and databases; 0.2 ms
@@ -298,12 +299,12 @@
 	if cfg.ProxySeed == 0 {
 		cfg.ProxySeed = cfg.Seed
 	}
-	w := &world{cfg: cfg, clock: &clock{base}, net: rand.New(rand.NewPCG(cfg.Seed, 0x2e7)),
+	w := &world{cfg: cfg, clock: &clock{base - cfg.Before}, net: rand.New(rand.NewPCG(cfg.Seed, 0x2e7)),
 		after: map[uint64]time.Duration{}, newest: map[int]int{}, conns: make([][]*conn, cfg.Fleet.Groups*cfg.Fleet.Members),
 		watched: make([][]*request, len(cfg.Fleet.Classes))}
 	w.res.Classes = make([]ClassResult, len(cfg.Fleet.Classes))
 	var err error
-	w.fleet, err = fleet.New(cfg.Fleet, base, fleet.Observer{
+	w.fleet, err = fleet.New(cfg.Fleet, base-cfg.Before, fleet.Observer{
 		Liveness: w.turned,
 		Role:     w.elected,
 		Listed: func() {
