--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -58,14 +58,16 @@
 }
 
 var views = map[string]view{
-	"LEVELS":    {"levels of reduced service: one row a group", levelsTable},
-	"CLASSES":   {"classes of request, with what became of their requests since the start", classesTable},
-	"DATABASES": {"databases as the router sees them", databasesTable},
-	"POOLS":     {"connections to databases", poolsTable},
-	"CLIENTS":   {"clients' connections, 500 at most", clientsTable},
-	"COUNTERS":  {"all counters since the start", countersTable},
-	"SWITCHES":  {"groups and their primaries, and the last switches", switchesTable},
-	"HISTORY":   {"the last changes of level, the newest first", historyTable},
+	"LEVELS":     {"levels of reduced service: one row a group", levelsTable},
+	"CLASSES":    {"classes of request, with what became of their requests since the start", classesTable},
+	"DATABASES":  {"databases as the router sees them", databasesTable},
+	"POOLS":      {"connections to databases", poolsTable},
+	"CLIENTS":    {"clients' connections, 500 at most", clientsTable},
+	"COUNTERS":   {"all counters since the start", countersTable},
+	"SWITCHES":   {"groups and their primaries, and the last switches", switchesTable},
+	"MEMBERS":    {"who is a member and why, with all that is known and from whom; where catalogues are merged", membersTable},
+	"CATALOGUES": {"the catalogues that are merged", cataloguesTable},
+	"HISTORY":    {"the last changes of level, the newest first", historyTable},
 }
 
 // Views are the words behind SHOW, in order.
@@ -162,6 +164,38 @@
 	return t
 }
 
+func membersTable(s Source) Table {
+	t := Table{Columns: []string{"name", "address", "group", "zone", "state", "hint", "why", "known"}}
+	for _, e := range s.Front().MemberFacts() {
+		var known []string
+		for _, k := range e.Facts {
+			known = append(known, fmt.Sprintf("%s: %s for %.1f s (%.2f)", k.Source, k.What, k.Age.Seconds(), k.Confidence))
+		}
+		t.add(e.ID, e.Address, e.Group, e.Zone, e.State.String(), or(e.Role.String(), "-"), e.Why, strings.Join(known, "; "))
+	}
+	if !s.Front().Merges() { // the platform's list stands alone
+		for _, d := range s.Front().Databases() {
+			t.add(d.Name, d.Address, d.Group, "-", d.State, "-", state.OwnList+" lists it", "-")
+		}
+	}
+	return t
+}
+
+func cataloguesTable(s Source) Table {
+	t := Table{Columns: []string{"name", "members", "index", "heard_s", "behind_s", "failures", "doubted", "doubts", "damped", "skipped", "last_error"}}
+	for _, c := range s.Front().Catalogues() {
+		heard := "never"
+		if c.Contact >= 0 {
+			heard = fmt.Sprintf("%.1f", c.Contact.Seconds())
+		}
+		t.add(c.Name, c.Members, c.Index, heard, c.Behind, c.Failures, c.Doubted, c.Doubts, c.Suppressed, c.Skipped, or(c.LastError, "-"))
+	}
+	if f := s.Front(); !f.Merges() {
+		t.add(state.OwnList, len(f.Databases()), "-", "-", time.Duration(0), f.Counters.ListFailures, false, 0, 0, 0, "-")
+	}
+	return t
+}
+
 func poolsTable(s Source) Table {
 	t := Table{Columns: []string{"name", "address", "busy", "idle", "opening", "probe"}}
 	for _, p := range s.Front().Pools() {
--- /dev/null
+++ b/internal/membership/members_test.go
@@ -0,0 +1,426 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	ms = time.Millisecond
+	s  = time.Second
+)
+
+// The same verdict every time: one seed, and no files of failures.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// script drives a view by events, and keeps what came of it.
+type script struct {
+	t     *testing.T
+	m     *Members
+	now   time.Duration
+	facts map[string]Fact
+	state map[string]State
+	moves int // changes of any state
+}
+
+func begin(t *testing.T, n int) *script {
+	x := &script{t: t, m: New(Config{}), now: 100 * s, facts: map[string]Fact{}, state: map[string]State{}}
+	x.m.Source("c", Trust{})
+	for i := range n {
+		id := fmt.Sprintf("db-%d", i)
+		x.facts[id] = Fact{ID: id, Address: fmt.Sprintf("10.0.0.%d:5432", i+1), Group: i % 3, Weight: 1}
+	}
+	x.news()
+	x.all(Ready)
+	return x
+}
+
+// news tells all facts, but for those that are left out.
+func (x *script) news(but ...string) {
+	n := News{Whole: true}
+	for _, f := range x.facts {
+		if !slices.Contains(but, f.ID) {
+			n.Facts = append(n.Facts, f)
+		}
+	}
+	slices.SortFunc(n.Facts, func(a, b Fact) int {
+		return len(a.ID)*1000 + int(a.ID[len(a.ID)-1]) - len(b.ID)*1000 - int(b.ID[len(b.ID)-1])
+	})
+	x.m.News(x.now, "c", n)
+	x.look()
+}
+
+func (x *script) look() {
+	for _, e := range x.m.Changes() {
+		if x.state[e.ID] != e.State {
+			x.moves++
+		}
+		x.state[e.ID] = e.State
+	}
+}
+
+// pass lets time go by, while some members answer.
+func (x *script) pass(d time.Duration, answering ...string) {
+	for end := x.now + d; x.now < end; {
+		x.now += 100 * ms
+		for _, id := range answering {
+			x.m.Heard(x.now, id, 50*s)
+		}
+		x.m.Tick(x.now)
+		x.look()
+	}
+}
+
+func (x *script) health(id string, h Health) {
+	f := x.facts[id]
+	f.Health = h
+	x.facts[id] = f
+	x.news()
+}
+
+func (x *script) is(id string, want State, why string) {
+	x.t.Helper()
+	if x.state[id] != want {
+		x.t.Errorf("%s: %s is %v, want %v; %+v", why, id, x.state[id], want, x.m.Explain(x.now))
+	}
+}
+
+func (x *script) all(want State) {
+	x.t.Helper()
+	for id := range x.facts {
+		x.is(id, want, "all")
+	}
+}
+
+func TestSeenBeatsTold(t *testing.T) {
+	x := begin(t, 3)
+	x.health("db-1", Critical)
+	x.pass(60*s, "db-1")
+	x.is("db-1", Ready, "critical, and answers")
+	x.pass(40 * s)
+	x.is("db-1", Gone, "critical, and silent for longer than `failing`")
+	x.health("db-1", Passing)
+	x.is("db-1", Ready, "passing again")
+
+	x.health("db-2", Critical)
+	x.m.Silent(x.now, "db-2")
+	x.pass(20 * s)
+	x.is("db-2", Ready, "a check may err; whoever sends there sees for himself")
+
+	x.facts["db-9"] = Fact{ID: "db-9", Address: "10.0.0.99:5432", Health: Critical}
+	x.news()
+	x.is("db-9", Gone, "new, and critical: it has not begun yet")
+	x.health("db-9", Passing)
+	x.is("db-9", Ready, "now it has")
+}
+
+// A drain is obeyed with the answer that tells it, whatever else is said, seen, damped or doubted.
+func TestADrainIsAlwaysObeyed(t *testing.T) {
+	for _, h := range []Health{Draining, Maintenance} {
+		x := begin(t, 8)
+		for range 20 { // flapping, and damped
+			x.health("db-1", Critical)
+			x.health("db-1", Passing)
+		}
+		x.news("db-2", "db-3", "db-4", "db-5", "db-6") // and the catalogue is doubted
+		if c := x.m.Catalogues(x.now)[0]; !c.Doubted || c.Suppressed != 1 {
+			t.Fatalf("%+v", c)
+		}
+		f := x.facts["db-1"]
+		f.Health = h
+		x.facts["db-1"] = f
+		x.news("db-2", "db-3", "db-4", "db-5", "db-6")
+		x.is("db-1", Drains, h.String())
+		x.pass(30*s, "db-1")
+		x.is("db-1", Drains, "though it answers")
+		x.health("db-1", Passing)
+		x.is("db-1", Ready, "the drain is over")
+	}
+}
+
+// A check that flaps each 200 ms moves a member a few times, and then no more while it flaps; its state follows again some time
+// behind the last flap.
+func TestFlapsAreDamped(t *testing.T) {
+	x := begin(t, 3)
+	x.moves = 0
+	for range 300 { // a minute
+		x.health("db-1", Critical)
+		x.pass(100 * ms)
+		x.health("db-1", Passing)
+		x.pass(100 * ms)
+	}
+	if x.moves > 4 {
+		t.Errorf("%d changes in a minute of flaps", x.moves)
+	}
+	x.is("db-1", Ready, "while it flaps")
+	x.health("db-1", Critical)
+	x.m.Silent(x.now, "db-1")
+	x.pass(200 * s)
+	x.is("db-1", Gone, "and is critical for good")
+	if c := x.m.Catalogues(x.now)[0]; c.Suppressed != 0 {
+		t.Errorf("still damped: %+v", c)
+	}
+}
+
+// Half of the instances vanish in one answer and come back 5 s later: nobody is dropped, whether they answer or not.
+func TestHalfVanish(t *testing.T) {
+	x := begin(t, 10)
+	x.moves = 0
+	lost := []string{"db-1", "db-2", "db-3", "db-4", "db-5", "db-6"}
+	x.news(lost...)
+	x.pass(5 * s)
+	x.news()
+	x.pass(60 * s)
+	x.all(Ready)
+	if x.moves > 0 {
+		t.Errorf("%d changes", x.moves)
+	}
+	if c := x.m.Catalogues(x.now)[0]; c.Doubted || c.Doubts != 1 {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestAllVanish(t *testing.T) {
+	x := begin(t, 6)
+	x.news("db-0", "db-1", "db-2", "db-3", "db-4", "db-5")
+	x.pass(30 * s)
+	x.all(Ready)
+	x.pass(60*s, "db-0", "db-1") // the doubt ends after a minute; who answers is kept
+	x.is("db-0", Ready, "it answers")
+	x.is("db-5", Gone, "it doesn't, and nobody lists it")
+	x.pass(11*time.Minute, "db-0")
+	x.is("db-0", Gone, "kept for ten minutes and no longer")
+	x.news()
+	x.pass(s)
+	x.all(Ready)
+}
+
+// One or two that vanish are no reason to doubt: they are kept as long as they answer, and dropped soon where they don't.
+func TestALostMember(t *testing.T) {
+	x := begin(t, 6)
+	x.news("db-1", "db-2")
+	x.pass(9*s, "db-2")
+	x.is("db-1", Ready, "a moment ago")
+	x.pass(2*s, "db-2")
+	x.is("db-1", Gone, "lost, and silent")
+	x.is("db-2", Ready, "lost, and answers")
+	if v, _ := x.m.View(); v.Len() != 5 {
+		t.Errorf("%d members", v.Len())
+	}
+}
+
+// Who is who. A new id at an old address is a new database, unless a connection from before answers.
+func TestIdentity(t *testing.T) {
+	for _, same := range []bool{true, false} {
+		x := begin(t, 6)
+		f := x.facts["db-1"]
+		delete(x.facts, "db-1")
+		f.ID = "new-1"
+		x.facts["new-1"] = f
+		x.news()
+		x.is("db-1", Ready, "a new name for it, so far")
+		if same {
+			x.pass(500*ms, "new-1") // on connections that were up at 50 s
+		}
+		x.pass(2 * s)
+		if same {
+			x.is("db-1", Ready, "its connections go on")
+			if _, ok := x.state["new-1"]; ok {
+				t.Error("the new name is a member beside it")
+			}
+			x.health("new-1", Draining)
+			x.is("db-1", Drains, "told under its new name")
+			continue
+		}
+		x.is("db-1", Gone, "nothing answers on its connections")
+		x.is("new-1", Ready, "a new database")
+		if v, _ := x.m.View(); v.Len() != 6 {
+			t.Errorf("%d members", v.Len())
+		} else if e, _ := v.Get("new-1"); e.Started != -1 {
+			t.Errorf("it is not known to be cold: %+v", e)
+		}
+	}
+	x := begin(t, 3)
+	f := x.facts["db-1"]
+	f.Address = "10.0.9.9:5432"
+	x.facts["db-1"] = f
+	x.news()
+	if v, _ := x.m.View(); v.Len() != 3 {
+		t.Errorf("%d members", v.Len())
+	} else if e, _ := v.Get("db-1"); e.Address != "10.0.9.9:5432" {
+		t.Errorf("%+v", e)
+	}
+}
+
+// Ids given twice, two nodes with one address, names for addresses: the first counts, the others are told.
+func TestWhatCanNotBe(t *testing.T) {
+	x := begin(t, 3)
+	x.m.News(x.now, "c", News{Whole: true, Facts: []Fact{x.facts["db-0"], x.facts["db-1"], x.facts["db-2"],
+		{ID: "db-1", Address: "10.0.0.77:1"}, {ID: "db-7", Address: "10.0.0.1:5432"}, {ID: "db-8", Address: "db8.example:5432"}}, Skipped: 2})
+	x.look()
+	x.all(Ready)
+	c := x.m.Catalogues(x.now)[0]
+	if v, _ := x.m.View(); v.Len() != 3 || c.Skipped != 5 {
+		t.Errorf("%d members, %+v", v.Len(), c)
+	}
+}
+
+// A platform's own list binds, in both directions and at once.
+func TestAListThatBinds(t *testing.T) {
+	x := begin(t, 3)
+	x.m.Source("platform", Trust{Binding: true})
+	own := []Fact{{ID: "p0", Address: "10.1.0.1:1"}, {ID: "p1", Address: "10.1.0.2:1"}, {ID: "p2", Address: "10.1.0.3:1"}, {ID: "p3", Address: "10.1.0.4:1"}}
+	x.m.News(x.now, "platform", News{Whole: true, Facts: own})
+	x.look()
+	x.is("p0", Ready, "listed")
+	x.m.News(x.now, "platform", News{Facts: []Fact{{ID: "p0", Health: Terminated}}})
+	x.look()
+	x.is("p0", Gone, "terminated")
+	x.m.Heard(x.now, "p1", s)
+	x.m.News(x.now, "platform", News{Whole: true})
+	x.look()
+	for _, id := range []string{"p1", "p2", "p3"} {
+		x.is(id, Gone, "all left out, at once, though it answers")
+	}
+	x.all(Ready) // the other catalogue's
+	x.m.Drop(x.now, "c")
+	x.look()
+	x.all(Ready)
+	x.pass(11 * s)
+	x.all(Gone)
+}
+
+// Two catalogues under other names: one member, and the drain of either counts. A catalogue that falls silent loses its weight.
+func TestTwoCatalogues(t *testing.T) {
+	x := begin(t, 3)
+	x.m.Source("d", Trust{Weight: 0.9})
+	x.m.News(x.now, "d", News{Whole: true, Facts: []Fact{{ID: "other-name", Address: "10.0.0.1:5432", Zone: "north", Role: Primary}}})
+	x.look()
+	v, _ := x.m.View()
+	if e, ok := v.Get("db-0"); v.Len() != 3 || !ok || e.Zone != "north" || e.Role != Primary {
+		t.Errorf("%d members, %+v", v.Len(), e)
+	}
+	for range 20 { // d falls silent for 100 s
+		x.pass(5 * s)
+		x.news()
+	}
+	v, _ = x.m.View()
+	if e, _ := v.Get("db-0"); e.Zone != "" {
+		t.Errorf("the word of the silent one still counts: %+v", e)
+	}
+	x.m.News(x.now, "d", News{Whole: true, Facts: []Fact{{ID: "other-name", Address: "10.0.0.1:5432", Health: Draining}}})
+	x.look()
+	x.is("db-0", Drains, "by its other name")
+	for _, e := range x.m.Explain(x.now) {
+		if e.ID == "db-0" && (len(e.Facts) != 2 || e.Facts[0].Source != "d" || e.Facts[0].Confidence < 0.8) {
+			t.Errorf("%+v", e.Facts)
+		}
+	}
+}
+
+// Views share their structure, and an old one never changes.
+func TestViewsAreVersions(t *testing.T) {
+	x := begin(t, 4)
+	old, n := x.m.View()
+	x.health("db-1", Draining)
+	now, k := x.m.View()
+	a, _ := old.Get("db-1")
+	b, _ := now.Get("db-1")
+	if a.State != Ready || b.State != Drains || n == k {
+		t.Errorf("%v and %v, versions %d and %d", a.State, b.State, n, k)
+	}
+}
+
+// An hour of churn with ever new ids and addresses leaves nothing behind.
+func TestChurnLeavesNothing(t *testing.T) {
+	x := begin(t, 0)
+	for i := range 3600 {
+		n := News{Whole: true}
+		for k := range 8 {
+			id := i/4 + k
+			n.Facts = append(n.Facts, Fact{ID: fmt.Sprintf("i-%d", id), Address: fmt.Sprintf("10.%d.%d.%d:1", id>>16&255, id>>8&255, id&255)})
+		}
+		x.m.News(x.now, "c", n)
+		x.pass(s)
+	}
+	if len(x.m.order) > 14 || len(x.m.byID) > 14 || len(x.m.byPlace) > 14 || x.m.view.Len() > 12 {
+		t.Errorf("%d members, %d ids, %d addresses, %d in the view", len(x.m.order), len(x.m.byID), len(x.m.byPlace), x.m.view.Len())
+	}
+}
+
+// Whatever is told and seen: the view holds what the changes say, a drain that is told is a drain, and who is passing and listed
+// without flaps is in.
+func TestAnyOrderOfEvents(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		x := begin(t, 0)
+		x.m.Source("d", Trust{})
+		seen := map[string]State{}
+		for range rapid.IntRange(1, 60).Draw(rt, "events") {
+			x.now += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "gap")) * ms
+			id := fmt.Sprintf("m-%d", rapid.IntRange(0, 5).Draw(rt, "id"))
+			switch rapid.IntRange(0, 4).Draw(rt, "event") {
+			case 0, 1:
+				n := News{Whole: rapid.Bool().Draw(rt, "whole")}
+				for range rapid.IntRange(0, 6).Draw(rt, "facts") {
+					n.Facts = append(n.Facts, Fact{ID: fmt.Sprintf("m-%d", rapid.IntRange(0, 5).Draw(rt, "id")), Address: fmt.Sprintf("10.0.0.%d:1", rapid.IntRange(0, 5).Draw(rt, "at")),
+						Health: Health(rapid.IntRange(0, 5).Draw(rt, "health"))})
+				}
+				x.m.News(x.now, rapid.SampledFrom([]string{"c", "d"}).Draw(rt, "source"), n)
+			case 2:
+				x.m.Heard(x.now, id, x.now-time.Duration(rapid.IntRange(0, 9).Draw(rt, "up"))*s)
+			case 3:
+				x.m.Silent(x.now, id)
+			default:
+				x.m.Tick(x.now)
+			}
+			for _, e := range x.m.Changes() {
+				seen[e.ID] = e.State
+			}
+		}
+		v, _ := x.m.View()
+		for id, st := range seen {
+			if e, in := v.Get(id); in != (st != Gone) || in && e.State != st {
+				rt.Fatalf("%s: changes say %v, the view %+v, %v", id, st, e, in)
+			}
+		}
+		for _, e := range x.m.Explain(x.now) {
+			for _, k := range e.Facts {
+				if (k.What == "draining" || k.What == "maintenance") && e.State != Drains {
+					rt.Fatalf("%s is %v, though %s says %s", e.ID, e.State, k.Source, k.What)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkDelta is what one change among 5,000 instances costs.
+func BenchmarkDelta(b *testing.B) {
+	m := New(Config{})
+	m.Source("c", Trust{})
+	n := News{Whole: true}
+	for i := range 5000 {
+		n.Facts = append(n.Facts, Fact{ID: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255)})
+	}
+	m.News(s, "c", n)
+	m.Changes()
+	b.ReportAllocs()
+	for i := range b.N {
+		f := &n.Facts[i%5000]
+		f.Zone = fmt.Sprint(i)
+		m.News(s+time.Duration(i)*ms, "c", n)
+		if got := len(m.Changes()); got != 1 {
+			b.Fatal(got)
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 import (
 	"math"
 	"net"
+	"net/url"
 	"os"
 	"time"
 
@@ -18,7 +19,9 @@
 
 	"havenproxy/internal/handover"
 	"havenproxy/internal/levels"
+	"havenproxy/internal/membership"
 	"havenproxy/internal/operator/star"
+	"havenproxy/internal/wire/consul"
 	"havenproxy/logic"
 )
 
@@ -32,7 +35,24 @@
 	Handover handover.Config
 	// Tuning is what is routed otherwise than by default.
 	Tuning logic.Tuning
-	Trace  *Trace // nil = none is kept
+	Trace  *Trace  // nil = none is kept
+	Consul *Consul // nil = none is watched
+	// Members says how catalogues are merged, where there are several.
+	Members membership.Config
+}
+
+// Consul is a catalogue beside the platform's list, or in its place.
+type Consul struct {
+	Agents                    []string       // base URLs
+	Services                  map[string]int // with the group of each, where its instances don't tell
+	TokenFile                 string
+	Datacenters               []string
+	Filter                    string
+	Consistency               consul.Consistency
+	Wait                      time.Duration
+	CAFile, CertFile, KeyFile string
+	Alone                     bool // the platform's list has no word
+	Mapping                   consul.Mapping
 }
 
 // Trace is a file of what clients ask.
@@ -73,7 +93,7 @@
 		p.classNames = append(p.classNames, c.Name)
 	}
 	if err := star.Exec(name, src, map[string]star.Func{
-		"console": p.console, "levels": p.levels, "level": p.level, "mysql": p.mysql, "handover": p.handover, "routing": p.routing, "trace": p.trace,
+		"console": p.console, "levels": p.levels, "level": p.level, "mysql": p.mysql, "handover": p.handover, "routing": p.routing, "trace": p.trace, "consul": p.consul, "members": p.members,
 		"pin": func(c *star.Call) starlark.Value { return p.hold(c, p.pins) },
 		"cap": func(c *star.Call) starlark.Value { return p.hold(c, p.caps) },
 	}, p.names); err != nil {
@@ -126,6 +146,78 @@
 	return nil
 }
 
+// consul reads what is watched in Consul.
+func (p *parser) consul(c *star.Call) starlark.Value {
+	if p.file.Consul != nil {
+		c.Errorf("", "consul() is called a second time")
+	}
+	k := &Consul{Services: map[string]int{}, TokenFile: c.String("token_file", ""), Filter: c.String("filter", ""),
+		Wait:   c.Duration("wait", 30*time.Second, 100*time.Millisecond, 10*time.Minute),
+		CAFile: c.String("ca_file", ""), CertFile: c.String("cert_file", ""), KeyFile: c.String("key_file", ""), Alone: c.Bool("alone", false),
+		Mapping: consul.Mapping{GroupIn: c.String("group_in", ""), ZoneIn: c.String("zone_in", ""), RoleIn: c.String("role_in", ""), StartIn: c.String("started_in", "")}}
+	k.Consistency = consul.Consistency(c.Choice("mode", "default", "default", "stale", "consistent"))
+	if k.Consistency == "default" {
+		k.Consistency = consul.Default
+	}
+	words := func(arg string) (out []string) {
+		c.List(arg, func(v starlark.Value) {
+			s, ok := starlark.AsString(v)
+			if !ok || s == "" {
+				c.Errorf(arg, "%s holds %s, strings were expected", arg, v)
+			}
+			out = append(out, s)
+		})
+		return out
+	}
+	k.Datacenters = words("datacenters")
+	if k.Agents = words("agents"); len(k.Agents) == 0 {
+		c.Errorf("agents", "consul: agents is missing, a list such as [\"http://127.0.0.1:8500\"] was expected")
+	}
+	for _, a := range k.Agents {
+		u, err := url.Parse(a)
+		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" || u.User != nil {
+			c.Errorf("agents", "agents holds %q, a URL such as \"http://127.0.0.1:8500\" was expected, without a user", a)
+		}
+	}
+	c.Table("services", func(name string, v starlark.Value) {
+		n, err := starlark.AsInt32(v)
+		if err != nil || n < 0 {
+			c.Errorf("services", "services: %q has the group %s, a number was expected", name, v)
+		}
+		k.Services[name] = n
+	})
+	if len(k.Services) == 0 {
+		c.Errorf("services", "consul: services is missing, a table {name: group} was expected")
+	}
+	if (k.CertFile == "") != (k.KeyFile == "") {
+		c.Errorf("cert_file", "cert_file and key_file go together")
+	}
+	p.file.Consul = k
+	return nil
+}
+
+// members reads how catalogues are merged.
+func (p *parser) members(c *star.Call) starlark.Value {
+	m, minute := &p.file.Members, time.Minute
+	m.Answers = c.Duration("answers", 0, 100*time.Millisecond, minute)
+	m.Lost = c.Duration("lost", 0, 100*time.Millisecond, 60*minute)
+	m.Keep = c.Duration("keep", 0, time.Second, 24*60*minute)
+	m.Failing = c.Duration("failing", 0, time.Second, 24*60*minute)
+	m.Same = c.Duration("same", 0, 10*time.Millisecond, 10*time.Second)
+	m.Panic = c.Float("panic", 0, 0.01, 1)
+	m.PanicFor = c.Duration("panic_for", 0, time.Second, 60*minute)
+	m.Least = c.Int("panic_least", 0, 1, 1<<16)
+	m.Flap = c.Float("flap", 0, 1, 1e6)
+	m.Suppress = c.Float("suppress", 0, 1, 1e6)
+	m.Reuse = c.Float("reuse", 0, 1, 1e6)
+	m.Half = c.Duration("half", 0, time.Second, 60*minute)
+	m.Decay = c.Duration("decay", 0, time.Second, 24*60*minute)
+	if d := m.WithDefaults(); d.Check() != nil {
+		c.Errorf("", "%v", d.Check())
+	}
+	return nil
+}
+
 // handover reads what is held while a group has no primary.
 func (p *parser) handover(c *star.Call) starlark.Value {
 	if p.handed {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -150,3 +150,33 @@
 		t.Errorf("%+v, %v", f, err)
 	}
 }
+
+// Consul's settings and the merging's, their defaults and what is refused.
+func TestConsulSettings(t *testing.T) {
+	f, err := Parse("x.star", []byte(`consul(agents = ["https://c:8501"], services = {"db": 2}, mode = "stale", datacenters = ["a", "b"], alone = True, zone_in = "hall")
+members(panic = 0.3, lost = "4s", keep = "1m")
+`), classes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := f.Consul
+	if c.Agents[0] != "https://c:8501" || c.Services["db"] != 2 || c.Consistency != "stale" || len(c.Datacenters) != 2 || !c.Alone || c.Wait != 30*time.Second ||
+		c.Mapping.ZoneIn != "hall" || f.Members.Panic != 0.3 || f.Members.Lost != 4*time.Second {
+		t.Errorf("%+v, %+v", c, f.Members)
+	}
+	for text, want := range map[string]string{
+		`consul(services = {"db": 0})`:                                           "agents is missing",
+		`consul(agents = ["http://a:1"])`:                                        "services is missing",
+		`consul(agents = ["a:1"], services = {"db": 0})`:                         "a URL such as",
+		`consul(agents = ["http://u:p@a:1"], services = {"db": 0})`:              "without a user",
+		`consul(agents = ["http://a:1"], services = {"db": -1})`:                 "a number was expected",
+		`consul(agents = ["http://a:1"], services = {"db": 0}, mode = "fresh")`:  "one of default, stale, consistent",
+		`consul(agents = ["http://a:1"], services = {"db": 0}, cert_file = "x")`: "go together",
+		`members(suppress = 10, reuse = 20)`:                                     "each must be below the next",
+		`members(lost = "10m", keep = "1m")`:                                     "keep is 1m0s",
+	} {
+		if _, err := Parse("x.star", []byte(text+"\n"), classes); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -76,13 +76,20 @@
 	if err != nil {
 		return err
 	}
-	p.loop.Post(func() { p.apply(own); trace() })
+	watch, err := p.watching(own)
+	if err != nil {
+		return err
+	}
+	p.loop.Post(func() { p.apply(own); trace(); watch() })
 	slog.Info("started", "name", cfg.Name, "listen", p.server.Address(), "discovery", cfg.Discovery,
 		"databases", len(cfg.Known.Instances),
 		"operator", o.Operator)
 	go p.signals(caught, path, o.Operator)
 	p.loop.Run()
 	p.untrace(p.front.Trace(nil))
+	if p.consul != nil {
+		p.consul.Stop()
+	}
 	slog.Info("stopped", "unanswered", p.front.Pending(), "counters", &p.front.Counters)
 	return nil
 }
@@ -258,6 +265,9 @@
 
 	traceFile string // of the command line
 	traced    *trace.Config
+	watched   *net.ConsulConfig // as of the last file
+	consul    *net.Consul       // the loop's alone
+	sources   []string
 }
 
 // start puts the parts together and begins to listen; nothing runs before the loop does.
@@ -330,11 +340,17 @@
 		slog.Error("can't reload", "error", err)
 		return
 	}
+	watch, err := p.watching(own)
+	if err != nil {
+		slog.Error("can't reload", "error", err)
+		return
+	}
 	p.loop.Post(func() {
 		slog.Info("reloaded", "discovery", cfg.Discovery)
 		p.discovery.Move(cfg.Discovery)
 		p.apply(own)
 		trace()
+		watch()
 	})
 }
 
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"time"
 
+	"havenproxy/internal/membership"
 	"havenproxy/internal/trace"
 	"havenproxy/logic"
 )
@@ -88,7 +89,9 @@
 	links       int
 	listFailing bool
 
-	trace    *trace.Writer // nil = none is kept
+	trace    *trace.Writer       // nil = none is kept
+	merged   *membership.Members // of several catalogues; nil = the platform's list stands alone
+	merging  Deadline
 	reduced  reduced
 	perClass []ClassCounters
 }
@@ -318,6 +321,7 @@
 	}
 	f.Counters.end(r.Result)
 	a.to.heard(r, false)
+	f.seen(a.to, r, false)
 	switch {
 	case r.Result == logic.OK:
 		f.answer(q.id, &f.Counters.Served, servedOf, func(c Caller) { c.Served(r.Body) })
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -369,6 +369,7 @@
 		f.Counters.ProbesOK++
 	}
 	m.heard(r, true)
+	f.seen(m, r, m.silent)
 	if w := m.witness; w != nil && r.Result == logic.OK && !w.askedAgain {
 		defer w.askAgain()
 	}
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -44,8 +44,21 @@
 	witness *link // an earlier one for probes, whose answer is overdue
 }
 
-// Listed takes in news of the list.
+// Listed takes in news of the platform's list.
 func (f *Front) Listed(l List) {
+	if f.listFailing && l.Kind != logic.ListCached {
+		f.listFailing = false
+		slog.Info("discovery answers again")
+	}
+	if f.merged != nil {
+		f.ownList(l)
+		return
+	}
+	f.take(l)
+}
+
+// take puts a list into effect.
+func (f *Front) take(l List) {
 	out := logic.List{Kind: l.Kind}
 	for _, m := range f.names {
 		m.seen = false
@@ -63,10 +76,6 @@
 			}
 		}
 	}
-	if f.listFailing && l.Kind != logic.ListCached {
-		f.listFailing = false
-		slog.Info("discovery answers again")
-	}
 	f.tell(func() { f.router.Members(f.clock.Now(), out) })
 }
 
@@ -77,6 +86,9 @@
 		f.listFailing = true
 		slog.Warn("discovery fails", "error", why)
 	}
+	if f.merged != nil {
+		f.merged.Failed(f.clock.Now(), OwnList, why.Error())
+	}
 	f.tell(func() { f.router.Members(f.clock.Now(), logic.List{Kind: logic.ListFailed}) })
 }
 
--- /dev/null
+++ b/internal/wire/consul/pace.go
@@ -0,0 +1,67 @@
+package consul
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Pace says when the next call goes out, with which index, and to which agent. It is pure.
+type Pace struct {
+	Agents int
+	Rand   *rand.Rand
+
+	index    uint64
+	agent    int
+	failures int
+	quick    int // answers in a row that came at once and told nothing new
+}
+
+const (
+	// A blocking query that answers at once without news, again and again, must not be called in a tight loop: an agent that
+	// ignores `wait`, or a service whose index moves with every heartbeat.
+	quickAfter = 3
+	quickPause = time.Second
+	atOnce     = 100 * time.Millisecond
+
+	againMin = 250 * time.Millisecond
+	againMax = 8 * time.Second
+)
+
+// Index is that for the next call.
+func (p *Pace) Index() uint64 { return p.index }
+
+// Agent is the number of the agent for the next call.
+func (p *Pace) Agent() int { return p.agent }
+
+// Answered notes an answer that took so long, and gives the pause before the next call. news tells that it changed something. An
+// index that has gone back begins anew from nothing: the servers were restored, or others answer.
+func (p *Pace) Answered(took time.Duration, index uint64, news bool) (pause time.Duration) {
+	p.failures = 0
+	back := index < p.index
+	if p.index = index; back {
+		p.index = 0
+	}
+	if took >= atOnce || news && !back {
+		p.quick = 0
+		return 0
+	}
+	if p.quick++; p.quick < quickAfter {
+		return 0
+	}
+	return p.jitter(quickPause)
+}
+
+// Failed notes a call without an answer, and gives the pause before the next: short to another agent, longer with each round of them.
+// What is in hand stays, and the next call asks for the whole: an agent that was started anew may count from elsewhere.
+func (p *Pace) Failed() (pause time.Duration) {
+	p.failures++
+	p.index = 0
+	p.agent = (p.agent + 1) % max(p.Agents, 1)
+	round := (p.failures - 1) / max(p.Agents, 1)
+	return p.jitter(min(againMin<<min(round, 10), againMax))
+}
+
+// jitter spreads calls: three quarters to five quarters of a pause.
+func (p *Pace) jitter(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(p.Rand.Int64N(int64(d)/2+1))
+}
