Ask Consul's agents in rounds, move between catalogues by SIGHUP, and hash traces cheaply

Need: a drain told while the watch backed off from failures took 257 ms, and could have taken 10 s (two agents, one of them dead); a traced request cost 1.85 us. Change: the next agent is asked 50 ms later, a further round of all of them within 1.2 s; one hasher a trace; a test that moves the real program from the platform's list to Consul and back under load.

--- a/internal/lab/command/consul_test.go
+++ b/internal/lab/command/consul_test.go
@@ -70,7 +70,22 @@
 			time.Sleep(400 * time.Millisecond)
 			c.Tell(change)
 		}
+		drain := time.Now()
 		c.Reindex(3)
+		// When the last request went to the one in maintenance: told, and no verdict, as it hangs on the machine.
+		last, worked := drain, time.Duration(-1)
+		for time.Since(drain) < 1900*time.Millisecond {
+			w.With(func(_ time.Duration, f *fleet.Fleet) {
+				if now := f.Worked(4); now != worked {
+					if worked >= 0 {
+						last = time.Now()
+					}
+					worked = now
+				}
+			})
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Logf("the last request went to the drained one %v behind the news", last.Sub(drain).Round(time.Millisecond))
 	}()
 	r, err := load.Run(context.Background(), load.Config{Address: p.Address, Seed: 1, Classes: classes, Groups: 2, Rate: func(time.Duration) float64 { return 120 }, For: 4 * time.Second})
 	<-told
@@ -97,3 +112,71 @@
 	}
 	holds(t, text, "No cluster leader", "Consul is watched")
 }
+
+// SIGHUP moves the program from the platform's list to Consul and back, under load: nobody is left without an answer, and at no
+// time is it without a list. A file that can't be used changes nothing.
+func TestFromOneCatalogueToAnother(t *testing.T) {
+	cfg := fleet.Config{Seed: 1, Groups: 1, Members: 3, Zones: launch.Zones(), Classes: launch.Classes()}
+	w, err := standin.New(cfg, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	c, err := standin.NewConsul(w, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	file := filepath.Join(t.TempDir(), "operator.star")
+	say := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	say("")
+	var log output
+	p, err := launch.Start(context.Background(), w, cfg, launch.Options{Binary: binary, Operator: file, Log: &log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Stop(8 * time.Second)
+	until(t, "the platform's list", func() bool { return strings.Count(log.String(), "msg=\"database listed\"") == 3 })
+	shares := launch.Shares()
+	var classes []load.Class
+	for i, k := range cfg.Classes {
+		classes = append(classes, load.Class{Class: k.Class, Share: shares[i]})
+	}
+	moved := make(chan struct{})
+	go func() {
+		defer close(moved)
+		reload := func(text, word string) {
+			n := strings.Count(log.String(), word)
+			say(text)
+			p.Reload()
+			until(t, word, func() bool { return strings.Count(log.String(), word) > n })
+			time.Sleep(300 * time.Millisecond)
+		}
+		own := fmt.Sprintf("consul(agents = ['http://%s'], services = {'db': 0}, alone = True)\n", c.Address)
+		reload(own, "Consul is watched")
+		reload(own+"consul()\n", "can't reload")
+		reload(own+"members(lost = '2s')\n", "msg=reloaded")
+		reload("", "msg=reloaded")
+		reload(own, "Consul is watched")
+	}()
+	r, err := load.Run(context.Background(), load.Config{Address: p.Address, Seed: 1, Classes: classes, Groups: 1, Rate: func(time.Duration) float64 { return 60 }, For: 3 * time.Second})
+	<-moved
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := 0
+	for _, k := range r.Classes {
+		if n := k.Outcomes[load.Names[load.Silent]]; n > 0 {
+			t.Errorf("%s: %d requests without an answer", k.Name, n)
+		}
+		served += k.Outcomes[load.Names[load.InAim]] + k.Outcomes[load.Names[load.Late]]
+	}
+	if served == 0 || len(r.Faults) > 0 {
+		t.Errorf("%d served, %v", served, r.Faults)
+	}
+	until(t, "Consul has been asked", func() bool { return c.Calls() > 0 })
+}
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -240,6 +240,9 @@
 	return cmd.Start()
 }
 
+// Reload lets the program read its files again.
+func (p *Proxy) Reload() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
+
 // Ended is closed when the program has ended.
 func (p *Proxy) Ended() <-chan struct{} { return p.ended }
 
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -17,6 +17,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash"
 	"hash/crc32"
 	"time"
 )
@@ -72,10 +73,21 @@
 type Salt []byte
 
 // Hash hides a session. Without the salt nobody can tell whether a known name is behind a hash.
-func (s Salt) Hash(session uint64) uint64 {
-	mac := hmac.New(sha256.New, s)
-	mac.Write(binary.LittleEndian.AppendUint64(nil, session))
-	return binary.LittleEndian.Uint64(mac.Sum(nil))
+func (s Salt) Hash(session uint64) uint64 { return s.hasher().hash(session) }
+
+// hasher hashes many sessions with one salt, and allocates nothing for each.
+type hasher struct {
+	mac hash.Hash
+	buf [sha256.Size]byte
+}
+
+func (s Salt) hasher() *hasher { return &hasher{mac: hmac.New(sha256.New, s)} }
+
+func (h *hasher) hash(session uint64) uint64 {
+	h.mac.Reset()
+	binary.LittleEndian.PutUint64(h.buf[:], session)
+	h.mac.Write(h.buf[:8])
+	return binary.LittleEndian.Uint64(h.mac.Sum(h.buf[:0]))
 }
 
 // name tells salts apart.
--- a/internal/trace/write.go
+++ b/internal/trace/write.go
@@ -46,6 +46,7 @@
 	cfg    Config
 	began  time.Duration
 	enc    encoder
+	hasher *hasher
 	blocks chan []byte
 	done   sync.WaitGroup
 	out    io.WriteCloser
@@ -77,7 +78,7 @@
 // NewWriter writes to what is given, and closes it in the end.
 func NewWriter(cfg Config, out io.WriteCloser, classes []string, now time.Duration) *Writer {
 	cfg = cfg.WithDefaults()
-	w := &Writer{cfg: cfg, began: now, blocks: make(chan []byte, waiting), out: out, left: cfg.Most}
+	w := &Writer{cfg: cfg, began: now, blocks: make(chan []byte, waiting), out: out, left: cfg.Most, hasher: cfg.Salt.hasher()}
 	w.done.Go(w.run)
 	h := Head{Began: now, Sample: cfg.Sample, Classes: classes, Salt: cfg.Salt.name()}
 	w.push(h.append(nil))
@@ -119,7 +120,7 @@
 // Add keeps a request, if its session is in the sample. r.At is Unix time and r.Session the session itself; what is kept is
 // the time since the trace's beginning, and a hash.
 func (w *Writer) Add(r Record) {
-	hash := w.cfg.Salt.Hash(r.Session)
+	hash := w.hasher.hash(r.Session)
 	if w.cfg.Sample < 1 && float64(hash>>11)/(1<<53) >= w.cfg.Sample {
 		return
 	}
--- a/internal/wire/consul/pace.go
+++ b/internal/wire/consul/pace.go
@@ -23,8 +23,11 @@
 	quickPause = time.Second
 	atOnce     = 100 * time.Millisecond
 
-	againMin = 250 * time.Millisecond
-	againMax = 8 * time.Second
+	otherAgent = 50 * time.Millisecond // before the next agent is asked
+	againMin   = 250 * time.Millisecond
+	// Once all agents have failed they are all asked again within this, jitter included well below the 2 s in which a drain is to
+	// take hold once an agent can tell it.
+	againMax = 1200 * time.Millisecond
 )
 
 // Index is that for the next call.
@@ -51,13 +54,17 @@
 	return p.jitter(quickPause)
 }
 
-// Failed notes a call without an answer, and gives the pause before the next: short to another agent, longer with each round of them.
+// Failed notes a call without an answer, and gives the pause before the next: short to another agent, longer behind each round of
+// them.
 // What is in hand stays, and the next call asks for the whole: an agent that was started anew may count from elsewhere.
 func (p *Pace) Failed() (pause time.Duration) {
 	p.failures++
 	p.index = 0
 	p.agent = (p.agent + 1) % max(p.Agents, 1)
-	round := (p.failures - 1) / max(p.Agents, 1)
+	if p.failures%max(p.Agents, 1) != 0 {
+		return p.jitter(otherAgent)
+	}
+	round := p.failures/max(p.Agents, 1) - 1
 	return p.jitter(min(againMin<<min(round, 10), againMax))
 }
 
