Tell refused dials apart: netpoll tells them like any other that the peer ended

Need: a refused dial is evidence of a restart; taking its check out of internal/net failed no test, and a test showed that it never worked: netpoll gives 'connection has been closed by peer' for it. Change: behind such a failure the standard library dials once more, beside the loop, and says whether nothing listens there; tests.

--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -73,6 +73,9 @@
 func connect(loop *Loop, address string, timeout time.Duration, then func(netpoll.Connection, error)) {
 	go func() {
 		conn, err := netpoll.DialConnection("tcp", address, timeout)
+		if errors.Is(err, netpoll.ErrConnClosed) {
+			err = refusal(address, err)
+		}
 		if err == nil {
 			conn.SetWriteTimeout(writePatience)
 			// As much room as the largest query takes: a database that doesn't read must not stop the loop.
@@ -84,6 +87,20 @@
 	}()
 }
 
+// refusal asks why a dial failed at once: netpoll tells a refused one, behind which no process listens, like any other that the
+// peer ended. A second dial by the standard library tells them apart; it runs beside the loop, and only behind a failure.
+func refusal(address string, err error) error {
+	conn, again := stdnet.DialTimeout("tcp", address, answerPatience)
+	if again == nil {
+		conn.Close()
+		return err
+	}
+	if errors.Is(again, syscall.ECONNREFUSED) {
+		return again
+	}
+	return err
+}
+
 // attach lets the loop know what comes on a connection that was dialled, and its end.
 func attach(loop *Loop, conn netpoll.Connection, readable, down func()) {
 	conn.AddCloseCallback(func(netpoll.Connection) error {
--- /dev/null
+++ b/internal/net/refused_test.go
@@ -0,0 +1,42 @@
+package net
+
+import (
+	stdnet "net"
+	"testing"
+	"time"
+
+	"havenproxy/internal/state"
+)
+
+// ear hears how a connection to a database ends.
+type ear struct{ heard chan string }
+
+func (e *ear) Up()               { e.heard <- "up" }
+func (e *ear) Reply(state.Reply) { e.heard <- "reply" }
+func (e *ear) Down()             { e.heard <- "down" }
+func (e *ear) Refused()          { e.heard <- "refused" }
+func (e *ear) Spoilt()           { e.heard <- "spoilt" }
+
+// A dial to an address where nothing listens is told as refused, which is evidence; one that is taken and ended is not.
+func TestARefusedDialIsTold(t *testing.T) {
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := ln.Addr().String()
+	ln.Close()
+	ends := listen(t, func(stdnet.Conn) {})
+	_, front, loop := proxy(t, closed, 4, 4)
+	for address, want := range map[string]string{closed: "refused", ends: "down"} {
+		e := &ear{make(chan string, 4)}
+		loop.Post(func() { front.Opener().Open(address, 0, e) })
+		select {
+		case got := <-e.heard:
+			if got != want {
+				t.Errorf("%s, want %s", got, want)
+			}
+		case <-time.After(patience):
+			t.Fatal("nothing was told")
+		}
+	}
+}
--- a/logic/hold_test.go
+++ b/logic/hold_test.go
@@ -394,3 +394,14 @@
 		}
 	}
 }
+
+// A group that loses its primary is looked at as time goes by, also while nobody asks for anything: it moves on from lost to
+// electing, and its members are pinged for a new primary.
+func TestAGroupWithoutAPrimaryIsLookedAt(t *testing.T) {
+	f := settled(t, holding(), 3)
+	f.passAs(1, 200*ms)
+	f.passAs(0, 3*time.Second, 1) // the primary falls silent
+	if p := f.r.groups[0].lead.Status(f.now).Phase; p != handover.Electing {
+		t.Errorf("%v, 3 s behind the primary's silence", p)
+	}
+}
