--- a/internal/lab/virtual/series.go
+++ b/internal/lab/virtual/series.go
@@ -17,7 +17,7 @@
 }
 
 // ClassSample is that of one class.
-type ClassSample struct{ Offered, InAim, Refused int }
+type ClassSample struct{ Offered, InAim int }
 
 // Event is something that happened to the fleet.
 type Event struct {
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -1,4 +1,4 @@
-// Package virtual plays a fleet, its clients and one proxy on a virtual clock: the model's databases, the true
+// Package virtual plays a fleet, its clients and its proxies on a virtual clock: the model's databases, the true
 // internal/state with the true decisions behind it, and clients that ask by a schedule. Nothing runs beside it, so the
 // same seed gives the same run, and a minute takes a fraction of a second. What it leaves out: sockets, their
 // handshakes and the proxy's own work.
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -1,9 +1,7 @@
 package membership
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -16,14 +14,6 @@
 	s  = time.Second
 )
 
-// The same verdict every time: one seed, and no files of failures.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "20261201")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
-
 // script drives a view by events, and keeps what came of it.
 type script struct {
 	t     *testing.T
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -1,9 +1,7 @@
 package discovery
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -11,14 +9,6 @@
 	"pgregory.net/rapid"
 )
 
-// The same verdict every time: one seed, and no files of failures.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "20261201")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
-
 // A list of generation 0 is a list: taken for none, it was asked for as a whole, again and again, without a wait.
 func TestGenerationZeroIsWatched(t *testing.T) {
 	for after, want := range map[int64]string{0: "GET /v1/endpoints?after=0&wait_ms=1000 HTTP/1.1\r\n",
--- a/internal/wire/mysql/mysql_test.go
+++ b/internal/wire/mysql/mysql_test.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"database/sql"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -16,14 +14,6 @@
 	"pgregory.net/rapid"
 )
 
-// The same verdict every time: one seed, and no files of failures.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "20261201")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
-
 func open(t *testing.T, s *server, login, options string) *sql.DB {
 	t.Helper()
 	db, err := sql.Open("mysql", login+"@tcp("+s.ln.Addr().String()+")/core?"+options)
--- a/internal/wire/pg/pg_test.go
+++ b/internal/wire/pg/pg_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -13,14 +11,6 @@
 	"pgregory.net/rapid"
 )
 
-// The same verdict every time: one seed, and no files of failures.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "20261201")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
-
 func message(kind byte, body string) []byte {
 	out := append([]byte{kind}, binary.BigEndian.AppendUint32(nil, uint32(len(body)+4))...)
 	return append(out, body...)
