Mend what a second reading found in merging catalogues and in reloading

Need: with alone = True the platform's databases stayed in the router beside Consul's names for them; a database at a new address under its old id counted as warm; a start taken from what is seen was placed anew with each change, which made its database cold again; a reload whose consul() could not be used left a trace that was never written behind; failures were logged each time; an agent without a leader was believed. Change: what is in use is handed to the membership first, with zone, size and start; a process doesn't move; a start is placed once; files are read before anything is made or noted; a catalogue's failure is logged once; without a leader only drains count. What is in use is derived from the persistent view, which had no user before; an accessor without one is gone. Result: tests for each of them.

--- a/internal/lab/command/consul_test.go
+++ b/internal/lab/command/consul_test.go
@@ -25,6 +25,14 @@
 	}
 }
 
+// yardClasses are the lab's classes as its load has them.
+func yardClasses() (out []load.Class) {
+	for i, k := range launch.Classes() {
+		out = append(out, load.Class{Class: k.Class, Share: launch.Shares()[i]})
+	}
+	return out
+}
+
 // The real program with Consul as its only catalogue. The first agent is none, the second lies: half of its instances vanish, its
 // index goes back, it has no leader, cuts its answers, and puts a database into maintenance. Nobody is left without an answer,
 // nobody is dropped for what the catalogue lacks, and the maintenance is a drain.
@@ -52,11 +60,7 @@
 	defer p.Stop(8 * time.Second)
 	until(t, "all six databases are listed by Consul alone", func() bool { return strings.Count(log.String(), "msg=\"database listed\"") == 6 })
 
-	shares := launch.Shares()
-	var classes []load.Class
-	for i, k := range cfg.Classes {
-		classes = append(classes, load.Class{Class: k.Class, Share: shares[i]})
-	}
+	classes := yardClasses()
 	told := make(chan struct{})
 	go func() {
 		defer close(told)
@@ -127,7 +131,8 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	file := filepath.Join(t.TempDir(), "operator.star")
+	dir := t.TempDir()
+	file, traced := filepath.Join(dir, "operator.star"), filepath.Join(dir, "traced")
 	say := func(text string) {
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
@@ -141,11 +146,7 @@
 	}
 	defer p.Stop(8 * time.Second)
 	until(t, "the platform's list", func() bool { return strings.Count(log.String(), "msg=\"database listed\"") == 3 })
-	shares := launch.Shares()
-	var classes []load.Class
-	for i, k := range cfg.Classes {
-		classes = append(classes, load.Class{Class: k.Class, Share: shares[i]})
-	}
+	classes := yardClasses()
 	moved := make(chan struct{})
 	go func() {
 		defer close(moved)
@@ -159,6 +160,7 @@
 		own := fmt.Sprintf("consul(agents = ['http://%s'], services = {'db': 0}, alone = True)\n", c.Address)
 		reload(own, "Consul is watched")
 		reload(own+"consul()\n", "can't reload")
+		reload(fmt.Sprintf("trace(file = '%s')\nconsul(agents = ['http://%s'], services = {'db': 0}, token_file = '/no/such/token')\n", traced, c.Address), "can't reload")
 		reload(own+"members(lost = '2s')\n", "msg=reloaded")
 		reload("", "msg=reloaded")
 		reload(own, "Consul is watched")
@@ -179,4 +181,10 @@
 		t.Errorf("%d served, %v", served, r.Faults)
 	}
 	until(t, "Consul has been asked", func() bool { return c.Calls() > 0 })
+	if n := strings.Count(log.String(), "msg=\"database listed\""); n != 3 {
+		t.Errorf("%d databases were listed: the other catalogue's names made new ones", n)
+	}
+	if _, err := os.Stat(traced); err == nil {
+		t.Error("a file that can't be used began a trace")
+	}
 }
--- a/internal/membership/api.go
+++ b/internal/membership/api.go
@@ -156,7 +156,8 @@
 	State   State
 	Role    Role // a hint, of the weightiest catalogue that gives one
 	Weight  float64
-	Started time.Duration // Unix time
+	Started time.Duration // Unix time, as told; 0 = long ago, or not told
+	Begun   time.Duration // on the clock that is handed in: since when it is taken for a new process, by what is seen; 0 = it is not
 	Why     string        // what decided the state
 	Facts   []Known       // all that is known, the weightiest first; of Snapshot only
 }
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -35,9 +35,8 @@
 	absent  time.Duration // since when no catalogue lists it; 0 = one does
 	failing time.Duration // since when all that list it call it critical; 0 = not all do
 	renamed time.Duration // when a new id came at its address; 0 = that is settled
-	newID   Fact          // that id
+	newID   string        // that id
 	queued  bool
-	shown   bool // it is in the view
 }
 
 // saying is what a source says of a member.
@@ -124,6 +123,19 @@
 		return
 	}
 	src := m.sources[i]
+	if n.NoLead && !src.trust.Binding { // nobody answers for what it says; but a drain is believed of anybody
+		src.failures++
+		src.lastErr = "it knows of no leader"
+		n.Whole = false
+		n.Facts = slices.DeleteFunc(slices.Clone(n.Facts), func(f Fact) bool { return f.Health < Draining || f.Health == Terminated })
+		for _, f := range n.Facts {
+			if x := m.byID[f.ID]; x != nil && x.Address == f.Address {
+				x.take(now, i, f)
+			}
+		}
+		m.settle(now)
+		return
+	}
 	src.known, src.contact, src.index, src.behind, src.failures = true, now, n.Index, n.Behind, 0
 	src.skipped += n.Skipped
 	was := src.listed
@@ -199,6 +211,9 @@
 			}
 			delete(m.byPlace, x.Address)
 			m.byPlace[f.Address] = x
+			if s := x.say(i); s.lists && (f.Started == 0 || f.Started != s.Started) { // a process doesn't move: this is another, and cold
+				x.begin(now)
+			}
 		}
 		return x
 	}
@@ -208,18 +223,18 @@
 			listed = listed || k == i && x.said[k].lists && x.said[k].ID != f.ID && !m.sources[i].trust.Binding
 		}
 		switch {
-		case x.Entry.State == Gone && !x.shown:
+		case x.Entry.State == Gone && !x.inUse():
 			m.forget(x)
 		case m.sources[i].trust.Binding: // its ids are what they are
 			break
-		case listed && x.renamed > 0 && x.newID.ID != f.ID:
+		case listed && x.renamed > 0 && x.newID != f.ID:
 			return nil
 		case i != x.first(): // another catalogue has its own names for it
 			m.byID[f.ID] = x
 			x.ids = append(x.ids, f.ID)
 			return x
 		case x.renamed == 0:
-			x.renamed, x.newID = now, f
+			x.renamed, x.newID = now, f.ID
 			m.byID[f.ID] = x
 			x.ids = append(x.ids, f.ID)
 			return x
@@ -256,6 +271,17 @@
 	m.order = slices.DeleteFunc(m.order, func(y *Member) bool { return y == x })
 }
 
+// begin notes that a member's process is taken to have started just now: what was seen of an earlier one is void.
+func (x *Member) begin(now time.Duration) {
+	x.Begun, x.heard, x.silent = now, 0, false
+}
+
+// inUse tells whether a member is in the view.
+func (x *Member) inUse() bool {
+	_, ok := x.m.view.Get(x.ID)
+	return ok
+}
+
 // say gives a source's place with a member.
 func (x *Member) say(i int) *saying {
 	for len(x.said) <= i {
@@ -277,8 +303,7 @@
 		s.since = now
 	}
 	if f.Started > 0 && f.Started > s.Started && s.Started > 0 {
-		x.silent = false // another process: what was seen of the old one is void
-		x.heard = 0
+		x.heard, x.silent = 0, false // another process: what was seen of the old one is void
 	}
 	s.Fact, s.lists = f, true
 	x.queue()
@@ -379,39 +404,35 @@
 			m.replace(now, x)
 			continue
 		}
-		was := x.Entry
-		state, why := x.decide(now)
-		x.describe(now, state, why)
-		m.publish(x, was)
+		m.judge(now, x)
 	}
 }
 
+// judge decides one member, and puts what comes of it into the view.
+func (m *Members) judge(now time.Duration, x *Member) {
+	x.Entry.State, x.Entry.Why = x.decide(now)
+	x.describe(now)
+	m.publish(x)
+}
+
 // replace lets a new id at an old address be a new database: no connection from before has answered.
 func (m *Members) replace(now time.Duration, x *Member) {
-	f, said := x.newID, x.said
-	was := x.Entry
+	id, began, said := x.newID, x.renamed, x.said
 	x.renamed = 0
 	x.Entry.State, x.Entry.Why = Gone, "another id has its address"
-	m.publish(x, was)
+	m.publish(x)
 	m.forget(x)
 	for i := range said {
-		if said[i].lists && said[i].ID == f.ID {
-			f = said[i].Fact
-			if f.Started == 0 {
-				f.Started = -1 // begun now, as far as is known
-			}
-			if y := m.find(now, i, f); y != nil { // else another has taken the address meanwhile
-				y.take(now, i, f)
-			}
+		if !said[i].lists || said[i].ID != id {
+			continue
 		}
-	}
-	if y := m.byID[f.ID]; y != nil {
-		was := y.Entry
-		state, why := y.decide(now)
-		y.describe(now, state, why)
-		y.queued = false
-		m.dirty = slices.DeleteFunc(m.dirty, func(z *Member) bool { return z == y })
-		m.publish(y, was)
+		y := m.find(now, i, said[i].Fact)
+		if y == nil { // another has taken the address meanwhile
+			continue
+		}
+		y.take(now, i, said[i].Fact)
+		y.Begun = began
+		m.judge(now, y)
 	}
 }
 
@@ -452,30 +473,31 @@
 		x.failing = 0
 	}
 	answers := x.answers(now)
+	was, inUse := x.m.view.Get(x.ID)
+	inUse = inUse && was.State == Ready
 	switch {
 	case passing != "":
 		return Ready, passing + " says passing"
 	case answers && critical != "":
 		return Ready, "it answers, though " + critical + " says critical"
-	case damped != "" && (answers || x.shown && x.Entry.State == Ready && !x.silent):
+	case damped != "" && (answers || inUse && !x.silent):
 		return Ready, damped + " flaps, and is not followed"
-	case doubted != "" && x.shown:
+	case doubted != "" && inUse:
 		return Ready, doubted + " has lost too many at once to be believed"
-	case critical != "" && x.shown && x.Entry.State == Ready && now-x.failing < c.Failing:
+	case critical != "" && inUse && now-x.failing < c.Failing:
 		return Ready, critical + " says critical, for now"
 	case critical != "" || damped != "":
 		return Gone, "it doesn't answer, and " + cmp.Or(critical, damped) + " says no better"
 	case answers && now-x.absent < c.Keep:
 		return Ready, "it answers, though nobody lists it"
-	case x.shown && now-x.absent < c.Lost:
+	case inUse && now-x.absent < c.Lost:
 		return Ready, "it was listed a moment ago"
 	}
 	return Gone, "nobody lists it"
 }
 
 // describe fills in what the view tells of a member, from the weightiest source that lists it.
-func (x *Member) describe(now time.Duration, state State, why string) {
-	x.Entry.State, x.Entry.Why = state, why
+func (x *Member) describe(now time.Duration) {
 	best, weight := -1, -1.0
 	role, roleWeight := NoRole, 0.0
 	for i := range x.said {
@@ -500,9 +522,6 @@
 	f := &x.said[best].Fact
 	x.Address, x.Zone, x.Group, x.Weight, x.Role = f.Address, f.Zone, f.Group, f.Weight, role
 	x.Started = max(x.Started, f.Started)
-	if f.Started < 0 {
-		x.Started = f.Started
-	}
 }
 
 // weight is that of a source's word: less, the longer it has not been heard.
@@ -513,35 +532,33 @@
 	return s.trust.Weight * math.Exp2(-float64(now-s.contact+s.behind)/float64(half))
 }
 
-// publish puts a member's change into the view.
-func (m *Members) publish(x *Member, was Entry) {
-	now := x.Entry
+// publish puts a member's change into the view. One that is gone, and that nobody lists any more, is forgotten.
+func (m *Members) publish(x *Member) {
+	was, in := m.view.Get(x.ID)
 	switch {
-	case now.State == Gone && !x.shown:
-		if len(m.order) > 0 && x.absent > 0 { // it was never in use: nothing is kept of it
-			m.forget(x)
+	case x.State == Gone:
+		if in {
+			m.view = m.view.Delete(x.ID)
+			m.change(x)
 		}
-		return
-	case now.State == Gone:
-		x.shown = false
-		m.view = m.view.Delete(now.ID)
-		if x.absent > 0 || now.Why == "another id has its address" {
+		if x.absent > 0 {
 			m.forget(x)
 		}
-	case x.shown && same(now, was):
-		return
-	default:
-		x.shown = true
-		m.view = m.view.Set(now.ID, now)
+	case !in || !same(x.Entry, was):
+		m.view = m.view.Set(x.ID, x.Entry)
+		m.change(x)
 	}
+}
+
+func (m *Members) change(x *Member) {
 	m.version++
-	m.changed = append(m.changed, now)
+	m.changed = append(m.changed, x.Entry)
 }
 
 // same tells whether nothing has changed that anybody acts on.
 func same(a, b Entry) bool {
 	return a.Address == b.Address && a.Zone == b.Zone && a.Group == b.Group && a.State == b.State && a.Role == b.Role && a.Weight == b.Weight &&
-		a.Started == b.Started && a.Why == b.Why
+		a.Started == b.Started && a.Begun == b.Begun && a.Why == b.Why
 }
 
 // Changes gives the members that have changed since the last call, in the order of their changes.
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -237,7 +237,7 @@
 		x.is("new-1", Ready, "a new database")
 		if v, _ := x.m.View(); v.Len() != 6 {
 			t.Errorf("%d members", v.Len())
-		} else if e, _ := v.Get("new-1"); e.Started != -1 {
+		} else if e, _ := v.Get("new-1"); e.Begun != 100*s {
 			t.Errorf("it is not known to be cold: %+v", e)
 		}
 	}
@@ -248,8 +248,32 @@
 	x.news()
 	if v, _ := x.m.View(); v.Len() != 3 {
 		t.Errorf("%d members", v.Len())
-	} else if e, _ := v.Get("db-1"); e.Address != "10.0.9.9:5432" {
-		t.Errorf("%+v", e)
+	} else if e, _ := v.Get("db-1"); e.Address != "10.0.9.9:5432" || e.Begun != x.now {
+		t.Errorf("a process doesn't move: %+v", e)
+	}
+	x.pass(5 * s)
+	f.Zone = "north"
+	x.facts["db-1"] = f
+	x.news()
+	v, _ := x.m.View()
+	if e, _ := v.Get("db-1"); e.Zone != "north" || e.Begun != 100*s {
+		t.Errorf("it has begun once, not with each change: %+v", e)
+	}
+}
+
+// Who knows of no leader is believed in a drain, and in nothing else.
+func TestWithoutALeader(t *testing.T) {
+	x := begin(t, 4)
+	x.m.News(x.now, "c", News{Whole: true, NoLead: true, Facts: []Fact{{ID: "db-0", Address: "10.0.0.1:5432", Health: Maintenance},
+		{ID: "db-1", Address: "10.0.0.2:5432", Health: Critical}}})
+	x.look()
+	x.is("db-0", Drains, "a drain")
+	x.pass(60 * s)
+	for _, id := range []string{"db-1", "db-2", "db-3"} {
+		x.is(id, Ready, "the rest is nobody's word")
+	}
+	if c := x.m.Catalogues(x.now)[0]; c.LastError == "" || c.Failures != 1 {
+		t.Errorf("%+v", c)
 	}
 }
 
--- a/internal/run/consul.go
+++ b/internal/run/consul.go
@@ -15,14 +15,14 @@
 	"havenproxy/internal/operator"
 )
 
-// watching reads what the operator's file names for Consul; the function that it gives puts that into effect, on the loop. The old
-// catalogue's word counts until the new one has answered: its members stay as lost ones do, so nobody is without a list between.
-func (p *proxy) watching(own *operator.File) (func(), error) {
+// watching reads what the operator's file names for Consul; the function that it gives puts that into effect, on the loop, and what
+// is watched then is to become p.watched. Members that the old catalogue listed stay as lost ones do until the new one has answered,
+// so nobody is without a list between.
+func (p *proxy) watching(own *operator.File) (watched *net.ConsulConfig, apply func(), err error) {
 	members := own.Members
 	k := own.Consul
 	if k == nil {
-		p.watched = nil
-		return func() {
+		return nil, func() {
 			p.unwatch()
 			p.front.Merge(nil, false)
 		}, nil
@@ -36,21 +36,19 @@
 	if k.TokenFile != "" {
 		text, err := os.ReadFile(k.TokenFile)
 		if err != nil {
-			return nil, fmt.Errorf("consul: %w", err)
+			return nil, nil, fmt.Errorf("consul: %w", err)
 		}
 		if cfg.Token = strings.TrimSpace(string(text)); cfg.Token == "" || strings.ContainsAny(cfg.Token, "\r\n") {
-			return nil, fmt.Errorf("consul: %s holds no token on one line", k.TokenFile)
+			return nil, nil, fmt.Errorf("consul: %s holds no token on one line", k.TokenFile)
 		}
 	}
-	var err error
 	if cfg.TLS, err = consulTLS(k); err != nil {
-		return nil, fmt.Errorf("consul: %w", err)
+		return nil, nil, fmt.Errorf("consul: %w", err)
 	}
 	if p.watched != nil && same(p.watched, &cfg) {
-		return func() { p.front.Merge(&members, k.Alone) }, nil
+		return p.watched, func() { p.front.Merge(&members, k.Alone) }, nil
 	}
-	p.watched = &cfg
-	return func() {
+	return &cfg, func() {
 		p.front.Merge(&members, k.Alone)
 		sources := cfg.Sources()
 		for _, s := range sources {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -72,15 +72,11 @@
 	if o.Trace != "" {
 		p.traceFile = o.Trace
 	}
-	trace, err := p.tracing(own.Trace)
+	effect, err := p.ready(own)
 	if err != nil {
 		return err
 	}
-	watch, err := p.watching(own)
-	if err != nil {
-		return err
-	}
-	p.loop.Post(func() { p.apply(own); trace(); watch() })
+	p.loop.Post(effect)
 	slog.Info("started", "name", cfg.Name, "listen", p.server.Address(), "discovery", cfg.Discovery,
 		"databases", len(cfg.Known.Instances),
 		"operator", o.Operator)
@@ -335,12 +331,7 @@
 		slog.Error("can't reload", "error", err)
 		return
 	}
-	trace, err := p.tracing(own.Trace)
-	if err != nil {
-		slog.Error("can't reload", "error", err)
-		return
-	}
-	watch, err := p.watching(own)
+	effect, err := p.ready(own)
 	if err != nil {
 		slog.Error("can't reload", "error", err)
 		return
@@ -348,10 +339,27 @@
 	p.loop.Post(func() {
 		slog.Info("reloaded", "discovery", cfg.Discovery)
 		p.discovery.Move(cfg.Discovery)
+		effect()
+	})
+}
+
+// ready reads all that an operator's file names, and gives what puts it into effect, on the loop. Nothing is changed where any of it
+// can't be used: the trace's file, the one thing that is made here, comes last.
+func (p *proxy) ready(own *operator.File) (effect func(), err error) {
+	watched, watch, err := p.watching(own)
+	if err != nil {
+		return nil, err
+	}
+	trace, err := p.tracing(own.Trace)
+	if err != nil {
+		return nil, err
+	}
+	p.watched = watched
+	return func() {
 		p.apply(own)
 		trace()
 		watch()
-	})
+	}, nil
 }
 
 // stop ends the proxy in good order: it goes on as before while clients still come, then closes what is idle
--- a/internal/state/catalogue.go
+++ b/internal/state/catalogue.go
@@ -1,11 +1,11 @@
 package state
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"time"
 
-	"github.com/benbjohnson/immutable"
-
 	"havenproxy/internal/membership"
 	"havenproxy/logic"
 )
@@ -31,16 +31,18 @@
 		}
 		return
 	case f.merged == nil:
-		f.merged = membership.New(*cfg)
+		f.merged, f.failing = membership.New(*cfg), map[string]bool{}
 		f.merged.Source(OwnList, membership.Trust{Binding: true})
 		f.mergeTick()
-		var known membership.News
-		known.Whole = true
+		// What is in use stays in use until others know better, also where the platform's list has no word from now on.
+		known := membership.News{Whole: true}
 		for _, m := range f.names {
-			if m.state != logic.Gone && !alone {
-				known.Facts = append(known.Facts, membership.Fact{ID: m.name, Address: m.address, Group: m.group, Health: healthOf(m.state), Weight: 1})
+			if m.state != logic.Gone {
+				known.Facts = append(known.Facts, membership.Fact{ID: m.name, Address: m.address, Zone: m.zone, Group: m.group, Health: healthOf(m.state),
+					Weight: m.size, Started: m.started})
 			}
 		}
+		slices.SortFunc(known.Facts, func(a, b membership.Fact) int { return cmp.Compare(a.ID, b.ID) })
 		f.merged.News(f.clock.Now(), OwnList, known)
 	default:
 		f.merged.Configure(*cfg)
@@ -79,6 +81,10 @@
 	if f.merged == nil {
 		return
 	}
+	if f.failing[source] {
+		delete(f.failing, source)
+		slog.Info("catalogue answers again", "source", source)
+	}
 	f.merged.News(f.clock.Now(), source, n)
 	f.mergedNews()
 }
@@ -89,7 +95,10 @@
 		return
 	}
 	f.Counters.ListFailures++
-	slog.Warn("catalogue fails", "source", source, "error", why)
+	if !f.failing[source] {
+		f.failing[source] = true
+		slog.Warn("catalogue fails", "source", source, "error", why)
+	}
 	f.merged.Failed(f.clock.Now(), source, why.Error())
 	f.mergedNews()
 }
@@ -121,18 +130,28 @@
 	for _, e := range changes {
 		x := Entry{Name: e.ID, Address: e.Address, Zone: e.Zone, Group: e.Group, Size: e.Weight, Started: e.Started}
 		x.State = [...]logic.MemberState{membership.Gone: logic.Gone, membership.Ready: logic.Ready, membership.Drains: logic.Draining}[e.State]
-		if e.Started < 0 { // begun now, as far as is known
-			x.Started = f.clock.Unix()
+		m := f.names[e.ID]
+		if e.Begun > 0 {
+			if m == nil || m.begun != e.Begun {
+				x.Started = max(x.Started, f.clock.Unix()-(f.clock.Now()-e.Begun))
+			} else { // placed once: two clocks are never read in one moment, and each later start would count as one more
+				x.Started = max(x.Started, m.started)
+			}
 		}
-		if m := f.names[e.ID]; m == nil || m.state != x.State {
+		if m == nil || m.state != x.State {
 			slog.Info("member", "name", e.ID, "address", e.Address, "state", e.State.String(), "why", e.Why)
 		}
-		if f.names[e.ID] == nil && x.State == logic.Gone {
+		if m == nil && x.State == logic.Gone {
 			continue
 		}
 		l.Entries = append(l.Entries, x)
 	}
 	f.take(l)
+	for _, e := range changes {
+		if m := f.names[e.ID]; m != nil {
+			m.begun = e.Begun
+		}
+	}
 	return true
 }
 
@@ -155,15 +174,7 @@
 // Merges tells whether there are several catalogues.
 func (f *Front) Merges() bool { return f.merged != nil }
 
-// Members gives the view as it is now, and its version; nil = nothing is merged.
-func (f *Front) Members() (*immutable.SortedMap[string, membership.Entry], uint64) {
-	if f.merged == nil {
-		return nil, 0
-	}
-	return f.merged.View()
-}
-
-// MemberFacts gives all that is known of each member, and Catalogues the sources, to be shown.
+// MemberFacts gives all that is known of each member, to be shown.
 func (f *Front) MemberFacts() []membership.Entry {
 	if f.merged == nil {
 		return nil
--- /dev/null
+++ b/internal/state/catalogue_test.go
@@ -0,0 +1,110 @@
+package state
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"havenproxy/internal/membership"
+	"havenproxy/logic"
+)
+
+// merging is a bench before which a catalogue stands as well.
+func merging(t *testing.T, alone bool) (*bench, func(facts ...membership.Fact)) {
+	b := newBench(t, 9)
+	b.f.Merge(&membership.Config{}, alone)
+	b.f.Source("c")
+	return b, func(facts ...membership.Fact) { b.f.Told("c", membership.News{Whole: true, Facts: facts}) }
+}
+
+func (b *bench) listed(name string) (logic.Member, bool) {
+	for _, e := range b.list.Entries {
+		if e.ID == b.id(name) {
+			return e, true
+		}
+	}
+	return logic.Member{}, false
+}
+
+// A catalogue that takes the platform's place knows the same databases by other names: they stay who they are, with what was known
+// of them, and nobody is there twice.
+func TestTheSameDatabasesUnderOtherNames(t *testing.T) {
+	b, tell := merging(t, true)
+	tell(membership.Fact{ID: "other-1", Address: "127.0.0.1:1"}, membership.Fact{ID: "other-2", Address: "127.0.0.1:2", Health: membership.Draining})
+	if len(b.f.names) != 4 { // a:1 and a:2 are no addresses of theirs
+		t.Fatalf("%d members", len(b.f.names))
+	}
+	b = newBench(t, 9)
+	b.f.Listed(List{Kind: logic.ListFull, Entries: []Entry{{Name: "one", Address: "127.0.0.1:1", Zone: "y", Size: 2, Started: 5 * time.Second, State: logic.Ready},
+		{Name: "two", Address: "127.0.0.1:2", State: logic.Ready}}})
+	b.f.Merge(&membership.Config{}, true)
+	b.f.Source("c")
+	b.f.Told("c", membership.News{Whole: true, Facts: []membership.Fact{{ID: "other-1", Address: "127.0.0.1:1", Zone: "x"}, {ID: "other-2", Address: "127.0.0.1:2", Health: membership.Draining}}})
+	if len(b.f.names) != 2 || b.f.names["two"].state != logic.Draining || b.f.names["one"].zone != "x" || b.f.names["one"].started != 5*time.Second {
+		t.Errorf("%d members, %+v", len(b.f.names), b.f.names["one"])
+	}
+}
+
+// A start that is taken from what is seen is placed once: each further change of the member must not make it a new one, cold again.
+func TestAStartIsPlacedOnce(t *testing.T) {
+	b, tell := merging(t, false)
+	f := membership.Fact{ID: "m", Address: "127.0.0.1:9"}
+	tell(f)
+	if e, ok := b.listed("m"); !ok || e.Born != 0 {
+		t.Fatalf("%+v", e)
+	}
+	f.Address = "127.0.0.1:10" // another process
+	b.pass(3 * time.Second)
+	tell(f)
+	first, _ := b.listed("m")
+	if first.Born != b.now {
+		t.Errorf("begun at %v, now is %v", first.Born, b.now)
+	}
+	b.pass(3 * time.Second)
+	f.Zone = "x"
+	tell(f)
+	if again, _ := b.listed("m"); again.Born != first.Born || again.Zone != 0 {
+		t.Errorf("%+v, before %+v", again, first)
+	}
+}
+
+// Evidence goes to the membership: a database that answers stays, whatever the catalogue's checks say; nothing merged, nothing is
+// asked of it. The end of merging leaves the platform's list alone again.
+func TestWhatIsSeenGoesToTheMembership(t *testing.T) {
+	b, tell := merging(t, false)
+	f := membership.Fact{ID: "m", Address: "127.0.0.1:9"}
+	tell(f)
+	f.Health = membership.Critical
+	tell(f)
+	answer := func() {
+		b.f.Probe(b.id("m"))
+		c := b.conns[len(b.conns)-1]
+		if c.probes == 0 {
+			c.to.Up()
+		}
+		c.to.Reply(Reply{Result: logic.OK})
+	}
+	for range 30 {
+		answer()
+		b.pass(2 * time.Second)
+	}
+	if b.f.names["m"].state != logic.Ready {
+		t.Errorf("it answers, and is %v", b.f.names["m"].state)
+	}
+	b.pass(40 * time.Second)
+	for range 5 {
+		b.pass(mergeEvery)
+	}
+	if m := b.f.names["m"]; m != nil && m.state != logic.Gone {
+		t.Errorf("critical and silent, and is %v", m.state)
+	}
+	b.f.ToldFailed("c", errors.New("no leader"))
+	if c := b.f.Catalogues(); len(c) != 2 || c[1].Failures != 1 || c[1].LastError != "no leader" {
+		t.Errorf("%+v", c)
+	}
+	b.f.Merge(nil, false)
+	b.f.Told("c", membership.News{Whole: true, Facts: []membership.Fact{f}}) // late
+	if b.f.Merges() || b.f.MemberFacts() != nil {
+		t.Error("still merging")
+	}
+}
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -92,6 +92,7 @@
 	trace    *trace.Writer       // nil = none is kept
 	merged   *membership.Members // of several catalogues; nil = the platform's list stands alone
 	merging  Deadline
+	failing  map[string]bool // catalogues that could not be asked the last time
 	reduced  reduced
 	perClass []ClassCounters
 }
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -31,6 +31,10 @@
 	name    string
 	address string
 	group   int
+	zone    string
+	size    float64
+	started time.Duration // Unix time, as last listed
+	begun   time.Duration // what a membership took its start from, so that it is placed once
 	state   logic.MemberState
 	seen    bool // in the whole list in hand
 
@@ -100,7 +104,7 @@
 		f.names[e.Name], f.members[m.id] = m, m
 		slog.Info("database listed", "name", e.Name, "address", e.Address, "group", e.Group, "state", stateName(e.State))
 	}
-	m.group = e.Group
+	m.group, m.zone, m.size, m.started = e.Group, e.Zone, e.Size, e.Started
 	if m.address != e.Address && e.Address != "" {
 		m.address = e.Address
 		f.closeIdle(m) // they lead to where it was
