Place a listed start once: with each list it could come a little later, as a start of its own

Need: the two clocks are not read in one moment, so a start that the list tells, placed anew with each list, came some nanoseconds earlier or later; a later one is a restart to the router: the member's role was open again, and the list's lag was learned as the whole time since the start. A wall clock that is set back did the same to all members that ever started. Change: the state places a start when it is told first, and again only when another is told.

--- a/internal/state/catalogue.go
+++ b/internal/state/catalogue.go
@@ -128,16 +128,9 @@
 	}
 	l := List{Kind: logic.ListDelta}
 	for _, e := range changes {
-		x := Entry{Name: e.ID, Address: e.Address, Zone: e.Zone, Group: e.Group, Size: e.Weight, Started: e.Started}
+		x := Entry{Name: e.ID, Address: e.Address, Zone: e.Zone, Group: e.Group, Size: e.Weight, Started: e.Started, Begun: e.Begun}
 		x.State = [...]logic.MemberState{membership.Gone: logic.Gone, membership.Ready: logic.Ready, membership.Drains: logic.Draining}[e.State]
 		m := f.names[e.ID]
-		if e.Begun > 0 {
-			if m == nil || m.begun != e.Begun {
-				x.Started = max(x.Started, f.clock.Unix()-(f.clock.Now()-e.Begun))
-			} else { // placed once: two clocks are never read in one moment, and each later start would count as one more
-				x.Started = max(x.Started, m.started)
-			}
-		}
 		if m == nil || m.state != x.State {
 			slog.Info("member", "name", e.ID, "address", e.Address, "state", e.State.String(), "why", e.Why)
 		}
@@ -147,11 +140,6 @@
 		l.Entries = append(l.Entries, x)
 	}
 	f.take(l)
-	for _, e := range changes {
-		if m := f.names[e.ID]; m != nil {
-			m.begun = e.Begun
-		}
-	}
 	return true
 }
 
--- a/internal/state/catalogue_test.go
+++ b/internal/state/catalogue_test.go
@@ -61,10 +61,35 @@
 		t.Errorf("begun at %v, now is %v", first.Born, b.now)
 	}
 	b.pass(3 * time.Second)
-	f.Zone = "x"
-	tell(f)
-	if again, _ := b.listed("m"); again.Born != first.Born || again.Zone != 0 {
-		t.Errorf("%+v, before %+v", again, first)
+	for i, step := range []time.Duration{2 * time.Millisecond, -2 * time.Millisecond} { // wall clocks are set
+		f.Zone, b.step = [...]string{"x", "y"}[i], step
+		tell(f)
+		if again, _ := b.listed("m"); again.Born != first.Born || again.Zone != i {
+			t.Errorf("%+v, before %+v", again, first)
+		}
+	}
+}
+
+// So is one that the platform's list tells: the list may come again and again, by whatever clock.
+func TestAListedStartIsPlacedOnce(t *testing.T) {
+	b := newBench(t, 9)
+	tell := func(started time.Duration) logic.Member {
+		b.f.Listed(List{Kind: logic.ListFull, Entries: []Entry{{Name: "one", Address: "a:1", State: logic.Ready, Started: started}}})
+		e, _ := b.listed("one")
+		return e
+	}
+	at := b.Unix() - time.Second
+	first := tell(at)
+	if first.Born != b.now-time.Second {
+		t.Errorf("%+v", first)
+	}
+	for _, step := range []time.Duration{time.Microsecond, -time.Microsecond, -time.Second} {
+		if b.step = step; tell(at).Born != first.Born {
+			t.Errorf("a clock that was set by %v makes a start of it", step)
+		}
+	}
+	if tell(at+500*time.Millisecond).Born <= first.Born {
+		t.Error("a later start is one")
 	}
 }
 
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -23,6 +23,7 @@
 	State   logic.MemberState
 	Size    float64
 	Started time.Duration // Unix time; 0 = long ago
+	Begun   time.Duration // on the front's clock: a start that was seen, not told; 0 = none was
 }
 
 // member is one database with the connections to it.
@@ -33,8 +34,8 @@
 	group   int
 	zone    string
 	size    float64
-	started time.Duration // Unix time, as last listed
-	begun   time.Duration // what a membership took its start from, so that it is placed once
+	started time.Duration // Unix time, as last listed,
+	born    time.Duration // and on the router's clock
 	state   logic.MemberState
 	seen    bool // in the whole list in hand
 
@@ -71,7 +72,7 @@
 		m := f.member(e)
 		m.seen = true
 		out.Entries = append(out.Entries, logic.Member{ID: m.id, Zone: f.zone(e.Zone), Group: logic.GroupID(e.Group),
-			State: e.State, Size: e.Size, Born: place(f.clock, e.Started)})
+			State: e.State, Size: e.Size, Born: m.born})
 	}
 	if l.Kind != logic.ListDelta {
 		for _, m := range f.names {
@@ -104,7 +105,13 @@
 		f.names[e.Name], f.members[m.id] = m, m
 		slog.Info("database listed", "name", e.Name, "address", e.Address, "group", e.Group, "state", stateName(e.State))
 	}
-	m.group, m.zone, m.size, m.started = e.Group, e.Zone, e.Size, e.Started
+	m.group, m.zone, m.size = e.Group, e.Zone, e.Size
+	// A start is placed once. The two clocks are not read in one moment, and the wall clock is set now and then: placed anew with each
+	// list, it would come a little later, which is a start of its own to the router.
+	if m.started != e.Started {
+		m.started, m.born = e.Started, place(f.clock, e.Started)
+	}
+	m.born = max(m.born, e.Begun)
 	if m.address != e.Address && e.Address != "" {
 		m.address = e.Address
 		f.closeIdle(m) // they lead to where it was
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -13,6 +13,7 @@
 
 // bench is a front whose router is played by the test, with a clock and connections of the test's own.
 type bench struct {
+	step  time.Duration // by which the wall clock was set since
 	t     *testing.T
 	f     *Front
 	now   time.Duration
@@ -29,7 +30,7 @@
 }
 
 func (b *bench) Now() time.Duration  { return b.now }
-func (b *bench) Unix() time.Duration { return b.now + 1767225600*time.Second }
+func (b *bench) Unix() time.Duration { return b.now + b.step + 1767225600*time.Second }
 
 func (b *bench) note(format string, args ...any) {
 	if b.depth > 0 {
