--- a/internal/lab/verdict/verdict_test.go
+++ b/internal/lab/verdict/verdict_test.go
@@ -257,7 +257,7 @@
 			}
 			// Student's half: the bootstrap alone is never what convinces.
 			if c.SD > 0 {
-				if p := 2 * (distuv.StudentsT{Sigma: 1, Nu: float64(n - 1)}).Survival(math.Abs(c.Mean) / c.SD * math.Sqrt(float64(n))); c.P < p-1e-9 {
+				if p := 2 * (distuv.StudentsT{Sigma: 1, Nu: float64(n - 1)}).Survival(math.Abs(c.Mean)/c.SD*math.Sqrt(float64(n))); c.P < p-1e-9 {
 					t.Fatalf("p is %v, Student's is %v", c.P, p)
 				}
 			}
