Let proxies tell one another of silences and failures, and keep failing primaries in use

Change: a failure is told and counts at each peer as one of its own; a replica that fails is tried twice a second by all together; a word of silence is a reason to ping, not a verdict. A primary that fails often is used, and tried up to max_attempts, unless it is stuck. First pings are spread, and spared where a peer knows the member. What cold databases bear goes to the worthiest class while it runs short. Peers talk only where pings from all would take a tenth of a core of each database.

--- a/internal/limit/bench.go
+++ b/internal/limit/bench.go
@@ -16,6 +16,7 @@
 type Bench struct {
 	share float64 // of quick failures there, moving average
 	until time.Duration
+	rests time.Duration // where others can serve in its place: until then
 }
 
 // Note takes the end of an attempt at a database: x is 1 where it failed, 0 otherwise.
@@ -27,6 +28,20 @@
 	}
 }
 
+// Spread lets one of so many proxies that hear of each other's failures leave a failing database alone for longer: together they try it
+// about twice in benchFor, however little each sends. luck is from 0 to 1.
+func (f *Failures) Spread(now time.Duration, b *Bench, proxies int, luck float64) {
+	if f.More(b) && now >= b.rests {
+		b.rests = now + time.Duration(luck*float64(proxies)*float64(benchFor))
+	}
+}
+
+// Until tells when it will be tried again.
+func (b *Bench) Until() time.Duration { return b.rests }
+
+// Rests tells whether a database that others can stand in for is to be left alone.
+func (b *Bench) Rests(now time.Duration) bool { return now < b.rests }
+
 // More tells whether a database fails more than the others do.
 func (f *Failures) More(b *Bench) bool { return b.share > failLimit+2*f.share }
 
--- a/internal/limit/cold.go
+++ b/internal/limit/cold.go
@@ -24,3 +24,19 @@
 
 // Take notes work that is sent, in seconds.
 func (a *Account) Take(work float64) { a.bank -= work }
+
+// Priority keeps what little cold databases bear for the worthiest class while it runs short there (additive increase, multiplicative
+// decrease of what the others may have). The zero value admits all.
+type Priority struct{ held float64 } // part of the lesser classes that is kept off
+
+// Note takes whether a cold database could bear a request of the worthiest class.
+func (p *Priority) Note(borne bool) {
+	if borne {
+		p.held = max(p.held-0.02, 0)
+	} else {
+		p.held += (1 - p.held) * 0.1
+	}
+}
+
+// Admits tells whether a request may be sent to a cold database at all: merit is as Merit gives it, luck from 0 to 1.
+func (p *Priority) Admits(merit, luck float64) bool { return merit >= 1 || luck >= p.held }
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -84,3 +84,23 @@
 		}
 	})
 }
+
+// What cold databases bear goes to the worthiest class while that is turned away there, and to all again when it isn't.
+func TestPriorityFollowsWhatRunsShort(t *testing.T) {
+	var p Priority
+	if !p.Admits(0.5, 0) {
+		t.Fatal("the lesser classes are kept off before anything runs short")
+	}
+	for range 40 {
+		p.Note(false)
+	}
+	if p.Admits(0.5, 0.9) || !p.Admits(1, 0) {
+		t.Fatalf("%+v", p)
+	}
+	for range 60 {
+		p.Note(true)
+	}
+	if !p.Admits(0.5, 0) {
+		t.Fatalf("%+v", p)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -20,10 +20,21 @@
 	Replica
 )
 
+// Ails is how a database fared when it was last tried.
+type Ails uint8
+
+// The ways in which it may fare. What a peer tells of one that ails is a reason to look, not a verdict.
+const (
+	Well    Ails = iota
+	Failing      // it has answered a request with an error, or broken its connection
+	Silent       // it owes answers and gives none, pings neither
+)
+
 // Fact is what was seen of a database. Times are on the proxy's own clock.
 type Fact struct {
 	Database uint32 // short for the database's number: see Short
 	Role     Role
+	Ails     Ails
 	At       time.Duration // when it was so
 	Position time.Duration // all commits up to then are applied; 0 = not told
 }
@@ -58,6 +69,7 @@
 	seen  Fact // by this proxy, the newest
 	told  Fact // the newest that all have heard, from whomever
 	waits bool // it is in pending
+	fresh bool // it has failed since it was last told of
 }
 
 // New makes one that knows no database.
@@ -102,9 +114,10 @@
 // Saw notes what this proxy has seen itself.
 func (g *Gossip) Saw(now time.Duration, id uint64, role Role, at, position time.Duration) {
 	k := g.known[id]
-	if k == nil || g.short[Short(id)] != k || role == Unknown && position == 0 {
+	if k == nil || g.short[Short(id)] != k {
 		return
 	}
+	k.seen.Ails = Well
 	if at >= k.seen.At {
 		k.seen.At = at
 		if role != Unknown {
@@ -112,6 +125,22 @@
 		}
 	}
 	k.seen.Position = max(k.seen.Position, position)
+	g.queue(now, k)
+}
+
+// Ailing notes that a database has failed just now. Each failure is told, a silence once: how many fail is what tells a database that
+// fails now and then from one that must be left alone.
+func (g *Gossip) Ailing(now time.Duration, id uint64, how Ails) {
+	k := g.known[id]
+	if k == nil || g.short[Short(id)] != k || how == Silent && k.told.Ails == Silent && now-k.told.At < tooOld {
+		return
+	}
+	k.seen.Ails, k.seen.At, k.fresh = how, now, true
+	g.queue(now, k)
+}
+
+// queue lets news wait for this proxy's turn.
+func (g *Gossip) queue(now time.Duration, k *known) {
 	if !k.waits && g.news(k) {
 		if len(g.pending) == 0 { // the turn comes at a time of this proxy's own
 			g.turn = max(g.turn, now+time.Duration(g.cfg.Phase*float64(g.cfg.Fresh)/2))
@@ -124,6 +153,9 @@
 // news tells whether the others are to hear what this proxy knows of a database.
 func (g *Gossip) news(k *known) bool {
 	s, t := &k.seen, &k.told
+	if k.fresh || t.At == 0 && s.At > 0 { // that it answers is news as long as nobody has told
+		return true
+	}
 	if s.Role != Unknown && s.At > t.At && (s.Role != t.Role || s.At-t.At >= rolesEvery) {
 		return true
 	}
@@ -146,7 +178,7 @@
 		if g.news(k) && now-k.seen.At < tooOld && g.known[k.id] == k {
 			f := k.seen
 			f.Database = Short(k.id)
-			k.told = f
+			k.told, k.fresh = f, false
 			g.out = append(g.out, f)
 		}
 	}
@@ -162,7 +194,7 @@
 // it is of no use: unknown here, from a clock ahead, too old, or claiming data fresher than the moment at which they were seen.
 func (g *Gossip) Believe(now time.Duration, f Fact) (id uint64, used Fact, ok bool) {
 	k := g.short[f.Database]
-	if k == nil || f.At > now+skew || now-f.At > tooOld || f.Position > f.At || f.Role > Replica || f.At <= 0 {
+	if k == nil || f.At > now+skew || now-f.At > tooOld || f.Position > f.At || f.Role > Replica || f.Ails > Silent || f.At <= 0 {
 		return 0, f, false
 	}
 	f.At = min(f.At, now)
@@ -171,7 +203,7 @@
 		k.told.Position = f.Position
 	}
 	if f.At > k.told.At {
-		k.told.At, k.told.Role = f.At, f.Role
+		k.told.At, k.told.Role, k.told.Ails = f.At, f.Role, f.Ails
 	}
 	return k.id, f, true
 }
--- a/internal/ping/ping.go
+++ b/internal/ping/ping.go
@@ -2,7 +2,10 @@
 // traffic is too thin for that; out of turn where answers are owed, or a primary is looked for. It is pure.
 package ping
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	every     = time.Second // steady period
@@ -42,8 +45,8 @@
 	return every
 }
 
-// Many tells of proxies in such number that pings at that period could come to too many.
-func (s *Schedule) Many() bool { return float64(s.Proxies)/s.Shortest().Seconds() > thinAll }
+// Many tells of proxies in such number that pings at that period would take much of a database, a tenth of a core.
+func (s *Schedule) Many() bool { return float64(s.Proxies)/s.Shortest().Seconds() > 10*thinAll }
 
 // Period is how old a replica's position may get.
 func (s *Schedule) Period(now time.Duration) time.Duration {
@@ -62,6 +65,8 @@
 // Member is what there is to know of one.
 type Member struct {
 	Probed   time.Duration // the last ping; 0 = never
+	First    time.Duration // when it is to be pinged first, unless it is known by then
+	Known    bool          // its role or position, by a peer
 	Placed   time.Duration // the last news of its position
 	Owes     bool          // answers, for longer than they usually take
 	Silent   bool
@@ -79,6 +84,9 @@
 	if m.Primary {
 		period = every
 	}
+	if m.Probed == 0 && m.Search == 0 && (m.Known || now < m.First) {
+		return false, max(m.First, now+Rest)
+	}
 	if m.Probed == 0 || m.Search > 0 && since >= m.Search && !m.Silent {
 		return true, 0
 	}
@@ -95,3 +103,18 @@
 	}
 	return false, min(now+Rest, m.Probed+steady, max(m.Probed, m.Placed)+period)
 }
+
+// Nearest keeps those of a list whose ping is within a window of the quickest. Where some have never been pinged and others have, they
+// are kept only if unknown is set: where peers' words spare most pings, the first answer tells soon enough.
+func Nearest[M any](list []M, window time.Duration, unknown bool, ping func(M) time.Duration) []M {
+	quickest := time.Duration(-1)
+	for _, m := range list {
+		if p := ping(m); p > 0 && (quickest < 0 || p < quickest) {
+			quickest = p
+		}
+	}
+	return slices.DeleteFunc(list, func(m M) bool {
+		p := ping(m)
+		return quickest >= 0 && (p == 0 && !unknown || p > quickest+window)
+	})
+}
--- a/internal/wire/peers/peers.go
+++ b/internal/wire/peers/peers.go
@@ -4,7 +4,7 @@
 //	1..4   the moment of the message: Unix time in milliseconds, its lowest 32 bits
 //	then 8 bytes for each fact:
 //	0..3   the database's short number
-//	4..5   the role in the two highest bits; below, how many milliseconds before that moment it was so
+//	4..5   the role in the two highest bits, how it fares in the next two; below, how many milliseconds before that moment it was so
 //	6..7   how many milliseconds before it the position lies; 65535 = not told
 //
 // All is rounded into the past. A message of another version, or of a length that doesn't fit, is an error as a whole.
@@ -27,7 +27,7 @@
 	version    = 1
 	head, size = 5, 8
 	noPosition = 0xffff
-	maxAge     = 1<<14 - 1
+	maxAge     = 1<<12 - 1
 )
 
 // Append writes a message. shared is the moment on the clock that all read, now the same on the proxy's own; facts that lie too far
@@ -45,7 +45,7 @@
 			continue
 		}
 		dst = binary.LittleEndian.AppendUint32(dst, f.Database)
-		dst = binary.LittleEndian.AppendUint16(dst, uint16(f.Role)<<14|uint16(age))
+		dst = binary.LittleEndian.AppendUint16(dst, uint16(f.Role)<<14|uint16(f.Ails)<<12|uint16(age))
 		dst = binary.LittleEndian.AppendUint16(dst, uint16(lag))
 	}
 	if len(dst) == start+head {
@@ -73,7 +73,7 @@
 	moment += time.Duration(int32(binary.LittleEndian.Uint32(buf[1:])-uint32(here))) * time.Millisecond
 	for b := buf[head:]; len(b) > 0; b = b[size:] {
 		age, lag := binary.LittleEndian.Uint16(b[4:]), binary.LittleEndian.Uint16(b[6:])
-		f := peers.Fact{Database: binary.LittleEndian.Uint32(b), Role: peers.Role(age >> 14),
+		f := peers.Fact{Database: binary.LittleEndian.Uint32(b), Role: peers.Role(age >> 14), Ails: peers.Ails(age >> 12 & 3),
 			At: moment - time.Duration(age&maxAge)*time.Millisecond}
 		if lag != noPosition {
 			f.Position = moment - time.Duration(lag)*time.Millisecond
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -113,7 +113,8 @@
 	known := m != nil
 	if !known {
 		g := r.groupOf(e.Group)
-		m = &member{group: g, Limit: limit.New(r.cfg.Fronts, r.cfg.Tuning.FirstLimit), account: limit.NewAccount()}
+		m = &member{group: g, Limit: limit.New(r.cfg.Fronts, r.cfg.Tuning.FirstLimit), account: limit.NewAccount(),
+			firstAt: r.firstPing(now)}
 		m.seat = g.lead.Join(uint64(e.ID))
 		r.members[e.ID] = m
 		r.order = append(r.order, m)
@@ -217,6 +218,7 @@
 		return
 	}
 	m.group.lead.Silent(now, m.seat)
+	r.peers.Ailing(now, uint64(m.ID), peers.Silent)
 	r.follow(now, m.group)
 	r.hedge(now, m)
 }
@@ -228,7 +230,7 @@
 	for _, a := range m.out { // a copy may be added at its end meanwhile, nothing is removed
 		q, age := a.req, now-a.sentAt
 		if !a.overdue && age > max(2*r.slow[q.Class], q.class.Aim) {
-			a.overdue = true
+			a.overdue, m.stuck = true, true
 			r.failures.Note(now, &m.bench, 1)
 			if m.Strain < limit.High && !m.seat.Silent {
 				r.missing += missWeight * (1 - r.missing)
@@ -266,8 +268,9 @@
 	if m.State != Ready || m.seat.Silent {
 		return false
 	}
-	if r.failures.More(&m.bench) { // one trial at a time
-		return m.bench.Trial(now) && len(m.out) == 0
+	if r.failures.More(&m.bench) { // one trial at a time; a primary that fails often is all there is
+		trial := m.bench.Trial(now) && len(m.out) == 0
+		return trial && !m.bench.Rests(now) || m.role() == RolePrimary && (trial || !m.stuck)
 	}
 	return true
 }
@@ -301,7 +304,7 @@
 			r.inquire(now, q, len(q.group.members), func(*member) bool { return true })
 			return nil, hintNoPrimary
 		}
-		if p.Filled(now, len(p.out), part, r.luck) || !r.bears(now, p) {
+		if p.Filled(now, len(p.out), part, r.luck) || !r.bears(now, p, 1) {
 			return nil, hintCrowded
 		}
 		return p, 0
@@ -321,10 +324,16 @@
 	if m := r.pick(now, q, part, func(m *member) bool { return q.qualifies(m, now) }); m != nil {
 		return m, 0
 	}
-	if r.inquire(now, q, 1, func(m *member) bool { return r.eligible(now, q, m) || m == p && q.asked > 0 }) {
+	if r.inquire(now, q, 1, func(m *member) bool { // a ping makes no room, where peers tell the rest
+		if !r.peers.On() {
+			return r.eligible(now, q, m) || m == p && q.asked > 0
+		}
+		return r.eligible(now, q, m) && !q.qualifies(m, now) && !r.crowded(now, m, part)
+	}) {
 		return nil, hintCrowded
 	}
-	if p != nil && r.usable(p, now) && !q.tried(p) && !r.crowded(now, p, spillPart*part) && r.bears(now, p) {
+	if p != nil && r.usable(p, now) && !q.tried(p) && !r.crowded(now, p, spillPart*part) &&
+		r.bears(now, p, part) {
 		return p, 0
 	}
 	// Where members check for themselves, a send can't go stale: one that is too far behind turns it away.
@@ -352,7 +361,7 @@
 	near = r.nearest(near)
 	for len(near) > 0 {
 		m := near[r.rng.IntN(len(near))]
-		if r.bears(now, m) {
+		if r.bears(now, m, part) {
 			return m
 		}
 		near = slices.DeleteFunc(near, func(x *member) bool { return x == m })
@@ -401,21 +410,10 @@
 	return r.pings.Thin(now, len(g.members), r.rateOf(now, g))
 }
 
-func (r *Router) rateOf(now time.Duration, g *group) float64 {
-	return g.rate.at(now, thinSpan) / min(thinSpan, now-r.startAt+time.Second).Seconds()
-}
-
 // nearest keeps those within the ping window of the quickest.
 func (r *Router) nearest(list []*member) []*member {
-	quickest := time.Duration(-1)
-	for _, m := range list {
-		if m.ping > 0 && (quickest < 0 || m.ping < quickest) {
-			quickest = m.ping
-		}
-	}
-	return slices.DeleteFunc(list, func(m *member) bool {
-		return quickest >= 0 && (m.ping == 0 || m.ping > quickest+r.cfg.Tuning.PingWindow)
-	})
+	pingOf := func(m *member) time.Duration { return m.ping }
+	return ping.Nearest(list, r.cfg.Tuning.PingWindow, r.peers.On(), pingOf)
 }
 
 // long tells of reads that may stall applying: spread at random they push each replica out of the filter.
@@ -469,17 +467,6 @@
 	}
 }
 
-// tokenOf gives the commit that a session read must see; if unknown here, the newest one forgotten.
-func (r *Router) tokenOf(now time.Duration, in *Request) time.Duration {
-	if r.cfg.Carried {
-		if in.TokenAge > 0 {
-			return now - in.TokenAge
-		}
-		return 0
-	}
-	return r.commits.of(in.Session)
-}
-
 func (r *Router) start(now time.Duration, q *request) {
 	if ok, hint := r.route(now, q); !ok && !q.held && !q.open() {
 		r.giveUp(now, q, hint, q.group.lead.Holds())
@@ -669,7 +656,7 @@
 	a := q.tries[o.Attempt]
 	a.open = false
 	a.to.out = slices.DeleteFunc(a.to.out, func(x *attempt) bool { return x == a })
-	a.ran = !o.Result.NeverRan()
+	a.ran, q.result = !o.Result.NeverRan(), o.Result
 	q.ran = q.ran || a.ran
 	r.note(now, a, o)
 	if o.Finished && !q.done {
@@ -694,7 +681,11 @@
 
 // mayRepeat bounds further attempts: few a request, few of all traffic (not to feed an overload), in time.
 func (r *Router) mayRepeat(now time.Duration, q *request) bool {
-	return !q.done && len(q.tries) < readTries && q.repeats() && r.retries >= 1 &&
+	most := readTries
+	if q.class.primaryMode() && q.result == Failed { // there is no other; one that fails often serves some
+		most = cmp.Or(r.cfg.MaxAttempts, readTries)
+	}
+	return !q.done && len(q.tries) < most && q.repeats() && r.retries >= 1 &&
 		now+r.cost[q.Class] < q.Deadline
 }
 
@@ -704,6 +695,7 @@
 	switch o.Result {
 	case OK, Miss, Failed, Full:
 		r.heard(m, now)
+		m.stuck = false
 		role, position := o.Role, o.Position
 		if q.class.Read == Write && o.Result == Miss && role == RoleUnknown {
 			role = RoleReplica
@@ -738,7 +730,7 @@
 			r.strain(now, m, q.class.Aim, limit.Late)
 		}
 	case Failed, Full, ConnectFailed, Reset:
-		if r.failures.Note(now, &m.bench, 1); o.Result == Full {
+		if r.failed(now, m); o.Result == Full {
 			r.strain(now, m, q.class.Aim, limit.Late)
 		}
 		if o.Result == ConnectFailed {
@@ -765,15 +757,21 @@
 // bears keeps a started member from being pushed over: its account of work fills with its warmth's part of
 // what this front has for each member of the group, times half the multiple that the rule allows. It starts
 // in a random debt and is never above zero, so that the sum of all fronts is bounded.
-func (r *Router) bears(now time.Duration, m *member) bool {
+func (r *Router) bears(now time.Duration, m *member, merit float64) bool {
 	from, sure := m.seat.Cold(now, r.cfg.Cold)
 	if sure == 0 {
 		return true
+	} else if r.peers.On() && !r.priority.Admits(merit, r.luck) {
+		return false
 	}
 	most := fallPart + (fallDoubt-fallPart)*(1-sure)
 	part := r.warmthSince(now, from) * max(r.cfg.FallMultiple*most, 1) / float64(len(m.group.members))
 	debt := func() float64 { return r.rng.Float64() * m.group.work }
-	return m.account.Bears(now, from, debt, part*r.rateOf(now, m.group)*m.group.work)
+	ok := m.account.Bears(now, from, debt, part*r.rateOf(now, m.group)*m.group.work)
+	if merit >= 1 && m.role() != RolePrimary {
+		r.priority.Note(ok)
+	}
+	return ok
 }
 
 // ---- Probing, silence and discovery ----
@@ -855,11 +853,11 @@
 		r.lost(m, now)
 	}
 	r.hedge(now, m)
-	// Where most answers take long anyway, a ping for each that is owed would cost more than it saves.
 	owes := len(m.out) > 0 && !m.seat.Silent &&
-		now-max(m.heardAt, m.out[0].sentAt, m.probedAt) > max(ping.Quiet, r.slow[m.out[0].req.Class]/2)
+		now-max(m.heardAt, m.out[0].sentAt, m.probedAt) > r.patience(m, m.out[0])
 	g, due := m.group, false
 	due, m.restsTill = r.pings.Due(now, &ping.Member{Probed: m.probedAt, Placed: m.placedAt, Owes: owes,
+		First: m.firstAt, Known: m.toldAt > 0,
 		Silent: m.seat.Silent, Primary: m.role() == RolePrimary, Headless: g.primary == nil, Asked: g.rate.last,
 		Search: g.lead.Searching(now, r.cfg.Fronts), Members: len(g.members), Rate: r.rateOf(now, g)})
 	if due {
@@ -915,7 +913,7 @@
 		return false
 	}
 	return len(g.members) == 0 || slices.ContainsFunc(g.members, func(m *member) bool {
-		return m.State == Ready && m.heardAt == 0 && !m.seat.Silent
+		return m.State == Ready && m.heardAt == 0 && m.toldAt == 0 && !m.seat.Silent
 	})
 }
 
--- a/logic/peers.go
+++ b/logic/peers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"havenproxy/internal/peers"
+	"havenproxy/internal/ping"
 )
 
 // What passes between a router and its peers. What is told, and what is believed, is internal/peers' to decide.
@@ -23,7 +24,7 @@
 	r.begin(now)
 	for _, f := range facts {
 		if id, f, ok := r.peers.Believe(now, f); ok {
-			r.believe(r.members[MemberID(id)], Role(f.Role), f.Position, f.At, now)
+			r.heardOf(now, r.members[MemberID(id)], f)
 		}
 	}
 	if len(r.held) > 0 {
@@ -31,6 +32,59 @@
 	}
 }
 
+// heardOf takes one fact. A silence is a reason to ping, and a failure counts as one of this front's own; neither is a verdict.
+func (r *Router) heardOf(now time.Duration, m *member, f peers.Fact) {
+	if f.Ails != peers.Well { // a role from before, told with the time of a failure, would outlive a change of primary
+		f.Role = peers.Unknown
+	}
+	r.believe(m, Role(f.Role), f.Position, f.At, now)
+	switch {
+	case f.Ails == peers.Silent:
+		if m.heardAt < f.At && !m.seat.Silent && now-m.probedAt >= wordEvery {
+			r.probe(now, m)
+		}
+		return
+	case f.Ails == peers.Failing:
+		r.failures.Note(now, &m.bench, 1)
+		r.failures.Spread(now, &m.bench, r.cfg.Fronts, r.rng.Float64())
+	default:
+		r.failures.Note(now, &m.bench, 0)
+	}
+	m.toldAt = max(m.toldAt, f.At)
+}
+
+// failed counts a quick failure that this front has seen, and lets its peers know.
+func (r *Router) failed(now time.Duration, m *member) {
+	r.failures.Note(now, &m.bench, 1)
+	if r.peers.On() {
+		r.failures.Spread(now, &m.bench, r.cfg.Fronts, r.rng.Float64())
+		r.peers.Ailing(now, uint64(m.ID), peers.Failing)
+	}
+}
+
+// firstPing gives when a member just listed is pinged first: at once, or, where peers talk, spread over the time that a fresh front may
+// wait, for what the first of them learn spares the others theirs.
+func (r *Router) firstPing(now time.Duration) time.Duration {
+	if !r.peers.On() {
+		return now
+	}
+	return now + time.Duration(r.rng.Float64()*float64(freshHold))
+}
+
+// patience gives how long an attempt may go without a sign of life before its member is pinged. Where most answers take long anyway, a
+// ping for each that is owed would cost more than it saves; where a peer has had an answer since, it is this front's way that is
+// doubted, which is rare.
+func (r *Router) patience(m *member, a *attempt) time.Duration {
+	wait := max(ping.Quiet, r.slow[a.req.Class]/2)
+	if m.toldAt > a.sentAt {
+		wait *= 3
+	}
+	return wait
+}
+
+// wordEvery is how often a member is pinged on a peer's word that it is silent, at most: one that is cut off says so of all.
+const wordEvery = 2 * time.Second
+
 // tell hands out what the others are to hear by now.
 func (r *Router) tell(now time.Duration) {
 	if facts := r.peers.Due(now); len(facts) > 0 {
--- /dev/null
+++ b/logic/peers_test.go
@@ -0,0 +1,93 @@
+package logic
+
+import (
+	"testing"
+	"time"
+
+	"havenproxy/internal/peers"
+)
+
+func talkers() Config {
+	cfg := manyFronts()
+	cfg.PeerFacts = 31
+	return cfg
+}
+
+// word is a peer's fact of a member.
+func (f *front) word(id MemberID, role peers.Role, ails peers.Ails, lag time.Duration) {
+	f.r.Heard(f.now, []peers.Fact{{Database: peers.Short(uint64(id)), Role: role, Ails: ails, At: f.now, Position: f.now - lag}})
+}
+
+// Each of 80 proxies held nearly every bounded read for a ping of its own, 1.3 pings a request.
+func TestAPeersWordSparesThePing(t *testing.T) {
+	f := settled(t, talkers(), 4)
+	f.pass(400 * ms)
+	f.now += 5 * time.Second
+	f.probes = nil
+	for id := MemberID(2); id <= 4; id++ {
+		f.word(id, peers.Replica, peers.Well, 60*ms)
+	}
+	if s := f.mustSend(f.request(clsBounded, 1)); s.to == 1 || len(f.probes) > 0 {
+		t.Fatalf("sent to %d, %d pings, though a peer has told of recent replicas", s.to, len(f.probes))
+	}
+}
+
+// A member that a peer finds silent is pinged at once, and used until its own ping says so: the peer may be the one that is cut off.
+func TestAPeersWordOfSilenceIsAReasonToPing(t *testing.T) {
+	f := settled(t, talkers(), 4)
+	f.pass(400 * ms)
+	f.now += 5 * time.Second
+	f.probes = nil
+	f.word(2, peers.Unknown, peers.Silent, 0)
+	f.word(2, peers.Unknown, peers.Silent, 0)
+	if len(f.probes) != 1 || f.probes[0] != 2 || f.r.members[2].seat.Silent {
+		t.Fatalf("pings %v, silent %v", f.probes, f.r.members[2].seat.Silent)
+	}
+	f.word(1, peers.Replica, peers.Silent, 0) // a role from before that failure
+	if f.r.members[1].role() != RolePrimary {
+		t.Error("a word of silence has changed a role")
+	}
+}
+
+// Failures are counted with those that peers tell, and a replica that fails is tried by few of them: each by itself takes two or three
+// failures to see it, and tries it once a second, which with thin traffic is always.
+func TestFailuresThatPeersTellCount(t *testing.T) {
+	f := settled(t, talkers(), 4)
+	f.pass(400 * ms)
+	for range 6 {
+		f.word(2, peers.Replica, peers.Failing, 60*ms)
+	}
+	m := f.r.members[2]
+	if f.r.usable(m, f.now) {
+		t.Fatal("a replica that fails at every peer is used")
+	}
+	f.now += 1100 * ms
+	if f.r.usable(m, f.now) != (f.now >= f.r.members[2].bench.Until()) {
+		t.Error("it is tried once a second by each")
+	}
+	for range 6 {
+		f.word(1, peers.Primary, peers.Failing, 0)
+	}
+	if !f.r.usable(f.r.members[1], f.now) {
+		t.Error("a primary that fails often is all there is, and is not used")
+	}
+}
+
+// A member that has not been heard of is pinged within the time that a fresh front waits, one that a peer knows is not.
+func TestFirstPingsAreSpread(t *testing.T) {
+	cfg := talkers()
+	f := newFront(t, cfg)
+	f.list(ListFull, 6)
+	f.r.Timer(f.now, tickTimer)
+	if len(f.probes) == 6 {
+		t.Fatal("all are pinged at once")
+	}
+	f.word(6, peers.Replica, peers.Well, 60*ms)
+	spared := f.r.members[6].probedAt == 0
+	f.pass(400 * ms)
+	for id := MemberID(1); id <= 6; id++ {
+		if m := f.r.members[id]; (m.probedAt > 0) == (id == 6 && spared) {
+			t.Errorf("member %d: pinged at %v", id, m.probedAt)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -47,9 +47,10 @@
 	failures limit.Failures  // quick ones, at all members
 	retries  float64         // further attempts that may still be made
 
-	calls limit.Calls // of the list
-	pings ping.Schedule
-	peers *peers.Gossip // what the other proxies have seen
+	calls    limit.Calls // of the list
+	pings    ping.Schedule
+	priority limit.Priority // among classes, at cold members
+	peers    *peers.Gossip  // what the other proxies have seen
 }
 
 // member is this front's view of one process.
@@ -64,6 +65,9 @@
 	probing   bool
 	probedAt  time.Duration // the last probe sent
 	heardAt   time.Duration // the last sign of life
+	stuck     bool          // it has an attempt overdue, and has answered none since
+	toldAt    time.Duration // when a peer last had an answer from it, as told
+	firstAt   time.Duration // when it is to be pinged first
 	placedAt  time.Duration // the last news of its position
 	restsTill time.Duration // it need not be looked at before, unless something happens
 	awake     bool          // it is in the list of those that are looked at each time
@@ -93,16 +97,17 @@
 
 type request struct {
 	Request
-	class *Class
-	group *group
-	token time.Duration // session reads: the commit that must be covered
-	tries []*attempt
-	ran   bool          // some attempt may have run
-	at    time.Duration // when it came
-	done  bool
-	over  bool // beyond its tenant's share
-	held  bool // it waits for pings
-	waits bool // it waits for a primary
+	class  *Class
+	group  *group
+	token  time.Duration // session reads: the commit that must be covered
+	tries  []*attempt
+	ran    bool          // some attempt may have run
+	result Result        // how the last attempt ended
+	at     time.Duration // when it came
+	done   bool
+	over   bool // beyond its tenant's share
+	held   bool // it waits for pings
+	waits  bool // it waits for a primary
 
 	asked   int           // how many rounds of pings were sent for it
 	askedAt time.Duration // the last
@@ -245,3 +250,19 @@
 func (q *request) open() bool {
 	return slices.ContainsFunc(q.tries, func(a *attempt) bool { return a.open })
 }
+
+// rateOf gives how many requests a second come to a group, by this front.
+func (r *Router) rateOf(now time.Duration, g *group) float64 {
+	return g.rate.at(now, thinSpan) / min(thinSpan, now-r.startAt+time.Second).Seconds()
+}
+
+// tokenOf gives the commit that a session read must see; if unknown here, the newest one forgotten.
+func (r *Router) tokenOf(now time.Duration, in *Request) time.Duration {
+	if r.cfg.Carried {
+		if in.TokenAge > 0 {
+			return now - in.TokenAge
+		}
+		return 0
+	}
+	return r.commits.of(in.Session)
+}
