Add the second address, sending clients away, an inherited socket, and classes retuned live

A new version takes clients from the inherited socket once it can serve (list told, 0.4 s of pings); the old one leaves the socket without shutting it down, for that would end it for both, and lets each client go behind its next answer. Sending clients away (Server.Away): the empty query is refused, connections end behind their answers, idle ones after 0.5 s. Retuning keeps indices (logic.Retune): a class that changes is a new one, and open requests hold the old; building a second router was turned down, for it would forget members, positions and the accounts of cold ones. A configuration at SIGHUP has to have every key that the one at the start had (settings.Whole). Peers' sockets are shared by SO_REUSEPORT while two versions run.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -244,7 +244,7 @@
 	if held { // queries may wait in the buffer for room
 		c.s.loop.Post(c.parse)
 	}
-	if c.s.draining && len(c.slots) == 0 {
+	if c.s.leaving() && len(c.slots) == 0 {
 		c.s.loop.Post(c.closeIdle)
 	}
 	c.settle()
--- a/internal/net/peers.go
+++ b/internal/net/peers.go
@@ -1,12 +1,14 @@
 package net
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	stdnet "net"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"havenproxy/internal/state"
@@ -27,6 +29,7 @@
 }
 
 const (
+	reusePort   = 15                    // SO_REUSEPORT, which package syscall doesn't name here
 	mostWaiting = 1024                  // beyond these, datagrams are lost, as they may be anywhere: a flood must not fill the memory
 	peerPause   = 10 * time.Millisecond // behind an error, so that a socket that fails all the time doesn't take the core
 )
@@ -49,9 +52,15 @@
 		}
 		p.known[peer] = true
 	}
-	if p.conn, err = stdnet.ListenUDP("udp4", stdnet.UDPAddrFromAddrPort(at)); err != nil {
+	// A new version of the program listens beside the one that it replaces: each hears a part.
+	lc := stdnet.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1) })
+	}}
+	conn, err := lc.ListenPacket(context.Background(), "udp4", at.String())
+	if err != nil {
 		return nil, err
 	}
+	p.conn = conn.(*stdnet.UDPConn)
 	go p.read()
 	return p, nil
 }
--- a/internal/net/postgres_client.go
+++ b/internal/net/postgres_client.go
@@ -70,7 +70,11 @@
 	sl := &slot{c: c}
 	if strings.Trim(text, " \t\r\n;") == "" {
 		c.slots = append(c.slots, sl)
-		sl.give(pg.AppendEmpty(nil))
+		if c.s.away {
+			sl.give(pg.AppendRefused(nil, 0))
+		} else {
+			sl.give(pg.AppendEmpty(nil))
+		}
 		return nil
 	}
 	if c.admin {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -3,8 +3,10 @@
 import (
 	"container/list"
 	"context"
+	"fmt"
 	"log/slog"
 	stdnet "net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -54,6 +56,8 @@
 	easing      state.Deadline
 	crowdedAt   time.Duration // when it was last told that there are too many
 	draining    bool
+	away        bool // operators send clients away
+	sweeping    state.Deadline
 	console     bool // clients on loopback may use it
 }
 
@@ -81,39 +85,35 @@
 	if err != nil {
 		return err
 	}
-	converted, err := netpoll.ConvertListener(ln)
-	if err != nil {
-		return err
+	return s.serve(ln, speaks, nil)
+}
+
+// Inherit serves PostgreSQL's clients on a socket that listens already, and that other processes may hold too.
+func (s *Server) Inherit(fd int) error {
+	file := os.NewFile(uintptr(fd), "clients")
+	if file == nil {
+		return fmt.Errorf("descriptor %d is none", fd)
 	}
-	l := &listener{Listener: converted, most: int64(s.maxClients + s.maxExcess), open: &s.open}
-	l.full = func() {
-		s.loop.Post(func() {
-			l.asking.Store(false)
-			s.makeRoom()
-		})
+	ln, err := stdnet.FileListener(file) // on a descriptor of its own; the inherited one stays open for those started later
+	if err != nil {
+		return fmt.Errorf("descriptor %d: %w", fd, err)
 	}
-	events, err := netpoll.NewEventLoop(
-		func(ctx context.Context, _ netpoll.Connection) error {
-			ctx.Value(clientKey{}).(*client).readable()
-			return nil
-		},
-		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
-			conn.AddCloseCallback(func(netpoll.Connection) error { s.open.Add(-1); return nil })
-			return context.Background()
-		}),
-		netpoll.WithOnConnect(func(ctx context.Context, conn netpoll.Connection) context.Context {
-			return s.accept(ctx, conn, speaks())
-		}),
-		netpoll.WithWriteTimeout(writePatience),
-		netpoll.WithIdleTimeout(keepAlive))
+	syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+	syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	return s.serve(ln, func() speaker { return postgres{} }, &heldSocket{file})
+}
+
+// heldSocket keeps an inherited descriptor open, which would be closed with its file's last use.
+type heldSocket struct{ file *os.File }
+
+func (s *Server) serve(ln stdnet.Listener, speaks func() speaker, held *heldSocket) error {
+	full := func() { s.loop.Post(s.makeRoom) }
+	l, err := serve(ln, int64(s.maxClients+s.maxExcess), &s.open, full, func(ctx context.Context, conn netpoll.Connection) context.Context {
+		return s.accept(ctx, conn, speaks())
+	}, held)
 	if err != nil {
 		return err
 	}
-	go func() { // Serve blocks until the listener ends
-		if err := events.Serve(l); err != nil && !l.ended.Load() {
-			slog.Error("listener ended", "error", err)
-		}
-	}()
 	s.listeners = append(s.listeners, l)
 	return nil
 }
@@ -128,14 +128,20 @@
 	most  int64         // connections that may be open
 	open  *atomic.Int64 // of all listeners together
 
-	full   func() // lets the loop make room
-	asking atomic.Bool
+	full  func() // lets the loop make room
+	asked atomic.Int64
+	held  *heldSocket // where others share it
 }
 
+const askEvery = 2 // milliseconds: of a burst of hundreds not each asks for room
+
 // Accept implements netpoll.Listener. The poller still asks once when the socket has been shut down. It accepts
 // ahead of the loop: of a burst of hundreds, those that there are no descriptors for are closed here.
 func (l *listener) Accept() (stdnet.Conn, error) {
 	if l.ended.Load() {
+		if l.held != nil {
+			return nil, errLeft
+		}
 		return nil, nil
 	}
 	conn, err := l.Listener.Accept()
@@ -145,7 +151,7 @@
 	if l.open.Add(1) > l.most {
 		l.open.Add(-1)
 		conn.Close()
-		if !l.asking.Swap(true) { // who is closed here can't make room by coming
+		if now := time.Now().UnixMilli(); now-l.asked.Swap(now) >= askEvery { // who is closed here can't make room by coming
 			l.full()
 		}
 		return nil, nil
@@ -154,7 +160,9 @@
 }
 
 func (l *listener) end() {
-	l.ended.Store(true)
+	if l.ended.Store(true); l.held != nil {
+		return // it listens on, for others
+	}
 	syscall.Shutdown(l.Fd(), syscall.SHUT_RD)
 }
 
@@ -235,6 +243,54 @@
 	c.hangUp()
 }
 
+const (
+	awayAfter = 500 * time.Millisecond // clients still come for 0.2 s behind the first no
+	awayIdle  = 300 * time.Millisecond // who has asked nothing for so long is not about to
+	awayStep  = 100 * time.Millisecond
+)
+
+// Away sends clients away, or takes them again: the empty query, by which those that deal out clients ask, has no for an answer, each
+// connection ends behind its next answer, and those that are idle end a little later. Requests go on being served all the while.
+func (s *Server) Away(on bool) {
+	if s.away == on {
+		return
+	}
+	if s.away = on; !on {
+		s.deadlines.Clear(&s.sweeping)
+		return
+	}
+	s.deadlines.Set(&s.sweeping, s.clock.Now()+awayAfter, s.sweep)
+}
+
+// sweep closes clients that are owed nothing.
+func (s *Server) sweep() {
+	now := s.clock.Now()
+	for c := range s.clients {
+		if c.list != nil && now-c.since >= awayIdle {
+			c.closeIdle()
+		}
+	}
+	s.deadlines.Set(&s.sweeping, now+awayStep, s.sweep)
+}
+
+// leaving tells that a connection ends behind its next answer.
+func (s *Server) leaving() bool { return s.draining || s.away }
+
+// Leave ends accepting on sockets that others share, and lets each client go behind its next answer: what comes anew has another
+// process to go to, so there is no waiting for late comers. It tells whether all sockets are shared.
+func (s *Server) Leave() bool {
+	for _, l := range s.listeners {
+		if l.held == nil {
+			return false
+		}
+	}
+	s.draining = true
+	for _, l := range s.listeners {
+		l.end()
+	}
+	return true
+}
+
 // Drain ends the listener; clients are closed as soon as they are owed nothing.
 func (s *Server) Drain() {
 	s.draining = true
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -2,12 +2,14 @@
 package run
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"reflect"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -66,6 +68,9 @@
 	if err != nil {
 		return err
 	}
+	if p.text, err = os.ReadFile(path); err != nil {
+		return err
+	}
 	if err := p.listenMySQL(own.MySQL); err != nil {
 		return err
 	}
@@ -77,7 +82,7 @@
 		return err
 	}
 	p.loop.Post(effect)
-	slog.Info("started", "name", cfg.Name, "listen", p.server.Address(), "discovery", cfg.Discovery,
+	slog.Info("started", "name", cfg.Name, "listen", p.listens(cfg), "discovery", cfg.Discovery,
 		"databases", len(cfg.Known.Instances),
 		"operator", o.Operator)
 	go p.signals(caught, path, o.Operator)
@@ -90,6 +95,14 @@
 	return nil
 }
 
+// listens tells where clients connect.
+func (p *proxy) listens(cfg settings.Config) string {
+	if p.accept > 0 {
+		return cfg.Listen
+	}
+	return p.server.Address()
+}
+
 func readConfig(path string) (settings.Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -254,6 +267,13 @@
 	server    *net.Server
 	discovery *net.Discovery
 
+	text      []byte // the configuration at the start
+	admin     *net.Admin
+	accept    int  // the descriptor of a socket that listens already; 0 = there is none
+	serving   bool // it can serve, and has been able to
+	startedAt time.Duration
+	settling  state.Deadline
+
 	patience time.Duration // the longest that a request may take
 	stopping bool
 	timer    state.Deadline
@@ -300,18 +320,32 @@
 		buffers = min(cfg.MemoryMB<<20/bufferPart, mostBuffers)
 	}
 	p.server = net.NewServer(p.loop, p.clock, p.front, clients, excess, buffers)
-	if err := p.server.Listen(cfg.Listen); err != nil {
+	if fd := os.Getenv("EDGE_ACCEPT_FD"); fd != "" {
+		if p.accept, err = strconv.Atoi(fd); err != nil || p.accept <= 2 {
+			return nil, fmt.Errorf("EDGE_ACCEPT_FD: %q is no descriptor", fd)
+		}
+	} else if err := p.server.Listen(cfg.Listen); err != nil {
 		return nil, err
 	}
+	if address := cmp.Or(cfg.Admin, os.Getenv("EDGE_ADMIN")); address != "" {
+		if p.admin, err = net.ListenAdmin(p.loop, p.clock, &p.front.Deadlines, address, p); err != nil {
+			return nil, fmt.Errorf("admin: %w", err)
+		}
+	}
 	if cfg.PeerListen != "" && cfg.PeersAll != "" && s.Config.PeerFacts > 0 {
 		peers, err := net.ListenPeers(p.loop, p.front, cfg.PeerListen, cfg.Peers, cfg.PeersAll)
-		if err != nil {
-			return nil, err
+		if err != nil { // all works without, if with more pings
+			slog.Warn("no talk with peers", "error", err)
+		} else {
+			p.front.Peers(peers)
 		}
-		p.front.Peers(peers)
 	}
 	p.discovery = net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation)
-	p.loop.Post(func() { p.front.Start(p.discovery, net.ListOf(cfg.Known)) })
+	p.loop.Post(func() {
+		p.startedAt = p.clock.Now()
+		p.front.Start(p.discovery, net.ListOf(cfg.Known))
+		p.settle()
+	})
 	return p, nil
 }
 
@@ -333,18 +367,35 @@
 // into effect; all else stays as it was at the start: requests, pins and connections are kept. If either can't be used,
 // nothing is changed.
 func (p *proxy) reload(path, file string) {
+	fail := func(err error) {
+		slog.Error("can't reload", "error", err)
+		p.loop.Post(func() { p.front.Counters.LoadErrors++ })
+	}
+	text, err := os.ReadFile(path)
+	if err == nil {
+		err = settings.Whole(p.text, text)
+	}
+	if err != nil {
+		fail(err)
+		return
+	}
 	cfg, own, err := readAll(path, file)
 	if err != nil {
-		slog.Error("can't reload", "error", err)
+		fail(err)
 		return
 	}
 	effect, err := p.ready(own)
 	if err != nil {
-		slog.Error("can't reload", "error", err)
+		fail(err)
 		return
 	}
 	p.loop.Post(func() {
-		slog.Info("reloaded", "discovery", cfg.Discovery)
+		slog.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Config.Classes))
+		p.front.Counters.Loads++
+		p.front.Retune(cfg.Settings.Config)
+		for _, c := range cfg.Settings.Config.Classes { // never less: what is open keeps its time
+			p.patience = min(max(p.patience, c.Limit), longestPatience)
+		}
 		p.discovery.Move(cfg.Discovery)
 		effect()
 	})
@@ -379,6 +430,10 @@
 	slog.Info("stopping", "pending", p.front.Pending())
 	now := p.clock.Now()
 	p.killAt = now + p.patience + stopMargin
+	p.front.Deadlines.Clear(&p.settling)
+	if p.accept > 0 && p.serving {
+		p.server.Leave()
+	}
 	p.front.Deadlines.Set(&p.timer, now+lastClients, func() {
 		p.server.Drain()
 		p.front.Deadlines.Set(&p.timer, p.clock.Now()+drainStep, p.drained) // connections just accepted show up until then
--- /dev/null
+++ b/internal/run/steward.go
@@ -0,0 +1,44 @@
+package run
+
+import (
+	"log/slog"
+	"time"
+)
+
+const (
+	// A proxy can serve once discovery has answered and it has had the time to hear of its databases, as a fresh router waits for them.
+	// Where discovery doesn't answer, it serves with the list that it had.
+	settleTime   = 400 * time.Millisecond
+	settleAnyway = 3 * time.Second
+	settleStep   = 10 * time.Millisecond
+)
+
+// settle waits until the proxy can serve. Only then it takes clients off a socket that another process serves, too.
+func (p *proxy) settle() {
+	now := p.clock.Now()
+	if since := now - p.startedAt; since < settleTime || !p.front.ListTold() && since < settleAnyway {
+		p.front.Deadlines.Set(&p.settling, now+settleStep, p.settle)
+		return
+	}
+	if p.accept > 0 {
+		if err := p.server.Inherit(p.accept); err != nil {
+			slog.Error("can't take clients", "error", err)
+			p.loop.Stop()
+			return
+		}
+	}
+	p.serving = true
+	slog.Info("can serve", "list_told", p.front.ListTold())
+}
+
+// Ready implements net.Steward.
+func (p *proxy) Ready() bool { return p.serving && !p.stopping }
+
+// Figures implements net.Steward.
+func (p *proxy) Figures(dst []byte) []byte { return p.front.Figures(dst) }
+
+// Drain implements net.Steward.
+func (p *proxy) Drain() { p.server.Away(true) }
+
+// Activate implements net.Steward.
+func (p *proxy) Activate() { p.server.Away(false) }
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -6,6 +6,8 @@
 type Counters struct {
 	Taken, Served, Refused, Failed, Abandoned      uint64 // requests
 	Sent                                           uint64 // attempts
+	Written                                        uint64 // those whose last byte was written to a database
+	Loads, LoadErrors                              uint64 // configurations taken, and turned down, at SIGHUP
 	OK, Miss, Error, Full, TimedOut, ConnectFailed uint64 // their ends
 	Reset, Cancelled                               uint64
 	Probes, ProbesOK                               uint64
@@ -24,7 +26,7 @@
 	return slog.GroupValue(
 		slog.Uint64("taken", c.Taken), slog.Uint64("served", c.Served), slog.Uint64("refused", c.Refused),
 		slog.Uint64("failed", c.Failed), slog.Uint64("abandoned", c.Abandoned),
-		slog.Uint64("sent", c.Sent), slog.Uint64("ok", c.OK), slog.Uint64("miss", c.Miss),
+		slog.Uint64("sent", c.Sent), slog.Uint64("written", c.Written), slog.Uint64("ok", c.OK), slog.Uint64("miss", c.Miss),
 		slog.Uint64("error", c.Error), slog.Uint64("full", c.Full), slog.Uint64("timed_out", c.TimedOut),
 		slog.Uint64("connect_failed", c.ConnectFailed), slog.Uint64("reset", c.Reset),
 		slog.Uint64("cancelled", c.Cancelled),
@@ -36,5 +38,6 @@
 		slog.Uint64("level_changes", c.LevelChanges),
 		slog.Uint64("peers_told", c.PeersTold), slog.Uint64("peers_heard", c.PeersHeard),
 		slog.Uint64("peers_strange", c.PeersStrange),
+		slog.Uint64("loads", c.Loads), slog.Uint64("load_errors", c.LoadErrors),
 		slog.Uint64("executes", c.Executes), slog.Uint64("prepares", c.Prepares))
 }
--- /dev/null
+++ b/internal/state/figures.go
@@ -0,0 +1,51 @@
+package state
+
+import (
+	"havenproxy/internal/wire/admin"
+	"havenproxy/logic"
+)
+
+// Figures appends the figures of the operators' second address: what became of requests by class, and how things stand now. A class
+// that was dropped keeps its figures; one name that has stood for two classes has the sum of both.
+func (f *Front) Figures(dst []byte) []byte {
+	sums, order := map[string]ClassCounters{}, []string{}
+	for i, c := range f.cfg.Logic.Classes {
+		sum, known := sums[c.Name]
+		if !known {
+			order = append(order, c.Name)
+		}
+		one := f.perClass[i]
+		sum.Served, sum.Refused, sum.Failed = sum.Served+one.Served, sum.Refused+one.Refused, sum.Failed+one.Failed
+		sums[c.Name] = sum
+	}
+	for _, name := range order {
+		dst = admin.AppendCounter(dst, sums[name].Served, "handled", name, "passed")
+		dst = admin.AppendCounter(dst, sums[name].Refused, "handled", name, "dropped")
+		dst = admin.AppendCounter(dst, sums[name].Failed, "handled", name, "bad_gateway")
+	}
+	open, listed, avoided := uint64(0), uint64(0), uint64(0)
+	for _, q := range f.requests {
+		if q.caller != nil {
+			open++
+		}
+	}
+	now := f.clock.Now()
+	for _, m := range f.names {
+		if m.state == logic.Gone {
+			continue
+		}
+		listed++
+		if m.state != logic.Ready || f.planned != nil && f.planned.Avoids(now, m.id) {
+			avoided++
+		}
+	}
+	dst = admin.AppendCounter(dst, f.Counters.Written, "upstream_tries")
+	dst = admin.AppendGauge(dst, open, "in_progress")
+	dst = admin.AppendGauge(dst, listed, "known_databases")
+	dst = admin.AppendGauge(dst, avoided, "skipped_databases")
+	dst = admin.AppendCounter(dst, f.Counters.Loads, "loads")
+	return admin.AppendCounter(dst, f.Counters.LoadErrors, "load_errors")
+}
+
+// ListTold tells whether the list has come from its service since the start, rather than from what this proxy had before.
+func (f *Front) ListTold() bool { return f.told }
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -89,6 +89,7 @@
 	members     map[logic.MemberID]*member
 	links       int
 	listFailing bool
+	told        bool
 
 	teller  Teller // nil = there is no talk with peers
 	message []byte
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -162,6 +162,7 @@
 		return
 	}
 	a.sent = true
+	f.Counters.Written++
 }
 
 // close ends a connection and takes it out of all that it is in.
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -51,6 +51,7 @@
 
 // Listed takes in news of the platform's list.
 func (f *Front) Listed(l List) {
+	f.told = f.told || l.Kind != logic.ListCached
 	if f.listFailing && l.Kind != logic.ListCached {
 		f.listFailing = false
 		slog.Info("discovery answers again")
--- /dev/null
+++ b/internal/state/retune.go
@@ -0,0 +1,24 @@
+package state
+
+import (
+	"slices"
+
+	"havenproxy/logic"
+)
+
+// Retune puts the classes of another configuration into force, and its limits on attempts and on hints. What is open goes on under the
+// rules by which it was taken; a class that is not named any more is unknown from now on.
+func (f *Front) Retune(cfg logic.Config) {
+	f.cfg.Logic.MaxAttempts, f.cfg.Logic.MayComeBack, f.cfg.Logic.MaxComeBack = cfg.MaxAttempts, cfg.MayComeBack, cfg.MaxComeBack
+	at := f.planned.Retune(cfg.Classes, cfg.MaxAttempts, cfg.MayComeBack, cfg.MaxComeBack)
+	classes := slices.Clone(f.cfg.Logic.Classes)
+	f.classes = map[string]int{}
+	for i, c := range cfg.Classes {
+		f.classes[c.Name] = at[i]
+		if at[i] == len(classes) {
+			classes = append(classes, c)
+		}
+	}
+	f.cfg.Logic.Classes = classes
+	f.perClass = append(f.perClass, make([]ClassCounters, len(classes)-len(f.perClass))...)
+}
--- /dev/null
+++ b/internal/wire/admin/main_test.go
@@ -0,0 +1,9 @@
+package admin
+
+import (
+	"testing"
+
+	"havenproxy/internal/fixed"
+)
+
+func TestMain(m *testing.M) { fixed.Main(m) }
--- a/internal/wire/settings/config.go
+++ b/internal/wire/settings/config.go
@@ -18,6 +18,7 @@
 	PeerListen string         // where peers' datagrams come; empty = there is no talk
 	Peers      []string       // the proxies of the tier, this one included
 	PeersAll   string         // stands for all of them
+	Admin      string         // the operators' second address; empty = there is none
 	Known      discovery.List // the databases as this proxy last had them; may be old
 	Settings   Settings
 }
@@ -29,6 +30,7 @@
 		Listen     string   `json:"listen"`
 		Discovery  string   `json:"discovery"`
 		Seed       string   `json:"seed"`
+		Admin      string   `json:"admin"`
 		PeerListen string   `json:"peer_listen"`
 		Peers      []string `json:"peers"`
 		PeersAll   string   `json:"peers_all"`
@@ -43,7 +45,7 @@
 		return Config{}, fmt.Errorf("configuration: not usable JSON: %w", err)
 	}
 	c := Config{Name: j.Name, Listen: j.Listen, Discovery: j.Discovery, MemoryMB: j.Limits.MemoryMB,
-		Sockets: j.Limits.Sockets, PeerListen: j.PeerListen, Peers: j.Peers, PeersAll: j.PeersAll}
+		Sockets: j.Limits.Sockets, PeerListen: j.PeerListen, Peers: j.Peers, PeersAll: j.PeersAll, Admin: j.Admin}
 	for field, value := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
 		if value == "" {
 			return c, fmt.Errorf("configuration: %s is missing", field)
--- a/logic/facts.go
+++ b/logic/facts.go
@@ -75,6 +75,12 @@
 	return r.cfg.ColdShare + (1-r.cfg.ColdShare)*max(0, float64(now-from))/float64(r.cfg.Cold)
 }
 
+// Avoids tells whether nothing new goes to a member by now: it drains or is gone, is silent, or fails more than others.
+func (r *Router) Avoids(now time.Duration, id MemberID) bool {
+	m := r.members[id]
+	return m != nil && !r.usable(m, now)
+}
+
 // Switches gives the groups' places with their primaries, and the last switches that have ended, the newest first.
 func (r *Router) Switches(now time.Duration) (groups map[GroupID]handover.Status, ended []handover.Switch) {
 	groups = map[GroupID]handover.Status{}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -73,10 +73,8 @@
 	r.commits.init(keepEntries)
 	for i, c := range cfg.Classes {
 		r.cost[i], r.slow[i] = c.Aim/aimOverCost, c.Aim
-		if c.Read == Bounded && (r.pings.Tightest == 0 || c.MaxAge < r.pings.Tightest) {
-			r.pings.Tightest = c.MaxAge
-		}
 	}
+	r.pings.Tightest = tightest(cfg.Classes)
 	quotas := make([]float64, len(cfg.Tenants))
 	for i, t := range cfg.Tenants {
 		quotas[i] = r.share(t.Quota)
@@ -450,7 +448,8 @@
 		r.shed(&in, g)
 		return
 	}
-	q := &request{Request: in, class: &r.cfg.Classes[in.Class], group: g, at: now}
+	q := &request{Request: in, class: &r.cfg.Classes[in.Class], group: g, at: now,
+		most: r.cfg.MaxAttempts}
 	r.requests[in.ID] = q
 	q.group.rate.add(now, thinSpan)
 	q.over = r.quotas.Beyond(now, in.Tenant)
@@ -539,7 +538,7 @@
 		return false
 	}
 	if q.done || m.group != q.group || m.State != Ready || !r.effectAllows(now, q, m) ||
-		r.cfg.MaxAttempts > 0 && len(q.tries) >= r.cfg.MaxAttempts {
+		q.most > 0 && len(q.tries) >= q.most {
 		return false
 	}
 	until := q.Deadline
@@ -683,7 +682,7 @@
 func (r *Router) mayRepeat(now time.Duration, q *request) bool {
 	most := readTries
 	if q.class.primaryMode() && q.result == Failed { // there is no other; one that fails often serves some
-		most = cmp.Or(r.cfg.MaxAttempts, readTries)
+		most = cmp.Or(q.most, readTries)
 	}
 	return !q.done && len(q.tries) < most && q.repeats() && r.retries >= 1 &&
 		now+r.cost[q.Class] < q.Deadline
--- a/logic/state.go
+++ b/logic/state.go
@@ -101,6 +101,7 @@
 	group  *group
 	token  time.Duration // session reads: the commit that must be covered
 	tries  []*attempt
+	most   int           // attempts that it may have, as when it came; 0 = no limit
 	ran    bool          // some attempt may have run
 	result Result        // how the last attempt ended
 	at     time.Duration // when it came
