--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -90,7 +90,8 @@
 	id     logic.RequestID
 	answer []byte
 	done   bool
-	last   bool // the connection ends behind it
+	last   bool    // the connection ends behind it
+	stream *stream // it comes in pieces
 }
 
 // readable takes in what has come.
@@ -253,7 +254,7 @@
 // write sends bytes. The socket's buffer has room for several of the largest answers: only a client that has
 // stopped reading makes a write wait, and it is given up after writePatience.
 func (c *client) write(b []byte) {
-	if c.phase == phaseClosed {
+	if c.phase == phaseClosed || len(b) == 0 {
 		return
 	}
 	if _, err := c.conn.Write(b); err != nil {
@@ -283,6 +284,9 @@
 
 func (c *client) abandon() {
 	for _, sl := range c.slots {
+		if sl.stream != nil {
+			sl.stream.Stop()
+		}
 		if !sl.done && sl.id != 0 {
 			c.s.front.Abandon(sl.id)
 		}
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -29,8 +29,10 @@
 
 	Counters *state.Counters
 
-	toldAt  time.Duration // when spoilt bytes were last logged
-	givenUp int           // dials whose connection nobody waits for any more
+	fence   *fence         // nil before the first long value
+	piece   [32 << 10]byte // of a long value on its way
+	toldAt  time.Duration  // when spoilt bytes were last logged
+	givenUp int            // dials whose connection nobody waits for any more
 }
 
 // GivenUp implements state.Opener.
@@ -41,6 +43,8 @@
 	link
 	reply pg.Reply
 	up    bool
+
+	streams *stream // what passes on a long value, once the connection is its
 }
 
 // Open implements state.Opener. Only the connecting itself waits, and it does so beside the loop.
@@ -78,6 +82,9 @@
 
 // take implements talker.
 func (db *database) take(buf []byte) (n int, whole bool, err error) {
+	if row, long := pg.NextLongRow(buf); long && db.owes && !db.probing && db.reply.Long() {
+		return 0, false, db.hand(row)
+	}
 	m, n, err := pg.Next(buf)
 	if n == 0 || err != nil {
 		return 0, false, err
@@ -117,6 +124,19 @@
 	db.to.Reply(r)
 }
 
+// handing implements talker.
+func (db *database) handing() bool { return db.streams != nil }
+
+// Close implements state.Conn.
+func (db *database) Close() {
+	if db.streams != nil {
+		db.closed = true
+		db.streams.Stop()
+		return
+	}
+	db.link.Close()
+}
+
 // outcome puts an answer into the terms of the decisions.
 func (db *database) outcome() state.Reply {
 	r := state.Reply{Result: logic.Failed, Body: db.reply.Body, Position: db.reply.Position, Role: roleOf(db.reply.Role)}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -42,6 +42,8 @@
 	take(buf []byte) (n int, whole bool, err error)
 	answered() // an answer is whole
 	ready() bool
+	handing() bool // the connection is handed over, with all that has come and is not taken yet
+	handed()       // it is
 	// ended tells what is known of the command in hand once the connection has ended, by an error or without one, or has
 	// brought nonsense; false = it may have run.
 	ended(err error) (state.Reply, bool)
@@ -81,6 +83,8 @@
 			// As much room as the largest query takes: a database that doesn't read must not stop the loop.
 			if c, ok := conn.(netpoll.Conn); ok {
 				syscall.SetsockoptInt(c.Fd(), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+				// And no more is read ahead of a long value than this, and what netpoll takes out of it meanwhile.
+				syscall.SetsockoptInt(c.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 			}
 		}
 		loop.Post(func() { then(conn, err) })
@@ -130,6 +134,12 @@
 		return
 	}
 	l.conn = conn
+	conn.AddCloseCallback(func(netpoll.Connection) error {
+		if l.talks.handing() {
+			l.talks.handed()
+		}
+		return nil
+	})
 	attach(l.d.Loop, conn, l.readable, func() { l.lost(nil) })
 	if !l.closed {
 		l.owes = true
@@ -194,7 +204,7 @@
 
 // lost tells the state that the connection has ended, unless it closed it itself.
 func (l *link) lost(err error) {
-	if l.closed {
+	if l.closed || l.talks.handing() {
 		return
 	}
 	if r, told := l.talks.ended(err); told {
@@ -225,13 +235,17 @@
 		if used += n; n > 0 && !whole {
 			continue
 		}
+		if l.talks.handing() {
+			l.in.cut(used)
+			return
+		}
 		// What has come behind an answer is left where it is: it makes the connection unfit for another command, but
 		// the answer counts.
 		l.in.cut(used)
 		if whole {
 			l.whole()
 			l.talks.answered()
-		} else if l.owes && l.talks.ready() && !l.begun {
+		} else if l.owes && l.talks.ready() { // each piece gives the next one its time
 			l.begun = true
 			l.d.Loop.deadlines.Set(&l.rest, l.d.Loop.clock.Now()+answerPatience, l.stalled)
 		}
--- a/internal/net/mysql_database.go
+++ b/internal/net/mysql_database.go
@@ -333,3 +333,7 @@
 	}
 	return r
 }
+
+// handing implements talker: MySQL's answers are held as a whole.
+func (db *mysqlDatabase) handing() bool { return false }
+func (db *mysqlDatabase) handed()       {}
--- /dev/null
+++ b/internal/net/stream_test.go
@@ -0,0 +1,137 @@
+package net
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	stdnet "net"
+	"testing"
+	"time"
+
+	"havenproxy/internal/wire/pg"
+	"havenproxy/logic"
+)
+
+const description = "T\x00\x00\x00\x1c\x00\x01val\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"
+
+// longAnswer is an answer with a value of n bytes.
+func longAnswer(n int) []byte {
+	out := append([]byte(description), 'D')
+	out = binary.BigEndian.AppendUint32(out, uint32(n+10))
+	out = binary.BigEndian.AppendUint32(append(out, 0, 1), uint32(n))
+	for i := range n {
+		out = append(out, byte(i*7>>3))
+	}
+	return pg.AppendReady(append(out, "C\x00\x00\x00\x0dSELECT 1\x00"...))
+}
+
+// enter opens a session and asks one thing.
+func enter(t *testing.T, s *Server, key string) stdnet.Conn {
+	c := hello(t, s.Address())
+	c.Write(pg.AppendQuery(nil, query(key)))
+	return c
+}
+
+// A value longer than may be held passes in pieces of any size, to a client that reads as slowly, and others are served meanwhile. Before,
+// one over 160 KiB counted as no answer, and a client that left its buffer full for 20 ms was closed.
+func TestLongValuesPassInPieces(t *testing.T) {
+	whole := longAnswer(6 << 20)
+	s, front, loop := proxy(t, member(t, func(c stdnet.Conn, text string) bool {
+		if !bytes.Contains([]byte(text), []byte("'1a'")) {
+			return echo(c, text)
+		}
+		for rest := whole; len(rest) > 0; {
+			n := min(len(rest), 1+len(rest)%70001)
+			if _, err := c.Write(rest[:n]); err != nil {
+				return false
+			}
+			rest = rest[n:]
+		}
+		return true
+	}), 8, 1)
+	c := enter(t, s, "1a")
+	c.Write(pg.AppendQuery(nil, query("2b"))) // behind it in the pipeline
+	got := make([]byte, 100)
+	io.ReadFull(c, got)
+	held := make(chan [2]int)
+	look := func() [2]int { // what is held of a value whose client doesn't read
+		loop.Post(func() {
+			most := 0
+			for cl := range s.clients {
+				for _, sl := range cl.slots {
+					if sl.stream != nil {
+						most = max(most, len(sl.stream.out))
+					}
+				}
+			}
+			held <- [2]int{most, front.Pending()}
+		})
+		return <-held
+	}
+	other := dial(t, s)
+	other.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("3c")))
+	if types, _ := other.said(len(welcome) + 3); types != welcome+"DCZ" {
+		t.Errorf("another client got %q while one doesn't read", types)
+	}
+	if x := look(); x[0] > 2*streamRoom+receiveBuffer*4 || x[1] == 0 {
+		t.Errorf("%d bytes held, %d pending", x[0], x[1])
+	}
+	rest, err := io.ReadAll(io.LimitReader(c, int64(len(whole)-len(got))))
+	if got = append(got, rest...); err != nil || !bytes.Equal(got, whole) {
+		t.Fatalf("%d bytes of %d came over, %v", len(got), len(whole), err)
+	}
+	if next := (&peer{conn: c}); true {
+		if types, _ := next.said(3); types != "DCZ" {
+			t.Errorf("behind it came %q", types)
+		}
+	}
+	if x := look(); x[1] != 0 {
+		t.Errorf("%d pending at the end", x[1])
+	}
+}
+
+// A database that breaks off in the middle of a long value: the client sees that it isn't whole, and nothing is sent again.
+func TestABrokenLongValueShows(t *testing.T) {
+	asked := 0
+	s, front, loop := proxy(t, member(t, func(c stdnet.Conn, _ string) bool {
+		asked++
+		c.Write(longAnswer(1 << 20)[:300000])
+		return false
+	}), 8, 1)
+	got, _ := io.ReadAll(enter(t, s, "1a"))
+	if len(got) < 1000 || len(got) > 300000 || asked != 1 {
+		t.Errorf("%d bytes, asked %d times", len(got), asked)
+	}
+	n := make(chan [2]int)
+	loop.Post(func() { n <- [2]int{front.Pending(), front.Links()} })
+	if x := <-n; x[0] != 0 || x[1] > 1 {
+		t.Errorf("%d pending, %d connections", x[0], x[1])
+	}
+}
+
+// A client that leaves in the middle leaves nothing behind.
+func TestAClientLeavesALongValue(t *testing.T) {
+	ended := make(chan bool, 1)
+	s, front, loop := proxy(t, member(t, func(c stdnet.Conn, _ string) bool {
+		for _, err := c.Write(longAnswer(8 << 20)); err == nil; _, err = c.Write(make([]byte, 1<<20)) {
+		}
+		ended <- true
+		return false
+	}), 8, 1)
+	c := enter(t, s, "1a")
+	io.ReadFull(c, make([]byte, 1000))
+	c.Close()
+	<-ended
+	for end := time.Now().Add(patience); ; {
+		n := make(chan int)
+		loop.Post(func() { n <- front.Pending() })
+		if <-n == 0 {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("it is pending still")
+		}
+	}
+	if logic.OK != 0 {
+		t.Fatal("an answer in pieces counts as OK by the zero value")
+	}
+}
--- a/internal/state/figures.go
+++ b/internal/state/figures.go
@@ -23,7 +23,7 @@
 		dst = admin.AppendCounter(dst, sums[name].Refused, "handled", name, "dropped")
 		dst = admin.AppendCounter(dst, sums[name].Failed, "handled", name, "bad_gateway")
 	}
-	open, listed, avoided := uint64(0), uint64(0), uint64(0)
+	open, listed, avoided := uint64(f.streams), uint64(0), uint64(0)
 	for _, q := range f.requests {
 		if q.caller != nil {
 			open++
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -88,6 +88,7 @@
 	names       map[string]*member
 	members     map[logic.MemberID]*member
 	links       int
+	streams     int // answers on their way in pieces
 	listFailing bool
 	told        bool
 
@@ -162,7 +163,7 @@
 }
 
 // Pending tells how many requests wait for their answer.
-func (f *Front) Pending() int { return len(f.requests) }
+func (f *Front) Pending() int { return len(f.requests) + f.streams }
 
 // Links tells how many connections to databases are counted as open.
 func (f *Front) Links() int { return f.links }
@@ -330,6 +331,11 @@
 	a.to.heard(r, false)
 	f.seen(a.to, r, false)
 	switch {
+	case r.Result == logic.OK && r.Stream != nil:
+		if q.caller == nil {
+			r.Stream.Stop()
+		}
+		f.answer(q.id, &f.Counters.Served, servedOf, func(c Caller) { c.(Streamer).Stream(r.Stream) })
 	case r.Result == logic.OK:
 		f.answer(q.id, &f.Counters.Served, servedOf, func(c Caller) { c.Served(r.Body) })
 	case r.Unfit: // no member can use it, and none is to blame: it has failed, and the router learns no more
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -51,6 +51,9 @@
 	Position int64 // Unix milliseconds; 0 = not told
 	Load     Load
 
+	// Stream is a value that is passed on in pieces; its answer counts from its first bytes, and its connection is of no more use.
+	Stream Source
+
 	opened  time.Duration // since when its connection was up
 	refused bool          // it never came up, as nothing listens there
 }
@@ -69,7 +72,8 @@
 	linkOpening linkState = iota
 	linkIdle
 	linkBusy
-	linkWitness // its probe is overdue: nothing goes out here any more, but an answer would prove that nobody restarted
+	linkWitness   // its probe is overdue: nothing goes out here any more, but an answer would prove that nobody restarted
+	linkStreaming // its answer is on its way in pieces
 	linkClosed
 )
 
@@ -254,7 +258,7 @@
 	case linkWitness:
 		l.testify(handover.Answered)
 		return
-	case linkIdle, linkClosed: // what nobody asked for makes the next answer doubtful
+	case linkIdle, linkStreaming, linkClosed: // what nobody asked for makes the next answer doubtful
 		l.Down()
 		return
 	}
@@ -268,14 +272,46 @@
 	a := l.attempt
 	l.attempt, a.link = nil, nil
 	r.opened = l.upAt
+	if r.Stream != nil {
+		l.stream(a, r)
+		return
+	}
 	f.rest(l)
 	f.end(a, r)
 }
 
+// Source is a value that comes in pieces.
+type Source interface {
+	Ended(func()) // is called when it has ended, one way or the other
+	Stop()        // ends it
+}
+
+// Streamer is a Caller that can take a value in pieces. Stream stands for Served.
+type Streamer interface {
+	Streams() bool
+	Stream(Source)
+}
+
+// stream lets a value pass in pieces. The attempt has ended well with its first bytes; the connection is counted until the last.
+func (l *link) stream(a *attempt, r Reply) {
+	f := l.f
+	l.state = linkStreaming
+	f.streams++
+	r.Stream.Ended(func() {
+		f.streams--
+		f.close(l)
+	})
+	if s, ok := a.req.caller.(Streamer); !ok || !s.Streams() {
+		r.Stream.Stop()
+		r.Result, r.Stream = logic.Failed, nil
+	}
+	f.end(a, r)
+}
+
 // Down implements Listener. Whether the last byte was written tells a request that never ran from one that may
 // have.
 func (l *link) Down() {
-	if l.state == linkClosed {
+	if l.state == linkClosed || l.state == linkStreaming {
 		return
 	}
 	if l.state == linkWitness {
@@ -300,7 +336,7 @@
 func (l *link) Spoilt() {
 	r := Reply{Result: logic.Reset}
 	switch {
-	case l.state == linkClosed:
+	case l.state == linkClosed || l.state == linkStreaming:
 		return
 	case l.state == linkWitness:
 		l.f.close(l)
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -73,6 +73,27 @@
 	return Message{Type: buf[0], Body: buf[5:n], Raw: buf[:n]}, n, nil
 }
 
+const (
+	// LongRow is from where on a row's value is passed on in pieces rather than held as a whole, in bytes.
+	LongRow = 64<<10 + 1
+	// MaxRow bounds one that is passed on in pieces.
+	MaxRow = 64 << 20
+
+	rowHead = 11 // type, length, number of columns, length of the first
+)
+
+// NextLongRow tells whether buf begins with a row of one column whose value is long, and how many bytes the row has in all.
+func NextLongRow(buf []byte) (int, bool) {
+	if len(buf) < rowHead || buf[0] != typeRow {
+		return 0, false
+	}
+	size, value := binary.BigEndian.Uint32(buf[1:]), binary.BigEndian.Uint32(buf[7:])
+	if value < LongRow || size > MaxRow || size != value+rowHead-1 || binary.BigEndian.Uint16(buf[5:]) != 1 {
+		return 0, false
+	}
+	return int(size) + 1, true
+}
+
 // Opening is what a client opens its connection with.
 type Opening uint8
 
--- a/internal/wire/pg/reply.go
+++ b/internal/wire/pg/reply.go
@@ -30,6 +30,15 @@
 // Reset makes the reply ready for the next command. It keeps the room of Body.
 func (r *Reply) Reset() { *r = Reply{Body: r.Body[:0]} }
 
+// Long notes that a row has come which is passed on in pieces and not kept. It tells whether one is due.
+func (r *Reply) Long() bool {
+	if len(r.Body) == 0 || r.rows > 0 || r.complete || r.Code != "" {
+		return false
+	}
+	r.rows++
+	return true
+}
+
 // Ready tells whether the database has finished.
 func (r *Reply) Ready() bool { return r.ready }
 
