Keep clients that go on writing, and count what is refused at the door by class

At fault: server.makeRoom closes the silent client that came first, and one is silent until its first query is whole, however it writes; postgres.startup turns a client away before its query is read.

Change: a silent client that writes goes behind those that have stopped; one that there is no room for has 50 ms for its query, which is counted by its class, and has the same answer as before.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -100,6 +100,10 @@
 		c.hangUp()
 		return
 	}
+	if c.list == &c.s.silent { // who is at its query, however slowly, goes behind those that have stopped
+		c.since = c.s.clock.Now()
+		c.list.MoveToBack(c.place)
+	}
 	c.parse()
 }
 
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -367,7 +367,7 @@
 }
 
 func TestExcessClientIsTurnedAwayWithAWholeAnswer(t *testing.T) {
-	s, _, _ := proxy(t, member(t, echo), 1, 4)
+	s, front, loop := proxy(t, member(t, echo), 1, 4)
 	first := dial(t, s)
 	start := pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), "")
 	first.conn.Write(start)
@@ -379,6 +379,18 @@
 	if types, bodies := second.said(99); types != "E!" || !strings.Contains(bodies[0], "C"+pg.CodeTooMany) {
 		t.Errorf("the second client got %q", types)
 	}
+	// Its query is counted by its class, also where it comes a little behind: operators' figures told of none that were refused at the door.
+	third := dial(t, s)
+	third.conn.Write(pg.AppendStartup(nil, "client", "core"))
+	third.conn.Write(pg.AppendQuery(nil, query("a")))
+	if types, _ := third.said(99); types != "E!" {
+		t.Errorf("the third client got %q", types)
+	}
+	figures := make(chan string)
+	loop.Post(func() { figures <- string(front.Figures(nil)) })
+	if got := <-figures; !strings.Contains(got, "proxy.handled.any.dropped:1|c") {
+		t.Errorf("%s", got)
+	}
 	first.conn.Close() // its place is free once the proxy has seen that
 	for {
 		p := dial(t, s)
@@ -389,6 +401,47 @@
 	}
 }
 
+// For want of room those are closed that have stopped half way, before those that go on writing: on a day of crowds 177 of 278 slow queries
+// were cut off in favour of connections that never sent a whole one.
+func TestWhoGoesOnWritingIsKept(t *testing.T) {
+	s, _, loop := proxy(t, member(t, echo), 8, 4)
+	query := pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("a"))
+	slow := dial(t, s)
+	slow.conn.Write(query[:9])
+	wait := func(n int, bytes int) { // until the proxy has seen so many clients and so many bytes of theirs
+		for {
+			got := make(chan bool)
+			loop.Post(func() {
+				sum := 0
+				for c := range s.clients {
+					sum += len(c.in.bytes)
+				}
+				got <- len(s.clients) == n && sum == bytes
+			})
+			if <-got {
+				return
+			}
+		}
+	}
+	wait(1, 9)
+	skip(s, 10*time.Millisecond)
+	stopped := dial(t, s)
+	stopped.conn.Write(query[:9])
+	wait(2, 18)
+	dial(t, s).conn.Write(query[:9])
+	wait(3, 27)
+	slow.conn.Write(query[9:12])
+	wait(3, 30)
+	dial(t, s)
+	if _, err := stopped.conn.Read(make([]byte, 1)); err == nil {
+		t.Error("the one that has stopped is kept")
+	}
+	slow.conn.Write(query[12:])
+	if types, _ := slow.said(len(welcome) + 3); types != welcome+"DCZ" {
+		t.Errorf("the slow one got %q", types)
+	}
+}
+
 // Broken bytes and a connection that ends without an answer may both follow a request that has run.
 func TestBrokenDatabaseIsAFailedRequestNotACrash(t *testing.T) {
 	for name, answer := range map[string]func(stdnet.Conn, string) bool{
--- a/internal/net/postgres_client.go
+++ b/internal/net/postgres_client.go
@@ -55,8 +55,16 @@
 	case o == pg.OpenCancel:
 		c.hangUp()
 	case c.full:
-		c.s.front.Counters.TurnedAway++
-		c.leave(endTooMany, "too many clients")
+		class, whole := asked(buf[n:])
+		if !whole && c.phase < phaseLeaving && !c.half { // its query is read for its class, if it comes at once
+			c.half = true
+			c.s.deadlines.Set(&c.timer, c.s.clock.Now()+fullFor, c.turnAway)
+		}
+		if !whole {
+			return 0, nil
+		}
+		c.s.front.TurnedAway(class)
+		c.turnAway()
 	default:
 		c.admin = c.s.console && pg.Opened(buf, "database") == console.Database && c.local()
 		c.phase = phaseServing
@@ -65,6 +73,31 @@
 	return n, nil
 }
 
+// fullFor is how long a client that there is no room for may take for its query, behind its startup message.
+const fullFor = 50 * time.Millisecond
+
+// asked gives the class of the query that begins buf, empty where it names none, and whether it is there.
+func asked(buf []byte) (class string, whole bool) {
+	m, n, err := pg.Next(buf)
+	if n == 0 && err == nil {
+		return "", false
+	}
+	if err == nil && m.Type == pg.TypeQuery {
+		if text, err := pg.QueryText(m); err == nil {
+			if st, err := pg.ParseStatement(string(text)); err == nil {
+				class = st.Class
+			}
+		}
+	}
+	return class, true
+}
+
+// turnAway tells a client that there is no room for it.
+func (c *client) turnAway() {
+	c.s.front.Counters.TurnedAway++
+	c.leave(endTooMany, "too many clients")
+}
+
 func (postgres) query(c *client, text string) error {
 	c.spoke()
 	sl := &slot{c: c}
--- a/internal/state/figures.go
+++ b/internal/state/figures.go
@@ -47,5 +47,13 @@
 	return admin.AppendCounter(dst, f.Counters.LoadErrors, "load_errors")
 }
 
+// TurnedAway counts a request of a class that was refused with its client, for want of room: it has not been taken, and its client has the
+// same answer as from any other refusal.
+func (f *Front) TurnedAway(class string) {
+	if i, ok := f.classes[class]; ok {
+		f.perClass[i].Refused++
+	}
+}
+
 // ListTold tells whether the list has come from its service since the start, rather than from what this proxy had before.
 func (f *Front) ListTold() bool { return f.told }
