End with exit code 1 where the inherited socket or the peers' addresses can't be used

Found on a second reading, by starting the program with EDGE_ACCEPT_FD=9: run.settle logged an error and stopped the loop, and Main returned nil, so the process ended with 0, as if told to. Addresses of peers that are none were a warning only.

--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -1,6 +1,7 @@
 package net
 
 import (
+	"errors"
 	stdnet "net"
 	"testing"
 	"time"
@@ -67,7 +68,7 @@
 
 func TestPeersThatCantBeUsedAreToldAtOnce(t *testing.T) {
 	for _, x := range [][3]string{{"nowhere", "127.0.0.1:1", "127.0.0.1:1"}, {"127.0.0.1:0", "x", "127.0.0.1:1"}, {"127.0.0.1:0", "127.0.0.1:1", ""}} {
-		if _, err := ListenPeers(nil, nil, x[0], []string{x[1]}, x[2]); err == nil {
+		if _, err := ListenPeers(nil, nil, x[0], []string{x[1]}, x[2]); !errors.Is(err, ErrPeers) {
 			t.Errorf("%q is taken", x)
 		}
 	}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -87,6 +88,9 @@
 		"operator", o.Operator)
 	go p.signals(caught, path, o.Operator)
 	p.loop.Run()
+	if p.failed != nil {
+		return p.failed
+	}
 	p.untrace(p.front.Trace(nil))
 	if p.consul != nil {
 		p.consul.Stop()
@@ -269,8 +273,9 @@
 
 	text      []byte // the configuration at the start
 	admin     *net.Admin
-	accept    int  // the descriptor of a socket that listens already; 0 = there is none
-	serving   bool // it can serve, and has been able to
+	accept    int   // the descriptor of a socket that listens already; 0 = there is none
+	failed    error // why it could not go on
+	serving   bool  // it can serve, and has been able to
 	startedAt time.Duration
 	settling  state.Deadline
 
@@ -334,7 +339,10 @@
 	}
 	if cfg.PeerListen != "" && cfg.PeersAll != "" && s.Config.PeerFacts > 0 {
 		peers, err := net.ListenPeers(p.loop, p.front, cfg.PeerListen, cfg.Peers, cfg.PeersAll)
-		if err != nil { // all works without, if with more pings
+		if errors.Is(err, net.ErrPeers) {
+			return nil, err
+		}
+		if err != nil { // the address is taken: all works without, if with more pings
 			slog.Warn("no talk with peers", "error", err)
 		} else {
 			p.front.Peers(peers)
--- a/internal/run/steward.go
+++ b/internal/run/steward.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 )
@@ -22,7 +23,7 @@
 	}
 	if p.accept > 0 {
 		if err := p.server.Inherit(p.accept); err != nil {
-			slog.Error("can't take clients", "error", err)
+			p.failed = fmt.Errorf("EDGE_ACCEPT_FD: %w", err) // it would end with 0 otherwise, as if it had been told to
 			p.loop.Stop()
 			return
 		}
