Never close a client's connection over a query that the poller has read

Ruled out: answers written in part (a write that fails ends in a log line at the database or a count, none here), the end by `killAt` (patience plus 0.4 s), the accept queue (such a connection counts as new, not as taken).

At fault: client.closeIdle and Server.closeFor. They asked `Reader().Len() == 0` and closed; netpoll's poller may by then be between its read of the socket and the count (poll_default_linux.go: ioread, InputAck), or read before the descriptor is taken from it. What it fetched went down with the buffer.

Now the poller is told to leave the connection alone, waited for (the pipe that long values use already), and only a connection of which nothing has come since is closed. If a query has come, the connection goes on, on a second descriptor of its socket. The end of the process waits for the poller too before it believes that nobody is left.

Cost: two system calls and a turn of the poller for each idle connection closed.

What counts is what has come since the close began.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -67,7 +67,10 @@
 	s      *Server
 	speaks speaker
 	conn   netpoll.Connection
+	from   string // its address
 	in     buffer
+	quits  bool // this side closes the connection, for it owed nothing
+	had    int  // bytes of a query that was not whole, when it began to
 	phase  phase
 	full   bool // beyond the proxy's limit: it is turned away once it has spoken
 	held   int  // bytes of its buffer, and extra, that are in the server's account
@@ -100,6 +103,9 @@
 		c.hangUp()
 		return
 	}
+	if c.quits {
+		return // quit looks at it
+	}
 	if c.list == &c.s.silent { // who is at its query, however slowly, goes behind those that have stopped
 		c.since = c.s.clock.Now()
 		c.list.MoveToBack(c.place)
@@ -282,7 +288,15 @@
 // closeIdle closes a connection that owes nothing.
 func (c *client) closeIdle() {
 	if c.phase != phaseClosed && len(c.slots) == 0 && len(c.in.bytes) == 0 && c.conn.Reader().Len() == 0 {
-		c.hangUp()
+		c.close()
+	}
+}
+
+// close ends a connection that owes nothing, as far as the loop has heard; see quit.
+func (c *client) close() {
+	if c.phase != phaseClosed && !c.quits {
+		c.quits, c.had = true, len(c.in.bytes)
+		c.conn.Close()
 	}
 }
 
--- a/internal/net/console.go
+++ b/internal/net/console.go
@@ -36,7 +36,7 @@
 		if len(list) == most {
 			break
 		}
-		v := console.Client{Address: c.conn.RemoteAddr().String(), State: "busy", Waiting: len(c.slots), Bytes: len(c.in.bytes)}
+		v := console.Client{Address: c.from, State: "busy", Waiting: len(c.slots), Bytes: len(c.in.bytes)}
 		switch {
 		case c.phase == phaseLeaving:
 			v.State = "leaving"
@@ -54,7 +54,7 @@
 
 // local tells whether the client's machine is this one.
 func (c *client) local() bool {
-	host, _, err := stdnet.SplitHostPort(c.conn.RemoteAddr().String())
+	host, _, err := stdnet.SplitHostPort(c.from)
 	if err != nil {
 		return false
 	}
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -29,7 +29,6 @@
 
 	Counters *state.Counters
 
-	fence   *fence         // nil before the first long value
 	piece   [32 << 10]byte // of a long value on its way
 	toldAt  time.Duration  // when spoilt bytes were last logged
 	givenUp int            // dials whose connection nobody waits for any more
--- /dev/null
+++ b/internal/net/fence.go
@@ -0,0 +1,123 @@
+package net
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// fence is a pipe to oneself by way of netpoll's poller.
+type fence struct {
+	conn netpoll.Connection
+	in   int
+}
+
+// behindPoller returns when the poller has ended what it was about: it may be in the middle of reading a connection that it has just been
+// told to leave alone. Whatever it fetches after a byte was written to a pipe, it fetches without that connection; the byte's arrival tells
+// that all before it is done. That takes as long as the poller's turn, some microseconds. There is one poller; see netpoll.SetNumLoops.
+func (l *Loop) behindPoller() error {
+	if l.fence == nil {
+		var ends [2]int
+		if err := syscall.Pipe2(ends[:], syscall.O_CLOEXEC|syscall.O_NONBLOCK); err != nil {
+			return err
+		}
+		conn, err := netpoll.NewFDConnection(ends[0])
+		if err != nil {
+			syscall.Close(ends[0])
+			syscall.Close(ends[1])
+			return err
+		}
+		conn.SetReadTimeout(time.Second)
+		l.fence = &fence{conn, ends[1]}
+	}
+	if _, err := syscall.Write(l.fence.in, []byte{1}); err != nil {
+		return err
+	}
+	_, err := l.fence.conn.Reader().Next(1)
+	if err == nil {
+		err = l.fence.conn.Reader().Release()
+	}
+	return err
+}
+
+// BehindPoller lets f run on the loop behind all that the poller has begun by now. It is called on the loop.
+func (l *Loop) BehindPoller(f func()) {
+	if err := l.behindPoller(); err != nil {
+		slog.Warn("the poller can't be waited for", "error", err)
+	}
+	l.Post(f)
+}
+
+// watch lets the client know what comes on its connection, and its end. Close callbacks come on the loop where this side closes, and on
+// the poller's goroutine where the other side has: only in the latter case the poller says so before.
+func (c *client) watch(conn netpoll.Connection) {
+	var byPeer atomic.Bool
+	if d, ok := conn.(interface {
+		SetOnDisconnect(netpoll.OnDisconnect) error
+	}); ok {
+		d.SetOnDisconnect(func(context.Context, netpoll.Connection) { byPeer.Store(true) })
+	}
+	conn.AddCloseCallback(func(netpoll.Connection) error {
+		if !byPeer.Load() && c.quits && c.phase != phaseClosed {
+			c.quit()
+		} else {
+			c.s.loop.Post(c.closed)
+		}
+		return nil
+	})
+}
+
+// quit ends a connection that owed nothing when this side began to close it. The poller reads ahead of the loop, and may have fetched a
+// query since that the loop had not heard of: a query that has been read is owed an answer, and only one that has not been is sent again
+// by its client. So the poller, which has been told to leave the connection alone, is waited for, and who is owed something stays, on a
+// second descriptor of the same socket. It is called on the loop, before the first descriptor and the poller's buffer end.
+func (c *client) quit() {
+	c.quits = false
+	err := c.s.loop.behindPoller()
+	if err == nil && len(c.in.bytes) == c.had && c.conn.Reader().Len() == 0 {
+		c.closed()
+		return
+	}
+	if err == nil {
+		err = c.stay()
+	}
+	if err != nil {
+		slog.Warn("a client's connection was closed, perhaps over a query", "error", err)
+		c.closed()
+	}
+}
+
+// stay goes on with a connection that is being closed.
+func (c *client) stay() error {
+	if r := c.conn.Reader(); r.Len() > 0 {
+		if err := c.in.fill(r); err != nil {
+			return err
+		}
+	}
+	fd, err := syscall.Dup(c.conn.(netpoll.Conn).Fd())
+	if err != nil {
+		return err
+	}
+	syscall.CloseOnExec(fd)
+	conn, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		syscall.Close(fd)
+		return err
+	}
+	conn.SetWriteTimeout(writePatience)
+	c.conn = conn
+	open := &c.s.open
+	open.Add(1)
+	conn.AddCloseCallback(func(netpoll.Connection) error { open.Add(-1); return nil })
+	c.watch(conn)
+	conn.SetOnRequest(func(context.Context, netpoll.Connection) error {
+		c.readable()
+		return nil
+	})
+	c.s.loop.Post(c.parse)
+	return nil
+}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -22,6 +22,7 @@
 	queue []func()
 	wake  chan struct{}
 	stop  bool
+	fence *fence
 }
 
 // NewLoop makes a loop and lets netpoll run its callbacks there.
--- a/internal/net/mysql_login.go
+++ b/internal/net/mysql_login.go
@@ -103,7 +103,7 @@
 
 // who tells the guard who tries.
 func (m *mysqlSpeaker) who(c *client) logins.Who {
-	host, _, _ := stdnet.SplitHostPort(c.conn.RemoteAddr().String())
+	host, _, _ := stdnet.SplitHostPort(c.from)
 	return logins.Who{Peer: host, User: m.user}
 }
 
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -173,7 +173,7 @@
 
 // accept makes the client of a new connection; it runs on the loop, before anything that the client sent.
 func (s *Server) accept(ctx context.Context, conn netpoll.Connection, speaks speaker) context.Context {
-	c := &client{s: s, conn: conn, speaks: speaks}
+	c := &client{s: s, conn: conn, speaks: speaks, from: conn.RemoteAddr().String()}
 	s.front.Counters.Clients++
 	s.makeRoom()
 	if c.full = s.crowded(); c.full {
@@ -186,10 +186,7 @@
 	s.clients[c] = struct{}{}
 	c.settle()
 	s.ease()
-	conn.AddCloseCallback(func(netpoll.Connection) error {
-		s.loop.Post(c.closed)
-		return nil
-	})
+	c.watch(conn)
 	s.deadlines.Set(&c.timer, s.clock.Now()+queryPatience, c.tooSlow)
 	if s.excess > s.maxExcess { // not even a descriptor for an answer
 		c.hangUp()
@@ -239,8 +236,12 @@
 		c.list.MoveToBack(c.place)
 		return
 	}
+	if c.close(); c.phase != phaseClosed { // it has spoken just now
+		c.since = now
+		c.list.MoveToBack(c.place)
+		return
+	}
 	s.front.Counters.MadeRoom++
-	c.hangUp()
 }
 
 const (
--- a/internal/net/stream.go
+++ b/internal/net/stream.go
@@ -63,7 +63,7 @@
 	if db.closed || st.over {
 		return
 	}
-	err := db.d.behindPoller()
+	err := db.d.Loop.behindPoller()
 	if r := db.conn.Reader(); err == nil && r.Len() > 0 {
 		err = db.in.fill(r)
 	}
@@ -91,40 +91,6 @@
 	db.to.Reply(r)
 }
 
-// fence is a pipe to oneself by way of netpoll's poller.
-type fence struct {
-	conn netpoll.Connection
-	in   int
-}
-
-// behindPoller returns when the poller has ended what it was about: it may be in the middle of reading a connection that it has just been
-// told to leave alone. Whatever it fetches after a byte was written to a pipe, it fetches without that connection; the byte's arrival tells
-// that all before it is done. That takes as long as the poller's turn, some microseconds. There is one poller; see netpoll.SetNumLoops.
-func (d *Databases) behindPoller() error {
-	if d.fence == nil {
-		var ends [2]int
-		if err := syscall.Pipe2(ends[:], syscall.O_CLOEXEC|syscall.O_NONBLOCK); err != nil {
-			return err
-		}
-		conn, err := netpoll.NewFDConnection(ends[0])
-		if err != nil {
-			syscall.Close(ends[0])
-			syscall.Close(ends[1])
-			return err
-		}
-		conn.SetReadTimeout(time.Second)
-		d.fence = &fence{conn, ends[1]}
-	}
-	if _, err := syscall.Write(d.fence.in, []byte{1}); err != nil {
-		return err
-	}
-	_, err := d.fence.conn.Reader().Next(1)
-	if err == nil {
-		err = d.fence.conn.Reader().Release()
-	}
-	return err
-}
-
 // feed takes bytes from the database.
 func (st *stream) feed(b []byte) {
 	n := min(st.rest, len(b))
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -451,7 +451,15 @@
 func (p *proxy) drained() {
 	now := p.clock.Now()
 	if p.server.Drained() && p.front.Pending() == 0 || now >= p.killAt {
-		p.loop.Stop()
+		// A connection may have been accepted, and a query read, that the loop has yet to hear of: whatever the poller has begun by now
+		// stands before this in the loop's queue.
+		p.loop.BehindPoller(func() {
+			if p.server.Drained() && p.front.Pending() == 0 || p.clock.Now() >= p.killAt {
+				p.loop.Stop()
+				return
+			}
+			p.front.Deadlines.Set(&p.timer, p.clock.Now()+drainStep, p.drained)
+		})
 		return
 	}
 	p.front.Deadlines.Set(&p.timer, now+drainStep, p.drained)
