Let the model play a tier: proxies that talk, stop and are cut off by zone

Databases may answer a part of their requests with errors.

Scenario words: tier(), mute(), split(), stop(), prices(); fault("errors"). Questions: net worth (worth less prices), messages, list calls, connections. variant(peers = ...) compares.

--- /dev/null
+++ b/deploy/lab/fleet/join.star
@@ -0,0 +1,20 @@
+# Six in ten databases are replaced within 7 s: they drain, end and come back cold.
+fleet(groups = 30, members = 4)
+proxy(count = 300)
+tier(uneven = 1.6, peer_loss = 0.01, list_calls = 600)
+network(way = "0.5ms", jitter = "0.3ms")
+prices(probe = 0.011, message = 0.0072)
+traffic(demand = 0.5, length = "22s", retries = 3, retry_wait = "20ms")
+for group in range(30):
+    fault("drain", at = "%dms" % (4000 + 110 * group), group = group, member = 1, lasts = "1s")
+    fault("drain", at = "%dms" % (6000 + 110 * group), group = group, member = 2, lasts = "1s")
+    if group % 5 < 2:
+        fault("drain", at = "%dms" % (8000 + 90 * group), group = group, member = 3, lasts = "1s")
+variant("alone", peers = False)
+variant("peers", peers = True)
+question("net worth", least = 0.005)
+question("worth", least = 0.005)
+question("probes")
+question("messages")
+question("misroutes")
+runs(looks = [6, 12])
--- a/internal/lab/command/compare.go
+++ b/internal/lab/command/compare.go
@@ -211,7 +211,7 @@
 				cfg := experiment.Model(e.Scenario, file, seed+uint64(i))
 				cfg.Heat = htmlPath != ""
 				last = virtual.Play(cfg)
-				all = append(all, experiment.Run{Variant: e.Name, Seed: seed + uint64(i), Figures: experiment.Figures(cfg.Fleet.Classes, last)})
+				all = append(all, experiment.Run{Variant: e.Name, Seed: seed + uint64(i), Figures: experiment.Figures(e.Scenario, last)})
 			}
 			took := time.Since(began)
 			if htmlPath != "" {
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -22,7 +22,6 @@
 
 	"go.starlark.net/starlark"
 
-	"havenproxy/internal/lab/fleet"
 	"havenproxy/internal/lab/play"
 	"havenproxy/internal/lab/scenario"
 	"havenproxy/internal/lab/verdict"
@@ -41,6 +40,7 @@
 	Scenario *scenario.Scenario // in place of the experiment's; nil = that
 	Path     string             // of that scenario's file
 	Binary   string             // another build's havenlab, which plays this variant; empty = this one
+	Peers    *bool              // whether proxies tell one another what they have seen; nil = as the scenario says
 	Redraw   bool               // the proxies draw their own random numbers anew: the same day once more
 	file     *operator.File
 }
@@ -70,15 +70,19 @@
 	Switches     = "switches"      // of primaries
 	LevelChanges = "level changes" // of levels of reduced service, at the first proxy
 	InAim        = "in aim"        // part of a class's requests
+	NetWorth     = "net worth"     // worth less the scenario's prices
+	Messages     = "messages"      // a request: peers' messages as they came to each, in pieces of 256 bytes
+	ListCalls    = "list calls"    // a request
+	Connections  = "connections"   // opened to databases, a request
 	RefusedPart  = "refused"       // part of a class's requests that were refused in the end
 	P50          = "p50"           // answer time of what was served of a class, in ms
 	P99          = "p99"
 )
 
 var (
-	general    = []string{Worth, Worst, Attempts, Misroutes, Probes, Switches, LevelChanges}
+	general    = []string{Worth, NetWorth, Worst, Attempts, Misroutes, Probes, Messages, ListCalls, Connections, Switches, LevelChanges}
 	aboutClass = []string{InAim, RefusedPart, P50, P99}
-	lessIsMore = []string{Attempts, Misroutes, Probes, LevelChanges, RefusedPart, P50, P99}
+	lessIsMore = []string{Attempts, Misroutes, Probes, Messages, ListCalls, Connections, LevelChanges, RefusedPart, P50, P99}
 )
 
 // Less tells whether less of it is better.
@@ -149,6 +153,12 @@
 			c.Errorf("", "variant %q is there twice", v.Name)
 		}
 	}
+	if c.Has("peers") {
+		on := c.Bool("peers", false)
+		if v.Peers = &on; v.Binary != "" {
+			c.Errorf("peers", "peers is for this build's variants: give another build a scenario with tier(peers = ...)")
+		}
+	}
 	v.Operator = c.String("operator", "")
 	if c.Has("operator_file") {
 		if c.Has("operator") {
@@ -257,6 +267,7 @@
 		c.Fleet.Classes[i].Class = k.Class
 		c.Fleet.Classes[i].Late = k.LateWorth
 	}
+	c.Tier = s.Tier
 	c.Arrivals, _ = s.Arrivals(seed)
 	for _, f := range s.Faults {
 		c.Faults = append(c.Faults, virtual.Fault{At: f.At, Fault: f.Fault})
@@ -271,8 +282,8 @@
 }
 
 // Figures answers all questions of a run.
-func Figures(classes []fleet.Class, r *virtual.Result) map[string]float64 {
-	offered := 0
+func Figures(s *scenario.Scenario, r *virtual.Result) map[string]float64 {
+	classes, offered := s.Classes, 0
 	for _, k := range r.Classes {
 		offered += k.Offered
 	}
@@ -280,6 +291,9 @@
 	c := &r.Counters
 	out := map[string]float64{Worth: r.Worth, Worst: r.Worst10, Attempts: part(int(c.Sent), offered), Probes: part(int(c.Probes), offered),
 		Misroutes: part(int(c.Miss+c.Full+c.TimedOut+c.ConnectFailed+c.Reset), offered), Switches: float64(len(r.Switches)), LevelChanges: float64(len(r.Changes))}
+	out[Messages], out[ListCalls], out[Connections] = part(int(r.DeliveredBytes), 256*offered), part(int(r.ListCalls), offered), part(int(c.Opened), offered)
+	p := &s.Prices
+	out[NetWorth] = r.Worth - p.Probe*out[Probes] - p.Connection*out[Connections] - p.List*out[ListCalls] - p.Message*out[Messages]
 	for i, k := range r.Classes {
 		name := classes[i].Name
 		out[InAim+" "+name] = part(k.InAim, k.Offered)
@@ -407,10 +421,13 @@
 	}
 	s := e.scenarioOf(v)
 	cfg := Model(s, v.file, seed)
+	if v.Peers != nil {
+		scenario.SetPeers(&cfg.Tier, *v.Peers)
+	}
 	if v.Redraw {
 		cfg.ProxySeed = seed ^ 0x5eed<<40
 	}
-	return Figures(cfg.Fleet.Classes, virtual.Play(cfg)), nil
+	return Figures(s, virtual.Play(cfg)), nil
 }
 
 func (e *Experiment) scenarioOf(v *Variant) *scenario.Scenario {
--- a/internal/lab/fleet/api.go
+++ b/internal/lab/fleet/api.go
@@ -171,10 +171,11 @@
 	Lag       Kind = "lag"       // its log comes Delay late for For
 	StaleList Kind = "stalelist" // the list stands still for For
 	NoList    Kind = "nolist"    // the list's service answers with errors for For
+	Errors    Kind = "errors"    // answers a part, Share, of its requests with an error for For
 )
 
 // Kinds are all of them.
-var Kinds = []Kind{Crash, Hang, Slow, Drain, Lag, StaleList, NoList}
+var Kinds = []Kind{Crash, Hang, Slow, Drain, Lag, StaleList, NoList, Errors}
 
 // Fault is something that happens to a database or to the list.
 type Fault struct {
@@ -183,6 +184,7 @@
 	Member int // within the group; Primary = who is primary then
 	For    time.Duration
 	Factor float64
+	Share  float64
 	Delay  time.Duration
 }
 
--- a/internal/lab/fleet/faults.go
+++ b/internal/lab/fleet/faults.go
@@ -180,6 +180,8 @@
 		f.hang(m, x.For)
 	case Slow:
 		m.slow, m.slowTill = max(x.Factor, 1), now+x.For
+	case Errors:
+		m.errors, m.errorsTill = x.Share, now+x.For
 	case Lag:
 		m.applied()
 		m.lag, m.lagTill = x.Delay, now+x.For
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -41,15 +41,17 @@
 	Place int // within the group
 	Zone  int
 
-	f        *Fleet
-	g        *group
-	live     Liveness
-	life     int // counts starts; what was due in an earlier life is void
-	role     logic.Role
-	draining bool
-	started  time.Duration // 0 = long ago
-	slow     float64
-	slowTill time.Duration
+	f          *Fleet
+	g          *group
+	live       Liveness
+	life       int // counts starts; what was due in an earlier life is void
+	role       logic.Role
+	draining   bool
+	started    time.Duration // 0 = long ago
+	slow       float64
+	slowTill   time.Duration
+	errors     float64 // part of the requests that it answers with an error
+	errorsTill time.Duration
 
 	running []*job
 	waiting []*job
@@ -339,6 +341,9 @@
 	case m.draining || j.q.Deadline > 0 && f.now >= j.q.Deadline:
 		m.reply(j, TurnedAway, m.applied())
 		return
+	case f.now < m.errorsTill && f.rng.Float64() < m.errors:
+		m.reply(j, Broken, m.applied())
+		return
 	case c.Read == logic.Write || c.Read == logic.Fresh:
 		if m.role != logic.RolePrimary || m.g.primary != m {
 			r := TooFarBack
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -25,6 +25,7 @@
 	"havenproxy/internal/lab/fleet"
 	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/lab/load"
+	"havenproxy/internal/lab/virtual"
 	"havenproxy/internal/operator/star"
 	"havenproxy/internal/trace"
 	"havenproxy/logic"
@@ -59,6 +60,16 @@
 	Jitter  time.Duration // added to it on the mean
 	Loss    float64       // part of the messages that are sent once more
 	Cuts    []Cut
+	Tier    virtual.Tier // what lies between the proxies
+	Prices  Prices
+}
+
+// Prices are what a deployment counts against what it earns: of one each, as a part of a mean request's worth.
+type Prices struct {
+	Probe      float64
+	Connection float64
+	List       float64 // a call for the list of databases
+	Message    float64 // 256 bytes of a peer's message, for each that it comes to
 }
 
 // Cut is a time in which nothing passes between proxies and databases; -1 stands for all of a kind.
@@ -69,7 +80,8 @@
 
 // ModelOnly names what of the scenario sockets can't play; empty = nothing.
 func (s *Scenario) ModelOnly() (what []string) {
-	for name, is := range map[string]bool{"proxies": s.Proxies > 1, "way": s.Way > 0, "jitter": s.Jitter > 0, "loss": s.Loss > 0, "cut()": len(s.Cuts) > 0} {
+	for name, is := range map[string]bool{"proxies": s.Proxies > 1, "tier()": s.Tier.Peers > 0 || s.Tier.Uneven > 0 || s.Tier.ListCalls > 0,
+		"mute()": len(s.Tier.Mutes) > 0, "split()": len(s.Tier.Splits) > 0, "stop()": len(s.Tier.Stops) > 0, "way": s.Way > 0, "jitter": s.Jitter > 0, "loss": s.Loss > 0, "cut()": len(s.Cuts) > 0} {
 		if is {
 			what = append(what, name)
 		}
@@ -135,6 +147,7 @@
 		"steady": func(c *star.Call) starlark.Value { return s.Shape },
 		"sine":   sine, "square": square, "steps": steps, "ramp": ramp, "diurnal": diurnal, "bursts": bursts,
 		"network": s.network, "cut": s.cut, "replay": s.replay,
+		"tier": s.tier, "mute": s.mute, "split": s.split, "stop": s.stop, "prices": s.prices,
 	}
 	for word, do := range words {
 		all[word] = do
@@ -347,6 +360,7 @@
 	}
 	x.For = c.Duration("lasts", 10*time.Second, time.Millisecond, day)
 	x.Factor = c.Float("factor", 6, 1, 1000)
+	x.Share = c.Float("share", 0.5, 0, 1)
 	x.Delay = c.Duration("delay", 2*time.Second, 0, minute)
 	s.Faults = append(s.Faults, x)
 	return nil
--- a/internal/lab/search/search.go
+++ b/internal/lab/search/search.go
@@ -146,6 +146,7 @@
 	s.who(&f)
 	f.For = max(s.between(0, s.cfg.Longest), 100*time.Millisecond)
 	f.Factor = 1 + float64(s.rng.IntN(19))/2
+	f.Share = float64(1+s.rng.IntN(10)) / 10
 	f.Delay = max(s.between(0, 5*time.Second), 100*time.Millisecond)
 	return f
 }
@@ -194,6 +195,8 @@
 		switch f.Kind {
 		case fleet.Slow:
 			fmt.Fprintf(&b, ", factor = %g", f.Factor)
+		case fleet.Errors:
+			fmt.Fprintf(&b, ", share = %g", f.Share)
 		case fleet.Lag:
 			fmt.Fprintf(&b, ", delay = %q", f.Delay)
 		}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -70,6 +70,7 @@
 	Clocked    bool // Result.InProxies and InTimers are wanted
 	Heat       bool // Result.Load is wanted
 	Record     bool // the history of writes, for a checker; it needs Fleet.Audit
+	Tier       Tier
 }
 
 // Fault is a fault with its time.
@@ -132,7 +133,13 @@
 	// The true time that the proxies' decisions and state took, on this machine: for what came to them, and for what they do by
 	// the clock. With Config.Clocked.
 	InProxies, InTimers time.Duration
-	Events              []Event // faults and what came of them
+	InPeers             time.Duration // the same for what peers tell
+	Events              []Event       // faults and what came of them
+
+	// Of the tier: messages to peers with their bytes, as sent and as they came to each receiver; calls for the list; proxies that ended.
+	Messages, MessageBytes, Delivered, DeliveredBytes uint64
+	ListCalls                                         uint64
+	Stopped                                           int
 }
 
 // Election is a database that became primary, with what followed.
@@ -202,18 +209,25 @@
 	after        map[uint64]time.Duration
 	watched      [][]*request // by class, in the order of coming, and so of the time by which they must have an answer
 	series       series
+	tier         *tier
 }
 
 // node is one proxy.
 type node struct {
 	w     *world
 	i     int
+	zone  int
 	front *state.Front
-	late  time.Duration // it stands still until then
-	inbox []func()      // what waits for it
-	watch bool
-	wake  state.Deadline // its own first deadline, among the world's
-	armed time.Duration
+	life  int  // counts starts; what was under way in an earlier life is lost
+	dead  bool // between two lives
+	// leaving: it has been told to end and takes nothing new.
+	leaving bool
+	conns   map[*conn]struct{}
+	late    time.Duration // it stands still until then
+	inbox   []func()      // what waits for it
+	watch   bool
+	wake    state.Deadline // its own first deadline, among the world's
+	armed   time.Duration
 }
 
 // at lets something happen at a time.
@@ -221,6 +235,9 @@
 
 // proxy does something at the proxy, once it has the time.
 func (n *node) proxy(do func()) {
+	if n.dead {
+		return
+	}
 	if n.w.clock.now < n.late {
 		n.inbox = append(n.inbox, do)
 		return
@@ -250,6 +267,9 @@
 
 func (n *node) due() {
 	n.armed = 0
+	if n.dead {
+		return
+	}
 	if n.w.cfg.Clocked {
 		defer n.w.clocked(time.Now(), &n.w.res.InTimers)
 	}
@@ -285,7 +305,7 @@
 			end = max(end, base+c.At+c.For)
 		}
 	}
-	return end
+	return max(end, w.tier.partedUntil(at, n.zone, w.fleet.Members()[m].Zone))
 }
 
 // Play plays a run to its end, until every request has its answer.
@@ -303,6 +323,7 @@
 		after: map[uint64]time.Duration{}, newest: map[int]int{}, conns: make([][]*conn, cfg.Fleet.Groups*cfg.Fleet.Members),
 		watched: make([][]*request, len(cfg.Fleet.Classes))}
 	w.res.Classes = make([]ClassResult, len(cfg.Fleet.Classes))
+	w.beginTier()
 	var err error
 	w.fleet, err = fleet.New(cfg.Fleet, base-cfg.Before, fleet.Observer{
 		Liveness: w.turned,
@@ -324,23 +345,11 @@
 		panic(err)
 	}
 	for i := range max(cfg.Proxies, 1) {
-		n := &node{w: w, i: i}
-		decide := LogicConfig(cfg.Fleet, cfg.ProxySeed+uint64(i)<<32)
-		decide.Handover, decide.Tuning, decide.Fronts = cfg.Handover, cfg.Tuning, max(cfg.Proxies, 1)
-		if cfg.Tune != nil {
-			cfg.Tune(&decide)
-		}
-		n.front, err = state.New(state.Config{Logic: decide, Zones: cfg.Fleet.Zones, IdleClose: 30 * time.Second,
-			ConnectTimeout: 250 * time.Millisecond, MaxLinks: 1 << 20}, w.clock, n)
-		if err != nil {
-			panic(err)
-		}
-		if cfg.Levels != nil {
-			n.front.Reduce(cfg.Levels)
-			if i == 0 {
-				for _, l := range cfg.Levels.Ladder {
-					w.res.Ladder = append(w.res.Ladder, l.Name)
-				}
+		n := &node{w: w, i: i, zone: i % max(len(cfg.Fleet.Zones), 1), conns: map[*conn]struct{}{}}
+		n.front = w.front(n)
+		if cfg.Levels != nil && i == 0 {
+			for _, l := range cfg.Levels.Ladder {
+				w.res.Ladder = append(w.res.Ladder, l.Name)
 			}
 		}
 		w.nodes = append(w.nodes, n)
@@ -349,6 +358,7 @@
 	w.series.begin(w)
 	w.schedule()
 	w.watch()
+	w.stops()
 	for _, f := range cfg.Faults {
 		w.at(base+f.At, func() { w.fleet.Inject(w.clock.now, f.Fault) })
 	}
@@ -386,6 +396,32 @@
 	return &w.res
 }
 
+// front makes a proxy's inside.
+func (w *world) front(n *node) *state.Front {
+	cfg := &w.cfg
+	decide := LogicConfig(cfg.Fleet, cfg.ProxySeed+uint64(n.i)<<32+uint64(n.life)<<52)
+	decide.Handover, decide.Tuning, decide.Fronts = cfg.Handover, cfg.Tuning, max(cfg.Proxies, 1)
+	decide.PeerFacts = cfg.Tier.Peers
+	if len(cfg.Tier.Splits) > 0 || cfg.Tier.Uneven > 0 {
+		decide.Zone = n.zone
+	}
+	if cfg.Tune != nil {
+		cfg.Tune(&decide)
+	}
+	f, err := state.New(state.Config{Logic: decide, Zones: cfg.Fleet.Zones, IdleClose: 30 * time.Second,
+		ConnectTimeout: 250 * time.Millisecond, MaxLinks: 1 << 20}, w.clock, n)
+	if err != nil {
+		panic(err)
+	}
+	if cfg.Levels != nil {
+		f.Reduce(cfg.Levels)
+	}
+	if cfg.Tier.Peers > 0 {
+		f.Peers(n)
+	}
+	return f
+}
+
 func (w *world) countChanges() {
 	w.res.PerGroup = make([]int, w.cfg.Fleet.Groups)
 	for i, c := range w.res.Changes {
@@ -470,6 +506,7 @@
 	over    bool
 	id      logic.RequestID
 	called  time.Duration // the try in hand
+	inHand  bool          // a proxy has it
 	served  int           // the database that answered last
 	luck    float64       // its work, within its class's span: the same under every variant
 }
@@ -481,8 +518,8 @@
 		w.ids++
 		r.key = strconv.FormatUint(w.ids, 10)
 	}
-	if r.n = w.nodes[(in.Group*w.cfg.Sessions+in.Session)%len(w.nodes)]; in.Roam < w.cfg.Roam {
-		r.n = w.nodes[int(in.To)%len(w.nodes)]
+	if r.n = w.living(w.home(in.Group, in.Session)); in.Roam < w.cfg.Roam {
+		r.n = w.living(int(in.To) % len(w.nodes))
 	}
 	r.session = uint64(r.group)<<32 + uint64(in.Session)*0x9e3779b97f4a7c15 + 1
 	c := &w.cfg.Fleet.Classes[class]
@@ -514,7 +551,11 @@
 	w := r.w
 	w.res.Classes[r.class].Tries++
 	r.tries++
-	r.called = w.clock.now
+	r.called, r.inHand = w.clock.now, true
+	if r.n.dead { // refused a connection
+		r.lost()
+		return
+	}
 	r.n.proxy(func() {
 		c := &w.cfg.Fleet.Classes[r.class]
 		in := state.Request{Class: c.Name, Wait: r.until - w.clock.now, Session: r.session, Group: r.group, Command: command{r}, Caller: r}
@@ -559,6 +600,7 @@
 func (r *request) Served([]byte) {
 	k := &r.w.res.Classes[r.class]
 	c := &r.w.cfg.Fleet.Classes[r.class]
+	r.inHand = false
 	r.record(history.Served)
 	if c.Read == logic.Write {
 		r.w.after[r.session] = r.w.clock.now
@@ -576,6 +618,7 @@
 // Refused implements state.Caller.
 func (r *request) Refused(comeBack time.Duration) {
 	w := r.w
+	r.inHand = false
 	r.record(history.Refused)
 	wait := w.cfg.RetryWait
 	if w.cfg.Honour {
@@ -590,6 +633,7 @@
 
 // Failed implements state.Caller.
 func (r *request) Failed() {
+	r.inHand = false
 	r.record(history.Failed)
 	r.end(&r.w.res.Classes[r.class].Failed, 0)
 }
@@ -623,6 +667,7 @@
 	}
 	c := &conn{w: w, n: n, m: m, to: to}
 	w.conns[m] = append(w.conns[m], c)
+	n.conns[c] = struct{}{}
 	w.at(w.clock.now+3*w.cfg.Way, func() {
 		switch {
 		case c.closed || w.cutUntil(n, m, w.clock.now) > 0:
@@ -731,6 +776,7 @@
 		return
 	}
 	c.closed = true
+	delete(c.n.conns, c)
 	c.w.conns[c.m] = slices.DeleteFunc(c.w.conns[c.m], func(x *conn) bool { return x == c })
 	if c.out {
 		c.w.carry(c.n, c.m, func() { c.w.fleet.Withdraw(c.w.clock.now, c.ticket) })
@@ -756,7 +802,11 @@
 }
 
 func (n *node) news() {
-	if n.watch {
+	switch {
+	case !n.watch:
+	case n.w.tier.ListCalls > 0:
+		n.call()
+	default:
 		n.front.Listed(n.w.list(logic.ListFull))
 	}
 }
@@ -768,10 +818,12 @@
 }
 
 // Fetch implements state.Watcher.
-func (n *node) Fetch() {
+func (n *node) Fetch() { n.call() }
+
+func (n *node) call() {
 	w := n.w
-	w.at(w.clock.now+time.Millisecond, func() {
-		if _, _, ok := w.fleet.List(w.clock.now); !ok {
+	w.listed(n, func(ok bool) {
+		if _, _, up := w.fleet.List(w.clock.now); !ok || !up {
 			n.proxy(func() { n.front.ListFailed(errDown) })
 			return
 		}
