Give the two guards without a test theirs, and count two versions side by side

TestAFailingPrimaryIsUsed makes sure that the primary counts as failing and is between its trials; TestAValueIsWholeThoughThePollerIsInTheMiddleOfARead lets bytes that the poller has fetched show only behind the wait. Both fail every time with their guard taken out (tried).

Two versions on one address, each with its own account of a cold database: what an account fills with follows the traffic that its process has, so that both together send no more than one did alone. Nothing is halved or handed over, with this test as the reason.

--- a/internal/net/fence.go
+++ b/internal/net/fence.go
@@ -39,6 +39,7 @@
 	}
 	_, err := l.fence.conn.Reader().Next(1)
 	if err == nil {
+		l.waited++
 		err = l.fence.conn.Reader().Release()
 	}
 	return err
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -18,11 +18,12 @@
 	clock     state.Clock
 	deadlines *state.Deadlines
 
-	mu    sync.Mutex
-	queue []func()
-	wake  chan struct{}
-	stop  bool
-	fence *fence
+	mu     sync.Mutex
+	queue  []func()
+	wake   chan struct{}
+	stop   bool
+	fence  *fence // nil before the poller was first waited for
+	waited uint64 // how often it was
 }
 
 // NewLoop makes a loop and lets netpoll run its callbacks there.
--- a/internal/net/stream_test.go
+++ b/internal/net/stream_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+
+	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
 	"havenproxy/logic"
 )
@@ -90,6 +93,92 @@
 	}
 }
 
+// midRead is a database's connection whose poller is in the middle of a read when it is told to let go: what it has fetched counts once it
+// has been waited for.
+type midRead struct {
+	netpoll.Connection
+	loop   *Loop
+	waited uint64
+	ends   bool
+}
+
+func (m *midRead) Fd() int { return m.Connection.(netpoll.Conn).Fd() }
+
+func (m *midRead) Close() error {
+	for m.Connection.Reader().Len() == 0 { // the poller goes on beside the loop
+		time.Sleep(50 * time.Microsecond)
+	}
+	m.ends, m.waited = true, m.loop.waited
+	return m.Connection.Close()
+}
+
+func (m *midRead) Reader() netpoll.Reader {
+	if m.ends && m.loop.waited == m.waited {
+		return empty{m.Connection.Reader()}
+	}
+	return m.Connection.Reader()
+}
+
+// spy keeps the connections to databases that are opened.
+type spy struct {
+	*Databases
+	opened []*database
+}
+
+func (s *spy) Open(address string, group int, to state.Listener) state.Conn {
+	c := s.Databases.Open(address, group, to)
+	s.opened = append(s.opened, c.(*database))
+	return c
+}
+
+// What the poller fetches while it is told to let go belongs to the value. Without the wait for it those bytes were left out.
+func TestAValueIsWholeThoughThePollerIsInTheMiddleOfARead(t *testing.T) {
+	whole := longAnswer(2 << 20)
+	address := member(t, func(c stdnet.Conn, text string) bool {
+		if !bytes.Contains([]byte(text), []byte("'1a'")) {
+			return echo(c, text)
+		}
+		_, err := c.Write(whole)
+		return err == nil
+	})
+	clock := state.NewClock()
+	s := &spy{Databases: &Databases{ConnectTimeout: patience}}
+	front, err := state.New(state.Config{Logic: settings, MaxLinks: 16, ConnectTimeout: patience}, clock, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop := NewLoop(clock, &front.Deadlines)
+	s.Loop, s.Counters = loop, &front.Counters
+	server := NewServer(loop, clock, front, 8, 1, 32<<20)
+	if err := server.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	loop.Post(func() {
+		front.Start(noWatch{}, state.List{Entries: []state.Entry{{Name: "m", Address: address, State: logic.Ready}}})
+	})
+	done := make(chan struct{})
+	go func() { loop.Run(); close(done) }()
+	defer func() { loop.Post(func() { server.Drain(); loop.Stop() }); <-done }()
+	p := dial(t, server)
+	p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("2b")))
+	p.said(len(welcome) + 3)
+	ready := make(chan bool)
+	loop.Post(func() {
+		for _, db := range s.opened {
+			if db.conn != nil {
+				db.conn = &midRead{Connection: db.conn, loop: loop}
+			}
+		}
+		ready <- true
+	})
+	<-ready
+	p.conn.Write(pg.AppendQuery(nil, query("1a")))
+	got := make([]byte, len(whole))
+	if _, err := io.ReadFull(p.conn, got); err != nil || !bytes.Equal(got, whole) {
+		t.Errorf("the value is not whole: %v", err)
+	}
+}
+
 // A database that breaks off in the middle of a long value: the client sees that it isn't whole, and nothing is sent again.
 func TestABrokenLongValueShows(t *testing.T) {
 	asked := 0
--- a/logic/peers_test.go
+++ b/logic/peers_test.go
@@ -65,12 +65,25 @@
 	if f.r.usable(m, f.now) != (f.now >= f.r.members[2].bench.Until()) {
 		t.Error("it is tried once a second by each")
 	}
-	for range 6 {
+}
+
+// A primary that fails often is used all the same, between its trials too: nobody else can take its place.
+func TestAFailingPrimaryIsUsed(t *testing.T) {
+	f := settled(t, talkers(), 4)
+	f.pass(400 * ms)
+	for range 8 {
 		f.word(1, peers.Primary, peers.Failing, 0)
 	}
-	if !f.r.usable(f.r.members[1], f.now) {
+	m := f.r.members[1]
+	if !f.r.failures.More(&m.bench) || m.bench.Trial(f.now) {
+		t.Fatal("it doesn't count as failing, or is at its trial")
+	}
+	if !f.r.usable(m, f.now) {
 		t.Error("a primary that fails often is all there is, and is not used")
 	}
+	if s := f.mustSend(f.request(clsGuarded, 0)); s.to != 1 {
+		t.Errorf("a write went to %d", s.to)
+	}
 }
 
 // A member that has not been heard of is pinged within the time that a fresh front waits, one that a peer knows is not.
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -379,3 +379,57 @@
 		t.Errorf("%d of 200 requests sent to half-full members", sent)
 	}
 }
+
+// While a new version runs beside the old one, each by its own account of a cold member: what each may send follows what it is asked, so
+// that both together send it no more than one did alone, but for what the old one remembers of its traffic for some seconds.
+func TestTwoVersionsSideBySideShareAColdMember(t *testing.T) {
+	const seeds, every = 60, 2 // a request each 20 ms, at one of the two
+	alone, both := 0, 0
+	for seed := range uint64(seeds) {
+		for _, two := range []bool{false, true} {
+			cfg := testConfig()
+			cfg.Seed, cfg.Fronts = seed, 1
+			fronts := []*front{settled(t, cfg, 4)}
+			turns := func(n int) {
+				for k := range n {
+					for i, f := range fronts {
+						f.pass(10 * ms)
+						if k%every == 0 && k/every%len(fronts) == i {
+							if s, ok := f.last(f.askAndPong(clsAny)); ok {
+								f.end(s, OK)
+							}
+						}
+					}
+				}
+			}
+			turns(1500)
+			old := fronts[0]
+			if two {
+				cfg.Seed += 1000
+				f := newFront(t, cfg)
+				f.now = old.now
+				f.list(ListCached, 4)
+				f.pass(20 * ms)
+				old.pass(20 * ms)
+				fronts = append(fronts, f)
+			}
+			for _, f := range fronts {
+				f.sends = nil
+				f.r.Members(f.now, List{Entries: []Member{{ID: 2, State: Ready, Born: old.now}}})
+			}
+			turns(300)
+			for _, f := range fronts {
+				for _, s := range f.sends {
+					if s.to == 2 && two {
+						both++
+					} else if s.to == 2 {
+						alone++
+					}
+				}
+			}
+		}
+	}
+	if float64(both) > 1.1*float64(alone) || alone == 0 {
+		t.Errorf("in 3 s %d at the cold member by one version, %d by two side by side", alone, both)
+	}
+}
