--- /dev/null
+++ b/internal/rollout/state.go
@@ -0,0 +1,165 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Outcome is what became of a change.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Undecided Outcome = iota
+	InForce
+	GivenUp
+)
+
+func (o Outcome) String() string { return [...]string{"undecided", "in force", "given up"}[o] }
+
+// Change is one that was proposed.
+type Change struct {
+	Number  Number  `cbor:"1,keyasint"`
+	Nonce   uint64  `cbor:"2,keyasint,omitempty"`
+	Policy  []byte  `cbor:"3,keyasint,omitempty"`
+	Why     string  `cbor:"4,keyasint,omitempty"`
+	Outcome Outcome `cbor:"5,keyasint,omitempty"`
+	Reason  string  `cbor:"6,keyasint,omitempty"`
+	At      int64   `cbor:"7,keyasint,omitempty"` // Unix milliseconds
+	Ended   int64   `cbor:"8,keyasint,omitempty"`
+}
+
+// Seat is a member of the tier.
+type Seat struct {
+	Member Member `cbor:"1,keyasint"`
+	Name   string `cbor:"2,keyasint"`
+	Nonce  uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// State is what all planners hold alike: it comes of the log's commands and nothing else.
+type State struct {
+	Force    Number   `cbor:"1,keyasint,omitempty"` // the policy in force; 0 = the one that proxies begin with by themselves
+	Changes  []Change `cbor:"2,keyasint,omitempty"` // the last ones, the newest at the end
+	Last     Number   `cbor:"3,keyasint,omitempty"`
+	Seats    []Seat   `cbor:"4,keyasint,omitempty"` // by Member
+	Joined   Member   `cbor:"5,keyasint,omitempty"` // the last
+	Version  uint64   `cbor:"6,keyasint,omitempty"` // of Seats
+	Released Round    `cbor:"7,keyasint,omitempty"` // this round and all before it are over
+
+	Without Guards `cbor:"-"` // see Config
+}
+
+// keep is how many changes are remembered. The one in force is never forgotten.
+const keep = 64
+
+// Pending gives the change that is undecided; nil = there is none.
+func (s *State) Pending() *Change {
+	if n := len(s.Changes); n > 0 && s.Changes[n-1].Outcome == Undecided {
+		return &s.Changes[n-1]
+	}
+	return nil
+}
+
+// Change gives a change by its number; nil = it isn't there, or not any more.
+func (s *State) Change(n Number) *Change {
+	for i := range s.Changes {
+		if s.Changes[i].Number == n {
+			return &s.Changes[i]
+		}
+	}
+	return nil
+}
+
+// Seat gives a member's; nil = it is none.
+func (s *State) Seat(m Member) *Seat {
+	for i := range s.Seats {
+		if s.Seats[i].Member == m {
+			return &s.Seats[i]
+		}
+	}
+	return nil
+}
+
+// Clone gives a copy that shares nothing that changes.
+func (s *State) Clone() *State {
+	c := *s
+	c.Changes, c.Seats = slices.Clone(s.Changes), slices.Clone(s.Seats)
+	return &c
+}
+
+// Apply carries out a command of the log. The error tells why it has no effect; all planners come to the same.
+func (s *State) Apply(c Command) error {
+	switch c.Act {
+	case Join:
+		for _, x := range s.Seats {
+			if x.Name == c.Name && x.Nonce == c.Nonce {
+				return nil // asked twice
+			}
+			if x.Name == c.Name {
+				return fmt.Errorf("%s is a member already", c.Name)
+			}
+		}
+		s.Joined++
+		s.Version++
+		s.Seats = append(s.Seats, Seat{Member: s.Joined, Name: c.Name, Nonce: c.Nonce})
+	case Leave:
+		if c.Round.Term < s.Released.Term && !s.Without.Has(NoTermCheck) { // the fence against a leader of before: a later one may have given a lease
+			return fmt.Errorf("a later planner leads")
+		}
+		n := len(s.Seats)
+		s.Seats = slices.DeleteFunc(slices.Clone(s.Seats), func(x Seat) bool { return x.Member == c.Member })
+		if len(s.Seats) < n {
+			s.Version++
+		}
+	case Propose:
+		for i := range s.Changes {
+			if s.Changes[i].Nonce == c.Nonce {
+				return nil
+			}
+		}
+		if p := s.Pending(); p != nil {
+			return fmt.Errorf("change %d is undecided", p.Number)
+		}
+		s.Last++
+		s.Changes = append(s.Changes, Change{Number: s.Last, Nonce: c.Nonce, Policy: c.Policy, Why: c.Why, At: c.At})
+		for len(s.Changes) > keep {
+			i := 0
+			if s.Changes[0].Number == s.Force {
+				i = 1
+			}
+			s.Changes = slices.Delete(slices.Clone(s.Changes), i, i+1)
+		}
+	case GiveUp:
+		p := s.Pending()
+		if p == nil || p.Number != c.Number {
+			return fmt.Errorf("change %d is not undecided", c.Number)
+		}
+		if c.Round.Term < s.Released.Term { // it may not know the round that is open
+			return fmt.Errorf("a later planner leads")
+		}
+		p.Outcome, p.Reason, p.Ended = GivenUp, c.Reason, c.At
+		s.release(c.Round)
+	case Force:
+		p := s.Pending()
+		switch {
+		case p == nil || p.Number != c.Number:
+			return fmt.Errorf("change %d is not undecided", c.Number)
+		case !s.Released.Before(c.Round) && !s.Without.Has(NoTermCheck): // the fence against a leader of before: its members may have been let go
+			return fmt.Errorf("round %v is over", c.Round)
+		case s.Version != c.Members && !s.Without.Has(NoTierCheck): // the fence against who has joined since all agreed
+			return fmt.Errorf("the tier has changed")
+		}
+		p.Outcome, p.Ended = InForce, c.At
+		s.Force = p.Number
+		s.release(c.Round)
+	case Release:
+		s.release(c.Round)
+	}
+	return nil
+}
+
+func (s *State) release(r Round) {
+	if s.Released.Before(r) {
+		s.Released = r
+	}
+}
