Let the database of the mid-read test send its rest when the proxy lets go

TestAValueIsWholeThoughThePollerIsInTheMiddleOfARead hung when the poller had read all 2 MB before the proxy began to let go: one run in four beside others.

--- a/internal/net/stream_test.go
+++ b/internal/net/stream_test.go
@@ -98,6 +98,7 @@
 type midRead struct {
 	netpoll.Connection
 	loop   *Loop
+	more   chan bool // lets the database send the rest
 	waited uint64
 	ends   bool
 }
@@ -105,7 +106,10 @@
 func (m *midRead) Fd() int { return m.Connection.(netpoll.Conn).Fd() }
 
 func (m *midRead) Close() error {
-	for m.Connection.Reader().Len() == 0 { // the poller goes on beside the loop
+	if !m.ends {
+		close(m.more)
+	}
+	for m.Connection.Reader().Len() == 0 && !m.ends { // the poller goes on beside the loop
 		time.Sleep(50 * time.Microsecond)
 	}
 	m.ends, m.waited = true, m.loop.waited
@@ -133,12 +137,14 @@
 
 // What the poller fetches while it is told to let go belongs to the value. Without the wait for it those bytes were left out.
 func TestAValueIsWholeThoughThePollerIsInTheMiddleOfARead(t *testing.T) {
-	whole := longAnswer(2 << 20)
+	whole, more := longAnswer(2<<20), make(chan bool)
 	address := member(t, func(c stdnet.Conn, text string) bool {
 		if !bytes.Contains([]byte(text), []byte("'1a'")) {
 			return echo(c, text)
 		}
-		_, err := c.Write(whole)
+		c.Write(whole[:300000])
+		<-more
+		_, err := c.Write(whole[300000:])
 		return err == nil
 	})
 	clock := state.NewClock()
@@ -166,7 +172,7 @@
 	loop.Post(func() {
 		for _, db := range s.opened {
 			if db.conn != nil {
-				db.conn = &midRead{Connection: db.conn, loop: loop}
+				db.conn = &midRead{Connection: db.conn, loop: loop, more: more}
 			}
 		}
 		ready <- true
