--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -52,9 +52,13 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
-	root.AddCommand(serveCommand(&f), checkCommand(&f), statusCommand(), secretCommand(), versionCommand())
+	root.AddCommand(serveCommand(&f), checkCommand(&f), statusCommand(), planCommand(), policyCommand(), secretCommand(), versionCommand())
 	err := root.Execute()
+	var exit errExit
 	switch {
+	case errors.As(err, &exit):
+		fmt.Fprintln(errs, "havenproxy:", exit.text)
+		return exit.code
 	case err == nil:
 		return 0
 	case errors.Is(err, errUsage) || strings.HasPrefix(err.Error(), "unknown command"):
--- /dev/null
+++ b/internal/lab/tier/tier.go
@@ -0,0 +1,327 @@
+// Package tier is the lab's bench for many processes of the program, some of which fail: planners and proxies as real processes, every link
+// between them through a relay that can break it, clients that note what they see, and an auditor that judges the history.
+package tier
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/launch"
+	"havenproxy/internal/lab/standin"
+	"havenproxy/internal/planner/client"
+	"havenproxy/internal/wire/pg"
+)
+
+// Config is a bench's.
+type Config struct {
+	Binary   string // the program
+	Proxies  int
+	Planners int
+	Lease    time.Duration // 0 = proxies that are cut off go on
+	Seed     uint64
+	Fleet    fleet.Config
+	Log      io.Writer // of all processes; nil = dropped
+}
+
+// Bench is a tier that runs.
+type Bench struct {
+	cfg       Config
+	dir       string
+	world     *standin.World
+	began     time.Time
+	Planners  []*Process
+	Proxies   []*Process
+	Addresses []string // of the planners, as the operator asks them
+	config    string
+	mu        sync.Mutex
+	history   []Seen
+	refused   int
+	lost      int
+}
+
+// Process is one of them.
+type Process struct {
+	Name    string
+	Address string // where it is asked, through no relay
+	cmd     func() *exec.Cmd
+	run     *exec.Cmd
+	ended   chan struct{}
+	out     io.Writer
+}
+
+func (p *Process) start() error {
+	p.run = p.cmd()
+	p.run.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	p.run.Stdout, p.run.Stderr = p.out, p.out
+	if err := p.run.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	p.ended = ended
+	go func(c *exec.Cmd) { c.Wait(); close(ended) }(p.run)
+	return nil
+}
+
+// Signal sends one to the process.
+func (p *Process) Signal(s syscall.Signal) { p.run.Process.Signal(s) }
+
+// Kill ends it at once, and Start starts it again.
+func (p *Process) Kill() {
+	p.run.Process.Kill()
+	<-p.ended
+}
+
+// Start starts it again, with its disk as it is.
+func (p *Process) Start() error { return p.start() }
+
+func free() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// Start starts planners and proxies and waits until all are members.
+func Start(ctx context.Context, cfg Config) (b *Bench, err error) {
+	if cfg.Log == nil {
+		cfg.Log = io.Discard
+	}
+	b = &Bench{cfg: cfg, began: time.Now()}
+	defer func() {
+		if err != nil {
+			b.Close()
+		}
+	}()
+	if b.dir, err = os.MkdirTemp("", "haventier"); err != nil {
+		return nil, err
+	}
+	if b.world, err = standin.New(cfg.Fleet, func(time.Duration, string) {}); err != nil {
+		return nil, err
+	}
+	var peers []string
+	for i := range cfg.Planners {
+		address, err := free()
+		if err != nil {
+			return nil, err
+		}
+		b.Addresses = append(b.Addresses, address)
+		peers = append(peers, fmt.Sprintf("%d=%s", i+1, address))
+	}
+	lease := []string{"--cut-off", "go on"}
+	if cfg.Lease > 0 {
+		lease = []string{"--lease", cfg.Lease.String()}
+	}
+	for i, address := range b.Addresses {
+		args := append([]string{"plan", "--id", strconv.Itoa(i + 1), "--planners", strings.Join(peers, ","), "--log", filepath.Join(b.dir, fmt.Sprint("plan", i+1))}, lease...)
+		p := &Process{Name: fmt.Sprint("planner", i+1), Address: address, cmd: func() *exec.Cmd { return exec.Command(cfg.Binary, args...) }, out: cfg.Log}
+		if err := p.start(); err != nil {
+			return nil, err
+		}
+		b.Planners = append(b.Planners, p)
+	}
+	for i := range cfg.Proxies {
+		if err := b.addProxy(i); err != nil {
+			return nil, err
+		}
+	}
+	return b, b.Wait(ctx, cfg.Proxies)
+}
+
+func (b *Bench) addProxy(i int) error {
+	address, err := free()
+	if err != nil {
+		return err
+	}
+	text, err := launch.Config(b.world, b.cfg.Fleet, launch.Options{Listen: address, MemoryMB: 192, Sockets: 512, Seed: b.cfg.Seed + uint64(i), Fronts: b.cfg.Proxies, Known: true})
+	if err != nil {
+		return err
+	}
+	config, operator := filepath.Join(b.dir, fmt.Sprintf("n%d.json", i)), filepath.Join(b.dir, fmt.Sprintf("n%d.star", i))
+	if b.config == "" {
+		b.config = config
+	}
+	leases := `cut_off = "go on"`
+	if b.cfg.Lease > 0 {
+		leases = fmt.Sprintf("lease = %q", b.cfg.Lease)
+	}
+	planners := `"` + strings.Join(b.Addresses, `", "`) + `"`
+	file := fmt.Sprintf("tier(name = \"n%d\", planners = [%s], tell_clients = True, %s)\n", i, planners, leases)
+	if err = errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(operator, []byte(file), 0o600)); err != nil {
+		return err
+	}
+	p := &Process{Name: fmt.Sprint("n", i), Address: address, out: b.cfg.Log, cmd: func() *exec.Cmd {
+		c := exec.Command(b.cfg.Binary)
+		c.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_LISTEN="+address, "HAVEN_OPERATOR="+operator)
+		return c
+	}}
+	b.Proxies = append(b.Proxies, p)
+	return p.start()
+}
+
+// Client gives an operator's.
+func (b *Bench) Client() *client.Client { return &client.Client{Planners: b.Addresses} }
+
+// Wait waits until so many proxies are members with a link.
+func (b *Bench) Wait(ctx context.Context, n int) error {
+	for c := b.Client(); ; {
+		a, err := c.Status(ctx)
+		if err == nil {
+			linked := 0
+			for _, m := range a.Members {
+				if m.Linked {
+					linked++
+				}
+			}
+			if linked >= n {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d members were expected: %w", n, errors.Join(ctx.Err(), err))
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// File writes an operator's file for a proposal.
+func (b *Bench) File(name, text string) (string, error) {
+	path := filepath.Join(b.dir, name)
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
+
+// Configuration is a proxy's, whose classes a proposal takes.
+func (b *Bench) Configuration() string { return b.config }
+
+// Close ends all.
+func (b *Bench) Close() {
+	for _, p := range append(slices.Clone(b.Proxies), b.Planners...) {
+		if p.run != nil && p.run.Process != nil {
+			p.Signal(syscall.SIGCONT)
+			p.Kill()
+		}
+	}
+	if b.world != nil {
+		b.world.Close()
+	}
+	os.RemoveAll(b.dir)
+}
+
+// History gives what all clients have seen so far, and how many requests were refused or lost.
+func (b *Bench) History() (seen []Seen, refused, lost int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.history), b.refused, b.lost
+}
+
+// Ask lets clients ask all proxies until the context ends: one connection each, one request behind the other.
+func (b *Bench) Ask(ctx context.Context, each int, pause time.Duration) (wait func()) {
+	var all sync.WaitGroup
+	for i, p := range b.Proxies {
+		for k := range each {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				b.client(ctx, p, fmt.Sprintf("%d-%d", i, k), pause)
+			}()
+		}
+	}
+	return all.Wait
+}
+
+const askFor = 1500 * time.Millisecond
+
+func (b *Bench) client(ctx context.Context, p *Process, name string, pause time.Duration) {
+	var conn net.Conn
+	var r *bufio.Reader
+	for n := 0; ctx.Err() == nil; n++ {
+		if conn == nil {
+			var err error
+			if conn, err = net.DialTimeout("tcp", p.Address, time.Second); err != nil {
+				conn = nil
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+			r = bufio.NewReader(conn)
+			conn.Write(pg.AppendStartup(nil, "client", "core"))
+		}
+		conn.SetDeadline(time.Now().Add(20 * time.Second)) // a proxy that stands still answers what waits in its socket once it wakes
+		text := fmt.Sprintf("SELECT val FROM state WHERE uid = '%016x' /* id=%s-%d,c=stok-bakis,d=%d,cluster=0 */", n, name, n, askFor.Milliseconds())
+		s := Seen{Proxy: p.Name, Taken: time.Since(b.began)}
+		_, err := conn.Write(pg.AppendQuery(nil, text))
+		told, code := false, ""
+		if err == nil {
+			s.Policy, told, code, err = answer(r, n == 0 || s.Policy == 0)
+		}
+		s.Answered = time.Since(b.began)
+		b.mu.Lock()
+		switch {
+		case err != nil:
+			b.lost++
+		case told:
+			b.history = append(b.history, s)
+		case code != "":
+			b.refused++
+		}
+		b.mu.Unlock()
+		if err != nil {
+			conn.Close()
+			conn = nil
+		}
+		time.Sleep(pause)
+	}
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// answer reads up to the end of the next answer that holds one: the welcome ends with ReadyForQuery too, and has no row and no error.
+func answer(r *bufio.Reader, _ bool) (policy uint64, told bool, code string, err error) {
+	var body []byte
+	for some := false; ; {
+		head, err := r.Peek(5)
+		if err != nil {
+			return 0, false, "", err
+		}
+		n := int(head[1])<<24 | int(head[2])<<16 | int(head[3])<<8 | int(head[4])
+		if n < 4 || n > 1<<20 {
+			return 0, false, "", fmt.Errorf("a message of %d bytes", n)
+		}
+		body = append(body[:0], make([]byte, n+1)...)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return 0, false, "", err
+		}
+		switch body[0] {
+		case 'S':
+			if name, value, ok := bytes.Cut(body[5:], []byte{0}); ok && string(name) == "policy" {
+				policy, _ = strconv.ParseUint(string(bytes.TrimRight(value, "\x00")), 10, 64)
+				told = true
+			}
+		case 'D':
+			some = true
+		case 'E':
+			some, code = true, "E"
+		case 'Z':
+			if some {
+				return policy, told, code, nil
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/tier/tier_test.go
@@ -0,0 +1,110 @@
+package tier
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/launch"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "haventier")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "havenproxy")
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "havenproxy/cmd/havenproxy", "havenproxy/cmd/havenplan").CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out), err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func small(t *testing.T, proxies, planners int, lease time.Duration) *Bench {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	b, err := Start(ctx, Config{Binary: binary, Proxies: proxies, Planners: planners, Lease: lease, Seed: 1, Log: testLog{t},
+		Fleet: fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(b []byte) (int, error) {
+	if testing.Verbose() {
+		fmt.Fprint(os.Stderr, string(b))
+	}
+	return len(b), nil
+}
+
+// propose lets the program's own command line propose a policy.
+func (b *Bench) propose(t *testing.T, i int) (code int, out string) {
+	path, err := b.File(fmt.Sprintf("p%d.star", i), fmt.Sprintf("routing(first_limit = %d)\n", 20+i))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(binary, "policy", "propose", path, "--config", b.Configuration(), "--why", fmt.Sprint("change ", i), "--planners", strings.Join(b.Addresses, ","))
+	text, err := c.CombinedOutput()
+	if _, exited := err.(*exec.ExitError); err != nil && !exited {
+		t.Fatal(err)
+	}
+	return c.ProcessState.ExitCode(), string(text)
+}
+
+// One change in force on two real proxies and one planner, seen from clients.
+func TestAChangeIsInForceAtBothProxies(t *testing.T) {
+	b := small(t, 2, 1, 2*time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	wait := b.Ask(ctx, 4, 2*time.Millisecond)
+	for i := range 3 {
+		if code, out := b.propose(t, i); code != 0 || !strings.Contains(out, "is in force at 2 proxies") {
+			t.Errorf("exit %d: %s", code, out)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	wait()
+	seen, refused, lost := b.History()
+	under := map[string]map[uint64]int{}
+	for _, s := range seen {
+		if under[s.Proxy] == nil {
+			under[s.Proxy] = map[uint64]int{}
+		}
+		under[s.Proxy][s.Policy]++
+	}
+	for _, breach := range Audit(seen, nil) {
+		t.Error(breach)
+	}
+	if len(under) != 2 || under["n0"][3] == 0 || under["n1"][3] == 0 || refused+lost > 0 {
+		t.Errorf("requests by proxy and policy %v, %d refused, %d lost", under, refused, lost)
+	}
+}
+
+// The auditor finds what it is for.
+func TestTheAuditorFindsBreaches(t *testing.T) {
+	const ms = time.Millisecond
+	good := []Seen{{"a", 0, 5 * ms, 1}, {"b", 4 * ms, 9 * ms, 2}, {"a", 5 * ms, 8 * ms, 1}, {"a", 10 * ms, 12 * ms, 2}}
+	if x := Audit(good, []uint64{3}); len(x) > 0 {
+		t.Errorf("%v", x)
+	}
+	bad := append(good, Seen{"a", 13 * ms, 14 * ms, 1}, Seen{"b", 9500 * time.Microsecond, 20 * ms, 1}, Seen{"b", 15 * ms, 16 * ms, 3})
+	x := Audit(bad, []uint64{3})
+	if len(x) != 2 || x[0].History[0].Policy != 2 || x[0].History[1].Taken != 13*ms || !strings.Contains(x[0].Text, "2 requests") || x[1].Promise != "nowhere" {
+		t.Errorf("%v", x)
+	}
+}
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -94,6 +94,8 @@
 	answer []byte
 	done   bool
 	last   bool    // the connection ends behind it
+	policy uint64  // of the tier, under which it was taken
+	taken  bool    // it was, under that
 	stream *stream // it comes in pieces
 }
 
@@ -217,6 +219,9 @@
 	return err
 }
 
+// Under implements state.Policied.
+func (sl *slot) Under(policy uint64) { sl.policy, sl.taken = policy, true }
+
 // Served implements state.Caller.
 func (sl *slot) Served(body []byte) { sl.give(sl.c.speaks.served(sl, body)) }
 
--- a/internal/net/postgres_client.go
+++ b/internal/net/postgres_client.go
@@ -1,6 +1,7 @@
 package net
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -123,15 +124,23 @@
 		After: st.After, Retry: st.Retry, Command: &st})
 }
 
-func (postgres) served(_ *slot, body []byte) []byte { return pg.AppendServed(nil, body) }
+// told begins an answer: with the policy, where clients are told it and the request was taken under one.
+func (sl *slot) told() []byte {
+	if !sl.c.s.policy || !sl.taken {
+		return nil
+	}
+	return pg.AppendParameter(nil, "policy", strconv.FormatUint(sl.policy, 10))
+}
+
+func (postgres) served(sl *slot, body []byte) []byte { return pg.AppendServed(sl.told(), body) }
 
-func (postgres) refused(_ *slot, comeBack time.Duration) []byte {
-	return pg.AppendRefused(nil, comeBack)
+func (postgres) refused(sl *slot, comeBack time.Duration) []byte {
+	return pg.AppendRefused(sl.told(), comeBack)
 }
 
-func (postgres) failed(*slot) []byte { return pg.AppendFailed(nil) }
+func (postgres) failed(sl *slot) []byte { return pg.AppendFailed(sl.told()) }
 
-func (postgres) unfit(*slot, []byte) []byte { return pg.AppendFailed(nil) }
+func (postgres) unfit(sl *slot, _ []byte) []byte { return pg.AppendFailed(sl.told()) }
 
 func (postgres) fatal(why end, text string) []byte {
 	code := pg.CodeTooMany
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -59,6 +59,7 @@
 	away        bool // operators send clients away
 	sweeping    state.Deadline
 	console     bool // clients on loopback may use it
+	policy      bool // answers tell the policy
 }
 
 // NewServer makes a server for at most so many clients, whose half-sent queries may hold so many bytes; a few more
@@ -277,6 +278,9 @@
 // leaving tells that a connection ends behind its next answer.
 func (s *Server) leaving() bool { return s.draining || s.away }
 
+// TellPolicy lets answers tell PostgreSQL's clients under which policy of the tier their request was taken: a ParameterStatus "policy".
+func (s *Server) TellPolicy(on bool) { s.policy = on }
+
 // Leave ends accepting on sockets that others share, and lets each client go behind its next answer: what comes anew has another
 // process to go to, so there is no waiting for late comers. It tells whether all sockets are shared.
 func (s *Server) Leave() bool {
--- /dev/null
+++ b/internal/net/tier.go
@@ -0,0 +1,253 @@
+package net
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"havenproxy/internal/rollout"
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire/tier"
+)
+
+const (
+	tierDial     = time.Second            // that a planner may take to answer a dial
+	tierAgain    = 100 * time.Millisecond // before the next planner is tried, doubled with each round of them, with jitter
+	tierAgainMax = 3 * time.Second
+	tierAsks     = 5           // for the lease, in its length
+	tierIdle     = time.Second // between signs of life where there are no leases
+	tierSilence  = 2           // lengths of the lease, or of tierIdle * 5, without a word: the next planner is tried
+	tierTell     = time.Minute // one line about unreadable frames
+)
+
+// Tier is a proxy's link to the planners of its tier: one at a time, the next where it ends, is silent, or doesn't lead. It implements
+// state.Gate.
+type Tier struct {
+	loop      *Loop
+	clock     state.Clock
+	deadlines *state.Deadlines
+	front     *state.Front
+	side      *rollout.Proxy
+	cfg       rollout.Config
+	planners  []string
+	rng       *rand.Rand
+	into      func(n rollout.Number, policy []byte) // puts a policy into effect
+
+	conn    netpoll.Connection
+	in      buffer
+	out     []byte
+	at      int // the planner that is spoken to
+	tries   int // since the last that led
+	heard   time.Duration
+	toldAt  time.Duration
+	waits   string // why it can't join, as last told
+	beat    state.Deadline
+	redial  state.Deadline
+	dialing bool
+	stopped bool
+}
+
+// TierConfig is what a proxy is told of its tier.
+type TierConfig struct {
+	Name     string // of this proxy; no two may share one
+	Planners []string
+	Rollout  rollout.Config
+	Seed     uint64
+	Check    func(n rollout.Number, policy []byte) string // why it can't be served under here; empty = it can
+	Into     func(n rollout.Number, policy []byte)        // puts it into effect; called on the loop
+}
+
+// JoinTier lets a proxy go by its tier's policy. Until it holds that, it takes no request. It is called on the loop.
+func JoinTier(loop *Loop, clock state.Clock, front *state.Front, c TierConfig) *Tier {
+	t := &Tier{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front, cfg: c.Rollout.WithDefaults(), planners: c.Planners,
+		rng: rand.New(rand.NewPCG(c.Seed, 0x71e2)), into: c.Into}
+	t.side = rollout.NewProxy(t.cfg, c.Name, t.rng.Uint64()|1, c.Check)
+	t.at = t.rng.IntN(len(t.planners)) // not all proxies begin with the same
+	front.Gate(t)
+	t.dial()
+	return t
+}
+
+// May implements state.Gate.
+func (t *Tier) May(now time.Duration) (uint64, state.Verdict) {
+	n, v := t.side.May(now)
+	return uint64(n), [...]state.Verdict{rollout.Take: state.GateOpen, rollout.Keep: state.GateWait, rollout.Deny: state.GateShut}[v]
+}
+
+// Ready tells whether this proxy holds the tier's policy and may serve.
+func (t *Tier) Ready() bool { return t.side.Ready(t.clock.Now()) }
+
+// Leave says that no more requests are taken here.
+func (t *Tier) Leave() {
+	t.side.Leave()
+	t.flush()
+	t.stopped = true
+}
+
+func (t *Tier) dial() {
+	if t.stopped || t.dialing || t.conn != nil {
+		return
+	}
+	t.dialing = true
+	address := t.planners[t.at%len(t.planners)]
+	connect(t.loop, address, tierDial, func(conn netpoll.Connection, err error) {
+		t.dialing = false
+		switch {
+		case err != nil:
+			t.next()
+			return
+		case t.stopped:
+			conn.Close()
+			return
+		}
+		t.conn, t.in.bytes, t.heard = conn, nil, t.clock.Now()
+		attach(t.loop, conn, func() { t.readable(conn) }, func() { t.down(conn) })
+		t.side.Connected()
+		t.flush()
+		t.pulse()
+	})
+}
+
+// next tries the next planner, later: 300 proxies that lose theirs at one moment don't come back at one.
+func (t *Tier) next() {
+	t.at++
+	t.tries++
+	pause := min(tierAgain<<min(t.tries/len(t.planners), 8), tierAgainMax)
+	pause = time.Duration((0.5 + t.rng.Float64()) * float64(pause))
+	t.deadlines.Set(&t.redial, t.clock.Now()+pause, t.dial)
+}
+
+func (t *Tier) down(conn netpoll.Connection) {
+	if conn != nil && conn == t.conn {
+		t.conn = nil
+		t.deadlines.Clear(&t.beat)
+		t.next()
+	}
+}
+
+// pulse asks for the lease, and gives a planner up that has been silent.
+func (t *Tier) pulse() {
+	every := tierIdle
+	if t.cfg.Lease > 0 {
+		every = t.cfg.Lease / tierAsks
+	}
+	now := t.clock.Now()
+	if now-t.heard > tierSilence*tierAsks*every {
+		t.drop()
+		return
+	}
+	t.side.Ask(now)
+	t.flush()
+	t.deadlines.Set(&t.beat, now+every, t.pulse)
+}
+
+func (t *Tier) drop() {
+	conn := t.conn
+	t.down(conn)
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+func (t *Tier) readable(conn netpoll.Connection) {
+	if conn != t.conn {
+		conn.Reader().Skip(conn.Reader().Len())
+		return
+	}
+	if err := t.in.fill(conn.Reader()); err != nil {
+		t.drop()
+		return
+	}
+	used := 0
+	for t.conn == conn {
+		f, n, err := tier.Next(t.in.bytes[used:])
+		if err != nil {
+			t.front.Counters.TierStrange++
+			if now := t.clock.Now(); t.toldAt == 0 || now-t.toldAt >= tierTell {
+				t.toldAt = now
+				slog.Warn("a planner's frame can't be read", "planner", t.planners[t.at%len(t.planners)], "error", err)
+			}
+			t.drop()
+			return
+		}
+		if n == 0 {
+			break
+		}
+		used += n
+		if f.Tier != nil {
+			t.message(*f.Tier)
+		}
+	}
+	if t.conn == conn {
+		t.in.cut(used)
+		t.flush()
+	}
+}
+
+func (t *Tier) message(m rollout.Message) {
+	now := t.clock.Now()
+	t.heard = now
+	if m.Kind == rollout.Wait {
+		if m.Reason != t.waits {
+			t.waits = m.Reason
+			slog.Info("the tier lets this proxy wait", "reason", m.Reason)
+		}
+		if m.Seq > 0 || m.Reason == "another planner leads" { // this one doesn't lead
+			t.drop()
+		}
+		return
+	}
+	t.tries = 0
+	t.side.Heard(now, m)
+	if numbers, with := t.side.Switched(); len(numbers) > 0 {
+		for i, n := range numbers {
+			slog.Info("policy in force here", "number", uint64(n))
+			t.into(n, with[i])
+		}
+	}
+	t.front.Passed()
+}
+
+// flush sends what there is to say; without a link it is dropped, and said anew with the next.
+func (t *Tier) flush() {
+	t.out = t.out[:0]
+	for _, m := range t.side.Out() {
+		out, err := tier.Append(t.out, &tier.Frame{Tier: &m})
+		if err == nil {
+			t.out = out
+		}
+	}
+	if t.conn == nil || len(t.out) == 0 {
+		return
+	}
+	if _, err := t.conn.Write(t.out); err != nil {
+		t.drop()
+	}
+}
+
+// Number gives the policy that holds here, and Until the end of the lease.
+func (t *Tier) Number() uint64 { return uint64(t.side.Number()) }
+
+// Status tells what is known of the tier here.
+func (t *Tier) Status() TierStatus {
+	s := TierStatus{Number: uint64(t.side.Number()), Member: uint64(t.side.Member()), Waits: t.waits}
+	if t.conn != nil {
+		s.Planner = t.planners[t.at%len(t.planners)]
+	}
+	if t.cfg.Lease > 0 {
+		s.Lease = t.side.Until() - t.clock.Now()
+	}
+	_, _, s.Holds = t.side.Holds()
+	return s
+}
+
+// TierStatus is what a proxy knows of its tier.
+type TierStatus struct {
+	Number, Member uint64
+	Planner        string        // that is spoken to; empty = none
+	Lease          time.Duration // what is left of it
+	Holds          bool
+	Waits          string // why it could not join, as last told
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 import (
 	"math"
 	"net"
+	"net/netip"
 	"net/url"
 	"os"
 	"time"
@@ -21,6 +22,7 @@
 	"havenproxy/internal/levels"
 	"havenproxy/internal/membership"
 	"havenproxy/internal/operator/star"
+	"havenproxy/internal/rollout"
 	"havenproxy/internal/wire/consul"
 	"havenproxy/logic"
 )
@@ -37,10 +39,19 @@
 	Tuning logic.Tuning
 	Trace  *Trace  // nil = none is kept
 	Consul *Consul // nil = none is watched
+	Tier   *Tier   // nil = the proxy goes by its own files
 	// Members says how catalogues are merged, where there are several.
 	Members membership.Config
 }
 
+// Tier is one policy for all proxies, kept by planners.
+type Tier struct {
+	Name     string // of this proxy; empty = as in the configuration
+	Planners []string
+	Rollout  rollout.Config
+	Tell     bool // answers tell clients the policy's number
+}
+
 // Consul is a catalogue beside the platform's list, or in its place.
 type Consul struct {
 	Agents                    []string       // base URLs
@@ -93,7 +104,7 @@
 		p.classNames = append(p.classNames, c.Name)
 	}
 	if err := star.Exec(name, src, map[string]star.Func{
-		"console": p.console, "levels": p.levels, "level": p.level, "mysql": p.mysql, "handover": p.handover, "routing": p.routing, "trace": p.trace, "consul": p.consul, "members": p.members,
+		"console": p.console, "levels": p.levels, "level": p.level, "mysql": p.mysql, "handover": p.handover, "routing": p.routing, "trace": p.trace, "consul": p.consul, "members": p.members, "tier": p.tier,
 		"pin": func(c *star.Call) starlark.Value { return p.hold(c, p.pins) },
 		"cap": func(c *star.Call) starlark.Value { return p.hold(c, p.caps) },
 	}, p.names); err != nil {
@@ -132,6 +143,35 @@
 	return nil
 }
 
+// tier reads who the planners are.
+func (p *parser) tier(c *star.Call) starlark.Value {
+	if p.file.Tier != nil {
+		c.Errorf("", "tier() is called a second time")
+	}
+	t := &Tier{Name: c.String("name", ""), Tell: c.Bool("tell_clients", false)}
+	c.List("planners", func(v starlark.Value) {
+		address, ok := starlark.AsString(v)
+		if _, err := netip.ParseAddrPort(address); !ok || err != nil {
+			c.Errorf("planners", "planners holds %s, addresses such as \"10.0.0.21:7400\" were expected", v)
+			return
+		}
+		t.Planners = append(t.Planners, address)
+	})
+	if len(t.Planners) == 0 {
+		c.Errorf("planners", "no planners are named")
+	}
+	switch c.Choice("cut_off", "stop", "stop", "go on") {
+	case "stop":
+		t.Rollout.Lease = c.Duration("lease", 2*time.Second, 200*time.Millisecond, time.Minute)
+	case "go on":
+		if c.Has("lease") {
+			c.Errorf("lease", "lease goes with cut_off = \"stop\": without leases a proxy that is cut off goes on")
+		}
+	}
+	p.file.Tier = t
+	return nil
+}
+
 // trace reads what is kept of what clients ask.
 func (p *parser) trace(c *star.Call) starlark.Value {
 	if p.file.Trace != nil {
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,321 @@
+// Package planner is the planner's process: it keeps the tier's policies, changes and members in a log that is the same at all planners.
+// Consensus is etcd's raft, driven here by one goroutine in the way of its Ready; the log lies in a file of bbolt's. What a change needs to
+// come into force is decided by package rollout, which this one feeds with what proxies say, what the log brings, and the clock.
+package planner
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"havenproxy/internal/rollout"
+	"havenproxy/internal/wire/tier"
+)
+
+// Config is one planner's.
+type Config struct {
+	ID      uint64            // from 1 on
+	Listen  string            // where proxies, planners and operators come
+	Peers   map[uint64]string // all planners, this one included, with their addresses
+	File    string            // of the log
+	Joins   bool              // it takes the place of one that was lost: it begins with an empty log and waits to be told all
+	Rollout rollout.Config
+	Skew    time.Duration // for tests: its wall clock is off by so much
+}
+
+const (
+	step       = 20 * time.Millisecond // of the clock
+	heartbeats = 2                     // steps
+	elections  = 15                    // steps without a leader, and up to twice that, by chance
+	mostEvents = 4096                  // that wait for the planner
+	snapEvery  = 2000                  // entries
+	snapKeep   = 500
+)
+
+// Planner is one.
+type Planner struct {
+	cfg    Config
+	store  *store
+	node   *raft.RawNode
+	conf   *pb.ConfState
+	state  *rollout.State
+	leader *rollout.Leader // nil while another leads
+	leads  uint64          // who, as far as known
+	began  time.Time
+
+	applied, snapped uint64
+	reads            uint64 // confirmations asked for
+
+	server *server
+	events chan func()
+	failed error
+}
+
+// Open makes a planner that doesn't run yet.
+func Open(cfg Config) (*Planner, error) {
+	cfg.Rollout = cfg.Rollout.WithDefaults()
+	if cfg.Peers[cfg.ID] == "" {
+		return nil, fmt.Errorf("planner %d is not among the planners named", cfg.ID)
+	}
+	var ids []uint64
+	for id := range cfg.Peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	st, fresh, err := openStore(cfg.File, fmt.Sprintf("planner %d of %d", cfg.ID, ids))
+	if err != nil {
+		return nil, err
+	}
+	p := &Planner{cfg: cfg, store: st, state: &rollout.State{}, began: time.Now(), events: make(chan func(), mostEvents)}
+	if fresh && !cfg.Joins { // all planners begin with the same snapshot of nothing
+		empty, err := tier.EncodeState(p.state)
+		if err == nil {
+			one := uint64(1)
+			err = st.save(&raft.Ready{Snapshot: &pb.Snapshot{Data: empty, Metadata: &pb.SnapshotMetadata{Index: &one, Term: &one,
+				ConfState: &pb.ConfState{Voters: ids}}}, HardState: &pb.HardState{Term: &one, Commit: &one}})
+		}
+		if err != nil {
+			st.close()
+			return nil, err
+		}
+	}
+	snap, err := st.mem.Snapshot()
+	if err == nil && !raft.IsEmptySnap(snap) {
+		err = p.restore(snap)
+	}
+	if err != nil {
+		st.close()
+		return nil, err
+	}
+	p.node, err = raft.NewRawNode(&raft.Config{ID: cfg.ID, ElectionTick: elections, HeartbeatTick: heartbeats, Storage: st.mem, Applied: p.applied,
+		MaxSizePerMsg: tier.MaxFrame / 2, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 16 << 20, CheckQuorum: true, PreVote: true,
+		ReadOnlyOption: raft.ReadOnlySafe, DisableProposalForwarding: true, Logger: quiet{}})
+	if err != nil {
+		st.close()
+		return nil, err
+	}
+	if p.server, err = listen(p, cfg.Listen); err != nil {
+		st.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Planner) restore(snap *pb.Snapshot) (err error) {
+	if p.state, err = tier.DecodeState(snap.GetData()); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	p.applied, p.snapped = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
+	p.conf = snap.GetMetadata().GetConfState()
+	return nil
+}
+
+// Address tells where it listens.
+func (p *Planner) Address() string { return p.server.listener.Addr().String() }
+
+// now is the planner's own clock, on which leases are counted: it is monotonic.
+func (p *Planner) now() time.Duration { return time.Since(p.began) + time.Second }
+
+func (p *Planner) unix() int64 { return time.Now().Add(p.cfg.Skew).UnixMilli() }
+
+// post hands something to the planner's goroutine; it is dropped where too much waits, as a message may be anywhere.
+func (p *Planner) post(f func()) bool {
+	select {
+	case p.events <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run runs it until the context ends or it can't go on.
+func (p *Planner) Run(ctx context.Context) error {
+	slog.Info("planner", "id", p.cfg.ID, "listen", p.Address(), "in_force", p.state.Force, "members", len(p.state.Seats))
+	ticks := time.NewTicker(step)
+	defer ticks.Stop()
+	defer p.store.close()
+	defer p.server.close()
+	for p.failed == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+			p.node.Tick()
+			if p.leader != nil {
+				p.leader.Tick(p.now())
+			}
+		case f := <-p.events:
+			f()
+			for n := len(p.events); n > 0; n-- { // what came together is written together
+				(<-p.events)()
+			}
+		}
+		for p.failed == nil && (p.lead() || p.node.HasReady()) {
+			p.ready()
+		}
+	}
+	return p.failed
+}
+
+// lead carries out what the leader's side wants; it tells whether there was anything.
+func (p *Planner) lead() bool {
+	if p.leader == nil {
+		return false
+	}
+	out, commit, confirm := p.leader.Ready()
+	for _, o := range out {
+		p.server.send(o.Link, &tier.Frame{Tier: &o.Message})
+	}
+	for i := range commit {
+		commit[i].At = p.unix()
+		text, err := tier.EncodeCommand(&commit[i])
+		if err == nil {
+			err = p.node.Propose(text)
+		}
+		if err != nil {
+			slog.Warn("a command can't be written to the log", "error", err)
+		}
+	}
+	if confirm {
+		p.reads++
+		p.node.ReadIndex(binary.BigEndian.AppendUint64(nil, p.reads))
+	}
+	return len(out)+len(commit) > 0 || confirm
+}
+
+// ready does what the consensus asks for, the disk first.
+func (p *Planner) ready() {
+	rd := p.node.Ready()
+	if err := p.store.save(&rd); err != nil {
+		// Nothing of this has been promised to anyone yet: who goes on without it would break a promise.
+		p.failed = fmt.Errorf("the log can't be written, so this planner ends: %w", err)
+		return
+	}
+	for _, m := range rd.Messages {
+		p.server.toPeer(m)
+	}
+	if rd.SoftState != nil {
+		p.turn(rd.SoftState)
+	}
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		if err := p.restore(rd.Snapshot); err != nil {
+			p.failed = err
+			return
+		}
+	}
+	for _, e := range rd.CommittedEntries {
+		p.apply(e)
+	}
+	for _, r := range rd.ReadStates {
+		if len(r.RequestCtx) == 8 && binary.BigEndian.Uint64(r.RequestCtx) == p.reads && p.leader != nil {
+			p.leader.Confirmed(p.now())
+		}
+	}
+	p.node.Advance(rd)
+	if p.applied-p.snapped >= snapEvery {
+		p.shorten()
+	}
+}
+
+// turn takes news of who leads.
+func (p *Planner) turn(s *raft.SoftState) {
+	if p.leads = s.Lead; s.RaftState == raft.StateLeader {
+		if p.leader == nil {
+			term := p.node.BasicStatus().HardState.GetTerm()
+			slog.Info("this planner leads", "term", term)
+			p.leader = rollout.Lead(p.cfg.Rollout, p.state, rollout.Term(term))
+		}
+		return
+	}
+	if p.leader != nil {
+		slog.Info("this planner leads no more", "leader", s.Lead)
+		p.leader = nil
+		p.server.dropProxies()
+	}
+}
+
+func (p *Planner) apply(e *pb.Entry) {
+	p.applied = e.GetIndex()
+	switch e.GetType() {
+	case pb.EntryConfChange, pb.EntryConfChangeV2:
+		var cc pb.ConfChangeV2
+		if err := proto.Unmarshal(e.GetData(), &cc); err == nil {
+			p.conf = p.node.ApplyConfChange(&cc)
+		}
+		return
+	}
+	if len(e.GetData()) == 0 { // a new leader's own
+		return
+	}
+	c, err := tier.DecodeCommand(e.GetData())
+	if err != nil {
+		p.failed = fmt.Errorf("the log holds what this version can't read (entry %d): %w", e.GetIndex(), err)
+		return
+	}
+	force := p.state.Force
+	err = p.state.Apply(c)
+	if p.state.Force != force {
+		slog.Info("policy in force", "number", p.state.Force, "members", len(p.state.Seats))
+	}
+	if c.Act == rollout.GiveUp && err == nil {
+		slog.Info("change given up", "number", c.Number, "reason", c.Reason)
+	}
+	if p.leader != nil {
+		p.leader.Applied(p.now(), c, err)
+		if why := p.leader.Failed(); why != nil {
+			slog.Error("this planner can't lead", "error", why)
+			p.failed = why
+		}
+	}
+	p.server.settle(c, err)
+}
+
+func (p *Planner) shorten() {
+	text, err := tier.EncodeState(p.state)
+	if err == nil {
+		err = p.store.shorten(p.applied, p.conf, text, snapKeep)
+	}
+	if err != nil {
+		p.failed = fmt.Errorf("the log can't be shortened, so this planner ends: %w", err)
+		return
+	}
+	p.snapped = p.applied
+}
+
+// quiet lets the consensus say only what goes wrong.
+type quiet struct{}
+
+func (quiet) Debug(...any)                     {}
+func (quiet) Debugf(string, ...any)            {}
+func (quiet) Info(...any)                      {}
+func (quiet) Infof(string, ...any)             {}
+func (quiet) Warning(v ...any)                 { slog.Debug("consensus: " + fmt.Sprint(v...)) }
+func (quiet) Warningf(format string, v ...any) { slog.Debug("consensus: " + fmt.Sprintf(format, v...)) }
+func (quiet) Error(v ...any)                   { slog.Error("consensus: " + fmt.Sprint(v...)) }
+func (quiet) Errorf(format string, v ...any)   { slog.Error("consensus: " + fmt.Sprintf(format, v...)) }
+func (quiet) Fatal(v ...any)                   { panic(fmt.Sprint(v...)) }
+func (quiet) Fatalf(format string, v ...any)   { panic(fmt.Sprintf(format, v...)) }
+func (quiet) Panic(v ...any)                   { panic(fmt.Sprint(v...)) }
+func (quiet) Panicf(format string, v ...any)   { panic(fmt.Sprintf(format, v...)) }
+
+// ParsePeers reads "1=ADDRESS,2=ADDRESS".
+func ParsePeers(text string) (map[uint64]string, error) {
+	out := map[uint64]string{}
+	for _, w := range strings.Split(text, ",") {
+		var id uint64
+		number, address, ok := strings.Cut(strings.TrimSpace(w), "=")
+		if _, err := fmt.Sscanf(number, "%d", &id); !ok || err != nil || id == 0 || address == "" || out[id] != "" {
+			return nil, fmt.Errorf("%q: planners as 1=ADDRESS,2=ADDRESS,3=ADDRESS were expected", text)
+		}
+		out[id] = address
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/planner/server.go
@@ -0,0 +1,327 @@
+package planner
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"havenproxy/internal/planner/client"
+	"havenproxy/internal/rollout"
+	"havenproxy/internal/wire/tier"
+)
+
+const (
+	queued     = 256              // frames that wait for one link; beyond, the link is closed
+	writeFor   = 2 * time.Second  // that a frame may take
+	silentFor  = 30 * time.Second // a link that says nothing for so long is closed
+	dialFor    = time.Second
+	redial     = 200 * time.Millisecond
+	tellFrames = time.Minute // one line a peer about unreadable frames
+	askFor     = 2 * time.Second
+)
+
+// server holds the planner's links. Each has a goroutine that reads and one that writes; what they bring goes through Planner.post.
+type server struct {
+	p        *Planner
+	listener net.Listener
+	peers    map[uint64]chan []byte
+
+	mu     sync.Mutex
+	links  map[rollout.Link]*link
+	last   rollout.Link
+	closed bool
+	told   map[string]time.Time
+
+	waiting []waiting // proposals that are not in the log yet; the planner's goroutine's alone
+}
+
+type waiting struct {
+	nonce uint64
+	link  rollout.Link
+	until time.Duration
+}
+
+type link struct {
+	conn  net.Conn
+	out   chan []byte
+	proxy bool
+	once  sync.Once
+}
+
+func (l *link) close() { l.once.Do(func() { l.conn.Close(); close(l.out) }) }
+
+func listen(p *Planner, address string) (*server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &server{p: p, listener: ln, peers: map[uint64]chan []byte{}, links: map[rollout.Link]*link{}, told: map[string]time.Time{}}
+	for id, address := range p.cfg.Peers {
+		if id != p.cfg.ID {
+			s.peers[id] = make(chan []byte, queued)
+			go s.dial(id, address)
+		}
+	}
+	go s.accept()
+	return s, nil
+}
+
+func (s *server) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.listener.Close()
+	for _, l := range s.links {
+		l.conn.Close()
+	}
+	for _, c := range s.peers {
+		close(c)
+	}
+}
+
+func (s *server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(redial) // no descriptors, say: those that are there go on
+			continue
+		}
+		s.mu.Lock()
+		s.last++
+		id, l := s.last, &link{conn: conn, out: make(chan []byte, queued)}
+		s.links[id] = l
+		s.mu.Unlock()
+		go s.write(l)
+		go s.read(id, l)
+	}
+}
+
+func (s *server) write(l *link) {
+	for b := range l.out {
+		l.conn.SetWriteDeadline(time.Now().Add(writeFor))
+		if _, err := l.conn.Write(b); err != nil {
+			l.conn.Close()
+			for range l.out { // until it is closed
+			}
+			return
+		}
+	}
+}
+
+func (s *server) read(id rollout.Link, l *link) {
+	r := bufio.NewReader(l.conn)
+	for {
+		l.conn.SetReadDeadline(time.Now().Add(silentFor))
+		f, err := tier.Read(r)
+		if err != nil {
+			s.unreadable(l, err)
+			break
+		}
+		ok := s.p.post(func() { s.heard(id, l, &f) })
+		if !ok && f.Raft == nil {
+			break // who comes again is heard later
+		}
+	}
+	s.mu.Lock()
+	delete(s.links, id)
+	s.mu.Unlock()
+	l.close()
+	s.p.events <- func() { // this one must not be lost
+		if s.p.leader != nil {
+			s.p.leader.Down(id)
+		}
+	}
+}
+
+func (s *server) unreadable(l *link, err error) {
+	if !errors.Is(err, tier.ErrFrame) {
+		return
+	}
+	host, _, _ := net.SplitHostPort(l.conn.RemoteAddr().String())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.told[host]) >= tellFrames && len(s.told) < 1024 {
+		s.told[host] = now
+		slog.Warn("a link is closed over what can't be read", "from", host, "error", err)
+	}
+}
+
+// heard takes a frame; it runs on the planner's goroutine.
+func (s *server) heard(id rollout.Link, l *link, f *tier.Frame) {
+	p := s.p
+	switch {
+	case f.Raft != nil:
+		m := &pb.Message{}
+		if err := proto.Unmarshal(f.Raft, m); err == nil {
+			p.node.Step(m)
+		}
+	case f.Tier != nil:
+		l.proxy = true
+		if p.leader == nil {
+			s.send(id, &tier.Frame{Tier: &rollout.Message{Kind: rollout.Wait, Nonce: f.Tier.Nonce, Seq: p.leads, Reason: "another planner leads"}})
+			return
+		}
+		p.leader.Heard(p.now(), id, *f.Tier)
+	case f.Ask != nil:
+		s.ask(id, f.Ask)
+	}
+}
+
+// send puts a frame on its way; a link that doesn't keep up is closed.
+func (s *server) send(id rollout.Link, f *tier.Frame) {
+	b, err := tier.Append(nil, f)
+	if err != nil {
+		slog.Error("a frame can't be sent", "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[id]
+	if l == nil {
+		return
+	}
+	select {
+	case l.out <- b:
+	default:
+		l.conn.Close()
+	}
+}
+
+// dropProxies lets proxies look for who leads now.
+func (s *server) dropProxies() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		if l.proxy {
+			l.conn.Close()
+		}
+	}
+}
+
+// toPeer sends a message of the consensus; where its link doesn't keep up it is lost, which the consensus bears.
+func (s *server) toPeer(m *pb.Message) {
+	text, err := proto.Marshal(m)
+	if err != nil {
+		return
+	}
+	b, err := tier.Append(nil, &tier.Frame{Raft: text})
+	if err != nil {
+		slog.Error("a message to a planner is too long", "to", m.GetTo(), "error", err)
+		return
+	}
+	select {
+	case s.peers[m.GetTo()] <- b:
+	default:
+		s.p.node.ReportUnreachable(m.GetTo())
+	}
+}
+
+// dial keeps a link to another planner; what can't be sent is lost.
+func (s *server) dial(id uint64, address string) {
+	var conn net.Conn
+	var failed time.Time
+	for b := range s.peers[id] {
+		if conn == nil && time.Since(failed) >= redial {
+			var err error
+			if conn, err = net.DialTimeout("tcp", address, dialFor); err != nil {
+				conn, failed = nil, time.Now()
+			}
+		}
+		if conn == nil {
+			continue
+		}
+		conn.SetWriteDeadline(time.Now().Add(writeFor))
+		if _, err := conn.Write(b); err != nil {
+			conn.Close()
+			conn, failed = nil, time.Now()
+		}
+	}
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// ask answers the operator.
+func (s *server) ask(id rollout.Link, a *tier.Ask) {
+	p := s.p
+	refuse := func(err error) {
+		s.send(id, &tier.Frame{Answer: &tier.Answer{Error: err.Error(), Planner: p.cfg.ID, Leader: p.leads}})
+	}
+	if a.Do == tier.DoStatus {
+		s.status(id, "")
+		return
+	}
+	if p.leader == nil || !p.leader.Leads() {
+		refuse(client.ErrNoLeader)
+		return
+	}
+	switch a.Do {
+	case tier.DoPropose:
+		if c := p.state.Pending(); c != nil && c.Nonce != a.Nonce {
+			refuse(errUndecided(c.Number))
+			return
+		}
+		s.waiting = append(s.waiting, waiting{a.Nonce, id, p.now() + askFor})
+		p.leader.Propose(rollout.Command{Act: rollout.Propose, Nonce: a.Nonce, Policy: a.Policy, Why: a.Why})
+	case tier.DoAbort:
+		p.leader.Abort(p.now(), a.Number, "by the operator")
+		s.status(id, "")
+	case tier.DoExpel:
+		text := ""
+		if err := p.leader.Expel(p.now(), a.Name); err != nil {
+			text = err.Error()
+		}
+		s.status(id, text)
+	default:
+		refuse(errors.New("this planner doesn't know the word " + a.Do))
+	}
+}
+
+type errUndecided rollout.Number
+
+func (e errUndecided) Error() string {
+	return fmt.Sprintf("change %d is undecided: wait for it, or abort it", rollout.Number(e))
+}
+
+// settle answers proposals that the log has had.
+func (s *server) settle(c rollout.Command, err error) {
+	if c.Act != rollout.Propose {
+		return
+	}
+	n := s.waiting[:0]
+	for _, w := range s.waiting {
+		switch {
+		case w.nonce != c.Nonce:
+			if s.p.now() < w.until {
+				n = append(n, w)
+			}
+		case err != nil:
+			s.status(w.link, err.Error())
+		default:
+			s.status(w.link, "")
+		}
+	}
+	s.waiting = n
+}
+
+func (s *server) status(id rollout.Link, text string) {
+	p := s.p
+	a := &tier.Answer{Error: text, Planner: p.cfg.ID, Leader: p.leads, State: p.state}
+	if p.leader != nil {
+		if progress, ok := p.leader.Progress(p.now()); ok {
+			a.Progress = &progress
+		}
+		a.Members = p.leader.Members(p.now())
+	}
+	s.send(id, &tier.Frame{Answer: a})
+}
--- /dev/null
+++ b/internal/planner/store.go
@@ -0,0 +1,212 @@
+package planner
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	bolt "go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// store keeps the log on disk: one file of bbolt's, written in whole transactions, so that a torn last write is as if it had not been
+// begun. Each value bears a sum (xxhash), so that a disk that gives back other bits than it was given is noticed: a planner that can't read
+// what it has promised must not take part.
+type store struct {
+	db  *bolt.DB
+	mem *raft.MemoryStorage // the same, as the consensus reads it
+}
+
+var (
+	logBucket  = []byte("log")  // entries by their index, 8 bytes big-endian
+	metaBucket = []byte("meta") // hard, snap
+	hardKey    = []byte("hard")
+	snapKey    = []byte("snap")
+	whoKey     = []byte("who") // this planner's number and the tier's planners, so that a disk isn't taken for another's
+)
+
+// errDamaged tells of bits that are not those that were written.
+var errDamaged = errors.New("the disk gives back other bits than it was given")
+
+// openWait is how long another process may hold the file.
+const openWait = time.Second
+
+// openStore opens the log of a planner, or begins one. fresh tells that there was none.
+func openStore(path, who string) (s *store, fresh bool, err error) {
+	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: openWait})
+	if err != nil {
+		return nil, false, fmt.Errorf("log %s: %w", path, err)
+	}
+	s = &store{db: db, mem: raft.NewMemoryStorage()}
+	err = db.Update(func(tx *bolt.Tx) error {
+		for _, name := range [][]byte{logBucket, metaBucket} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		meta := tx.Bucket(metaBucket)
+		if was := meta.Get(whoKey); was == nil {
+			fresh = true
+			return meta.Put(whoKey, []byte(who))
+		} else if string(was) != who {
+			return fmt.Errorf("it is that of %s, and this is %s", was, who)
+		}
+		return nil
+	})
+	if err == nil {
+		err = s.load()
+	}
+	if err != nil {
+		db.Close()
+		return nil, false, fmt.Errorf("log %s: %w", path, err)
+	}
+	return s, fresh, nil
+}
+
+// seal puts the sum before a value, open takes it off.
+func seal(b []byte) []byte {
+	return append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(b)), b...)
+}
+
+func unseal(b []byte, m proto.Message) error {
+	if len(b) < 8 || binary.BigEndian.Uint64(b) != xxhash.Sum64(b[8:]) {
+		return errDamaged
+	}
+	return proto.Unmarshal(b[8:], m)
+}
+
+func (s *store) load() error {
+	return s.db.View(func(tx *bolt.Tx) error {
+		meta := tx.Bucket(metaBucket)
+		if b := meta.Get(snapKey); b != nil {
+			snap := &pb.Snapshot{}
+			if err := unseal(b, snap); err != nil {
+				return fmt.Errorf("snapshot: %w", err)
+			}
+			if err := s.mem.ApplySnapshot(snap); err != nil {
+				return err
+			}
+		}
+		if b := meta.Get(hardKey); b != nil {
+			hard := &pb.HardState{}
+			if err := unseal(b, hard); err != nil {
+				return fmt.Errorf("term and vote: %w", err)
+			}
+			s.mem.SetHardState(hard)
+		}
+		var entries []*pb.Entry
+		c := tx.Bucket(logBucket).Cursor()
+		for k, v := c.First(); k != nil; k, v = c.Next() {
+			e := &pb.Entry{}
+			if err := unseal(v, e); err != nil {
+				return fmt.Errorf("entry %d: %w", binary.BigEndian.Uint64(k), err)
+			}
+			entries = append(entries, e)
+		}
+		return s.mem.Append(entries)
+	})
+}
+
+func indexKey(i uint64) []byte { return binary.BigEndian.AppendUint64(nil, i) }
+
+// save writes what the consensus wants kept, in one transaction, and returns when the disk has it.
+func (s *store) save(rd *raft.Ready) error {
+	if raft.IsEmptyHardState(rd.HardState) && len(rd.Entries) == 0 && raft.IsEmptySnap(rd.Snapshot) {
+		return nil
+	}
+	err := s.db.Update(func(tx *bolt.Tx) error {
+		meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
+		put := func(b *bolt.Bucket, key []byte, m proto.Message) error {
+			text, err := proto.Marshal(m)
+			if err == nil {
+				err = b.Put(key, seal(text))
+			}
+			return err
+		}
+		if !raft.IsEmptySnap(rd.Snapshot) {
+			if err := put(meta, snapKey, rd.Snapshot); err != nil {
+				return err
+			}
+			if err := cutAll(log); err != nil {
+				return err
+			}
+		}
+		if len(rd.Entries) > 0 { // what stands behind the first of them is replaced
+			c := log.Cursor()
+			for k, _ := c.Seek(indexKey(rd.Entries[0].GetIndex())); k != nil; k, _ = c.Next() {
+				if err := c.Delete(); err != nil {
+					return err
+				}
+			}
+		}
+		for _, e := range rd.Entries {
+			if err := put(log, indexKey(e.GetIndex()), e); err != nil {
+				return err
+			}
+		}
+		if !raft.IsEmptyHardState(rd.HardState) {
+			return put(meta, hardKey, rd.HardState)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		if err := s.mem.ApplySnapshot(rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	if !raft.IsEmptyHardState(rd.HardState) {
+		s.mem.SetHardState(rd.HardState)
+	}
+	return s.mem.Append(rd.Entries)
+}
+
+func cutAll(b *bolt.Bucket) error {
+	c := b.Cursor()
+	for k, _ := c.First(); k != nil; k, _ = c.Next() {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// shorten keeps the state as of an index, and drops the entries up to it but for the last few, which others may still want.
+func (s *store) shorten(index uint64, conf *pb.ConfState, state []byte, keep uint64) error {
+	snap, err := s.mem.CreateSnapshot(index, conf, state)
+	if err != nil {
+		return err
+	}
+	text, err := proto.Marshal(snap)
+	if err != nil {
+		return err
+	}
+	first := index - min(keep, index)
+	err = s.db.Update(func(tx *bolt.Tx) error {
+		if err := tx.Bucket(metaBucket).Put(snapKey, seal(text)); err != nil {
+			return err
+		}
+		c := tx.Bucket(logBucket).Cursor()
+		for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) <= first; k, _ = c.Next() {
+			if err := c.Delete(); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if at, _ := s.mem.FirstIndex(); first >= at {
+		return s.mem.Compact(first)
+	}
+	return nil
+}
+
+func (s *store) close() error { return s.db.Close() }
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -115,6 +115,8 @@
 	Round  Round  `cbor:"7,keyasint,omitempty"`
 	Policy []byte `cbor:"8,keyasint,omitempty"`
 	Reason string `cbor:"9,keyasint,omitempty"`
+	// Lease is what the proxy goes by, with Hello: where the planners go by another, it must not join.
+	Lease time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Act says what a command does.
@@ -143,4 +145,6 @@
 	Why     string `cbor:"9,keyasint,omitempty"`
 	Reason  string `cbor:"10,keyasint,omitempty"`
 	At      int64  `cbor:"11,keyasint,omitempty"` // Unix milliseconds, for the history alone
+	// Lease is what the leader goes by, with Release. Planners that go by another can't lead.
+	Lease time.Duration `cbor:"12,keyasint,omitempty"`
 }
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -32,6 +32,7 @@
 	open    bool          // it is not over
 	opened  time.Duration
 	closed  time.Duration
+	failed  error  // why it can't lead
 	abort   string // the change is to be given up, for this reason
 
 	asks       []ask
@@ -66,7 +67,7 @@
 func Lead(cfg Config, state *State, term Term) *Leader {
 	l := &Leader{cfg: cfg.WithDefaults(), state: state, term: term, seats: map[Member]*place{}, names: map[Link]Message{},
 		round: Round{Term: term}, tried: map[string]time.Duration{}}
-	l.commit = append(l.commit, Command{Act: Release, Round: l.round})
+	l.commit = append(l.commit, Command{Act: Release, Round: l.round, Lease: l.cfg.Lease})
 	return l
 }
 
@@ -100,7 +101,10 @@
 func (l *Leader) Applied(now time.Duration, c Command, err error) {
 	switch c.Act {
 	case Release:
-		if c.Round.Term == l.term && c.Round.Count == 0 && l.since == 0 {
+		if err != nil && c.Round.Term == l.term {
+			l.failed = err
+		}
+		if err == nil && c.Round.Term == l.term && c.Round.Count == 0 && l.since == 0 {
 			// Whoever had a lease of an earlier leader has asked for it before this term began: it ends within Lease from now.
 			l.since = now
 			for _, s := range l.state.Seats {
@@ -238,8 +242,15 @@
 	l.Tick(now)
 }
 
+// Failed tells why this planner can't lead; nil = it can.
+func (l *Leader) Failed() error { return l.failed }
+
 // hello takes in who has come.
 func (l *Leader) hello(now time.Duration, link Link, m Message) {
+	if m.Lease != l.cfg.Lease { // the fence against a proxy that would serve for longer than it is waited for
+		l.send(link, Message{Kind: Wait, Nonce: m.Nonce, Reason: fmt.Sprintf("%s goes by a lease of %v, the planners by %v", m.Name, m.Lease, l.cfg.Lease)})
+		return
+	}
 	if seat := l.state.Seat(m.Member); m.Member != 0 && seat != nil && seat.Name == m.Name && l.seats[m.Member] != nil {
 		delete(l.names, link)
 		s := l.seats[m.Member]
@@ -389,7 +400,7 @@
 		l.try(now, fmt.Sprint("force ", l.round, l.state.Version), Command{Act: Force, Number: l.pending, Round: l.round, Members: l.state.Version})
 	case l.open && now-l.opened >= l.cfg.Round: // one doesn't answer: the others go on meanwhile
 		l.open, l.closed = false, now
-		l.commit = append(l.commit, Command{Act: Release, Round: l.round})
+		l.commit = append(l.commit, Command{Act: Release, Round: l.round, Lease: l.cfg.Lease})
 	case !l.open && agreed && !owing && (l.closed == 0 || now-l.closed >= l.cfg.Again):
 		l.round.Count++
 		l.open, l.opened = true, now
--- a/internal/rollout/proxy.go
+++ b/internal/rollout/proxy.go
@@ -90,7 +90,7 @@
 
 // Connected is the link to a planner that came up: it says who it is.
 func (p *Proxy) Connected() {
-	p.say(Message{Kind: Hello, Name: p.name, Nonce: p.nonce, Member: p.member, Number: p.number, Round: p.held})
+	p.say(Message{Kind: Hello, Name: p.name, Nonce: p.nonce, Member: p.member, Number: p.number, Round: p.held, Lease: p.cfg.Lease})
 }
 
 // Ask asks for the lease, and tells under which policy the proxy serves. It is called a few times in each lease's length.
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Outcome is what became of a change.
@@ -38,13 +39,15 @@
 
 // State is what all planners hold alike: it comes of the log's commands and nothing else.
 type State struct {
-	Force    Number   `cbor:"1,keyasint,omitempty"` // the policy in force; 0 = the one that proxies begin with by themselves
-	Changes  []Change `cbor:"2,keyasint,omitempty"` // the last ones, the newest at the end
-	Last     Number   `cbor:"3,keyasint,omitempty"`
-	Seats    []Seat   `cbor:"4,keyasint,omitempty"` // by Member
-	Joined   Member   `cbor:"5,keyasint,omitempty"` // the last
-	Version  uint64   `cbor:"6,keyasint,omitempty"` // of Seats
-	Released Round    `cbor:"7,keyasint,omitempty"` // this round and all before it are over
+	Force    Number        `cbor:"1,keyasint,omitempty"` // the policy in force; 0 = the one that proxies begin with by themselves
+	Changes  []Change      `cbor:"2,keyasint,omitempty"` // the last ones, the newest at the end
+	Last     Number        `cbor:"3,keyasint,omitempty"`
+	Seats    []Seat        `cbor:"4,keyasint,omitempty"` // by Member
+	Joined   Member        `cbor:"5,keyasint,omitempty"` // the last
+	Version  uint64        `cbor:"6,keyasint,omitempty"` // of Seats
+	Released Round         `cbor:"7,keyasint,omitempty"` // this round and all before it are over
+	Led      bool          `cbor:"8,keyasint,omitempty"` // some planner has, and so:
+	Lease    time.Duration `cbor:"9,keyasint,omitempty"` // what all go by; 0 = there are none
 
 	Without Guards `cbor:"-"` // see Config
 }
@@ -153,6 +156,10 @@
 		s.Force = p.Number
 		s.release(c.Round)
 	case Release:
+		if s.Led && s.Lease != c.Lease { // the fence against a planner that would let members go too early
+			return fmt.Errorf("the tier goes by a lease of %v, this planner by %v", s.Lease, c.Lease)
+		}
+		s.Led, s.Lease = true, c.Lease
 		s.release(c.Round)
 	}
 	return nil
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -83,6 +83,9 @@
 		return err
 	}
 	p.loop.Post(effect)
+	if own.Tier != nil {
+		p.join(own, cfg)
+	}
 	slog.Info("started", "name", cfg.Name, "listen", p.listens(cfg), "discovery", cfg.Discovery,
 		"databases", len(cfg.Known.Instances),
 		"operator", o.Operator)
@@ -152,9 +155,11 @@
 
 // apply puts the operator's file into effect; it is called on the loop.
 func (p *proxy) apply(own *operator.File) {
-	p.front.Reduce(own.Levels)
-	p.front.Handover(own.Handover)
-	p.front.Tune(own.Tuning)
+	if p.tier == nil { // the tier's policy has one way in
+		p.front.Reduce(own.Levels)
+		p.front.Handover(own.Handover)
+		p.front.Tune(own.Tuning)
+	}
 	p.server.Console(own.Console.Enabled)
 	if p.mysql != nil && own.MySQL != nil { // its address and groups stay as they were at the start
 		p.mysql.Users, _ = mysqlUsers(own.MySQL)
@@ -284,7 +289,8 @@
 	timer    state.Deadline
 	killAt   time.Duration
 
-	traceFile string // of the command line
+	tier      *net.Tier // nil = the proxy goes by its own files
+	traceFile string    // of the command line
 	traced    *trace.Config
 	watched   *net.ConsulConfig // as of the last file
 	consul    *net.Consul       // the loop's alone
@@ -400,7 +406,11 @@
 	p.loop.Post(func() {
 		slog.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Config.Classes))
 		p.front.Counters.Loads++
-		p.front.Retune(cfg.Settings.Config)
+		if p.tier == nil {
+			p.front.Retune(cfg.Settings.Config)
+		} else {
+			slog.Info("classes, levels, handover and routing stay as the tier's policy has them", "policy", p.tier.Number())
+		}
 		for _, c := range cfg.Settings.Config.Classes { // never less: what is open keeps its time
 			p.patience = min(max(p.patience, c.Limit), longestPatience)
 		}
@@ -455,6 +465,9 @@
 		// stands before this in the loop's queue.
 		p.loop.BehindPoller(func() {
 			if p.server.Drained() && p.front.Pending() == 0 || p.clock.Now() >= p.killAt {
+				if p.tier != nil {
+					p.tier.Leave()
+				}
 				p.loop.Stop()
 				return
 			}
--- a/internal/run/steward.go
+++ b/internal/run/steward.go
@@ -33,7 +33,7 @@
 }
 
 // Ready implements net.Steward.
-func (p *proxy) Ready() bool { return p.serving && !p.stopping }
+func (p *proxy) Ready() bool { return p.serving && !p.stopping && (p.tier == nil || p.tier.Ready()) }
 
 // Figures implements net.Steward.
 func (p *proxy) Figures(dst []byte) []byte { return p.front.Figures(dst) }
--- /dev/null
+++ b/internal/run/tier.go
@@ -0,0 +1,90 @@
+package run
+
+import (
+	"cmp"
+	"log/slog"
+
+	"havenproxy/internal/net"
+	"havenproxy/internal/operator"
+	"havenproxy/internal/policy"
+	"havenproxy/internal/rollout"
+	"havenproxy/internal/state"
+	"havenproxy/internal/wire/settings"
+)
+
+// join lets the proxy go by its tier's policy. It is called before the loop runs, so that no request is taken before. What the files say of
+// levels, handover, routing and classes holds until the tier has a policy of its own.
+func (p *proxy) join(own *operator.File, cfg settings.Config) {
+	p.front.Reduce(own.Levels)
+	p.front.Handover(own.Handover)
+	p.front.Tune(own.Tuning)
+	p.server.TellPolicy(own.Tier.Tell)
+	p.tier = net.JoinTier(p.loop, p.clock, p.front, net.TierConfig{Name: cmp.Or(own.Tier.Name, cfg.Name), Planners: own.Tier.Planners,
+		Rollout: own.Tier.Rollout, Seed: cfg.Settings.Config.Seed, Check: p.agrees, Into: p.enforce})
+}
+
+// agrees tells why this proxy can't serve under a policy; empty = it can.
+func (p *proxy) agrees(_ rollout.Number, text []byte) string {
+	next, err := policy.Decode(text)
+	if err == nil {
+		here := policy.Running{InUse: func(name string) bool {
+			for _, c := range p.front.Classes() {
+				if c.Name == name {
+					return c.Taken > 0
+				}
+			}
+			return false
+		}, Groups: func() map[int]bool {
+			groups := map[int]bool{}
+			for _, d := range p.front.Databases() {
+				groups[d.Group] = true
+			}
+			return groups
+		}}
+		for _, c := range p.front.Classes() {
+			here.Classes = append(here.Classes, c.Name)
+		}
+		err = next.Check(here)
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+// enforce puts a policy into effect, by the ways that a reload takes. Number 0 is what the files say.
+func (p *proxy) enforce(n rollout.Number, text []byte) {
+	if n == 0 {
+		return
+	}
+	next, err := policy.Decode(text)
+	if err != nil { // it was agreed to here, or comes from planners of a later version: serving on under another one would break the promise
+		slog.Error("the tier's policy can't be put into effect, so this proxy ends", "number", uint64(n), "error", err)
+		p.failed = err
+		p.loop.Stop()
+		return
+	}
+	c := p.front.Config()
+	c.Classes, c.MaxAttempts, c.MayComeBack, c.MaxComeBack = next.Classes, next.MaxAttempts, next.MayComeBack, next.MaxComeBack
+	p.front.Retune(c)
+	for _, k := range next.Classes {
+		p.patience = min(max(p.patience, k.Limit), longestPatience)
+	}
+	p.front.Reduce(next.Levels)
+	p.front.Handover(next.Handover)
+	p.front.Tune(next.Tuning)
+}
+
+var _ state.Gate = (*net.Tier)(nil)
+
+// Policy makes a tier's policy of an operator's file and the classes of a configuration.
+func Policy(config, file string) (*policy.Policy, error) {
+	cfg, own, err := readAll(config, file)
+	if err != nil {
+		return nil, err
+	}
+	c := cfg.Settings.Config
+	p := &policy.Policy{Classes: c.Classes, MaxAttempts: c.MaxAttempts, MayComeBack: c.MayComeBack, MaxComeBack: c.MaxComeBack, Levels: own.Levels,
+		Handover: own.Handover, Tuning: own.Tuning}
+	return p, p.Check(policy.Running{})
+}
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -16,6 +16,8 @@
 	Clients, MadeRoom, TurnedAway, Malformed       uint64 // client connections
 	PeersTold, PeersHeard, PeersStrange            uint64 // messages to peers, from peers, and what could not be read or came from others
 	LevelChanges                                   uint64
+	TierStrange                                    uint64 // frames of planners that could not be read
+	Kept, GateShut                                 uint64 // requests that waited at the point of a tier's change, and were refused for want of its policy
 	// Of MySQL: executions of prepared statements written to databases, and statements that had to be prepared on a
 	// connection before one.
 	Executes, Prepares uint64
@@ -35,7 +37,7 @@
 		slog.Uint64("list_calls", c.ListCalls), slog.Uint64("list_failures", c.ListFailures),
 		slog.Uint64("clients", c.Clients), slog.Uint64("made_room", c.MadeRoom),
 		slog.Uint64("turned_away", c.TurnedAway), slog.Uint64("malformed", c.Malformed),
-		slog.Uint64("level_changes", c.LevelChanges),
+		slog.Uint64("level_changes", c.LevelChanges), slog.Uint64("kept", c.Kept), slog.Uint64("gate_shut", c.GateShut), slog.Uint64("tier_strange", c.TierStrange),
 		slog.Uint64("peers_told", c.PeersTold), slog.Uint64("peers_heard", c.PeersHeard),
 		slog.Uint64("peers_strange", c.PeersStrange),
 		slog.Uint64("loads", c.Loads), slog.Uint64("load_errors", c.LoadErrors),
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -92,6 +92,7 @@
 	listFailing bool
 	told        bool
 
+	gated   gated
 	teller  Teller // nil = there is no talk with peers
 	message []byte
 	facts   []peers.Fact
@@ -109,7 +110,8 @@
 	name   string
 	class  int
 	cmd    Command
-	caller Caller // nil once answered or abandoned
+	caller Caller        // nil once answered or abandoned
+	until  time.Duration // when its client stops waiting
 	tries  int
 	open   *attempt // never two at once
 }
@@ -187,22 +189,18 @@
 	f.perClass[class].Taken++
 	q := &request{id: f.lastID, name: in.Name, class: class, cmd: in.Command, caller: in.Caller}
 	f.requests[q.id] = q
-	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group), Caller: in.Session,
-		Deadline: f.clock.Now() + max(in.Wait-wayHome, 0), Retry: in.Retry}
-	if c, ok := in.Command.(interface{ Size() int }); ok {
-		out.Size = c.Size()
-	}
-	switch f.cfg.Logic.Classes[class].Read { // elsewhere the key names no session
-	case logic.Session:
-		out.Session, out.TokenAge = logic.SessionID(in.Session), tokenAge(f.clock, in.After)
-	case logic.Write:
-		out.Session = logic.SessionID(in.Session)
-	}
+	q.until = f.clock.Now() + max(in.Wait-wayHome, 0)
 	if f.trace != nil {
+		size := 0
+		if c, ok := in.Command.(interface{ Size() int }); ok {
+			size = c.Size()
+		}
 		f.trace.Add(trace.Record{At: f.clock.Unix(), Class: class, Group: in.Group, Session: in.Session, Retry: in.Retry,
-			Write: f.cfg.Logic.Classes[class].Read == logic.Write, Wait: in.Wait, Size: out.Size})
+			Write: f.cfg.Logic.Classes[class].Read == logic.Write, Wait: in.Wait, Size: size})
+	}
+	if f.gated.gate == nil || f.pass(q, in) {
+		f.enter(q, in)
 	}
-	f.tell(func() { f.router.Request(f.clock.Now(), out) })
 	return q.id, nil
 }
 
--- a/internal/state/retune.go
+++ b/internal/state/retune.go
@@ -22,3 +22,6 @@
 	f.cfg.Logic.Classes = classes
 	f.perClass = append(f.perClass, make([]ClassCounters, len(classes)-len(f.perClass))...)
 }
+
+// Config gives what the router was told, as far as it is in force now.
+func (f *Front) Config() logic.Config { return f.cfg.Logic }
--- /dev/null
+++ b/internal/state/tier.go
@@ -0,0 +1,155 @@
+package state
+
+import (
+	"log/slog"
+	"time"
+
+	"havenproxy/logic"
+)
+
+// Gate says whether requests may be taken, where a tier of proxies goes by one policy.
+type Gate interface {
+	// May says what is to be done with a request that has been read by now, and under which policy it is taken.
+	May(now time.Duration) (policy uint64, verdict Verdict)
+}
+
+// Policied is a caller that is told under which policy its request was taken.
+type Policied interface{ Under(policy uint64) }
+
+// Verdict is what a Gate says.
+type Verdict uint8
+
+// The verdicts.
+const (
+	GateOpen Verdict = iota
+	GateWait         // for a moment: the tier changes its policy
+	GateShut         // the tier's policy isn't known here
+)
+
+const (
+	// KeptMost is how long a request waits at the point of a change. Behind it the request is refused at once: it never ran.
+	KeptMost = 100 * time.Millisecond
+	keptRoom = 4096 // requests that may wait
+	// shutBack is when clients may come again to a proxy that can't know the tier's policy. It looks for a planner all the while.
+	shutBack = 200 * time.Millisecond
+)
+
+// gated is what waits at the point of a change.
+type gated struct {
+	gate   Gate // nil = the proxy goes by its own files
+	policy uint64
+	kept   []keptRequest
+	timer  Deadline
+	shut   bool
+}
+
+type keptRequest struct {
+	q     *request
+	in    Request
+	until time.Duration
+}
+
+// Gate lets a tier say which requests are taken; nil ends that.
+func (f *Front) Gate(g Gate) { f.gated.gate = g }
+
+// Policy gives the number of the policy under which the last request was taken; 0 = the proxy's own files, or the tier's first.
+func (f *Front) Policy() uint64 { return f.gated.policy }
+
+// Kept counts the requests that wait at the point of a change.
+func (f *Front) Kept() int { return len(f.gated.kept) }
+
+// pass asks the gate about a request. false = it is not to be taken now: it waits, or has been refused.
+func (f *Front) pass(q *request, in Request) bool {
+	g := &f.gated
+	// The clock is read here, behind the request's last byte: a proxy that stood still would otherwise take under a lease that has ended.
+	now := f.clock.Now()
+	policy, verdict := g.gate.May(now)
+	switch {
+	case verdict == GateOpen:
+		g.policy = policy
+		if g.shut {
+			g.shut = false
+			slog.Info("requests are taken again", "policy", policy)
+		}
+		return true
+	case verdict == GateWait && len(g.kept) < keptRoom:
+		f.Counters.Kept++
+		g.kept = append(g.kept, keptRequest{q, in, now + KeptMost})
+		if len(g.kept) == 1 {
+			f.Deadlines.Set(&g.timer, now+KeptMost, f.letGo)
+		}
+		return false
+	}
+	f.shut()
+	f.answer(q.id, &f.Counters.Refused, refusedOf, func(c Caller) { c.Refused(shutBack) })
+	return false
+}
+
+func (f *Front) shut() {
+	f.Counters.GateShut++
+	if !f.gated.shut {
+		f.gated.shut = true
+		slog.Warn("requests are refused: the tier's policy can't be known here", "policy", f.gated.policy)
+	}
+}
+
+// Passed tells that the gate may have opened: what waits is asked about again, in its order.
+func (f *Front) Passed() {
+	g := &f.gated
+	for len(g.kept) > 0 {
+		k := g.kept[0]
+		policy, verdict := g.gate.May(f.clock.Now())
+		if verdict == GateWait {
+			return
+		}
+		g.kept = append(g.kept[:0], g.kept[1:]...)
+		if k.q.caller == nil { // its client has gone
+			continue
+		}
+		if class, ok := f.classes[k.in.Class]; ok && verdict == GateOpen { // it is taken now, and so by the rules of now
+			g.policy, k.q.class = policy, class
+			f.enter(k.q, k.in)
+			continue
+		}
+		f.shut()
+		f.answer(k.q.id, &f.Counters.Refused, refusedOf, func(c Caller) { c.Refused(shutBack) })
+	}
+	f.Deadlines.Clear(&g.timer)
+}
+
+// letGo refuses what has waited for too long: never held back to spare a retry.
+func (f *Front) letGo() {
+	g, now := &f.gated, f.clock.Now()
+	for len(g.kept) > 0 && now >= g.kept[0].until {
+		k := g.kept[0]
+		g.kept = append(g.kept[:0], g.kept[1:]...)
+		if k.q.caller != nil {
+			f.answer(k.q.id, &f.Counters.Refused, refusedOf, func(c Caller) { c.Refused(KeptMost) })
+		}
+	}
+	if len(g.kept) > 0 {
+		f.Deadlines.Set(&g.timer, g.kept[0].until, f.letGo)
+	}
+}
+
+// enter hands a request that is taken to the router.
+func (f *Front) enter(q *request, in Request) {
+	if f.gated.gate != nil {
+		if c, ok := q.caller.(Policied); ok {
+			c.Under(f.gated.policy)
+		}
+	}
+	class := q.class
+	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group), Caller: in.Session,
+		Deadline: q.until, Retry: in.Retry}
+	if c, ok := in.Command.(interface{ Size() int }); ok {
+		out.Size = c.Size()
+	}
+	switch f.cfg.Logic.Classes[class].Read { // elsewhere the key names no session
+	case logic.Session:
+		out.Session, out.TokenAge = logic.SessionID(in.Session), tokenAge(f.clock, in.After)
+	case logic.Write:
+		out.Session = logic.SessionID(in.Session)
+	}
+	f.tell(func() { f.router.Request(f.clock.Now(), out) })
+}
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -198,6 +198,13 @@
 	return AppendReady(dst)
 }
 
+// AppendParameter writes a ParameterStatus.
+func AppendParameter(dst []byte, name, value string) []byte {
+	dst = append(dst, typeParam)
+	dst = binary.BigEndian.AppendUint32(dst, uint32(4+len(name)+len(value)+2))
+	return cstring(cstring(dst, name), value)
+}
+
 // AppendReady tells a client that it may send its next query.
 func AppendReady(dst []byte) []byte {
 	dst, at := begin(dst, typeReady)
