--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -50,6 +50,18 @@
 	Front() *state.Front
 	// Clients gives the connections, at most so many; all counts them.
 	Clients(most int) (list []Client, all int)
+	// Tier tells what is known of the tier; false = there is none.
+	Tier() (Tier, bool)
+}
+
+// Tier is what a proxy knows of the tier that it belongs to.
+type Tier struct {
+	Number, Member uint64
+	Planner        string        // that is spoken to; empty = none
+	Lease          time.Duration // what is left of it
+	Leases         bool          // there are any
+	Ready, Holds   bool
+	Waits          string // why it could not join, as last told
 }
 
 type view struct {
@@ -67,6 +79,8 @@
 	"SWITCHES":   {"groups and their primaries, and the last switches", switchesTable},
 	"MEMBERS":    {"who is a member and why, with all that is known and from whom; where catalogues are merged", membersTable},
 	"CATALOGUES": {"the catalogues that are merged", cataloguesTable},
+	"POLICY":     {"the tier's policy here: its number, and whether requests are taken under it", policyTable},
+	"TIER":       {"this proxy's place in its tier: planner, lease, membership", tierTable},
 	"HISTORY":    {"the last changes of level, the newest first", historyTable},
 }
 
@@ -196,6 +210,38 @@
 	return t
 }
 
+func policyTable(s Source) Table {
+	t := Table{Columns: []string{"number", "requests", "kept_now", "kept", "refused_without"}}
+	f := s.Front()
+	if x, ok := s.Tier(); ok {
+		how := "refused"
+		switch {
+		case x.Holds:
+			how = "wait"
+		case x.Ready:
+			how = "taken"
+		}
+		t.add(x.Number, how, f.Kept(), f.Counters.Kept, f.Counters.GateShut)
+	} else {
+		t.add("-", "taken, by the proxy's own files", 0, uint64(0), uint64(0))
+	}
+	return t
+}
+
+func tierTable(s Source) Table {
+	t := Table{Columns: []string{"member", "planner", "lease_s", "why_not"}}
+	if x, ok := s.Tier(); ok {
+		lease := "-"
+		if x.Leases {
+			lease = fmt.Sprintf("%.1f", max(x.Lease.Seconds(), 0))
+		}
+		t.add(x.Member, or(x.Planner, "none"), lease, or(x.Waits, "-"))
+	} else {
+		t.add("-", "-", "-", "no tier() in the operator's file")
+	}
+	return t
+}
+
 func poolsTable(s Source) Table {
 	t := Table{Columns: []string{"name", "address", "busy", "idle", "opening", "probe"}}
 	for _, p := range s.Front().Pools() {
--- /dev/null
+++ b/internal/lab/command/tier.go
@@ -0,0 +1,120 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/launch"
+	"havenproxy/internal/lab/tier"
+	"havenproxy/internal/rollout"
+)
+
+func tierCommand() *cobra.Command {
+	var t tier.Trial
+	var seed uint64
+	var seeds int
+	var faults []string
+	c := &cobra.Command{
+		Use:   "tier",
+		Short: "Change the policy of a tier of real processes while they fail, and judge what clients saw; exit 1 on a breach",
+		Long: "tier starts planners and proxies as real processes, lets clients ask all proxies, proposes one change behind the other, and lets faults\n" +
+			"happen by a schedule from the seed: " + strings.Join(tier.Kinds, ", ") + ".\n" +
+			"The auditor then judges all answers by the policy that they tell. A breach is printed with its seed, schedule and shortest history.",
+		Example: "  havenlab tier --seeds 20 --proxies 20\n  havenlab tier --seeds 5 --faults pause,cut --lease 1s",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if t.Kinds = tier.Kinds; !slices.Equal(faults, []string{"all"}) {
+				t.Kinds = faults
+			}
+			for _, k := range t.Kinds {
+				if !slices.Contains(tier.Kinds, k) {
+					return fmt.Errorf("%w: --faults has %q, all or some of %q were expected", ErrUsage, k, tier.Kinds)
+				}
+			}
+			if seeds < 1 || t.Proxies < 1 || t.Planners < 1 || t.Length < time.Second || t.Every <= 0 {
+				return fmt.Errorf("%w: --seeds, --proxies and --planners are 1 at least, --length 1s, --every above 0", ErrUsage)
+			}
+			if t.Binary == "" {
+				self, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				t.Binary = filepath.Join(filepath.Dir(self), "havenproxy")
+			}
+			quiet()
+			t.Fleet = fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}
+			var all []tier.Report
+			breaches, unended := 0, 0
+			for i := range seeds {
+				t.Seed, t.Fleet.Seed = seed+uint64(i), seed+uint64(i)
+				r, err := t.Play(c.Context())
+				if err != nil {
+					return fmt.Errorf("seed %d: %w", t.Seed, err)
+				}
+				all = append(all, r)
+				breaches, unended = breaches+len(r.Breaches), unended+r.Unended
+				if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+					fmt.Fprintf(os.Stderr, "\r\033[K%d of %d seeds, %d breaches", i+1, seeds, breaches)
+				}
+				for _, b := range r.Breaches {
+					fmt.Fprintf(c.OutOrStdout(), "\nseed %d: %s\n", r.Seed, b)
+					for _, f := range r.Schedule {
+						fmt.Fprintln(c.OutOrStdout(), "  ", f)
+					}
+				}
+			}
+			printTier(c.OutOrStdout(), all)
+			if breaches+unended > 0 {
+				return fmt.Errorf("%d breaches, %d changes without an end", breaches, unended)
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.Uint64Var(&seed, "seed", 1, "of the first trial; each further one has the next")
+	f.IntVar(&seeds, "seeds", 5, "how many trials")
+	f.IntVar(&t.Proxies, "proxies", 20, "of the tier")
+	f.IntVar(&t.Planners, "planners", 3, "that keep its policy")
+	f.StringSliceVar(&faults, "faults", []string{"all"}, "kinds of fault")
+	f.DurationVar(&t.Length, "length", 15*time.Second, "of a trial, in which changes are proposed and faults begin")
+	f.DurationVar(&t.Every, "every", 200*time.Millisecond, "between two proposals, and up to twice that")
+	f.DurationVar(&t.Lease, "lease", 600*time.Millisecond, "of the proxies; 0 = they go on when they are cut off")
+	f.IntVar(&t.Each, "clients", 2, "of each proxy")
+	f.StringVar(&t.Binary, "proxy", "", "the program (default: havenproxy beside this one)")
+	return c
+}
+
+func printTier(out io.Writer, all []tier.Report) {
+	var took [3][]time.Duration
+	served, refused, lost, breaches := 0, 0, 0, 0
+	for _, r := range all {
+		served, refused, lost, breaches = served+r.Served, refused+r.Refused, lost+r.Lost, breaches+len(r.Breaches)
+		for _, c := range r.Changes {
+			took[c.Outcome] = append(took[c.Outcome], c.Took)
+		}
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "changes\tcount\tp50\tp99\tmost")
+	for _, o := range []rollout.Outcome{rollout.InForce, rollout.GivenUp, rollout.Undecided} {
+		list := took[o]
+		slices.Sort(list)
+		at := func(q float64) time.Duration {
+			if len(list) == 0 {
+				return 0
+			}
+			return list[min(int(q*float64(len(list))), len(list)-1)]
+		}
+		fmt.Fprintf(w, "%v\t%d\t%v\t%v\t%v\n", o, len(list), at(0.5), at(0.99), at(1))
+	}
+	w.Flush()
+	fmt.Fprintf(out, "%d seeds: %d answers judged, %d refused, %d lost, %d breaches\n", len(all), served, refused, lost, breaches)
+}
--- /dev/null
+++ b/internal/lab/tier/faults.go
@@ -0,0 +1,154 @@
+package tier
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Fault is one of a schedule.
+type Fault struct {
+	At   time.Duration
+	For  time.Duration
+	Kind string
+	Who  []int // proxies, or planners where the kind says so
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%6.2f s %s %v for %v", f.At.Seconds(), f.Kind, f.Who, f.For)
+}
+
+// Kinds of fault.
+var Kinds = []string{"kill", "pause", "cut", "deaf", "mute", "loss", "double", "reorder", "delay", "reset", "kill planner", "pause planner", "part planners", "kill planners"}
+
+// Schedule draws faults over so long, from a seed: every few hundred milliseconds one begins, and lasts from 0.1 s to twice the lease.
+func Schedule(seed uint64, kinds []string, proxies, planners int, lease, length time.Duration) (out []Fault) {
+	rng := rand.New(rand.NewPCG(seed, 0xfa17))
+	longest := max(2*lease, 2*time.Second)
+	for at := 200 * time.Millisecond; at < length; at += 100*time.Millisecond + time.Duration(rng.Int64N(int64(700*time.Millisecond))) {
+		f := Fault{At: at, For: 100*time.Millisecond + time.Duration(rng.Int64N(int64(longest))), Kind: kinds[rng.IntN(len(kinds))]}
+		of := proxies
+		if strings.Contains(f.Kind, "planner") {
+			of = planners
+		}
+		n := 1 + rng.IntN(max(of/4, 1))
+		if f.Kind == "kill planners" {
+			n = of
+		}
+		f.Who = rng.Perm(of)[:n]
+		slices.Sort(f.Who)
+		out = append(out, f)
+	}
+	return out
+}
+
+// Play lets a schedule's faults happen, and their ends. It returns when all are over.
+func (b *Bench) Play(ctx context.Context, faults []Fault) {
+	done := make(chan bool)
+	for _, f := range faults {
+		go func() {
+			defer func() { done <- true }()
+			if !sleep(ctx, f.At) {
+				return
+			}
+			end := b.begin(f)
+			sleep(ctx, f.For)
+			end()
+		}()
+	}
+	for range faults {
+		<-done
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// begin lets a fault begin and gives what ends it.
+func (b *Bench) begin(f Fault) (end func()) {
+	var troubles = map[string]Trouble{"cut": {Cut: true}, "deaf": {Deaf: true}, "mute": {Mute: true}, "loss": {Loss: 0.3}, "double": {Double: 0.5},
+		"reorder": {Reorder: 0.3}, "delay": {Delay: 60 * time.Millisecond}, "reset": {Reset: true}}
+	switch f.Kind {
+	case "kill":
+		return b.each(b.Proxies, f.Who, func(p *Process) { p.Kill() }, func(p *Process) { p.Start() })
+	case "pause":
+		return b.each(b.Proxies, f.Who, func(p *Process) { p.Signal(syscall.SIGSTOP) }, func(p *Process) { p.Signal(syscall.SIGCONT) })
+	case "kill planner", "kill planners":
+		return b.each(b.Planners, f.Who, func(p *Process) { p.Kill() }, func(p *Process) { p.Start() })
+	case "pause planner":
+		return b.each(b.Planners, f.Who, func(p *Process) { p.Signal(syscall.SIGSTOP) }, func(p *Process) { p.Signal(syscall.SIGCONT) })
+	case "part planners":
+		var cut []*relay
+		for _, i := range f.Who {
+			for k := range b.Planners {
+				if k != i {
+					cut = append(cut, b.between[[2]int{i, k}], b.between[[2]int{k, i}])
+				}
+			}
+		}
+		return b.troubles(cut, Trouble{Cut: true})
+	}
+	var links []*relay
+	for _, i := range f.Who {
+		links = append(links, b.toPlanners[i]...)
+	}
+	return b.troubles(links, troubles[f.Kind])
+}
+
+func (b *Bench) troubles(links []*relay, t Trouble) func() {
+	for _, r := range links {
+		r.set(t)
+	}
+	return func() {
+		for _, r := range links {
+			r.set(Trouble{Reset: t.Cut}) // what was said meanwhile is lost with the connections
+		}
+	}
+}
+
+// each does something to processes, each of which only one fault holds at a time.
+func (b *Bench) each(list []*Process, who []int, do, undo func(*Process)) func() {
+	var held []*Process
+	for _, i := range who {
+		p := list[i]
+		b.mu.Lock()
+		free := !p.held
+		p.held = true
+		b.mu.Unlock()
+		if free {
+			do(p)
+			held = append(held, p)
+		}
+	}
+	return func() {
+		for _, p := range held {
+			undo(p)
+			b.mu.Lock()
+			p.held = false
+			b.mu.Unlock()
+		}
+	}
+}
+
+// Reloads is the naive way: the operator's file is changed beside each proxy, and SIGHUP sent to each that can be reached. What is served
+// under is told by answers all the same: the file says its number.
+func (b *Bench) Reloads(text string) error {
+	for _, p := range b.Proxies {
+		if err := os.WriteFile(p.operator, []byte(text), 0o600); err != nil {
+			return err
+		}
+		p.Signal(syscall.SIGHUP)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/tier/run.go
@@ -0,0 +1,114 @@
+package tier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"havenproxy/internal/rollout"
+	"havenproxy/internal/run"
+	"havenproxy/internal/wire/tier"
+)
+
+// Trial is one seed: a tier, its clients, changes one after the other, and faults by a schedule.
+type Trial struct {
+	Config
+	Kinds  []string
+	Length time.Duration // in which faults begin and changes are proposed
+	Every  time.Duration // between two proposals, at the least
+	Each   int           // clients of each proxy
+}
+
+// Outcome is a change's.
+type Outcome struct {
+	Number  rollout.Number
+	Outcome rollout.Outcome
+	Took    time.Duration // from its proposal's entry in the log to its end, by the planners' clocks
+	Reason  string
+}
+
+// Report is what a trial came to.
+type Report struct {
+	Seed     uint64
+	Changes  []Outcome
+	Served   int // requests whose answers told the policy
+	Refused  int
+	Lost     int // by kills and resets
+	Breaches []Breach
+	Schedule []Fault
+	Unended  int // changes undecided once all faults were over for longer than the bound
+}
+
+// Play plays a trial.
+func (t Trial) Play(ctx context.Context) (r Report, err error) {
+	r.Seed = t.Seed
+	startCtx, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	b, err := Start(startCtx, t.Config)
+	if err != nil {
+		return r, err
+	}
+	defer b.Close()
+	asking, stop := context.WithCancel(ctx)
+	defer stop()
+	wait := b.Ask(asking, max(t.Each, 1), 3*time.Millisecond)
+	r.Schedule = Schedule(t.Seed, t.Kinds, t.Proxies, t.Planners, t.Lease, t.Length)
+	over := make(chan bool)
+	go func() { b.Play(ctx, r.Schedule); close(over) }()
+	rng := rand.New(rand.NewPCG(t.Seed, 0xc4a6))
+	cl := b.Client()
+	for end, i := time.Now().Add(t.Length), 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
+		path, err := b.File("next.star", fmt.Sprintf("routing(first_limit = %d)\n", 20+i%50))
+		if err != nil {
+			return r, err
+		}
+		p, err := run.Policy(b.config, path)
+		if err != nil {
+			return r, err
+		}
+		text, err := p.Encode()
+		if err != nil {
+			return r, err
+		}
+		cl.Propose(ctx, tier.Ask{Do: tier.DoPropose, Policy: text, Why: fmt.Sprint("change ", i), Nonce: rng.Uint64() | 1}, time.Second)
+		sleep(ctx, t.Every+time.Duration(rng.Int64N(int64(t.Every)+1)))
+	}
+	<-over
+	for _, p := range append(slices.Clone(b.Proxies), b.Planners...) {
+		p.Signal(syscall.SIGCONT)
+	}
+	// All faults are over: what is undecided has to end within the bound.
+	bound := rollout.Config{Lease: t.Lease}.WithDefaults().Bound + 3*time.Second
+	var last *rollout.State
+	for end := time.Now().Add(bound); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
+		if a, err := cl.Status(ctx); err == nil && a.Leader == a.Planner {
+			if last = a.State; last.Pending() == nil {
+				break
+			}
+		}
+	}
+	sleep(ctx, 200*time.Millisecond)
+	stop()
+	wait()
+	if last == nil {
+		return r, errors.New("no planner leads once all faults are over")
+	}
+	var gone []uint64
+	for _, c := range last.Changes {
+		switch c.Outcome {
+		case rollout.Undecided:
+			r.Unended++
+		case rollout.GivenUp:
+			gone = append(gone, uint64(c.Number))
+		}
+		r.Changes = append(r.Changes, Outcome{c.Number, c.Outcome, time.Duration(c.Ended-c.At) * time.Millisecond, c.Reason})
+	}
+	seen, refused, lost := b.History()
+	r.Served, r.Refused, r.Lost = len(seen), refused, lost
+	r.Breaches = Audit(seen, gone)
+	return r, ctx.Err()
+}
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -48,10 +48,14 @@
 	Proxies   []*Process
 	Addresses []string // of the planners, as the operator asks them
 	config    string
-	mu        sync.Mutex
-	history   []Seen
-	refused   int
-	lost      int
+
+	toPlanners [][]*relay        // by proxy, on its links to each planner
+	between    map[[2]int]*relay // on a planner's link to another
+
+	mu      sync.Mutex
+	history []Seen
+	refused int
+	lost    int
 }
 
 // Process is one of them.
@@ -62,6 +66,9 @@
 	run     *exec.Cmd
 	ended   chan struct{}
 	out     io.Writer
+	held    bool // by a fault
+
+	operator string // a proxy's operator's file
 }
 
 func (p *Process) start() error {
@@ -115,21 +122,32 @@
 	if b.world, err = standin.New(cfg.Fleet, func(time.Duration, string) {}); err != nil {
 		return nil, err
 	}
-	var peers []string
-	for i := range cfg.Planners {
+	b.between = map[[2]int]*relay{}
+	for range cfg.Planners {
 		address, err := free()
 		if err != nil {
 			return nil, err
 		}
 		b.Addresses = append(b.Addresses, address)
-		peers = append(peers, fmt.Sprintf("%d=%s", i+1, address))
 	}
 	lease := []string{"--cut-off", "go on"}
 	if cfg.Lease > 0 {
 		lease = []string{"--lease", cfg.Lease.String()}
 	}
 	for i, address := range b.Addresses {
-		args := append([]string{"plan", "--id", strconv.Itoa(i + 1), "--planners", strings.Join(peers, ","), "--log", filepath.Join(b.dir, fmt.Sprint("plan", i+1))}, lease...)
+		var peers []string // as this one reaches them
+		for k, to := range b.Addresses {
+			if k != i {
+				r, err := newRelay(to, cfg.Seed<<16+uint64(i)<<8+uint64(k))
+				if err != nil {
+					return nil, err
+				}
+				b.between[[2]int{i, k}] = r
+				to = r.address()
+			}
+			peers = append(peers, fmt.Sprintf("%d=%s", k+1, to))
+		}
+		args := append([]string{"plan", "--id", strconv.Itoa(i + 1), "--planners", strings.Join(peers, ","), "--listen", address, "--log", filepath.Join(b.dir, fmt.Sprint("plan", i+1))}, lease...)
 		p := &Process{Name: fmt.Sprint("planner", i+1), Address: address, cmd: func() *exec.Cmd { return exec.Command(cfg.Binary, args...) }, out: cfg.Log}
 		if err := p.start(); err != nil {
 			return nil, err
@@ -161,12 +179,22 @@
 	if b.cfg.Lease > 0 {
 		leases = fmt.Sprintf("lease = %q", b.cfg.Lease)
 	}
-	planners := `"` + strings.Join(b.Addresses, `", "`) + `"`
+	var relays []*relay
+	var reached []string
+	for k, to := range b.Addresses {
+		r, err := newRelay(to, b.cfg.Seed<<24+uint64(i)<<8+uint64(k))
+		if err != nil {
+			return err
+		}
+		relays, reached = append(relays, r), append(reached, r.address())
+	}
+	b.toPlanners = append(b.toPlanners, relays)
+	planners := `"` + strings.Join(reached, `", "`) + `"`
 	file := fmt.Sprintf("tier(name = \"n%d\", planners = [%s], tell_clients = True, %s)\n", i, planners, leases)
 	if err = errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(operator, []byte(file), 0o600)); err != nil {
 		return err
 	}
-	p := &Process{Name: fmt.Sprint("n", i), Address: address, out: b.cfg.Log, cmd: func() *exec.Cmd {
+	p := &Process{Name: fmt.Sprint("n", i), Address: address, out: b.cfg.Log, operator: operator, cmd: func() *exec.Cmd {
 		c := exec.Command(b.cfg.Binary)
 		c.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_LISTEN="+address, "HAVEN_OPERATOR="+operator)
 		return c
@@ -218,6 +246,14 @@
 			p.Kill()
 		}
 	}
+	for _, r := range b.between {
+		r.close()
+	}
+	for _, list := range b.toPlanners {
+		for _, r := range list {
+			r.close()
+		}
+	}
 	if b.world != nil {
 		b.world.Close()
 	}
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -108,3 +108,69 @@
 		t.Errorf("%v", x)
 	}
 }
+
+// A proxy that stands still from before a change until long after serves nothing under the old policy once it wakes, though requests wait in
+// its socket; one that is killed and one that is cut off don't either. The change goes on without them.
+func TestWhoMissedAChangeServesNothingUnderTheOldPolicy(t *testing.T) {
+	b := small(t, 4, 3, 400*time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	wait := b.Ask(ctx, 3, 2*time.Millisecond)
+	pause, cut := b.begin(Fault{Kind: "pause", Who: []int{0}}), b.begin(Fault{Kind: "cut", Who: []int{1}})
+	kill := b.begin(Fault{Kind: "kill", Who: []int{2}})
+	if code, out := b.propose(t, 1); code != 0 {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	pause()
+	cut()
+	kill()
+	in, done := context.WithTimeout(context.Background(), 20*time.Second)
+	defer done()
+	if err := b.Wait(in, 4); err != nil {
+		t.Error(err)
+	}
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		seen, _, _ := b.History()
+		back := map[string]bool{}
+		for _, s := range seen {
+			if s.Policy == 1 {
+				back[s.Proxy] = true
+			}
+		}
+		if len(back) == 4 {
+			break
+		}
+	}
+	cancel()
+	wait()
+	seen, _, _ := b.History()
+	for _, breach := range Audit(seen, nil) {
+		t.Error(breach)
+	}
+	back := map[string]bool{}
+	for _, s := range seen {
+		back[s.Proxy] = back[s.Proxy] || s.Policy == 1
+	}
+	for _, name := range []string{"n0", "n1", "n2", "n3"} {
+		if !back[name] {
+			t.Errorf("%s never served under the new policy", name)
+		}
+	}
+}
+
+// All kinds of fault by a schedule: whatever came of the changes, no promise is broken, and each has an end.
+func TestATierUnderAllFaults(t *testing.T) {
+	for seed := uint64(1); seed <= 2; seed++ {
+		r, err := Trial{Config: Config{Binary: binary, Proxies: 4, Planners: 3, Lease: 400 * time.Millisecond, Seed: seed,
+			Fleet: fleet.Config{Seed: seed, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}},
+			Kinds: Kinds, Length: 4 * time.Second, Every: 100 * time.Millisecond}.Play(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range r.Breaches {
+			t.Errorf("seed %d: %s\n%v", seed, b, r.Schedule)
+		}
+		if r.Unended > 0 || r.Served == 0 {
+			t.Errorf("seed %d: %d changes without an end, %d answers; %v", seed, r.Unended, r.Served, r.Schedule)
+		}
+	}
+}
--- a/internal/net/console.go
+++ b/internal/net/console.go
@@ -29,6 +29,17 @@
 // Front implements console.Source.
 func (s *Server) Front() *state.Front { return s.front }
 
+// Tier implements console.Source.
+func (s *Server) Tier() (console.Tier, bool) {
+	if s.tier == nil {
+		return console.Tier{}, false
+	}
+	return s.tier.Status(), true
+}
+
+// Belongs lets the console tell of the tier.
+func (s *Server) Belongs(t *Tier) { s.tier = t }
+
 // Clients implements console.Source.
 func (s *Server) Clients(most int) (list []console.Client, all int) {
 	now := s.clock.Now()
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -60,6 +60,7 @@
 	sweeping    state.Deadline
 	console     bool // clients on loopback may use it
 	policy      bool // answers tell the policy
+	tier        *Tier
 }
 
 // NewServer makes a server for at most so many clients, whose half-sent queries may hold so many bytes; a few more
--- a/internal/net/tier.go
+++ b/internal/net/tier.go
@@ -7,6 +7,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"havenproxy/internal/console"
 	"havenproxy/internal/rollout"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/tier"
@@ -199,7 +200,7 @@
 		}
 		return
 	}
-	t.tries = 0
+	t.tries, t.waits = 0, ""
 	t.side.Heard(now, m)
 	if numbers, with := t.side.Switched(); len(numbers) > 0 {
 		for i, n := range numbers {
@@ -231,23 +232,14 @@
 func (t *Tier) Number() uint64 { return uint64(t.side.Number()) }
 
 // Status tells what is known of the tier here.
-func (t *Tier) Status() TierStatus {
-	s := TierStatus{Number: uint64(t.side.Number()), Member: uint64(t.side.Member()), Waits: t.waits}
+func (t *Tier) Status() console.Tier {
+	s := console.Tier{Number: uint64(t.side.Number()), Member: uint64(t.side.Member()), Waits: t.waits, Leases: t.cfg.Lease > 0, Ready: t.Ready()}
 	if t.conn != nil {
 		s.Planner = t.planners[t.at%len(t.planners)]
 	}
-	if t.cfg.Lease > 0 {
+	if s.Leases {
 		s.Lease = t.side.Until() - t.clock.Now()
 	}
 	_, _, s.Holds = t.side.Holds()
 	return s
 }
-
-// TierStatus is what a proxy knows of its tier.
-type TierStatus struct {
-	Number, Member uint64
-	Planner        string        // that is spoken to; empty = none
-	Lease          time.Duration // what is left of it
-	Holds          bool
-	Waits          string // why it could not join, as last told
-}
--- /dev/null
+++ b/internal/planner/store_test.go
@@ -0,0 +1,99 @@
+package planner
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+)
+
+func entry(i, term uint64, text string) *pb.Entry {
+	return &pb.Entry{Index: &i, Term: &term, Data: []byte(text)}
+}
+
+func filled(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "log")
+	s, fresh, err := openStore(path, "planner 1 of [1]")
+	if err != nil || !fresh {
+		t.Fatal(fresh, err)
+	}
+	term, vote, commit := uint64(3), uint64(1), uint64(2)
+	if err := s.save(&raft.Ready{HardState: &pb.HardState{Term: &term, Vote: &vote, Commit: &commit}, Entries: []*pb.Entry{entry(1, 2, "one"), entry(2, 2, "two"), entry(3, 2, "three")}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.save(&raft.Ready{Entries: []*pb.Entry{entry(2, 3, "another two")}}); err != nil { // replaces what stood behind it
+		t.Fatal(err)
+	}
+	s.close()
+	return path
+}
+
+func TestTheLogComesBack(t *testing.T) {
+	s, fresh, err := openStore(filled(t), "planner 1 of [1]")
+	if err != nil || fresh {
+		t.Fatal(fresh, err)
+	}
+	defer s.close()
+	hard, _, _ := s.mem.InitialState()
+	last, _ := s.mem.LastIndex()
+	if hard.GetTerm() != 3 || hard.GetVote() != 1 || last != 2 {
+		t.Fatalf("term %d, vote %d, %d entries", hard.GetTerm(), hard.GetVote(), last)
+	}
+	e, err := s.mem.Entries(1, 3, 1<<20)
+	if err != nil || string(e[0].GetData()) != "one" || string(e[1].GetData()) != "another two" {
+		t.Fatal(e, err)
+	}
+	if err := s.shorten(2, &pb.ConfState{Voters: []uint64{1}}, []byte("state"), 1); err != nil {
+		t.Fatal(err)
+	}
+	if first, _ := s.mem.FirstIndex(); first != 2 {
+		t.Errorf("the log begins with %d", first)
+	}
+}
+
+// A vote that was forgotten, or an entry that reads otherwise, would break what was promised to others.
+func TestAFlippedBitIsNoticed(t *testing.T) {
+	path := filled(t)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := strings.Index(string(text), "another two")
+	if at < 0 {
+		t.Fatal("the entry isn't there")
+	}
+	for at >= 0 { // bbolt may hold an earlier copy of a page too
+		text[at] ^= 4
+		next := strings.Index(string(text[at+1:]), "another two")
+		if next < 0 {
+			break
+		}
+		at += 1 + next
+	}
+	os.WriteFile(path, text, 0o600)
+	if _, _, err := openStore(path, "planner 1 of [1]"); !errors.Is(err, errDamaged) || !strings.Contains(err.Error(), "entry 2") {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestALogIsOnePlanners(t *testing.T) {
+	path := filled(t)
+	if _, _, err := openStore(path, "planner 2 of [1 2]"); err == nil || !strings.Contains(err.Error(), "it is that of planner 1") {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestPlannersAreNamedWhole(t *testing.T) {
+	if p, err := ParsePeers("1=a:1, 2=b:2"); err != nil || p[2] != "b:2" {
+		t.Error(p, err)
+	}
+	for _, bad := range []string{"", "a:1", "0=a:1", "1=a:1,1=b:1", "1="} {
+		if _, err := ParsePeers(bad); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
--- a/internal/run/tier.go
+++ b/internal/run/tier.go
@@ -21,6 +21,7 @@
 	p.server.TellPolicy(own.Tier.Tell)
 	p.tier = net.JoinTier(p.loop, p.clock, p.front, net.TierConfig{Name: cmp.Or(own.Tier.Name, cfg.Name), Planners: own.Tier.Planners,
 		Rollout: own.Tier.Rollout, Seed: cfg.Settings.Config.Seed, Check: p.agrees, Into: p.enforce})
+	p.server.Belongs(p.tier)
 }
 
 // agrees tells why this proxy can't serve under a policy; empty = it can.
