--- a/internal/cli/plan/plan.go
+++ b/internal/cli/plan/plan.go
@@ -72,7 +72,6 @@
 	f.StringVar(&peers, "planners", "", "all planners, this one included: 1=ADDRESS,2=ADDRESS,3=ADDRESS")
 	f.StringVar(&cfg.Listen, "listen", "", "where to listen (default: this planner's address)")
 	f.StringVar(&cfg.File, "log", "", "the file of the log; it is made if it isn't there")
-	f.BoolVar(&cfg.Joins, "replace", false, "this planner takes the place of one whose log is lost: it begins with an empty one, and the others tell it all")
 	f.StringVar(&cutOff, "cut-off", "stop", "what a proxy does that can reach no planner: \"stop\" behind its lease, or \"go on\"; the same at all proxies and planners")
 	f.DurationVar(&cfg.Rollout.Lease, "lease", 2*time.Second, "how long a proxy serves since it last reached the planner that leads; the same at all proxies and planners")
 	return c
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -26,9 +26,7 @@
 	Listen  string            // where proxies, planners and operators come
 	Peers   map[uint64]string // all planners, this one included, with their addresses
 	File    string            // of the log
-	Joins   bool              // it takes the place of one that was lost: it begins with an empty log and waits to be told all
 	Rollout rollout.Config
-	Skew    time.Duration // for tests: its wall clock is off by so much
 }
 
 const (
@@ -75,7 +73,7 @@
 		return nil, err
 	}
 	p := &Planner{cfg: cfg, store: st, state: &rollout.State{}, began: time.Now(), events: make(chan func(), mostEvents)}
-	if fresh && !cfg.Joins { // all planners begin with the same snapshot of nothing
+	if fresh { // all planners begin with the same snapshot of nothing
 		empty, err := tier.EncodeState(p.state)
 		if err == nil {
 			one := uint64(1)
@@ -124,7 +122,7 @@
 // now is the planner's own clock, on which leases are counted: it is monotonic.
 func (p *Planner) now() time.Duration { return time.Since(p.began) + time.Second }
 
-func (p *Planner) unix() int64 { return time.Now().Add(p.cfg.Skew).UnixMilli() }
+func (p *Planner) unix() int64 { return time.Now().UnixMilli() }
 
 // post hands something to the planner's goroutine; it is dropped where too much waits, as a message may be anywhere.
 func (p *Planner) post(f func()) bool {
