Mend what a second reading of the tier's policy found

- expel took a member out though its lease ran: with leases it now goes when that has ended.
Without leases planners never answered a proxy's ask, so that its link was given up every 10 s: facts are the sign of life now.
- A planner whose term has yet to begin in its log answered a proposal as refused (exit 3); it is asked again now. propose found its change by the last number, which may be another's; by its nonce now.
A planner that led, was followed and leads again kept what it knew of leases.
- Who joined again under the policy that it had lost what its levels had learned.
The list of commands under way grew for as long as a planner led.
- Dead: server.closed, the reloads of the naive way, an argument of answer, a field of Process.
- The bench began before the first lease was granted: 4 requests refused once in TestAChangeIsInForceAtBothProxies.
It waits for an answer now.

--- a/internal/cli/policy.go
+++ b/internal/cli/policy.go
@@ -103,15 +103,20 @@
 			fmt.Fprintln(out, strings.Join(diff, "\n"))
 		}
 	}
-	began := time.Now()
-	a, err := cl.Propose(ctx, tier.Ask{Do: tier.DoPropose, Policy: text, Why: why, Nonce: rand.Uint64() | 1}, f.wait)
+	began, nonce := time.Now(), rand.Uint64()|1
+	a, err := cl.Propose(ctx, tier.Ask{Do: tier.DoPropose, Policy: text, Why: why, Nonce: nonce}, f.wait)
 	if err != nil {
 		return errExit{exitNotKnown, err.Error()}
 	}
 	if a.Error != "" {
 		return errExit{exitGivenUp, a.Error}
 	}
-	n := a.State.Last
+	var n rollout.Number
+	for _, x := range a.State.Changes {
+		if x.Nonce == nonce {
+			n = x.Number
+		}
+	}
 	for until, line := began.Add(f.wait), ""; ; {
 		x := a.State.Change(n)
 		if x != nil && x.Outcome != rollout.Undecided {
--- a/internal/lab/tier/faults.go
+++ b/internal/lab/tier/faults.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"syscall"
@@ -140,15 +139,3 @@
 		}
 	}
 }
-
-// Reloads is the naive way: the operator's file is changed beside each proxy, and SIGHUP sent to each that can be reached. What is served
-// under is told by answers all the same: the file says its number.
-func (b *Bench) Reloads(text string) error {
-	for _, p := range b.Proxies {
-		if err := os.WriteFile(p.operator, []byte(text), 0o600); err != nil {
-			return err
-		}
-		p.Signal(syscall.SIGHUP)
-	}
-	return nil
-}
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -67,8 +67,6 @@
 	ended   chan struct{}
 	out     io.Writer
 	held    bool // by a fault
-
-	operator string // a proxy's operator's file
 }
 
 func (p *Process) start() error {
@@ -159,7 +157,36 @@
 			return nil, err
 		}
 	}
-	return b, b.Wait(ctx, cfg.Proxies)
+	if err := b.Wait(ctx, cfg.Proxies); err != nil {
+		return nil, err
+	}
+	for _, p := range b.Proxies { // a member has its first lease a moment later
+		for {
+			if _, told, code, err := b.once(p); err == nil && told && code == "" {
+				break
+			}
+			if ctx.Err() != nil {
+				return nil, fmt.Errorf("%s takes no request: %w", p.Name, ctx.Err())
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return b, nil
+}
+
+// once asks one thing on a connection of its own.
+func (b *Bench) once(p *Process) (policy uint64, told bool, code string, err error) {
+	conn, err := net.DialTimeout("tcp", p.Address, time.Second)
+	if err != nil {
+		return 0, false, "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(2 * askFor))
+	text := fmt.Sprintf("SELECT val FROM state WHERE uid = '01' /* id=%x,c=stok-bakis,d=%d,cluster=0 */", time.Now().UnixNano(), askFor.Milliseconds())
+	if _, err := conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), text)); err != nil {
+		return 0, false, "", err
+	}
+	return answer(bufio.NewReader(conn))
 }
 
 func (b *Bench) addProxy(i int) error {
@@ -194,7 +221,7 @@
 	if err = errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(operator, []byte(file), 0o600)); err != nil {
 		return err
 	}
-	p := &Process{Name: fmt.Sprint("n", i), Address: address, out: b.cfg.Log, operator: operator, cmd: func() *exec.Cmd {
+	p := &Process{Name: fmt.Sprint("n", i), Address: address, out: b.cfg.Log, cmd: func() *exec.Cmd {
 		c := exec.Command(b.cfg.Binary)
 		c.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_LISTEN="+address, "HAVEN_OPERATOR="+operator)
 		return c
@@ -304,7 +331,7 @@
 		_, err := conn.Write(pg.AppendQuery(nil, text))
 		told, code := false, ""
 		if err == nil {
-			s.Policy, told, code, err = answer(r, n == 0 || s.Policy == 0)
+			s.Policy, told, code, err = answer(r)
 		}
 		s.Answered = time.Since(b.began)
 		b.mu.Lock()
@@ -329,7 +356,7 @@
 }
 
 // answer reads up to the end of the next answer that holds one: the welcome ends with ReadyForQuery too, and has no row and no error.
-func answer(r *bufio.Reader, _ bool) (policy uint64, told bool, code string, err error) {
+func answer(r *bufio.Reader) (policy uint64, told bool, code string, err error) {
 	var body []byte
 	for some := false; ; {
 		head, err := r.Peek(5)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -192,6 +192,12 @@
 // ready does what the consensus asks for, the disk first.
 func (p *Planner) ready() {
 	rd := p.node.Ready()
+	if term := rollout.Term(p.node.BasicStatus().HardState.GetTerm()); p.leader != nil && term != p.leader.Term() {
+		p.leader = nil // it led, another did, and it leads again: what it knew of leases is void
+		if p.node.BasicStatus().RaftState == raft.StateLeader {
+			p.leader = rollout.Lead(p.cfg.Rollout, p.state, term)
+		}
+	}
 	if err := p.store.save(&rd); err != nil {
 		// Nothing of this has been promised to anyone yet: who goes on without it would break a promise.
 		p.failed = fmt.Errorf("the log can't be written, so this planner ends: %w", err)
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -33,11 +33,10 @@
 	listener net.Listener
 	peers    map[uint64]chan []byte
 
-	mu     sync.Mutex
-	links  map[rollout.Link]*link
-	last   rollout.Link
-	closed bool
-	told   map[string]time.Time
+	mu    sync.Mutex
+	links map[rollout.Link]*link
+	last  rollout.Link
+	told  map[string]time.Time
 
 	waiting []waiting // proposals that are not in the log yet; the planner's goroutine's alone
 }
@@ -76,7 +75,6 @@
 func (s *server) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = true
 	s.listener.Close()
 	for _, l := range s.links {
 		l.conn.Close()
@@ -257,11 +255,15 @@
 	refuse := func(err error) {
 		s.send(id, &tier.Frame{Answer: &tier.Answer{Error: err.Error(), Planner: p.cfg.ID, Leader: p.leads}})
 	}
+	if p.leader != nil && !p.leader.Leads() { // its term has yet to begin in the log: who asks comes again
+		s.send(id, &tier.Frame{Answer: &tier.Answer{Error: client.ErrNoLeader.Error(), Planner: p.cfg.ID, State: p.state}})
+		return
+	}
 	if a.Do == tier.DoStatus {
 		s.status(id, "")
 		return
 	}
-	if p.leader == nil || !p.leader.Leads() {
+	if p.leader == nil {
 		refuse(client.ErrNoLeader)
 		return
 	}
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -54,7 +55,7 @@
 	asked  time.Duration // when it was last asked for it
 	heard  time.Duration
 	number Number
-	left   bool // it said so itself
+	left   bool // it said so itself, its lease has ended, or the operator says so: it gets no other
 }
 
 type ask struct {
@@ -79,6 +80,9 @@
 	return out, commit, confirm
 }
 
+// Term gives the term that it leads in.
+func (l *Leader) Term() Term { return l.term }
+
 // Leads tells whether the term has begun in the log.
 func (l *Leader) Leads() bool { return l.since > 0 }
 
@@ -90,6 +94,7 @@
 
 // try puts a command on its way, unless it is already.
 func (l *Leader) try(now time.Duration, key string, c Command) {
+	maps.DeleteFunc(l.tried, func(_ string, at time.Duration) bool { return now-at >= l.cfg.Answer })
 	if at, ok := l.tried[key]; ok && now-at < l.cfg.Answer {
 		return
 	}
@@ -213,7 +218,7 @@
 	s.heard, s.link = now, link
 	switch m.Kind {
 	case Renew:
-		if s.number = m.Number; s.number < l.state.Force {
+		if s.number = m.Number; s.number < l.state.Force || l.cfg.Lease == 0 { // a sign of life where there are no leases to grant
 			l.send(link, l.fact(m.Member))
 		}
 		if l.cfg.Lease > 0 {
@@ -290,10 +295,15 @@
 	l.try(now, "join "+m.Name, Command{Act: Join, Name: m.Name, Nonce: m.Nonce})
 }
 
-// Expel lets the operator say that a member has ended for good. If it has not, it goes on under what it has.
+// Expel lets the operator say that a member has ended for good. With leases it goes when its own has ended, so that nothing hangs on whether
+// that is true; without, it goes at once, and if it has not ended it goes on under what it has.
 func (l *Leader) Expel(now time.Duration, name string) error {
 	for i := range l.state.Seats {
 		if s := &l.state.Seats[i]; s.Name == name {
+			if p := l.seats[s.Member]; l.cfg.Lease > 0 && p != nil && !l.cfg.Without.Has(NoLastLease) {
+				p.left = true // no other lease is granted; expire does the rest
+				return nil
+			}
 			l.try(now, fmt.Sprint("leave ", s.Member), Command{Act: Leave, Member: s.Member, Round: Round{Term: l.term}})
 			return nil
 		}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -17,6 +17,7 @@
 
 	"havenproxy/internal/net"
 	"havenproxy/internal/operator"
+	"havenproxy/internal/rollout"
 	"havenproxy/internal/state"
 	"havenproxy/internal/trace"
 	"havenproxy/internal/wire/mysql"
@@ -290,7 +291,8 @@
 	killAt   time.Duration
 
 	tier      *net.Tier // nil = the proxy goes by its own files
-	traceFile string    // of the command line
+	enforced  rollout.Number
+	traceFile string // of the command line
 	traced    *trace.Config
 	watched   *net.ConsulConfig // as of the last file
 	consul    *net.Consul       // the loop's alone
--- a/internal/run/tier.go
+++ b/internal/run/tier.go
@@ -8,7 +8,6 @@
 	"havenproxy/internal/operator"
 	"havenproxy/internal/policy"
 	"havenproxy/internal/rollout"
-	"havenproxy/internal/state"
 	"havenproxy/internal/wire/settings"
 )
 
@@ -55,9 +54,10 @@
 
 // enforce puts a policy into effect, by the ways that a reload takes. Number 0 is what the files say.
 func (p *proxy) enforce(n rollout.Number, text []byte) {
-	if n == 0 {
+	if n == 0 || n == p.enforced { // who joins again under the policy that it has keeps what its levels have learned
 		return
 	}
+	p.enforced = n
 	next, err := policy.Decode(text)
 	if err != nil { // it was agreed to here, or comes from planners of a later version: serving on under another one would break the promise
 		slog.Error("the tier's policy can't be put into effect, so this proxy ends", "number", uint64(n), "error", err)
@@ -76,8 +76,6 @@
 	p.front.Tune(next.Tuning)
 }
 
-var _ state.Gate = (*net.Tier)(nil)
-
 // Policy makes a tier's policy of an operator's file and the classes of a configuration.
 func Policy(config, file string) (*policy.Policy, error) {
 	cfg, own, err := readAll(config, file)
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -200,9 +200,8 @@
 
 // AppendParameter writes a ParameterStatus.
 func AppendParameter(dst []byte, name, value string) []byte {
-	dst = append(dst, typeParam)
-	dst = binary.BigEndian.AppendUint32(dst, uint32(4+len(name)+len(value)+2))
-	return cstring(cstring(dst, name), value)
+	dst, at := begin(dst, typeParam)
+	return end(cstring(cstring(dst, name), value), at)
 }
 
 // AppendReady tells a client that it may send its next query.
