Let the tier's tests wait for an answer of each proxy under the last policy, not for 50 ms

TestAChangeIsInForceAtBothProxies failed two times in four: 50 ms behind the last change not every proxy had answered under it. What is judged is the history; what is waited for is that it is whole.

--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -66,6 +66,18 @@
 	return c.ProcessState.ExitCode(), string(text)
 }
 
+// until waits until each proxy has answered under a policy. Where one never does, the test's own time runs out.
+func (b *Bench) until(policy uint64) {
+	for under := map[string]bool{}; len(under) < len(b.Proxies); time.Sleep(10 * time.Millisecond) {
+		seen, _, _ := b.History()
+		for _, s := range seen {
+			if s.Policy == policy {
+				under[s.Proxy] = true
+			}
+		}
+	}
+}
+
 // One change in force on two real proxies and one planner, seen from clients.
 func TestAChangeIsInForceAtBothProxies(t *testing.T) {
 	b := small(t, 2, 1, 2*time.Second)
@@ -76,22 +88,15 @@
 			t.Errorf("exit %d: %s", code, out)
 		}
 	}
-	time.Sleep(50 * time.Millisecond)
+	b.until(3)
 	cancel()
 	wait()
 	seen, refused, lost := b.History()
-	under := map[string]map[uint64]int{}
-	for _, s := range seen {
-		if under[s.Proxy] == nil {
-			under[s.Proxy] = map[uint64]int{}
-		}
-		under[s.Proxy][s.Policy]++
-	}
 	for _, breach := range Audit(seen, nil) {
 		t.Error(breach)
 	}
-	if len(under) != 2 || under["n0"][3] == 0 || under["n1"][3] == 0 || refused+lost > 0 {
-		t.Errorf("requests by proxy and policy %v, %d refused, %d lost", under, refused, lost)
+	if refused+lost > 0 {
+		t.Errorf("%d refused, %d lost", refused, lost)
 	}
 }
 
@@ -128,33 +133,13 @@
 	if err := b.Wait(in, 4); err != nil {
 		t.Error(err)
 	}
-	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		seen, _, _ := b.History()
-		back := map[string]bool{}
-		for _, s := range seen {
-			if s.Policy == 1 {
-				back[s.Proxy] = true
-			}
-		}
-		if len(back) == 4 {
-			break
-		}
-	}
+	b.until(1)
 	cancel()
 	wait()
 	seen, _, _ := b.History()
 	for _, breach := range Audit(seen, nil) {
 		t.Error(breach)
 	}
-	back := map[string]bool{}
-	for _, s := range seen {
-		back[s.Proxy] = back[s.Proxy] || s.Policy == 1
-	}
-	for _, name := range []string{"n0", "n1", "n2", "n3"} {
-		if !back[name] {
-			t.Errorf("%s never served under the new policy", name)
-		}
-	}
 }
 
 // All kinds of fault by a schedule: whatever came of the changes, no promise is broken, and each has an end.
