--- a/internal/state/tier.go
+++ b/internal/state/tier.go
@@ -27,7 +27,8 @@
 )
 
 const (
-	// KeptMost is how long a request waits at the point of a change. Behind it the request is refused at once: it never ran.
+	// KeptMost is how long a request waits at the point of a change, or half of its own time. Behind it the request is refused at once: it never
+	// ran.
 	KeptMost = 100 * time.Millisecond
 	keptRoom = 4096 // requests that may wait
 	// shutBack is when clients may come again to a proxy that can't know the tier's policy. It looks for a planner all the while.
@@ -40,6 +41,7 @@
 	policy uint64
 	kept   []keptRequest
 	timer  Deadline
+	first  time.Duration // when one of them has waited for too long
 	shut   bool
 }
 
@@ -52,9 +54,6 @@
 // Gate lets a tier say which requests are taken; nil ends that.
 func (f *Front) Gate(g Gate) { f.gated.gate = g }
 
-// Policy gives the number of the policy under which the last request was taken; 0 = the proxy's own files, or the tier's first.
-func (f *Front) Policy() uint64 { return f.gated.policy }
-
 // Kept counts the requests that wait at the point of a change.
 func (f *Front) Kept() int { return len(f.gated.kept) }
 
@@ -74,9 +73,10 @@
 		return true
 	case verdict == GateWait && len(g.kept) < keptRoom:
 		f.Counters.Kept++
-		g.kept = append(g.kept, keptRequest{q, in, now + KeptMost})
-		if len(g.kept) == 1 {
-			f.Deadlines.Set(&g.timer, now+KeptMost, f.letGo)
+		k := keptRequest{q, in, now + min(KeptMost, in.Wait/2)}
+		if g.kept = append(g.kept, k); len(g.kept) == 1 || k.until < g.first {
+			g.first = k.until
+			f.Deadlines.Set(&g.timer, g.first, f.letGo)
 		}
 		return false
 	}
@@ -120,15 +120,21 @@
 // letGo refuses what has waited for too long: never held back to spare a retry.
 func (f *Front) letGo() {
 	g, now := &f.gated, f.clock.Now()
-	for len(g.kept) > 0 && now >= g.kept[0].until {
-		k := g.kept[0]
-		g.kept = append(g.kept[:0], g.kept[1:]...)
-		if k.q.caller != nil {
+	was := g.kept
+	g.kept, g.first = nil, 0
+	for _, k := range was {
+		switch {
+		case k.q.caller == nil: // its client has gone
+		case now >= k.until:
 			f.answer(k.q.id, &f.Counters.Refused, refusedOf, func(c Caller) { c.Refused(KeptMost) })
+		default:
+			if g.kept = append(g.kept, k); g.first == 0 || k.until < g.first {
+				g.first = k.until
+			}
 		}
 	}
 	if len(g.kept) > 0 {
-		f.Deadlines.Set(&g.timer, g.kept[0].until, f.letGo)
+		f.Deadlines.Set(&g.timer, g.first, f.letGo)
 	}
 }
 
