--- a/internal/state/tier.go
+++ b/internal/state/tier.go
@@ -124,8 +124,7 @@
 	g.kept, g.first = nil, 0
 	for _, k := range was {
 		switch {
-		case k.q.caller == nil: // its client has gone
-		case now >= k.until:
+		case now >= k.until: // nobody hears it whose client has gone
 			f.answer(k.q.id, &f.Counters.Refused, refusedOf, func(c Caller) { c.Refused(KeptMost) })
 		default:
 			if g.kept = append(g.kept, k); g.first == 0 || k.until < g.first {
--- a/internal/state/tier_test.go
+++ b/internal/state/tier_test.go
@@ -46,7 +46,7 @@
 	b.come(&c, time.Second)
 	id := b.come(&gone, time.Second)
 	b.f.Abandon(id)
-	if b.f.Kept() != 2 || len(b.told) != 2 { // one request and one that was abandoned
+	if b.f.Kept() != 2 || len(b.told) != 2 { // one request, and one that was abandoned
 		t.Fatalf("%d wait, the router was told %v", b.f.Kept(), b.told)
 	}
 	b.now += 30 * time.Millisecond
@@ -58,6 +58,7 @@
 		t.Errorf("taken under %v, %v and %v, %d wait", a.policies, c.policies, gone.policies, b.f.Kept())
 	}
 	c.want(t)
+	b.want("request", "abandoned", "request") // and none of who has gone
 	if want := clockBase + time.Second; b.req.Deadline != want-wayHome {
 		t.Errorf("its time ends at %v, want %v: it runs while it waits", b.req.Deadline, want-wayHome)
 	}
