Bound the history of policies, and ask for one text at a time

A policy has 128 KiB at most, older texts go beyond 384 KiB (their line in the history stays, with the hash), and an answer holds the one text that was asked for.

internal/rollout has tests of its own now: a refusal with its name and reason, expel, signs of life, unlike leases, a name twice, the bounds.

--- a/internal/cli/policy.go
+++ b/internal/cli/policy.go
@@ -82,15 +82,18 @@
 // propose asks for a change and waits for its end, with a line of progress on errs where somebody looks.
 func (f *policyFlags) propose(c *cobra.Command, cl *client.Client, text []byte, why string) error {
 	ctx, out, errs := c.Context(), c.OutOrStdout(), c.ErrOrStderr()
-	now, err := cl.Status(ctx)
+	now, err := cl.Status(ctx, 0)
 	if err != nil {
 		return err
 	}
-	var from, to *policy.Policy
-	if x := now.State.Change(now.State.Force); x != nil {
-		from, _ = policy.Decode(x.Policy)
+	var from *policy.Policy
+	if now.State.Force > 0 {
+		if from, err = find(ctx, cl, now.State.Force); err != nil {
+			return err
+		}
 	}
-	if to, err = policy.Decode(text); err != nil {
+	to, err := policy.Decode(text)
+	if err != nil {
 		return err
 	}
 	diff := policy.Diff(from, to)
@@ -104,7 +107,7 @@
 		}
 	}
 	began, nonce := time.Now(), rand.Uint64()|1
-	a, err := cl.Propose(ctx, tier.Ask{Do: tier.DoPropose, Policy: text, Why: why, Nonce: nonce}, f.wait)
+	a, err := cl.Propose(ctx, tier.Ask{Do: tier.DoPropose, Policy: text, Why: why, Nonce: nonce, Hash: policy.Hash(text)}, f.wait)
 	if err != nil {
 		return errExit{exitNotKnown, err.Error()}
 	}
@@ -144,7 +147,7 @@
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
-		if next, err := cl.Status(ctx); err == nil && next.State.Last >= n {
+		if next, err := cl.Status(ctx, 0); err == nil && next.State.Last >= n {
 			a = next
 		}
 	}
@@ -216,70 +219,85 @@
 	return c
 }
 
-func rollbackCommand() *cobra.Command {
+// asks makes a sub-command that asks planners. names are its arguments; those called N and M are policies' numbers.
+func asks(use, short string, run func(c *cobra.Command, f *policyFlags, cl *client.Client, args []string) error) *cobra.Command {
 	var f policyFlags
+	names := strings.Fields(use)[1:]
 	c := &cobra.Command{
-		Use:     "rollback N",
-		Short:   "Put an earlier policy into force again, as a change with a number of its own",
-		Example: "  havenproxy policy rollback 6 --planners 127.0.0.1:7401",
-		Args:    oneNumber,
+		Use:   use,
+		Short: short,
+		Args: func(c *cobra.Command, args []string) error {
+			if err := cobra.ExactArgs(len(names))(c, args); err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			for i, a := range args {
+				if _, err := strconv.ParseUint(a, 10, 64); err != nil && len(names[i]) == 1 {
+					return fmt.Errorf("%w: %q, a policy's number was expected", errUsage, a)
+				}
+			}
+			return nil
+		},
 		RunE: func(c *cobra.Command, args []string) error {
 			cl, err := f.client()
 			if err != nil {
 				return err
 			}
-			x, err := find(c.Context(), cl, args[0])
-			if err != nil {
-				return err
-			}
-			return f.propose(c, cl, x.Policy, fmt.Sprintf("back to %d: %s", x.Number, x.Why))
+			return run(c, &f, cl, args)
 		},
 	}
 	f.add(c)
-	c.Flags().DurationVar(&f.wait, "wait", time.Minute, "how long to wait for the end; behind it exit 4")
 	return c
 }
 
-func oneNumber(c *cobra.Command, args []string) error { return numbers(c, args, 1) }
+// number reads an argument that is known to be one.
+func number(arg string) rollout.Number {
+	n, _ := strconv.ParseUint(arg, 10, 64)
+	return rollout.Number(n)
+}
 
-func numbers(c *cobra.Command, args []string, n int) error {
-	if err := cobra.ExactArgs(n)(c, args); err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
+// text gives a policy's of the history.
+func text(ctx context.Context, cl *client.Client, n rollout.Number) (*rollout.Change, error) {
+	a, err := cl.Status(ctx, n)
+	if err != nil {
+		return nil, err
 	}
-	for _, a := range args {
-		if _, err := strconv.ParseUint(a, 10, 64); err != nil {
-			return fmt.Errorf("%w: %q, a policy's number was expected", errUsage, a)
-		}
+	x := a.State.Change(n)
+	switch {
+	case x == nil:
+		return nil, fmt.Errorf("%w: no policy %d; the last %d are kept, see havenproxy policy history", errUsage, n, len(a.State.Changes))
+	case len(x.Policy) == 0:
+		return nil, fmt.Errorf("%w: the text of policy %d is not kept any more", errUsage, n)
 	}
-	return nil
+	return x, nil
 }
 
-// find gives a change of the history.
-func find(ctx context.Context, cl *client.Client, arg string) (*rollout.Change, error) {
-	a, err := cl.Status(ctx)
+// find gives a policy of the history.
+func find(ctx context.Context, cl *client.Client, n rollout.Number) (*policy.Policy, error) {
+	x, err := text(ctx, cl, n)
 	if err != nil {
 		return nil, err
 	}
-	n, _ := strconv.ParseUint(arg, 10, 64)
-	x := a.State.Change(rollout.Number(n))
-	if x == nil {
-		return nil, fmt.Errorf("%w: no policy %s; the last %d are kept, see havenproxy policy history", errUsage, arg, len(a.State.Changes))
-	}
-	return x, nil
+	return policy.Decode(x.Policy)
 }
 
-func policyStatusCommand() *cobra.Command {
-	var f policyFlags
-	c := &cobra.Command{
-		Use:   "status",
-		Short: "Tell which policy is in force, what is under way and who is waited for, and who belongs to the tier",
-		Args:  noArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			cl, err := f.client()
+func rollbackCommand() *cobra.Command {
+	c := asks("rollback N", "Put an earlier policy into force again, as a change with a number of its own",
+		func(c *cobra.Command, f *policyFlags, cl *client.Client, args []string) error {
+			x, err := text(c.Context(), cl, number(args[0]))
 			if err != nil {
 				return err
 			}
-			a, err := cl.Status(c.Context())
+			f.wait, _ = c.Flags().GetDuration("wait")
+			return f.propose(c, cl, x.Policy, fmt.Sprintf("back to %d: %s", x.Number, x.Why))
+		})
+	c.Flags().Duration("wait", time.Minute, "how long to wait for the end; behind it exit 4")
+	return c
+}
+
+func policyStatusCommand() *cobra.Command {
+	return asks("status", "Tell which policy is in force, what is under way and who is waited for, and who belongs to the tier",
+		func(c *cobra.Command, f *policyFlags, cl *client.Client, _ []string) error {
+			a, err := cl.Status(c.Context(), 0)
 			if err != nil {
 				return err
 			}
@@ -311,10 +329,7 @@
 				fmt.Fprintf(w, "%s\t%d\t%s\t%.1f s ago\t%s\n", m.Name, m.Number, link, m.Heard.Seconds(), lease)
 			}
 			return w.Flush()
-		},
-	}
-	f.add(c)
-	return c
+		})
 }
 
 func describe(s *rollout.State, n rollout.Number) string {
@@ -322,21 +337,13 @@
 	if x == nil {
 		return "each proxy's own files: the tier has no policy yet"
 	}
-	return fmt.Sprintf("policy %d (%s), since %s: %s", n, policy.Hash(x.Policy), time.UnixMilli(x.Ended).UTC().Format(time.DateTime), x.Why)
+	return fmt.Sprintf("policy %d (%s), since %s: %s", n, x.Hash, time.UnixMilli(x.Ended).UTC().Format(time.DateTime), x.Why)
 }
 
 func historyCommand() *cobra.Command {
-	var f policyFlags
-	c := &cobra.Command{
-		Use:   "history",
-		Short: "Tell what was proposed and what became of it, the newest first",
-		Args:  noArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			cl, err := f.client()
-			if err != nil {
-				return err
-			}
-			a, err := cl.Status(c.Context())
+	return asks("history", "Tell what was proposed and what became of it, the newest first",
+		func(c *cobra.Command, f *policyFlags, cl *client.Client, _ []string) error {
+			a, err := cl.Status(c.Context(), 0)
 			if err != nil {
 				return err
 			}
@@ -351,7 +358,7 @@
 			}
 			var rows []row
 			for _, x := range slices.Backward(a.State.Changes) {
-				r := row{uint64(x.Number), policy.Hash(x.Policy), time.UnixMilli(x.At).UTC(), 0, x.Outcome.String(), x.Why, x.Reason}
+				r := row{uint64(x.Number), x.Hash, time.UnixMilli(x.At).UTC(), 0, x.Outcome.String(), x.Why, x.Reason}
 				if x.Outcome != rollout.Undecided {
 					r.Seconds = float64(x.Ended-x.At) / 1e3
 				}
@@ -369,105 +376,56 @@
 				fmt.Fprintf(w, "%d\t%s\t%s\t%.2f s\t%s\t%s\n", r.Number, r.Hash, r.At.Format(time.DateTime), r.Seconds, r.Outcome, r.Why)
 			}
 			return w.Flush()
-		},
-	}
-	f.add(c)
-	return c
+		})
 }
 
-func printPolicy(out io.Writer, text []byte) error {
-	p, err := policy.Decode(text)
-	if err != nil {
-		return err
+// lines prints what a diff tells.
+func (f *policyFlags) lines(out io.Writer, lines []string) error {
+	if f.asJSON {
+		return json.NewEncoder(out).Encode(lines)
 	}
-	for _, l := range policy.Diff(nil, p) {
-		fmt.Fprintln(out, l[2:])
+	for _, l := range lines {
+		fmt.Fprintln(out, l)
 	}
 	return nil
 }
 
 func showPolicyCommand() *cobra.Command {
-	var f policyFlags
-	c := &cobra.Command{
-		Use:   "show N",
-		Short: "Print all settings of a policy",
-		Args:  oneNumber,
-		RunE: func(c *cobra.Command, args []string) error {
-			cl, err := f.client()
-			if err != nil {
-				return err
-			}
-			x, err := find(c.Context(), cl, args[0])
+	return asks("show N", "Print all settings of a policy",
+		func(c *cobra.Command, f *policyFlags, cl *client.Client, args []string) error {
+			p, err := find(c.Context(), cl, number(args[0]))
 			if err != nil {
 				return err
 			}
-			if f.asJSON {
-				p, err := policy.Decode(x.Policy)
-				if err != nil {
-					return err
-				}
-				return json.NewEncoder(c.OutOrStdout()).Encode(policy.Diff(nil, p))
-			}
-			return printPolicy(c.OutOrStdout(), x.Policy)
-		},
-	}
-	f.add(c)
-	return c
+			return f.lines(c.OutOrStdout(), p.Lines())
+		})
 }
 
 func diffCommand() *cobra.Command {
-	var f policyFlags
-	c := &cobra.Command{
-		Use:   "diff N M",
-		Short: "Tell what changed from one policy to another",
-		Args:  func(c *cobra.Command, args []string) error { return numbers(c, args, 2) },
-		RunE: func(c *cobra.Command, args []string) error {
-			cl, err := f.client()
+	return asks("diff N M", "Tell what changed from one policy to another",
+		func(c *cobra.Command, f *policyFlags, cl *client.Client, args []string) error {
+			from, err := find(c.Context(), cl, number(args[0]))
 			if err != nil {
 				return err
 			}
-			var ps [2]*policy.Policy
-			for i, arg := range args {
-				x, err := find(c.Context(), cl, arg)
-				if err == nil {
-					ps[i], err = policy.Decode(x.Policy)
-				}
-				if err != nil {
-					return err
-				}
-			}
-			lines := policy.Diff(ps[0], ps[1])
-			if f.asJSON {
-				return json.NewEncoder(c.OutOrStdout()).Encode(lines)
-			}
-			for _, l := range lines {
-				fmt.Fprintln(c.OutOrStdout(), l)
+			to, err := find(c.Context(), cl, number(args[1]))
+			if err != nil {
+				return err
 			}
-			return nil
-		},
-	}
-	f.add(c)
-	return c
+			return f.lines(c.OutOrStdout(), policy.Diff(from, to))
+		})
 }
 
 func abortCommand() *cobra.Command {
-	var f policyFlags
-	c := &cobra.Command{
-		Use:   "abort N",
-		Short: "Give a change up that is under way; exit 0 if it is given up, 3 if it came into force first, 4 if that isn't known yet",
-		Args:  oneNumber,
-		RunE: func(c *cobra.Command, args []string) error {
-			cl, err := f.client()
-			if err != nil {
-				return err
-			}
-			n, _ := strconv.ParseUint(args[0], 10, 64)
+	return asks("abort N", "Give a change up that is under way; exit 0 if it is given up, 3 if it came into force first, 4 if that isn't known yet",
+		func(c *cobra.Command, _ *policyFlags, cl *client.Client, args []string) error {
+			n := number(args[0])
 			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-				a, err := cl.Ask(c.Context(), tier.Ask{Do: tier.DoAbort, Number: rollout.Number(n)})
+				a, err := cl.Ask(c.Context(), tier.Ask{Do: tier.DoAbort, Number: n})
 				if err != nil || a.State == nil {
 					continue
 				}
-				switch x := a.State.Change(rollout.Number(n)); {
+				switch x := a.State.Change(n); {
 				case x == nil:
 					return fmt.Errorf("%w: no policy %d", errUsage, n)
 				case x.Outcome == rollout.GivenUp:
@@ -478,28 +436,12 @@
 				}
 			}
 			return errExit{exitNotKnown, fmt.Sprintf("policy %d: not known yet what becomes of it", n)}
-		},
-	}
-	f.add(c)
-	return c
+		})
 }
 
 func expelCommand() *cobra.Command {
-	var f policyFlags
-	c := &cobra.Command{
-		Use:   "expel NAME",
-		Short: "Take a proxy out of the tier that has ended for good. If it lives, it goes on under what it has: be sure",
-		Args: func(c *cobra.Command, args []string) error {
-			if err := cobra.ExactArgs(1)(c, args); err != nil {
-				return fmt.Errorf("%w: %w", errUsage, err)
-			}
-			return nil
-		},
-		RunE: func(c *cobra.Command, args []string) error {
-			cl, err := f.client()
-			if err != nil {
-				return err
-			}
+	return asks("expel NAME", "Take a proxy out of the tier that has ended for good: with leases behind its own, else at once, so be sure",
+		func(c *cobra.Command, _ *policyFlags, cl *client.Client, args []string) error {
 			a, err := cl.Ask(c.Context(), tier.Ask{Do: tier.DoExpel, Name: args[0]})
 			if err != nil {
 				return err
@@ -507,10 +449,7 @@
 			if a.Error != "" {
 				return errors.New(a.Error)
 			}
-			fmt.Fprintf(c.OutOrStdout(), "%s is taken out of the tier\n", args[0])
+			fmt.Fprintf(c.OutOrStdout(), "%s is being taken out of the tier\n", args[0])
 			return nil
-		},
-	}
-	f.add(c)
-	return c
+		})
 }
--- a/internal/lab/tier/run.go
+++ b/internal/lab/tier/run.go
@@ -85,7 +85,7 @@
 	bound := rollout.Config{Lease: t.Lease}.WithDefaults().Bound + 3*time.Second
 	var last *rollout.State
 	for end := time.Now().Add(bound); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
-		if a, err := cl.Status(ctx); err == nil && a.Leader == a.Planner {
+		if a, err := cl.Status(ctx, 0); err == nil && a.Leader == a.Planner {
 			if last = a.State; last.Pending() == nil {
 				break
 			}
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -236,7 +236,7 @@
 // Wait waits until so many proxies are members with a link.
 func (b *Bench) Wait(ctx context.Context, n int) error {
 	for c := b.Client(); ; {
-		a, err := c.Status(ctx)
+		a, err := c.Status(ctx, 0)
 		if err == nil {
 			linked := 0
 			for _, m := range a.Members {
--- a/internal/planner/client/client.go
+++ b/internal/planner/client/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"havenproxy/internal/rollout"
 	"havenproxy/internal/wire/tier"
 )
 
@@ -53,12 +54,12 @@
 	return f.Answer, err
 }
 
-// Status asks what holds. The planner that leads knows more than the others; it is asked if it is among those named and answers.
-func (c *Client) Status(ctx context.Context) (*tier.Answer, error) {
+// Status asks what holds. The planner that leads knows more than the others; it is asked if it is among those named and answers. The text of policy n comes with it.
+func (c *Client) Status(ctx context.Context, n rollout.Number) (*tier.Answer, error) {
 	var best *tier.Answer
 	last := errNoAnswer
 	for range c.Planners {
-		a, err := c.one(ctx, c.Planners[c.at%len(c.Planners)], tier.Ask{Do: tier.DoStatus}, Patience)
+		a, err := c.one(ctx, c.Planners[c.at%len(c.Planners)], tier.Ask{Do: tier.DoStatus, Number: n}, Patience)
 		switch {
 		case err != nil || a.State == nil:
 			last = fmt.Errorf("%w: %w", errNoAnswer, errors.Join(err))
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -256,11 +256,11 @@
 		s.send(id, &tier.Frame{Answer: &tier.Answer{Error: err.Error(), Planner: p.cfg.ID, Leader: p.leads}})
 	}
 	if p.leader != nil && !p.leader.Leads() { // its term has yet to begin in the log: who asks comes again
-		s.send(id, &tier.Frame{Answer: &tier.Answer{Error: client.ErrNoLeader.Error(), Planner: p.cfg.ID, State: p.state}})
+		s.send(id, &tier.Frame{Answer: &tier.Answer{Error: client.ErrNoLeader.Error(), Planner: p.cfg.ID, State: p.state.Short(0)}})
 		return
 	}
 	if a.Do == tier.DoStatus {
-		s.status(id, "")
+		s.status(id, "", a.Number)
 		return
 	}
 	if p.leader == nil {
@@ -274,16 +274,16 @@
 			return
 		}
 		s.waiting = append(s.waiting, waiting{a.Nonce, id, p.now() + askFor})
-		p.leader.Propose(rollout.Command{Act: rollout.Propose, Nonce: a.Nonce, Policy: a.Policy, Why: a.Why})
+		p.leader.Propose(rollout.Command{Act: rollout.Propose, Nonce: a.Nonce, Policy: a.Policy, Why: a.Why, Hash: a.Hash})
 	case tier.DoAbort:
 		p.leader.Abort(p.now(), a.Number, "by the operator")
-		s.status(id, "")
+		s.status(id, "", 0)
 	case tier.DoExpel:
 		text := ""
 		if err := p.leader.Expel(p.now(), a.Name); err != nil {
 			text = err.Error()
 		}
-		s.status(id, text)
+		s.status(id, text, 0)
 	default:
 		refuse(errors.New("this planner doesn't know the word " + a.Do))
 	}
@@ -308,17 +308,17 @@
 				n = append(n, w)
 			}
 		case err != nil:
-			s.status(w.link, err.Error())
+			s.status(w.link, err.Error(), 0)
 		default:
-			s.status(w.link, "")
+			s.status(w.link, "", 0)
 		}
 	}
 	s.waiting = n
 }
 
-func (s *server) status(id rollout.Link, text string) {
+func (s *server) status(id rollout.Link, text string, n rollout.Number) {
 	p := s.p
-	a := &tier.Answer{Error: text, Planner: p.cfg.ID, Leader: p.leads, State: p.state}
+	a := &tier.Answer{Error: text, Planner: p.cfg.ID, Leader: p.leads, State: p.state.Short(n)}
 	if p.leader != nil {
 		if progress, ok := p.leader.Progress(p.now()); ok {
 			a.Progress = &progress
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -34,7 +34,7 @@
 }
 
 // MostBytes bounds a policy's encoded form.
-const MostBytes = 512 << 10
+const MostBytes = 128 << 10
 
 var (
 	encoder, _ = cbor.CoreDetEncOptions().EncMode()
@@ -75,7 +75,7 @@
 
 // Diff tells line by line how two policies differ, "-" what was and "+" what comes; nil stands for none.
 func Diff(from, to *Policy) (lines []string) {
-	a, b := from.lines(), to.lines()
+	a, b := from.Lines(), to.Lines()
 	for _, l := range a {
 		if !slices.Contains(b, l) {
 			lines = append(lines, "- "+l)
@@ -91,8 +91,8 @@
 	return lines
 }
 
-// lines writes each setting that isn't at its zero as "path = value".
-func (p *Policy) lines() (out []string) {
+// Lines writes each setting that isn't at its zero as "path = value".
+func (p *Policy) Lines() (out []string) {
 	if p == nil {
 		return nil
 	}
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -147,4 +147,5 @@
 	At      int64  `cbor:"11,keyasint,omitempty"` // Unix milliseconds, for the history alone
 	// Lease is what the leader goes by, with Release. Planners that go by another can't lead.
 	Lease time.Duration `cbor:"12,keyasint,omitempty"`
+	Hash  string        `cbor:"13,keyasint,omitempty"` // of Policy, with Propose
 }
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,192 @@
+package rollout
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// play is a tier on a clock of the test's own: the log has each command at once, and each message comes.
+type play struct {
+	now     time.Duration
+	state   *State
+	leader  *Leader
+	proxies []*Proxy
+	reasons []string // that proxies heard with Wait
+	deaf    map[int]bool
+}
+
+func newPlay(cfg Config, proxies int, check func(Number, []byte) string) *play {
+	p := &play{now: time.Hour, state: &State{}, deaf: map[int]bool{}}
+	p.leader = Lead(cfg, p.state, 1)
+	p.settle() // its term begins in the log
+	for i := range proxies {
+		p.proxies = append(p.proxies, NewProxy(cfg, string(rune('a'+i)), uint64(100*i+1), check))
+		p.proxies[i].Connected()
+	}
+	p.settle()
+	return p
+}
+
+func (p *play) settle() {
+	for again := true; again; {
+		again = false
+		for i, x := range p.proxies {
+			for _, m := range x.Out() {
+				again = true
+				p.leader.Heard(p.now, Link(i+1), m)
+			}
+		}
+		out, commit, confirm := p.leader.Ready()
+		for _, c := range commit {
+			again = true
+			p.leader.Applied(p.now, c, p.state.Apply(c))
+		}
+		if confirm {
+			again = true
+			p.leader.Confirmed(p.now)
+		}
+		for _, o := range out {
+			again = true
+			if o.Kind == Wait {
+				p.reasons = append(p.reasons, o.Reason)
+			}
+			if i := int(o.Link) - 1; !p.deaf[i] {
+				p.proxies[i].Heard(p.now, o.Message)
+			}
+		}
+	}
+}
+
+// pass lets time go by; those named ask for their leases all the while.
+func (p *play) pass(d time.Duration, asking ...int) {
+	for end := p.now + d; p.now < end; {
+		p.now += 20 * time.Millisecond
+		for _, i := range asking {
+			p.proxies[i].Ask(p.now)
+		}
+		p.leader.Tick(p.now)
+		p.settle()
+	}
+}
+
+func yes(Number, []byte) string { return "" }
+
+func TestAChangeIsRefusedByOneWithItsReason(t *testing.T) {
+	p := newPlay(Config{Lease: time.Second}, 3, yes)
+	p.proxies[1].check = func(Number, []byte) string { return "class x is in use" }
+	p.pass(100*time.Millisecond, 0, 1, 2)
+	p.leader.Propose(Command{Act: Propose, Nonce: 1, Policy: []byte("p")})
+	p.settle()
+	c := p.state.Change(1)
+	if c == nil || c.Outcome != GivenUp || c.Reason != "b refuses: class x is in use" || p.state.Force != 0 {
+		t.Fatalf("%+v", c)
+	}
+	for _, x := range p.proxies {
+		if n, v := x.May(p.now); n != 0 || v != Take {
+			t.Errorf("%s: policy %d, verdict %d", x.name, n, v)
+		}
+	}
+}
+
+// With leases, expel lets a member go once its lease has ended: a member that lives, the operator being wrong, serves nothing behind the point.
+func TestExpelWaitsForTheLease(t *testing.T) {
+	p := newPlay(Config{Lease: time.Second}, 2, yes)
+	p.pass(100*time.Millisecond, 0, 1)
+	if err := p.leader.Expel(p.now, "b"); err != nil {
+		t.Fatal(err)
+	}
+	p.deaf[1] = true
+	p.leader.Propose(Command{Act: Propose, Nonce: 1})
+	for range 200 {
+		p.pass(20*time.Millisecond, 0, 1)
+		if n, v := p.proxies[1].May(p.now); v == Take && n < p.state.Force {
+			t.Fatalf("b takes requests under policy %d, %d is in force", n, p.state.Force)
+		}
+	}
+	if p.state.Force != 1 {
+		t.Error("the change is not in force")
+	}
+}
+
+// Without leases each ask has an answer: a link that says nothing is given up by its proxy.
+func TestAnAskHasAnAnswerWithoutLeases(t *testing.T) {
+	p := newPlay(Config{}, 1, yes)
+	p.proxies[0].Ask(p.now)
+	for _, m := range p.proxies[0].Out() {
+		p.leader.Heard(p.now, 1, m)
+	}
+	if out, _, _ := p.leader.Ready(); len(out) != 1 || out[0].Kind != Facts {
+		t.Errorf("%+v", out)
+	}
+	p.deaf[0] = true
+	p.leader.Propose(Command{Act: Propose, Nonce: 1})
+	p.pass(3 * time.Second)
+	if c := p.state.Change(1); c.Outcome != GivenUp || !strings.Contains(c.Reason, "waiting for a (to agree for 2s") {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestWhoGoesByAnotherLeaseStaysOut(t *testing.T) {
+	p := newPlay(Config{Lease: time.Second}, 1, yes)
+	p.proxies = append(p.proxies, NewProxy(Config{Lease: 2 * time.Second}, "b", 7, yes))
+	p.proxies[1].Connected()
+	p.settle()
+	if len(p.state.Seats) != 1 || !slices.Equal(p.reasons, []string{"b goes by a lease of 2s, the planners by 1s"}) {
+		t.Errorf("%d members, %q", len(p.state.Seats), p.reasons)
+	}
+	other := Lead(Config{Lease: 500 * time.Millisecond}, p.state, 2)
+	_, commit, _ := other.Ready()
+	other.Applied(p.now, commit[0], p.state.Apply(commit[0]))
+	if other.Leads() || other.Failed() == nil {
+		t.Error("a planner of another lease leads")
+	}
+}
+
+// A second process of one name stays out while the first one's lease runs, and is told so; a start of it anew comes in behind that.
+func TestANameIsOneMembers(t *testing.T) {
+	p := newPlay(Config{Lease: time.Second}, 1, yes)
+	p.pass(100*time.Millisecond, 0)
+	p.proxies = append(p.proxies, NewProxy(Config{Lease: time.Second}, "a", 999, yes))
+	p.proxies[1].Connected()
+	p.settle()
+	if len(p.reasons) != 1 || !strings.Contains(p.reasons[0], "a is a member already") || !strings.Contains(p.reasons[0], "its lease ends in 1.2") {
+		t.Fatalf("%q", p.reasons)
+	}
+	if err := p.state.Apply(Command{Act: Join, Name: "a", Nonce: 5}); err == nil || len(p.state.Seats) != 1 { // on its way to the log already
+		t.Error("two members of one name")
+	}
+	p.pass(1400*time.Millisecond, 1) // the first has died
+	if n := p.proxies[1].Member(); n != 2 {
+		t.Errorf("member %d", n)
+	}
+}
+
+// The history is bounded, by its lines and by the texts that it holds; what is in force is never forgotten.
+func TestTheHistoryIsBounded(t *testing.T) {
+	s := &State{}
+	for i := range uint64(200) {
+		if err := s.Apply(Command{Act: Propose, Nonce: i + 1, Policy: make([]byte, 100<<10)}); err != nil {
+			t.Fatal(err)
+		}
+		if i == 3 {
+			s.Apply(Command{Act: Force, Number: 4, Round: Round{1, 1}, Members: s.Version})
+		} else {
+			s.Apply(Command{Act: GiveUp, Number: Number(i + 1), Round: Round{1, 0}})
+		}
+	}
+	sum := 0
+	for _, c := range s.Changes {
+		sum += len(c.Policy)
+	}
+	if len(s.Changes) != keep || s.Force != 4 || len(s.Change(4).Policy) == 0 || sum > textRoom+2*MostPolicy || len(s.Change(200).Policy) == 0 {
+		t.Errorf("%d changes, %d bytes, in force %d", len(s.Changes), sum, s.Force)
+	}
+	if err := s.Apply(Command{Act: Propose, Nonce: 900, Policy: make([]byte, MostPolicy+1)}); err == nil {
+		t.Error("a policy without a bound")
+	}
+	if x := s.Short(4); len(x.Change(4).Policy) == 0 || len(x.Change(200).Policy) != 0 || len(s.Change(200).Policy) == 0 {
+		t.Error("Short leaves out the wrong ones")
+	}
+}
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -28,6 +28,7 @@
 	Reason  string  `cbor:"6,keyasint,omitempty"`
 	At      int64   `cbor:"7,keyasint,omitempty"` // Unix milliseconds
 	Ended   int64   `cbor:"8,keyasint,omitempty"`
+	Hash    string  `cbor:"9,keyasint,omitempty"` // of the policy, as who proposed it names it
 }
 
 // Seat is a member of the tier.
@@ -52,8 +53,13 @@
 	Without Guards `cbor:"-"` // see Config
 }
 
-// keep is how many changes are remembered. The one in force is never forgotten.
-const keep = 64
+const (
+	keep = 64 // changes are remembered; the one in force is never forgotten
+	// MostPolicy bounds a policy's text, in bytes, and textRoom those of all changes but the one in force and the newest: older ones keep their
+	// line in the history, without their text. The whole state has to fit into one frame between planners.
+	MostPolicy = 128 << 10
+	textRoom   = 384 << 10
+)
 
 // Pending gives the change that is undecided; nil = there is none.
 func (s *State) Pending() *Change {
@@ -83,6 +89,17 @@
 	return nil
 }
 
+// Short gives a copy without the texts of policies, but for that of one change.
+func (s *State) Short(n Number) *State {
+	c := s.Clone()
+	for i := range c.Changes {
+		if c.Changes[i].Number != n {
+			c.Changes[i].Policy = nil
+		}
+	}
+	return c
+}
+
 // Clone gives a copy that shares nothing that changes.
 func (s *State) Clone() *State {
 	c := *s
@@ -123,14 +140,25 @@
 		if p := s.Pending(); p != nil {
 			return fmt.Errorf("change %d is undecided", p.Number)
 		}
+		if len(c.Policy) > MostPolicy {
+			return fmt.Errorf("a policy of %d bytes, %d at most were expected", len(c.Policy), MostPolicy)
+		}
 		s.Last++
-		s.Changes = append(s.Changes, Change{Number: s.Last, Nonce: c.Nonce, Policy: c.Policy, Why: c.Why, At: c.At})
+		s.Changes = append(slices.Clone(s.Changes), Change{Number: s.Last, Nonce: c.Nonce, Policy: c.Policy, Why: c.Why, At: c.At, Hash: c.Hash})
 		for len(s.Changes) > keep {
 			i := 0
 			if s.Changes[0].Number == s.Force {
 				i = 1
 			}
-			s.Changes = slices.Delete(slices.Clone(s.Changes), i, i+1)
+			s.Changes = slices.Delete(s.Changes, i, i+1)
+		}
+		room := textRoom
+		for i := len(s.Changes) - 2; i >= 0; i-- {
+			if x := &s.Changes[i]; x.Number != s.Force {
+				if room -= len(x.Policy); room < 0 {
+					x.Policy = nil
+				}
+			}
 		}
 	case GiveUp:
 		p := s.Pending()
--- a/internal/wire/tier/tier.go
+++ b/internal/wire/tier/tier.go
@@ -45,9 +45,10 @@
 	Nonce  uint64         `cbor:"4,keyasint,omitempty"`
 	Number rollout.Number `cbor:"5,keyasint,omitempty"`
 	Name   string         `cbor:"6,keyasint,omitempty"`
+	Hash   string         `cbor:"7,keyasint,omitempty"` // of Policy
 }
 
-// The operator's words. Who proposes, aborts and expels is the planner that leads; any one answers what it knows.
+// The operator's words. The answer to each holds the state, with the text of policy Number and of no other. Who proposes, aborts and expels is the planner that leads; any one answers what it knows.
 const (
 	DoPropose = "propose"
 	DoStatus  = "status"
