Break a tier's links to databases and clients too, and play the naive way beside it

Need: the fault bench broke links between proxies and planners alone, and there was nothing to hold its figures against.

Change: each proxy has a list of databases of its own, whose addresses are relays, and clients come through one as well. These pass bytes, and hold them back where they are cut, as TCP would. havenlab's trial can play without planners: a file beside each proxy, SIGHUP to each, tried again until it is reached. So that clients can see which file they were served under, revision(number, tell_clients) in the operator's file numbers it where there is no tier; SHOW POLICY and the ParameterStatus 'policy' tell it.

--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -223,7 +223,7 @@
 		}
 		t.add(x.Number, how, f.Kept(), f.Counters.Kept, f.Counters.GateShut)
 	} else {
-		t.add("-", "taken, by the proxy's own files", 0, uint64(0), uint64(0))
+		t.add(or(f.Revised(), "-"), "taken, by the proxy's own files", 0, uint64(0), uint64(0))
 	}
 	return t
 }
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,6 +40,10 @@
 	Log      io.Writer // its log lines; nil = dropped
 	Together int       // runs that go on side by side, each with a program of its own, where there are several; 1
 	Known    bool      // it knows the list at its start, as after a restart
+
+	// Discovery and List stand in for the world's, where the way there leads through relays.
+	Discovery string
+	List      []byte
 }
 
 // Proxy is a running program.
@@ -72,8 +77,11 @@
 	if o.Known {
 		known, _, _ = w.Listing()
 	}
+	if o.List != nil {
+		known = o.List
+	}
 	return json.MarshalIndent(map[string]any{
-		"name": "lab", "listen": o.Listen, "discovery": w.Discovery(), "seed": fmt.Sprintf("%016x", o.Seed+1),
+		"name": "lab", "listen": o.Listen, "discovery": cmp.Or(o.Discovery, w.Discovery()), "seed": fmt.Sprintf("%016x", o.Seed+1),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": o.MemoryMB, "sockets": o.Sockets},
 		"known":  known,
 		"settings": map[string]any{
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -16,6 +16,7 @@
 type lister struct {
 	w       *World
 	address string
+	alias   func(member int) string // where it says that databases are; nil = where they are
 	srv     *http.Server
 
 	mu      sync.Mutex
@@ -39,12 +40,12 @@
 	Instances  []instance `json:"instances"`
 }
 
-func newLister(w *World) (*lister, error) {
+func newLister(w *World, alias func(member int) string) (*lister, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	l := &lister{w: w, address: ln.Addr().String(), changed: make(chan struct{})}
+	l := &lister{w: w, address: ln.Addr().String(), alias: alias, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/endpoints", l.serve)
 	l.srv = &http.Server{Handler: mux}
@@ -69,14 +70,36 @@
 }
 
 // Listing gives the list as the service tells it now, as JSON, and whether it answers.
-func (w *World) Listing() (out []byte, generation int64, ok bool) {
+func (w *World) Listing() (out []byte, generation int64, ok bool) { return w.listing(nil) }
+
+// List starts one more service that lists the databases, at addresses of its own, such as those of relays before them. ListingAs gives what
+// it tells.
+func (w *World) List(alias func(member int) string) (address string, err error) {
+	l, err := newLister(w, alias)
+	if err != nil {
+		return "", err
+	}
+	w.With(func(time.Duration, *fleet.Fleet) { w.lists = append(w.lists, l) })
+	return l.address, nil
+}
+
+// ListingAs gives the list with other addresses.
+func (w *World) ListingAs(alias func(member int) string) []byte {
+	out, _, _ := w.listing(alias)
+	return out
+}
+
+func (w *World) listing(alias func(member int) string) (out []byte, generation int64, ok bool) {
 	w.With(func(now time.Duration, f *fleet.Fleet) {
 		var entries []fleet.Entry
 		entries, generation, ok = f.List(now)
 		l := listing{Generation: generation, Reset: true}
 		for _, e := range entries {
-			m := f.Members()[e.Member]
-			in := instance{ID: fmt.Sprintf("s-%08x", e.Member+1), Address: w.databases[e.Member].address, Zone: w.zone(m.Zone),
+			m, at := f.Members()[e.Member], w.databases[e.Member].address
+			if alias != nil {
+				at = alias(e.Member)
+			}
+			in := instance{ID: fmt.Sprintf("s-%08x", e.Member+1), Address: at, Zone: w.zone(m.Zone),
 				Machine: "lab", Group: m.Group, Lifecycle: stateWord(e.State), Weight: 1}
 			if e.Started > 0 {
 				in.StartedMs = w.Unix(e.Started).UnixMilli()
@@ -105,7 +128,7 @@
 	defer end.Stop()
 	for {
 		changed := l.wait()
-		body, generation, ok := l.w.Listing()
+		body, generation, ok := l.w.listing(l.alias)
 		if !ok {
 			http.Error(out, "down", http.StatusServiceUnavailable)
 			return
--- a/internal/lab/standin/world.go
+++ b/internal/lab/standin/world.go
@@ -26,6 +26,7 @@
 	mysql     bool
 	databases []*database
 	list      *lister
+	lists     []*lister // further ones
 	log       func(at time.Duration, text string)
 }
 
@@ -44,7 +45,12 @@
 	var err error
 	w.fleet, err = fleet.New(cfg, 0, fleet.Observer{
 		Liveness: func(m int, l fleet.Liveness) { w.databases[m].turn(l) },
-		Listed:   func() { w.list.news() },
+		Listed: func() {
+			w.list.news()
+			for _, l := range w.lists {
+				l.news()
+			}
+		},
 		Log: func(at time.Duration, text string) {
 			if w.log != nil {
 				w.log(at, text)
@@ -62,7 +68,7 @@
 		}
 		w.databases = append(w.databases, db)
 	}
-	if w.list, err = newLister(w); err != nil {
+	if w.list, err = newLister(w, nil); err != nil {
 		w.Close()
 		return nil, err
 	}
@@ -142,6 +148,9 @@
 	if w.list != nil {
 		w.list.close()
 	}
+	for _, l := range w.lists {
+		l.close()
+	}
 	w.done.Wait()
 }
 
--- a/internal/lab/tier/faults.go
+++ b/internal/lab/tier/faults.go
@@ -23,11 +23,19 @@
 }
 
 // Kinds of fault.
-var Kinds = []string{"kill", "pause", "cut", "deaf", "mute", "loss", "double", "reorder", "delay", "reset", "kill planner", "pause planner", "part planners", "kill planners"}
+var Kinds = []string{"kill", "pause", "cut", "deaf", "mute", "loss", "double", "reorder", "delay", "reset", "kill planner", "pause planner", "part planners", "kill planners",
+	"database cut", "database deaf", "database mute", "database delay", "database reset", "client cut", "client delay", "client reset"}
+
+// troubles are what links may have, by the last word of the kind.
+var troubles = map[string]Trouble{"cut": {Cut: true}, "deaf": {Deaf: true}, "mute": {Mute: true}, "loss": {Loss: 0.3}, "double": {Double: 0.5},
+	"reorder": {Reorder: 0.3}, "delay": {Delay: 60 * time.Millisecond}, "reset": {Reset: true}}
 
 // Schedule draws faults over so long, from a seed: every few hundred milliseconds one begins, and lasts from 0.1 s to twice the lease.
 func Schedule(seed uint64, kinds []string, proxies, planners int, lease, length time.Duration) (out []Fault) {
 	rng := rand.New(rand.NewPCG(seed, 0xfa17))
+	if planners == 0 { // without them, the same schedule goes for the proxies
+		planners = 3
+	}
 	longest := max(2*lease, 2*time.Second)
 	for at := 200 * time.Millisecond; at < length; at += 100*time.Millisecond + time.Duration(rng.Int64N(int64(700*time.Millisecond))) {
 		f := Fault{At: at, For: 100*time.Millisecond + time.Duration(rng.Int64N(int64(longest))), Kind: kinds[rng.IntN(len(kinds))]}
@@ -76,13 +84,17 @@
 
 // begin lets a fault begin and gives what ends it.
 func (b *Bench) begin(f Fault) (end func()) {
-	var troubles = map[string]Trouble{"cut": {Cut: true}, "deaf": {Deaf: true}, "mute": {Mute: true}, "loss": {Loss: 0.3}, "double": {Double: 0.5},
-		"reorder": {Reorder: 0.3}, "delay": {Delay: 60 * time.Millisecond}, "reset": {Reset: true}}
 	switch f.Kind {
 	case "kill":
 		return b.each(b.Proxies, f.Who, func(p *Process) { p.Kill() }, func(p *Process) { p.Start() })
 	case "pause":
 		return b.each(b.Proxies, f.Who, func(p *Process) { p.Signal(syscall.SIGSTOP) }, func(p *Process) { p.Signal(syscall.SIGCONT) })
+	case "kill planner", "kill planners", "pause planner", "part planners":
+		if b.cfg.Naive {
+			return func() {}
+		}
+	}
+	switch f.Kind {
 	case "kill planner", "kill planners":
 		return b.each(b.Planners, f.Who, func(p *Process) { p.Kill() }, func(p *Process) { p.Start() })
 	case "pause planner":
@@ -96,16 +108,41 @@
 				}
 			}
 		}
-		return b.troubles(cut, Trouble{Cut: true})
+		return b.trouble(cut, Trouble{Cut: true})
 	}
 	var links []*relay
+	where, how, ok := strings.Cut(f.Kind, " ")
+	if !ok {
+		where, how = "planners", f.Kind
+	}
 	for _, i := range f.Who {
-		links = append(links, b.toPlanners[i]...)
+		switch where {
+		case "database":
+			links = append(links, b.toDatabases[i]...)
+		case "client":
+			links = append(links, b.toProxies[i])
+		default:
+			links = append(links, b.toPlanners[i]...)
+		}
+	}
+	t := troubles[how]
+	end = b.trouble(links, t)
+	if b.cfg.Naive && where == "planners" && (t.Cut || t.Deaf || t.Mute) { // the same machines can't be reached by whoever spreads files
+		b.reachable(f.Who, false)
+		return func() { b.reachable(f.Who, true); end() }
+	}
+	return end
+}
+
+func (b *Bench) reachable(who []int, yes bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, i := range who {
+		b.away[i] = !yes
 	}
-	return b.troubles(links, troubles[f.Kind])
 }
 
-func (b *Bench) troubles(links []*relay, t Trouble) func() {
+func (b *Bench) trouble(links []*relay, t Trouble) func() {
 	for _, r := range links {
 		r.set(t)
 	}
--- a/internal/lab/tier/relay.go
+++ b/internal/lab/tier/relay.go
@@ -16,17 +16,18 @@
 	Deaf    bool          // nothing passes from the one that dialled to the one that listens
 	Mute    bool          // nor the other way
 	Delay   time.Duration // of each frame
-	Loss    float64       // part of the frames that don't arrive
+	Loss    float64       // part of the frames that don't arrive; with Double and Reorder for links that carry frames alone
 	Double  float64       // part that arrive twice
 	Reorder float64       // part that arrive behind the next one
 	Reset   bool          // connections are reset, once
 }
 
-// relay stands on a link between processes and passes frames, or doesn't. It works on whole frames: to lose a part of one would be to break
-// the connection, which Reset does.
+// relay stands on a link between processes and passes what comes, or doesn't. Between processes of the tier it works on whole frames: to lose
+// a part of one would be to break the connection, which Reset does. On other links, to databases, the list and clients, it passes bytes.
 type relay struct {
 	listener net.Listener
 	to       string
+	raw      bool
 
 	mu      sync.Mutex
 	trouble Trouble
@@ -34,12 +35,12 @@
 	conns   map[net.Conn]bool
 }
 
-func newRelay(to string, seed uint64) (*relay, error) {
+func newRelay(to string, seed uint64, raw bool) (*relay, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: ln, to: to, rng: rand.New(rand.NewPCG(seed, 0x2e1a)), conns: map[net.Conn]bool{}}
+	r := &relay{listener: ln, to: to, raw: raw, rng: rand.New(rand.NewPCG(seed, 0x2e1a)), conns: map[net.Conn]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -58,6 +59,7 @@
 		c.(*net.TCPConn).SetLinger(0)
 		c.Close()
 	}
+	clear(r.conns)
 }
 
 func (r *relay) now() Trouble {
@@ -88,6 +90,13 @@
 	delete(r.conns, c)
 }
 
+// closed tells that a connection has been reset meanwhile.
+func (r *relay) closed(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.conns[c]
+}
+
 func (r *relay) close() {
 	r.listener.Close()
 	r.set(Trouble{Reset: true})
@@ -132,6 +141,16 @@
 		if err != nil {
 			return
 		}
+		if r.raw {
+			for stopped(r.now()) && !r.closed(from) { // TCP would send it again until the way is free
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(r.now().Delay)
+			if _, err := to.Write(chunk[:n]); err != nil {
+				return
+			}
+			continue
+		}
 		buf = append(buf, chunk[:n]...)
 		for {
 			size, err := tier.Whole(buf)
--- a/internal/lab/tier/run.go
+++ b/internal/lab/tier/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -59,22 +60,62 @@
 	r.Schedule = Schedule(t.Seed, t.Kinds, t.Proxies, t.Planners, t.Lease, t.Length)
 	over := make(chan bool)
 	go func() { b.Play(ctx, r.Schedule); close(over) }()
+	var gone []uint64
+	if t.Naive {
+		t.spread(ctx, b)
+		<-over
+	} else if gone, err = t.propose(ctx, b, &r, over); err != nil {
+		return r, err
+	}
+	sleep(ctx, 200*time.Millisecond)
+	stop()
+	wait()
+	seen, refused, lost := b.History()
+	r.Served, r.Refused, r.Lost = len(seen), refused, lost
+	r.Breaches = Audit(seen, gone)
+	return r, ctx.Err()
+}
+
+// spread lets all proxies read one revision behind the other.
+func (t Trial) spread(ctx context.Context, b *Bench) {
+	rng := rand.New(rand.NewPCG(t.Seed, 0xc4a6))
+	for end, n := time.Now().Add(t.Length), uint64(2); time.Now().Before(end) && ctx.Err() == nil; n++ {
+		b.mu.Lock()
+		b.revision = n
+		b.mu.Unlock()
+		b.Spread(n, ctx.Done())
+		sleep(ctx, t.Every+time.Duration(rng.Int64N(int64(t.Every)+1)))
+	}
+}
+
+// propose proposes one change behind the other, waits until all faults are over and what is undecided has ended, and notes what became of
+// each. It gives those that were given up.
+func (t Trial) propose(ctx context.Context, b *Bench, r *Report, over <-chan bool) (gone []uint64, err error) {
 	rng := rand.New(rand.NewPCG(t.Seed, 0xc4a6))
 	cl := b.Client()
+	all := map[rollout.Number]rollout.Change{} // the planners remember the last ones only
+	note := func(s *rollout.State) {
+		for _, c := range s.Changes {
+			all[c.Number] = c
+		}
+	}
 	for end, i := time.Now().Add(t.Length), 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
 		path, err := b.File("next.star", fmt.Sprintf("routing(first_limit = %d)\n", 20+i%50))
 		if err != nil {
-			return r, err
+			return nil, err
 		}
 		p, err := run.Policy(b.config, path)
 		if err != nil {
-			return r, err
+			return nil, err
 		}
 		text, err := p.Encode()
 		if err != nil {
-			return r, err
+			return nil, err
+		}
+		a, err := cl.Propose(ctx, tier.Ask{Do: tier.DoPropose, Policy: text, Why: fmt.Sprint("change ", i), Nonce: rng.Uint64() | 1}, time.Second)
+		if err == nil && a.State != nil {
+			note(a.State)
 		}
-		cl.Propose(ctx, tier.Ask{Do: tier.DoPropose, Policy: text, Why: fmt.Sprint("change ", i), Nonce: rng.Uint64() | 1}, time.Second)
 		sleep(ctx, t.Every+time.Duration(rng.Int64N(int64(t.Every)+1)))
 	}
 	<-over
@@ -91,14 +132,12 @@
 			}
 		}
 	}
-	sleep(ctx, 200*time.Millisecond)
-	stop()
-	wait()
 	if last == nil {
-		return r, errors.New("no planner leads once all faults are over")
+		return nil, errors.New("no planner leads once all faults are over")
 	}
-	var gone []uint64
-	for _, c := range last.Changes {
+	note(last)
+	for _, n := range slices.Sorted(maps.Keys(all)) {
+		c := all[n]
 		switch c.Outcome {
 		case rollout.Undecided:
 			r.Unended++
@@ -107,8 +146,5 @@
 		}
 		r.Changes = append(r.Changes, Outcome{c.Number, c.Outcome, time.Duration(c.Ended-c.At) * time.Millisecond, c.Reason})
 	}
-	seen, refused, lost := b.History()
-	r.Served, r.Refused, r.Lost = len(seen), refused, lost
-	r.Breaches = Audit(seen, gone)
-	return r, ctx.Err()
+	return gone, nil
 }
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -36,6 +36,7 @@
 	Seed     uint64
 	Fleet    fleet.Config
 	Log      io.Writer // of all processes; nil = dropped
+	Naive    bool      // no planners: a file beside each proxy, and SIGHUP to each
 }
 
 // Bench is a tier that runs.
@@ -49,20 +50,28 @@
 	Addresses []string // of the planners, as the operator asks them
 	config    string
 
-	toPlanners [][]*relay        // by proxy, on its links to each planner
-	between    map[[2]int]*relay // on a planner's link to another
+	toPlanners  [][]*relay        // by proxy, on its links to each planner
+	toDatabases [][]*relay        // by proxy, on its links to each database and to the list's service
+	toProxies   []*relay          // on clients' links to each
+	between     map[[2]int]*relay // on a planner's link to another
 
-	mu      sync.Mutex
-	history []Seen
-	refused int
-	lost    int
+	mu       sync.Mutex
+	away     map[int]bool // proxies whose machines can't be reached, without planners
+	revision uint64       // the last that was spread
+	history  []Seen
+	refused  int
+	lost     int
 }
 
 // Process is one of them.
 type Process struct {
 	Name    string
 	Address string // where it is asked, through no relay
+	Front   string // of a proxy: where clients ask it, through one
+	disk    string // of a planner: its log's file
+	file    string // of a proxy: the operator's
 	cmd     func() *exec.Cmd
+	mu      sync.Mutex // of run
 	run     *exec.Cmd
 	ended   chan struct{}
 	out     io.Writer
@@ -70,6 +79,8 @@
 }
 
 func (p *Process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.run = p.cmd()
 	p.run.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	p.run.Stdout, p.run.Stderr = p.out, p.out
@@ -83,7 +94,11 @@
 }
 
 // Signal sends one to the process.
-func (p *Process) Signal(s syscall.Signal) { p.run.Process.Signal(s) }
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.run.Process.Signal(s)
+}
 
 // Kill ends it at once, and Start starts it again.
 func (p *Process) Kill() {
@@ -120,7 +135,10 @@
 	if b.world, err = standin.New(cfg.Fleet, func(time.Duration, string) {}); err != nil {
 		return nil, err
 	}
-	b.between = map[[2]int]*relay{}
+	b.between, b.away = map[[2]int]*relay{}, map[int]bool{}
+	if cfg.Naive {
+		cfg.Planners, b.cfg.Planners = 0, 0
+	}
 	for range cfg.Planners {
 		address, err := free()
 		if err != nil {
@@ -136,7 +154,7 @@
 		var peers []string // as this one reaches them
 		for k, to := range b.Addresses {
 			if k != i {
-				r, err := newRelay(to, cfg.Seed<<16+uint64(i)<<8+uint64(k))
+				r, err := newRelay(to, cfg.Seed<<16+uint64(i)<<8+uint64(k), false)
 				if err != nil {
 					return nil, err
 				}
@@ -146,7 +164,8 @@
 			peers = append(peers, fmt.Sprintf("%d=%s", k+1, to))
 		}
 		args := append([]string{"plan", "--id", strconv.Itoa(i + 1), "--planners", strings.Join(peers, ","), "--listen", address, "--log", filepath.Join(b.dir, fmt.Sprint("plan", i+1))}, lease...)
-		p := &Process{Name: fmt.Sprint("planner", i+1), Address: address, cmd: func() *exec.Cmd { return exec.Command(cfg.Binary, args...) }, out: cfg.Log}
+		disk := filepath.Join(b.dir, fmt.Sprint("plan", i+1))
+		p := &Process{Name: fmt.Sprint("planner", i+1), Address: address, disk: disk, cmd: func() *exec.Cmd { return exec.Command(cfg.Binary, args...) }, out: cfg.Log}
 		if err := p.start(); err != nil {
 			return nil, err
 		}
@@ -157,8 +176,10 @@
 			return nil, err
 		}
 	}
-	if err := b.Wait(ctx, cfg.Proxies); err != nil {
-		return nil, err
+	if !cfg.Naive {
+		if err := b.Wait(ctx, cfg.Proxies); err != nil {
+			return nil, err
+		}
 	}
 	for _, p := range b.Proxies { // a member has its first lease a moment later
 		for {
@@ -174,6 +195,51 @@
 	return b, nil
 }
 
+// Ended waits until a process has ended by itself, and gives its exit code; false = it lives on.
+func (p *Process) Ended(ctx context.Context) (code int, ok bool) {
+	select {
+	case <-p.ended:
+		return p.run.ProcessState.ExitCode(), true
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+// AddPlanner starts a planner that is to take another's place, on links of no relay.
+func (b *Bench) AddPlanner(id int) (*Process, error) {
+	address, err := free()
+	if err != nil {
+		return nil, err
+	}
+	all := []string{fmt.Sprintf("%d=%s", id, address)}
+	for i, to := range b.Addresses {
+		all = append(all, fmt.Sprintf("%d=%s", i+1, to))
+	}
+	disk := filepath.Join(b.dir, fmt.Sprint("plan", id))
+	args := []string{"plan", "--id", strconv.Itoa(id), "--planners", strings.Join(all, ","), "--listen", address, "--log", disk, "--join"}
+	if args = append(args, "--lease", b.cfg.Lease.String()); b.cfg.Lease == 0 {
+		args = append(args[:len(args)-2], "--cut-off", "go on")
+	}
+	p := &Process{Name: fmt.Sprint("planner", id), Address: address, disk: disk, cmd: func() *exec.Cmd { return exec.Command(b.cfg.Binary, args...) }, out: b.cfg.Log}
+	b.Planners = append(b.Planners, p)
+	b.Addresses = append(b.Addresses, address)
+	return p, p.start()
+}
+
+// Copy keeps a copy of a planner's log, as a backup that is put back would be; Lose lets the log be lost, Restore puts a copy back. The planner
+// stands still meanwhile.
+func (p *Process) Copy() error    { return copyFile(p.disk, p.disk+".old") }
+func (p *Process) Lose() error    { return os.Remove(p.disk) }
+func (p *Process) Restore() error { return copyFile(p.disk+".old", p.disk) }
+
+func copyFile(from, to string) error {
+	text, err := os.ReadFile(from)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(to, text, 0o600)
+}
+
 // once asks one thing on a connection of its own.
 func (b *Bench) once(p *Process) (policy uint64, told bool, code string, err error) {
 	conn, err := net.DialTimeout("tcp", p.Address, time.Second)
@@ -194,7 +260,36 @@
 	if err != nil {
 		return err
 	}
-	text, err := launch.Config(b.world, b.cfg.Fleet, launch.Options{Listen: address, MemoryMB: 192, Sockets: 512, Seed: b.cfg.Seed + uint64(i), Fronts: b.cfg.Proxies, Known: true})
+	front, err := newRelay(address, b.cfg.Seed<<24+uint64(i)<<8+0xff, true)
+	if err != nil {
+		return err
+	}
+	b.toProxies = append(b.toProxies, front)
+	var databases []*relay
+	through := func(to string) (string, error) {
+		r, err := newRelay(to, b.cfg.Seed<<24+uint64(i)<<8+0x80+uint64(len(databases)), true)
+		if err != nil {
+			return "", err
+		}
+		databases = append(databases, r)
+		return r.address(), nil
+	}
+	for k := range b.cfg.Fleet.Groups * b.cfg.Fleet.Members {
+		if _, err := through(b.world.Address(k)); err != nil {
+			return err
+		}
+	}
+	alias := func(member int) string { return databases[member].address() }
+	list, err := b.world.List(alias)
+	if err == nil {
+		list, err = through(list)
+	}
+	if err != nil {
+		return err
+	}
+	b.toDatabases = append(b.toDatabases, databases)
+	text, err := launch.Config(b.world, b.cfg.Fleet, launch.Options{Listen: address, MemoryMB: 192, Sockets: 512, Seed: b.cfg.Seed + uint64(i), Fronts: b.cfg.Proxies,
+		Known: true, Discovery: list, List: b.world.ListingAs(alias)})
 	if err != nil {
 		return err
 	}
@@ -209,7 +304,7 @@
 	var relays []*relay
 	var reached []string
 	for k, to := range b.Addresses {
-		r, err := newRelay(to, b.cfg.Seed<<24+uint64(i)<<8+uint64(k))
+		r, err := newRelay(to, b.cfg.Seed<<24+uint64(i)<<8+uint64(k), false)
 		if err != nil {
 			return err
 		}
@@ -218,10 +313,13 @@
 	b.toPlanners = append(b.toPlanners, relays)
 	planners := `"` + strings.Join(reached, `", "`) + `"`
 	file := fmt.Sprintf("tier(name = \"n%d\", planners = [%s], tell_clients = True, %s)\n", i, planners, leases)
+	if b.cfg.Naive {
+		file = naiveFile(1)
+	}
 	if err = errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(operator, []byte(file), 0o600)); err != nil {
 		return err
 	}
-	p := &Process{Name: fmt.Sprint("n", i), Address: address, out: b.cfg.Log, cmd: func() *exec.Cmd {
+	p := &Process{Name: fmt.Sprint("n", i), Address: address, Front: front.address(), file: operator, out: b.cfg.Log, cmd: func() *exec.Cmd {
 		c := exec.Command(b.cfg.Binary)
 		c.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_LISTEN="+address, "HAVEN_OPERATOR="+operator)
 		return c
@@ -276,7 +374,7 @@
 	for _, r := range b.between {
 		r.close()
 	}
-	for _, list := range b.toPlanners {
+	for _, list := range append(slices.Clone(b.toPlanners), append(b.toDatabases, b.toProxies)...) {
 		for _, r := range list {
 			r.close()
 		}
@@ -317,7 +415,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		if conn == nil {
 			var err error
-			if conn, err = net.DialTimeout("tcp", p.Address, time.Second); err != nil {
+			if conn, err = net.DialTimeout("tcp", p.Front, time.Second); err != nil {
 				conn = nil
 				time.Sleep(20 * time.Millisecond)
 				continue
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -279,7 +279,8 @@
 // leaving tells that a connection ends behind its next answer.
 func (s *Server) leaving() bool { return s.draining || s.away }
 
-// TellPolicy lets answers tell PostgreSQL's clients under which policy of the tier their request was taken: a ParameterStatus "policy".
+// TellPolicy lets answers tell PostgreSQL's clients under which policy of the tier, or revision of the proxy's own files, their request was
+// taken: a ParameterStatus "policy".
 func (s *Server) TellPolicy(on bool) { s.policy = on }
 
 // Leave ends accepting on sockets that others share, and lets each client go behind its next answer: what comes anew has another
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -40,6 +40,8 @@
 	Trace  *Trace  // nil = none is kept
 	Consul *Consul // nil = none is watched
 	Tier   *Tier   // nil = the proxy goes by its own files
+	// Revision is the number that the operator gives this file, where no tier numbers policies.
+	Revision Revision
 	// Members says how catalogues are merged, where there are several.
 	Members membership.Config
 }
@@ -52,6 +54,12 @@
 	Tell     bool // answers tell clients the policy's number
 }
 
+// Revision tells which file a proxy runs.
+type Revision struct {
+	Number uint64 // 0 = none was given
+	Tell   bool   // answers tell clients
+}
+
 // Consul is a catalogue beside the platform's list, or in its place.
 type Consul struct {
 	Agents                    []string       // base URLs
@@ -104,7 +112,7 @@
 		p.classNames = append(p.classNames, c.Name)
 	}
 	if err := star.Exec(name, src, map[string]star.Func{
-		"console": p.console, "levels": p.levels, "level": p.level, "mysql": p.mysql, "handover": p.handover, "routing": p.routing, "trace": p.trace, "consul": p.consul, "members": p.members, "tier": p.tier,
+		"console": p.console, "levels": p.levels, "level": p.level, "mysql": p.mysql, "handover": p.handover, "routing": p.routing, "trace": p.trace, "consul": p.consul, "members": p.members, "tier": p.tier, "revision": p.revision,
 		"pin": func(c *star.Call) starlark.Value { return p.hold(c, p.pins) },
 		"cap": func(c *star.Call) starlark.Value { return p.hold(c, p.caps) },
 	}, p.names); err != nil {
@@ -125,6 +133,7 @@
 	ladder     []levels.Level
 	pins, caps map[logic.GroupID]string
 	holds      []*star.Call
+	revised    *star.Call
 }
 
 func (p *parser) console(c *star.Call) starlark.Value {
@@ -143,6 +152,18 @@
 	return nil
 }
 
+// revision reads the file's number.
+func (p *parser) revision(c *star.Call) starlark.Value {
+	if p.file.Revision.Number > 0 {
+		c.Errorf("", "revision() is called a second time")
+	}
+	p.file.Revision = Revision{Number: uint64(c.Int("number", 0, 1, 1<<31-1)), Tell: c.Bool("tell_clients", false)}
+	if p.revised = c; p.file.Revision.Number == 0 && !c.Has("number") {
+		c.Errorf("", "number is missing: the number of this file, 1 or more")
+	}
+	return nil
+}
+
 // tier reads who the planners are.
 func (p *parser) tier(c *star.Call) starlark.Value {
 	if p.file.Tier != nil {
@@ -427,6 +448,9 @@
 	for _, l := range p.full() {
 		names = append(names, l.Name)
 	}
+	if p.revised != nil && p.file.Tier != nil {
+		p.revised.Errorf("", "revision() beside tier(): the tier's planners number its policies")
+	}
 	for _, c := range p.holds {
 		c.Rewind()
 		c.Among("level", c.First("level"), names)
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -160,6 +160,8 @@
 		p.front.Reduce(own.Levels)
 		p.front.Handover(own.Handover)
 		p.front.Tune(own.Tuning)
+		p.front.Revise(own.Revision.Number)
+		p.server.TellPolicy(own.Revision.Tell)
 	}
 	p.server.Console(own.Console.Enabled)
 	if p.mysql != nil && own.MySQL != nil { // its address and groups stay as they were at the start
--- a/internal/state/tier.go
+++ b/internal/state/tier.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"time"
 
 	"havenproxy/logic"
@@ -39,6 +40,7 @@
 type gated struct {
 	gate   Gate // nil = the proxy goes by its own files
 	policy uint64
+	own    uint64 // the number of the proxy's own files, where they have one
 	kept   []keptRequest
 	timer  Deadline
 	first  time.Duration // when one of them has waited for too long
@@ -54,6 +56,17 @@
 // Gate lets a tier say which requests are taken; nil ends that.
 func (f *Front) Gate(g Gate) { f.gated.gate = g }
 
+// Revise says which number the proxy's own files bear; 0 = none. Requests that come from now on are taken under it.
+func (f *Front) Revise(number uint64) { f.gated.own = number }
+
+// Revised gives that number; empty = none.
+func (f *Front) Revised() string {
+	if f.gated.own == 0 {
+		return ""
+	}
+	return strconv.FormatUint(f.gated.own, 10)
+}
+
 // Kept counts the requests that wait at the point of a change.
 func (f *Front) Kept() int { return len(f.gated.kept) }
 
@@ -139,9 +152,13 @@
 
 // enter hands a request that is taken to the router.
 func (f *Front) enter(q *request, in Request) {
-	if f.gated.gate != nil {
+	if g := &f.gated; g.gate != nil || g.own > 0 {
+		under := g.own
+		if g.gate != nil {
+			under = g.policy
+		}
 		if c, ok := q.caller.(Policied); ok {
-			c.Under(f.gated.policy)
+			c.Under(under)
 		}
 	}
 	class := q.class
