Replace a planner whose log is lost, and take no word of one that has forgotten its own

One that was lost could not be replaced.

Change: a link between planners begins with what the sender's disk holds (its number drawn when the log was begun, term, last entry). The other holds that against the number it has noted on its own disk and against what it has heard acknowledged: within a term a follower's log never shrinks, and a term never falls. That the consensus panics over a log that is too short is caught and told in one line.

What isn't seen: an older copy where all others were started anew since, as what they have heard is in memory.

--- a/internal/cli/policy.go
+++ b/internal/cli/policy.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -65,7 +66,7 @@
 			"Exit codes: 0 in force, 1 no planner could be asked, 2 bad input, 3 given up, 4 not known yet.",
 		Args: noArgs,
 	}
-	c.AddCommand(proposeCommand(), rollbackCommand(), policyStatusCommand(), historyCommand(), showPolicyCommand(), diffCommand(), abortCommand(), expelCommand())
+	c.AddCommand(proposeCommand(), rollbackCommand(), policyStatusCommand(), historyCommand(), showPolicyCommand(), diffCommand(), abortCommand(), expelCommand(), replaceCommand())
 	return c
 }
 
@@ -303,7 +304,7 @@
 			}
 			out := c.OutOrStdout()
 			if f.asJSON {
-				return json.NewEncoder(out).Encode(map[string]any{"in_force": a.State.Force, "leader": a.Leader, "progress": a.Progress, "members": a.Members})
+				return json.NewEncoder(out).Encode(map[string]any{"in_force": a.State.Force, "leader": a.Leader, "planners": a.Planners, "progress": a.Progress, "members": a.Members})
 			}
 			fmt.Fprintf(out, "in force: %s\n", describe(a.State, a.State.Force))
 			switch {
@@ -316,6 +317,7 @@
 			default:
 				fmt.Fprintln(out, "under way: nothing")
 			}
+			fmt.Fprintf(out, "planners: %s, planner %d leads\n", strings.Trim(fmt.Sprint(a.Planners), "[]"), a.Leader)
 			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 			fmt.Fprintln(w, "proxy\tpolicy\tlink\tlast heard\tlease")
 			for _, m := range a.Members {
@@ -453,3 +455,60 @@
 			return nil
 		})
 }
+
+func replaceCommand() *cobra.Command {
+	var f policyFlags
+	var wait time.Duration
+	c := &cobra.Command{
+		Use:   "replace OLD NEW=ADDRESS",
+		Short: "Put a new planner in the place of one whose log is lost; exit 0 once it has, 4 if that isn't known yet",
+		Long: "Start the new one first: havenproxy plan --join, with a number that no planner of this tier has had, and all others in --planners.\n" +
+			"Most planners have to live. Both changes, the old one out and the new one in, take hold at one moment.",
+		Example: "  havenproxy policy replace 2 4=10.0.0.24:7400",
+		Args: func(c *cobra.Command, args []string) error {
+			if err := cobra.ExactArgs(2)(c, args); err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, args []string) error {
+			old, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil || old == 0 {
+				return fmt.Errorf("%w: %q, a planner's number was expected", errUsage, args[0])
+			}
+			number, address, _ := strings.Cut(args[1], "=")
+			id, err := strconv.ParseUint(number, 10, 64)
+			if _, e := netip.ParseAddrPort(address); err != nil || id == 0 || e != nil {
+				return fmt.Errorf("%w: %q, NUMBER=ADDRESS was expected, such as 4=10.0.0.24:7400", errUsage, args[1])
+			}
+			cl, err := f.client()
+			if err != nil {
+				return err
+			}
+			asked := false
+			for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				a, err := cl.Status(c.Context(), 0)
+				if err == nil && a.Leader == a.Planner && a.Leader != 0 {
+					if slices.Contains(a.Planners, id) && !slices.Contains(a.Planners, old) {
+						fmt.Fprintf(c.OutOrStdout(), "planner %d has taken the place of planner %d: name it in each tier() and --planners from now on\n", id, old)
+						return nil
+					}
+					if !asked {
+						a, err := cl.Ask(c.Context(), tier.Ask{Do: tier.DoReplace, Number: rollout.Number(old), Nonce: id, Name: address})
+						if err != nil {
+							continue
+						}
+						if a.Error != "" {
+							return errors.New(a.Error)
+						}
+						asked = true
+					}
+				}
+			}
+			return errExit{exitNotKnown, "not known yet whether it has: havenproxy policy status tells who votes"}
+		},
+	}
+	f.add(c)
+	c.Flags().DurationVar(&wait, "wait", 20*time.Second, "how long to wait")
+	return c
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,8 +4,10 @@
 package planner
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -26,6 +28,7 @@
 	Listen  string            // where proxies, planners and operators come
 	Peers   map[uint64]string // all planners, this one included, with their addresses
 	File    string            // of the log
+	Join    bool              // it takes the place of another: its log, which has yet to be begun, comes from the others
 	Rollout rollout.Config
 }
 
@@ -55,6 +58,14 @@
 	server *server
 	events chan func()
 	failed error
+	peers  map[uint64]*peer
+}
+
+// peer is what is known of another planner.
+type peer struct {
+	term, acked uint64 // it has acknowledged entries up to acked to the leader of term, which may be this one
+	voted       uint64 // it has been in that term, at least
+	told        bool   // that its messages are not taken
 }
 
 // Open makes a planner that doesn't run yet.
@@ -68,12 +79,16 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	st, fresh, err := openStore(cfg.File, fmt.Sprintf("planner %d of %d", cfg.ID, ids))
+	st, fresh, err := openStore(cfg.File, fmt.Sprintf("planner %d", cfg.ID))
 	if err != nil {
 		return nil, err
 	}
-	p := &Planner{cfg: cfg, store: st, state: &rollout.State{}, began: time.Now(), events: make(chan func(), mostEvents)}
-	if fresh { // all planners begin with the same snapshot of nothing
+	p := &Planner{cfg: cfg, store: st, state: &rollout.State{}, began: time.Now(), events: make(chan func(), mostEvents),
+		peers: map[uint64]*peer{}}
+	if cfg.Join && !fresh && st.begun() { // started again: it has joined already
+		cfg.Join = false
+	}
+	if fresh && !cfg.Join { // all planners begin with the same snapshot of nothing
 		empty, err := tier.EncodeState(p.state)
 		if err == nil {
 			one := uint64(1)
@@ -104,18 +119,46 @@
 		st.close()
 		return nil, err
 	}
+	p.connect()
 	return p, nil
 }
 
+// Gone tells that this planner has been replaced, and Strange that the others don't take its messages.
+var (
+	ErrGone    = errors.New("this planner has been replaced: stop it for good")
+	ErrStrange = errors.New("the other planners don't take this one's messages")
+)
+
 func (p *Planner) restore(snap *pb.Snapshot) (err error) {
 	if p.state, err = tier.DecodeState(snap.GetData()); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
 	p.applied, p.snapped = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
 	p.conf = snap.GetMetadata().GetConfState()
+	p.connect()
 	return nil
 }
 
+// connect keeps links to the planners that the log names, and no others.
+func (p *Planner) connect() {
+	if p.server == nil {
+		return
+	}
+	want := map[uint64]string{}
+	for _, id := range append(slices.Clone(p.conf.GetVoters()), p.conf.GetVotersOutgoing()...) {
+		if id != p.cfg.ID {
+			want[id] = cmp.Or(p.state.Planners[id], p.cfg.Peers[id])
+		}
+	}
+	if len(p.conf.GetVoters()) == 0 { // the log has yet to come from the others
+		for id, address := range p.cfg.Peers {
+			want[id] = address
+		}
+		delete(want, p.cfg.ID)
+	}
+	p.server.connect(want)
+}
+
 // Address tells where it listens.
 func (p *Planner) Address() string { return p.server.listener.Addr().String() }
 
@@ -135,7 +178,16 @@
 }
 
 // Run runs it until the context ends or it can't go on.
-func (p *Planner) Run(ctx context.Context) error {
+func (p *Planner) Run(ctx context.Context) (err error) {
+	defer func() { // the consensus ends a process whose log can't be what it promised: an older copy, say
+		if x := recover(); x != nil {
+			if why, ok := x.(consensusPanic); ok {
+				err = fmt.Errorf("the log lacks what this planner has acknowledged to the others: it was lost, or is an older copy. Put a new one in its place: havenproxy policy replace (%s)", string(why))
+				return
+			}
+			panic(x)
+		}
+	}()
 	slog.Info("planner", "id", p.cfg.ID, "listen", p.Address(), "in_force", p.state.Force, "members", len(p.state.Seats))
 	ticks := time.NewTicker(step)
 	defer ticks.Stop()
@@ -251,9 +303,11 @@
 	switch e.GetType() {
 	case pb.EntryConfChange, pb.EntryConfChangeV2:
 		var cc pb.ConfChangeV2
-		if err := proto.Unmarshal(e.GetData(), &cc); err == nil {
-			p.conf = p.node.ApplyConfChange(&cc)
+		if err := proto.Unmarshal(e.GetData(), &cc); err != nil {
+			p.failed = fmt.Errorf("the log holds what this version can't read (entry %d): %w", e.GetIndex(), err)
+			return
 		}
+		p.changed(&cc)
 		return
 	}
 	if len(e.GetData()) == 0 { // a new leader's own
@@ -282,6 +336,107 @@
 	p.server.settle(c, err)
 }
 
+// Replace begins to put a new planner in an old one's place: both at one moment, by joint consensus, so that at no time one more may fail than
+// before. The error tells why it can't be.
+func (p *Planner) Replace(old, id uint64, address string) error {
+	voters := p.conf.GetVoters()
+	switch {
+	case len(p.conf.GetVotersOutgoing()) > 0:
+		return errors.New("another planner is being replaced")
+	case !slices.Contains(voters, old):
+		return fmt.Errorf("planner %d is none of the tier's: those are %d", old, voters)
+	case id == 0 || slices.Contains(voters, id) || p.state.Planners[id] != "" || id <= uint64(len(p.cfg.Peers)) && p.cfg.Peers[id] != "":
+		return fmt.Errorf("planner %d is or was one of the tier's: a new one needs a number of its own, since the others remember what it said", id)
+	case old == p.cfg.ID:
+		return fmt.Errorf("planner %d leads: stop it first, or ask again once another leads", old)
+	}
+	var live []uint64
+	for v, pr := range p.node.Status().Progress {
+		if v != old && (pr.RecentActive || v == p.cfg.ID) {
+			live = append(live, v)
+		}
+	}
+	if n := len(voters)/2 + 1; len(live) < n {
+		return fmt.Errorf("beside planner %d only %d of %d live, and %d have to", old, len(live), len(voters), n)
+	}
+	simple := func(t pb.ConfChangeType, id uint64) *pb.ConfChangeSingle {
+		return &pb.ConfChangeSingle{Type: &t, NodeId: &id}
+	}
+	return p.node.ProposeConfChange(&pb.ConfChangeV2{Changes: []*pb.ConfChangeSingle{simple(pb.ConfChangeType_ConfChangeAddNode, id),
+		simple(pb.ConfChangeType_ConfChangeRemoveNode, old)}, Context: []byte(address)})
+}
+
+// changed takes a change of the planners that has come through the log.
+func (p *Planner) changed(cc *pb.ConfChangeV2) {
+	before := p.conf.GetVoters()
+	p.conf = p.node.ApplyConfChange(cc)
+	for _, c := range cc.GetChanges() {
+		if c.GetType() == pb.ConfChangeType_ConfChangeAddNode && !slices.Contains(before, c.GetNodeId()) {
+			if p.state.Planners == nil {
+				p.state.Planners = map[uint64]string{}
+			}
+			p.state.Planners[c.GetNodeId()] = string(cc.GetContext())
+		}
+	}
+	slog.Info("planners", "voters", p.conf.GetVoters(), "leaving", p.conf.GetVotersOutgoing())
+	p.connect()
+	p.shorten() // the new one begins with a snapshot that names it
+	if !slices.Contains(p.conf.GetVoters(), p.cfg.ID) && len(p.conf.GetVotersOutgoing()) == 0 && slices.Contains(before, p.cfg.ID) {
+		p.failed = ErrGone
+	}
+}
+
+// met judges what another planner says that its disk holds. The text tells why its messages can't be taken: a vote or an entry that it has
+// promised and forgotten would break what the consensus stands on.
+func (p *Planner) met(s *tier.Start) (why string, err error) {
+	known, err := p.store.knows(s.Planner, s.Disk)
+	if err != nil {
+		return "", err
+	}
+	x := p.peer(s.Planner)
+	switch {
+	case known != s.Disk:
+		return fmt.Sprintf("planner %d has begun its log anew: what it had promised is lost. Put a new one in its place: havenproxy policy replace", s.Planner), nil
+	case s.Term < x.voted, s.Term == x.term && s.Last < x.acked:
+		return fmt.Sprintf("planner %d has an older copy of its log: term %d and entry %d, and it had said %d and %d. Put a new one in its place: havenproxy policy replace",
+			s.Planner, s.Term, s.Last, max(x.voted, x.term), x.acked), nil
+	}
+	return "", nil
+}
+
+func (p *Planner) peer(id uint64) *peer {
+	if p.peers[id] == nil {
+		p.peers[id] = &peer{}
+	}
+	return p.peers[id]
+}
+
+// said notes what another planner has promised by a message. All but the messages before a vote are sent once the disk has what they say.
+func (p *Planner) said(m *pb.Message) {
+	x := p.peer(m.GetFrom())
+	switch m.GetType() {
+	case pb.MessageType_MsgPreVote, pb.MessageType_MsgPreVoteResp:
+		return
+	case pb.MessageType_MsgAppResp:
+		if t := m.GetTerm(); !m.GetReject() {
+			if t > x.term {
+				x.term, x.acked = t, 0
+			}
+			if t == x.term {
+				x.acked = max(x.acked, m.GetIndex())
+			}
+		}
+	}
+	x.voted = max(x.voted, m.GetTerm())
+}
+
+// start is what this planner's disk holds.
+func (p *Planner) start() *tier.Start {
+	hard, _, _ := p.store.mem.InitialState()
+	last, _ := p.store.mem.LastIndex()
+	return &tier.Start{Planner: p.cfg.ID, Disk: p.store.disk, Term: hard.GetTerm(), Last: last}
+}
+
 func (p *Planner) shorten() {
 	text, err := tier.EncodeState(p.state)
 	if err == nil {
@@ -307,8 +462,11 @@
 func (quiet) Errorf(format string, v ...any)   { slog.Error("consensus: " + fmt.Sprintf(format, v...)) }
 func (quiet) Fatal(v ...any)                   { panic(fmt.Sprint(v...)) }
 func (quiet) Fatalf(format string, v ...any)   { panic(fmt.Sprintf(format, v...)) }
-func (quiet) Panic(v ...any)                   { panic(fmt.Sprint(v...)) }
-func (quiet) Panicf(format string, v ...any)   { panic(fmt.Sprintf(format, v...)) }
+func (quiet) Panic(v ...any)                   { panic(consensusPanic(fmt.Sprint(v...))) }
+func (quiet) Panicf(format string, v ...any)   { panic(consensusPanic(fmt.Sprintf(format, v...))) }
+
+// consensusPanic is what the consensus can't go on with.
+type consensusPanic string
 
 // ParsePeers reads "1=ADDRESS,2=ADDRESS".
 func ParsePeers(text string) (map[uint64]string, error) {
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,12 +32,11 @@
 type server struct {
 	p        *Planner
 	listener net.Listener
-	peers    map[uint64]chan []byte
-
-	mu    sync.Mutex
-	links map[rollout.Link]*link
-	last  rollout.Link
-	told  map[string]time.Time
+	mu       sync.Mutex
+	peers    map[uint64]*toPeer // the other planners
+	links    map[rollout.Link]*link
+	last     rollout.Link
+	told     map[string]time.Time
 
 	waiting []waiting // proposals that are not in the log yet; the planner's goroutine's alone
 }
@@ -48,10 +48,17 @@
 }
 
 type link struct {
-	conn  net.Conn
-	out   chan []byte
-	proxy bool
-	once  sync.Once
+	conn    net.Conn
+	out     chan []byte
+	proxy   bool
+	planner uint64 // another one that has said what its disk holds, and may be believed; the planner's goroutine's alone
+	once    sync.Once
+}
+
+// toPeer is the way to another planner.
+type toPeer struct {
+	address string
+	out     chan []byte
 }
 
 func (l *link) close() { l.once.Do(func() { l.conn.Close(); close(l.out) }) }
@@ -61,17 +68,30 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{p: p, listener: ln, peers: map[uint64]chan []byte{}, links: map[rollout.Link]*link{}, told: map[string]time.Time{}}
-	for id, address := range p.cfg.Peers {
-		if id != p.cfg.ID {
-			s.peers[id] = make(chan []byte, queued)
-			go s.dial(id, address)
-		}
-	}
+	s := &server{p: p, listener: ln, peers: map[uint64]*toPeer{}, links: map[rollout.Link]*link{}, told: map[string]time.Time{}}
 	go s.accept()
 	return s, nil
 }
 
+// connect keeps a way to each of these planners, and to no other.
+func (s *server) connect(want map[uint64]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, x := range s.peers {
+		if want[id] != x.address {
+			close(x.out)
+			delete(s.peers, id)
+		}
+	}
+	for id, address := range want {
+		if s.peers[id] == nil {
+			x := &toPeer{address, make(chan []byte, queued)}
+			s.peers[id] = x
+			go s.dial(id, x)
+		}
+	}
+}
+
 func (s *server) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,8 +99,9 @@
 	for _, l := range s.links {
 		l.conn.Close()
 	}
-	for _, c := range s.peers {
-		close(c)
+	for id, x := range s.peers {
+		close(x.out)
+		delete(s.peers, id)
 	}
 }
 
@@ -158,11 +179,10 @@
 func (s *server) heard(id rollout.Link, l *link, f *tier.Frame) {
 	p := s.p
 	switch {
+	case f.Start != nil:
+		s.started(id, l, f.Start)
 	case f.Raft != nil:
-		m := &pb.Message{}
-		if err := proto.Unmarshal(f.Raft, m); err == nil {
-			p.node.Step(m)
-		}
+		s.fromPlanner(id, l, f.Raft)
 	case f.Tier != nil:
 		l.proxy = true
 		if p.leader == nil {
@@ -217,21 +237,32 @@
 		slog.Error("a message to a planner is too long", "to", m.GetTo(), "error", err)
 		return
 	}
-	select {
-	case s.peers[m.GetTo()] <- b:
-	default:
-		s.p.node.ReportUnreachable(m.GetTo())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x := s.peers[m.GetTo()]; x != nil {
+		select {
+		case x.out <- b:
+			return
+		default:
+		}
 	}
+	s.p.node.ReportUnreachable(m.GetTo())
 }
 
-// dial keeps a link to another planner; what can't be sent is lost.
-func (s *server) dial(id uint64, address string) {
+// dial keeps a link to another planner; what can't be sent is lost. A link begins with what this planner's disk holds.
+func (s *server) dial(id uint64, x *toPeer) {
 	var conn net.Conn
 	var failed time.Time
-	for b := range s.peers[id] {
+	for b := range x.out {
 		if conn == nil && time.Since(failed) >= redial {
 			var err error
-			if conn, err = net.DialTimeout("tcp", address, dialFor); err != nil {
+			if conn, err = net.DialTimeout("tcp", x.address, dialFor); err == nil {
+				go s.listenTo(conn, id)
+				var hello []byte
+				if hello, err = tier.Append(nil, &tier.Frame{Start: s.p.start()}); err == nil {
+					b = append(hello, b...)
+				}
+			} else {
 				conn, failed = nil, time.Now()
 			}
 		}
@@ -249,6 +280,56 @@
 	}
 }
 
+// listenTo hears on a link to another planner why that one doesn't take this one's messages, if so.
+func (s *server) listenTo(conn net.Conn, id uint64) {
+	f, err := tier.Read(bufio.NewReader(conn))
+	if conn.Close(); err == nil && f.Strange != "" {
+		s.p.post(func() { s.p.failed = fmt.Errorf("%w: planner %d says: %s", ErrStrange, id, f.Strange) })
+	}
+}
+
+// fromPlanner takes a message of another planner. Only one whose disk is known to hold what it has promised is heard.
+func (s *server) fromPlanner(id rollout.Link, l *link, text []byte) {
+	p, m := s.p, &pb.Message{}
+	if proto.Unmarshal(text, m) != nil || l.planner == 0 || m.GetFrom() != l.planner {
+		return
+	}
+	member := len(p.conf.GetVoters()) == 0 || slices.Contains(p.conf.GetVoters(), l.planner) || slices.Contains(p.conf.GetVotersOutgoing(), l.planner)
+	if !member {
+		if p.leader != nil && p.leader.Leads() { // who leads has all of the log: it has been replaced. Others may not have heard of a new one yet
+			s.strange(id, l.planner, fmt.Sprintf("planner %d has been replaced: stop it for good", l.planner))
+			return
+		}
+		if m.GetType() == pb.MessageType_MsgVote || m.GetType() == pb.MessageType_MsgPreVote {
+			return
+		}
+	}
+	p.said(m)
+	p.node.Step(m)
+}
+
+// started judges a planner as a link of it begins.
+func (s *server) started(id rollout.Link, l *link, x *tier.Start) {
+	why, err := s.p.met(x)
+	switch {
+	case err != nil:
+		s.p.failed = fmt.Errorf("the log can't be written, so this planner ends: %w", err)
+	case why != "":
+		s.strange(id, x.Planner, why)
+	default:
+		l.planner = x.Planner
+	}
+}
+
+// strange tells another planner that it isn't heard, and why.
+func (s *server) strange(id rollout.Link, planner uint64, why string) {
+	if x := s.p.peer(planner); !x.told {
+		x.told = true
+		slog.Error("a planner's messages are not taken", "planner", planner, "reason", why)
+	}
+	s.send(id, &tier.Frame{Strange: why})
+}
+
 // ask answers the operator.
 func (s *server) ask(id rollout.Link, a *tier.Ask) {
 	p := s.p
@@ -284,6 +365,12 @@
 			text = err.Error()
 		}
 		s.status(id, text, 0)
+	case tier.DoReplace:
+		if err := p.Replace(uint64(a.Number), a.Nonce, a.Name); err != nil {
+			refuse(err)
+			return
+		}
+		s.status(id, "", 0)
 	default:
 		refuse(errors.New("this planner doesn't know the word " + a.Do))
 	}
@@ -318,7 +405,7 @@
 
 func (s *server) status(id rollout.Link, text string, n rollout.Number) {
 	p := s.p
-	a := &tier.Answer{Error: text, Planner: p.cfg.ID, Leader: p.leads, State: p.state.Short(n)}
+	a := &tier.Answer{Error: text, Planner: p.cfg.ID, Leader: p.leads, State: p.state.Short(n), Planners: slices.Sorted(slices.Values(p.conf.GetVoters()))}
 	if p.leader != nil {
 		if progress, ok := p.leader.Progress(p.now()); ok {
 			a.Progress = &progress
--- a/internal/planner/store.go
+++ b/internal/planner/store.go
@@ -4,6 +4,9 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,8 +20,9 @@
 // begun. Each value bears a sum (xxhash), so that a disk that gives back other bits than it was given is noticed: a planner that can't read
 // what it has promised must not take part.
 type store struct {
-	db  *bolt.DB
-	mem *raft.MemoryStorage // the same, as the consensus reads it
+	db   *bolt.DB
+	mem  *raft.MemoryStorage // the same, as the consensus reads it
+	disk uint64              // drawn when the log was begun
 }
 
 var (
@@ -26,7 +30,9 @@
 	metaBucket = []byte("meta") // hard, snap
 	hardKey    = []byte("hard")
 	snapKey    = []byte("snap")
-	whoKey     = []byte("who") // this planner's number and the tier's planners, so that a disk isn't taken for another's
+	whoKey     = []byte("who") // this planner's number, so that a disk isn't taken for another's
+	diskKey    = []byte("disk")
+	disksKey   = []byte("disks/") // and a planner's number: its disk, as it said
 )
 
 // errDamaged tells of bits that are not those that were written.
@@ -51,11 +57,18 @@
 		meta := tx.Bucket(metaBucket)
 		if was := meta.Get(whoKey); was == nil {
 			fresh = true
-			return meta.Put(whoKey, []byte(who))
-		} else if string(was) != who {
-			return fmt.Errorf("it is that of %s, and this is %s", was, who)
+			if err := meta.Put(whoKey, []byte(who)); err != nil {
+				return err
+			}
+		} else if own, _, _ := strings.Cut(string(was), " of "); own != who { // earlier versions kept all planners' numbers too
+			return fmt.Errorf("it is that of %s, and this is %s", own, who)
 		}
-		return nil
+		if b := meta.Get(diskKey); len(b) == 8 {
+			s.disk = binary.BigEndian.Uint64(b)
+			return nil
+		}
+		s.disk = rand.Uint64() | 1
+		return meta.Put(diskKey, binary.BigEndian.AppendUint64(nil, s.disk))
 	})
 	if err == nil {
 		err = s.load()
@@ -167,6 +180,29 @@
 	return s.mem.Append(rd.Entries)
 }
 
+// begun tells whether the log holds anything.
+func (s *store) begun() bool {
+	snap, err := s.mem.Snapshot()
+	return err == nil && !raft.IsEmptySnap(snap)
+}
+
+// knows notes the disk of another planner where none is noted, and gives the one that is.
+func (s *store) knows(planner, disk uint64) (was uint64, err error) {
+	key := binary.BigEndian.AppendUint64(slices.Clone(disksKey), planner)
+	err = s.db.View(func(tx *bolt.Tx) error {
+		if b := tx.Bucket(metaBucket).Get(key); len(b) == 8 {
+			was = binary.BigEndian.Uint64(b)
+		}
+		return nil
+	})
+	if err != nil || was != 0 {
+		return was, err
+	}
+	return disk, s.db.Update(func(tx *bolt.Tx) error {
+		return tx.Bucket(metaBucket).Put(key, binary.BigEndian.AppendUint64(nil, disk))
+	})
+}
+
 func cutAll(b *bolt.Bucket) error {
 	c := b.Cursor()
 	for k, _ := c.First(); k != nil; k, _ = c.Next() {
--- a/internal/planner/store_test.go
+++ b/internal/planner/store_test.go
@@ -33,7 +33,7 @@
 }
 
 func TestTheLogComesBack(t *testing.T) {
-	s, fresh, err := openStore(filled(t), "planner 1 of [1]")
+	s, fresh, err := openStore(filled(t), "planner 1")
 	if err != nil || fresh {
 		t.Fatal(fresh, err)
 	}
@@ -75,14 +75,14 @@
 		at += 1 + next
 	}
 	os.WriteFile(path, text, 0o600)
-	if _, _, err := openStore(path, "planner 1 of [1]"); !errors.Is(err, errDamaged) || !strings.Contains(err.Error(), "entry 2") {
+	if _, _, err := openStore(path, "planner 1"); !errors.Is(err, errDamaged) || !strings.Contains(err.Error(), "entry 2") {
 		t.Errorf("%v", err)
 	}
 }
 
 func TestALogIsOnePlanners(t *testing.T) {
 	path := filled(t)
-	if _, _, err := openStore(path, "planner 2 of [1 2]"); err == nil || !strings.Contains(err.Error(), "it is that of planner 1") {
+	if _, _, err := openStore(path, "planner 2"); err == nil || !strings.Contains(err.Error(), "it is that of planner 1") {
 		t.Errorf("%v", err)
 	}
 }
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -50,6 +51,9 @@
 	Led      bool          `cbor:"8,keyasint,omitempty"` // some planner has, and so:
 	Lease    time.Duration `cbor:"9,keyasint,omitempty"` // what all go by; 0 = there are none
 
+	// Planners are the addresses of planners that have taken the place of others, by number. The rest are where they were at the beginning.
+	Planners map[uint64]string `cbor:"10,keyasint,omitempty"`
+
 	Without Guards `cbor:"-"` // see Config
 }
 
@@ -103,7 +107,7 @@
 // Clone gives a copy that shares nothing that changes.
 func (s *State) Clone() *State {
 	c := *s
-	c.Changes, c.Seats = slices.Clone(s.Changes), slices.Clone(s.Seats)
+	c.Changes, c.Seats, c.Planners = slices.Clone(s.Changes), slices.Clone(s.Seats), maps.Clone(s.Planners)
 	return &c
 }
 
--- a/internal/wire/tier/tier.go
+++ b/internal/wire/tier/tier.go
@@ -31,10 +31,20 @@
 
 // Frame is one message; one of its parts is set.
 type Frame struct {
-	Tier   *rollout.Message `cbor:"1,keyasint,omitempty"` // between a proxy and a planner
-	Raft   []byte           `cbor:"2,keyasint,omitempty"` // between planners: a raftpb.Message
-	Ask    *Ask             `cbor:"3,keyasint,omitempty"` // of the operator
-	Answer *Answer          `cbor:"4,keyasint,omitempty"`
+	Tier    *rollout.Message `cbor:"1,keyasint,omitempty"` // between a proxy and a planner
+	Raft    []byte           `cbor:"2,keyasint,omitempty"` // between planners: a raftpb.Message
+	Ask     *Ask             `cbor:"3,keyasint,omitempty"` // of the operator
+	Answer  *Answer          `cbor:"4,keyasint,omitempty"`
+	Start   *Start           `cbor:"5,keyasint,omitempty"` // of a planner to another, before all else on a link
+	Strange string           `cbor:"6,keyasint,omitempty"` // a planner to another: why its messages are not taken
+}
+
+// Start says what a planner's disk holds as a link of it to another begins.
+type Start struct {
+	Planner uint64 `cbor:"1,keyasint"`
+	Disk    uint64 `cbor:"2,keyasint"` // drawn when its log was begun
+	Term    uint64 `cbor:"3,keyasint"` // of its last vote or leader
+	Last    uint64 `cbor:"4,keyasint"` // entry
 }
 
 // Ask is a command of the operator.
@@ -54,6 +64,7 @@
 	DoStatus  = "status"
 	DoAbort   = "abort"
 	DoExpel   = "expel"
+	DoReplace = "replace" // planner Number by planner Nonce at the address Name
 )
 
 // Answer is a planner's.
@@ -64,6 +75,7 @@
 	State    *rollout.State       `cbor:"4,keyasint,omitempty"`
 	Progress *rollout.Progress    `cbor:"5,keyasint,omitempty"`
 	Members  []rollout.MemberInfo `cbor:"6,keyasint,omitempty"`
+	Planners []uint64             `cbor:"7,keyasint,omitempty"` // that vote now, by number
 }
 
 var (
