Tell what became of changes by kind of fault, and let the auditor find the naive way out

A breach counts its requests. The test of the naive way cuts one proxy's machine off and waits until the auditor has its request under the old file.

--- a/internal/lab/command/tier.go
+++ b/internal/lab/command/tier.go
@@ -23,13 +23,14 @@
 	var seed uint64
 	var seeds int
 	var faults []string
+	var byKind bool
 	c := &cobra.Command{
 		Use:   "tier",
 		Short: "Change the policy of a tier of real processes while they fail, and judge what clients saw; exit 1 on a breach",
 		Long: "tier starts planners and proxies as real processes, lets clients ask all proxies, proposes one change behind the other, and lets faults\n" +
 			"happen by a schedule from the seed: " + strings.Join(tier.Kinds, ", ") + ".\n" +
 			"The auditor then judges all answers by the policy that they tell. A breach is printed with its seed, schedule and shortest history.",
-		Example: "  havenlab tier --seeds 20 --proxies 20\n  havenlab tier --seeds 5 --faults pause,cut --lease 1s",
+		Example: "  havenlab tier --seeds 20 --proxies 20\n  havenlab tier --seeds 5 --faults pause,cut --lease 1s\n  havenlab tier --seeds 5 --naive",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if t.Kinds = tier.Kinds; !slices.Equal(faults, []string{"all"}) {
@@ -52,27 +53,44 @@
 			}
 			quiet()
 			t.Fleet = fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}
-			var all []tier.Report
-			breaches, unended := 0, 0
-			for i := range seeds {
-				t.Seed, t.Fleet.Seed = seed+uint64(i), seed+uint64(i)
-				r, err := t.Play(c.Context())
-				if err != nil {
-					return fmt.Errorf("seed %d: %w", t.Seed, err)
+			kinds := [][]string{t.Kinds}
+			if byKind {
+				kinds = nil
+				for _, k := range t.Kinds {
+					kinds = append(kinds, []string{k})
 				}
-				all = append(all, r)
-				breaches, unended = breaches+len(r.Breaches), unended+r.Unended
-				if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
-					fmt.Fprintf(os.Stderr, "\r\033[K%d of %d seeds, %d breaches", i+1, seeds, breaches)
+			}
+			var rows []tierRow
+			breaches, unended, played := 0, 0, 0
+			for _, k := range kinds {
+				row := tierRow{kind: "all"}
+				if t.Kinds = k; byKind {
+					row.kind = k[0]
 				}
-				for _, b := range r.Breaches {
-					fmt.Fprintf(c.OutOrStdout(), "\nseed %d: %s\n", r.Seed, b)
-					for _, f := range r.Schedule {
-						fmt.Fprintln(c.OutOrStdout(), "  ", f)
+				for i := range seeds {
+					t.Seed, t.Fleet.Seed = seed+uint64(i), seed+uint64(i)
+					r, err := t.Play(c.Context())
+					if err != nil {
+						return fmt.Errorf("seed %d: %w", t.Seed, err)
+					}
+					row.reports = append(row.reports, r)
+					breaches, unended, played = breaches+len(r.Breaches), unended+r.Unended, played+1
+					if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+						fmt.Fprintf(os.Stderr, "\r\033[K%d of %d trials, %d breaches", played, seeds*len(kinds), breaches)
+					}
+					if t.Naive { // there are too many to print
+						continue
+					}
+					for _, b := range r.Breaches {
+						fmt.Fprintf(c.OutOrStdout(), "\nseed %d: %s\n", r.Seed, b)
+						for _, f := range r.Schedule {
+							fmt.Fprintln(c.OutOrStdout(), "  ", f)
+						}
 					}
 				}
+				rows = append(rows, row)
 			}
-			printTier(c.OutOrStdout(), all)
+			printTier(c.OutOrStdout(), rows)
 			if breaches+unended > 0 {
 				return fmt.Errorf("%d breaches, %d changes without an end", breaches, unended)
 			}
@@ -89,32 +107,51 @@
 	f.DurationVar(&t.Every, "every", 200*time.Millisecond, "between two proposals, and up to twice that")
 	f.DurationVar(&t.Lease, "lease", 2*time.Second, "of the proxies; 0 = they go on when they are cut off")
 	f.IntVar(&t.Each, "clients", 2, "of each proxy")
+	f.BoolVar(&byKind, "by-kind", false, "play each kind of fault by itself, a line each")
+	f.BoolVar(&t.Naive, "naive", false, "no planners: a file beside each proxy and SIGHUP to each, to see what the auditor finds there")
 	f.StringVar(&t.Binary, "proxy", "", "the program (default: havenproxy beside this one)")
 	return c
 }
 
-func printTier(out io.Writer, all []tier.Report) {
-	var took [3][]time.Duration
-	served, refused, lost, breaches := 0, 0, 0, 0
-	for _, r := range all {
-		served, refused, lost, breaches = served+r.Served, refused+r.Refused, lost+r.Lost, breaches+len(r.Breaches)
-		for _, c := range r.Changes {
-			took[c.Outcome] = append(took[c.Outcome], c.Took)
-		}
-	}
+// tierRow is what was played with one kind of fault, or with all.
+type tierRow struct {
+	kind    string
+	reports []tier.Report
+}
+
+func printTier(out io.Writer, rows []tierRow) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "changes\tcount\tp50\tp99\tmost")
-	for _, o := range []rollout.Outcome{rollout.InForce, rollout.GivenUp, rollout.Undecided} {
-		list := took[o]
-		slices.Sort(list)
-		at := func(q float64) time.Duration {
-			if len(list) == 0 {
-				return 0
+	fmt.Fprintln(w, "faults\tchanges\tin force\tp50\tp99\tmost\tgiven up\tp50\tp99\tmost\tundecided\tserved\trefused\tlost\tunder an old policy\tunder one given up")
+	for _, row := range rows {
+		var took [3][]time.Duration
+		served, refused, lost, old, nowhere := 0, 0, 0, 0, 0
+		for _, r := range row.reports {
+			served, refused, lost = served+r.Served, refused+r.Refused, lost+r.Lost
+			for _, c := range r.Changes {
+				took[c.Outcome] = append(took[c.Outcome], c.Took)
+			}
+			for _, b := range r.Breaches {
+				if b.Promise == tier.Nowhere {
+					nowhere += b.Count
+				} else {
+					old += b.Count
+				}
+			}
+		}
+		n := len(took[0]) + len(took[1]) + len(took[2])
+		fmt.Fprintf(w, "%s\t%d\t", row.kind, n)
+		for _, o := range []rollout.Outcome{rollout.InForce, rollout.GivenUp} {
+			list := took[o]
+			slices.Sort(list)
+			at := func(q float64) string {
+				if len(list) == 0 {
+					return "-"
+				}
+				return list[min(int(q*float64(len(list))), len(list)-1)].String()
 			}
-			return list[min(int(q*float64(len(list))), len(list)-1)]
+			fmt.Fprintf(w, "%.0f%%\t%s\t%s\t%s\t", 100*float64(len(list))/float64(max(n, 1)), at(0.5), at(0.99), at(1))
 		}
-		fmt.Fprintf(w, "%v\t%d\t%v\t%v\t%v\n", o, len(list), at(0.5), at(0.99), at(1))
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\n", len(took[rollout.Undecided]), served, refused, lost, old, nowhere)
 	}
 	w.Flush()
-	fmt.Fprintf(out, "%d seeds: %d answers judged, %d refused, %d lost, %d breaches\n", len(all), served, refused, lost, breaches)
 }
--- a/internal/lab/tier/audit.go
+++ b/internal/lab/tier/audit.go
@@ -15,10 +15,17 @@
 	Policy   uint64
 }
 
+// The promises, as breaches name them.
+const (
+	OneMoment = "one moment"
+	Nowhere   = "nowhere"
+)
+
 // Breach is a promise that a history doesn't keep.
 type Breach struct {
 	Promise string
 	Text    string
+	Count   int    // of requests
 	History []Seen // the shortest that shows it
 }
 
@@ -41,7 +48,7 @@
 	bySent := slices.Clone(history)
 	slices.SortFunc(bySent, func(a, b Seen) int { return int(a.Taken - b.Taken) })
 	var newest *Seen // of those answered so far
-	count, widest := 0, Breach{Promise: "one moment"}
+	count, widest := 0, Breach{Promise: OneMoment}
 	i, gap := 0, time.Duration(-1)
 	for k := range bySent {
 		b := &bySent[k]
@@ -57,11 +64,11 @@
 			}
 		}
 	}
-	if count > 0 {
+	if widest.Count = count; count > 0 {
 		widest.Text = fmt.Sprintf("%d requests were taken under an older policy than one that had been answered before they were sent", count)
 		out = append(out, widest)
 	}
-	nowhere, first := 0, Breach{Promise: "nowhere"}
+	nowhere, first := 0, Breach{Promise: Nowhere}
 	for _, s := range bySent {
 		if slices.Contains(givenUp, s.Policy) {
 			if nowhere++; nowhere == 1 {
@@ -69,7 +76,7 @@
 			}
 		}
 	}
-	if nowhere > 0 {
+	if first.Count = nowhere; nowhere > 0 {
 		first.Text = fmt.Sprintf("%d requests were taken under a change that was given up", nowhere)
 		out = append(out, first)
 	}
--- a/internal/lab/tier/faults.go
+++ b/internal/lab/tier/faults.go
@@ -126,12 +126,12 @@
 		}
 	}
 	t := troubles[how]
-	end = b.trouble(links, t)
+	mend := b.trouble(links, t)
 	if b.cfg.Naive && where == "planners" && (t.Cut || t.Deaf || t.Mute) { // the same machines can't be reached by whoever spreads files
 		b.reachable(f.Who, false)
-		return func() { b.reachable(f.Who, true); end() }
+		return func() { b.reachable(f.Who, true); mend() }
 	}
-	return end
+	return mend
 }
 
 func (b *Bench) reachable(who []int, yes bool) {
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -114,6 +114,45 @@
 	}
 }
 
+// Without planners a proxy that can't be reached serves on under the old file, and the auditor finds it: it would see a tier's breach too.
+func TestTheNaiveWayIsFoundOut(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	b, err := Start(ctx, Config{Binary: binary, Proxies: 3, Planners: 3, Naive: true, Seed: 1, Log: testLog{t},
+		Fleet: fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	asking, stop := context.WithCancel(ctx)
+	wait := b.Ask(asking, 2, 2*time.Millisecond)
+	cut := b.begin(Fault{Kind: "cut", Who: []int{0}})
+	over := make(chan struct{})
+	b.mu.Lock()
+	b.revision = 2
+	b.mu.Unlock()
+	b.Spread(2, over)
+	for old := false; !old && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) { // it answers behind one that has the new file
+		seen, _, _ := b.History()
+		first := time.Duration(0)
+		for _, s := range seen {
+			if s.Policy == 2 && first == 0 {
+				first = s.Answered
+			}
+			old = old || first > 0 && s.Policy == 1 && s.Taken > first
+		}
+	}
+	cut()
+	b.until(2)
+	close(over)
+	stop()
+	wait()
+	seen, _, _ := b.History()
+	if x := Audit(seen, nil); len(x) != 1 || x[0].Promise != OneMoment || x[0].Count == 0 {
+		t.Errorf("%v", x)
+	}
+}
+
 // A proxy that stands still from before a change until long after serves nothing under the old policy once it wakes, though requests wait in
 // its socket; one that is killed and one that is cut off don't either. The change goes on without them.
 func TestWhoMissedAChangeServesNothingUnderTheOldPolicy(t *testing.T) {
