Grant short leases while a change waits, so that 300 proxies with 30 down get theirs

Need: a tier of 300 proxies of which 30 are down, paused or cut off at any moment. Cause, seen in the plays: each failure leaves a member that may serve under the old policy until its lease of 2 s (2.5 s with the margin) has ended, seven begin in a second, so that at each moment there is one for which the point has to wait (Leader.expire, Leader.Tick).

Change: once a change has been under way for half of a lease, leases of an eighth are granted (250 ms at least); Granted tells the length, proxies ask by it. What the leader waits for is the latest end of all that it granted, each with its margin. An ask for a lease doesn't look at all members any more.

In a healthy tier nothing changes.

--- a/internal/lab/command/tier.go
+++ b/internal/lab/command/tier.go
@@ -155,3 +155,53 @@
 	}
 	w.Flush()
 }
+
+func linksCommand() *cobra.Command {
+	var l tier.Links
+	c := &cobra.Command{
+		Use:   "links",
+		Short: "Measure what a tier's links cost its planners: CPU, memory, bytes, and how long a change takes",
+		Long: "links starts real planners and lets so many proxies' sides ask for their leases, without the proxies round them, and makes a few changes.\n" +
+			"The figures are of this machine while nothing else runs on it.",
+		Example: "  havenlab links --links 300\n  havenlab links --links 3000 --for 20s",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if l.Links < 1 || l.Planners < 1 || l.Changes < 1 || l.For < time.Second || l.Lease < 200*time.Millisecond || l.Size > rollout.MostPolicy || l.Size < 1 {
+				return fmt.Errorf("%w: --links, --planners, --changes and --size are 1 at least, --size %d at most, --for 1s and --lease 200ms at least", ErrUsage, rollout.MostPolicy)
+			}
+			if l.Binary == "" {
+				self, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				l.Binary = filepath.Join(filepath.Dir(self), "havenproxy")
+			}
+			x, err := l.Measure(c.Context())
+			if err != nil {
+				return err
+			}
+			slices.Sort(x.Took)
+			out := c.OutOrStdout()
+			fmt.Fprintf(out, "%d links, all members after %v\n", l.Links, x.Joined.Round(time.Millisecond))
+			for i := range x.CPU {
+				who := "follows"
+				if i == 0 {
+					who = "leads"
+				}
+				fmt.Fprintf(out, "planner that %-8s %6.2f%% of a core, %d MiB resident\n", who, 100*x.CPU[i], x.Resident[i]>>20)
+			}
+			fmt.Fprintf(out, "links: %.0f bytes/s to the planner, %.0f back\n", x.Sent, x.Heard)
+			fmt.Fprintf(out, "%d changes of %d bytes, in force at all: %v in the middle, %v at most\n", len(x.Took), l.Size, x.Took[len(x.Took)/2].Round(100*time.Microsecond), x.Took[len(x.Took)-1].Round(100*time.Microsecond))
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.IntVar(&l.Links, "links", 300, "of proxies' sides, to the planner that leads")
+	f.IntVar(&l.Planners, "planners", 3, "that keep the policy")
+	f.DurationVar(&l.Lease, "lease", 2*time.Second, "that each link asks for, five times in its length")
+	f.DurationVar(&l.For, "for", 10*time.Second, "how long to measure")
+	f.IntVar(&l.Changes, "changes", 5, "made in that time")
+	f.IntVar(&l.Size, "size", 4<<10, "of each policy's text, in bytes")
+	f.StringVar(&l.Binary, "proxy", "", "the program (default: havenproxy beside this one)")
+	return c
+}
--- a/internal/net/tier.go
+++ b/internal/net/tier.go
@@ -132,10 +132,10 @@
 func (t *Tier) pulse() {
 	every := tierIdle
 	if t.cfg.Lease > 0 {
-		every = t.cfg.Lease / tierAsks
+		every = t.side.Length() / tierAsks
 	}
 	now := t.clock.Now()
-	if now-t.heard > tierSilence*tierAsks*every {
+	if now-t.heard > tierSilence*max(t.cfg.Lease, tierAsks*every) {
 		t.drop()
 		return
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -53,7 +53,9 @@
 	began  time.Time
 
 	applied, snapped uint64
-	reads            uint64 // confirmations asked for
+	reads            uint64         // confirmations asked for
+	pending          rollout.Number // the last change that was undecided,
+	pendingAt        time.Duration  // and when this planner first had it
 
 	server *server
 	events chan func()
@@ -215,6 +217,12 @@
 	return p.failed
 }
 
+// begin lets this planner's side of leading begin.
+func (p *Planner) begin(term rollout.Term) {
+	p.leader = rollout.Lead(p.cfg.Rollout, p.state, term)
+	p.leader.Since(p.pending, p.pendingAt)
+}
+
 // lead carries out what the leader's side wants; it tells whether there was anything.
 func (p *Planner) lead() bool {
 	if p.leader == nil {
@@ -247,7 +255,7 @@
 	if term := rollout.Term(p.node.BasicStatus().HardState.GetTerm()); p.leader != nil && term != p.leader.Term() {
 		p.leader = nil // it led, another did, and it leads again: what it knew of leases is void
 		if p.node.BasicStatus().RaftState == raft.StateLeader {
-			p.leader = rollout.Lead(p.cfg.Rollout, p.state, term)
+			p.begin(term)
 		}
 	}
 	if err := p.store.save(&rd); err != nil {
@@ -287,7 +295,7 @@
 		if p.leader == nil {
 			term := p.node.BasicStatus().HardState.GetTerm()
 			slog.Info("this planner leads", "term", term)
-			p.leader = rollout.Lead(p.cfg.Rollout, p.state, rollout.Term(term))
+			p.begin(rollout.Term(term))
 		}
 		return
 	}
@@ -320,6 +328,9 @@
 	}
 	force := p.state.Force
 	err = p.state.Apply(c)
+	if x := p.state.Pending(); x != nil && x.Number != p.pending {
+		p.pending, p.pendingAt = x.Number, p.now()
+	}
 	if p.state.Force != force {
 		slog.Info("policy in force", "number", p.state.Force, "members", len(p.state.Seats))
 	}
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -41,6 +41,9 @@
 	// waits that long for it. 0 = proxies need none: one that is cut off goes on, and a change that it doesn't agree to is given up.
 	Lease  time.Duration
 	Margin time.Duration // by which the planners wait longer, for clocks of unlike rates; Lease/4
+	// Short is the lease that is granted while a change has been under way for half of Lease: a tier of hundreds, of which some fail each
+	// second, would never be without one that has just fallen silent and may yet serve under the old policy. Lease/8, but 250 ms at least.
+	Short  time.Duration
 	Answer time.Duration // so long a member may take for its word before its lease is not prolonged any more; 300 ms
 	Round  time.Duration // so long all may take to hold before they are let go again; 150 ms
 	Again  time.Duration // until the next round; 250 ms
@@ -77,6 +80,7 @@
 		}
 	}
 	or(&c.Margin, c.Lease/4)
+	or(&c.Short, min(max(c.Lease/8, 250*time.Millisecond), c.Lease))
 	or(&c.Answer, 300*time.Millisecond)
 	or(&c.Round, 150*time.Millisecond)
 	or(&c.Again, 250*time.Millisecond)
@@ -115,7 +119,8 @@
 	Round  Round  `cbor:"7,keyasint,omitempty"`
 	Policy []byte `cbor:"8,keyasint,omitempty"`
 	Reason string `cbor:"9,keyasint,omitempty"`
-	// Lease is what the proxy goes by, with Hello: where the planners go by another, it must not join.
+	// Lease is what the proxy goes by, with Hello: where the planners go by another, it must not join. With Granted, how long the lease is; 0, of
+	// an earlier version, = as long as that.
 	Lease time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
--- a/internal/rollout/explored.go
+++ b/internal/rollout/explored.go
@@ -97,7 +97,7 @@
 	for _, m := range slices.Sorted(maps.Keys(l.seats)) {
 		s := l.seats[m]
 		dst = number(append(dst, 's'), uint64(m), uint64(s.link), uint64(s.number), uint64(s.held.Term), s.held.Count)
-		dst = ago(flag(dst, s.agreed, s.left, s.owes > 0, s.asked > 0), now, s.until, far)
+		dst = ago(flag(dst, s.agreed, s.left, s.owes > 0, s.asked > 0), now, s.ends, far)
 		if s.owes > 0 {
 			dst = ago(dst, now, s.owes, far)
 		}
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -29,8 +29,10 @@
 
 	pending Number
 	began   time.Duration // the change in hand
-	round   Round         // the last
-	open    bool          // it is not over
+	known   Number        // a change that this planner had in its log before it led, since
+	knownAt time.Duration
+	round   Round // the last
+	open    bool  // it is not over
 	opened  time.Duration
 	closed  time.Duration
 	failed  error  // why it can't lead
@@ -49,6 +51,7 @@
 type place struct {
 	link   Link
 	until  time.Duration // its lease, as granted at the latest
+	ends   time.Duration // when it takes nothing under it any more, whatever its clock's rate
 	agreed bool
 	held   Round
 	owes   time.Duration // since when it owes a word; 0 = it doesn't
@@ -113,8 +116,9 @@
 			// Whoever had a lease of an earlier leader has asked for it before this term began: it ends within Lease from now.
 			l.since = now
 			for _, s := range l.state.Seats {
-				if l.seats[s.Member] = (&place{until: now + l.cfg.Lease}); l.cfg.Without.Has(NoNewTermWait) {
-					l.seats[s.Member].until = now - l.cfg.Margin
+				p := &place{}
+				if l.seats[s.Member] = p; !l.cfg.Without.Has(NoNewTermWait) {
+					l.grant(now, p, l.cfg.Lease)
 				}
 			}
 		}
@@ -123,7 +127,8 @@
 		delete(l.tried, "join "+c.Name)
 		for i := range l.state.Seats {
 			if s := &l.state.Seats[i]; s.Name == c.Name && s.Nonce == c.Nonce && l.seats[s.Member] == nil && l.since > 0 {
-				l.seats[s.Member] = &place{until: now + l.cfg.Lease, heard: now}
+				l.seats[s.Member] = &place{heard: now}
+				l.grant(now, l.seats[s.Member], l.cfg.Lease)
 			}
 		}
 		for link, m := range l.names {
@@ -154,14 +159,34 @@
 func (l *Leader) Confirmed(now time.Duration) {
 	for _, a := range l.confirming {
 		if s := l.seats[a.member]; s != nil && l.state.Seat(a.member) != nil && l.prolongs(now, s) {
-			s.until = max(s.until, now+l.cfg.Lease)
-			l.send(a.link, Message{Kind: Granted, Member: a.member, Seq: a.seq})
+			length := l.length(now)
+			l.grant(now, s, length)
+			l.send(a.link, Message{Kind: Granted, Member: a.member, Seq: a.seq, Lease: length})
 		}
 	}
 	l.confirming = nil
 	l.ask()
 }
 
+// length is that of a lease that is granted now.
+func (l *Leader) length(now time.Duration) time.Duration {
+	if l.pending != 0 && l.state.Pending() != nil && now-l.began >= l.cfg.Lease/2 {
+		return l.cfg.Short
+	}
+	return l.cfg.Lease
+}
+
+// grant notes a lease. A shorter one doesn't end a longer one that was granted before: its proxy may have heard of that alone.
+func (l *Leader) grant(now time.Duration, s *place, length time.Duration) {
+	s.until = max(s.until, now+length)
+	if l.cfg.Lease > 0 {
+		s.ends = max(s.ends, now+length+time.Duration(float64(l.cfg.Margin)*float64(length)/float64(l.cfg.Lease)))
+	}
+}
+
+// Since says when this planner first had a change in its log, by its own clock: the bound on a change's time doesn't begin anew with each leader.
+func (l *Leader) Since(n Number, at time.Duration) { l.known, l.knownAt = n, at }
+
 // wants notes an ask; of a member's only the last counts.
 func (l *Leader) wants(a ask) {
 	for _, b := range l.confirming {
@@ -224,6 +249,7 @@
 		if l.cfg.Lease > 0 {
 			l.wants(ask{m.Member, m.Seq, link})
 		}
+		return // nothing that a change waits for: with thousands of members a look at all of them for each ask would be most of the work
 	case Agree:
 		if m.Number == l.pending && l.state.Pending() != nil {
 			s.agreed, s.owes = true, 0
@@ -284,7 +310,7 @@
 		l.names[link] = m
 		why := fmt.Sprintf("%s is a member already, as of an earlier start or by a second process of that name", m.Name)
 		if l.cfg.Lease > 0 && s != nil {
-			why += fmt.Sprintf("; its lease ends in %v at the latest", (max(s.until+l.cfg.Margin-now, 0)).Round(time.Millisecond))
+			why += fmt.Sprintf("; its lease ends in %v at the latest", (max(s.ends-now, 0)).Round(time.Millisecond))
 		} else {
 			why += "; `havenproxy policy expel " + m.Name + "` once that one is sure to have ended"
 		}
@@ -378,6 +404,9 @@
 		}
 	case c.Number != l.pending:
 		l.pending, l.began, l.open, l.closed, l.abort = c.Number, now, false, 0, ""
+		if c.Number == l.known {
+			l.began = l.knownAt
+		}
 		for _, s := range l.seats {
 			s.agreed, s.owes, s.asked = false, 0, 0
 		}
@@ -429,7 +458,7 @@
 		return
 	}
 	for _, seat := range l.state.Seats {
-		if s := l.seats[seat.Member]; s != nil && now > s.until+l.cfg.Margin { // the fence: behind it the member takes nothing
+		if s := l.seats[seat.Member]; s != nil && now > s.ends { // the fence: behind it the member takes nothing
 			s.left = true // and it gets no other, though it may ask before the log has it
 			l.try(now, fmt.Sprint("leave ", seat.Member), Command{Act: Leave, Member: seat.Member, Round: Round{Term: l.term}})
 		}
--- a/internal/rollout/proxy.go
+++ b/internal/rollout/proxy.go
@@ -24,7 +24,8 @@
 	member Member
 	number Number // the policy that it serves under
 	until  time.Duration
-	lease  bool // there is one, until then
+	lease  bool          // there is one, until then
+	length time.Duration // of the last that was granted; 0 = none was
 	staged Number
 	policy []byte // of staged
 	held   Round  // zero = it holds nothing
@@ -67,6 +68,14 @@
 // Until gives the end of the lease.
 func (p *Proxy) Until() time.Duration { return p.until }
 
+// Length gives how long the lease is that was granted last: it is to be asked for a few times in that.
+func (p *Proxy) Length() time.Duration {
+	if p.length > 0 {
+		return p.length
+	}
+	return p.cfg.Lease
+}
+
 // Holds tells the round in which requests are held, and since when.
 func (p *Proxy) Holds() (Round, time.Duration, bool) { return p.held, p.since, p.held != Round{} }
 
@@ -145,8 +154,12 @@
 		if m.Seq > p.seq || p.seq-m.Seq >= asks {
 			return
 		}
-		if until := p.asked[m.Seq%asks] + p.cfg.Lease; !p.lease || until > p.until {
-			p.lease, p.until = true, until
+		length := p.cfg.Lease
+		if m.Lease > 0 {
+			length = min(length, m.Lease)
+		}
+		if p.length = length; !p.lease || p.asked[m.Seq%asks]+length > p.until {
+			p.lease, p.until = true, p.asked[m.Seq%asks]+length
 		}
 	case Offer:
 		if m.Number <= p.number || p.held != (Round{}) { // what is held for comes to its end first
