Decide who keeps, sends and takes over a keyed write, and play it on virtual time (begun)

A keyed write whose proxy dies is lost or doubled, but for the set's memory of 3 s.

Change: internal/takeover, pure: a leased register a key at three keepers by rendezvous hashing, most of which have to agree; claims, repairs, what is told to who asks again (docs/design/takeover.md). internal/lab/worksim plays it on virtual time with an auditor, internal/lab/explore visits its small states. Nothing uses it yet.

--- /dev/null
+++ b/internal/takeover/book.go
@@ -0,0 +1,158 @@
+package takeover
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Book is one proxy's: what it owns, what it asks about, and what it keeps for others. Its methods are called one at a time.
+type Book struct {
+	cfg     Config
+	self    Member
+	members []Member // sorted
+	past    []view   // that others may still go by
+	seq     uint64
+
+	kept  map[string]*record
+	floor map[Member]uint64 // asks of a member up to this one belong to records that were forgotten
+	tasks map[string]*task
+	down  map[Member]bool // whom there is no link to
+
+	out    []Say
+	orders []Order
+
+	// Counters tell what has been done; they only grow.
+	Counters Counters
+}
+
+// Counters count pieces of work, but where they say else.
+type Counters struct {
+	Recorded uint64 // sent with their records held
+	Without  uint64 // sent without, as no keepers were to be had
+	Refused  uint64 // refused for want of keepers
+	Joined   uint64 // asked again while they were under way, or had ended
+	Clashed  uint64 // asked again with another statement
+	Claimed  uint64 // taken over
+	Again    uint64 // of those, that may have been sent before
+	Unknown  uint64 // whose end can't be known
+	Lost     uint64 // taken over by others while this proxy lived
+	Beyond   uint64 // written behind a promise that had ended meanwhile: see Judge
+	Full     uint64 // records for others that were not taken for want of room
+}
+
+// New makes one for a proxy that is no member of its tier yet.
+func New(cfg Config) *Book {
+	return &Book{cfg: cfg.WithDefaults(), kept: map[string]*record{}, floor: map[Member]uint64{}, tasks: map[string]*task{}, down: map[Member]bool{}}
+}
+
+// Link tells whether another member can be reached, as far as the link to it shows. A write whose keepers can't be is not begun.
+func (b *Book) Link(m Member, up bool) {
+	if up {
+		delete(b.down, m)
+	} else {
+		b.down[m] = true
+	}
+}
+
+// View takes the tier's members, by their numbers, and which of them this proxy is; 0 = none now. until says how long others may still go by
+// the list before: as long as their membership lasts without news, and what they own then.
+func (b *Book) View(now time.Duration, self Member, members []Member, until time.Duration) {
+	if self != b.self { // a new membership: what was owned under the earlier one belongs to somebody who is none any more
+		b.self = self
+		for _, key := range slices.Sorted(maps.Keys(b.tasks)) {
+			if t := b.tasks[key]; t.stage == owning {
+				b.lose(now, t)
+			}
+		}
+	}
+	next := slices.Clone(members)
+	slices.Sort(next)
+	if slices.Equal(next, b.members) {
+		return
+	}
+	if b.members != nil {
+		b.past = append(b.past, view{b.members, until})
+	}
+	b.past = slices.DeleteFunc(b.past, func(v view) bool { return now >= v.until })
+	b.members = next
+	b.repair(now)
+	for m := range b.floor {
+		if _, ok := slices.BinarySearch(next, m); !ok && !slices.ContainsFunc(b.past, func(v view) bool { return slices.Contains(v.members, m) }) {
+			delete(b.floor, m)
+		}
+	}
+}
+
+// Out gives the messages for others and the orders for this proxy; they are given once.
+func (b *Book) Out() (say []Say, orders []Order) {
+	say, orders, b.out, b.orders = b.out, b.orders, nil, nil
+	return say, orders
+}
+
+func (b *Book) say(now time.Duration, to Member, m Message) {
+	if to == b.self {
+		b.Heard(now, to, m)
+		return
+	}
+	b.out = append(b.out, Say{to, m})
+}
+
+func (b *Book) order(o Order) { b.orders = append(b.orders, o) }
+
+// Heard takes another proxy's message, and this one's own where it keeps what it owns.
+func (b *Book) Heard(now time.Duration, from Member, m Message) {
+	switch m.Kind {
+	case Held, Other, Unheard, Full:
+		b.answered(now, from, m)
+	default:
+		b.hear(now, from, m)
+	}
+}
+
+// Tick does what is due by the clock. It is called a few times in each of Again.
+func (b *Book) Tick(now time.Duration) {
+	b.watch(now)
+	for _, key := range slices.Sorted(maps.Keys(b.tasks)) {
+		if t := b.tasks[key]; t != nil {
+			b.tend(now, t)
+		}
+	}
+}
+
+// sorted gives the keys of records that may have something due, in an order that doesn't hang on a map's.
+func (b *Book) sorted(now time.Duration) (keys []string) {
+	for key, r := range b.kept {
+		if r.result != nil && (now-r.ended >= b.cfg.Keep || b.cfg.Without.Has(NoKeep)) || r.result == nil && now >= min(r.promised, r.deadline+b.cfg.Keep) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Facts is what an operator is shown.
+type Facts struct {
+	Own, Kept, Claimed, Asking int
+	Oldest                     time.Duration // of what is kept and has not ended
+}
+
+// Facts tells how things stand.
+func (b *Book) Facts(now time.Duration) (f Facts) {
+	for _, t := range b.tasks {
+		switch {
+		case t.stage == owning && t.run != nil:
+			f.Claimed++
+		case t.stage == owning:
+			f.Own++
+		case t.stage != ending:
+			f.Asking++
+		}
+	}
+	for _, r := range b.kept {
+		if f.Kept++; r.result == nil {
+			f.Oldest = max(f.Oldest, now-r.from)
+		}
+	}
+	return f
+}
