--- a/internal/lab/tier/faults.go
+++ b/internal/lab/tier/faults.go
@@ -94,6 +94,31 @@
 			return func() {}
 		}
 	}
+	if f.Kind != "kill planners" && strings.Contains(f.Kind, "planner") { // what is promised hangs on most of them
+		var who []int
+		b.mu.Lock()
+		for _, i := range f.Who {
+			if !b.downs[i] && len(b.downs) < (len(b.Planners)-1)/2 {
+				b.downs[i] = true
+				who = append(who, i)
+			}
+		}
+		b.mu.Unlock()
+		if f.Who = who; len(who) == 0 {
+			return func() {}
+		}
+		defer func() {
+			mend := end
+			end = func() {
+				mend()
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				for _, i := range who {
+					delete(b.downs, i)
+				}
+			}
+		}()
+	}
 	switch f.Kind {
 	case "kill planner", "kill planners":
 		return b.each(b.Planners, f.Who, func(p *Process) { p.Kill() }, func(p *Process) { p.Start() })
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -198,3 +198,26 @@
 		}
 	}
 }
+
+// The leading planner stands still, its links up: its proxies look for another before their leases end, and none refuses for want of one for longer
+// than that takes. Without, they waited for two lengths of a lease.
+func TestAPausedLeaderIsLeftBeforeLeasesEnd(t *testing.T) {
+	b := small(t, 3, 3, 2*time.Second)
+	a, err := b.Client().Status(t.Context(), 0)
+	if err != nil || a.Leader == 0 {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	wait := b.Ask(ctx, 2, 5*time.Millisecond)
+	end := b.begin(Fault{Kind: "pause planner", Who: []int{int(a.Leader) - 1}})
+	for began := time.Now(); time.Since(began) < 4*time.Second; { // two lengths of a lease
+		time.Sleep(50 * time.Millisecond)
+	}
+	cancel()
+	wait()
+	end()
+	seen, refused, lost := b.History()
+	if refused+lost > len(seen)/2 {
+		t.Errorf("%d served, %d refused, %d lost while the planner that led stood still", len(seen), refused, lost)
+	}
+}
--- a/internal/net/tier.go
+++ b/internal/net/tier.go
@@ -17,10 +17,10 @@
 	tierDial     = time.Second            // that a planner may take to answer a dial
 	tierAgain    = 100 * time.Millisecond // before the next planner is tried, doubled with each round of them, with jitter
 	tierAgainMax = 3 * time.Second
-	tierAsks     = 5           // for the lease, in its length
-	tierIdle     = time.Second // between signs of life where there are no leases
-	tierSilence  = 2           // lengths of the lease, or of tierIdle * 5, without a word: the next planner is tried
-	tierTell     = time.Minute // one line about unreadable frames
+	tierAsks     = 5             // for the lease, in its length
+	tierIdle     = time.Second   // between signs of life where there are no leases
+	tierSilence  = 10 * tierIdle // without a word: the next planner is tried; where there are leases, after half of one, so that the next can prolong it
+	tierTell     = time.Minute   // one line about unreadable frames
 )
 
 // Tier is a proxy's link to the planners of its tier: one at a time, the next where it ends, is silent, or doesn't lead. It implements
@@ -130,12 +130,12 @@
 
 // pulse asks for the lease, and gives a planner up that has been silent.
 func (t *Tier) pulse() {
-	every := tierIdle
+	every, silence := tierIdle, tierSilence
 	if t.cfg.Lease > 0 {
-		every = t.side.Length() / tierAsks
+		every, silence = t.side.Length()/tierAsks, t.cfg.Lease/2
 	}
 	now := t.clock.Now()
-	if now-t.heard > tierSilence*max(t.cfg.Lease, tierAsks*every) {
+	if now-t.heard > silence {
 		t.drop()
 		return
 	}
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -57,14 +57,14 @@
 
 // The guards.
 const (
-	NoLeaseCheck  Guards = 1 << iota // a proxy looks at the end of its lease before it takes a request
-	NoWait                           // it takes nothing while it holds
-	NoStartCheck                     // it takes nothing before it has the tier's policy
-	NoTermCheck                      // what an earlier leader wrote has no effect behind a later one's beginning, nor a round that was let go
-	NoTierCheck                      // nor one for a tier that somebody has joined since
-	NoNewTermWait                    // a new leader takes leases of the one before for running
-	NoLastLease                      // no lease is prolonged once its member is to go
-	NoLongestLease                   // a short lease doesn't end a longer one that was granted before
+	NoLeaseCheck   Guards = 1 << iota // a proxy looks at the end of its lease before it takes a request
+	NoWait                            // it takes nothing while it holds
+	NoStartCheck                      // it takes nothing before it has the tier's policy
+	NoTermCheck                       // what an earlier leader wrote has no effect behind a later one's beginning, nor a round that was let go
+	NoTierCheck                       // nor one for a tier that somebody has joined since
+	NoNewTermWait                     // a new leader takes leases of the one before for running
+	NoLastLease                       // no lease is prolonged once its member is to go
+	NoLongestLease                    // a short lease doesn't end a longer one that was granted before
 )
 
 // GuardNames names them.
