--- a/internal/lab/command/tier.go
+++ b/internal/lab/command/tier.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -176,7 +177,9 @@
 				}
 				l.Binary = filepath.Join(filepath.Dir(self), "havenproxy")
 			}
-			x, err := l.Measure(c.Context())
+			ctx, cancel := context.WithTimeout(c.Context(), l.For+time.Minute) // its links don't come again once a planner has closed them
+			defer cancel()
+			x, err := l.Measure(ctx)
 			if err != nil {
 				return err
 			}
