--- a/internal/takeover/api.go
+++ b/internal/takeover/api.go
@@ -52,10 +52,12 @@
 	NoKeep                          // an ended record is remembered
 	NoJoin                          // who asks again for a key that is under way starts no run of its own
 	NoMajority                      // a record is complete when most keepers hold it, not one
+	NoAge                           // a keeper begins no record by a message that may be older than what it has forgotten
+	NoFirstHand                     // only who had a record of its first owner knows when that could send
 )
 
 // GuardNames names them.
-var GuardNames = []string{"lease check", "epoch check", "promise", "window", "memory", "join by key", "majority"}
+var GuardNames = []string{"lease check", "epoch check", "promise", "window", "memory", "join by key", "majority", "age", "first hand"}
 
 // Has tells whether a guard is left out.
 func (g Guards) Has(x Guards) bool { return g&x != 0 }
@@ -148,6 +150,7 @@
 	Sure                    // the owner has what it needs to send, and may have
 	Drop                    // the owner never had it, and never will: the record is void
 	Copy                    // a keeper hands a record on to one that has become a keeper of it
+	Stale                   // a keeper can't tell how old an ask is: ask again, with its clock as it stands here
 )
 
 // Message is one between two proxies.
@@ -166,6 +169,11 @@
 	Loose  bool          `cbor:"12,keyasint,omitempty"` // with Take: its class prefers to go without a record to a refusal
 	Sent   bool          `cbor:"13,keyasint,omitempty"` // with Held: its owner has said Sure
 	Since  time.Duration `cbor:"14,keyasint,omitempty"` // with Copy: since it ended
+	Second bool          `cbor:"15,keyasint,omitempty"` // with Held: the keeper has it of another keeper or a claimant, not of its first owner
+	// Clock is the sender's at the message, Echo the receiver's as the sender last heard it: the message was written no earlier. So each knows
+	// how old a message may be, with no clock that all read.
+	Clock time.Duration `cbor:"16,keyasint,omitempty"`
+	Echo  time.Duration `cbor:"17,keyasint,omitempty"`
 }
 
 // Say is a message for another proxy of the tier.
--- a/internal/takeover/book.go
+++ b/internal/takeover/book.go
@@ -14,10 +14,11 @@
 	past    []view   // that others may still go by
 	seq     uint64
 
-	kept  map[string]*record
-	floor map[Member]uint64 // asks of a member up to this one belong to records that were forgotten
-	tasks map[string]*task
-	down  map[Member]bool // whom there is no link to
+	kept   map[string]*record
+	clocks map[Member]time.Duration // of others, as last heard
+	until  time.Duration            // this proxy is a member until then
+	tasks  map[string]*task
+	down   map[Member]bool // whom there is no link to
 
 	out    []Say
 	orders []Order
@@ -43,7 +44,20 @@
 
 // New makes one for a proxy that is no member of its tier yet.
 func New(cfg Config) *Book {
-	return &Book{cfg: cfg.WithDefaults(), kept: map[string]*record{}, floor: map[Member]uint64{}, tasks: map[string]*task{}, down: map[Member]bool{}}
+	return &Book{cfg: cfg.WithDefaults(), kept: map[string]*record{}, clocks: map[Member]time.Duration{}, tasks: map[string]*task{}, down: map[Member]bool{}}
+}
+
+// Before tells who joins which list of members there was, until others may no longer go by it. It is called behind View.
+func (b *Book) Before(members []Member, until time.Duration) {
+	list := slices.Clone(members)
+	slices.Sort(list)
+	for i := range b.past {
+		if slices.Equal(b.past[i].members, list) {
+			b.past[i].until = max(b.past[i].until, until)
+			return
+		}
+	}
+	b.past = slices.Insert(b.past, 0, view{list, until}) // the last stays that which held before the present one
 }
 
 // Link tells whether another member can be reached, as far as the link to it shows. A write whose keepers can't be is not begun.
@@ -58,8 +72,9 @@
 // View takes the tier's members, by their numbers, and which of them this proxy is; 0 = none now. until says how long others may still go by
 // the list before: as long as their membership lasts without news, and what they own then.
 func (b *Book) View(now time.Duration, self Member, members []Member, until time.Duration) {
-	if self != b.self { // a new membership: what was owned under the earlier one belongs to somebody who is none any more
+	if self != b.self { // a new membership: what was owned under the earlier one belongs to somebody who is none any more, and is kept by nobody
 		b.self = self
+		clear(b.kept)
 		for _, key := range slices.Sorted(maps.Keys(b.tasks)) {
 			if t := b.tasks[key]; t.stage == owning {
 				b.lose(now, t)
@@ -77,13 +92,20 @@
 	b.past = slices.DeleteFunc(b.past, func(v view) bool { return now >= v.until })
 	b.members = next
 	b.repair(now)
-	for m := range b.floor {
+	for m := range b.clocks {
 		if _, ok := slices.BinarySearch(next, m); !ok && !slices.ContainsFunc(b.past, func(v view) bool { return slices.Contains(v.members, m) }) {
-			delete(b.floor, m)
+			delete(b.clocks, m)
 		}
 	}
 }
 
+// Belongs says until when this proxy's membership lasts, by its own clock, without further news. Behind it, it sends, keeps and claims nothing:
+// it may have been followed by others, and its list of members may be any age.
+func (b *Book) Belongs(until time.Duration) { b.until = max(b.until, until) }
+
+// member tells whether it is one.
+func (b *Book) member(now time.Duration) bool { return b.self != 0 && now < b.until }
+
 // Out gives the messages for others and the orders for this proxy; they are given once.
 func (b *Book) Out() (say []Say, orders []Order) {
 	say, orders, b.out, b.orders = b.out, b.orders, nil, nil
@@ -91,6 +113,7 @@
 }
 
 func (b *Book) say(now time.Duration, to Member, m Message) {
+	m.Clock, m.Echo = now, b.clocks[to]
 	if to == b.self {
 		b.Heard(now, to, m)
 		return
@@ -102,17 +125,22 @@
 
 // Heard takes another proxy's message, and this one's own where it keeps what it owns.
 func (b *Book) Heard(now time.Duration, from Member, m Message) {
+	b.clocks[from] = max(b.clocks[from], m.Clock)
 	switch m.Kind {
-	case Held, Other, Unheard, Full:
+	case Held, Other, Unheard, Full, Stale:
 		b.answered(now, from, m)
 	default:
-		b.hear(now, from, m)
+		if b.member(now) { // the fence against a keeper that stood still for longer than its membership
+			b.hear(now, from, m)
+		}
 	}
 }
 
 // Tick does what is due by the clock. It is called a few times in each of Again.
 func (b *Book) Tick(now time.Duration) {
-	b.watch(now)
+	if b.member(now) {
+		b.watch(now)
+	}
 	for _, key := range slices.Sorted(maps.Keys(b.tasks)) {
 		if t := b.tasks[key]; t != nil {
 			b.tend(now, t)
--- a/internal/takeover/keeper.go
+++ b/internal/takeover/keeper.go
@@ -16,9 +16,9 @@
 	owners   int           // that it was held for here
 	loose    bool          // its first owner may have sent it without enough keepers
 	sent     bool          // an owner may have sent it, by its own word
+	second   bool          // it comes of another keeper or a claimant: when it began, and whether others have forgotten it, isn't known here
 	result   *Result
 	ended    time.Duration
-	seq      uint64 // of the last ask that was granted
 }
 
 // hear takes a message as a keeper, and answers it.
@@ -37,16 +37,21 @@
 		answer(x)
 	}
 	grant := func(owners int) {
-		r.owner, r.seq = from, max(r.seq, m.Seq)
+		r.owner = from
 		r.promised = max(r.promised, now+b.cfg.Lease+b.cfg.Margin)
 		work := r.work
 		work.Left = max(r.deadline-now, 0)
-		answer(Message{Kind: Held, Epoch: r.epoch, Owners: owners, Age: now - r.from, Work: &work, Loose: r.loose, Sent: r.sent})
+		answer(Message{Kind: Held, Epoch: r.epoch, Owners: owners, Age: now - r.from, Work: &work, Loose: r.loose, Sent: r.sent, Second: r.second})
+	}
+	if r == nil && (m.Kind == Take || m.Kind == Claim || m.Kind == Copy) && from != b.self && now-m.Echo > b.cfg.Keep/2 && !b.cfg.Without.Has(NoAge) {
+		// The fence against what comes once its record was forgotten: that is Keep behind its end at the earliest.
+		answer(Message{Kind: Stale})
+		return
 	}
 	switch m.Kind {
 	case Take:
 		switch {
-		case m.Work == nil || m.Seq <= b.floor[from]: // the fence against one that comes once its record was forgotten
+		case m.Work == nil:
 		case r == nil && len(b.kept) >= b.cfg.Most:
 			b.Counters.Full++
 			answer(Message{Kind: Full})
@@ -62,9 +67,8 @@
 	case Claim:
 		switch {
 		case m.Work == nil:
-		case r == nil && m.Seq <= b.floor[from]:
 		case r == nil: // it never came here, and won't any more: Take finds the record
-			r = &record{work: *m.Work, from: now, deadline: now + m.Work.Left, epoch: m.Epoch, owners: 1, loose: m.Loose}
+			r = &record{work: *m.Work, from: now, deadline: now + m.Work.Left, epoch: m.Epoch, owners: 1, loose: m.Loose, second: true}
 			b.kept[key] = r
 			grant(0)
 		case r.result != nil || r.work.Digest != m.Work.Digest:
@@ -93,14 +97,13 @@
 		}
 	case Drop:
 		if r != nil && r.owner == from && r.epoch == 1 && m.Epoch == 1 && r.result == nil && !r.sent {
-			b.forget(key, r)
+			delete(b.kept, key)
 		}
 	case End:
 		if m.Result == nil {
 			return
 		}
 		switch {
-		case r == nil && m.Seq <= b.floor[from]:
 		case r == nil: // it never came here, but has ended: who asks again is to hear so
 			r = &record{work: Work{Key: key, Digest: m.Digest}, from: now, owner: from, epoch: m.Epoch, owners: 1}
 			b.kept[key] = r
@@ -108,7 +111,7 @@
 		case r.result == nil && r.owner == from && r.epoch == m.Epoch, m.Result.Outcome == Served && (r.result == nil || r.result.Outcome != Served):
 			// That it was applied stays true, whoever owns it by now.
 			x := *m.Result
-			r.result, r.ended, r.seq = &x, now, max(r.seq, m.Seq)
+			r.result, r.ended = &x, now
 		}
 		if r != nil && r.result != nil {
 			answer(Message{Kind: Other, Epoch: r.epoch, Owner: r.owner, Result: r.result, Digest: r.work.Digest})
@@ -128,12 +131,6 @@
 	return r.result == nil && now >= r.promised
 }
 
-// forget drops a record. What its owner said up to then is of no more use.
-func (b *Book) forget(key string, r *record) {
-	delete(b.kept, key)
-	b.floor[r.owner] = max(b.floor[r.owner], r.seq)
-}
-
 // watch looks after what is kept for others: what nobody owns any more is claimed, what has ended long ago forgotten.
 func (b *Book) watch(now time.Duration) {
 	for _, key := range b.sorted(now) {
@@ -141,18 +138,18 @@
 		switch {
 		case r.result != nil:
 			if now-r.ended >= b.cfg.Keep || b.cfg.Without.Has(NoKeep) {
-				b.forget(key, r)
+				delete(b.kept, key)
 			}
 		case b.tasks[key] != nil: // this proxy has it in hand already
 		case now >= r.deadline+b.cfg.Keep: // nobody could be asked about it for as long
-			b.forget(key, r)
+			delete(b.kept, key)
 		case b.lapsed(now, r):
 			rank := 0
 			if s := b.sets(now, key); len(s) > 0 {
 				rank = max(slices.Index(s[0].members, b.self), 0)
 			}
 			if now >= r.promised+time.Duration(rank)*b.cfg.Lease/4 { // not all at once
-				b.claim(now, key, r.work, r.epoch, r.deadline, r.loose, r.sent, now-r.from)
+				b.claim(now, key, r.work, r.epoch, r.deadline, r.loose, r.sent)
 			}
 		}
 	}
@@ -177,17 +174,22 @@
 			if slices.Contains(was, m) || m == b.self {
 				continue
 			}
-			work := r.work
-			work.Left = max(r.deadline-now, 0)
-			x := Message{Kind: Copy, Work: &work, Epoch: r.epoch, Owner: r.owner, Owners: r.owners, Age: now - r.from, Result: r.result, Loose: r.loose, Sent: r.sent}
-			if r.result != nil {
-				x.Since = now - r.ended
-			}
-			b.say(now, m, x)
+			b.copy(now, m, r)
 		}
 	}
 }
 
+// copy hands a record on.
+func (b *Book) copy(now time.Duration, to Member, r *record) {
+	work := r.work
+	work.Left = max(r.deadline-now, 0)
+	x := Message{Kind: Copy, Work: &work, Epoch: r.epoch, Owner: r.owner, Owners: r.owners, Result: r.result, Loose: r.loose, Sent: r.sent}
+	if r.result != nil {
+		x.Since = now - r.ended
+	}
+	b.say(now, to, x)
+}
+
 // copied takes a record from another keeper. Its owner may hold a promise of others that is as long as any: the same is kept here.
 func (b *Book) copied(now time.Duration, key string, r *record, m Message) {
 	if m.Work == nil || m.Since >= b.cfg.Keep || len(b.kept) >= b.cfg.Most && r == nil {
@@ -195,13 +197,13 @@
 	}
 	switch {
 	case r == nil:
-		r = &record{work: *m.Work, from: now - m.Age, deadline: now + m.Work.Left, owner: m.Owner, epoch: m.Epoch, owners: max(m.Owners, 1), loose: m.Loose,
-			sent: m.Sent, promised: now + b.cfg.Lease + b.cfg.Margin}
+		r = &record{work: *m.Work, from: now, deadline: now + m.Work.Left, owner: m.Owner, epoch: m.Epoch, owners: max(m.Owners, 1), loose: m.Loose,
+			sent: m.Sent, second: true, promised: now + b.cfg.Lease + b.cfg.Margin}
 		b.kept[key] = r
 	case m.Epoch > r.epoch && r.result == nil:
 		r.owner, r.epoch, r.owners, r.promised = m.Owner, m.Epoch, max(r.owners, m.Owners), max(r.promised, now+b.cfg.Lease+b.cfg.Margin)
 	}
-	r.from, r.loose, r.sent = min(r.from, now-m.Age), r.loose || m.Loose, r.sent || m.Sent
+	r.loose, r.sent = r.loose || m.Loose, r.sent || m.Sent
 	if m.Result != nil && (r.result == nil || m.Result.Outcome == Served && r.result.Outcome != Served) {
 		x := *m.Result
 		r.result, r.ended = &x, now-m.Since
--- a/internal/takeover/owner.go
+++ b/internal/takeover/owner.go
@@ -32,11 +32,14 @@
 	at       [8]time.Duration
 	heard    map[Member]Message // what each has said last in this stage
 	grants   map[Member]time.Duration
+	from     map[Member]time.Duration // when each that has it of its first owner first held it
+	renewed  map[Member]uint64        // the ask that was sent once more to each, as it could not tell how old it was
 	result   *Result
 	told     bool // what waits here has been answered
 
-	run   *Run          // it was taken over; how is known once it is owned
-	since time.Duration // when any keeper first held it, as far as known: nothing was sent before
+	last Message // of the last ask
+
+	run   *Run // it was taken over; how is known once it is owned
 	loose bool
 	sent  bool
 }
@@ -58,9 +61,9 @@
 		}
 		return
 	}
-	t := &task{key: w.Key, work: w, ids: []uint64{id}, survive: s, deadline: now + w.Left, epoch: 1, since: now, loose: s == Preferred}
+	t := &task{key: w.Key, work: w, ids: []uint64{id}, survive: s, deadline: now + w.Left, epoch: 1, loose: s == Preferred}
 	b.tasks[w.Key] = t
-	if !enough(b.sets(now, w.Key), func(m Member) bool { return m == b.self || !b.down[m] }) || b.self == 0 || len(b.members) < b.cfg.Copies {
+	if !enough(b.sets(now, w.Key), func(m Member) bool { return m == b.self || !b.down[m] }) || !b.member(now) || len(b.members) < b.cfg.Copies {
 		b.without(now, t)
 		return
 	}
@@ -74,6 +77,7 @@
 // enter begins a stage.
 func (b *Book) enter(now time.Duration, t *task, s stage) {
 	t.stage, t.began, t.heard, t.grants = s, now, map[Member]Message{}, map[Member]time.Duration{}
+	t.from, t.renewed = map[Member]time.Duration{}, map[Member]uint64{}
 	t.first = b.seq + 1
 	b.ask(now, t)
 }
@@ -101,6 +105,7 @@
 	default:
 		return
 	}
+	t.last = m
 	for _, k := range all(b.sets(now, t.key)) {
 		if t.stage == b.stageOf(t.key) { // an answer of this proxy's own may have moved it on
 			b.say(now, k, m)
@@ -122,7 +127,7 @@
 	if t == nil || t.stage == loose {
 		return t != nil
 	}
-	return t.stage == owning && (b.cfg.Without.Has(NoLeaseCheck) || b.holds(now, t))
+	return t.stage == owning && (b.cfg.Without.Has(NoLeaseCheck) || b.member(now) && b.holds(now, t))
 }
 
 // Epoch gives the epoch in which this proxy owns a key's record; 0 = it doesn't.
@@ -205,13 +210,13 @@
 }
 
 // claim takes over a record that nobody owns any more.
-func (b *Book) claim(now time.Duration, key string, w Work, epoch Epoch, deadline time.Duration, loose, sent bool, age time.Duration) {
+func (b *Book) claim(now time.Duration, key string, w Work, epoch Epoch, deadline time.Duration, loose, sent bool) {
 	t := b.tasks[key]
 	if t == nil {
 		t = &task{key: key, deadline: deadline}
 		b.tasks[key] = t
 	}
-	t.work, t.epoch, t.loose, t.sent, t.since = w, epoch+1, loose, sent, now-age
+	t.work, t.epoch, t.loose, t.sent = w, epoch+1, loose, sent
 	t.run = &Run{}
 	b.enter(now, t, claiming)
 }
@@ -219,6 +224,10 @@
 // answered takes a keeper's word.
 func (b *Book) answered(now time.Duration, from Member, m Message) {
 	t := b.tasks[m.Key]
+	if r := b.kept[m.Key]; m.Kind == Stale && m.Seq == 0 && r != nil { // a copy
+		b.copy(now, from, r)
+		return
+	}
 	if t == nil || m.Seq < t.first || m.Seq > b.seq { // it was for an earlier stage, or another's
 		return
 	}
@@ -240,11 +249,18 @@
 		if t.seq-m.Seq < uint64(len(t.at)) {
 			t.grants[from] = max(t.grants[from], t.at[m.Seq%uint64(len(t.at))]+b.cfg.Lease)
 		}
-		if m.Age > 0 || t.stage == claiming {
-			t.since = min(t.since, now-m.Age)
-		}
 		t.loose, t.sent = t.loose || m.Loose, t.sent || m.Sent
 	}
+	if m.Kind == Stale {
+		if (t.stage == asking || t.stage == claiming) && m.Seq == t.seq && m.Seq != t.renewed[from] { // once an ask: with its clock as it has just told
+			t.renewed[from] = m.Seq
+			b.say(now, from, t.last)
+		}
+		return
+	}
+	if m.Kind == Held && !m.Second {
+		t.from[from] = now - m.Age
+	}
 	t.heard[from] = m
 	b.settle(now, t)
 }
@@ -287,10 +303,10 @@
 		case enough(sets, lapsed) && slices.ContainsFunc(all(sets), said(Other)):
 			for _, k := range all(sets) {
 				if x, ok := t.heard[k]; ok && x.Kind == Other {
-					t.epoch, t.since = max(t.epoch, x.Epoch), min(t.since, now-x.Age)
+					t.epoch = max(t.epoch, x.Epoch)
 				}
 			}
-			b.claim(now, t.key, t.work, t.epoch, t.deadline, t.loose, t.sent, now-t.since)
+			b.claim(now, t.key, t.work, t.epoch, t.deadline, t.loose, t.sent)
 		}
 	case ending:
 		if enough(sets, said(Other)) {
@@ -354,13 +370,22 @@
 func (b *Book) taken(now time.Duration, t *task, sets []set) {
 	b.Counters.Claimed++
 	t.stage = owning
-	// An earlier owner may have sent it if most of its keepers may have let it: those that held it for one, and those that haven't been heard.
-	may := enough(sets, func(k Member) bool { x, ok := t.heard[k]; return !ok || x.Kind != Held || x.Owners > 0 })
-	if t.sent {
-		may = true
+	// An earlier owner may have sent it if most of its keepers may have let it: those that held it for one, and those that haven't been heard. It
+	// may have gone by any one of the lists of members.
+	may := t.sent
+	for _, s := range sets {
+		may = may || enough([]set{s}, func(k Member) bool { x, ok := t.heard[k]; return !ok || x.Kind != Held || x.Owners > 0 })
+	}
+	// Nothing was sent before a keeper had it of the first owner. Of most keepers that held it for that one this proxy has heard one; where it
+	// has not, all it knows came by others, and may be as old as the way took. And of a record older than Keep those that don't have it may have
+	// forgotten it.
+	first, known := now, len(t.from) > 0 || b.cfg.Without.Has(NoFirstHand)
+	for _, at := range t.from {
+		first = min(first, at)
 	}
+	known = known && now-first < b.cfg.Keep-b.cfg.Lease
 	switch {
-	case t.loose && !t.sent: // it may have gone out without a record at any time: nothing can be said
+	case t.loose && !t.sent, !known: // it may have gone out at any time: nothing can be said
 		b.Ended(now, t.key, Result{Outcome: Unknown})
 	case now >= t.deadline && may:
 		b.Ended(now, t.key, Result{Outcome: Unknown})
@@ -370,7 +395,7 @@
 		if may {
 			b.Counters.Again++
 		}
-		t.run = &Run{Work: t.work, May: may, First: now - t.since}
+		t.run = &Run{Work: t.work, May: may, First: now - first}
 		t.run.Left = t.deadline - now
 		b.sure(now, t)
 		b.order(Order{Do: Go, Key: t.key, Run: t.run})
