--- a/internal/cli/plan/plan.go
+++ b/internal/cli/plan/plan.go
@@ -56,7 +56,6 @@
 			if cfg.Listen == "" {
 				cfg.Listen = cfg.Peers[cfg.ID]
 			}
-			signal.Ignore(syscall.SIGXFSZ) // a limit on files' sizes shows as a write that fails, as a full disk does
 			p, err := planner.Open(cfg)
 			if err != nil {
 				return err
--- a/internal/cli/policy.go
+++ b/internal/cli/policy.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/term"
 
 	"havenproxy/internal/planner/client"
 	"havenproxy/internal/policy"
@@ -121,6 +122,7 @@
 			n = x.Number
 		}
 	}
+	somebody := looks(errs)
 	for until, line := began.Add(f.wait), ""; ; {
 		x := a.State.Change(n)
 		if x != nil && x.Outcome != rollout.Undecided {
@@ -141,7 +143,7 @@
 		if time.Now().After(until) {
 			return errExit{exitNotKnown, fmt.Sprintf("policy %d is undecided after %v: havenproxy policy status tells more", n, f.wait)}
 		}
-		if p := a.Progress; p != nil && !f.asJSON {
+		if p := a.Progress; p != nil && !f.asJSON && somebody {
 			if l := progressLine(p); l != line && time.Since(began) > 300*time.Millisecond {
 				line = l
 				fmt.Fprintf(errs, "\r\033[K%s", line)
@@ -154,6 +156,12 @@
 	}
 }
 
+// looks tells whether a person looks at what is written: in a file, a line that is written over and over is noise.
+func looks(w io.Writer) bool {
+	file, ok := w.(*os.File)
+	return ok && term.IsTerminal(int(file.Fd()))
+}
+
 func progressLine(p *rollout.Progress) string {
 	line := fmt.Sprintf("policy %d: agreed %d of %d", p.Number, p.Agreed, p.Members)
 	if p.Held > 0 {
--- a/internal/lab/explore/takeover.go
+++ b/internal/lab/explore/takeover.go
@@ -32,7 +32,6 @@
 
 type parcel struct {
 	from, to takeover.Member
-	sent     time.Duration
 	text     takeover.Message
 }
 
@@ -40,10 +39,9 @@
 
 // sent is a write on its way to the database, or its answer on the way back.
 type sentWrite struct {
-	by    int // the proxy
-	left  int // ticks in which it may yet run
-	ran   bool
-	again bool // it may go out as a repeat only: the judgement of the proxy that sends it
+	by   int // the proxy
+	left int // ticks in which it may yet run
+	ran  bool
 }
 
 type workWorld struct {
@@ -154,7 +152,7 @@
 	if !ok {
 		id = uint16(len(w.t.letters.all))
 		w.t.letters.byKey[string(text)] = id
-		w.t.letters.all = append(w.t.letters.all, parcel{from, s.To, w.at(), m})
+		w.t.letters.all = append(w.t.letters.all, parcel{from, s.To, m})
 	}
 	if i, there := slices.BinarySearch(w.net, id); !there {
 		w.net = slices.Insert(w.net, i, id)
@@ -180,7 +178,7 @@
 			w.books[i].Ended(w.at(), o.Key, takeover.Result{Outcome: takeover.Unknown})
 			return
 		}
-		w.out = append(w.out, sentWrite{by: i, left: -1, again: again})
+		w.out = append(w.out, sentWrite{by: i, left: -1})
 	case takeover.Answer, takeover.Refuse, takeover.Give, takeover.Clash:
 		if !w.waits[int(o.ID)] {
 			w.broken = fmt.Sprintf("request %d is answered twice, or was never asked", o.ID)
--- a/internal/lab/tier/disk_test.go
+++ b/internal/lab/tier/disk_test.go
@@ -12,8 +12,6 @@
 
 	"golang.org/x/sys/unix"
 
-	"havenproxy/internal/lab/fleet"
-	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/rollout"
 )
 
@@ -51,12 +49,7 @@
 	log := &lines{}
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
-	b, err := Start(ctx, Config{Binary: binary, Proxies: 2, Planners: 3, Lease: 2 * time.Second, Seed: 1, Log: log,
-		Fleet: fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(b.Close)
+	b := started(t, Config{Proxies: 2, Planners: 3, Lease: 2 * time.Second, Log: log})
 	must := func(err error) {
 		t.Helper()
 		if err != nil {
@@ -127,12 +120,7 @@
 	log := &lines{}
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
-	b, err := Start(ctx, Config{Binary: binary, Proxies: 1, Planners: 3, Lease: 2 * time.Second, Seed: 1, Log: log,
-		Fleet: fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(b.Close)
+	b := started(t, Config{Proxies: 1, Planners: 3, Lease: 2 * time.Second, Log: log})
 	a, err := b.Client().Status(ctx, 0)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -32,10 +32,15 @@
 }
 
 func small(t *testing.T, proxies, planners int, lease time.Duration) *Bench {
+	return started(t, Config{Proxies: proxies, Planners: planners, Lease: lease, Log: testLog{t}})
+}
+
+func started(t *testing.T, cfg Config) *Bench {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	b, err := Start(ctx, Config{Binary: binary, Proxies: proxies, Planners: planners, Lease: lease, Seed: 1, Log: testLog{t},
-		Fleet: fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}})
+	cfg.Binary, cfg.Seed = binary, 1
+	cfg.Fleet = fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}
+	b, err := Start(ctx, cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -118,12 +123,7 @@
 func TestTheNaiveWayIsFoundOut(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	b, err := Start(ctx, Config{Binary: binary, Proxies: 3, Planners: 3, Naive: true, Seed: 1, Log: testLog{t},
-		Fleet: fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(b.Close)
+	b := started(t, Config{Proxies: 3, Planners: 3, Naive: true, Log: testLog{t}})
 	asking, stop := context.WithCancel(ctx)
 	wait := b.Ask(asking, 2, 2*time.Millisecond)
 	cut := b.begin(Fault{Kind: "cut", Who: []int{0}})
--- a/internal/lab/tiersim/tiersim.go
+++ b/internal/lab/tiersim/tiersim.go
@@ -5,12 +5,12 @@
 package tiersim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"havenproxy/internal/lab/clockwork"
 	"havenproxy/internal/rollout"
 )
 
@@ -42,34 +42,11 @@
 	Messages                  int
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 // sim is a play that runs.
 type sim struct {
+	clockwork.Clock
 	cfg    Config
 	rng    *rand.Rand
-	now    time.Duration
-	q      queue
-	seq    int
 	state  *rollout.State
 	leader *leader
 	nodes  []*node
@@ -99,11 +76,6 @@
 	inbox   []rollout.Message // what waits in its socket while it stands still
 }
 
-func (s *sim) at(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.q, event{s.now + max(d, 0), s.seq, do})
-}
-
 func (n *node) clock(now time.Duration) time.Duration {
 	return n.offset + time.Duration(float64(now)*n.rate)
 }
@@ -122,13 +94,9 @@
 	for range cfg.Down {
 		s.trouble()
 	}
-	s.at(time.Second, s.propose)
-	s.at(0, s.request)
-	for len(s.q) > 0 && s.q[0].at <= cfg.Length {
-		e := heap.Pop(&s.q).(event)
-		s.now = e.at
-		e.do()
-	}
+	s.After(time.Second, s.propose)
+	s.After(0, s.request)
+	s.Run(cfg.Length)
 	slices.Sort(s.out.Took)
 	return s.out
 }
@@ -146,14 +114,14 @@
 		return
 	}
 	if !n.stopped {
-		n.proxy.Ask(n.clock(s.now))
+		n.proxy.Ask(n.clock(s.Now))
 		s.flush(n)
 	}
 	every := time.Second
 	if s.cfg.Lease > 0 {
 		every = n.proxy.Length() / 5
 	}
-	s.at(every, func() { s.beat(n, life) })
+	s.After(every, func() { s.beat(n, life) })
 }
 
 // send lets a message arrive, late, twice or never.
@@ -162,9 +130,9 @@
 	if s.rng.Float64() < s.cfg.Loss {
 		return
 	}
-	s.at(1+time.Duration(s.rng.Int64N(int64(s.cfg.Delay)+1)), arrive)
+	s.After(1+time.Duration(s.rng.Int64N(int64(s.cfg.Delay)+1)), arrive)
 	if s.rng.Float64() < s.cfg.Double {
-		s.at(1+time.Duration(s.rng.Int64N(10*int64(s.cfg.Delay)+1)), arrive)
+		s.After(1+time.Duration(s.rng.Int64N(10*int64(s.cfg.Delay)+1)), arrive)
 	}
 }
 
@@ -176,7 +144,7 @@
 		}
 		s.send(func() {
 			if l := s.leader; l != nil && !n.cut && n.life == life {
-				l.Heard(s.now, rollout.Link(slices.Index(s.nodes, n)+1), m)
+				l.Heard(s.Now, rollout.Link(slices.Index(s.nodes, n)+1), m)
 				s.ready(l)
 			}
 		})
@@ -191,17 +159,17 @@
 		s.send(func() { s.heard(n, o.Message) })
 	}
 	for _, c := range commit {
-		c.At = int64(s.now / time.Millisecond)
+		c.At = int64(s.Now / time.Millisecond)
 		longest := 10 * time.Millisecond
 		if s.rng.Float64() < s.cfg.Late {
 			longest = 2 * time.Second
 		}
-		s.at(time.Millisecond+time.Duration(s.rng.Int64N(int64(longest))), func() { s.apply(l, c) })
+		s.After(time.Millisecond+time.Duration(s.rng.Int64N(int64(longest))), func() { s.apply(l, c) })
 	}
 	if confirm {
-		s.at(time.Millisecond+time.Duration(s.rng.Int64N(int64(5*time.Millisecond))), func() {
+		s.After(time.Millisecond+time.Duration(s.rng.Int64N(int64(5*time.Millisecond))), func() {
 			if s.leader == l { // a round among the planners would fail for one that leads no more
-				l.Confirmed(s.now)
+				l.Confirmed(s.Now)
 				s.ready(l)
 			}
 		})
@@ -216,21 +184,21 @@
 	}
 	err := s.state.Apply(c)
 	if x := s.state.Pending(); x != nil && x.Number != n {
-		s.pending, s.pendingAt = x.Number, s.now
+		s.pending, s.pendingAt = x.Number, s.Now
 	}
 	if n > 0 && s.state.Pending() == nil {
 		x := s.state.Change(n)
-		if s.out.Took = append(s.out.Took, s.now-s.pendingAt); x.Outcome == rollout.InForce {
+		if s.out.Took = append(s.out.Took, s.Now-s.pendingAt); x.Outcome == rollout.InForce {
 			s.out.InForce++
 		} else {
 			s.out.GivenUp++
 		}
 	}
 	if s.leader == l {
-		l.Applied(s.now, c, err)
+		l.Applied(s.Now, c, err)
 		s.ready(l)
 	} else if s.leader != nil { // it comes through the new one's log as well
-		s.leader.Applied(s.now, c, err)
+		s.leader.Applied(s.Now, c, err)
 		s.ready(s.leader)
 	}
 }
@@ -241,7 +209,7 @@
 	case n.stopped:
 		n.inbox = append(n.inbox, m)
 	default:
-		n.proxy.Heard(n.clock(s.now), m)
+		n.proxy.Heard(n.clock(s.Now), m)
 		n.proxy.Switched()
 		s.flush(n)
 	}
@@ -255,16 +223,16 @@
 	var tick func()
 	tick = func() {
 		if s.leader == l {
-			l.Tick(s.now)
+			l.Tick(s.Now)
 			s.ready(l)
-			s.at(20*time.Millisecond, tick)
+			s.After(20*time.Millisecond, tick)
 		}
 	}
 	tick()
 	if s.cfg.Leaders > 0 {
-		s.at(time.Duration(s.rng.ExpFloat64()*float64(s.cfg.Leaders)), func() {
+		s.After(time.Duration(s.rng.ExpFloat64()*float64(s.cfg.Leaders)), func() {
 			s.leader = nil
-			s.at(300*time.Millisecond+time.Duration(s.rng.Int64N(int64(300*time.Millisecond))), func() { s.lead(term + 1) })
+			s.After(300*time.Millisecond+time.Duration(s.rng.Int64N(int64(300*time.Millisecond))), func() { s.lead(term + 1) })
 		})
 	}
 }
@@ -280,18 +248,18 @@
 	case 0: // killed, and started again
 		n.life++
 		n.stopped = true
-		s.at(lasts, func() {
+		s.After(lasts, func() {
 			n.stopped = false
 			s.begin(n)
 			s.beat(n, n.life)
 		})
 	case 1: // stands still, and wakes with all that waits in its socket, requests before the rest
 		n.stopped = true
-		s.at(lasts, func() {
+		s.After(lasts, func() {
 			n.stopped = false
 			s.take(n)
 			for _, m := range n.inbox {
-				n.proxy.Heard(n.clock(s.now), m)
+				n.proxy.Heard(n.clock(s.Now), m)
 				n.proxy.Switched()
 				s.take(n)
 			}
@@ -300,9 +268,9 @@
 		})
 	default:
 		n.cut = true
-		s.at(lasts, func() { n.cut = false; n.proxy.Connected(); s.flush(n) })
+		s.After(lasts, func() { n.cut = false; n.proxy.Connected(); s.flush(n) })
 	}
-	s.at(lasts, s.trouble)
+	s.After(lasts, s.trouble)
 }
 
 func (s *sim) propose() {
@@ -314,7 +282,7 @@
 			s.ready(l)
 		}
 	}
-	s.at(s.cfg.Every, s.propose)
+	s.After(s.cfg.Every, s.propose)
 }
 
 // request lets some proxy be asked.
@@ -322,11 +290,11 @@
 	if n := s.nodes[s.rng.IntN(len(s.nodes))]; !n.stopped {
 		s.take(n)
 	}
-	s.at(time.Millisecond, s.request)
+	s.After(time.Millisecond, s.request)
 }
 
 func (s *sim) take(n *node) {
-	number, v := n.proxy.May(n.clock(s.now))
+	number, v := n.proxy.May(n.clock(s.Now))
 	switch v {
 	case rollout.Keep:
 		s.out.Kept++
@@ -338,9 +306,9 @@
 	s.out.Taken++
 	why := ""
 	if number < s.newest {
-		why = fmt.Sprintf("at %v %s takes a request under policy %d, behind one under %d", s.now, n.name, number, s.newest)
+		why = fmt.Sprintf("at %v %s takes a request under policy %d, behind one under %d", s.Now, n.name, number, s.newest)
 	} else if c := s.state.Change(number); c != nil && c.Outcome == rollout.GivenUp {
-		why = fmt.Sprintf("at %v %s takes a request under policy %d, which was given up", s.now, n.name, number)
+		why = fmt.Sprintf("at %v %s takes a request under policy %d, which was given up", s.Now, n.name, number)
 	}
 	if s.newest = max(s.newest, number); why != "" {
 		if s.out.Breaches++; s.out.First == "" {
--- a/internal/lab/worksim/worksim.go
+++ b/internal/lab/worksim/worksim.go
@@ -4,7 +4,6 @@
 package worksim
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"time"
 
 	"havenproxy/internal/handover"
+	"havenproxy/internal/lab/clockwork"
 	"havenproxy/internal/takeover"
 )
 
@@ -55,40 +55,15 @@
 	First                                   string
 	Counters                                takeover.Counters
 	Messages                                int
-	Added                                   []time.Duration // from a write's taking to its sending
-	Ends                                    []time.Duration // from the loss of a proxy to the end of work that it had, taken over
 }
 
 // Breaches counts what must not be.
 func (r Result) Breaches() int { return r.Doubled + r.Hollow + r.Lies + r.Turned + r.Behind }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 type sim struct {
+	clockwork.Clock
 	cfg   Config
 	rng   *rand.Rand
-	now   time.Duration
-	q     queue
-	seq   int
 	nodes []*node
 	next  takeover.Member
 	keys  map[string]*fate
@@ -113,7 +88,6 @@
 	tries   int
 	epoch   takeover.Epoch // of the latest owner that has sent it
 	late    int            // sends of an owner that had been followed by another, which had sent
-	lostAt  time.Duration  // when the proxy that had it was lost
 }
 
 type node struct {
@@ -128,7 +102,6 @@
 	inbox   []func()
 	asked   map[uint64]*ask
 	ids     uint64
-	begun   map[string]time.Duration
 }
 
 // ask is a client's.
@@ -137,11 +110,6 @@
 	end time.Duration
 }
 
-func (s *sim) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.q, event{s.now + max(d, 0), s.seq, do})
-}
-
 func (n *node) clock(now time.Duration) time.Duration {
 	return n.offset + time.Duration(float64(now)*n.rate)
 }
@@ -168,17 +136,13 @@
 	}
 	s.members()
 	for i := range cfg.Writes {
-		s.after(time.Duration(i)*cfg.Every+time.Duration(s.rng.Int64N(int64(cfg.Every))), func() { s.write(i) })
+		s.After(time.Duration(i)*cfg.Every+time.Duration(s.rng.Int64N(int64(cfg.Every))), func() { s.write(i) })
 	}
 	if cfg.Faults > 0 {
-		s.after(time.Duration(s.rng.ExpFloat64()*float64(cfg.Faults)), s.fault)
+		s.After(time.Duration(s.rng.ExpFloat64()*float64(cfg.Faults)), s.fault)
 	}
 	end := time.Duration(cfg.Writes)*cfg.Every + time.Duration(cfg.Again+1)*(cfg.Limit+cfg.SameTry) + 30*time.Second
-	for len(s.q) > 0 && s.q[0].at <= end {
-		e := heap.Pop(&s.q).(event)
-		s.now = e.at
-		e.do()
-	}
+	s.Run(end)
 	s.audit()
 	return s.out
 }
@@ -186,7 +150,7 @@
 func (s *sim) begin(n *node) {
 	s.next++
 	n.member, n.book, n.life = s.next, takeover.New(s.cfg.Work), n.life+1
-	n.inbox, n.asked, n.begun = nil, map[uint64]*ask{}, map[string]time.Duration{}
+	n.inbox, n.asked = nil, map[uint64]*ask{}
 	s.list = append(s.list, n.member)
 	life := n.life
 	var tick func()
@@ -194,35 +158,35 @@
 		if n.life == life && n.book != nil {
 			if !n.stopped {
 				if !n.cut && slices.Contains(s.list, n.member) { // the planners prolong it
-					n.book.Belongs(n.clock(s.now) + s.cfg.Members*4/5)
+					n.book.Belongs(n.clock(s.Now) + s.cfg.Members*4/5)
 				}
-				n.book.Tick(n.clock(s.now))
+				n.book.Tick(n.clock(s.Now))
 				s.settle(n)
 			}
-			s.after(15*time.Millisecond, tick)
+			s.After(15*time.Millisecond, tick)
 		}
 	}
-	s.after(time.Duration(s.rng.Int64N(int64(15*time.Millisecond))), tick)
+	s.After(time.Duration(s.rng.Int64N(int64(15*time.Millisecond))), tick)
 }
 
 // members tells all, each a little later than the other, who belongs to the tier.
 func (s *sim) members() {
 	list := slices.Clone(s.list)
 	keep := s.cfg.Members + s.cfg.Work.WithDefaults().Keep
-	s.lists = slices.DeleteFunc(s.lists, func(l oldList) bool { return s.now-l.ended > keep })
+	s.lists = slices.DeleteFunc(s.lists, func(l oldList) bool { return s.Now-l.ended > keep })
 	before := slices.Clone(s.lists)
-	s.lists = append(s.lists, oldList{list, s.now})
+	s.lists = append(s.lists, oldList{list, s.Now})
 	if len(s.lists) > 1 {
-		s.lists[len(s.lists)-2].ended = s.now
+		s.lists[len(s.lists)-2].ended = s.Now
 	}
 	for _, n := range s.nodes {
 		if n.book == nil || n.cut {
 			continue
 		}
 		life := n.life
-		s.after(time.Duration(s.rng.Int64N(int64(s.cfg.Delay)+1)), func() {
+		s.After(time.Duration(s.rng.Int64N(int64(s.cfg.Delay)+1)), func() {
 			s.on(n, life, func() {
-				now := n.clock(s.now)
+				now := n.clock(s.Now)
 				n.book.View(now, n.member, list, now+keep)
 				for _, l := range before {
 					n.book.Before(l.members, now+keep)
@@ -268,12 +232,12 @@
 	life := o.life
 	arrive := func() {
 		if !o.cut {
-			s.on(o, life, func() { o.book.Heard(o.clock(s.now), from, x.Message) })
+			s.on(o, life, func() { o.book.Heard(o.clock(s.Now), from, x.Message) })
 		}
 	}
-	s.after(time.Duration(s.rng.Int64N(int64(s.cfg.Delay)+1)), arrive)
+	s.After(time.Duration(s.rng.Int64N(int64(s.cfg.Delay)+1)), arrive)
 	if s.rng.Float64() < s.cfg.Double {
-		s.after(time.Duration(s.rng.Int64N(50*int64(s.cfg.Delay)+1)), arrive)
+		s.After(time.Duration(s.rng.Int64N(50*int64(s.cfg.Delay)+1)), arrive)
 	}
 }
 
@@ -292,7 +256,7 @@
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	if n.book != nil { // its socket is open, whether it stands still or not
 		life := n.life
-		end := s.now + s.cfg.Limit
+		end := s.Now + s.cfg.Limit
 		s.on(n, life, func() { s.take(n, f, end) })
 	}
 	// It asks again with its key where it has no answer, or is told to, and after a while anyway: it may have lost its connection.
@@ -300,7 +264,7 @@
 	if s.cfg.SameTry > 0 {
 		wait = time.Duration(s.rng.Int64N(int64(s.cfg.SameTry)))
 	}
-	s.after(wait, func() {
+	s.After(wait, func() {
 		if f.tries == tries && f.tries <= s.cfg.Again && (len(f.heard) == heard || f.heard[len(f.heard)-1] != "served") {
 			s.try(f)
 		}
@@ -311,7 +275,6 @@
 	n.ids++
 	id := n.ids
 	n.asked[id] = &ask{f, end}
-	n.begun[f.name] = s.now
 	if !s.cfg.On {
 		s.send(n, f.name, math.MaxInt64)
 		return
@@ -319,7 +282,7 @@
 	for _, o := range s.nodes { // as its links show: one that stands still keeps its own
 		n.book.Link(o.member, o.book != nil && !o.cut && !n.cut)
 	}
-	n.book.Begin(n.clock(s.now), id, takeover.Work{Key: f.name, Digest: 7, Left: max(end-s.now, 0), Repeat: f.tries > 1}, s.cfg.Survive)
+	n.book.Begin(n.clock(s.Now), id, takeover.Work{Key: f.name, Digest: 7, Left: max(end-s.Now, 0), Repeat: f.tries > 1}, s.cfg.Survive)
 }
 
 func (s *sim) do(n *node, o takeover.Order) {
@@ -328,14 +291,11 @@
 		last := time.Duration(math.MaxInt64) // when it may be sent
 		if o.Run != nil && o.Run.May && !s.cfg.Work.Without.Has(takeover.NoWindow) {
 			// It must not be under way any more when its group forgets the key, by the judgement of one proxy.
-			last = s.repeats.ResendUntil(s.now-o.Run.First, s.cfg.Window, 10*s.cfg.Runs)
-		}
-		if o.Run == nil {
-			s.out.Added = append(s.out.Added, s.now-n.begun[o.Key])
+			last = s.repeats.ResendUntil(s.Now-o.Run.First, s.cfg.Window, 10*s.cfg.Runs)
 		}
 		if s.rng.Float64() < s.cfg.Held { // it waits for a primary
 			life := n.life
-			s.after(time.Duration(s.rng.Int64N(int64(s.cfg.Limit))), func() {
+			s.After(time.Duration(s.rng.Int64N(int64(s.cfg.Limit))), func() {
 				s.on(n, life, func() { s.send(n, o.Key, last) })
 			})
 			return
@@ -343,11 +303,6 @@
 		s.send(n, o.Key, last)
 	case takeover.Without:
 		s.send(n, o.Key, math.MaxInt64)
-	case takeover.Stop:
-		if f := s.keys[o.Key]; o.Result != nil && f.lostAt > 0 {
-			s.out.Ends = append(s.out.Ends, s.now-f.lostAt)
-			f.lostAt = 0
-		}
 	case takeover.Answer:
 		s.hear(n, o.ID, "served")
 	case takeover.Refuse:
@@ -360,11 +315,11 @@
 // send is the proxy's look at the promise, and its write, at last then.
 func (s *sim) send(n *node, key string, last time.Duration) {
 	life := n.life
-	if s.cfg.On && !n.book.MaySend(n.clock(s.now), key) {
+	if s.cfg.On && !n.book.MaySend(n.clock(s.Now), key) {
 		return // the keepers' word counts from here on
 	}
-	if s.now >= last {
-		n.book.Ended(n.clock(s.now), key, takeover.Result{Outcome: takeover.Unknown})
+	if s.Now >= last {
+		n.book.Ended(n.clock(s.Now), key, takeover.Result{Outcome: takeover.Unknown})
 		s.settle(n)
 		return
 	}
@@ -385,17 +340,17 @@
 		if s.rng.IntN(20) == 0 { // lost on its way
 			return
 		}
-		s.after(took, func() {
-			if k := len(f.applied); k == 0 || s.now-f.applied[k-1] >= s.cfg.Window {
-				f.applied = append(f.applied, s.now)
+		s.After(took, func() {
+			if k := len(f.applied); k == 0 || s.Now-f.applied[k-1] >= s.cfg.Window {
+				f.applied = append(f.applied, s.Now)
 			}
 			if s.rng.IntN(20) == 0 { // the answer is
 				return
 			}
-			s.after(time.Duration(s.rng.Int64N(int64(2*time.Millisecond))), func() {
+			s.After(time.Duration(s.rng.Int64N(int64(2*time.Millisecond))), func() {
 				s.on(n, life, func() {
 					if s.cfg.On {
-						n.book.Ended(n.clock(s.now), key, takeover.Result{Outcome: takeover.Served})
+						n.book.Ended(n.clock(s.Now), key, takeover.Result{Outcome: takeover.Served})
 						return
 					}
 					for id, a := range n.asked {
@@ -407,18 +362,18 @@
 			})
 		})
 		// Without an answer in its time the attempt is given up: what became of it isn't known.
-		s.after(s.cfg.Limit, func() {
+		s.After(s.cfg.Limit, func() {
 			s.on(n, life, func() {
 				if s.cfg.On {
-					n.book.Ended(n.clock(s.now), key, takeover.Result{Outcome: takeover.Unknown})
+					n.book.Ended(n.clock(s.Now), key, takeover.Result{Outcome: takeover.Unknown})
 				}
 			})
 		})
 	}
 	if s.cfg.Between && s.rng.IntN(50) == 0 {
-		s.after(time.Duration(s.rng.Int64N(int64(s.cfg.Longest))), func() {
+		s.After(time.Duration(s.rng.Int64N(int64(s.cfg.Longest))), func() {
 			if n.life == life && n.book != nil {
-				n.book.Judge(n.clock(s.now), key)
+				n.book.Judge(n.clock(s.Now), key)
 				write()
 			}
 		})
@@ -433,7 +388,7 @@
 		return
 	}
 	delete(n.asked, id)
-	if s.now > a.end+500*time.Millisecond { // its client has gone
+	if s.Now > a.end+500*time.Millisecond { // its client has gone
 		return
 	}
 	a.f.heard = append(a.f.heard, what)
@@ -441,22 +396,17 @@
 
 // fault lets a proxy end, stand still or be cut off, for a while.
 func (s *sim) fault() {
-	s.after(time.Duration(s.rng.ExpFloat64()*float64(s.cfg.Faults)), s.fault)
+	s.After(time.Duration(s.rng.ExpFloat64()*float64(s.cfg.Faults)), s.fault)
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	if n.stopped || n.cut || n.book == nil || s.cfg.Together > 0 && s.ill >= s.cfg.Together {
 		return
 	}
 	s.ill++
 	lasts := 50*time.Millisecond + time.Duration(s.rng.Int64N(int64(s.cfg.Longest)))
-	s.after(max(lasts, s.cfg.Members)+s.cfg.Rest, func() { s.ill-- })
+	s.After(max(lasts, s.cfg.Members)+s.cfg.Rest, func() { s.ill-- })
 	m, life := n.member, n.life
-	for _, a := range n.asked {
-		if a.f.lostAt == 0 {
-			a.f.lostAt = s.now
-		}
-	}
 	expire := func() {
-		s.after(s.cfg.Members, func() {
+		s.After(s.cfg.Members, func() {
 			if n.life != life || n.member != m || n.stopped || n.cut || n.book == nil {
 				s.gone(m)
 			}
@@ -465,16 +415,16 @@
 	switch s.rng.IntN(3) {
 	case 0:
 		n.book = nil
-		s.after(s.cfg.Members, func() { s.gone(m) })
-		s.after(max(lasts, s.cfg.Members), func() { s.begin(n); s.members() })
+		s.After(s.cfg.Members, func() { s.gone(m) })
+		s.After(max(lasts, s.cfg.Members), func() { s.begin(n); s.members() })
 	case 1:
 		n.stopped = true
 		expire()
-		s.after(lasts, func() { s.wake(n, m) })
+		s.After(lasts, func() { s.wake(n, m) })
 	default:
 		n.cut = true
 		expire()
-		s.after(lasts, func() { n.cut = false; s.wake(n, m) })
+		s.After(lasts, func() { n.cut = false; s.wake(n, m) })
 	}
 }
 
@@ -551,8 +501,6 @@
 			s.out.Counters.Refused += c.Refused
 		}
 	}
-	slices.Sort(s.out.Added)
-	slices.Sort(s.out.Ends)
 }
 
 // cleared tells that a key that was refused was asked for once more behind it, and ran then: a refusal is for what never ran by then.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -180,3 +180,22 @@
 		}
 	}
 }
+
+// A file has a number of its own only where no tier gives numbers.
+func TestAFileHasANumber(t *testing.T) {
+	f, err := Parse("x.star", []byte("revision(number = 7, tell_clients = True)"), classes)
+	if err != nil || f.Revision != (Revision{7, true}) {
+		t.Errorf("%+v, %v", f.Revision, err)
+	}
+	for text, want := range map[string]string{
+		"revision()":           "number is missing",
+		"revision(number = 0)": "a whole number from 1",
+		"revision(number = 1)\nrevision(number = 2)":                 "called a second time",
+		"revision(number = 1)\ntier(planners = [\"10.0.0.1:7400\"])": "beside tier()",
+		"tier(planners = [\"10.0.0.1:7400\"])\nrevision(number = 1)": "beside tier()",
+	} {
+		if _, err := Parse("x.star", []byte(text), classes); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -125,7 +125,7 @@
 	return p, nil
 }
 
-// Gone tells that this planner has been replaced, and Strange that the others don't take its messages.
+// ErrGone tells that this planner has been replaced, and ErrStrange that the others don't take its messages.
 var (
 	ErrGone    = errors.New("this planner has been replaced: stop it for good")
 	ErrStrange = errors.New("the other planners don't take this one's messages")
@@ -217,7 +217,7 @@
 	return p.failed
 }
 
-// begin lets this planner's side of leading begin.
+// begin begins to lead.
 func (p *Planner) begin(term rollout.Term) {
 	p.leader = rollout.Lead(p.cfg.Rollout, p.state, term)
 	p.leader.Since(p.pending, p.pendingAt)
@@ -351,12 +351,15 @@
 // before. The error tells why it can't be.
 func (p *Planner) Replace(old, id uint64, address string) error {
 	voters := p.conf.GetVoters()
+	was, err := p.store.known(id)
 	switch {
+	case err != nil:
+		return err
 	case len(p.conf.GetVotersOutgoing()) > 0:
 		return errors.New("another planner is being replaced")
 	case !slices.Contains(voters, old):
 		return fmt.Errorf("planner %d is none of the tier's: those are %d", old, voters)
-	case id == 0 || slices.Contains(voters, id) || p.state.Planners[id] != "" || id <= uint64(len(p.cfg.Peers)) && p.cfg.Peers[id] != "":
+	case id == 0 || slices.Contains(voters, id) || p.state.Planners[id] != "" || was != 0:
 		return fmt.Errorf("planner %d is or was one of the tier's: a new one needs a number of its own, since the others remember what it said", id)
 	case old == p.cfg.ID:
 		return fmt.Errorf("planner %d leads: stop it first, or ask again once another leads", old)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
 
 	"havenproxy/internal/wire/tier"
 )
@@ -44,3 +45,58 @@
 		}
 	}
 }
+
+// alone opens one planner of three, of which the test plays the others.
+func alone(t *testing.T) *Planner {
+	p, err := Open(Config{ID: 1, Listen: "127.0.0.1:0", Peers: map[uint64]string{1: "127.0.0.1:0", 2: "127.0.0.1:1", 3: "127.0.0.1:1"},
+		File: filepath.Join(t.TempDir(), "log")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.server.close(); p.store.close() })
+	return p
+}
+
+// A message counts once its sender has said what its disk holds, and only from who it says it is.
+func TestOnlyPlannersThatAreKnownAreHeard(t *testing.T) {
+	p := alone(t)
+	says := func(l *link, from, term uint64) uint64 {
+		to, kind := uint64(1), pb.MessageType_MsgHeartbeat
+		text, err := proto.Marshal(&pb.Message{Type: &kind, From: &from, To: &to, Term: &term})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.server.fromPlanner(1, l, text)
+		return p.node.BasicStatus().HardState.GetTerm()
+	}
+	l := &link{}
+	if term := says(l, 2, 7); term != 1 {
+		t.Fatalf("term %d by one that has not said what it holds", term)
+	}
+	p.server.started(1, l, &tier.Start{Planner: 2, Disk: 5, Term: 1, Last: 1})
+	if term := says(l, 3, 8); term != 1 {
+		t.Fatalf("term %d by one in another's name", term)
+	}
+	if term := says(l, 2, 9); term != 9 {
+		t.Fatalf("term %d: it isn't heard", term)
+	}
+	anew := &link{}
+	p.server.started(2, anew, &tier.Start{Planner: 2, Disk: 6, Term: 1, Last: 1})
+	if term := says(anew, 2, 20); term != 9 {
+		t.Errorf("term %d by one whose disk is another", term)
+	}
+}
+
+func TestReplacingIsRefusedWithItsReason(t *testing.T) {
+	p := alone(t)
+	p.store.knows(9, 77) // it was one of the tier's, long ago
+	for _, x := range []struct {
+		old, id uint64
+		why     string
+	}{{4, 5, "is none of the tier's"}, {2, 3, "needs a number of its own"}, {2, 9, "needs a number of its own"}, {2, 0, "needs a number of its own"},
+		{1, 5, "planner 1 leads"}, {2, 5, "of 3 live, and 2 have to"}} {
+		if err := p.Replace(x.old, x.id, "127.0.0.1:1"); err == nil || !strings.Contains(err.Error(), x.why) {
+			t.Errorf("%d by %d: %v, %q was expected", x.old, x.id, err, x.why)
+		}
+	}
+}
--- a/internal/planner/store.go
+++ b/internal/planner/store.go
@@ -186,20 +186,28 @@
 	return err == nil && !raft.IsEmptySnap(snap)
 }
 
-// knows notes the disk of another planner where none is noted, and gives the one that is.
-func (s *store) knows(planner, disk uint64) (was uint64, err error) {
-	key := binary.BigEndian.AppendUint64(slices.Clone(disksKey), planner)
+func diskKeyOf(planner uint64) []byte {
+	return binary.BigEndian.AppendUint64(slices.Clone(disksKey), planner)
+}
+
+// known gives the disk that another planner has said it has; 0 = it has never been heard of.
+func (s *store) known(planner uint64) (disk uint64, err error) {
 	err = s.db.View(func(tx *bolt.Tx) error {
-		if b := tx.Bucket(metaBucket).Get(key); len(b) == 8 {
-			was = binary.BigEndian.Uint64(b)
+		if b := tx.Bucket(metaBucket).Get(diskKeyOf(planner)); len(b) == 8 {
+			disk = binary.BigEndian.Uint64(b)
 		}
 		return nil
 	})
-	if err != nil || was != 0 {
+	return disk, err
+}
+
+// knows notes the disk of another planner where none is noted, and gives the one that is.
+func (s *store) knows(planner, disk uint64) (uint64, error) {
+	if was, err := s.known(planner); err != nil || was != 0 {
 		return was, err
 	}
 	return disk, s.db.Update(func(tx *bolt.Tx) error {
-		return tx.Bucket(metaBucket).Put(key, binary.BigEndian.AppendUint64(nil, disk))
+		return tx.Bucket(metaBucket).Put(diskKeyOf(planner), binary.BigEndian.AppendUint64(nil, disk))
 	})
 }
 
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -190,3 +190,24 @@
 		t.Error("Short leaves out the wrong ones")
 	}
 }
+
+// A short lease is asked for more often, and doesn't end a longer one that runs; an earlier planner's, which doesn't tell its length, is as long as ever.
+func TestAShortLeaseIsAskedForMoreOften(t *testing.T) {
+	p := NewProxy(Config{Lease: 2 * time.Second}, "a", 1, yes)
+	now := time.Hour
+	p.Heard(now, Message{Kind: Welcome, Nonce: 1, Member: 5})
+	p.Heard(now, Message{Kind: Granted, Member: 5, Seq: 1})
+	if p.Until() != now+2*time.Second || p.Length() != 2*time.Second {
+		t.Fatalf("until %v, length %v", p.Until()-now, p.Length())
+	}
+	p.Ask(now + time.Second)
+	p.Heard(now+time.Second, Message{Kind: Granted, Member: 5, Seq: 2, Lease: 250 * time.Millisecond})
+	if p.Until() != now+2*time.Second || p.Length() != 250*time.Millisecond {
+		t.Errorf("until %v, length %v", p.Until()-now, p.Length())
+	}
+	p.Ask(now + 1900*time.Millisecond)
+	p.Heard(now+1900*time.Millisecond, Message{Kind: Granted, Member: 5, Seq: 3, Lease: 250 * time.Millisecond})
+	if p.Until() != now+2150*time.Millisecond {
+		t.Errorf("until %v", p.Until()-now)
+	}
+}
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -430,7 +430,13 @@
 	p.view()
 	delete(p.books, 1)
 	gone := keep[2] // which the new one has taken the place of; it can't be heard
-	p.held = func(from Member, s Say) bool { return from == gone || s.To == gone || s.Kind == Copy }
+	lost := 0
+	p.held = func(from Member, s Say) bool {
+		if from == keep[0] && s.Kind == Held { // the new one's word comes first
+			lost++
+		}
+		return from == gone || s.To == gone || s.Kind == Copy || from == keep[0] && s.Kind == Held && lost == 1
+	}
 	p.pass(1500*ms, gone)
 	runs := 0
 	for m := range p.books {
