Decide when a proxy leaves its planner in a room of its own, and judge it on a clock handed in

A proxy says when it leaves a silent planner. - A planner that doesn't lead says so by a kind of its own (Elsewhere), not by a sentence that was compared.

--- a/internal/lab/tier/disk_test.go
+++ b/internal/lab/tier/disk_test.go
@@ -27,6 +27,12 @@
 	return l.buf.Write(b)
 }
 
+func (l *lines) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.buf.String(), text)
+}
+
 func (l *lines) has(text string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
@@ -61,6 +62,7 @@
 	revision uint64       // the last that was spread
 	history  []Seen
 	refused  int
+	reasons  map[string]int // of the refused, by what they were told
 	lost     int
 }
 
@@ -137,7 +139,7 @@
 		return nil, err
 	}
 	b.between, b.away = map[[2]int]*relay{}, map[int]bool{}
-	b.downs = map[int]bool{}
+	b.downs, b.reasons = map[int]bool{}, map[string]int{}
 	if cfg.Naive {
 		cfg.Planners, b.cfg.Planners = 0, 0
 	}
@@ -394,6 +396,13 @@
 	return slices.Clone(b.history), b.refused, b.lost
 }
 
+// Reasons tells how many requests were refused with which words.
+func (b *Bench) Reasons() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.reasons)
+}
+
 // Ask lets clients ask all proxies until the context ends: one connection each, one request behind the other.
 func (b *Bench) Ask(ctx context.Context, each int, pause time.Duration) (wait func()) {
 	var all sync.WaitGroup
@@ -451,6 +460,7 @@
 			b.history = append(b.history, s)
 		case code != "":
 			b.refused++
+			b.reasons[code]++
 		}
 		b.mu.Unlock()
 		if err != nil {
@@ -482,6 +492,20 @@
 	}
 }
 
+// reason gives an error's code and text.
+func reason(fields []byte) string {
+	code, text := "", ""
+	for _, f := range bytes.Split(fields, []byte{0}) {
+		switch {
+		case len(f) > 1 && f[0] == 'C':
+			code = string(f[1:])
+		case len(f) > 1 && f[0] == 'M':
+			text = string(f[1:])
+		}
+	}
+	return code + ": " + text
+}
+
 // answer reads up to the end of the next answer that holds one: the welcome ends with ReadyForQuery too, and has no row and no error.
 func answer(r *bufio.Reader) (policy uint64, told bool, code string, err error) {
 	var body []byte
@@ -507,7 +531,7 @@
 		case 'D':
 			some = true
 		case 'E':
-			some, code = true, "E"
+			some, code = true, reason(body[5:])
 		case 'Z':
 			if some {
 				return policy, told, code, nil
--- a/internal/net/tier.go
+++ b/internal/net/tier.go
@@ -14,13 +14,8 @@
 )
 
 const (
-	tierDial     = time.Second            // that a planner may take to answer a dial
-	tierAgain    = 100 * time.Millisecond // before the next planner is tried, doubled with each round of them, with jitter
-	tierAgainMax = 3 * time.Second
-	tierAsks     = 5             // for the lease, in its length
-	tierIdle     = time.Second   // between signs of life where there are no leases
-	tierSilence  = 10 * tierIdle // without a word: the next planner is tried; where there are leases, after half of one, so that the next can prolong it
-	tierTell     = time.Minute   // one line about unreadable frames
+	tierDial = time.Second // that a planner may take to answer a dial
+	tierTell = time.Minute // one line about unreadable frames
 )
 
 // Tier is a proxy's link to the planners of its tier: one at a time, the next where it ends, is silent, or doesn't lead. It implements
@@ -33,15 +28,12 @@
 	side      *rollout.Proxy
 	cfg       rollout.Config
 	planners  []string
-	rng       *rand.Rand
+	seek      *rollout.Seeker
 	into      func(n rollout.Number, policy []byte) // puts a policy into effect
 
 	conn    netpoll.Connection
 	in      buffer
 	out     []byte
-	at      int // the planner that is spoken to
-	tries   int // since the last that led
-	heard   time.Duration
 	toldAt  time.Duration
 	waits   string // why it can't join, as last told
 	beat    state.Deadline
@@ -63,9 +55,10 @@
 // JoinTier lets a proxy go by its tier's policy. Until it holds that, it takes no request. It is called on the loop.
 func JoinTier(loop *Loop, clock state.Clock, front *state.Front, c TierConfig) *Tier {
 	t := &Tier{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front, cfg: c.Rollout.WithDefaults(), planners: c.Planners,
-		rng: rand.New(rand.NewPCG(c.Seed, 0x71e2)), into: c.Into}
-	t.side = rollout.NewProxy(t.cfg, c.Name, t.rng.Uint64()|1, c.Check)
-	t.at = t.rng.IntN(len(t.planners)) // not all proxies begin with the same
+		into: c.Into}
+	rng := rand.New(rand.NewPCG(c.Seed, 0x71e2))
+	t.side = rollout.NewProxy(t.cfg, c.Name, rng.Uint64()|1, c.Check)
+	t.seek = rollout.NewSeeker(t.cfg, len(t.planners), rng)
 	front.Gate(t)
 	t.dial()
 	return t
@@ -92,7 +85,7 @@
 		return
 	}
 	t.dialing = true
-	address := t.planners[t.at%len(t.planners)]
+	address := t.planners[t.seek.At()]
 	connect(t.loop, address, tierDial, func(conn netpoll.Connection, err error) {
 		t.dialing = false
 		switch {
@@ -103,7 +96,8 @@
 			conn.Close()
 			return
 		}
-		t.conn, t.in.bytes, t.heard = conn, nil, t.clock.Now()
+		t.conn, t.in.bytes = conn, nil
+		t.seek.Up(t.clock.Now())
 		attach(t.loop, conn, func() { t.readable(conn) }, func() { t.down(conn) })
 		t.side.Connected()
 		t.flush()
@@ -111,13 +105,9 @@
 	})
 }
 
-// next tries the next planner, later: 300 proxies that lose theirs at one moment don't come back at one.
+// next tries the next planner, later.
 func (t *Tier) next() {
-	t.at++
-	t.tries++
-	pause := min(tierAgain<<min(t.tries/len(t.planners), 8), tierAgainMax)
-	pause = time.Duration((0.5 + t.rng.Float64()) * float64(pause))
-	t.deadlines.Set(&t.redial, t.clock.Now()+pause, t.dial)
+	t.deadlines.Set(&t.redial, t.clock.Now()+t.seek.Next(), t.dial)
 }
 
 func (t *Tier) down(conn netpoll.Connection) {
@@ -130,18 +120,15 @@
 
 // pulse asks for the lease, and gives a planner up that has been silent.
 func (t *Tier) pulse() {
-	every, silence := tierIdle, tierSilence
-	if t.cfg.Lease > 0 {
-		every, silence = t.side.Length()/tierAsks, t.cfg.Lease/2
-	}
 	now := t.clock.Now()
-	if now-t.heard > silence {
+	if t.seek.Silent(now) {
+		slog.Warn("a planner is silent, the next is tried", "planner", t.planners[t.seek.At()], "lease_left", t.side.Until()-now)
 		t.drop()
 		return
 	}
 	t.side.Ask(now)
 	t.flush()
-	t.deadlines.Set(&t.beat, now+every, t.pulse)
+	t.deadlines.Set(&t.beat, now+t.seek.Every(t.side.Length()), t.pulse)
 }
 
 func (t *Tier) drop() {
@@ -168,7 +155,7 @@
 			t.front.Counters.TierStrange++
 			if now := t.clock.Now(); t.toldAt == 0 || now-t.toldAt >= tierTell {
 				t.toldAt = now
-				slog.Warn("a planner's frame can't be read", "planner", t.planners[t.at%len(t.planners)], "error", err)
+				slog.Warn("a planner's frame can't be read", "planner", t.planners[t.seek.At()], "error", err)
 			}
 			t.drop()
 			return
@@ -189,18 +176,18 @@
 
 func (t *Tier) message(m rollout.Message) {
 	now := t.clock.Now()
-	t.heard = now
+	if t.seek.Heard(now, m.Kind) {
+		t.drop()
+		return
+	}
 	if m.Kind == rollout.Wait {
 		if m.Reason != t.waits {
 			t.waits = m.Reason
 			slog.Info("the tier lets this proxy wait", "reason", m.Reason)
 		}
-		if m.Seq > 0 || m.Reason == "another planner leads" { // this one doesn't lead
-			t.drop()
-		}
 		return
 	}
-	t.tries, t.waits = 0, ""
+	t.waits = ""
 	t.side.Heard(now, m)
 	if numbers, with := t.side.Switched(); len(numbers) > 0 {
 		for i, n := range numbers {
@@ -235,7 +222,7 @@
 func (t *Tier) Status() console.Tier {
 	s := console.Tier{Number: uint64(t.side.Number()), Member: uint64(t.side.Member()), Waits: t.waits, Leases: t.cfg.Lease > 0, Ready: t.Ready()}
 	if t.conn != nil {
-		s.Planner = t.planners[t.at%len(t.planners)]
+		s.Planner = t.planners[t.seek.At()]
 	}
 	if s.Leases {
 		s.Lease = t.side.Until() - t.clock.Now()
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -186,7 +186,7 @@
 	case f.Tier != nil:
 		l.proxy = true
 		if p.leader == nil {
-			s.send(id, &tier.Frame{Tier: &rollout.Message{Kind: rollout.Wait, Nonce: f.Tier.Nonce, Seq: p.leads, Reason: "another planner leads"}})
+			s.send(id, &tier.Frame{Tier: &rollout.Message{Kind: rollout.Elsewhere}})
 			return
 		}
 		p.leader.Heard(p.now(), id, *f.Tier)
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -94,19 +94,20 @@
 
 // The messages. All may come twice, late or never.
 const (
-	Hello   Kind = iota + 1 // a proxy: it is there; Member is 0 at its start, Nonce is its own for this start
-	Renew                   // a proxy asks for its lease; Seq is the ask's number, Number the policy that it serves under
-	Agree                   // a proxy can serve under Number
-	Refuse                  // it can't, for Reason
-	Held                    // it holds what comes, until it hears how Round ended
-	Bye                     // it takes no more requests and ends
-	Welcome                 // a planner: it is Member, and starts with Number
-	Wait                    // it can't join now, for Reason
-	Gone                    // it is no member any more: what it holds of the tier is void
-	Granted                 // its lease runs for Lease since it asked with Seq
-	Offer                   // a change to Number is asked of it
-	Hold                    // it is to hold what comes
-	Facts                   // Number is in force, all rounds up to Round are over
+	Hello     Kind = iota + 1 // a proxy: it is there; Member is 0 at its start, Nonce is its own for this start
+	Renew                     // a proxy asks for its lease; Seq is the ask's number, Number the policy that it serves under
+	Agree                     // a proxy can serve under Number
+	Refuse                    // it can't, for Reason
+	Held                      // it holds what comes, until it hears how Round ended
+	Bye                       // it takes no more requests and ends
+	Welcome                   // a planner: it is Member, and starts with Number
+	Wait                      // it can't join now, for Reason
+	Gone                      // it is no member any more: what it holds of the tier is void
+	Granted                   // its lease runs for Lease since it asked with Seq
+	Offer                     // a change to Number is asked of it
+	Hold                      // it is to hold what comes
+	Facts                     // Number is in force, all rounds up to Round are over
+	Elsewhere                 // this planner doesn't lead
 )
 
 // Message is one between a proxy and a planner.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -211,3 +212,97 @@
 		t.Errorf("until %v", p.Until()-now)
 	}
 }
+
+// A planner that is silent, though its link is up, is left while the lease still runs; those that can't be reached are tried less and less often, and
+// not by all proxies at one time.
+func TestASeekerLeavesWhoIsSilent(t *testing.T) {
+	cfg := Config{Lease: 2 * time.Second}.WithDefaults()
+	rng := rand.New(rand.NewPCG(1, 2))
+	s := NewSeeker(cfg, 3, rng)
+	now, first := time.Hour, s.At()
+	s.Up(now)
+	if s.Silent(now+900*time.Millisecond) || !s.Silent(now+1100*time.Millisecond) {
+		t.Error("half of a lease is the bound")
+	}
+	if s.Heard(now+time.Second, Granted) || s.Silent(now+1900*time.Millisecond) || !s.Heard(now, Elsewhere) || s.Heard(now, Wait) {
+		t.Error("who speaks is left, or who doesn't lead is not")
+	}
+	var pauses []time.Duration
+	for range 30 {
+		pauses = append(pauses, s.Next())
+	}
+	if s.At() != first || pauses[0] > 150*time.Millisecond || pauses[29] < 1500*time.Millisecond || slices.Max(pauses) > 4500*time.Millisecond {
+		t.Errorf("at %d of %d, %v", s.At(), first, pauses)
+	}
+	s.Heard(now, Facts) // it leads
+	if p := s.Next(); p > 150*time.Millisecond {
+		t.Errorf("%v behind one that led", p)
+	}
+	other := NewSeeker(cfg, 3, rand.New(rand.NewPCG(1, 3)))
+	if other.Next() == pauses[0] {
+		t.Error("all come back at one time")
+	}
+	if s.Every(250*time.Millisecond) != 50*time.Millisecond || NewSeeker(Config{}.WithDefaults(), 3, rng).Every(0) != time.Second {
+		t.Error("asks come too often or too seldom")
+	}
+	if free := NewSeeker(Config{}.WithDefaults(), 3, rng); free.Silent(9*time.Second) || !free.Silent(11*time.Second) {
+		t.Error("without leases")
+	}
+}
+
+// The leader falls silent, its links up, and another leads 0.3 to 0.9 s later: an election. A proxy finds that one before its lease ends, or hardly
+// later. One that doesn't leave who is silent refuses for as long as the silence lasts.
+func TestASilentLeaderCostsHardlyAnyService(t *testing.T) {
+	const step = 10 * time.Millisecond
+	gap := func(seed uint64, leave bool) (refused time.Duration) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		cfg := Config{Lease: 2 * time.Second}.WithDefaults()
+		p := NewProxy(cfg, "a", 1, func(Number, []byte) string { return "" })
+		s := NewSeeker(cfg, 3, rng)
+		old, next := s.At(), (s.At()+1+rng.IntN(2))%3
+		falls := time.Minute + time.Duration(rng.Int64N(int64(2*time.Second)))
+		leads := falls + 300*time.Millisecond + time.Duration(rng.Int64N(int64(600*time.Millisecond)))
+		p.Heard(time.Minute, Message{Kind: Welcome, Member: 1, Nonce: 1})
+		p.Out()
+		s.Up(time.Minute)
+		beat, dial := time.Minute, time.Duration(0)
+		for now := time.Minute; now < falls+8*time.Second; now += step {
+			if dial > 0 && now >= dial {
+				dial, beat = 0, now
+				s.Up(now)
+			}
+			if dial == 0 && now >= beat {
+				if beat = now + s.Every(p.Length()); leave && s.Silent(now) {
+					dial = now + s.Next()
+				} else {
+					p.Ask(now)
+				}
+			}
+			for _, m := range p.Out() {
+				switch at := s.At(); {
+				case at == old && now < falls, at == next && now >= leads:
+					if m.Kind == Renew && !s.Heard(now+step, Granted) {
+						p.Heard(now+step, Message{Kind: Granted, Member: 1, Seq: m.Seq, Lease: cfg.Lease})
+					}
+				case at != old && dial == 0 && s.Heard(now+step, Elsewhere):
+					dial = now + step + s.Next()
+				}
+			}
+			if _, v := p.May(now); v == Deny && now > time.Minute+step {
+				refused += step
+			}
+		}
+		return refused
+	}
+	var most, sum time.Duration
+	for seed := range uint64(2000) {
+		g := gap(seed, true)
+		most, sum = max(most, g), sum+g
+	}
+	if t.Logf("%v at most, %v in the mean", most, sum/2000); most > 400*time.Millisecond {
+		t.Errorf("refused for %v", most)
+	}
+	if g := gap(1, false); g < 4*time.Second {
+		t.Errorf("who stays refuses for %v only: the test sees nothing", g)
+	}
+}
