Give the tier's bench ports that nobody takes, clocks that differ, and planners with older logs

The bench also waited 30 s ('10 members were expected') or went on without the planner. A proxy whose clock runs at a fifth of its rate serves under an old policy, and the auditor finds it. - 'old planner' is a kind of fault: a planner comes back with an older copy of its log, ends, and later has its own again. - A proxy's log lines bear the policy's number once one is in force, so refusals and counters do.

--- a/internal/lab/command/tier.go
+++ b/internal/lab/command/tier.go
@@ -42,8 +42,8 @@
 					return fmt.Errorf("%w: --faults has %q, all or some of %q were expected", ErrUsage, k, tier.Kinds)
 				}
 			}
-			if seeds < 1 || t.Proxies < 1 || t.Planners < 1 || t.Length < time.Second || t.Every <= 0 {
-				return fmt.Errorf("%w: --seeds, --proxies and --planners are 1 at least, --length 1s, --every above 0", ErrUsage)
+			if seeds < 1 || t.Proxies < 1 || t.Planners < 1 || t.Length < time.Second || t.Every <= 0 || !(t.Skew >= 0 && t.Skew <= 0.1) {
+				return fmt.Errorf("%w: --seeds, --proxies and --planners are 1 at least, --length 1s, --every above 0, --skew 0 to 0.1", ErrUsage)
 			}
 			if t.Binary == "" {
 				self, err := os.Executable()
@@ -108,6 +108,7 @@
 	f.DurationVar(&t.Every, "every", 200*time.Millisecond, "between two proposals, and up to twice that")
 	f.DurationVar(&t.Lease, "lease", 2*time.Second, "of the proxies; 0 = they go on when they are cut off")
 	f.IntVar(&t.Each, "clients", 2, "of each proxy")
+	f.Float64Var(&t.Skew, "skew", 0, "clocks are up to 200ms off and run at rates up to so much from true: 0.1 at most; --proxy has to be built with -tags lab")
 	f.BoolVar(&byKind, "by-kind", false, "play each kind of fault by itself, a line each")
 	f.BoolVar(&t.Naive, "naive", false, "no planners: a file beside each proxy and SIGHUP to each, to see what the auditor finds there")
 	f.StringVar(&t.Binary, "proxy", "", "the program (default: havenproxy beside this one)")
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -113,8 +113,8 @@
 // between the look and the program's listening.
 const lowPort, ports = 20000, 12000
 
-// freePort finds a port that nobody listens on now. The program can't tell a port that it chose itself.
-func freePort() (string, error) {
+// FreePort finds a port that nobody listens on now. The program can't tell a port that it chose itself.
+func FreePort() (string, error) {
 	var err error
 	for range 50 {
 		address := fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(ports))
@@ -145,7 +145,7 @@
 		}
 	}
 	if o.Listen == "" {
-		if o.Listen, err = freePort(); err != nil {
+		if o.Listen, err = FreePort(); err != nil {
 			return nil, err
 		}
 	}
@@ -170,7 +170,7 @@
 	p := &Proxy{Address: o.Listen, ended: make(chan struct{}), dir: dir}
 	if o.MySQL != "" {
 		if o.MySQL == "free" {
-			if o.MySQL, err = freePort(); err != nil {
+			if o.MySQL, err = FreePort(); err != nil {
 				return nil, err
 			}
 		}
--- a/internal/lab/tier/faults.go
+++ b/internal/lab/tier/faults.go
@@ -23,7 +23,7 @@
 }
 
 // Kinds of fault.
-var Kinds = []string{"kill", "pause", "cut", "deaf", "mute", "loss", "double", "reorder", "delay", "reset", "kill planner", "pause planner", "part planners", "kill planners",
+var Kinds = []string{"kill", "pause", "cut", "deaf", "mute", "loss", "double", "reorder", "delay", "reset", "kill planner", "pause planner", "part planners", "kill planners", "old planner",
 	"database cut", "database deaf", "database mute", "database delay", "database reset", "client cut", "client delay", "client reset"}
 
 // troubles are what links may have, by the last word of the kind.
@@ -89,7 +89,7 @@
 		return b.each(b.Proxies, f.Who, func(p *Process) { p.Kill() }, func(p *Process) { p.Start() })
 	case "pause":
 		return b.each(b.Proxies, f.Who, func(p *Process) { p.Signal(syscall.SIGSTOP) }, func(p *Process) { p.Signal(syscall.SIGCONT) })
-	case "kill planner", "kill planners", "pause planner", "part planners":
+	case "kill planner", "kill planners", "pause planner", "part planners", "old planner":
 		if b.cfg.Naive {
 			return func() {}
 		}
@@ -122,6 +122,8 @@
 	switch f.Kind {
 	case "kill planner", "kill planners":
 		return b.each(b.Planners, f.Who, func(p *Process) { p.Kill() }, func(p *Process) { p.Start() })
+	case "old planner":
+		return b.each(b.Planners, f.Who, b.age, b.renew)
 	case "pause planner":
 		return b.each(b.Planners, f.Who, func(p *Process) { p.Signal(syscall.SIGSTOP) }, func(p *Process) { p.Signal(syscall.SIGCONT) })
 	case "part planners":
@@ -159,6 +161,39 @@
 	return mend
 }
 
+// age starts a planner again with an older copy of its log: the one that was made when this first happened to it. It is to end by itself. Where all
+// the others have been started since, none remembers what it said, and this is not seen (docs/design/policy.md): then it is started as it was.
+func (b *Bench) age(p *Process) {
+	p.Kill()
+	known := false
+	for _, other := range b.Planners {
+		known = known || other != p && other.began.Before(p.copied)
+	}
+	switch {
+	case p.copied.IsZero():
+		if p.Copy() == nil {
+			p.copied = time.Now()
+		}
+	case known:
+		p.aged = copyFile(p.disk, p.disk+".new") == nil && p.Restore() == nil
+	}
+	p.Start()
+}
+
+// renew starts it again with the log that it had.
+func (b *Bench) renew(p *Process) {
+	if !p.aged {
+		return
+	}
+	p.Kill()
+	if p.aged = false; copyFile(p.disk+".new", p.disk) == nil {
+		b.mu.Lock()
+		b.aged++
+		b.mu.Unlock()
+	}
+	p.Start()
+}
+
 func (b *Bench) reachable(who []int, yes bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/lab/tier/links.go
+++ b/internal/lab/tier/links.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/planner/client"
 	"havenproxy/internal/rollout"
 	"havenproxy/internal/wire/tier"
@@ -76,7 +77,7 @@
 	defer os.RemoveAll(dir)
 	var addresses, named []string
 	for i := range l.Planners {
-		a, err := free()
+		a, err := launch.FreePort()
 		if err != nil {
 			return c, err
 		}
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -21,6 +22,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"havenproxy/internal/lab/fleet"
 	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/lab/standin"
@@ -36,8 +39,10 @@
 	Lease    time.Duration // 0 = proxies that are cut off go on
 	Seed     uint64
 	Fleet    fleet.Config
-	Log      io.Writer // of all processes; nil = dropped
-	Naive    bool      // no planners: a file beside each proxy, and SIGHUP to each
+	Log      io.Writer                                                 // of all processes; nil = dropped
+	Skew     float64                                                   // clocks are up to 200 ms off, and run at rates up to so much from true, drawn for each process; 0 = they agree
+	Clocks   func(process string) (offset time.Duration, rate float64) // instead of that; rate 0 = true
+	Naive    bool                                                      // no planners: a file beside each proxy, and SIGHUP to each
 }
 
 // Bench is a tier that runs.
@@ -64,6 +69,7 @@
 	refused  int
 	reasons  map[string]int // of the refused, by what they were told
 	lost     int
+	aged     int // planners that ran with an older copy of their logs, and had the newer one back
 }
 
 // Process is one of them.
@@ -78,13 +84,16 @@
 	run     *exec.Cmd
 	ended   chan struct{}
 	out     io.Writer
-	held    bool // by a fault
+	held    bool      // by a fault
+	began   time.Time // of its last start
+	copied  time.Time // when an older copy of its log was made
+	aged    bool      // it runs with that
 }
 
 func (p *Process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.run = p.cmd()
+	p.run, p.began = p.cmd(), time.Now()
 	p.run.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	p.run.Stdout, p.run.Stderr = p.out, p.out
 	if err := p.run.Start(); err != nil {
@@ -112,17 +121,21 @@
 // Start starts it again, with its disk as it is.
 func (p *Process) Start() error { return p.start() }
 
-func free() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// ErrEnded tells that a process ended while the tier began.
+var ErrEnded = errors.New("ended by itself")
+
+// Start starts planners and proxies and waits until all are members. Where another program takes one's port between the look and its listening,
+// all are started once more, on others.
+func Start(ctx context.Context, cfg Config) (b *Bench, err error) {
+	for range 3 {
+		if b, err = start(ctx, cfg); !errors.Is(err, ErrEnded) {
+			break
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return b, err
 }
 
-// Start starts planners and proxies and waits until all are members.
-func Start(ctx context.Context, cfg Config) (b *Bench, err error) {
+func start(ctx context.Context, cfg Config) (b *Bench, err error) {
 	if cfg.Log == nil {
 		cfg.Log = io.Discard
 	}
@@ -138,13 +151,16 @@
 	if b.world, err = standin.New(cfg.Fleet, func(time.Duration, string) {}); err != nil {
 		return nil, err
 	}
+	if (cfg.Skew > 0 || cfg.Clocks != nil) && !hasClock(cfg.Binary) {
+		return nil, ErrNoClock
+	}
 	b.between, b.away = map[[2]int]*relay{}, map[int]bool{}
 	b.downs, b.reasons = map[int]bool{}, map[string]int{}
 	if cfg.Naive {
 		cfg.Planners, b.cfg.Planners = 0, 0
 	}
 	for range cfg.Planners {
-		address, err := free()
+		address, err := launch.FreePort()
 		if err != nil {
 			return nil, err
 		}
@@ -169,7 +185,7 @@
 		}
 		args := append([]string{"plan", "--id", strconv.Itoa(i + 1), "--planners", strings.Join(peers, ","), "--listen", address, "--log", filepath.Join(b.dir, fmt.Sprint("plan", i+1))}, lease...)
 		disk := filepath.Join(b.dir, fmt.Sprint("plan", i+1))
-		p := &Process{Name: fmt.Sprint("planner", i+1), Address: address, disk: disk, cmd: func() *exec.Cmd { return exec.Command(cfg.Binary, args...) }, out: cfg.Log}
+		p := &Process{Name: fmt.Sprint("planner", i+1), Address: address, disk: disk, cmd: b.clocked(fmt.Sprint("planner", i+1), func() *exec.Cmd { return exec.Command(cfg.Binary, args...) }), out: cfg.Log}
 		if err := p.start(); err != nil {
 			return nil, err
 		}
@@ -181,8 +197,18 @@
 		}
 	}
 	if !cfg.Naive {
-		if err := b.Wait(ctx, cfg.Proxies); err != nil {
-			return nil, err
+		begins, cancel := context.WithCancelCause(ctx)
+		go func() {
+			for begins.Err() == nil {
+				if err := b.ended(); err != nil {
+					cancel(err)
+				}
+				sleep(begins, 20*time.Millisecond)
+			}
+		}()
+		err := b.Wait(begins, cfg.Proxies)
+		if cancel(nil); err != nil {
+			return nil, errors.Join(err, b.ended())
 		}
 	}
 	for _, p := range b.Proxies { // a member has its first lease a moment later
@@ -190,15 +216,66 @@
 			if _, told, code, err := b.once(p); err == nil && told && code == "" {
 				break
 			}
-			if ctx.Err() != nil {
-				return nil, fmt.Errorf("%s takes no request: %w", p.Name, ctx.Err())
+			if err := errors.Join(ctx.Err(), b.ended()); err != nil {
+				return nil, fmt.Errorf("%s takes no request: %w", p.Name, err)
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
+	if err := b.ended(); err != nil { // a tier that lacks a planner would not bear the faults that it is to bear
+		return nil, err
+	}
 	return b, nil
 }
 
+// ended tells of a process that has ended, as none may while the tier begins.
+func (b *Bench) ended() error {
+	for _, p := range append(slices.Clone(b.Proxies), b.Planners...) {
+		select {
+		case <-p.ended:
+			return fmt.Errorf("%s %w: exit code %d", p.Name, ErrEnded, p.run.ProcessState.ExitCode())
+		default:
+		}
+	}
+	return nil
+}
+
+// clocked gives a process a clock of its own, the same at each start. The program has to be one built for the lab: another would not say that it goes
+// by such a clock, and Start fails.
+func (b *Bench) clocked(name string, cmd func() *exec.Cmd) func() *exec.Cmd {
+	offset, rate := time.Duration(0), 1.0
+	switch {
+	case b.cfg.Clocks != nil:
+		if offset, rate = b.cfg.Clocks(name); rate == 0 {
+			rate = 1
+		}
+	case b.cfg.Skew > 0:
+		rng := rand.New(rand.NewPCG(b.cfg.Seed, xxhash.Sum64String(name)))
+		offset, rate = time.Duration((2*rng.Float64()-1)*float64(200*time.Millisecond)), 1+(2*rng.Float64()-1)*b.cfg.Skew
+	default:
+		return cmd
+	}
+	return func() *exec.Cmd {
+		c := cmd()
+		if c.Env == nil {
+			c.Env = os.Environ()
+		}
+		c.Env = append(c.Env, fmt.Sprintf("HAVENLAB_CLOCK=%v %g", offset, rate))
+		return c
+	}
+}
+
+// ErrNoClock tells that the program can't be given a clock of its own.
+var ErrNoClock = errors.New("the program was not built for the lab (go build -tags lab), so that its clock can't be set")
+
+// hasClock tells whether a program can be given a clock of its own: such a one doesn't start with one that it can't read.
+func hasClock(binary string) bool {
+	c := exec.Command(binary, "--version")
+	c.Env = append(os.Environ(), "HAVENLAB_CLOCK=?")
+	out, err := c.CombinedOutput()
+	return err != nil && strings.Contains(string(out), "HAVENLAB_CLOCK")
+}
+
 // Ended waits until a process has ended by itself, and gives its exit code; false = it lives on.
 func (p *Process) Ended(ctx context.Context) (code int, ok bool) {
 	select {
@@ -211,7 +288,7 @@
 
 // AddPlanner starts a planner that is to take another's place, on links of no relay.
 func (b *Bench) AddPlanner(id int) (*Process, error) {
-	address, err := free()
+	address, err := launch.FreePort()
 	if err != nil {
 		return nil, err
 	}
@@ -260,7 +337,7 @@
 }
 
 func (b *Bench) addProxy(i int) error {
-	address, err := free()
+	address, err := launch.FreePort()
 	if err != nil {
 		return err
 	}
@@ -323,11 +400,11 @@
 	if err = errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(operator, []byte(file), 0o600)); err != nil {
 		return err
 	}
-	p := &Process{Name: fmt.Sprint("n", i), Address: address, Front: front.address(), file: operator, out: b.cfg.Log, cmd: func() *exec.Cmd {
+	p := &Process{Name: fmt.Sprint("n", i), Address: address, Front: front.address(), file: operator, out: b.cfg.Log, cmd: b.clocked(fmt.Sprint("n", i), func() *exec.Cmd {
 		c := exec.Command(b.cfg.Binary)
 		c.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_LISTEN="+address, "HAVEN_OPERATOR="+operator)
 		return c
-	}}
+	})}
 	b.Proxies = append(b.Proxies, p)
 	return p.start()
 }
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,7 +24,7 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "havenproxy")
-	if out, err := exec.Command("go", "build", "-o", dir+"/", "havenproxy/cmd/havenproxy", "havenproxy/cmd/havenplan").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-tags", "lab", "-o", dir+"/", "havenproxy/cmd/havenproxy", "havenproxy/cmd/havenplan").CombinedOutput(); err != nil {
 		fmt.Fprintln(os.Stderr, string(out), err)
 		os.Exit(1)
 	}
@@ -181,10 +183,106 @@
 	}
 }
 
+// A tier doesn't begin without one of its processes: with a planner less it would not bear the faults that it is to bear.
+func TestATierThatLacksAProcessDoesntBegin(t *testing.T) {
+	began := time.Now()
+	b, err := Start(t.Context(), Config{Binary: "/bin/false", Proxies: 1, Planners: 3, Lease: time.Second, Seed: 1,
+		Fleet: fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}})
+	if !errors.Is(err, ErrEnded) || b != nil {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+}
+
+// Clocks 200 ms apart, at rates a tenth from true either way, are within what leases allow for; a proxy whose clock runs at a fifth of its rate holds its
+// lease for too long, and the auditor finds it: it would see the others' breach too.
+func TestClocksOfProcessesDiffer(t *testing.T) {
+	for _, slow := range []float64{0.9, 0.2} {
+		b := started(t, Config{Proxies: 3, Planners: 3, Lease: 600 * time.Millisecond, Clocks: func(process string) (time.Duration, float64) {
+			switch process {
+			case "n0":
+				return -200 * time.Millisecond, slow
+			case "planner1", "planner2", "planner3":
+				return 200 * time.Millisecond, 1.1
+			}
+			return 0, 1
+		}})
+		asking, stop := context.WithCancel(t.Context())
+		wait := b.Ask(asking, 2, 2*time.Millisecond)
+		mend := b.begin(Fault{Kind: "cut", Who: []int{0}})
+		if code, out := b.propose(t, 1); code != 0 {
+			t.Errorf("exit %d: %s", code, out)
+		}
+		old := func() bool {
+			seen, _, _ := b.History()
+			return len(Audit(seen, nil)) > 0
+		}
+		for slow < 0.5 && !old() { // where none is found, the test's own time runs out
+			time.Sleep(10 * time.Millisecond)
+		}
+		mend()
+		b.until(1)
+		stop()
+		wait()
+		if slow > 0.5 && old() {
+			seen, _, _ := b.History()
+			t.Error(Audit(seen, nil))
+		}
+	}
+}
+
+// A planner whose log is an older copy for a while does no harm, and is one of the planners again once it has its own.
+func TestAPlannerRunsWithAnOlderLogForAWhile(t *testing.T) {
+	log := &lines{}
+	b := started(t, Config{Proxies: 2, Planners: 3, Lease: time.Second, Log: log})
+	old := Fault{Kind: "old planner", Who: []int{0}}
+	b.begin(old)() // the copy is made
+	asking, stop := context.WithCancel(t.Context())
+	wait := b.Ask(asking, 2, 2*time.Millisecond)
+	for i := range 3 {
+		if code, out := b.propose(t, i); code != 0 {
+			t.Errorf("exit %d: %s", code, out)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	end := b.begin(old)
+	if !b.Planners[0].aged {
+		t.Fatal("it has the log that it had")
+	}
+	if code, ok := b.Planners[0].Ended(ctx); !ok || code != 1 || !log.has("older copy") {
+		t.Errorf("it lives on: %d, %v", code, ok)
+	}
+	if code, out := b.propose(t, 4); code != 0 {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	end()
+	kill := b.begin(Fault{Kind: "kill planner", Who: []int{1}}) // the tier hangs on it now
+	if code, out := b.propose(t, 5); code != 0 {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	kill()
+	b.until(5)
+	stop()
+	wait()
+	seen, _, _ := b.History()
+	for _, x := range Audit(seen, nil) {
+		t.Error(x)
+	}
+	for _, p := range b.Proxies {
+		p.Signal(syscall.SIGTERM)
+		if _, ok := p.Ended(ctx); !ok {
+			t.Error("a proxy doesn't end")
+		}
+	}
+	if log.count("msg=stopped policy=5 ") != len(b.Proxies) {
+		t.Error("what was counted is told without the policy's number")
+	}
+}
+
 // All kinds of fault by a schedule: whatever came of the changes, no promise is broken, and each has an end.
 func TestATierUnderAllFaults(t *testing.T) {
 	for seed := uint64(1); seed <= 2; seed++ {
-		r, err := Trial{Config: Config{Binary: binary, Proxies: 4, Planners: 3, Lease: 400 * time.Millisecond, Seed: seed,
+		r, err := Trial{Config: Config{Binary: binary, Proxies: 4, Planners: 3, Lease: 400 * time.Millisecond, Seed: seed, Skew: 0.1,
 			Fleet: fleet.Config{Seed: seed, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}},
 			Kinds: Kinds, Length: 4 * time.Second, Every: 100 * time.Millisecond}.Play(t.Context())
 		if err != nil {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -18,6 +18,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"havenproxy/internal/labclock"
 	"havenproxy/internal/rollout"
 	"havenproxy/internal/wire/tier"
 )
@@ -168,9 +169,9 @@
 func (p *Planner) Address() string { return p.server.listener.Addr().String() }
 
 // now is the planner's own clock, on which leases are counted: it is monotonic.
-func (p *Planner) now() time.Duration { return time.Since(p.began) + time.Second }
+func (p *Planner) now() time.Duration { return labclock.Since(p.began) + time.Second }
 
-func (p *Planner) unix() int64 { return time.Now().UnixMilli() }
+func (p *Planner) unix() int64 { return labclock.Wall().UnixMilli() }
 
 // post hands what a proxy or an operator has said to the planner's goroutine. Where too much waits, it waits too, and so its link is read no
 // further: a link that is closed would come again with more to say. false = the planner has ended.
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -294,7 +294,8 @@
 
 	tier      *net.Tier // nil = the proxy goes by its own files
 	enforced  rollout.Number
-	traceFile string // of the command line
+	log       *slog.Logger // without the policy's number
+	traceFile string       // of the command line
 	traced    *trace.Config
 	watched   *net.ConsulConfig // as of the last file
 	consul    *net.Consul       // the loop's alone
--- a/internal/run/tier.go
+++ b/internal/run/tier.go
@@ -18,6 +18,7 @@
 	p.front.Handover(own.Handover)
 	p.front.Tune(own.Tuning)
 	p.server.TellPolicy(own.Tier.Tell)
+	p.log = slog.Default()
 	p.tier = net.JoinTier(p.loop, p.clock, p.front, net.TierConfig{Name: cmp.Or(own.Tier.Name, cfg.Name), Planners: own.Tier.Planners,
 		Rollout: own.Tier.Rollout, Seed: cfg.Settings.Config.Seed, Check: p.agrees, Into: p.enforce})
 	p.server.Belongs(p.tier)
@@ -58,6 +59,7 @@
 		return
 	}
 	p.enforced = n
+	slog.SetDefault(p.log.With("policy", uint64(n))) // what is refused and counted from now on hangs on it, and so each line says so
 	next, err := policy.Decode(text)
 	if err != nil { // it was agreed to here, or comes from planners of a later version: serving on under another one would break the promise
 		slog.Error("the tier's policy can't be put into effect, so this proxy ends", "number", uint64(n), "error", err)
--- a/internal/state/clock.go
+++ b/internal/state/clock.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"havenproxy/internal/labclock"
 )
 
 // Clock is the router's clock. It only moves forward, and places moments of the wall clock on itself.
@@ -21,10 +23,10 @@
 func NewClock() *SystemClock { return &SystemClock{time.Now()} }
 
 // Now implements Clock by the monotonic clock.
-func (c *SystemClock) Now() time.Duration { return clockBase + time.Since(c.start) }
+func (c *SystemClock) Now() time.Duration { return clockBase + labclock.Since(c.start) }
 
 // Unix implements Clock.
-func (c *SystemClock) Unix() time.Duration { return time.Duration(time.Now().UnixNano()) }
+func (c *SystemClock) Unix() time.Duration { return time.Duration(labclock.Wall().UnixNano()) }
 
 // place puts a moment of the wall clock on the router's clock; 0 where it is not told or too long ago.
 func place(c Clock, unix time.Duration) time.Duration {
