Tell proxies of one another: the tier's members with the lease that a list holds for

Need: work in hand is kept by members that all asking proxies find alike (docs/design/takeover.md); so far a proxy knew its own membership alone. Change: a proxy that tells an address with its Hello is told Seats, their Version, and the earlier lists that others may still go by; a lease prolongs the list that it was granted with and no other (the fence: a proxy that is heard and hears nothing goes by its list until its lease ends, no longer). Proxies without an address are told nothing, and cost nothing more. Also: `havenlab tier-cost` measures a tier's policy on and off in turn; CPU is read from the scheduler's count instead of ticks of 10 ms; SHOW COUNTERS names the policy.

--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -267,6 +267,9 @@
 
 func countersTable(s Source) Table {
 	t := Table{Columns: []string{"name", "value"}}
+	if x, ok := s.Tier(); ok {
+		t.add("policy", x.Number)
+	}
 	for _, a := range s.Front().Counters.LogValue().Group() {
 		t.add(a.Key, a.Value.String())
 	}
--- a/internal/lab/command/tier.go
+++ b/internal/lab/command/tier.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
 
 	"havenproxy/internal/lab/fleet"
 	"havenproxy/internal/lab/launch"
@@ -209,3 +212,75 @@
 	f.StringVar(&l.Binary, "proxy", "", "the program (default: havenproxy beside this one)")
 	return c
 }
+
+func tierCostCommand() *cobra.Command {
+	var p tier.Price
+	c := &cobra.Command{
+		Use:   "tier-cost",
+		Short: "Measure what a tier's policy costs a proxy: CPU, memory and latency with it off and on, and round a change",
+		Long: "tier-cost plays the same load on proxies that go by their own files and on such that have three planners, in turn, and makes changes under load\n" +
+			"in the second kind. 'near' are requests sent within 100 ms of a change's point. The figures are of this machine while nothing else runs on it.",
+		Example: "  havenlab tier-cost\n  havenlab tier-cost --rounds 10 --for 10s --clients 100",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if p.Rounds < 2 || p.Proxies < 1 || p.Clients < 1 || p.For < time.Second || p.Every < 250*time.Millisecond || p.Lease < 200*time.Millisecond {
+				return fmt.Errorf("%w: --rounds is 2 at least, --proxies and --clients 1, --for 1s, --every 250ms, --lease 200ms", ErrUsage)
+			}
+			if p.Binary == "" {
+				self, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				p.Binary = filepath.Join(filepath.Dir(self), "havenproxy")
+			}
+			quiet()
+			p.Planners = 3
+			p.Fleet = fleet.Config{Seed: 1, Groups: 1, Members: 4, Zones: launch.Zones(), Classes: launch.Classes()}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "tier\trequests\tCPU each\tidle CPU\tresident\tp50\tp99\tchanges\tnear\tp99 near\tmost near\tp99 far\trefused")
+			list, err := p.Measure(c.Context(), func(x tier.Paid) {
+				on := "off"
+				if x.On {
+					on = "on"
+				}
+				fmt.Fprintf(w, "%s\t%d\t%v\t%.2f%%\t%.1f MiB\t%v\t%v\t%d\t%d\t%v\t%v\t%v\t%d\n", on, x.Requests, x.Each.Round(100*time.Nanosecond), 100*x.Idle, float64(x.Resident)/(1<<20),
+					x.P50.Round(time.Microsecond), x.P99.Round(time.Microsecond), x.Changes, x.Near, x.NearP99.Round(time.Microsecond), x.NearMost.Round(time.Microsecond), x.FarP99.Round(time.Microsecond), x.Refused)
+			})
+			w.Flush()
+			if err != nil {
+				return err
+			}
+			pairs := func(of func(tier.Paid) float64) (mean, half float64) { // the difference on - off over the rounds, with its 95% interval
+				var d []float64
+				for i := 0; i+1 < len(list); i += 2 {
+					d = append(d, of(list[i+1])-of(list[i]))
+				}
+				mean, dev := stat.MeanStdDev(d, nil)
+				t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(d) - 1)}.Quantile(0.975)
+				return mean, t * dev / math.Sqrt(float64(len(d)))
+			}
+			for _, x := range []struct {
+				name, unit string
+				of         func(tier.Paid) float64
+			}{
+				{"CPU for a request", "us", func(x tier.Paid) float64 { return float64(x.Each) / 1e3 }},
+				{"idle CPU", "% of a core", func(x tier.Paid) float64 { return 100 * x.Idle }},
+				{"p50", "ms", func(x tier.Paid) float64 { return x.P50.Seconds() * 1e3 }},
+				{"resident", "MiB", func(x tier.Paid) float64 { return float64(x.Resident) / (1 << 20) }},
+			} {
+				mean, half := pairs(x.of)
+				fmt.Fprintf(c.OutOrStdout(), "on against off, %s: %+.2f %s (%+.2f to %+.2f)\n", x.name, mean, x.unit, mean-half, mean+half)
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.IntVar(&p.Rounds, "rounds", 5, "of each kind, in turn")
+	f.IntVar(&p.Proxies, "proxies", 2, "of the tier")
+	f.IntVar(&p.Clients, "clients", 50, "of each proxy, each with one request at a time")
+	f.DurationVar(&p.For, "for", 4*time.Second, "that each part of a round is measured: without requests, with them, with changes too")
+	f.DurationVar(&p.Every, "every", 500*time.Millisecond, "between two changes")
+	f.DurationVar(&p.Lease, "lease", 2*time.Second, "of the proxies")
+	f.StringVar(&p.Binary, "proxy", "", "the program (default: havenproxy beside this one)")
+	return c
+}
--- a/internal/lab/tier/links.go
+++ b/internal/lab/tier/links.go
@@ -229,7 +229,7 @@
 	return n, err
 }
 
-// usage reads what CPU time a process has used, in the kernel's ticks of 10 ms, and how much memory it holds.
+// usage reads what CPU time a process's threads have used, as the kernel's scheduler counts it, and how much memory it holds.
 func usage(pid int) (cpu time.Duration, resident int64) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
@@ -239,8 +239,13 @@
 	if len(f) < 22 {
 		return 0, 0
 	}
-	user, _ := strconv.ParseInt(f[11], 10, 64)
-	system, _ := strconv.ParseInt(f[12], 10, 64)
 	pages, _ := strconv.ParseInt(f[21], 10, 64)
-	return time.Duration(user+system) * 10 * time.Millisecond, pages * int64(os.Getpagesize())
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	for _, t := range threads {
+		text, _ := os.ReadFile(t) // a thread that has ended meanwhile is not counted
+		if ns, err := strconv.ParseInt(strings.Split(string(text), " ")[0], 10, 64); err == nil {
+			cpu += time.Duration(ns)
+		}
+	}
+	return cpu, pages * int64(os.Getpagesize())
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -54,6 +54,7 @@
 	leads  uint64          // who, as far as known
 	began  time.Time
 
+	views            rollout.Views
 	applied, snapped uint64
 	reads            uint64         // confirmations asked for
 	pending          rollout.Number // the last change that was undecided,
@@ -139,6 +140,7 @@
 	if p.state, err = tier.DecodeState(snap.GetData()); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
+	p.views.Applied(p.now(), p.state)
 	p.applied, p.snapped = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
 	p.conf = snap.GetMetadata().GetConfState()
 	p.connect()
@@ -242,6 +244,9 @@
 func (p *Planner) begin(term rollout.Term) {
 	p.leader = rollout.Lead(p.cfg.Rollout, p.state, term)
 	p.leader.Since(p.pending, p.pendingAt)
+	if p.cfg.Rollout.Lease > 0 {
+		p.leader.Tells(&p.views)
+	}
 }
 
 // lead carries out what the leader's side wants; it tells whether there was anything.
@@ -349,6 +354,7 @@
 	}
 	force := p.state.Force
 	err = p.state.Apply(c)
+	p.views.Applied(p.now(), p.state)
 	if x := p.state.Pending(); x != nil && x.Number != p.pending {
 		p.pending, p.pendingAt = x.Number, p.now()
 	}
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -108,6 +108,7 @@
 	Hold                      // it is to hold what comes
 	Facts                     // Number is in force, all rounds up to Round are over
 	Elsewhere                 // this planner doesn't lead
+	Members                   // the tier's members are Seats as of Version, for who told an Address
 )
 
 // Message is one between a proxy and a planner.
@@ -124,6 +125,11 @@
 	// Lease is what the proxy goes by, with Hello: where the planners go by another, it must not join. With Granted, how long the lease is; 0, of
 	// an earlier version, = as long as that.
 	Lease time.Duration `cbor:"10,keyasint,omitempty"`
+	// Address is where other proxies reach this one, with Hello; empty = they don't, and it is told of no members.
+	Address string `cbor:"11,keyasint,omitempty"`
+	Version uint64 `cbor:"12,keyasint,omitempty"` // of the members, as the proxy knows them with Renew, as they are with Granted and Members
+	Seats   []Seat `cbor:"13,keyasint,omitempty"`
+	Past    []View `cbor:"14,keyasint,omitempty"`
 }
 
 // Act says what a command does.
@@ -155,4 +161,6 @@
 	// Lease is what the leader goes by, with Release. Planners that go by another can't lead.
 	Lease time.Duration `cbor:"12,keyasint,omitempty"`
 	Hash  string        `cbor:"13,keyasint,omitempty"` // of Policy, with Propose
+	// Address is a member's, with Join.
+	Address string `cbor:"14,keyasint,omitempty"`
 }
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -37,6 +37,7 @@
 	closed  time.Duration
 	failed  error  // why it can't lead
 	abort   string // the change is to be given up, for this reason
+	views   *Views // nil = nobody is told of members
 	looks   uint64 // at members, by Tick: how its work grows with them
 	missing int    // members whose word the change lacks, since Tick last counted them
 
@@ -64,9 +65,10 @@
 }
 
 type ask struct {
-	member Member
-	seq    uint64
-	link   Link
+	member  Member
+	seq     uint64
+	link    Link
+	version uint64 // of the members, as who asks knows them
 }
 
 // Lead begins a term. Until its first command has come through the log, which ends all rounds of earlier terms, it does nothing else.
@@ -163,7 +165,13 @@
 		if s := l.seats[a.member]; s != nil && l.state.Seat(a.member) != nil && l.prolongs(now, s) {
 			length := l.length(now)
 			l.grant(now, s, length)
-			l.send(a.link, Message{Kind: Granted, Member: a.member, Seq: a.seq, Lease: length})
+			granted := Message{Kind: Granted, Member: a.member, Seq: a.seq, Lease: length}
+			if l.views != nil && l.state.Seat(a.member).Address != "" { // the log was looked at behind the ask: so far the list is sure to hold
+				if granted.Version = l.state.Version; a.version != granted.Version {
+					l.send(a.link, Message{Kind: Members, Member: a.member, Version: l.state.Version, Seats: l.state.Seats, Past: l.views.Past(now, l.cfg)})
+				}
+			}
+			l.send(a.link, granted)
 		}
 	}
 	l.confirming = nil
@@ -189,6 +197,9 @@
 	}
 }
 
+// Tells lets members that told an address know of one another, where there are leases: without, nothing says until when a list holds.
+func (l *Leader) Tells(v *Views) { l.views = v }
+
 // Since says when this planner first had a change in its log, by its own clock: the bound on a change's time doesn't begin anew with each leader.
 func (l *Leader) Since(n Number, at time.Duration) { l.known, l.knownAt = n, at }
 
@@ -253,7 +264,7 @@
 			l.send(link, l.fact(m.Member))
 		}
 		if l.cfg.Lease > 0 {
-			l.wants(ask{m.Member, m.Seq, link})
+			l.wants(ask{m.Member, m.Seq, link, m.Version})
 		}
 		return // nothing that a change waits for: with thousands of members a look at all of them for each ask would be most of the work
 	case Agree:
@@ -335,7 +346,7 @@
 		return
 	}
 	l.names[link] = m
-	l.try(now, "join "+m.Name, Command{Act: Join, Name: m.Name, Nonce: m.Nonce})
+	l.try(now, "join "+m.Name, Command{Act: Join, Name: m.Name, Nonce: m.Nonce, Address: m.Address})
 }
 
 // Expel lets the operator say that a member has ended for good. With leases it goes when its own has ended, so that nothing hangs on whether
--- a/internal/rollout/proxy.go
+++ b/internal/rollout/proxy.go
@@ -33,6 +33,9 @@
 	seq    uint64
 	asked  [asks]time.Duration // when, by Seq
 
+	address string
+	tier    Tier
+
 	// Check tells why this proxy can't serve under a policy; empty = it can.
 	check func(Number, []byte) string
 	out   []Message
@@ -46,6 +49,12 @@
 	return &Proxy{cfg: cfg.WithDefaults(), name: name, nonce: nonce, check: check}
 }
 
+// At says where other proxies of the tier reach this one. It is then told of them: see Tier.
+func (p *Proxy) At(address string) { p.address = address }
+
+// Tier gives what is known of the members.
+func (p *Proxy) Tier() Tier { return p.tier }
+
 // Out gives the messages for the planner that is spoken to; they are given once.
 func (p *Proxy) Out() (m []Message) {
 	m, p.out = p.out, nil
@@ -99,7 +108,7 @@
 
 // Connected is the link to a planner that came up: it says who it is.
 func (p *Proxy) Connected() {
-	p.say(Message{Kind: Hello, Name: p.name, Nonce: p.nonce, Member: p.member, Number: p.number, Round: p.held, Lease: p.cfg.Lease})
+	p.say(Message{Kind: Hello, Name: p.name, Nonce: p.nonce, Member: p.member, Number: p.number, Round: p.held, Lease: p.cfg.Lease, Address: p.address})
 }
 
 // Ask asks for the lease, and tells under which policy the proxy serves. It is called a few times in each lease's length.
@@ -110,7 +119,7 @@
 	}
 	p.seq++
 	p.asked[p.seq%asks] = now
-	p.say(Message{Kind: Renew, Member: p.member, Seq: p.seq, Number: p.number})
+	p.say(Message{Kind: Renew, Member: p.member, Seq: p.seq, Number: p.number, Version: p.tier.Version})
 }
 
 // Leave says that no more requests are taken.
@@ -123,7 +132,7 @@
 
 // rejoin gives the membership up. The nonce is a new one, or a late Welcome to the earlier membership would be taken for this one's.
 func (p *Proxy) rejoin() {
-	p.member, p.lease, p.held, p.staged = 0, false, Round{}, 0
+	p.member, p.lease, p.held, p.staged, p.tier = 0, false, Round{}, 0, Tier{}
 	p.nonce++
 	p.Connected()
 }
@@ -161,6 +170,13 @@
 		if p.length = length; !p.lease || p.asked[m.Seq%asks]+length > p.until {
 			p.lease, p.until = true, p.asked[m.Seq%asks]+length
 		}
+		if m.Version > 0 && m.Version == p.tier.Version { // the fence against a list that has been followed by another: a lease prolongs the one that it was granted with
+			p.tier.Until = max(p.tier.Until, p.asked[m.Seq%asks]+length)
+		}
+	case Members:
+		if m.Version > p.tier.Version {
+			p.tier = Tier{Version: m.Version, Seats: m.Seats, Past: m.Past}
+		}
 	case Offer:
 		if m.Number <= p.number || p.held != (Round{}) { // what is held for comes to its end first
 			return
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -17,6 +17,7 @@
 	proxies []*Proxy
 	reasons []string // that proxies heard with Wait
 	deaf    map[int]bool
+	views   *Views
 }
 
 func newPlay(cfg Config, proxies int, check func(Number, []byte) string) *play {
@@ -43,7 +44,11 @@
 		out, commit, confirm := p.leader.Ready()
 		for _, c := range commit {
 			again = true
-			p.leader.Applied(p.now, c, p.state.Apply(c))
+			err := p.state.Apply(c)
+			if p.views != nil {
+				p.views.Applied(p.now, p.state)
+			}
+			p.leader.Applied(p.now, c, err)
 		}
 		if confirm {
 			again = true
@@ -214,6 +219,64 @@
 	}
 }
 
+// Proxies that tell an address hear of one another; a list holds for a lease that was granted while it was the list, and whoever joins hears of the
+// list before for as long as another may go by it.
+func TestMembersAreToldToWhoHasAnAddress(t *testing.T) {
+	cfg := Config{Lease: 2 * time.Second}.WithDefaults()
+	p := &play{now: time.Hour, state: &State{}, deaf: map[int]bool{}, views: &Views{}}
+	p.leader = Lead(cfg, p.state, 1)
+	p.leader.Tells(p.views)
+	p.settle()
+	join := func(address string) *Proxy {
+		x := NewProxy(cfg, string(rune('a'+len(p.proxies))), uint64(100*len(p.proxies)+1), yes)
+		x.At(address)
+		x.Connected()
+		p.proxies = append(p.proxies, x)
+		p.settle()
+		return x
+	}
+	a, mute := join("10.0.0.1:1"), join("")
+	p.pass(time.Second, 0, 1)
+	if x := a.Tier(); len(x.Seats) != 2 || x.Seats[0].Address != "10.0.0.1:1" || x.Until != a.Until() || mute.Tier().Version != 0 {
+		t.Fatalf("%+v, %+v", x, mute.Tier())
+	}
+	p.deaf[0] = true // it is heard, and hears nothing: its list holds until its lease ends
+	until := a.Until()
+	c := join("10.0.0.3:1")
+	p.pass(20*time.Millisecond, 0, 1, 2)
+	if x := c.Tier(); len(x.Seats) != 3 || len(x.Past) != 2 || len(x.Past[1].Members) != 2 || x.Past[1].Left < until-p.now || a.Tier().Until != until || len(a.Tier().Seats) != 2 {
+		t.Errorf("%+v, %+v, %v", x, a.Tier(), until-p.now)
+	}
+	p.pass(3*time.Second, 1, 2) // the lost one goes
+	if x := c.Tier(); len(x.Seats) != 2 || x.Seats[0].Name != "b" || x.Until <= p.now {
+		t.Errorf("%+v", x)
+	}
+	p.deaf[0] = false
+	p.proxies[0].Ask(p.now)
+	p.settle()
+	if p.pass(20*time.Millisecond, 0); len(a.Tier().Seats) != 3 || a.Member() == 1 {
+		t.Errorf("%+v", a.Tier())
+	}
+	// A late word of an earlier grant prolongs no list but its own.
+	before := c.Tier()
+	c.Heard(p.now, Message{Kind: Granted, Member: c.Member(), Seq: c.seq, Lease: cfg.Lease, Version: before.Version - 1})
+	if c.Tier().Until != before.Until {
+		t.Error("another list's lease prolongs it")
+	}
+	for i := range 30 { // many lists: none that a member may go by is left out
+		p.views.Applied(p.now, &State{Version: uint64(1000 + i), Seats: []Seat{{Member: Member(i + 50)}}})
+	}
+	left := map[Member]bool{}
+	for _, v := range p.views.Past(p.now, cfg) {
+		for _, m := range v.Members {
+			left[m] = true
+		}
+	}
+	if len(p.views.past) > mostViews || !left[50] || !left[78] || left[79] {
+		t.Errorf("%d lists, %v", len(p.views.past), left)
+	}
+}
+
 // A planner that is silent, though its link is up, is left while the lease still runs; those that can't be reached are tried less and less often, and
 // not by all proxies at one time.
 func TestASeekerLeavesWhoIsSilent(t *testing.T) {
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -38,6 +38,8 @@
 	Member Member `cbor:"1,keyasint"`
 	Name   string `cbor:"2,keyasint"`
 	Nonce  uint64 `cbor:"3,keyasint,omitempty"`
+	// Address is where the others reach it; empty = they don't.
+	Address string `cbor:"4,keyasint,omitempty"`
 }
 
 // State is what all planners hold alike: it comes of the log's commands and nothing else.
@@ -124,7 +126,7 @@
 		}
 		s.Joined++
 		s.Version++
-		s.Seats = append(s.Seats, Seat{Member: s.Joined, Name: c.Name, Nonce: c.Nonce})
+		s.Seats = append(s.Seats, Seat{Member: s.Joined, Name: c.Name, Nonce: c.Nonce, Address: c.Address})
 	case Leave:
 		if c.Round.Term < s.Released.Term && !s.Without.Has(NoTermCheck) { // the fence against a leader of before: a later one may have given a lease
 			return fmt.Errorf("a later planner leads")
