Carry work in hand between the proxies of a tier: links, a listener, and a take-over seen on them

Need: internal/takeover had no way between processes. Change: net.Work holds a link to each member that there is something to tell, frames with several messages (tier.Work, with the sender's and the receiver's membership, so that nothing said to an earlier membership is heard), 1 MiB at most that waits for a link, re-dials with jitter, and tells the book which members can't be reached. Whoever is no member isn't heard; a frame that can't be read ends its link. Seen on sockets: a write of 100 KB is recorded by two of four, its proxy's links end, one other has it, and all others give its outcome to a client that asks again (TestWorkIsTakenOverOverLinks).

--- /dev/null
+++ b/internal/net/work.go
@@ -0,0 +1,320 @@
+package net
+
+import (
+	"context"
+	"log/slog"
+	stdnet "net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"havenproxy/internal/rollout"
+	"havenproxy/internal/state"
+	"havenproxy/internal/takeover"
+	"havenproxy/internal/wire/tier"
+)
+
+const (
+	workDial    = 500 * time.Millisecond // that another proxy may take to answer a dial
+	workAgain   = 100 * time.Millisecond // before it is dialled anew, doubled each time, with jitter
+	workMost    = 2 * time.Second
+	workOut     = 1 << 20               // bytes that wait for a link that is being made; beyond, messages are lost, as they may be anywhere
+	workAtOnce  = 256 << 10             // bytes of a frame, about
+	workBeat    = 25 * time.Millisecond // of the book's clock: a few times in each of its Again
+	workClients = 4096                  // links from others; beyond, further ones are turned away
+)
+
+// Work carries what a tier's proxies say to one another of work in hand: a link to each member that there is something to tell, and a listener for
+// theirs. It decides nothing: takeover.Book does. All of it runs on the loop.
+type Work struct {
+	loop      *Loop
+	clock     state.Clock
+	deadlines *state.Deadlines
+	book      *takeover.Book
+	do        func(takeover.Order)
+	listener  *listener
+	open      atomic.Int64
+
+	self    takeover.Member
+	version uint64
+	where   map[takeover.Member]string
+	links   map[takeover.Member]*workLink
+	beat    state.Deadline
+	busy    bool // flush is under way
+	closed  bool
+
+	// Counters tell what the links have seen; they only grow.
+	Counters WorkCounters
+}
+
+// WorkCounters count messages, but where they say else.
+type WorkCounters struct {
+	Told, Heard uint64
+	Dropped     uint64 // that no link took
+	Strange     uint64 // frames that could not be read, or came from who is no member
+}
+
+// ListenWork opens the address where the tier's other proxies come. do carries out what the book orders; it is called on the loop.
+func ListenWork(loop *Loop, clock state.Clock, deadlines *state.Deadlines, address string, cfg takeover.Config, do func(takeover.Order)) (*Work, error) {
+	w := &Work{loop: loop, clock: clock, deadlines: deadlines, book: takeover.New(cfg), do: do, where: map[takeover.Member]string{},
+		links: map[takeover.Member]*workLink{}}
+	ln, err := stdnet.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	if w.listener, err = serve(ln, workClients, &w.open, func() {}, w.accept, nil); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+// Start begins to watch what is kept here.
+func (w *Work) Start() { w.tick() }
+
+// Address is where it listens.
+func (w *Work) Address() string { return w.listener.Addr().String() }
+
+// Book gives the decisions. Whoever calls them calls Flush behind that.
+func (w *Work) Book() *takeover.Book { return w.book }
+
+// Close ends all links.
+func (w *Work) Close() {
+	w.closed = true
+	w.deadlines.Clear(&w.beat)
+	for m := range w.links {
+		w.forget(m)
+	}
+	w.listener.end()
+}
+
+func (w *Work) tick() {
+	if w.closed {
+		return
+	}
+	w.book.Tick(w.clock.Now())
+	w.Flush()
+	w.deadlines.Set(&w.beat, w.clock.Now()+workBeat, w.tick)
+}
+
+// Tier takes what is known of the members. It may be called with the same again; self is 0 for a proxy that is none.
+func (w *Work) Tier(self rollout.Member, t rollout.Tier, lease time.Duration) {
+	now := w.clock.Now()
+	if me := takeover.Member(self); me != w.self || t.Version != w.version {
+		w.self, w.version = me, t.Version
+		clear(w.where)
+		var list []takeover.Member
+		for _, s := range t.Seats {
+			if s.Address != "" {
+				w.where[takeover.Member(s.Member)] = s.Address
+				list = append(list, takeover.Member(s.Member))
+			}
+		}
+		for m := range w.links {
+			if w.where[m] == "" {
+				w.forget(m)
+			}
+		}
+		// Others may go by the list before for as long as a lease of it lasts, and for as long as what they own then is kept.
+		keep := takeover.Config{}.WithDefaults().Keep
+		w.book.View(now, me, list, now+lease+lease/4+keep)
+		for _, v := range t.Past {
+			var before []takeover.Member
+			for _, m := range v.Members {
+				before = append(before, takeover.Member(m))
+			}
+			w.book.Before(before, now+v.Left+keep)
+		}
+	}
+	if w.self != 0 && t.Version > 0 {
+		w.book.Belongs(t.Until)
+	}
+	w.Flush()
+}
+
+// Flush sends what the book has to say and carries out its orders, until there are no more.
+func (w *Work) Flush() {
+	if w.busy { // an order's way back into the book: the loop below goes on with it
+		return
+	}
+	w.busy = true
+	defer func() { w.busy = false }()
+	for {
+		say, orders := w.book.Out()
+		if len(say)+len(orders) == 0 {
+			break
+		}
+		for _, s := range say {
+			w.tell(s)
+		}
+		for _, o := range orders {
+			w.do(o)
+		}
+	}
+	for _, l := range w.links {
+		l.flush()
+	}
+}
+
+func (w *Work) tell(s takeover.Say) {
+	address := w.where[s.To]
+	if address == "" {
+		w.Counters.Dropped++
+		return
+	}
+	l := w.links[s.To]
+	if l == nil {
+		l = &workLink{w: w, to: s.To, address: address}
+		w.links[s.To] = l
+		l.dial()
+	}
+	size := len(s.Key) + 64
+	if s.Work != nil {
+		size += len(s.Work.Key) + len(s.Work.Statement) + len(s.Work.Class)
+	}
+	if s.Result != nil {
+		size += len(s.Result.Value)
+	}
+	if l.bytes+size > workOut {
+		w.Counters.Dropped++
+		return
+	}
+	l.out, l.bytes = append(l.out, s.Message), l.bytes+size
+}
+
+func (w *Work) forget(m takeover.Member) {
+	l := w.links[m]
+	delete(w.links, m)
+	l.gone = true
+	w.deadlines.Clear(&l.redial)
+	if l.conn != nil {
+		l.conn.Close()
+	}
+	w.Counters.Dropped += uint64(len(l.out))
+	w.book.Link(m, true) // nothing is known of it any more
+}
+
+// workLink is the way to one other proxy. What that one says comes on a link of its own.
+type workLink struct {
+	w       *Work
+	to      takeover.Member
+	address string
+	conn    netpoll.Connection
+	out     []takeover.Message
+	bytes   int // of them, about
+	tries   int
+	redial  state.Deadline
+	gone    bool
+}
+
+func (l *workLink) dial() {
+	connect(l.w.loop, l.address, workDial, func(conn netpoll.Connection, err error) {
+		switch {
+		case l.gone:
+			if err == nil {
+				conn.Close()
+			}
+			return
+		case err != nil:
+			l.again()
+			return
+		}
+		l.conn, l.tries = conn, 0
+		attach(l.w.loop, conn, func() { conn.Reader().Skip(conn.Reader().Len()) }, func() {
+			if l.conn == conn && !l.gone {
+				l.conn = nil
+				l.again()
+			}
+		})
+		l.w.book.Link(l.to, true)
+		l.flush()
+	})
+}
+
+func (l *workLink) again() {
+	l.w.book.Link(l.to, false)
+	pause := min(workAgain<<min(l.tries, 8), workMost)
+	l.tries++
+	// Jitter by who dials whom, so that a proxy that comes back isn't dialled by all at once.
+	part := float64((uint64(l.w.self)*0x9e3779b97f4a7c15^uint64(l.to)*0xbf58476d1ce4e5b9)>>40) / (1 << 24)
+	l.w.deadlines.Set(&l.redial, l.w.clock.Now()+time.Duration((0.5+part)*float64(pause)), l.dial)
+}
+
+// flush writes what waits, several messages to a frame.
+func (l *workLink) flush() {
+	if l.conn == nil || len(l.out) == 0 {
+		return
+	}
+	var text []byte
+	for from, size := 0, 0; from < len(l.out); size = 0 {
+		to := from
+		for to < len(l.out) && (to == from || size < workAtOnce) {
+			if w := l.out[to].Work; w != nil {
+				size += len(w.Statement)
+			}
+			size += 256
+			to++
+		}
+		frame, err := tier.Append(text, &tier.Frame{Work: &tier.Work{From: l.w.self, To: l.to, Messages: l.out[from:to]}})
+		if err != nil {
+			l.w.Counters.Dropped += uint64(to - from)
+			slog.Warn("what a proxy was to be told can't be sent", "member", uint64(l.to), "error", err)
+		} else {
+			text = frame
+			l.w.Counters.Told += uint64(to - from)
+		}
+		from = to
+	}
+	clear(l.out)
+	l.out, l.bytes = l.out[:0], 0
+	if _, err := l.conn.Write(text); err != nil {
+		l.conn.Close()
+	}
+}
+
+// workConn is a link that another proxy has made.
+type workConn struct {
+	w    *Work
+	conn netpoll.Connection
+	in   buffer
+}
+
+func (w *Work) accept(ctx context.Context, conn netpoll.Connection) context.Context {
+	return context.WithValue(ctx, clientKey{}, &workConn{w: w, conn: conn})
+}
+
+func (c *workConn) readable() {
+	if err := c.in.fill(c.conn.Reader()); err != nil {
+		c.conn.Close()
+		return
+	}
+	used := 0
+	for !c.w.closed {
+		f, n, err := tier.Next(c.in.bytes[used:])
+		if err != nil {
+			c.w.Counters.Strange++
+			c.conn.Close()
+			return
+		}
+		if n == 0 {
+			break
+		}
+		used += n
+		c.w.heard(f.Work)
+	}
+	c.in.cut(used)
+	c.w.Flush()
+}
+
+// heard takes what another proxy says. Only members are heard, and only what is for this very membership: a proxy that has joined anew has nothing of
+// what was said to it before. One that isn't known yet says it again.
+func (w *Work) heard(x *tier.Work) {
+	if x == nil || w.self == 0 || x.To != w.self || w.where[x.From] == "" || x.From == w.self {
+		w.Counters.Strange++
+		return
+	}
+	for _, m := range x.Messages {
+		w.Counters.Heard++
+		w.book.Heard(w.clock.Now(), x.From, m)
+	}
+}
--- /dev/null
+++ b/internal/net/work_test.go
@@ -0,0 +1,211 @@
+package net
+
+import (
+	stdnet "net"
+	"testing"
+	"time"
+
+	"havenproxy/internal/rollout"
+	"havenproxy/internal/state"
+	"havenproxy/internal/takeover"
+	"havenproxy/internal/wire/tier"
+)
+
+// worker is a proxy's part in work in hand, on a loop that it shares with the others of its test.
+type worker struct {
+	*Work
+	orders chan takeover.Order
+}
+
+func workers(t *testing.T, n int) (loop *Loop, list []*worker, seats rollout.Tier) {
+	deadlines := &state.Deadlines{}
+	clock := state.NewClock()
+	loop = NewLoop(clock, deadlines)
+	go loop.Run()
+	seats.Version = 1
+	for i := range n {
+		x := &worker{orders: make(chan takeover.Order, 64)}
+		var err error
+		if x.Work, err = ListenWork(loop, clock, deadlines, "127.0.0.1:0", takeover.Config{}, func(o takeover.Order) { x.orders <- o }); err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, x)
+		seats.Seats = append(seats.Seats, rollout.Seat{Member: rollout.Member(i + 1), Address: x.Address()})
+	}
+	t.Cleanup(func() {
+		done := make(chan bool)
+		loop.Post(func() {
+			for _, x := range list {
+				if !x.closed {
+					x.Close()
+				}
+			}
+			loop.Stop()
+			close(done)
+		})
+		<-done
+	})
+	seats.Until = clock.Now() + time.Hour
+	on(loop, func() {
+		for i, x := range list {
+			x.Tier(rollout.Member(i+1), seats, 2*time.Second)
+			x.Start()
+		}
+	})
+	return loop, list, seats
+}
+
+func on(loop *Loop, f func()) {
+	done := make(chan bool)
+	loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+// next waits for an order for a client's request; where none comes, the test's own time runs out.
+func next(x *worker) takeover.Order {
+	for {
+		if o := <-x.orders; o.ID != 0 {
+			return o
+		}
+	}
+}
+
+// A write's record goes to the keepers over real links before it may be sent; when its proxy is lost, another has it, once, and a client that asks a third
+// gets the outcome.
+func TestWorkIsTakenOverOverLinks(t *testing.T) {
+	loop, list, _ := workers(t, 4)
+	work := takeover.Work{Key: "k", Digest: 1, Left: time.Minute, Statement: make([]byte, 100<<10), Class: "kayit"}
+	on(loop, func() {
+		list[0].Book().Begin(list[0].clock.Now(), 7, work, takeover.Required)
+		list[0].Flush()
+	})
+	if o := next(list[0]); o.Do != takeover.Go || o.ID != 7 {
+		t.Fatalf("%+v", o)
+	}
+	on(loop, func() {
+		if !list[0].Book().MaySend(list[0].clock.Now(), "k") {
+			t.Error("it may not send")
+		}
+		list[0].Flush()
+		list[0].Close() // it is lost; its links end
+	})
+	var owner *worker
+	for owner == nil {
+		for _, x := range list[1:] {
+			select {
+			case o := <-x.orders:
+				if o.Do != takeover.Go || o.Run == nil || !o.Run.May || len(o.Run.Statement) != 100<<10 {
+					t.Fatalf("%+v", o)
+				}
+				owner = x
+			default:
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	on(loop, func() {
+		owner.Book().Ended(owner.clock.Now(), "k", takeover.Result{Outcome: takeover.Served, Value: []byte("done")})
+		owner.Flush()
+	})
+	for _, x := range list[1:] {
+		on(loop, func() {
+			x.Book().Begin(x.clock.Now(), 9, takeover.Work{Key: "k", Digest: 1, Left: time.Minute, Repeat: true}, takeover.Required)
+			x.Flush()
+		})
+		if o := next(x); o.Do != takeover.Answer || o.ID != 9 || string(o.Result.Value) != "done" {
+			t.Errorf("%+v", o)
+		}
+	}
+}
+
+// Who is no member, or speaks to an earlier membership, isn't heard, and a frame that can't be read ends its link.
+func TestOnlyMembersAreHeardOfWork(t *testing.T) {
+	loop, list, seats := workers(t, 2)
+	conn, err := stdnet.Dial("tcp", list[0].Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	say := func(from, to takeover.Member) {
+		b, err := tier.Append(nil, &tier.Frame{Work: &tier.Work{From: from, To: to, Messages: []takeover.Message{{Kind: takeover.Look, Key: "k"}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until := func(heard, strange uint64) {
+		t.Helper()
+		for {
+			var c WorkCounters
+			on(loop, func() { c = list[0].Counters })
+			if c.Heard > heard || c.Strange > strange {
+				t.Fatalf("%+v, %d heard and %d strange were expected", c, heard, strange)
+			}
+			if c.Heard == heard && c.Strange == strange {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	say(2, 1)
+	until(1, 0)
+	say(9, 1)
+	until(1, 1)
+	say(2, 5)
+	until(1, 2)
+	say(1, 1)
+	until(1, 3)
+	seats.Version, seats.Seats = 2, seats.Seats[:1] // the other has gone
+	on(loop, func() { list[0].Tier(1, seats, 2*time.Second) })
+	say(2, 1)
+	until(1, 4)
+	conn.Write([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	if n, err := conn.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Error("the link lives on")
+	}
+}
+
+// What waits for a link that can't be made is bounded, and the book hears that its keepers can't be reached: the class's say counts at once.
+func TestWorkWithoutLinksIsBounded(t *testing.T) {
+	loop, list, seats := workers(t, 1)
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := ln.Addr().String()
+	ln.Close()
+	seats.Version, seats.Seats = 2, append(seats.Seats, rollout.Seat{Member: 2, Address: dead}, rollout.Seat{Member: 3, Address: dead})
+	x := list[0]
+	on(loop, func() { x.Tier(1, seats, 2*time.Second) })
+	begin := func(s takeover.Survive, keys ...string) {
+		for _, key := range keys {
+			x.Book().Begin(x.clock.Now(), 1, takeover.Work{Key: key, Digest: 1, Left: time.Minute, Statement: make([]byte, 300<<10)}, s)
+			x.Flush()
+		}
+	}
+	on(loop, func() {
+		begin(takeover.Required, "a", "b", "c", "d", "e", "f")
+		for m, l := range x.links {
+			if l.bytes > workOut {
+				t.Errorf("%d bytes wait for %d", l.bytes, m)
+			}
+		}
+		if x.Counters.Dropped == 0 {
+			t.Error("nothing was dropped")
+		}
+	})
+	for range 6 {
+		if o := next(x); o.Do != takeover.Give { // a keeper has been asked: what it has can't be known
+			t.Errorf("%+v", o)
+		}
+	}
+	on(loop, func() { begin(takeover.Required, "g"); begin(takeover.Preferred, "h") }) // no link is up, which is known by now
+	if o := next(x); o.Do != takeover.Refuse {
+		t.Errorf("%+v", o)
+	}
+	if o := next(x); o.Do != takeover.Without {
+		t.Errorf("%+v", o)
+	}
+}
--- a/internal/wire/tier/tier.go
+++ b/internal/wire/tier/tier.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"havenproxy/internal/rollout"
+	"havenproxy/internal/takeover"
 )
 
 const (
@@ -37,6 +38,14 @@
 	Answer  *Answer          `cbor:"4,keyasint,omitempty"`
 	Start   *Start           `cbor:"5,keyasint,omitempty"` // of a planner to another, before all else on a link
 	Strange string           `cbor:"6,keyasint,omitempty"` // a planner to another: why its messages are not taken
+	Work    *Work            `cbor:"7,keyasint,omitempty"` // between proxies
+}
+
+// Work is what one proxy of a tier says to another of work in hand, several messages at a time.
+type Work struct {
+	From     takeover.Member    `cbor:"1,keyasint"`
+	To       takeover.Member    `cbor:"2,keyasint"`
+	Messages []takeover.Message `cbor:"3,keyasint"`
 }
 
 // Start says what a planner's disk holds as a link of it to another begins.
