Let each start of a proxy be a member of its own: its nonce no longer comes of the configuration

Cause: net.JoinTier drew the nonce that tells one start from another from the configuration's seed, so a proxy that was killed came back as the member that it had been: what that one had agreed to or held counted for the new process, which holds nothing, and a change could come into force behind its back (promise 1). Fix: the nonce is handed in (TierConfig.Nonce). TestASecondProcessOfOneNameStaysOut fails without. Also TestChangesThatMeet: a rollback beside an undecided change, a policy that proxies can't read, a rolling restart with changes all the while.

--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -402,7 +402,7 @@
 	}
 	p := &Process{Name: fmt.Sprint("n", i), Address: address, Front: front.address(), file: operator, out: b.cfg.Log, cmd: b.clocked(fmt.Sprint("n", i), func() *exec.Cmd {
 		c := exec.Command(b.cfg.Binary)
-		c.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_LISTEN="+address, "HAVEN_OPERATOR="+operator)
+		c.Env = append(os.Environ(), "EDGE_CONFIG="+config, "HAVEN_OPERATOR="+operator)
 		return c
 	})}
 	b.Proxies = append(b.Proxies, p)
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -14,6 +14,8 @@
 
 	"havenproxy/internal/lab/fleet"
 	"havenproxy/internal/lab/launch"
+	"havenproxy/internal/rollout"
+	"havenproxy/internal/wire/tier"
 )
 
 var binary string
@@ -279,6 +281,112 @@
 	}
 }
 
+// A second process with the name of the first and all of its configuration but the address stays out while that one lives: it is another start. Both would
+// be one member otherwise, and each take the other's word for its own.
+func TestASecondProcessOfOneNameStaysOut(t *testing.T) {
+	log := &lines{}
+	b := started(t, Config{Proxies: 1, Planners: 1, Lease: 2 * time.Second, Log: log})
+	first := b.Proxies[0]
+	address, err := launch.FreePort()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(b.Configuration())
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := b.File("again.json", strings.Replace(string(text), first.Address, address, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := &Process{Name: "again", Address: address, out: log, cmd: func() *exec.Cmd {
+		c := first.cmd()
+		c.Env = append(c.Env, "EDGE_CONFIG="+config)
+		return c
+	}}
+	if err := second.Start(); err != nil {
+		t.Fatal(err)
+	}
+	b.Proxies = append(b.Proxies, second)
+	for !log.has("n0 is a member already") {
+		if err := b.ended(); err != nil {
+			t.Fatal(err)
+		}
+		if _, told, code, err := b.once(second); err == nil && told && code == "" {
+			t.Fatal("it serves as the same member")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if _, told, code, err := b.once(first); err != nil || !told || code != "" {
+		t.Errorf("the first serves no more: %v, %q, %v", told, code, err)
+	}
+}
+
+// While a change is undecided, going back to the one before is refused with its number; a policy that one proxy can't read is in force nowhere, and the
+// operator reads at which and why; changes go on while all proxies are started again, one behind the other.
+func TestChangesThatMeet(t *testing.T) {
+	b := started(t, Config{Proxies: 3, Planners: 3, Lease: 10 * time.Second, Log: testLog{t}})
+	asking, stop := context.WithCancel(t.Context())
+	defer stop()
+	wait := b.Ask(asking, 2, 2*time.Millisecond)
+	for i := range 2 {
+		if code, out := b.propose(t, i); code != 0 {
+			t.Fatalf("exit %d: %s", code, out)
+		}
+	}
+	wake := b.begin(Fault{Kind: "pause", Who: []int{1}}) // its lease runs for longer than this takes
+	done := make(chan int)
+	go func() { code, _ := b.propose(t, 2); done <- code }()
+	for {
+		if a, err := b.Client().Status(t.Context(), 0); err == nil && a.State != nil && a.State.Pending() != nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if code, out, err := b.policy("rollback", "1"); err != nil || code == 0 || !strings.Contains(out, "change 3 is undecided") {
+		t.Errorf("exit %d: %s %v", code, out, err)
+	}
+	wake()
+	if code := <-done; code != 0 {
+		t.Errorf("exit %d of the change that waited", code)
+	}
+	a, err := b.Client().Propose(t.Context(), tier.Ask{Do: tier.DoPropose, Policy: []byte("of a later version"), Why: "later", Nonce: 77}, time.Second)
+	if err != nil || a.Error != "" {
+		t.Fatal(a.Error, err)
+	}
+	for n := a.State.Last; ; time.Sleep(10 * time.Millisecond) {
+		a, err := b.Client().Status(t.Context(), 0)
+		if err != nil || a.State == nil || a.State.Pending() != nil {
+			continue
+		}
+		if c := a.State.Change(n); c.Outcome != rollout.GivenUp || !strings.Contains(c.Reason, " refuses: ") || !strings.HasPrefix(c.Reason, "n") {
+			t.Errorf("%+v", c)
+		}
+		break
+	}
+	for i, p := range b.Proxies {
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		p.Signal(syscall.SIGTERM)
+		if code, ok := p.Ended(ctx); !ok || code != 0 {
+			t.Errorf("%s ended with %d, %v", p.Name, code, ok)
+		}
+		cancel()
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		if code, out := b.propose(t, 3+i); code != 0 { // one joins meanwhile
+			t.Errorf("exit %d: %s", code, out)
+		}
+	}
+	b.until(7)
+	stop()
+	wait()
+	seen, _, _ := b.History()
+	for _, x := range Audit(seen, []uint64{4}) {
+		t.Error(x)
+	}
+}
+
 // All kinds of fault by a schedule: whatever came of the changes, no promise is broken, and each has an end.
 func TestATierUnderAllFaults(t *testing.T) {
 	for seed := uint64(1); seed <= 2; seed++ {
--- a/internal/net/tier.go
+++ b/internal/net/tier.go
@@ -48,8 +48,11 @@
 	Planners []string
 	Rollout  rollout.Config
 	Seed     uint64
-	Check    func(n rollout.Number, policy []byte) string // why it can't be served under here; empty = it can
-	Into     func(n rollout.Number, policy []byte)        // puts it into effect; called on the loop
+	// Nonce tells this start from any other. It must not come of the configuration: a proxy that was killed would come back as the member that it
+	// was, and what that one had agreed to or held would count for one that holds nothing; and two processes of one name would be one member.
+	Nonce uint64
+	Check func(n rollout.Number, policy []byte) string // why it can't be served under here; empty = it can
+	Into  func(n rollout.Number, policy []byte)        // puts it into effect; called on the loop
 }
 
 // JoinTier lets a proxy go by its tier's policy. Until it holds that, it takes no request. It is called on the loop.
@@ -57,7 +60,7 @@
 	t := &Tier{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front, cfg: c.Rollout.WithDefaults(), planners: c.Planners,
 		into: c.Into}
 	rng := rand.New(rand.NewPCG(c.Seed, 0x71e2))
-	t.side = rollout.NewProxy(t.cfg, c.Name, rng.Uint64()|1, c.Check)
+	t.side = rollout.NewProxy(t.cfg, c.Name, c.Nonce|1, c.Check)
 	t.seek = rollout.NewSeeker(t.cfg, len(t.planners), rng)
 	front.Gate(t)
 	t.dial()
--- a/internal/run/tier.go
+++ b/internal/run/tier.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"math/rand/v2"
 
 	"havenproxy/internal/net"
 	"havenproxy/internal/operator"
@@ -20,7 +21,7 @@
 	p.server.TellPolicy(own.Tier.Tell)
 	p.log = slog.Default()
 	p.tier = net.JoinTier(p.loop, p.clock, p.front, net.TierConfig{Name: cmp.Or(own.Tier.Name, cfg.Name), Planners: own.Tier.Planners,
-		Rollout: own.Tier.Rollout, Seed: cfg.Settings.Config.Seed, Check: p.agrees, Into: p.enforce})
+		Rollout: own.Tier.Rollout, Seed: cfg.Settings.Config.Seed, Nonce: rand.Uint64(), Check: p.agrees, Into: p.enforce})
 	p.server.Belongs(p.tier)
 }
 
