Tell what the disk held when a planner began, so that an older copy is known though it was filled up

Cause: server.dial asked for p.start() once its link was up, and by then the leader, over its own link, may have filled the copy up again, so its word was as good as any. Fix: the first link of a process to each planner begins with what the disk held as it was opened. TestAnOlderCopyThatWasFilledUpIsKnown fails without.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -57,6 +57,7 @@
 	views            rollout.Views
 	applied, snapped uint64
 	reads            uint64         // confirmations asked for
+	opened           *tier.Start    // what the disk held when this process began
 	pending          rollout.Number // the last change that was undecided,
 	pendingAt        time.Duration  // and when this planner first had it
 
@@ -122,6 +123,7 @@
 		st.close()
 		return nil, err
 	}
+	p.opened = p.start()
 	if p.server, err = listen(p, cfg.Listen); err != nil {
 		st.close()
 		return nil, err
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -1,12 +1,14 @@
 package planner
 
 import (
+	"bufio"
 	"net"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
@@ -103,6 +105,50 @@
 	}
 }
 
+// The first link to another planner begins with what the disk held as the process began, though who leads has filled it up meanwhile; later ones with what
+// it holds.
+func TestAnOlderCopyThatWasFilledUpIsKnown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	p, err := Open(Config{ID: 1, Listen: "127.0.0.1:0", Peers: map[uint64]string{1: "127.0.0.1:0", 2: ln.Addr().String(), 3: "127.0.0.1:1"},
+		File: filepath.Join(t.TempDir(), "log")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.store.close()
+	defer p.server.close()
+	index, term := uint64(2), uint64(1)
+	if err := p.store.save(&raft.Ready{Entries: []*pb.Entry{{Index: &index, Term: &term}}}); err != nil {
+		t.Fatal(err)
+	}
+	to, kind := uint64(2), pb.MessageType_MsgHeartbeatResp
+	for _, want := range []uint64{1, 2} {
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			conn, err := ln.Accept()
+			if err == nil {
+				accepted <- conn
+			}
+		}()
+		var conn net.Conn
+		for conn == nil { // what goes down with the link before is lost
+			p.server.toPeer(&pb.Message{To: &to, Type: &kind})
+			select {
+			case conn = <-accepted:
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+		f, err := tier.Read(bufio.NewReader(conn))
+		if err != nil || f.Start == nil || f.Start.Last != want {
+			t.Errorf("%+v, %v: entry %d was expected", f.Start, err, want)
+		}
+		conn.Close()
+	}
+}
+
 // Who says more than the planner can work off waits in its own socket, and keeps its link; what planners say to one another doesn't wait behind it.
 func TestLinksWaitWhereTooMuchIsSaid(t *testing.T) {
 	p := alone(t)
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -37,6 +37,7 @@
 	links    map[rollout.Link]*link
 	last     rollout.Link
 	told     map[string]time.Time
+	greeted  map[uint64]bool // planners that have had this process's first word
 
 	waiting []waiting // proposals that are not in the log yet; the planner's goroutine's alone
 }
@@ -68,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{p: p, listener: ln, peers: map[uint64]*toPeer{}, links: map[rollout.Link]*link{}, told: map[string]time.Time{}}
+	s := &server{p: p, listener: ln, peers: map[uint64]*toPeer{}, links: map[rollout.Link]*link{}, told: map[string]time.Time{}, greeted: map[uint64]bool{}}
 	go s.accept()
 	return s, nil
 }
@@ -264,7 +265,7 @@
 			if conn, err = net.DialTimeout("tcp", x.address, dialFor); err == nil {
 				go s.listenTo(conn, id)
 				var hello []byte
-				if hello, err = tier.Append(nil, &tier.Frame{Start: s.p.start()}); err == nil {
+				if hello, err = tier.Append(nil, &tier.Frame{Start: s.first(id)}); err == nil {
 					b = append(hello, b...)
 				}
 			} else {
@@ -285,6 +286,19 @@
 	}
 }
 
+// first gives the word that a link begins with. The first of a process tells what its disk held when it began: an older copy may have been filled up by
+// who leads before the link is there, and would not be known as one any more. What is acknowledged to a planner goes over links to it, so that none has
+// been before its first.
+func (s *server) first(id uint64) *tier.Start {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.greeted[id] {
+		s.greeted[id] = true
+		return s.p.opened
+	}
+	return s.p.start()
+}
+
 // listenTo hears on a link to another planner why that one doesn't take this one's messages, if so.
 func (s *server) listenTo(conn net.Conn, id uint64) {
 	f, err := tier.Read(bufio.NewReader(conn))
