Keep each earlier list of members apart, and tell none where not all are known

Found by reading the change again: rollout.Views merged its oldest lists beyond eight, 'so that no member is left out'. But keepers are the three that rendezvous hashing ranks highest of a list: those of a merged list are not those of either, so a record's keepers might not have been asked. Now up to 64 lists are kept apart, each for a lease and its margin; where one had to go, or some were missed, the leader grants no list until nobody can go by one that it doesn't know. Tests with it.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -54,7 +54,7 @@
 	leads  uint64          // who, as far as known
 	began  time.Time
 
-	views            rollout.Views
+	views            *rollout.Views
 	applied, snapped uint64
 	reads            uint64         // confirmations asked for
 	opened           *tier.Start    // what the disk held when this process began
@@ -92,6 +92,7 @@
 		return nil, err
 	}
 	p := &Planner{cfg: cfg, store: st, state: &rollout.State{}, began: time.Now(), events: make(chan func(), mostEvents),
+		views:  rollout.NewViews(cfg.Rollout),
 		urgent: make(chan func(), mostEvents), ended: make(chan struct{}), peers: map[uint64]*peer{}}
 	if cfg.Join && !fresh && st.begun() { // started again: it has joined already
 		cfg.Join = false
@@ -142,6 +143,7 @@
 	if p.state, err = tier.DecodeState(snap.GetData()); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
+	p.views.Skipped(p.now())
 	p.views.Applied(p.now(), p.state)
 	p.applied, p.snapped = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
 	p.conf = snap.GetMetadata().GetConfState()
@@ -247,7 +249,7 @@
 	p.leader = rollout.Lead(p.cfg.Rollout, p.state, term)
 	p.leader.Since(p.pending, p.pendingAt)
 	if p.cfg.Rollout.Lease > 0 {
-		p.leader.Tells(&p.views)
+		p.leader.Tells(p.views)
 	}
 }
 
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -167,8 +167,12 @@
 			l.grant(now, s, length)
 			granted := Message{Kind: Granted, Member: a.member, Seq: a.seq, Lease: length}
 			if l.views != nil && l.state.Seat(a.member).Address != "" { // the log was looked at behind the ask: so far the list is sure to hold
-				if granted.Version = l.state.Version; a.version != granted.Version {
-					l.send(a.link, Message{Kind: Members, Member: a.member, Version: l.state.Version, Seats: l.state.Seats, Past: l.views.Past(now, l.cfg)})
+				past, whole := l.views.Past(now)
+				if whole { // the fence against keepers that nobody names any more
+					granted.Version = l.state.Version
+				}
+				if whole && a.version != granted.Version {
+					l.send(a.link, Message{Kind: Members, Member: a.member, Version: l.state.Version, Seats: l.state.Seats, Past: past})
 				}
 			}
 			l.send(a.link, granted)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -223,7 +223,7 @@
 // list before for as long as another may go by it.
 func TestMembersAreToldToWhoHasAnAddress(t *testing.T) {
 	cfg := Config{Lease: 2 * time.Second}.WithDefaults()
-	p := &play{now: time.Hour, state: &State{}, deaf: map[int]bool{}, views: &Views{}}
+	p := &play{now: time.Hour, state: &State{}, deaf: map[int]bool{}, views: NewViews(cfg)}
 	p.leader = Lead(cfg, p.state, 1)
 	p.leader.Tells(p.views)
 	p.settle()
@@ -244,7 +244,7 @@
 	until := a.Until()
 	c := join("10.0.0.3:1")
 	p.pass(20*time.Millisecond, 0, 1, 2)
-	if x := c.Tier(); len(x.Seats) != 3 || len(x.Past) != 2 || len(x.Past[1].Members) != 2 || x.Past[1].Left < until-p.now || a.Tier().Until != until || len(a.Tier().Seats) != 2 {
+	if x := c.Tier(); len(x.Seats) != 3 || len(x.Past) != 1 || len(x.Past[0].Members) != 1 || x.Past[0].Left < until-p.now || a.Tier().Until != until || len(a.Tier().Seats) != 2 {
 		t.Errorf("%+v, %+v, %v", x, a.Tier(), until-p.now)
 	}
 	p.pass(3*time.Second, 1, 2) // the lost one goes
@@ -263,17 +263,29 @@
 	if c.Tier().Until != before.Until {
 		t.Error("another list's lease prolongs it")
 	}
-	for i := range 30 { // many lists: none that a member may go by is left out
-		p.views.Applied(p.now, &State{Version: uint64(1000 + i), Seats: []Seat{{Member: Member(i + 50)}}})
+	// A leader that may have missed lists says of none that it is whole, until no member can go by one that it has missed.
+	before = c.Tier()
+	p.views.Skipped(p.now)
+	p.pass(cfg.Lease, 1, 2)
+	if c.Tier().Until != before.Until || c.Until() <= p.now {
+		t.Errorf("%v, %v", c.Tier().Until, before.Until)
 	}
-	left := map[Member]bool{}
-	for _, v := range p.views.Past(p.now, cfg) {
-		for _, m := range v.Members {
-			left[m] = true
-		}
+	if p.pass(time.Second, 1, 2); c.Tier().Until <= p.now {
+		t.Error("its list is not prolonged")
+	}
+	p.now += cfg.Lease + cfg.Margin // a has gone meanwhile, and the list with it
+	for i := range mostViews { // nor one that has let a list go for want of room
+		p.views.Applied(p.now, &State{Version: uint64(1000 + i), Seats: []Seat{{Member: Member(i + 50), Address: "10.0.0.9:1"}}})
+	}
+	if _, ok := p.views.Past(p.now); !ok {
+		t.Error("there was room")
+	}
+	p.views.Applied(p.now, &State{Version: 2000, Seats: []Seat{{Member: 1999, Address: "10.0.0.9:1"}}})
+	if past, ok := p.views.Past(p.now); ok || len(past) != mostViews {
+		t.Errorf("%d lists, whole: %v", len(past), ok)
 	}
-	if len(p.views.past) > mostViews || !left[50] || !left[78] || left[79] {
-		t.Errorf("%d lists, %v", len(p.views.past), left)
+	if past, ok := p.views.Past(p.now + cfg.Lease + cfg.Margin); !ok || len(past) != 0 {
+		t.Errorf("%d lists, whole: %v", len(past), ok)
 	}
 }
 
--- a/internal/rollout/views.go
+++ b/internal/rollout/views.go
@@ -6,12 +6,14 @@
 )
 
 // Views remembers the tier's lists of members that have been followed by others, for as long as a member may still go by one: who finds keepers of
-// something by the list has to ask those of the earlier ones as well. Each planner has one, beside the log: one that starts anew takes all lists of
-// the log for just ended, which is safe.
+// something by the list has to ask those of each earlier one as well. Lists hold those that told an address, as members are told them. Each planner has
+// one, beside the log.
 type Views struct {
+	life    time.Duration // of a list behind its end
 	version uint64
-	seats   []Seat
+	members []Member
 	past    []ended
+	unsure  time.Duration // until then, not all that members may go by are known here
 }
 
 type ended struct {
@@ -19,46 +21,49 @@
 	at      time.Duration
 }
 
-// mostViews bounds the lists that are remembered. Beyond, neighbours are merged: who is in either is in both, so that nobody is left out.
-const mostViews = 8
+// mostViews bounds the lists that are remembered. Lists can't be merged: the keepers by a longer one are not those by either.
+const mostViews = 64
+
+// NewViews begins to remember. cfg says how long a member may go by a list: for its lease, as it was granted last before the list ended.
+func NewViews(cfg Config) *Views {
+	cfg = cfg.WithDefaults()
+	return &Views{life: cfg.Lease + cfg.Margin}
+}
+
+// Skipped tells that the state came as a whole: lists may have come and gone that were not seen here.
+func (v *Views) Skipped(now time.Duration) { v.unsure = now + v.life }
 
 // Applied is called behind each command that has been applied to the state.
 func (v *Views) Applied(now time.Duration, s *State) {
 	if s.Version == v.version {
 		return
 	}
-	if v.version > 0 {
-		v.past = append(v.past, ended{members(v.seats), now})
-	}
-	if n := len(v.past); n > mostViews {
-		first := ended{slices.Clone(v.past[0].members), v.past[1].at}
-		for _, m := range v.past[1].members {
-			if !slices.Contains(first.members, m) {
-				first.members = append(first.members, m)
-			}
+	var next []Member
+	for _, x := range s.Seats {
+		if x.Address != "" {
+			next = append(next, x.Member)
 		}
-		slices.Sort(first.members)
-		v.past = append([]ended{first}, v.past[2:]...)
 	}
-	v.version, v.seats = s.Version, slices.Clone(s.Seats)
+	if v.version > 0 && !slices.Equal(next, v.members) {
+		v.past = append(v.past, ended{v.members, now})
+	}
+	v.past = slices.DeleteFunc(v.past, func(e ended) bool { return now >= e.at+v.life })
+	if len(v.past) > mostViews {
+		v.unsure = max(v.unsure, v.past[0].at+v.life)
+		v.past = slices.Delete(v.past, 0, 1)
+	}
+	v.version, v.members = s.Version, next
 }
 
-// Past gives the earlier lists that members may still go by, the oldest first, and for how long: a member's list holds for its lease, as it was
-// granted last before the list ended.
-func (v *Views) Past(now time.Duration, cfg Config) (out []View) {
+// Past gives the earlier lists that members may still go by, the oldest first, and for how long. false = not all are known, and so nobody may be told that
+// a list is whole.
+func (v *Views) Past(now time.Duration) (out []View, ok bool) {
 	for _, e := range v.past {
-		if left := e.at + cfg.Lease + cfg.Margin - now; left > 0 {
+		if left := e.at + v.life - now; left > 0 {
 			out = append(out, View{e.members, left})
 		}
 	}
-	return out
-}
-
-func members(seats []Seat) (out []Member) {
-	for _, s := range seats {
-		out = append(out, s.Member)
-	}
-	return out
+	return out, now >= v.unsure
 }
 
 // View is an earlier list of members.
