Let the book decide what a list of members means, and bound what a silent peer's link costs

Found by reading the change again: net.Work worked out how long others may go by a list, by a default of Keep and not by the book's own; that is takeover.Book.Tier now, and net hands over what it heard. A link to a proxy that stands still came up at once after each failure, so that its writes could stop the loop for 20 ms each 100 ms; the pause between dials grows unless the link lived for 2 s. Log lines that told the number as 'policy' bore that key twice once every line does.

--- a/internal/lab/command/tier.go
+++ b/internal/lab/command/tier.go
@@ -237,14 +237,14 @@
 			p.Planners = 3
 			p.Fleet = fleet.Config{Seed: 1, Groups: 1, Members: 4, Zones: launch.Zones(), Classes: launch.Classes()}
 			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
-			fmt.Fprintln(w, "tier\trequests\tCPU each\tidle CPU\tresident\tp50\tp99\tchanges\tnear\tp99 near\tmost near\tp99 far\trefused")
+			fmt.Fprintln(w, "tier\trequests\tCPU each\tidle CPU\tresident\tp50\tp99\tchanges\tnear\tp99 near\tmost near\tp99 far\tmost far\trefused")
 			list, err := p.Measure(c.Context(), func(x tier.Paid) {
 				on := "off"
 				if x.On {
 					on = "on"
 				}
-				fmt.Fprintf(w, "%s\t%d\t%v\t%.2f%%\t%.1f MiB\t%v\t%v\t%d\t%d\t%v\t%v\t%v\t%d\n", on, x.Requests, x.Each.Round(100*time.Nanosecond), 100*x.Idle, float64(x.Resident)/(1<<20),
-					x.P50.Round(time.Microsecond), x.P99.Round(time.Microsecond), x.Changes, x.Near, x.NearP99.Round(time.Microsecond), x.NearMost.Round(time.Microsecond), x.FarP99.Round(time.Microsecond), x.Refused)
+				fmt.Fprintf(w, "%s\t%d\t%v\t%.2f%%\t%.1f MiB\t%v\t%v\t%d\t%d\t%v\t%v\t%v\t%v\t%d\n", on, x.Requests, x.Each.Round(100*time.Nanosecond), 100*x.Idle, float64(x.Resident)/(1<<20),
+					x.P50.Round(time.Microsecond), x.P99.Round(time.Microsecond), x.Changes, x.Near, x.NearP99.Round(time.Microsecond), x.NearMost.Round(time.Microsecond), x.FarP99.Round(time.Microsecond), x.FarMost.Round(time.Microsecond), x.Refused)
 			})
 			w.Flush()
 			if err != nil {
--- a/internal/lab/tier/cost.go
+++ b/internal/lab/tier/cost.go
@@ -31,6 +31,7 @@
 	Near, Far        int // requests sent within 100 ms of a change's point, and those sent at other times, while changes were made
 	NearP99, FarP99  time.Duration
 	NearMost         time.Duration
+	FarMost          time.Duration
 	Refused, Changes int
 }
 
@@ -141,7 +142,7 @@
 	}
 	x.Near, x.Far = len(close), len(far)
 	_, x.NearP99, x.NearMost = quantiles(close)
-	_, x.FarP99, _ = quantiles(far)
+	_, x.FarP99, x.FarMost = quantiles(far)
 	return nil
 }
 
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -198,7 +198,9 @@
 	}
 	if !cfg.Naive {
 		begins, cancel := context.WithCancelCause(ctx)
+		watched := make(chan struct{})
 		go func() {
+			defer close(watched)
 			for begins.Err() == nil {
 				if err := b.ended(); err != nil {
 					cancel(err)
@@ -207,7 +209,8 @@
 			}
 		}()
 		err := b.Wait(begins, cfg.Proxies)
-		if cancel(nil); err != nil {
+		cancel(nil)
+		if <-watched; err != nil {
 			return nil, errors.Join(err, b.ended())
 		}
 	}
--- a/internal/net/work.go
+++ b/internal/net/work.go
@@ -36,13 +36,12 @@
 	listener  *listener
 	open      atomic.Int64
 
-	self    takeover.Member
-	version uint64
-	where   map[takeover.Member]string
-	links   map[takeover.Member]*workLink
-	beat    state.Deadline
-	busy    bool // flush is under way
-	closed  bool
+	self   takeover.Member
+	where  map[takeover.Member]string
+	links  map[takeover.Member]*workLink
+	beat   state.Deadline
+	busy   bool // flush is under way
+	closed bool
 
 	// Counters tell what the links have seen; they only grow.
 	Counters WorkCounters
@@ -98,37 +97,29 @@
 }
 
 // Tier takes what is known of the members. It may be called with the same again; self is 0 for a proxy that is none.
-func (w *Work) Tier(self rollout.Member, t rollout.Tier, lease time.Duration) {
-	now := w.clock.Now()
-	if me := takeover.Member(self); me != w.self || t.Version != w.version {
-		w.self, w.version = me, t.Version
-		clear(w.where)
-		var list []takeover.Member
-		for _, s := range t.Seats {
-			if s.Address != "" {
-				w.where[takeover.Member(s.Member)] = s.Address
-				list = append(list, takeover.Member(s.Member))
-			}
-		}
-		for m := range w.links {
-			if w.where[m] == "" {
-				w.forget(m)
-			}
+func (w *Work) Tier(self rollout.Member, t rollout.Tier, life time.Duration) {
+	known := takeover.Tier{Self: takeover.Member(self), Version: t.Version, Until: t.Until, Life: life}
+	clear(w.where)
+	for _, s := range t.Seats {
+		if s.Address != "" {
+			w.where[takeover.Member(s.Member)] = s.Address
+			known.Members = append(known.Members, takeover.Member(s.Member))
 		}
-		// Others may go by the list before for as long as a lease of it lasts, and for as long as what they own then is kept.
-		keep := takeover.Config{}.WithDefaults().Keep
-		w.book.View(now, me, list, now+lease+lease/4+keep)
-		for _, v := range t.Past {
-			var before []takeover.Member
-			for _, m := range v.Members {
-				before = append(before, takeover.Member(m))
-			}
-			w.book.Before(before, now+v.Left+keep)
+	}
+	for _, v := range t.Past {
+		p := takeover.Past{Left: v.Left}
+		for _, m := range v.Members {
+			p.Members = append(p.Members, takeover.Member(m))
 		}
+		known.Past = append(known.Past, p)
 	}
-	if w.self != 0 && t.Version > 0 {
-		w.book.Belongs(t.Until)
+	for m := range w.links {
+		if w.where[m] == "" {
+			w.forget(m)
+		}
 	}
+	w.self = known.Self
+	w.book.Tier(w.clock.Now(), known)
 	w.Flush()
 }
 
@@ -203,6 +194,7 @@
 	out     []takeover.Message
 	bytes   int // of them, about
 	tries   int
+	since   time.Duration // when the link came up
 	redial  state.Deadline
 	gone    bool
 }
@@ -219,7 +211,7 @@
 			l.again()
 			return
 		}
-		l.conn, l.tries = conn, 0
+		l.conn, l.since = conn, l.w.clock.Now()
 		attach(l.w.loop, conn, func() { conn.Reader().Skip(conn.Reader().Len()) }, func() {
 			if l.conn == conn && !l.gone {
 				l.conn = nil
@@ -233,6 +225,10 @@
 
 func (l *workLink) again() {
 	l.w.book.Link(l.to, false)
+	if l.since > 0 && l.w.clock.Now()-l.since >= workMost { // one that stands still takes dials and reads nothing: each such link stops the loop for a write's patience
+		l.tries = 0
+	}
+	l.since = 0
 	pause := min(workAgain<<min(l.tries, 8), workMost)
 	l.tries++
 	// Jitter by who dials whom, so that a proxy that comes back isn't dialled by all at once.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -274,7 +274,7 @@
 		t.Error("its list is not prolonged")
 	}
 	p.now += cfg.Lease + cfg.Margin // a has gone meanwhile, and the list with it
-	for i := range mostViews { // nor one that has let a list go for want of room
+	for i := range mostViews {      // nor one that has let a list go for want of room
 		p.views.Applied(p.now, &State{Version: uint64(1000 + i), Seats: []Seat{{Member: Member(i + 50), Address: "10.0.0.9:1"}}})
 	}
 	if _, ok := p.views.Past(p.now); !ok {
--- a/internal/state/tier.go
+++ b/internal/state/tier.go
@@ -81,7 +81,7 @@
 		g.policy = policy
 		if g.shut {
 			g.shut = false
-			slog.Info("requests are taken again", "policy", policy)
+			slog.Info("requests are taken again", "number", policy)
 		}
 		return true
 	case verdict == GateWait && len(g.kept) < keptRoom:
@@ -102,7 +102,7 @@
 	f.Counters.GateShut++
 	if !f.gated.shut {
 		f.gated.shut = true
-		slog.Warn("requests are refused: the tier's policy can't be known here", "policy", f.gated.policy)
+		slog.Warn("requests are refused: the tier's policy can't be known here", "number", f.gated.policy)
 	}
 }
 
--- a/internal/takeover/book.go
+++ b/internal/takeover/book.go
@@ -10,6 +10,7 @@
 type Book struct {
 	cfg     Config
 	self    Member
+	version uint64   // of members, where Tier is used
 	members []Member // sorted
 	past    []view   // that others may still go by
 	seq     uint64
@@ -47,6 +48,36 @@
 	return &Book{cfg: cfg.WithDefaults(), kept: map[string]*record{}, clocks: map[Member]time.Duration{}, tasks: map[string]*task{}, down: map[Member]bool{}}
 }
 
+// Tier is what a proxy knows of its tier's members, by its own clock.
+type Tier struct {
+	Self    Member // 0 = none now
+	Version uint64 // of Members; 0 = nothing is known
+	Members []Member
+	Past    []Past        // earlier lists that others may still go by
+	Until   time.Duration // Members may be gone by until then
+	Life    time.Duration // for so long behind its end others may go by a list
+}
+
+// Past is an earlier list of members.
+type Past struct {
+	Members []Member
+	Left    time.Duration // for so long others may still go by it
+}
+
+// Tier takes it; it may be called with the same again. Who goes by an earlier list may own a record by that, which is kept for Keep behind its end.
+func (b *Book) Tier(now time.Duration, t Tier) {
+	if t.Self != b.self || t.Version != b.version {
+		b.version = t.Version
+		b.View(now, t.Self, t.Members, now+t.Life+b.cfg.Keep)
+		for _, v := range t.Past {
+			b.Before(v.Members, now+v.Left+b.cfg.Keep)
+		}
+	}
+	if t.Self != 0 && t.Version > 0 {
+		b.Belongs(t.Until)
+	}
+}
+
 // Before tells who joins which list of members there was, until others may no longer go by it. It is called behind View.
 func (b *Book) Before(members []Member, until time.Duration) {
 	list := slices.Clone(members)
