Give six guards that stayed green without them tests that don't

Taken out one by one in a copy (24): red were 18; green were a lease granted with another list, an earlier list that comes back, a leader that knows not all lists, a state that came as a whole, the pause between dials, and keepers by earlier lists. Each has a test now.

--- a/internal/net/work.go
+++ b/internal/net/work.go
@@ -225,7 +225,13 @@
 
 func (l *workLink) again() {
 	l.w.book.Link(l.to, false)
-	if l.since > 0 && l.w.clock.Now()-l.since >= workMost { // one that stands still takes dials and reads nothing: each such link stops the loop for a write's patience
+	now := l.w.clock.Now()
+	l.w.deadlines.Set(&l.redial, now+l.pause(now), l.dial)
+}
+
+// pause tells how long to wait with the next dial.
+func (l *workLink) pause(now time.Duration) time.Duration {
+	if l.since > 0 && now-l.since >= workMost { // one that stands still takes dials and reads nothing: each such link stops the loop for a write's patience
 		l.tries = 0
 	}
 	l.since = 0
@@ -233,7 +239,7 @@
 	l.tries++
 	// Jitter by who dials whom, so that a proxy that comes back isn't dialled by all at once.
 	part := float64((uint64(l.w.self)*0x9e3779b97f4a7c15^uint64(l.to)*0xbf58476d1ce4e5b9)>>40) / (1 << 24)
-	l.w.deadlines.Set(&l.redial, l.w.clock.Now()+time.Duration((0.5+part)*float64(pause)), l.dial)
+	return time.Duration((0.5 + part) * float64(pause))
 }
 
 // flush writes what waits, several messages to a frame.
--- a/internal/net/work_test.go
+++ b/internal/net/work_test.go
@@ -209,3 +209,25 @@
 		t.Errorf("%+v", o)
 	}
 }
+
+// Dials come less and less often, by who dials whom and so not of all at once, unless the link lived for a while: one that stands still takes dials and
+// reads nothing.
+func TestDialsOfWorkComeLessAndLessOften(t *testing.T) {
+	l, other := &workLink{w: &Work{self: 1}, to: 2}, &workLink{w: &Work{self: 3}, to: 2}
+	now := time.Hour
+	first := l.pause(now)
+	if first > 150*time.Millisecond || first == other.pause(now) {
+		t.Errorf("%v for both", first)
+	}
+	for range 8 {
+		l.since = now - 10*time.Millisecond // it came up, and ended
+		l.pause(now)
+	}
+	if p := l.pause(now); p < workMost/2 || p > workMost*3/2 {
+		t.Errorf("%v", p)
+	}
+	l.since = now - workMost
+	if p := l.pause(now); p != first {
+		t.Errorf("%v behind a link that lived, %v at first", p, first)
+	}
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -12,6 +12,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"havenproxy/internal/rollout"
 	"havenproxy/internal/wire/tier"
 )
 
@@ -149,6 +150,20 @@
 	}
 }
 
+// A planner that begins, or is sent the state as a whole, may have missed lists of members: it says of none that all are known.
+func TestAPlannerThatBeginsKnowsNotAllLists(t *testing.T) {
+	p, err := Open(Config{ID: 1, Listen: "127.0.0.1:0", Peers: map[uint64]string{1: "127.0.0.1:0"}, File: filepath.Join(t.TempDir(), "log"),
+		Rollout: rollout.Config{Lease: time.Hour}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.store.close()
+	defer p.server.close()
+	if _, whole := p.views.Past(p.now()); whole {
+		t.Error("it knows all lists")
+	}
+}
+
 // Who says more than the planner can work off waits in its own socket, and keeps its link; what planners say to one another doesn't wait behind it.
 func TestLinksWaitWhereTooMuchIsSaid(t *testing.T) {
 	p := alone(t)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -261,13 +261,19 @@
 		t.Errorf("%+v", a.Tier())
 	}
 	// A late word of an earlier grant prolongs no list but its own.
+	p.pass(20*time.Millisecond, 0, 1, 2)
 	before := c.Tier()
-	c.Heard(p.now, Message{Kind: Granted, Member: c.Member(), Seq: c.seq, Lease: cfg.Lease, Version: before.Version - 1})
-	if c.Tier().Until != before.Until {
+	c.Ask(p.now + time.Second)
+	c.Out()
+	c.Heard(p.now+time.Second, Message{Kind: Granted, Member: c.Member(), Seq: c.seq, Lease: cfg.Lease, Version: before.Version - 1})
+	if c.Tier().Until != before.Until || c.Until() <= before.Until {
 		t.Error("another list's lease prolongs it")
 	}
+	c.Heard(p.now, Message{Kind: Members, Member: c.Member(), Version: before.Version - 1}) // nor does an earlier list come back
+	if c.Tier().Version != before.Version {
+		t.Error("an earlier list is taken")
+	}
 	// A leader that may have missed lists says of none that it is whole, until no member can go by one that it has missed.
-	before = c.Tier()
 	p.views.Skipped(p.now)
 	p.pass(cfg.Lease, 1, 2)
 	if c.Tier().Until != before.Until || c.Until() <= p.now {
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -481,3 +481,39 @@
 	p.pass(40 * ms)
 	p.want(10, "who asks again", Answer)
 }
+
+// Whoever has joined asks the keepers by each list that another may go by, for as long as one may, and as long as what it owned then is kept.
+func TestKeepersByEarlierListsAreAsked(t *testing.T) {
+	b := New(Config{})
+	now, keep := time.Hour, Config{}.WithDefaults().Keep
+	known := Tier{Self: 9, Version: 4, Members: []Member{7, 8, 9}, Until: now + time.Second, Life: 2 * time.Second,
+		Past: []Past{{[]Member{1, 2, 3}, 500 * time.Millisecond}, {[]Member{4, 5, 6}, time.Second}}}
+	b.Tier(now, known)
+	asked := func(now time.Duration) (out []Member) {
+		for _, s := range b.sets(now, "k") {
+			out = append(out, s.members...)
+		}
+		slices.Sort(out)
+		return out
+	}
+	for _, x := range []struct {
+		after time.Duration
+		from  Member
+	}{{0, 1}, {keep + 400*time.Millisecond, 1}, {keep + 600*time.Millisecond, 4}, {keep + 1100*time.Millisecond, 7}} {
+		if got := asked(now + x.after); len(got) != int(10-x.from) || got[0] != x.from {
+			t.Errorf("%v later: %v", x.after, got)
+		}
+	}
+	now += keep + 2*time.Second
+	known.Version, known.Members, known.Past = 5, []Member{9, 10, 11}, nil
+	b.Tier(now, known)
+	if got := asked(now + known.Life + keep - 1); len(got) != 6 {
+		t.Errorf("%v", got)
+	}
+	if got := asked(now + known.Life + keep); len(got) != 3 {
+		t.Errorf("%v", got)
+	}
+	if b.member(known.Until) || !b.member(known.Until-1) {
+		t.Error("it is a member behind the end of its list, or not before")
+	}
+}
