Let one clock serve the model and the plays, and find the proxy's program in one way

Found by the list of repeated places: internal/lab/clockwork had been written beside the model's own queue of events, and three commands looked for the program beside them without saying 'run make build'.

--- a/internal/lab/clockwork/clockwork.go
+++ b/internal/lab/clockwork/clockwork.go
@@ -31,14 +31,26 @@
 func (q *queue) Pop() any {
 	old := *q
 	x := old[len(old)-1]
+	old[len(old)-1] = event{} // what it holds on to goes with it
 	*q = old[:len(old)-1]
 	return x
 }
 
 // After lets something be done once so much time has passed; less than none is none.
-func (c *Clock) After(d time.Duration, do func()) {
+func (c *Clock) After(d time.Duration, do func()) { c.At(c.Now+d, do) }
+
+// At lets something be done at a time; one that is over is now.
+func (c *Clock) At(at time.Duration, do func()) {
 	c.seq++
-	heap.Push(&c.q, event{c.Now + max(d, 0), c.seq, do})
+	heap.Push(&c.q, event{max(at, c.Now), c.seq, do})
+}
+
+// Next tells when something is to be done next; false = nothing is.
+func (c *Clock) Next() (time.Duration, bool) {
+	if len(c.q) == 0 {
+		return 0, false
+	}
+	return c.q[0].at, true
 }
 
 // Run does all that is due up to a time, and what that asks for in turn.
--- a/internal/lab/command/tier.go
+++ b/internal/lab/command/tier.go
@@ -6,7 +6,6 @@
 	"io"
 	"math"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -48,12 +47,8 @@
 			if seeds < 1 || t.Proxies < 1 || t.Planners < 1 || t.Length < time.Second || t.Every <= 0 || !(t.Skew >= 0 && t.Skew <= 0.1) {
 				return fmt.Errorf("%w: --seeds, --proxies and --planners are 1 at least, --length 1s, --every above 0, --skew 0 to 0.1", ErrUsage)
 			}
-			if t.Binary == "" {
-				self, err := os.Executable()
-				if err != nil {
-					return err
-				}
-				t.Binary = filepath.Join(filepath.Dir(self), "havenproxy")
+			if err := program(&t.Binary); err != nil {
+				return err
 			}
 			quiet()
 			t.Fleet = fleet.Config{Seed: 1, Groups: 1, Members: 2, Zones: launch.Zones(), Classes: launch.Classes()}
@@ -118,6 +113,14 @@
 	return c
 }
 
+// program names the proxy's, beside this one, where --proxy names none.
+func program(path *string) (err error) {
+	if *path == "" {
+		*path, err = launch.Beside("havenproxy")
+	}
+	return err
+}
+
 // tierRow is what was played with one kind of fault, or with all.
 type tierRow struct {
 	kind    string
@@ -174,12 +177,8 @@
 			if l.Links < 1 || l.Planners < 1 || l.Changes < 1 || l.For < time.Second || l.Lease < 200*time.Millisecond || l.Size > rollout.MostPolicy || l.Size < 1 {
 				return fmt.Errorf("%w: --links, --planners, --changes and --size are 1 at least, --size %d at most, --for 1s and --lease 200ms at least", ErrUsage, rollout.MostPolicy)
 			}
-			if l.Binary == "" {
-				self, err := os.Executable()
-				if err != nil {
-					return err
-				}
-				l.Binary = filepath.Join(filepath.Dir(self), "havenproxy")
+			if err := program(&l.Binary); err != nil {
+				return err
 			}
 			ctx, cancel := context.WithTimeout(c.Context(), l.For+time.Minute) // its links don't come again once a planner has closed them
 			defer cancel()
@@ -226,12 +225,8 @@
 			if p.Rounds < 2 || p.Proxies < 1 || p.Clients < 1 || p.For < time.Second || p.Every < 250*time.Millisecond || p.Lease < 200*time.Millisecond {
 				return fmt.Errorf("%w: --rounds is 2 at least, --proxies and --clients 1, --for 1s, --every 250ms, --lease 200ms", ErrUsage)
 			}
-			if p.Binary == "" {
-				self, err := os.Executable()
-				if err != nil {
-					return err
-				}
-				p.Binary = filepath.Join(filepath.Dir(self), "havenproxy")
+			if err := program(&p.Binary); err != nil {
+				return err
 			}
 			quiet()
 			p.Planners = 3
--- a/internal/lab/fleet/faults.go
+++ b/internal/lab/fleet/faults.go
@@ -11,11 +11,11 @@
 
 // lose notes that a group's primary has gone; another takes over unless it comes back before it is given up.
 func (f *Fleet) lose(g *group) {
-	g.lostAt = f.now
-	g.beats = f.now
+	g.lostAt = f.clock.Now
+	g.beats = f.clock.Now
 	g.term++
 	term := g.term
-	f.at(f.now+f.fate(f.cfg.Detection, fateDetection, g.id), func() {
+	f.at(f.clock.Now+f.fate(f.cfg.Detection, fateDetection, g.id), func() {
 		if g.term != term {
 			return
 		}
@@ -24,7 +24,7 @@
 			g.primary = nil
 		}
 		f.logf("group %d has given its primary up", g.id)
-		f.at(f.now+f.fate(f.cfg.Election, fateElection, g.id), func() { f.elect(g, term) })
+		f.at(f.clock.Now+f.fate(f.cfg.Election, fateElection, g.id), func() { f.elect(g, term) })
 	})
 }
 
@@ -40,11 +40,11 @@
 		}
 	}
 	if best == nil {
-		f.at(f.now+500*time.Millisecond, func() { f.elect(g, term) })
+		f.at(f.clock.Now+500*time.Millisecond, func() { f.elect(g, term) })
 		return
 	}
 	// What it has received and not applied yet comes first.
-	ready := f.now
+	ready := f.clock.Now
 	if n := len(best.pending); n > 0 {
 		ready = best.pending[n-1].done
 	}
@@ -58,7 +58,7 @@
 			g.term++
 			g.primary = best
 			best.become(logic.RolePrimary)
-			f.logf("group %d: database %d is primary after %v", g.id, best.ID, (f.now - g.lostAt).Round(time.Millisecond))
+			f.logf("group %d: database %d is primary after %v", g.id, best.ID, (f.clock.Now - g.lostAt).Round(time.Millisecond))
 		}
 	})
 }
@@ -109,7 +109,7 @@
 		f.lose(m.g)
 	}
 	life := m.life
-	f.at(f.now+down, func() {
+	f.at(f.clock.Now+down, func() {
 		if m.life == life && m.live == Down {
 			f.start(m)
 		}
@@ -118,20 +118,20 @@
 
 func (f *Fleet) start(m *Member) {
 	m.life++
-	m.started, m.draining = f.now, false
+	m.started, m.draining = f.clock.Now, false
 	m.catchUp()
 	m.turn(Up)
 	f.logf("database %d starts", m.ID)
-	f.tell(Entry{Member: m.ID, State: logic.Ready, Started: f.now}, f.fate(f.cfg.ListDelay, fateBack, m.ID))
+	f.tell(Entry{Member: m.ID, State: logic.Ready, Started: f.clock.Now}, f.fate(f.cfg.ListDelay, fateBack, m.ID))
 }
 
 // tell lets the list learn of a change after a time.
 func (f *Fleet) tell(e Entry, after time.Duration) {
-	f.at(f.now+after, func() { f.publish(e) })
+	f.at(f.clock.Now+after, func() { f.publish(e) })
 }
 
 func (f *Fleet) publish(e Entry) {
-	if f.now < f.listStill {
+	if f.clock.Now < f.listStill {
 		f.at(f.listStill, func() { f.publish(e) })
 		return
 	}
@@ -204,7 +204,7 @@
 func (f *Fleet) hang(m *Member, long time.Duration) {
 	m.applied()
 	for _, j := range m.running {
-		j.left = j.ends - f.now
+		j.left = j.ends - f.clock.Now
 		j.turn++
 	}
 	m.turn(Hung)
@@ -212,7 +212,7 @@
 		f.lose(m.g)
 	}
 	life := m.life
-	f.at(f.now+long, func() {
+	f.at(f.clock.Now+long, func() {
 		if m.life == life && m.live == Hung {
 			f.resume(m)
 		}
@@ -228,7 +228,7 @@
 		m.catchUp()
 	}
 	for _, j := range m.running {
-		j.ends = f.now + j.left
+		j.ends = f.clock.Now + j.left
 		m.schedule(j)
 	}
 	waited, late, owed := m.waiting, m.late, m.owed
@@ -250,18 +250,18 @@
 	m.draining = true
 	end := func() {
 		life := m.life
-		f.at(f.now+2*time.Second, func() {
+		f.at(f.clock.Now+2*time.Second, func() {
 			if m.life == life {
 				f.kill(m, down)
 			}
 		})
 	}
 	if g := m.g; g.primary == m {
-		g.lostAt, g.beats = f.now, f.now
+		g.lostAt, g.beats = f.clock.Now, f.clock.Now
 		g.term++
 		term := g.term
 		m.applied()
-		f.at(f.now+f.fate(f.cfg.HandOver, fateHandOver, g.id), func() {
+		f.at(f.clock.Now+f.fate(f.cfg.HandOver, fateHandOver, g.id), func() {
 			if g.term == term {
 				g.primary = nil
 				m.become(logic.RoleReplica)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -1,12 +1,12 @@
 package fleet
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"havenproxy/internal/lab/clockwork"
 	"havenproxy/logic"
 )
 
@@ -15,9 +15,7 @@
 	cfg     Config
 	rng     *rand.Rand
 	obs     Observer
-	now     time.Duration
-	events  events
-	seq     uint64
+	clock   clockwork.Clock
 	fates   map[[2]int]int // how often each was drawn
 	members []*Member
 	groups  []*group
@@ -113,7 +111,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0xf1ee7)), obs: obs, now: now, listGen: 1, fates: map[[2]int]int{}}
+	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0xf1ee7)), obs: obs, clock: clockwork.Clock{Now: now}, listGen: 1, fates: map[[2]int]int{}}
 	for gi := range cfg.Groups {
 		g := &group{id: gi, beats: now, keys: map[string]time.Duration{}, applied: map[string]int{}}
 		for mi := range cfg.Members {
@@ -131,50 +129,16 @@
 
 // ---- The clock ----
 
-type event struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*e = old[:len(old)-1]
-	return x
-}
-
-func (f *Fleet) at(at time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.events, event{max(at, f.now), f.seq, do})
-}
+func (f *Fleet) at(at time.Duration, do func()) { f.clock.At(at, do) }
 
 // Advance carries out all that is due up to now, in order.
 func (f *Fleet) Advance(now time.Duration) {
-	for len(f.events) > 0 && f.events[0].at <= now {
-		e := heap.Pop(&f.events).(event)
-		f.now = max(f.now, e.at)
-		e.do()
-	}
-	f.now = max(f.now, now)
+	f.clock.Run(now)
+	f.clock.Now = max(f.clock.Now, now)
 }
 
 // Next tells when the next event is due.
-func (f *Fleet) Next() (time.Duration, bool) {
-	if len(f.events) == 0 {
-		return 0, false
-	}
-	return f.events[0].at, true
-}
+func (f *Fleet) Next() (time.Duration, bool) { return f.clock.Next() }
 
 func (f *Fleet) draw(s Span) time.Duration {
 	if s.To <= s.From {
@@ -205,7 +169,7 @@
 
 func (f *Fleet) logf(format string, args ...any) {
 	if f.obs.Log != nil {
-		f.obs.Log(f.now, fmt.Sprintf(format, args...))
+		f.obs.Log(f.clock.Now, fmt.Sprintf(format, args...))
 	}
 }
 
@@ -293,7 +257,7 @@
 	case Down:
 		return
 	case Hung:
-		m.owed = append(m.owed, func() { f.Probe(f.now, member, done) })
+		m.owed = append(m.owed, func() { f.Probe(f.clock.Now, member, done) })
 		return
 	}
 	if m.reportAt == 0 || now-m.reportAt >= f.cfg.ReportEvery {
@@ -313,16 +277,16 @@
 
 func (m *Member) speed() float64 {
 	s := 1.0
-	if age := m.f.now - m.started; m.started > 0 && age < m.f.cfg.Cold {
+	if age := m.f.clock.Now - m.started; m.started > 0 && age < m.f.cfg.Cold {
 		s = m.f.cfg.ColdShare + (1-m.f.cfg.ColdShare)*float64(age)/float64(m.f.cfg.Cold)
 	}
-	if m.f.now < m.slowTill {
+	if m.f.clock.Now < m.slowTill {
 		s /= m.slow
 	}
 	return s
 }
 
-func (m *Member) cold() bool { return m.started > 0 && m.f.now-m.started < m.f.cfg.Cold }
+func (m *Member) cold() bool { return m.started > 0 && m.f.clock.Now-m.started < m.f.cfg.Cold }
 
 func (m *Member) reply(j *job, r Result, position time.Duration) {
 	if j.over || j.life != m.life {
@@ -338,10 +302,10 @@
 func (m *Member) take(j *job) {
 	f, c := m.f, &m.f.cfg.Classes[j.q.Class]
 	switch {
-	case m.draining || j.q.Deadline > 0 && f.now >= j.q.Deadline:
+	case m.draining || j.q.Deadline > 0 && f.clock.Now >= j.q.Deadline:
 		m.reply(j, TurnedAway, m.applied())
 		return
-	case f.now < m.errorsTill && f.rng.Float64() < m.errors:
+	case f.clock.Now < m.errorsTill && f.rng.Float64() < m.errors:
 		m.reply(j, Broken, m.applied())
 		return
 	case c.Read == logic.Write || c.Read == logic.Fresh:
@@ -355,7 +319,7 @@
 		}
 	case !m.sees(j):
 		m.late = append(m.late, j)
-		f.at(f.now+f.cfg.ReadWait, func() {
+		f.at(f.clock.Now+f.cfg.ReadWait, func() {
 			if j.over || j.cancel || j.life != m.life || m.live != Up {
 				return
 			}
@@ -375,7 +339,7 @@
 func (m *Member) sees(j *job) bool {
 	switch c := &m.f.cfg.Classes[j.q.Class]; c.Read {
 	case logic.Bounded:
-		return m.applied() >= m.f.now-c.MaxAge
+		return m.applied() >= m.f.clock.Now-c.MaxAge
 	case logic.Session:
 		return m.applied() >= j.q.After
 	}
@@ -418,7 +382,7 @@
 	work := m.f.work(&j.q)
 	m.worked += work
 	m.running = append(m.running, j)
-	j.ends = m.f.now + time.Duration(float64(work)/m.speed())
+	j.ends = m.f.clock.Now + time.Duration(float64(work)/m.speed())
 	m.schedule(j)
 }
 
@@ -451,7 +415,7 @@
 	for m.live == Up && len(m.running) < m.f.cfg.Cores && len(m.waiting) > 0 {
 		j := m.waiting[0]
 		m.waiting = m.waiting[1:]
-		if j.q.Deadline > 0 && m.f.now >= j.q.Deadline {
+		if j.q.Deadline > 0 && m.f.clock.Now >= j.q.Deadline {
 			m.reply(j, TurnedAway, m.applied())
 			continue
 		}
@@ -479,14 +443,14 @@
 		return
 	}
 	f := m.f
-	if m.pushFrom == 0 || f.now-m.pushFrom >= pushWindow {
+	if m.pushFrom == 0 || f.clock.Now-m.pushFrom >= pushWindow {
 		limit := f.cfg.FallMultiple * m.speed() * float64(f.cfg.Cores) * pushWindow.Seconds()
-		if m.pushFrom > 0 && f.now-m.pushFrom < 2*pushWindow && m.pushed.Seconds() > limit {
+		if m.pushFrom > 0 && f.clock.Now-m.pushFrom < 2*pushWindow && m.pushed.Seconds() > limit {
 			m.pushedIn++
 		} else {
 			m.pushedIn = 0
 		}
-		m.pushFrom, m.pushed = f.now, 0
+		m.pushFrom, m.pushed = f.clock.Now, 0
 	}
 	m.pushed += time.Duration(f.MeanWork(j.q.Class) * 1e9)
 	if time.Duration(m.pushedIn)*pushWindow >= f.cfg.FallAfter {
@@ -501,7 +465,7 @@
 // acknowledged is lost in an election.
 func (m *Member) commit(j *job) {
 	f, g := m.f, m.g
-	now := f.now
+	now := f.clock.Now
 	if j.q.Key != "" {
 		if at, ok := g.keys[j.q.Key]; ok && now-at < f.cfg.DedupWindow {
 			if !j.over && !j.cancel && j.life == m.life {
@@ -512,7 +476,7 @@
 		}
 		g.keys[j.q.Key] = now
 		f.at(now+f.cfg.DedupWindow, func() {
-			if at, ok := g.keys[j.q.Key]; ok && f.now-at >= f.cfg.DedupWindow {
+			if at, ok := g.keys[j.q.Key]; ok && f.clock.Now-at >= f.cfg.DedupWindow {
 				delete(g.keys, j.q.Key)
 			}
 		})
@@ -532,7 +496,7 @@
 			continue
 		}
 		arrives := now + f.draw(f.cfg.LogDelay)
-		if f.now < r.lagTill {
+		if f.clock.Now < r.lagTill {
 			arrives += r.lag
 		} else if first || arrives < ack {
 			ack, first = arrives, false
@@ -566,7 +530,7 @@
 
 // applied brings the position up to now and gives it: all commits up to then can be seen here.
 func (m *Member) applied() time.Duration {
-	now, g := m.f.now, m.g
+	now, g := m.f.clock.Now, m.g
 	if g.primary == m {
 		m.position, g.beats = now, now
 		return now
@@ -593,10 +557,10 @@
 // catchUp hands a member that comes back what it has missed of the log.
 func (m *Member) catchUp() {
 	m.pending = m.pending[:0]
-	m.applyFree = m.f.now
+	m.applyFree = m.f.clock.Now
 	for _, e := range m.g.log {
 		if e.commit > m.position {
-			m.receive(e, m.f.now)
+			m.receive(e, m.f.clock.Now)
 		}
 	}
 }
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -43,7 +43,7 @@
 // ask submits a query and gives the place of its answer, which is Silent until it comes.
 func (r *rig) ask(at time.Duration, member, class int, key string) *answer {
 	a := &answer{}
-	r.Submit(at, member, Query{Class: class, Key: key, Deadline: at + 3*time.Second}, func(p Reply) { a.Reply, a.at, a.n = p, r.now, a.n+1 })
+	r.Submit(at, member, Query{Class: class, Key: key, Deadline: at + 3*time.Second}, func(p Reply) { a.Reply, a.at, a.n = p, r.clock.Now, a.n+1 })
 	return a
 }
 
--- a/internal/lab/fleet/queue_test.go
+++ b/internal/lab/fleet/queue_test.go
@@ -28,7 +28,7 @@
 		f.Advance(now)
 		came, q := now, Query{Luck: luck}
 		work := f.work(&q)
-		f.Submit(now, 0, q, func(Reply) { sum += (f.now - came - work).Seconds() })
+		f.Submit(now, 0, q, func(Reply) { sum += (f.clock.Now - came - work).Seconds() })
 	}
 	for at, more := f.Next(); more; at, more = f.Next() {
 		f.Advance(at)
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -96,8 +96,8 @@
 		}}, "", " ")
 }
 
-// beside finds a program in the folder of the running one.
-func beside(name string) (string, error) {
+// Beside finds a program in the folder of the running one.
+func Beside(name string) (string, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return "", err
@@ -140,7 +140,7 @@
 func start(ctx context.Context, w *standin.World, cfg fleet.Config, o Options) (*Proxy, error) {
 	var err error
 	if o.Binary == "" {
-		if o.Binary, err = beside("havenproxy"); err != nil {
+		if o.Binary, err = Beside("havenproxy"); err != nil {
 			return nil, err
 		}
 	}
