Know every change of the list within 6 s whatever call failed, and watch a pushed list

So the silent watch was given up after 12 s (watchPatience, internal/net/discovery.go) and the next call came up to 4 s behind that (againMax, internal/limit/calls.go): 16 s in all for a bound of 6. Ruled out: a list that came and was not heeded (the log's 'database changed' and the sends agree), lost connections (those are told at once), the drain's own 2 s. The router asks only where settings say 'on_request' (Router.begin), and nobody else calls the agent: no watch was ever opened before the first SIGHUP.

Change: all times of calls are parts of one bound (limit.Calls): a watch waits for half of it and is given up a twelfth later, pauses are a twelfth to a third, a call to be answered at once has five twelfths. The bound comes of the settings: 6 s, or four times ask_within where that is less; where lists are pushed, the time in which a drain has to be heeded. The program asks the agent too. A list older than the one in hand is not taken; the whole list is asked for and counts.

Costs: a watch call in 3 s and proxy for one in 10 s.

--- a/internal/limit/calls.go
+++ b/internal/limit/calls.go
@@ -2,31 +2,61 @@
 
 import "time"
 
-const (
-	againMin = 500 * time.Millisecond // calls that fail are spaced out
-	againMax = 4 * time.Second
-	patience = 5 * time.Second // a call without any reply is taken for failed
-)
+// DefaultBound is the platform's: whatever call failed, a change of the list counts as told this long after the service had it and
+// could be reached.
+const DefaultBound = 6 * time.Second
 
-// Calls spaces out the calls to a service that must have one at most under way, and fails at times.
+// Calls spaces out the calls to a service that must have one at most under way, and fails at times. All its times are parts of
+// Bound, so that a call which hangs, the pause behind it and the next call's answer end within it.
 type Calls struct {
+	Bound time.Duration // by when a change has to be known here; 0 = DefaultBound
+
 	calledAt time.Duration // when the outstanding one was made; 0 = none
 	nextAt   time.Duration // when to call next; 0 = no need
 	failed   bool          // the last one did
 }
 
+func (c *Calls) bound() time.Duration {
+	if c.Bound > 0 {
+		return c.Bound
+	}
+	return DefaultBound
+}
+
+// Pauses gives the shortest and the longest pause behind a call that failed.
+func (c *Calls) Pauses() (least, most time.Duration) { return c.bound() / 12, c.bound() / 3 }
+
+// Patience is how long a call that is to be answered at once may take: then it is taken for failed.
+func (c *Calls) Patience() time.Duration { return c.bound() / 2 }
+
+// Watch gives how long a call may wait for news, and how long it may take in all: one that stays without an answer behind that is
+// given up, for the service, or the way to it, may have fallen silent for good.
+func (c *Calls) Watch() (wait, patience time.Duration) {
+	return c.bound() / 2, c.bound()/2 + c.bound()/12
+}
+
+// First gives the same for the call that begins a watch, which is to be answered at once. It ends before Patience does.
+func (c *Calls) First() (wait, patience time.Duration) {
+	return min(firstWait, c.bound()/12), c.bound() * 5 / 12
+}
+
+const firstWait = 50 * time.Millisecond
+
 // Called notes a call.
 func (c *Calls) Called(now time.Duration) { c.nextAt, c.calledAt = 0, now }
 
 // Answered notes its end; another follows where it failed, after a time drawn by a number from 0 to 1.
 func (c *Calls) Answered(now time.Duration, failed bool, draw float64) {
 	if c.calledAt, c.failed = 0, failed; failed {
-		c.nextAt = now + againMin + time.Duration(draw*float64(againMax-againMin))
+		least, most := c.Pauses()
+		c.nextAt = now + least + time.Duration(draw*float64(most-least))
 	}
 }
 
 // Overdue tells that the call under way will have no answer.
-func (c *Calls) Overdue(now time.Duration) bool { return c.calledAt > 0 && now-c.calledAt > patience }
+func (c *Calls) Overdue(now time.Duration) bool {
+	return c.calledAt > 0 && now-c.calledAt > c.Patience()
+}
 
 // Due tells that a call is to be made.
 func (c *Calls) Due(now time.Duration) bool { return c.nextAt > 0 && now >= c.nextAt }
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -31,13 +31,13 @@
 	var c Calls
 	now := time.Hour
 	c.Called(now)
-	if c.Due(now+time.Hour) || c.Overdue(now+4*time.Second) || !c.Overdue(now+6*time.Second) {
+	if c.Due(now+time.Hour) || c.Overdue(now+2900*time.Millisecond) || !c.Overdue(now+3100*time.Millisecond) {
 		t.Fatal("a second call goes out beside the first, or its end is waited for without end")
 	}
 	for _, draw := range []float64{0, 0.5, 0.999} {
 		c.Called(now)
 		c.Answered(now, true, draw)
-		if c.Well() || c.Due(now+againMin-1) || !c.Due(now+againMax) {
+		if c.Well() || c.Due(now+500*time.Millisecond-1) || !c.Due(now+2*time.Second) {
 			t.Fatalf("%+v", c)
 		}
 	}
--- a/internal/net/discovery.go
+++ b/internal/net/discovery.go
@@ -3,24 +3,19 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/discovery"
 	"havenproxy/logic"
 )
 
 const (
-	// The router gives a call up after five seconds: the first one after a Watch waits for no news, so that its
-	// answer comes at once, and fails before that.
-	firstWait    = 50 * time.Millisecond
-	firstPatient = 4500 * time.Millisecond
-	// The calls behind it wait for news. One that stays without an answer is given up, for the service may be cut off.
-	watchWait    = 10 * time.Second
-	watchPatient = watchWait + 2*time.Second
-	dialTimeout  = time.Second
+	dialTimeout = time.Second
 
 	minPeriod = 100 * time.Millisecond // of calls; a watch ends where the next one is over 200 ms late
 )
@@ -32,6 +27,8 @@
 	deadlines *state.Deadlines
 	front     *state.Front
 	address   string
+	times     limit.Calls // how long calls may take
+	dial      func(address string, then func(netpoll.Connection, error))
 
 	conn       netpoll.Connection
 	in         buffer
@@ -45,10 +42,12 @@
 	turn       int // counts connections; what an earlier one still has to say is void
 }
 
-// NewDiscovery makes the client; generation is that of the list in hand.
-func NewDiscovery(loop *Loop, clock state.Clock, front *state.Front, address string, generation int64) *Discovery {
+// NewDiscovery makes the client; generation is that of the list in hand, bound by when a change has to be known here, as
+// logic.Config.ListBound has it.
+func NewDiscovery(loop *Loop, clock state.Clock, front *state.Front, address string, generation int64, bound time.Duration) *Discovery {
 	return &Discovery{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front, address: address,
-		generation: generation}
+		generation: generation, times: limit.Calls{Bound: bound},
+		dial: func(address string, then func(netpoll.Connection, error)) { connect(loop, address, dialTimeout, then) }}
 }
 
 // Watch implements state.Watcher.
@@ -85,9 +84,9 @@
 
 func (d *Discovery) call() {
 	d.calling, d.calledAt = true, d.clock.Now()
-	wait, patient := watchWait, watchPatient
+	wait, patient := d.times.Watch()
 	if d.first {
-		wait, patient = firstWait, firstPatient
+		wait, patient = d.times.First()
 	}
 	d.out = discovery.AppendRequest(d.out[:0], d.address, d.generation, wait)
 	d.deadlines.Set(&d.timer, d.clock.Now()+patient, func() { d.failed(errors.New("no answer in time")) })
@@ -97,7 +96,7 @@
 	}
 	d.turn++
 	turn := d.turn
-	connect(d.loop, d.address, dialTimeout, func(conn netpoll.Connection, err error) { d.connected(turn, conn, err) })
+	d.dial(d.address, func(conn netpoll.Connection, err error) { d.connected(turn, conn, err) })
 }
 
 func (d *Discovery) connected(turn int, conn netpoll.Connection, err error) {
@@ -158,17 +157,26 @@
 	}
 	d.in.cut(n)
 	d.deadlines.Clear(&d.timer)
-	d.calling, d.generation = false, l.Generation
+	d.calling = false
 	if r.Close {
 		d.disconnect()
 	}
-	d.first = false
+	// A list older than the one in hand would undo drains that are known. The service may as well count anew: then its whole list, asked for
+	// without a generation, is the one that counts.
+	older := d.generation != discovery.NoList && l.Generation < d.generation
+	if d.first = older; older {
+		slog.Warn("discovery tells an older list than the one in hand; the whole list is asked for", "generation", l.Generation, "in_hand", d.generation)
+		l.Generation = discovery.NoList
+	}
+	d.generation = l.Generation
 	if d.watching {
 		// The watch goes on if the next call follows closely. A service that answers at once all the same must
 		// not be called in a tight loop: it serves all proxies, one call after the other.
 		d.deadlines.Set(&d.timer, max(d.calledAt+minPeriod, d.clock.Now()), d.call)
 	}
-	d.front.Listed(ListOf(l))
+	if !older {
+		d.front.Listed(ListOf(l))
+	}
 }
 
 // ListOf puts a list into the terms of the state.
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -704,9 +704,9 @@
 		io.Copy(io.Discard, conn)
 	}()
 	_, front, loop := proxy(t, "127.0.0.1:1", 8, 1)
-	d := NewDiscovery(loop, state.NewClock(), front, ln.Addr().String(), discovery.NoList)
+	d := NewDiscovery(loop, state.NewClock(), front, ln.Addr().String(), discovery.NoList, 0)
 	loop.Post(func() { d.Watch(true) })
-	for i, want := range []string{"/v1/endpoints", "/v1/endpoints?after=0&wait_ms=10000", "/v1/endpoints?after=5&wait_ms=10000"} {
+	for i, want := range []string{"/v1/endpoints", "/v1/endpoints?after=0&wait_ms=3000", "/v1/endpoints?after=5&wait_ms=3000"} {
 		if got := <-calls; got != want {
 			t.Errorf("call %d is %s, want %s", i, got, want)
 		}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -318,6 +318,9 @@
 	if s.ConnectTimeout <= 0 {
 		s.ConnectTimeout = defaultConnectTimeout
 	}
+	// A list that is pushed comes as far as the agent on the own machine, which has to be asked for it like any other service. Without
+	// this, nobody asked at all: the router asks only where it is told so.
+	s.Config.Pull = true
 	p := &proxy{clock: state.NewClock()}
 	databases := &net.Databases{ConnectTimeout: s.ConnectTimeout}
 	var err error
@@ -359,7 +362,7 @@
 			p.front.Peers(peers)
 		}
 	}
-	p.discovery = net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation)
+	p.discovery = net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation, s.Config.ListBound)
 	p.loop.Post(func() {
 		p.startedAt = p.clock.Now()
 		p.front.Start(p.discovery, net.ListOf(cfg.Known))
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -214,7 +214,7 @@
 	os.WriteFile(own, []byte("levels()\npin('normal')\nconsole()\n"), 0o600)
 	syscall.Kill(os.Getpid(), syscall.SIGHUP)
 	log.until(t, "msg=reloaded")
-	for _, want := range []string{"/v1/endpoints", "/v1/endpoints?after=7&wait_ms=10000"} {
+	for _, want := range []string{"/v1/endpoints", "/v1/endpoints?after=7&wait_ms=3000"} {
 		if got := <-calls; got != want {
 			t.Errorf("the new address got %s, want %s", got, want)
 		}
--- a/internal/wire/settings/settings.go
+++ b/internal/wire/settings/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/wire/peers"
 	"havenproxy/logic"
 )
@@ -53,6 +54,8 @@
 		How    string   `json:"how"`
 	} `json:"reporting"`
 	Safety struct {
+		AskWithin float64 `json:"ask_within"`
+		Drain     float64 `json:"stop_sending_within"`
 		Cold      float64 `json:"cold"`
 		ColdShare float64 `json:"cold_share"`
 		Multiple  float64 `json:"fall_multiple"`
@@ -121,6 +124,7 @@
 		MaxAttempts: l.MaxAttempts, MaxComeBack: micros(l.MaxRetryAfter),
 		Cold: micros(s.Cold), ColdShare: s.ColdShare, FallMultiple: s.Multiple, DrainOnly: s.DrainOnly,
 	}
+	cfg.ListBound = listBound(pull, micros(s.AskWithin), micros(s.Drain))
 	if l.Peers {
 		cfg.PeerFacts = peers.MaxFacts
 	}
@@ -141,6 +145,24 @@
 		Zones: j.Zones, IdleClose: micros(l.IdleClose), ConnectTimeout: micros(l.ConnectTime)}, nil
 }
 
+// listBound gives by when a change of the list has to be known. A service that is asked has askWithin between two calls, four times as
+// long behind one that failed, and never more than the platform's bound. An agent on the own machine has told what it has got, so there
+// the time in which a drain has to be heeded runs from that moment, and asking it costs nothing.
+func listBound(asked bool, askWithin, drain time.Duration) time.Duration {
+	bound := limit.DefaultBound
+	if asked && askWithin > 0 {
+		bound = min(bound, askAgain*askWithin)
+	} else if !asked && drain > 0 {
+		bound = min(bound, drain)
+	}
+	return max(bound, leastBound)
+}
+
+const (
+	askAgain   = 4                      // so many times askWithin holds the list behind a call that failed
+	leastBound = 300 * time.Millisecond // below, calls would follow each other without a pause
+)
+
 func parseClass(c classJSON, freshness string) (logic.Class, error) {
 	read, err1 := word("freshness", freshness, map[string]logic.Freshness{"any": logic.Any,
 		"bounded": logic.Bounded, "session": logic.Session, "fresh": logic.Fresh, "write": logic.Write})
--- a/logic/api.go
+++ b/logic/api.go
@@ -117,11 +117,14 @@
 	Tenants   []Tenant
 	OverShare float64 // worth of a request beyond its tenant's share, as a part of its class's
 
-	Tick     time.Duration // the front hands over events no more often than this
-	Pull     bool          // the member list comes only when asked for (Watch, Fetch)
-	ListRole ListRole
-	Carried  bool // requests carry their session's token; otherwise the router remembers commits
-	Checks   Checks
+	Tick time.Duration // the front hands over events no more often than this
+	Pull bool          // the member list comes only when asked for (Watch, Fetch)
+	// ListBound is by when a change of the list has to be known here, counted from when the list's service had it and could be reached,
+	// whatever call to it failed before; 0 = limit.DefaultBound.
+	ListBound time.Duration
+	ListRole  ListRole
+	Carried   bool // requests carry their session's token; otherwise the router remembers commits
+	Checks    Checks
 
 	MayProbe    bool
 	MayCancel   bool
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -67,7 +67,7 @@
 		members: map[MemberID]*member{}, groups: map[GroupID]*group{}, requests: map[RequestID]*request{},
 		cost: make([]time.Duration, len(cfg.Classes)), slow: make([]time.Duration, len(cfg.Classes)),
 		retries: retryReserve, lead: handover.New(cfg.Handover),
-		pings: ping.Schedule{Proxies: cfg.Fronts, Tick: cfg.Tick}}
+		pings: ping.Schedule{Proxies: cfg.Fronts, Tick: cfg.Tick}, calls: limit.Calls{Bound: cfg.ListBound}}
 	r.nobody = r.newGroup(-1)
 	r.pins.init(keepEntries)
 	r.commits.init(keepEntries)
