Answer all that is owed before the process ends; ask again before an attempt is written

The request had come behind the signal on a connection that an earlier one kept open, to a database that hung; its deadline (limit after it came) lay behind killAt (limit + 0.4 s after the signal), and at killAt internal/run/run.go:drained stopped the loop over what was pending. Ruled out: a close over unread bytes (no 'closed over a query' line), clients that came behind the listener's end (none counted). At fault: killAt as the one bound, and no answer at it.

Change: what is taken behind the signal has to be answered by limit + 0.4 s (Front.EndBy); then all that is still owed is answered at once, refused where nothing ran and failed elsewhere (Router.EndAll); the process ends 0.1 s later at the latest, 0.2 s before the platform's SIGKILL. A request whose client has gone no longer holds the end up. Found by reading: an attempt that waits for a dial, or takes over a freed connection, was written though its member had begun to drain meanwhile, its time was up, or, where settings allow no cancel, its client had gone. Front.write asks again in that moment; nothing has run then.

--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -38,7 +38,10 @@
 	drainStep   = 5 * time.Millisecond   // then it looks so often whether all have their answers
 	// SIGKILL comes 0.7 s behind the longest deadline, which counts as 3 s where it is longer.
 	longestPatience = 3 * time.Second
-	stopMargin      = 400 * time.Millisecond
+	// What is owed then is answered at once, and what is taken before has until then: a request that came late on a connection
+	// kept open may have all its time yet. The last answers have a little time to go out.
+	answerMargin = 400 * time.Millisecond
+	stopMargin   = 500 * time.Millisecond
 
 	defaultSockets        = 1024
 	defaultConnectTimeout = 250 * time.Millisecond
@@ -290,6 +293,7 @@
 	patience time.Duration // the longest that a request may take
 	stopping bool
 	timer    state.Deadline
+	answerBy time.Duration
 	killAt   time.Duration
 
 	tier      *net.Tier // nil = the proxy goes by its own files
@@ -303,7 +307,10 @@
 }
 
 // start puts the parts together and begins to listen; nothing runs before the loop does.
-func start(cfg settings.Config) (*proxy, error) {
+func start(cfg settings.Config) (*proxy, error) { return startOn(cfg, state.NewClock()) }
+
+// startOn does so on a clock of the caller's.
+func startOn(cfg settings.Config, clock state.Clock) (*proxy, error) {
 	sockets := cfg.Sockets
 	if sockets <= 0 {
 		sockets = defaultSockets
@@ -321,7 +328,7 @@
 	// A list that is pushed comes as far as the agent on the own machine, which has to be asked for it like any other service. Without
 	// this, nobody asked at all: the router asks only where it is told so.
 	s.Config.Pull = true
-	p := &proxy{clock: state.NewClock()}
+	p := &proxy{clock: clock}
 	databases := &net.Databases{ConnectTimeout: s.ConnectTimeout}
 	var err error
 	p.front, err = state.New(state.Config{Logic: s.Config, Zones: s.Zones, IdleClose: s.IdleClose,
@@ -455,7 +462,8 @@
 	p.stopping = true
 	slog.Info("stopping", "pending", p.front.Pending())
 	now := p.clock.Now()
-	p.killAt = now + p.patience + stopMargin
+	p.answerBy, p.killAt = now+p.patience+answerMargin, now+p.patience+stopMargin
+	p.front.EndBy(p.answerBy)
 	p.front.Deadlines.Clear(&p.settling)
 	if p.accept > 0 && p.serving {
 		p.server.Leave()
@@ -468,11 +476,14 @@
 
 func (p *proxy) drained() {
 	now := p.clock.Now()
-	if p.server.Drained() && p.front.Pending() == 0 || now >= p.killAt {
+	if now >= p.answerBy {
+		p.front.EndAll()
+	}
+	if p.nothingOwed() || now >= p.killAt {
 		// A connection may have been accepted, and a query read, that the loop has yet to hear of: whatever the poller has begun by now
 		// stands before this in the loop's queue.
 		p.loop.BehindPoller(func() {
-			if p.server.Drained() && p.front.Pending() == 0 || p.clock.Now() >= p.killAt {
+			if p.nothingOwed() || p.clock.Now() >= p.killAt {
 				if p.tier != nil {
 					p.tier.Leave()
 				}
@@ -485,3 +496,6 @@
 	}
 	p.front.Deadlines.Set(&p.timer, now+drainStep, p.drained)
 }
+
+// nothingOwed closes the clients that are owed nothing, and tells whether none is left.
+func (p *proxy) nothingOwed() bool { return p.server.Drained() && p.front.Owed() == 0 }
--- /dev/null
+++ b/internal/state/ending.go
@@ -0,0 +1,59 @@
+package state
+
+import (
+	"slices"
+	"time"
+
+	"havenproxy/logic"
+)
+
+// EndBy lets no request outlast a moment on the front's clock: what is taken from now on has to have its answer by then, so that no attempt
+// waits past the process's end.
+func (f *Front) EndBy(at time.Duration) { f.endBy = at }
+
+// EndAll answers at once whatever is still owed an answer. It may be called again: what came meanwhile is ended too.
+func (f *Front) EndAll() {
+	f.tell(func() { f.planned.EndAll(f.clock.Now()) })
+	var left []logic.RequestID // what the router hasn't been told of
+	for id, q := range f.requests {
+		if q.caller != nil {
+			left = append(left, id)
+		}
+	}
+	slices.Sort(left)
+	for _, id := range left {
+		if q := f.requests[id]; q != nil && q.tries == 0 {
+			f.answer(id, &f.Counters.Refused, refusedOf, func(c Caller) { c.Refused(0) })
+		} else {
+			f.answer(id, &f.Counters.Failed, failedOf, Caller.Failed)
+		}
+	}
+}
+
+// LatestEnd gives the latest deadline of a request that is owed an answer; 0 = none is.
+func (f *Front) LatestEnd() (at time.Duration) {
+	for _, q := range f.requests {
+		if q.caller != nil {
+			at = max(at, q.until)
+		}
+	}
+	return at
+}
+
+// Owed tells how many answers are owed to clients: requests without their final one, and values on their way in pieces.
+func (f *Front) Owed() int {
+	n := f.streams
+	for _, q := range f.requests {
+		if q.caller != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// stale asks, in the moment before the first byte of an attempt is written, whether it may still go out: while it waited for a connection
+// its client may have left, its time have run out, or its member have been listed as leaving. Nothing has run then, and the router chooses
+// anew if there is still something to choose for.
+func (f *Front) stale(a *attempt) bool {
+	return a.req.caller == nil || f.clock.Now() >= a.until || a.to.state != logic.Ready && !(a.to.state == logic.Gone && f.cfg.Logic.DrainOnly)
+}
--- /dev/null
+++ b/internal/state/ending_test.go
@@ -0,0 +1,81 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"havenproxy/logic"
+)
+
+// While an attempt waits for a connection, its member is listed as leaving, or its client leaves where nothing may be called off: in the
+// moment of the write nothing goes out, the router hears that nothing ran, and the connection is not left behind.
+func TestWhatWaitedForAConnectionIsAskedAgainBeforeItIsWritten(t *testing.T) {
+	drains := List{Kind: logic.ListDelta, Entries: []Entry{{Name: "one", Address: "a:1", Zone: "y", State: logic.Draining}}}
+	for name, c := range map[string]struct {
+		crosses func(b *bench, id logic.RequestID)
+		sent    int
+	}{
+		"nothing": {func(*bench, logic.RequestID) {}, 1},
+		"a drain": {func(b *bench, _ logic.RequestID) { b.f.Listed(drains) }, 0},
+		"gone":    {func(b *bench, _ logic.RequestID) { b.f.Listed(List{Kind: logic.ListFull}) }, 0},
+		"no client any more": {func(b *bench, id logic.RequestID) {
+			b.f.Abandon(id)
+			b.told = nil
+		}, 0},
+		"no time any more": {func(b *bench, _ logic.RequestID) { b.now += 500 * time.Millisecond }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 9)
+			b.f.cfg.ConnectTimeout = time.Second
+			id := b.take(&caller{})
+			b.told = nil
+			c.crosses(b, id)
+			b.conns[0].to.Up()
+			if b.conns[0].sent != c.sent {
+				t.Errorf("%d requests were written, want %d", b.conns[0].sent, c.sent)
+			}
+			if c.sent == 0 {
+				b.want(outcome(logic.Moot, name == "no client any more"))
+				if busy := b.f.names["one"]; busy != nil && len(busy.opening) > 0 {
+					t.Error("the connection is still taken for one in the making")
+				}
+			}
+		})
+	}
+}
+
+// An idle connection freed by an answer goes to an attempt that waits for one of its own, if that may still go out.
+func TestAFreedConnectionGoesToWhoMayStillSend(t *testing.T) {
+	b := newBench(t, 9)
+	b.take(&caller{})
+	b.conns[0].to.Up()
+	second := b.take(&caller{})
+	b.f.Abandon(second) // nothing is called off by this router
+	b.told = nil
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	if b.conns[0].sent != 1 {
+		t.Errorf("%d requests were written, want the first alone", b.conns[0].sent)
+	}
+	b.want(outcome(logic.Moot, true), outcome(logic.OK, true))
+}
+
+// At the end all that is owed an answer has it at once, the requests that the router has not been told of as well.
+func TestEndAllAnswersAll(t *testing.T) {
+	b := newBench(t, 9)
+	first, second, left := &caller{}, &caller{}, &caller{}
+	b.take(first)
+	b.f.Take(Request{Class: "any", Wait: time.Second, Command: command{}, Caller: second})
+	b.f.Abandon(b.take(left))
+	if n := b.f.Owed(); n != 2 {
+		t.Errorf("%d answers owed, want 2", n)
+	}
+	b.f.EndAll()
+	first.want(t, "failed")
+	second.want(t, "refused 0s")
+	left.want(t)
+	if n := b.f.Owed(); n != 0 {
+		t.Errorf("%d answers owed", n)
+	}
+	b.f.EndAll()
+	first.want(t, "failed")
+}
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -80,6 +80,7 @@
 	queue []func() // events, for the router gets them one at a time
 	busy  bool
 
+	endBy    time.Duration // no request may outlast it; 0 = no end is in sight
 	lastID   logic.RequestID
 	requests map[logic.RequestID]*request
 	named    map[string]struct{} // the names of open requests
@@ -190,6 +191,9 @@
 	q := &request{id: f.lastID, name: in.Name, class: class, cmd: in.Command, caller: in.Caller}
 	f.requests[q.id] = q
 	q.until = f.clock.Now() + max(in.Wait-wayHome, 0)
+	if f.endBy > 0 {
+		q.until = min(q.until, f.endBy)
+	}
 	if f.trace != nil {
 		size := 0
 		if c, ok := in.Command.(interface{ Size() int }); ok {
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -160,6 +160,12 @@
 // write sends an attempt over a connection that is up.
 func (f *Front) write(l *link, a *attempt) {
 	f.Deadlines.Clear(&l.Deadline)
+	if f.stale(a) {
+		l.attempt, a.link = nil, nil
+		f.rest(l)
+		f.end(a, Reply{Result: logic.Moot})
+		return
+	}
 	l.state, l.attempt, a.link = linkBusy, a, l
 	if err := l.conn.Send(a.req.cmd, a.until-f.clock.Now()); err != nil {
 		f.drop(a, Reply{Result: logic.ConnectFailed})
