--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -234,6 +234,11 @@
 // Unfit implements state.Caller.
 func (sl *slot) Unfit(body []byte) { sl.give(sl.c.speaks.unfit(sl, body)) }
 
+// Present implements state.Present: the poller marks a connection that its client has closed, ahead of the loop.
+func (sl *slot) Present() bool {
+	return sl.c.phase != phaseClosed && (sl.c.quits || sl.c.conn.IsActive())
+}
+
 // give notes an answer and writes all that are next in order.
 func (sl *slot) give(answer []byte) {
 	c := sl.c
--- a/internal/state/ending.go
+++ b/internal/state/ending.go
@@ -51,9 +51,18 @@
 	return n
 }
 
+// Present is a Caller whose client may be known to have left before this side hears of it: behind a pause of the process, what it asked
+// and its end stand in one queue.
+type Present interface {
+	Present() bool
+}
+
 // stale asks, in the moment before the first byte of an attempt is written, whether it may still go out: while it waited for a connection
 // its client may have left, its time have run out, or its member have been listed as leaving. Nothing has run then, and the router chooses
 // anew if there is still something to choose for.
 func (f *Front) stale(a *attempt) bool {
+	if p, ok := a.req.caller.(Present); ok && !p.Present() {
+		f.Abandon(a.req.id)
+	}
 	return a.req.caller == nil || f.clock.Now() >= a.until || a.to.state != logic.Ready && !(a.to.state == logic.Gone && f.cfg.Logic.DrainOnly)
 }
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -89,6 +89,7 @@
 	Deadline
 	f       *Front
 	m       *member
+	address string // that it was opened to: its member may be listed at another by now
 	conn    Conn
 	state   linkState
 	probing bool          // it is the one for probes
@@ -129,7 +130,7 @@
 	}
 	f.links++
 	f.Counters.Opened++
-	l := &link{f: f, m: m}
+	l := &link{f: f, m: m, address: m.address}
 	l.conn = f.opener.Open(m.address, m.group, l)
 	f.Deadlines.Set(&l.Deadline, f.clock.Now()+f.cfg.ConnectTimeout, l.Down)
 	return l
@@ -160,7 +161,7 @@
 // write sends an attempt over a connection that is up.
 func (f *Front) write(l *link, a *attempt) {
 	f.Deadlines.Clear(&l.Deadline)
-	if f.stale(a) {
+	if f.stale(a) || l.address != a.to.address {
 		l.attempt, a.link = nil, nil
 		f.rest(l)
 		f.end(a, Reply{Result: logic.Moot})
@@ -202,7 +203,7 @@
 func (f *Front) rest(l *link) {
 	m := l.m
 	l.state = linkIdle
-	if m.state != logic.Ready || !l.conn.Quiet() {
+	if m.state != logic.Ready || l.address != m.address || !l.conn.Quiet() {
 		f.close(l)
 		return
 	}
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -111,6 +111,7 @@
 	// list, it would come a little later, which is a start of its own to the router.
 	if m.started != e.Started {
 		m.started, m.born = e.Started, place(f.clock, e.Started)
+		f.closeIdle(m) // they lead to the process before
 	}
 	m.born = max(m.born, e.Begun)
 	if m.address != e.Address && e.Address != "" {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -121,6 +121,7 @@
 	}
 	if e.Born > m.Born { // restarted: its role is open again, its log goes on from where it stood
 		m.group.lead.Born(now, m.seat, e.Born, known)
+		m.reborn()
 	}
 	m.listed = e.State != Gone
 	if r.cfg.DrainOnly && !m.listed { // the list is no proof of what runs: its pings and answers tell
--- a/logic/state.go
+++ b/logic/state.go
@@ -214,6 +214,9 @@
 	return sum / float64(n) * g.worth / g.work
 }
 
+// reborn forgets what only held of the process before: its failures, and what it had waiting. Its log it goes on with.
+func (m *member) reborn() { m.bench, m.queue, m.stuck = limit.Bench{}, 0, false }
+
 // stirs tells of a member with something under way, or whose group looks for a primary.
 func (m *member) stirs() bool { return len(m.out) > 0 || m.probing || m.group.primary == nil }
 
