Close clients' connections in two steps, and force the crossings of endings on sockets

Need: a close over unread bytes is a reset, which takes the last answer with it as far as it is on its way.

Change: a connection that is owed nothing is shut, read on to nobody until its client's end or 0.2 s, then closed; where others need its descriptor it is closed at once. What was read before the shutdown is answered as before (quit). The end of the process waits for those that linger, within its bound.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -70,6 +70,7 @@
 	from   string // its address
 	in     buffer
 	quits  bool // this side closes the connection, for it owed nothing
+	hurry  bool // others need its descriptor: it is closed in one step
 	had    int  // bytes of a query that was not whole, when it began to
 	phase  phase
 	full   bool // beyond the proxy's limit: it is turned away once it has spoken
--- /dev/null
+++ b/internal/net/ending_test.go
@@ -0,0 +1,189 @@
+package net
+
+import (
+	"bytes"
+	"io"
+	stdnet "net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"havenproxy/internal/wire/pg"
+)
+
+// hold keeps the loop at a point until the test lets it go; it returns once the loop is there.
+func hold(loop *Loop) (letGo func()) {
+	there, on := make(chan struct{}), make(chan struct{})
+	loop.Post(func() { close(there); <-on })
+	<-there
+	return func() { close(on) }
+}
+
+// onLoop asks on the loop.
+func onLoop[T any](loop *Loop, f func() T) T {
+	got := make(chan T)
+	loop.Post(func() { got <- f() })
+	return <-got
+}
+
+// until waits for what will be, on the loop; the test's own time limit ends it where it never is.
+func until(loop *Loop, f func() bool) {
+	for !onLoop(loop, f) {
+	}
+}
+
+// counted is a database that counts connections and queries.
+type counted struct{ conns, queries atomic.Int64 }
+
+func (c *counted) serve(t *testing.T, answer func(conn stdnet.Conn, text string) bool) string {
+	return member(t, func(conn stdnet.Conn, text string) bool {
+		if strings.Contains(text, "/*") {
+			c.queries.Add(1)
+		}
+		return answer(conn, text)
+	})
+}
+
+// A query and its client's end come while the loop is elsewhere: both stand in its queue, the query first. It is not sent to anybody.
+func TestAQueryWhoseClientHasLeftIsNotSent(t *testing.T) {
+	var db counted
+	s, front, loop := proxy(t, db.serve(t, echo), 8, 1)
+	p := dial(t, s)
+	p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("1a")))
+	p.said(len(welcome) + 3)
+	var c *client
+	onLoop(loop, func() bool {
+		for c = range s.clients {
+		}
+		return true
+	})
+	letGo := hold(loop)
+	p.conn.Write(pg.AppendQuery(nil, query("2b")))
+	for c.conn.Reader().Len() == 0 { // the poller has read it
+	}
+	p.conn.Close()
+	for c.conn.IsActive() { // and seen the end
+	}
+	letGo()
+	until(loop, func() bool { return front.Counters.Abandoned == 1 })
+	if n := onLoop(loop, func() uint64 { return front.Counters.Written }); n != 1 || db.queries.Load() != 1 {
+		t.Errorf("%d attempts were written, %d came", n, db.queries.Load())
+	}
+	until(loop, func() bool { return front.Owed() == 0 && front.Pending() == 0 })
+}
+
+// Hundreds of clients whose requests wait for a connection leave at once: none of the requests goes out when connections come up, and all
+// that was taken for them is given back.
+func TestHundredsThatLeaveAtOnceStartNothing(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		come := make(chan struct{})
+		var queries atomic.Int64
+		database := listen(t, func(conn stdnet.Conn) {
+			<-come
+			conn.Write(pg.AppendWelcome(nil))
+			in := make([]byte, 4096)
+			for {
+				n, err := conn.Read(in)
+				if err != nil {
+					return
+				}
+				queries.Add(int64(bytes.Count(in[:n], []byte("/*"))))
+			}
+		})
+		cfg := settings
+		cfg.MayCancel = cancel
+		s, front, loop := proxyWith(t, cfg, database, 400, 1)
+		var clients []*peer
+		for range 300 {
+			p := dial(t, s)
+			p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query(string(rune('a'+len(clients)%26))+strings.Repeat("0", len(clients)/26))))
+			clients = append(clients, p)
+		}
+		until(loop, func() bool { return front.Counters.Taken == 300 })
+		letGo := hold(loop)
+		for _, p := range clients {
+			p.conn.Close()
+		}
+		close(come)
+		letGo()
+		until(loop, func() bool { return len(s.clients) == 0 && front.Owed() == 0 && front.Pending() == 0 })
+		if n := onLoop(loop, func() uint64 { return front.Counters.Written }); n != 0 || queries.Load() != 0 {
+			t.Errorf("cancel %v: %d attempts were written, %d came", cancel, n, queries.Load())
+		}
+		if n := onLoop(loop, func() (out int) {
+			for _, d := range front.Databases() {
+				out += d.Out
+			}
+			return out
+		}); n != 0 {
+			t.Errorf("cancel %v: %d slots are not returned", cancel, n)
+		}
+	}
+}
+
+// In the moment in which a pooled connection is taken, half a line, or the connection's end, has come on it and the loop has not heard of
+// it: the request goes out on another, and has its own answer.
+func TestAPooledConnectionIsAskedInTheMomentItIsTaken(t *testing.T) {
+	for _, crossing := range []string{"half a line", "its end"} {
+		conns := make(chan stdnet.Conn, 9)
+		var db counted
+		s, front, loop := proxy(t, db.serve(t, func(conn stdnet.Conn, text string) bool {
+			if _, err := conn.Write(row(text)); err != nil {
+				return false
+			}
+			conns <- conn
+			return true
+		}), 8, 1)
+		p := dial(t, s)
+		p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("1a")))
+		p.said(len(welcome) + 3)
+		idle := <-conns
+		letGo := hold(loop)
+		p.conn.Write(pg.AppendQuery(nil, query("2b")))
+		if crossing == "its end" {
+			idle.Close()
+		} else {
+			idle.Write([]byte("D\x00\x00"))
+		}
+		var c *client
+		for c = range s.clients { // the loop is held
+		}
+		for c.conn.Reader().Len() == 0 { // the query stands before the loop's hearing of the other
+		}
+		letGo()
+		if types, _ := p.said(3); types != "DCZ" {
+			t.Errorf("%s: behind it came %q", crossing, types)
+		}
+		if opened := onLoop(loop, func() uint64 { return front.Counters.Opened }); opened != 2 || db.queries.Load() != 2 {
+			t.Errorf("%s: %d connections were opened, %d queries came", crossing, opened, db.queries.Load())
+		}
+	}
+}
+
+// A large answer to a client that reads slowly is whole though the server ends meanwhile, and an end of file stands behind it.
+func TestALargeAnswerIsWholeThroughAnEnd(t *testing.T) {
+	value := strings.Repeat("v", 60<<10)
+	s, _, loop := proxy(t, member(t, func(conn stdnet.Conn, _ string) bool {
+		_, err := conn.Write(row(value))
+		return err == nil
+	}), 8, 1)
+	conn, err := stdnet.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.(*stdnet.TCPConn).SetReadBuffer(32 << 10)
+	conn.SetDeadline(time.Now().Add(patience))
+	in := pg.AppendStartup(nil, "client", "core")
+	for _, id := range []string{"a", "b", "c"} {
+		in = pg.AppendQuery(in, query(id))
+	}
+	conn.Write(in)
+	until(loop, func() bool { return s.front.Counters.Served == 3 })
+	until(loop, func() bool { s.Drain(); return s.Drained() || s.lingering > 0 })
+	got, err := io.ReadAll(conn)
+	if err != nil || bytes.Count(got, []byte(value)) != 3 {
+		t.Errorf("%d bytes came, error %v", len(got), err)
+	}
+}
--- a/internal/net/fence.go
+++ b/internal/net/fence.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+
+	"havenproxy/internal/state"
 )
 
 // fence is a pipe to oneself by way of netpoll's poller.
@@ -80,6 +82,9 @@
 	c.quits = false
 	err := c.s.loop.behindPoller()
 	if err == nil && len(c.in.bytes) == c.had && c.conn.Reader().Len() == 0 {
+		if !c.hurry {
+			c.s.linger(c.conn)
+		}
 		c.closed()
 		return
 	}
@@ -122,3 +127,42 @@
 	c.s.loop.Post(c.parse)
 	return nil
 }
+
+// lingerMost is how long a connection that has been shut is read on for its client's end.
+const lingerMost = 200 * time.Millisecond
+
+// linger closes a connection in two steps (RFC 9112, section 9.6): it is shut, and what its client still writes, which nobody will act on, is
+// read until the client has closed too, or lingerMost is over. A close over unread bytes is a reset, and a reset takes the last answer with it,
+// as far as that is still on its way. The poller has let go of the connection, and nothing that was read is owed an answer; see quit. A client whose
+// query crossed sees its connection end with no answer to that, and sends it once more.
+func (s *Server) linger(old netpoll.Connection) {
+	c, ok := old.(netpoll.Conn)
+	if !ok {
+		return
+	}
+	fd, err := syscall.Dup(c.Fd())
+	if err != nil {
+		return // it is closed in one step, as there are no descriptors
+	}
+	syscall.CloseOnExec(fd)
+	syscall.Shutdown(fd, syscall.SHUT_WR)
+	conn, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		syscall.Close(fd)
+		return
+	}
+	s.open.Add(1)
+	s.lingering++
+	var timer state.Deadline
+	attach(s.loop, conn, func() {
+		r := conn.Reader()
+		s.crossed += r.Len()
+		r.Skip(r.Len())
+		r.Release()
+	}, func() {
+		s.lingering--
+		s.open.Add(-1)
+		s.deadlines.Clear(&timer)
+	})
+	s.deadlines.Set(&timer, s.clock.Now()+lingerMost, func() { conn.Close() })
+}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -47,6 +47,12 @@
 
 // proxy runs a server on a port of its own, with one group whose only member is at the given address.
 func proxy(t *testing.T, member string, clients, excess int) (*Server, *state.Front, *Loop) {
+	t.Helper()
+	return proxyWith(t, settings, member, clients, excess)
+}
+
+// proxyWith does so under other settings.
+func proxyWith(t *testing.T, settings logic.Config, member string, clients, excess int) (*Server, *state.Front, *Loop) {
 	t.Helper()
 	clock := &skipClock{SystemClock: state.NewClock()}
 	databases := &Databases{ConnectTimeout: patience}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -55,6 +55,8 @@
 	excess      int
 	easing      state.Deadline
 	crowdedAt   time.Duration // when it was last told that there are too many
+	lingering   int           // connections that are shut and wait for their clients' end
+	crossed     int           // bytes that were read behind a shutdown, for nobody
 	draining    bool
 	away        bool // operators send clients away
 	sweeping    state.Deadline
@@ -238,7 +240,9 @@
 		c.list.MoveToBack(c.place)
 		return
 	}
+	c.hurry = true
 	if c.close(); c.phase != phaseClosed { // it has spoken just now
+		c.hurry = false
 		c.since = now
 		c.list.MoveToBack(c.place)
 		return
@@ -312,5 +316,5 @@
 	for c := range s.clients {
 		c.closeIdle()
 	}
-	return len(s.clients) == 0
+	return len(s.clients) == 0 && s.lingering == 0
 }
