Name the key of every setting that can't be meant, at the start and at SIGHUP

Change: settings are checked as a whole where they are read (settings.check), so the start and a reload tell the same one line with the key as the file spells it; a wrong type names its key too. An effect and a tier size have no harmless default and must be there. The drill's test and the sample's nameless second class said the old words; both are as strict with the new ones.

--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -26,8 +26,8 @@
 func TestUnusableSettingsAreAFault(t *testing.T) {
 	for settings, want := range map[string]string{
 		"{":              "not usable JSON",
-		`{"tick": 5000}`: "Config.Classes is empty",
-		`{"tick": 0, "domain": {"freshness": ["any"]}, "request_classes": [{"aim": 1, "hard_limit": 2}]}`: "Config.Tick",
+		`{"tick": 5000}`: "request_classes",
+		`{"tick": 0, "domain": {"freshness": ["any"]}, "fleet_size": 1, "request_classes": [{"aim": 1, "hard_limit": 2, "name": "a", "effect": "free"}]}`: "tick",
 	} {
 		var out bytes.Buffer
 		if err := run(bytes.NewReader(batch(settings, hello(settings))), &out); err != nil {
@@ -40,7 +40,7 @@
 }
 
 func TestARestartWithinABatchStartsAnew(t *testing.T) {
-	settings := `{"tick": 5000, "domain": {"freshness": ["any"]}, "request_classes": [{"aim": 1, "hard_limit": 2}]}`
+	settings := `{"tick": 5000, "domain": {"freshness": ["any"]}, "fleet_size": 1, "request_classes": [{"aim": 1, "hard_limit": 2, "name": "a", "effect": "free"}]}`
 	retire := []byte{22, 4, 0, 0, 0}
 	timer := []byte{18, 4, 0, 0, 0, 1}
 	var out bytes.Buffer
--- a/internal/wire/settings/config.go
+++ b/internal/wire/settings/config.go
@@ -42,7 +42,7 @@
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &j); err != nil {
-		return Config{}, fmt.Errorf("configuration: not usable JSON: %w", err)
+		return Config{}, fmt.Errorf("configuration: %w", readable("", err))
 	}
 	c := Config{Name: j.Name, Listen: j.Listen, Discovery: j.Discovery, MemoryMB: j.Limits.MemoryMB,
 		Sockets: j.Limits.Sockets, PeerListen: j.PeerListen, Peers: j.Peers, PeersAll: j.PeersAll, Admin: j.Admin}
@@ -51,6 +51,11 @@
 			return c, fmt.Errorf("configuration: %s is missing", field)
 		}
 	}
+	for field, value := range map[string]int{"limits.memory_mb": c.MemoryMB, "limits.sockets": c.Sockets} {
+		if value < 0 {
+			return c, fmt.Errorf("configuration: %s: %d is below 0", field, value)
+		}
+	}
 	seed, err := strconv.ParseUint(j.Seed, 16, 64)
 	if err != nil {
 		return c, fmt.Errorf("configuration: seed: %q is no hexadecimal number", j.Seed)
--- a/internal/wire/settings/settings.go
+++ b/internal/wire/settings/settings.go
@@ -97,7 +97,10 @@
 func Parse(text []byte, seed uint64) (Settings, error) {
 	var j settingsJSON
 	if err := json.Unmarshal(text, &j); err != nil {
-		return Settings{}, fmt.Errorf("settings: not usable JSON: %w", err)
+		return Settings{}, fmt.Errorf("settings: %w", readable("", err))
+	}
+	if err := j.check(); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	d, l, s := &j.Domain, &j.Limits, &j.Safety
 	if len(d.Freshness) != len(j.Classes) {
--- a/internal/wire/settings/whole_test.go
+++ b/internal/wire/settings/whole_test.go
@@ -8,12 +8,11 @@
 // A file cut short, or with a key or a number missing, changes nothing: at a start much of that stands for a default.
 func TestWhole(t *testing.T) {
 	ok := strings.Replace(config, `"max_attempts": 8`, `"max_attempts": 3`, 1)
-	ok = strings.Replace(ok, `"name": "a"`, `"name": "b"`, 1)
-	if err := Whole([]byte(config), []byte(ok)); err == nil || !strings.Contains(err.Error(), "[1].name") {
-		t.Errorf("a class without a name: %v", err) // the sample's second has none
+	ok = strings.Replace(ok, `"name": "a"`, `"name": "c"`, 1)
+	if err := Whole([]byte(config), []byte(strings.Replace(ok, `, "name": "b"`, ``, 1))); err == nil || !strings.Contains(err.Error(), "[1].name") {
+		t.Errorf("a class without a name: %v", err)
 	}
-	before := strings.Replace(config, `"key_scope": "cell"`, `"key_scope": "cell", "name": "z"`, 1)
-	ok = strings.Replace(ok, `"key_scope": "cell"`, `"key_scope": "cell", "name": "z"`, 1)
+	before := config
 	if err := Whole([]byte(before), []byte(ok)); err != nil {
 		t.Error(err)
 	}
@@ -27,7 +26,7 @@
 		"attempts a word": strings.Replace(ok, `"max_attempts": 3`, `"max_attempts": "3"`, 1),
 		"attempts part":   strings.Replace(ok, `"max_attempts": 3`, `"max_attempts": 1.5`, 1),
 		"deadline below":  strings.Replace(ok, `"hard_limit": 1500000`, `"hard_limit": -1`, 1),
-		"name twice":      strings.Replace(ok, `"name": "b"`, `"name": "z"`, 1),
+		"name twice":      strings.Replace(ok, `"name": "c"`, `"name": "b"`, 1),
 		"no object":       `[]`,
 	} {
 		if err := Whole([]byte(before), []byte(text)); err == nil || strings.Contains(err.Error(), "\n") {
