Let an ended program hear no more signals; test moves in quick order and starts without discovery

Seen: with -count=2 TestHangUpMovesDiscoveryAndKeepsRequests failed: the Main of the first run still caught SIGHUP and logged its own bad file. Nothing that ended stopped the wait for signals. Main stops it now; goleak no longer has to be told of it.

--- a/internal/net/discovery_test.go
+++ b/internal/net/discovery_test.go
@@ -46,10 +46,12 @@
 	loop  *Loop
 	todo  state.Deadlines
 	mood  mood
-	open  []*line // calls that wait for news
-	gen   int64
-	gone  []string // databases that drain, in that order
-	calls []time.Duration
+
+	discovery *Discovery
+	open      []*line // calls that wait for news
+	gen       int64
+	gone      []string // databases that drain, in that order
+	calls     []time.Duration
 }
 
 // line is a connection to the service.
@@ -72,7 +74,9 @@
 func (l *line) Close() error {
 	if !l.closed {
 		l.closed = true
-		l.ended(l)
+		if l.ended != nil { // the loop listens to it
+			l.ended(l)
+		}
 	}
 	return nil
 }
@@ -221,6 +225,7 @@
 	s.loop = &Loop{clock: s.clock, deadlines: &s.front.Deadlines, wake: make(chan struct{}, 1)}
 	d := NewDiscovery(s.loop, s.clock, s.front, "discovery:1", discovery.NoList, bound)
 	d.dial = s.dial
+	s.discovery = d
 	s.front.Start(d, state.List{})
 	return s
 }
@@ -333,3 +338,42 @@
 		t.Errorf("%d calls behind the older list, the new database is %s", len(s.calls)-asked, state("n"))
 	}
 }
+
+// Two moves in quick order, each with a call out: only the service that was named last is heard, whatever those before still answer.
+func TestOnlyTheServiceNamedLastIsHeard(t *testing.T) {
+	quiet(t)
+	s := newService(1, 0)
+	s.run(s.clock.now + time.Second)
+	if len(s.open) != 1 {
+		t.Fatalf("%d calls wait", len(s.open))
+	}
+	first := s.open[0]
+	s.open = nil
+	var dialled []string
+	var answers []func()
+	s.discovery.dial = func(address string, then func(netpoll.Connection, error)) {
+		dialled = append(dialled, address)
+		answers = append(answers, func() { then(&line{s: s, in: netpoll.NewLinkBuffer()}, nil) })
+	}
+	s.discovery.Move("second:1")
+	s.discovery.Move("third:1")
+	if !first.closed || fmt.Sprint(dialled) != "[second:1 third:1]" {
+		t.Fatalf("the first connection is closed: %v; dialled %v", first.closed, dialled)
+	}
+	calls := len(s.calls)
+	answers[0]() // the second comes up late
+	if len(s.calls) != calls {
+		t.Error("a call went to the service in between")
+	}
+	s.gen, s.gone = 9, []string{"m"}
+	first.closed = false
+	first.tell() // it was under way when the connection was closed
+	if n := len(s.front.Databases()); n != 0 {
+		t.Errorf("the list of the first service was taken: %d databases", n)
+	}
+	answers[1]()
+	s.run(s.clock.now + time.Second)
+	if len(s.calls) <= calls || len(s.front.Databases()) != 1 {
+		t.Errorf("%d calls to the last service, %d databases", len(s.calls)-calls, len(s.front.Databases()))
+	}
+}
--- a/internal/run/ending_test.go
+++ b/internal/run/ending_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -167,3 +168,47 @@
 	p.loop.Post(p.loop.Stop)
 	<-ended
 }
+
+// A restarted process is ready within its few seconds, and serves what it can from the list that it was started with, however discovery fails.
+func TestReadyHoweverDiscoveryFails(t *testing.T) {
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close() // connections come up, and nobody reads
+	busy := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) })}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go busy.Serve(ln)
+	defer busy.Close()
+	for how, address := range map[string]string{"refuses": "127.0.0.1:1", "is mute": mute.Addr().String(), "is busy": ln.Addr().String()} {
+		t.Run(how, func(t *testing.T) {
+			asked, answer := make(chan struct{}), make(chan struct{})
+			close(answer)
+			text := fmt.Sprintf(config, 1024, slowDatabase(t, asked, answer))
+			p, ended := begin(t, strings.Replace(text, `"discovery": "127.0.0.1:1"`, fmt.Sprintf(`"discovery": %q`, address), 1))
+			conn, err := net.Dial("tcp", p.server.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(20 * time.Second))
+			conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), ""))
+			if _, err := io.ReadFull(conn, make([]byte, len(pg.AppendEmpty(pg.AppendWelcome(nil))))); err != nil {
+				t.Fatalf("the empty query, by which the platform asks, is not answered: %v", err)
+			}
+			conn.Write(ask("1"))
+			wait(t, asked) // the list in hand is used
+			p.skip(settleAnyway)
+			ready := make(chan bool)
+			for done := false; !done; {
+				p.loop.Post(func() { ready <- p.Ready() })
+				done = <-ready
+			}
+			p.loop.Post(p.loop.Stop)
+			<-ended
+		})
+	}
+}
--- a/internal/run/main_test.go
+++ b/internal/run/main_test.go
@@ -6,9 +6,9 @@
 	"go.uber.org/goleak"
 )
 
-// What runs to the process's end: netpoll's pollers and servers, the wait for signals, and the tests' own stand-ins.
+// What runs to the process's end: netpoll's pollers and servers, and the tests' own stand-ins.
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
-		goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*eventLoop).waitQuit"), goleak.IgnoreAnyFunction("havenproxy/internal/run.(*proxy).signals"),
+		goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*eventLoop).waitQuit"),
 		goleak.IgnoreAnyFunction("havenproxy/internal/run.slowDatabase.func2"), goleak.IgnoreAnyFunction("havenproxy/internal/run.hung.func2.1"))
 }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -69,6 +69,10 @@
 	signal.Ignore(syscall.SIGPIPE) // a log reader that goes away must not end the proxy
 	caught := make(chan os.Signal, 4)
 	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	defer func() { // what has ended hears no more signals
+		signal.Stop(caught)
+		close(caught)
+	}()
 	p, err := start(cfg)
 	if err != nil {
 		return err
