--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,7 +4,7 @@
 //
 //	console(enabled = True)
 //	levels(enabled = True, dwell = "5s")
-//	level("lean", admit = {"katalog": 0.5})
+//	level("lean", admit = {"browse": 0.5})
 //	pin("lean", group = 2)
 package operator
 
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -426,7 +426,7 @@
 		slog.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Config.Classes))
 		p.front.Counters.Loads++
 		if p.tier == nil {
-			p.front.Retune(cfg.Settings.Config)
+			p.front.Reload(cfg.Settings.Config)
 		} else {
 			slog.Info("classes, levels, handover and routing stay as the tier's policy has them", "number", p.tier.Number())
 		}
--- a/internal/run/tier.go
+++ b/internal/run/tier.go
@@ -70,7 +70,7 @@
 	}
 	c := p.front.Config()
 	c.Classes, c.MaxAttempts, c.MayComeBack, c.MaxComeBack = next.Classes, next.MaxAttempts, next.MayComeBack, next.MaxComeBack
-	p.front.Retune(c)
+	p.front.Reload(c)
 	for _, k := range next.Classes {
 		p.patience = min(max(p.patience, k.Limit), longestPatience)
 	}
--- a/logic/retune.go
+++ b/logic/reload.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Retune puts other classes into force, and other limits on attempts and on hints. It gives the index of each class of next: one that is
+// Reload puts other classes into force, and other limits on attempts and on hints. It gives the index of each class of next: one that is
 // as before keeps its own, and any other gets a new one, so that what is open goes on under the rules by which it was taken.
-func (r *Router) Retune(next []Class, maxAttempts int, mayComeBack bool, maxComeBack time.Duration) []int {
+func (r *Router) Reload(next []Class, maxAttempts int, mayComeBack bool, maxComeBack time.Duration) []int {
 	classes := slices.Clone(r.cfg.Classes) // open requests hold on to the old ones
 	at := make([]int, len(next))
 	for i, c := range next {
--- a/logic/retune_test.go
+++ b/logic/reload_test.go
@@ -11,7 +11,7 @@
 	changed := f.r.cfg.Classes[clsGuarded]
 	changed.Effect, changed.DedupWindow = SingleShot, 0
 	next = append(next, changed)
-	at := f.r.Retune(next, 1, true, 0)
+	at := f.r.Reload(next, 1, true, 0)
 	for i := range clsGuarded {
 		if at[i] != i {
 			t.Errorf("class %d, which stays as it is, moves to %d", i, at[i])
