Test that idle clients leave room for databases while discovery is down

The real program with 128 descriptors and 256 idle clients: no more are held, and one that asks is served from the list in hand. Red with the bound on clients taken out.

--- a/internal/run/ending_test.go
+++ b/internal/run/ending_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -212,3 +213,56 @@
 		})
 	}
 }
+
+// Idle clients fill all the places that there are while discovery is down. What is kept for databases is not theirs: one that asks is served by the
+// list in hand, once the idle may be let go for it, and no more descriptors are held than the limit allows.
+func TestIdleClientsFillTheDescriptorsWhileDiscoveryIsDown(t *testing.T) {
+	const limit = 128
+	asked, answer := make(chan struct{}), make(chan struct{})
+	close(answer)
+	before := descriptors(t)
+	p, ended := begin(t, fmt.Sprintf(config, limit, slowDatabase(t, asked, answer)))
+	own := 0
+	for range 2 * limit {
+		conn, err := net.Dial("tcp", p.server.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		own++
+		conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), ""))
+	}
+	if n := descriptors(t) - before - own - 2; n > limit { // the stand-in has two
+		t.Errorf("%d descriptors are held, %d are allowed", n, limit)
+	}
+	p.skip(3 * time.Second)         // idle ones may be closed for others behind two
+	for served := false; !served; { // a place may have to be made first: who finds none is told so, or closed, and comes again
+		conn, err := net.Dial("tcp", p.server.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(20 * time.Second))
+		conn.Write(append(pg.AppendStartup(nil, "client", "core"), ask("1")...))
+		got, in := []byte(nil), make([]byte, 4096)
+		for {
+			n, err := conn.Read(in)
+			if got = append(got, in[:n]...); err != nil || bytes.Contains(got, []byte("\x00\x00\x00\x01vC")) || bytes.Contains(got, []byte("SERROR")) {
+				break
+			}
+		}
+		served = bytes.Contains(got, []byte("\x00\x00\x00\x01vC"))
+		conn.Close()
+	}
+	p.loop.Post(p.loop.Stop)
+	<-ended
+}
+
+// descriptors counts those of this process.
+func descriptors(t *testing.T) int {
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip(err)
+	}
+	return len(all)
+}
