Force the crossing of hundreds that leave, and leave no verdict to a slow machine's clock

The test let connections come up before the poller had seen all clients' ends, which nobody can know then. The time that a shut connection lingers is the server's field, so that tests don't run against 0.2 s of a loaded machine.

--- a/internal/net/crossing_test.go
+++ b/internal/net/crossing_test.go
@@ -73,6 +73,7 @@
 // and got no answer is then more than what was read behind shutdowns.
 func TestNoQueryIsReadAndDropped(t *testing.T) {
 	s, front, loop := proxy(t, member(t, echo), 8, 1)
+	s.lingerMost = patience // the client ends first, also on a machine that stands still
 	first, second := pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("1a")), pg.AppendQuery(nil, query("2b"))
 	answered, unanswered := 0, 0
 	for i := range 2000 {
@@ -118,6 +119,7 @@
 // client's end, or by itself where that does not come.
 func TestAShutConnectionIsReadToItsEnd(t *testing.T) {
 	s, front, loop := proxy(t, member(t, echo), 8, 1)
+	s.lingerMost = patience
 	for _, leaves := range []bool{true, false} {
 		p := dial(t, s)
 		p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("1a")))
@@ -146,7 +148,7 @@
 		if leaves {
 			p.conn.Close()
 		} else {
-			skip(s, lingerMost)
+			skip(s, patience)
 		}
 		for got := make(chan int); ; {
 			loop.Post(func() { got <- s.lingering })
--- a/internal/net/ending_test.go
+++ b/internal/net/ending_test.go
@@ -105,6 +105,10 @@
 		for _, p := range clients {
 			p.conn.Close()
 		}
+		for c := range s.clients { // the loop is held; the poller sees each end before connections come up
+			for c.conn.IsActive() {
+			}
+		}
 		close(come)
 		letGo()
 		until(loop, func() bool { return len(s.clients) == 0 && front.Owed() == 0 && front.Pending() == 0 })
--- a/internal/net/fence.go
+++ b/internal/net/fence.go
@@ -164,5 +164,5 @@
 		s.open.Add(-1)
 		s.deadlines.Clear(&timer)
 	})
-	s.deadlines.Set(&timer, s.clock.Now()+lingerMost, func() { conn.Close() })
+	s.deadlines.Set(&timer, s.clock.Now()+s.lingerMost, func() { conn.Close() })
 }
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -56,6 +56,7 @@
 	easing      state.Deadline
 	crowdedAt   time.Duration // when it was last told that there are too many
 	lingering   int           // connections that are shut and wait for their clients' end
+	lingerMost  time.Duration // each of them, at most
 	crossed     int           // bytes that were read behind a shutdown, for nobody
 	draining    bool
 	away        bool // operators send clients away
@@ -69,7 +70,7 @@
 // clients are turned away with an answer.
 func NewServer(loop *Loop, clock state.Clock, front *state.Front, maxClients, maxExcess, maxBuffered int) *Server {
 	return &Server{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front,
-		clients: map[*client]struct{}{}, maxClients: maxClients, easy: maxClients / easyPart, maxExcess: maxExcess, maxBuffered: maxBuffered}
+		lingerMost: lingerMost, clients: map[*client]struct{}{}, maxClients: maxClients, easy: maxClients / easyPart, maxExcess: maxExcess, maxBuffered: maxBuffered}
 }
 
 // Listen opens the address for PostgreSQL's clients and starts to accept.
