Keep a drain in force where a later list leaves its member out or calls it gone

Cause: where only a drain binds (drain_binds_alone), the check at the write let an attempt go to a member that is listed as gone. A member that was draining and is then left out by a whole list, or listed as gone, counts as gone from then on, so an attempt that had waited for its connection since before the drain was written to it. The router keeps the drain; the check at the write did not.

Change: a member remembers a listed drain until it is listed as ready again (Front.sendable).

--- a/internal/state/audit_test.go
+++ b/internal/state/audit_test.go
@@ -34,6 +34,7 @@
 	reqs   []*audited
 	conns  []*auditConn
 	listed map[string]Entry // as the front was told last
+	drains map[string]bool  // listed as draining, and not as ready since
 	hosts  map[string]bool  // by address: it answers
 	later  Deadlines
 	wants  bool // a call to discovery is owed an answer
@@ -203,7 +204,7 @@
 		t.Errorf("request %d is sent %v after its client left", q.n, a.now-q.leftAt)
 	case len(q.answers) > 0:
 		t.Errorf("request %d is sent behind its answer", q.n)
-	case to.Name == "" || to.State != logic.Ready && !(to.State == logic.Gone && a.cfg.DrainOnly):
+	case to.Name == "" || to.State != logic.Ready && !(to.State == logic.Gone && a.cfg.DrainOnly && !a.drains[to.Name]):
 		t.Errorf("request %d is sent to %s, which is listed as %s", q.n, c.address, stateName(to.State))
 	case a.now >= q.until || wait <= 0 || a.now+wait > q.until:
 		t.Errorf("request %d is sent at %v of %v, to wait for %v", q.n, a.now-q.at, q.until-q.at, wait)
@@ -382,6 +383,7 @@
 	opAddress
 	opRestart
 	opBurst
+	opListAll
 	ops
 )
 
@@ -409,10 +411,30 @@
 
 // tell puts an entry of the list into force.
 func (a *audit) tell(e Entry) {
-	a.listed[e.Name] = e
+	a.note(e)
 	a.f.Listed(List{Kind: logic.ListDelta, Entries: []Entry{e}})
 }
 
+func (a *audit) note(e Entry) {
+	a.listed[e.Name] = e
+	a.drains[e.Name] = e.State == logic.Draining || e.State == logic.Gone && a.drains[e.Name]
+}
+
+// tellAll puts a whole list into force, which leaves out those whose bit is not set, and those that are gone.
+func (a *audit) tellAll(bits int) {
+	l := List{Kind: logic.ListFull}
+	for i := range len(a.listed) {
+		e := a.listed[fmt.Sprint("m", i)]
+		if bits>>i&1 == 0 {
+			e.State = logic.Gone
+		}
+		if a.note(e); e.State != logic.Gone {
+			l.Entries = append(l.Entries, e)
+		}
+	}
+	a.f.Listed(l)
+}
+
 func (a *audit) do(op, x int) {
 	name := fmt.Sprint("m", x%6)
 	e := a.listed[name]
@@ -430,6 +452,8 @@
 	case opList:
 		e.State = []logic.MemberState{logic.Ready, logic.Draining, logic.Gone, logic.Ready}[x/6%4]
 		a.tell(e)
+	case opListAll:
+		a.tellAll(x)
 	case opFail:
 		a.f.ListFailed(errors.New("down"))
 	case opHost:
@@ -451,7 +475,7 @@
 }
 
 func playAudit(t *rapid.T) {
-	a := &audit{t: t, cfg: auditSettings(t), now: clockBase, listed: map[string]Entry{}, hosts: map[string]bool{}}
+	a := &audit{t: t, cfg: auditSettings(t), now: clockBase, listed: map[string]Entry{}, drains: map[string]bool{}, hosts: map[string]bool{}}
 	a.draws = rapid.SliceOfN(rapid.IntRange(0, 9999), 1, 40).Draw(t, "outcomes")
 	script := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) [2]int {
 		return [2]int{rapid.IntRange(0, ops-1).Draw(t, "op"), rapid.IntRange(0, 999).Draw(t, "x")}
--- a/internal/state/ending.go
+++ b/internal/state/ending.go
@@ -64,5 +64,5 @@
 	if p, ok := a.req.caller.(Present); ok && !p.Present() {
 		f.Abandon(a.req.id)
 	}
-	return a.req.caller == nil || f.clock.Now() >= a.until || a.to.state != logic.Ready && !(a.to.state == logic.Gone && f.cfg.Logic.DrainOnly)
+	return a.req.caller == nil || f.clock.Now() >= a.until || !f.sendable(a.to)
 }
--- a/internal/state/ending_test.go
+++ b/internal/state/ending_test.go
@@ -79,3 +79,33 @@
 	b.f.EndAll()
 	first.want(t, "failed")
 }
+
+// Where a listed drain binds and a member's absence does not, a whole list that leaves a draining member out, or a listing of it as gone, does
+// not lift the drain: what waited for a connection there since before is not written. A listing as ready lifts it.
+func TestADrainOutlastsAWholeListWithoutItsMember(t *testing.T) {
+	one := func(s logic.MemberState) List {
+		return List{Kind: logic.ListDelta, Entries: []Entry{{Name: "one", Address: "a:1", Zone: "y", State: s}}}
+	}
+	for name, c := range map[string]struct {
+		lists []List
+		sent  int
+	}{
+		"left out":                 {[]List{{Kind: logic.ListFull}}, 1},
+		"draining, then left out":  {[]List{one(logic.Draining), {Kind: logic.ListFull}}, 0},
+		"draining, then gone":      {[]List{one(logic.Draining), one(logic.Gone)}, 0},
+		"draining, gone and ready": {[]List{one(logic.Draining), one(logic.Gone), one(logic.Ready)}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 9)
+			b.f.cfg.Logic.DrainOnly = true
+			b.take(&caller{})
+			for _, l := range c.lists {
+				b.f.Listed(l)
+			}
+			b.conns[0].to.Up()
+			if b.conns[0].sent != c.sent {
+				t.Errorf("%d requests were written, want %d", b.conns[0].sent, c.sent)
+			}
+		})
+	}
+}
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -38,6 +38,7 @@
 	born    time.Duration // and on the router's clock
 	state   logic.MemberState
 	seen    bool // in the whole list in hand
+	drained bool // listed as draining, and not as ready since
 
 	role   logic.Role // as it last told
 	silent bool       // its last probe had no answer
@@ -139,12 +140,24 @@
 		slog.Info("database changed", "name", m.name, "address", m.address, "from", stateName(m.state), "to", stateName(to))
 	}
 	m.state = to
+	switch to {
+	case logic.Draining:
+		m.drained = true
+	case logic.Ready:
+		m.drained = false
+	}
 	if to != logic.Ready {
 		f.closeIdle(m)
 	}
 	f.forgetGone(m)
 }
 
+// sendable tells whether the list lets a new attempt go to a member. Where only a drain binds, one that is gone may be sent to, unless it
+// was draining before: its absence from a later list does not lift the drain.
+func (f *Front) sendable(m *member) bool {
+	return m.state == logic.Ready || m.state == logic.Gone && f.cfg.Logic.DrainOnly && !m.drained
+}
+
 // forgetGone drops a member that is gone, once no connection to it is left: databases come and go under new names
 // all day. Where the list binds no one, only a whole list that leaves it out tells that it won't be sent to again.
 func (f *Front) forgetGone(m *member) {
