--- a/internal/net/ending_test.go
+++ b/internal/net/ending_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	stdnet "net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+
+	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
+	"havenproxy/logic"
 )
 
 // hold keeps the loop at a point until the test lets it go; it returns once the loop is there.
@@ -165,6 +172,91 @@
 	}
 }
 
+// holdPoller keeps netpoll's poller at a point until the test lets it go; it returns once the poller is there. What the kernel gets meanwhile,
+// nobody has read. The poller itself calls the runner, which hands its callbacks to the loop: there it is held, at the first byte that comes
+// on a connection made for this.
+func holdPoller(t *testing.T, loop *Loop) (letGo func()) {
+	t.Helper()
+	armed, there, on := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	conn, err := netpoll.DialConnection("tcp", listen(t, func(conn stdnet.Conn) {
+		<-armed
+		conn.Write([]byte{0})
+		<-on
+	}), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	post := func(_ context.Context, f func()) { loop.Post(f) }
+	netpoll.SetRunner(func(context.Context, func()) {
+		close(there)
+		<-on
+	})
+	conn.SetOnRequest(func(context.Context, netpoll.Connection) error { return nil })
+	close(armed)
+	<-there
+	netpoll.SetRunner(post)
+	return func() { close(on) }
+}
+
+// finished waits until the other side's kernel has acknowledged the end of file that this side has sent.
+func finished(t *testing.T, conn stdnet.Conn) {
+	t.Helper()
+	const finWait2 = 5
+	for state := uint8(0); state != finWait2; {
+		raw, err := conn.(*stdnet.TCPConn).SyscallConn()
+		if err == nil {
+			raw.Control(func(fd uintptr) {
+				var info *unix.TCPInfo
+				if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+					state = info.State
+				}
+			})
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A database has closed a pooled connection, and the kernel alone knows: the poller, which is elsewhere, has not read it. A request that takes
+// the connection in this moment is not written to it, for one that may not be repeated would be lost there; it goes out on another.
+func TestACloseThatTheKernelAloneKnows(t *testing.T) {
+	for _, effect := range []logic.Effect{logic.Free, logic.SingleShot} {
+		conns := make(chan stdnet.Conn, 9)
+		var db counted
+		cfg := settings
+		cfg.Classes = slices.Clone(cfg.Classes)
+		cfg.Classes[0].Effect = effect
+		s, front, loop := proxyWith(t, cfg, db.serve(t, func(conn stdnet.Conn, text string) bool {
+			conns <- conn
+			return echo(conn, text)
+		}), 8, 1)
+		p := dial(t, s)
+		p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("1a")))
+		p.said(len(welcome) + 3)
+		pooled := <-conns
+		until(loop, func() bool { return front.Counters.OK == 1 })
+		letLoopGo := hold(loop)
+		p.conn.Write(pg.AppendQuery(nil, query("2b")))
+		for c := range s.clients { // the loop is held
+			for c.conn.Reader().Len() == 0 { // the poller reads the query
+			}
+		}
+		letPollerGo := holdPoller(t, loop)
+		pooled.(*stdnet.TCPConn).CloseWrite()
+		finished(t, pooled)
+		letLoopGo()
+		until(loop, func() bool { return front.Counters.Sent == 2 })
+		letPollerGo()
+		if types, _ := p.said(1); types != "D" { // an error has fewer messages
+			t.Errorf("effect %d: behind it came %q", effect, types)
+		}
+		if c := onLoop(loop, func() state.Counters { return front.Counters }); c.Opened != 2 || c.Sent != 2 || db.queries.Load() != 2 {
+			t.Errorf("effect %d: %d connections were opened, %d attempts made, %d queries came", effect, c.Opened, c.Sent, db.queries.Load())
+		}
+	}
+}
+
 // A large answer to a client that reads slowly is whole though the server ends meanwhile, and an end of file stands behind it.
 func TestALargeAnswerIsWholeThroughAnEnd(t *testing.T) {
 	value := strings.Repeat("v", 60<<10)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -104,12 +104,19 @@
 
 // member is a database of a few lines: it answers each query with its own text, or as the test says.
 func member(t *testing.T, answer func(conn stdnet.Conn, text string) bool) string {
+	t.Helper()
+	return memberUp(t, func() {}, answer)
+}
+
+// memberUp is a member that calls up before it lets the proxy in.
+func memberUp(t *testing.T, up func(), answer func(conn stdnet.Conn, text string) bool) string {
 	t.Helper()
 	return listen(t, func(conn stdnet.Conn) {
 		peer := &peer{conn: conn}
 		if _, err := peer.next(func(b []byte) (int, error) { _, n, err := pg.NextOpening(b); return n, err }); err != nil {
 			return
 		}
+		up()
 		conn.Write(pg.AppendWelcome(nil))
 		for {
 			m, err := peer.message()
