Count what clients write behind a shutdown for operators, as crossed_bytes

Cause: Server.crossed counted those bytes for the tests alone.

It is not among the figures of the second address, whose list is the operators' own.

--- a/internal/net/crossing_test.go
+++ b/internal/net/crossing_test.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
+	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
 )
 
@@ -107,9 +108,8 @@
 	for s.open.Load() > 0 { // ends by the test's own time limit where one is never counted off
 		time.Sleep(time.Millisecond)
 	}
-	crossed, taken := make(chan int), make(chan uint64)
-	loop.Post(func() { crossed <- s.crossed; taken <- front.Counters.Taken })
-	n, all := <-crossed, <-taken
+	counters := onLoop(loop, func() state.Counters { return front.Counters })
+	n, all := int(counters.CrossedBytes), counters.Taken
 	if n%len(second) != 0 || n < unanswered*len(second) || answered == 0 || all != uint64(2000+answered) {
 		t.Errorf("%d answered, %d without an answer of %d bytes; %d bytes read behind shutdowns; %d requests taken", answered, unanswered, len(second), n, all)
 	}
@@ -136,12 +136,7 @@
 		if types, _ := p.said(1); types != "!" { // an end of file, and no reset: p.said tells that as "!" too
 			t.Fatalf("behind the shutdown came %q", types)
 		}
-		for got := make(chan int); ; { // the query is read to nobody
-			loop.Post(func() { got <- s.crossed })
-			if <-got > 0 {
-				break
-			}
-		}
+		until(loop, func() bool { return front.Counters.CrossedBytes > 0 }) // the query is read to nobody
 		if _, err := p.conn.Write([]byte{0}); err != nil {
 			t.Errorf("the connection was reset: %v", err)
 		}
@@ -150,17 +145,10 @@
 		} else {
 			skip(s, patience)
 		}
-		for got := make(chan int); ; {
-			loop.Post(func() { got <- s.lingering })
-			if <-got == 0 {
-				break
-			}
-		}
-		loop.Post(func() { s.crossed = 0 })
+		until(loop, func() bool { return s.lingering == 0 })
+		loop.Post(func() { front.Counters.CrossedBytes = 0 })
 	}
-	taken := make(chan uint64)
-	loop.Post(func() { taken <- front.Counters.Taken })
-	if n := <-taken; n != 2 {
+	if n := onLoop(loop, func() uint64 { return front.Counters.Taken }); n != 2 {
 		t.Errorf("%d requests taken, 2 were sent before their connections were shut", n)
 	}
 }
--- a/internal/net/fence.go
+++ b/internal/net/fence.go
@@ -156,7 +156,7 @@
 	var timer state.Deadline
 	attach(s.loop, conn, func() {
 		r := conn.Reader()
-		s.crossed += r.Len()
+		s.front.Counters.CrossedBytes += uint64(r.Len())
 		r.Skip(r.Len())
 		r.Release()
 	}, func() {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -57,7 +57,6 @@
 	crowdedAt   time.Duration // when it was last told that there are too many
 	lingering   int           // connections that are shut and wait for their clients' end
 	lingerMost  time.Duration // each of them, at most
-	crossed     int           // bytes that were read behind a shutdown, for nobody
 	draining    bool
 	away        bool // operators send clients away
 	sweeping    state.Deadline
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -14,6 +14,7 @@
 	Opened, ClosedIdle                             uint64 // database connections
 	ListCalls, ListFailures                        uint64
 	Clients, MadeRoom, TurnedAway, Malformed       uint64 // client connections
+	CrossedBytes                                   uint64 // that clients wrote behind the shutdown of their connections: read, and acted on by nobody
 	PeersTold, PeersHeard, PeersStrange            uint64 // messages to peers, from peers, and what could not be read or came from others
 	LevelChanges                                   uint64
 	TierStrange                                    uint64 // frames of planners that could not be read
@@ -37,6 +38,7 @@
 		slog.Uint64("list_calls", c.ListCalls), slog.Uint64("list_failures", c.ListFailures),
 		slog.Uint64("clients", c.Clients), slog.Uint64("made_room", c.MadeRoom),
 		slog.Uint64("turned_away", c.TurnedAway), slog.Uint64("malformed", c.Malformed),
+		slog.Uint64("crossed_bytes", c.CrossedBytes),
 		slog.Uint64("level_changes", c.LevelChanges), slog.Uint64("kept", c.Kept), slog.Uint64("gate_shut", c.GateShut), slog.Uint64("tier_strange", c.TierStrange),
 		slog.Uint64("peers_told", c.PeersTold), slog.Uint64("peers_heard", c.PeersHeard),
 		slog.Uint64("peers_strange", c.PeersStrange),
