Read discovery's answers that have no length, once their list is whole

Cause: an answer with neither Content-Length nor chunks (HTTP/1.1 allows it; the connection's end bounds it) counted as malformed, so what it told was not known until another answer had a length, and drains in it were not heeded. The rule behind it, that half of one can't be told from the whole, holds for the connection's end, which a reset can be: it does not hold for the list, whose JSON shows whether it is whole.

Change: discovery.Next takes such an answer once its JSON is whole, whatever ends the connection, and never a part of it; of another status than 200 the head is enough. The connection is closed behind it.

Loss: a list that comes in many small pieces is looked through once for each piece that ends with a brace.

--- a/internal/wire/discovery/http.go
+++ b/internal/wire/discovery/http.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -14,6 +15,8 @@
 const (
 	maxHead = 16 << 10
 	maxBody = 4 << 20 // some thousand databases
+
+	statusOK = 200
 )
 
 // ErrMalformed tells of bytes that are no HTTP answer.
@@ -79,7 +82,8 @@
 		r.Body, n, err = chunks(buf[head:])
 	case r.Status == 204 || r.Status == 304:
 	case length < 0:
-		return r, 0, ErrMalformed // an answer that only the end of the connection bounds can't be told from half of one
+		r.Close = true
+		return untilEnd(r, buf, head)
 	case len(buf) < head+length:
 		return r, 0, nil
 	default:
@@ -91,6 +95,23 @@
 	return r, head + n, nil
 }
 
+// untilEnd reads an answer with neither length nor chunks, which the end of the connection bounds (RFC 9112, section 6.3). A reset ends it
+// likewise, half way, so that the end proves nothing: a list is whole where its JSON is. The body of any other status is nobody's.
+func untilEnd(r Response, buf []byte, head int) (Response, int, error) {
+	body := buf[head:]
+	text := bytes.TrimRight(body, " \t\r\n")
+	switch {
+	case r.Status != statusOK:
+		return r, len(buf), nil
+	case len(body) > maxBody, len(text) > 0 && bytes.TrimLeft(text, " \t\r\n")[0] != '{':
+		return r, 0, ErrMalformed
+	case len(text) == 0 || text[len(text)-1] != '}' || !json.Valid(text):
+		return r, 0, nil
+	}
+	r.Body = body
+	return r, len(buf), nil
+}
+
 // chunks gathers a body that comes in chunks; -1 means that it isn't whole yet.
 func chunks(buf []byte) (body []byte, n int, err error) {
 	for {
