Hold that no connection keeps small writes back

Cause: that TCP_NODELAY is on everywhere was netpoll's default and nobody's test.

Change (test alone): TestNoConnectionHoldsSmallWritesBack asks the kernel, of a client's connection and of a dialled one.

--- /dev/null
+++ b/internal/net/nodelay_test.go
@@ -0,0 +1,51 @@
+package net
+
+import (
+	"testing"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+
+	"havenproxy/internal/wire/pg"
+)
+
+// noDelay tells whether the kernel writes out small pieces at once.
+func noDelay(t *testing.T, conn netpoll.Connection) bool {
+	t.Helper()
+	on, err := unix.GetsockoptInt(conn.(netpoll.Conn).Fd(), unix.IPPROTO_TCP, unix.TCP_NODELAY)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return on != 0
+}
+
+// Small writes are never held back, on any connection: a reset would take them with it.
+func TestNoConnectionHoldsSmallWritesBack(t *testing.T) {
+	address := member(t, echo)
+	s, _, loop := proxy(t, address, 8, 1)
+	p := dial(t, s)
+	p.conn.Write(pg.AppendStartup(nil, "client", "core"))
+	p.said(len(welcome))
+	client := onLoop(loop, func() (on bool) {
+		for c := range s.clients {
+			on = noDelay(t, c.conn)
+		}
+		return on
+	})
+	if !client {
+		t.Error("a client's connection holds small writes back")
+	}
+	dialled := make(chan bool)
+	connect(loop, address, patience, func(conn netpoll.Connection, err error) {
+		if err != nil {
+			t.Error(err)
+			dialled <- false
+			return
+		}
+		dialled <- noDelay(t, conn)
+		conn.Close()
+	})
+	if !<-dialled {
+		t.Error("a connection to a database, or to discovery, holds small writes back")
+	}
+}
