Remove fields, types and assignments that nothing uses

Change: they are removed; no behaviour changes. Value.Text says now that it formats integers as signed ones, as it always did: the flag was never read. Measured: the tests of lab/fleet, lab/load, lab/standin and wire/mysql pass.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -24,12 +24,6 @@
 	listGen   int64
 	listStill time.Duration // no news before
 	listDown  time.Duration // errors until then
-	pending   []listNews
-}
-
-type listNews struct {
-	at time.Duration
-	e  Entry
 }
 
 // Member is one database.
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -74,14 +74,13 @@
 var Names = [outcomes]string{"in aim", "late", "refused", "failed", "unsent", "silent"}
 
 type request struct {
-	class  int
-	group  int
-	sess   *session
-	key    string
-	due    time.Time // when it was meant to go out
-	sent   time.Time // when its first try went out
-	tries  int
-	resent bool
+	class int
+	group int
+	sess  *session
+	key   string
+	due   time.Time // when it was meant to go out
+	sent  time.Time // when its first try went out
+	tries int
 }
 
 type session struct {
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -141,7 +141,6 @@
 		select {
 		case <-changed:
 		case <-end.C:
-			watch, after = true, generation-1
 			fmt.Fprintf(out, `{"generation":%d,"reset":false,"instances":[]}`, generation)
 			return
 		case <-r.Context().Done():
--- a/internal/lab/standin/postgres.go
+++ b/internal/lab/standin/postgres.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"havenproxy/internal/lab/fleet"
@@ -30,7 +29,6 @@
 	db   *database
 	conn net.Conn
 	buf  []byte
-	mu   sync.Mutex // of writes
 	out  []byte
 }
 
@@ -294,23 +292,24 @@
 	s.conn.Write(b)
 }
 
-// take reads until a whole message is there.
-func take[T any](s *session, next func([]byte) (T, int, error)) (out T, err error) {
+// take reads from the connection until next finds a whole message, and returns that message. The message is parsed again
+// from a copy, s.out, so that it stays valid until the next call of take while s.buf is reused.
+func take[T any](s *session, next func([]byte) (T, int, error)) (parsed T, err error) {
 	for {
-		got, n, err := next(s.buf)
+		_, n, err := next(s.buf)
 		if err != nil {
-			return out, err
+			return parsed, err
 		}
 		if n > 0 {
-			s.out = append(s.out[:0], s.buf[:n]...) // the message outlives the buffer's next change
-			got, _, _ = next(s.out)
+			s.out = append(s.out[:0], s.buf[:n]...)
 			s.buf = append(s.buf[:0], s.buf[n:]...)
-			return got, nil
+			parsed, _, err = next(s.out)
+			return parsed, err
 		}
 		chunk := make([]byte, 4096)
 		k, err := s.conn.Read(chunk)
 		if err != nil {
-			return out, err
+			return parsed, err
 		}
 		s.buf = append(s.buf, chunk[:k]...)
 	}
--- a/internal/wire/mysql/command.go
+++ b/internal/wire/mysql/command.go
@@ -52,9 +52,6 @@
 	TypeGeometry  = 0xff
 )
 
-// unsigned is the flag in the second byte of a parameter's type.
-const unsigned = 0x80
-
 // MaxParams bounds the parameters of a statement; the protocol's own bound is 65,535.
 const MaxParams = 4096
 
@@ -66,12 +63,10 @@
 	Raw  []byte
 }
 
-// Text gives a value as text; times and dates give none.
+// Text formats the value as text, and reports whether it has such a form: NULL, dates and times have none. Integers are
+// formatted as signed ones, since Value doesn't hold the unsigned flag of the parameter's type.
 func (v Value) Text() (string, bool) {
-	signed := func(n uint64, bits int, un bool) string {
-		if un {
-			return strconv.FormatUint(n, 10)
-		}
+	signed := func(n uint64, bits int) string {
 		return strconv.FormatInt(int64(n<<(64-bits))>>(64-bits), 10)
 	}
 	if v.Null {
@@ -79,13 +74,13 @@
 	}
 	switch v.Type {
 	case TypeTiny:
-		return signed(uint64(v.Raw[0]), 8, false), true
+		return signed(uint64(v.Raw[0]), 8), true
 	case TypeShort, TypeYear:
-		return signed(uint64(binary.LittleEndian.Uint16(v.Raw)), 16, false), true
+		return signed(uint64(binary.LittleEndian.Uint16(v.Raw)), 16), true
 	case TypeLong, TypeInt24:
-		return signed(uint64(binary.LittleEndian.Uint32(v.Raw)), 32, false), true
+		return signed(uint64(binary.LittleEndian.Uint32(v.Raw)), 32), true
 	case TypeLongLong:
-		return signed(binary.LittleEndian.Uint64(v.Raw), 64, false), true
+		return signed(binary.LittleEndian.Uint64(v.Raw), 64), true
 	case TypeFloat:
 		return strconv.FormatFloat(float64(math.Float32frombits(binary.LittleEndian.Uint32(v.Raw))), 'g', -1, 32), true
 	case TypeDouble:
