Set netpoll's runner by Configure in place of the deprecated SetRunner

Cause: staticcheck reports SetRunner as deprecated (SA1019). Change: NewLoop calls netpoll.Configure with the runner only; the other settings keep netpoll's defaults, round robin included. A refusal can't occur with them and would be a fault of the program, so it panics. Measured: the tests of internal/net pass.

--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -29,10 +29,17 @@
 // NewLoop makes a loop and lets netpoll run its callbacks there.
 func NewLoop(clock state.Clock, deadlines *state.Deadlines) *Loop {
 	l := &Loop{clock: clock, deadlines: deadlines, wake: make(chan struct{}, 1)}
-	netpoll.SetRunner(func(_ context.Context, f func()) { l.Post(f) })
+	useRunner(func(_ context.Context, callback func()) { l.Post(callback) })
 	return l
 }
 
+// useRunner makes netpoll hand its callbacks to run; all other settings of netpoll keep their defaults.
+func useRunner(run func(context.Context, func())) {
+	if err := netpoll.Configure(netpoll.Config{Runner: run}); err != nil {
+		panic(err) // only a number of pollers or a load balancing method can be refused, and neither is set
+	}
+}
+
 // Post lets f run on the loop, from any goroutine.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
