--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -68,6 +68,8 @@
 	Tries   []Write
 }
 
+// String formats the violation as one line: its key, how often the key was applied, and the outcome and interval of each try,
+// in seconds.
 func (v Violation) String() string {
 	s := fmt.Sprintf("group %d, key %s: applied %d times;", v.Group, v.Key, v.Applied)
 	for _, w := range v.Tries {
--- a/internal/labclock/off.go
+++ b/internal/labclock/off.go
@@ -1,14 +1,11 @@
 //go:build !lab
 
-// Package labclock lets a process of the lab read a clock that is wrong: by an offset of its wall clock, and by the rate of its monotonic one.
-// It is there in programs that were built with the tag "lab" only; in all others it is nothing. It guards nothing: it is how a test sees
-// that what must not hang on clocks that agree does not.
 package labclock
 
 import "time"
 
-// Wall gives the wall clock.
+// Wall returns the time of the wall clock.
 func Wall() time.Time { return time.Now() }
 
-// Since gives what the monotonic clock says has gone by since a time that Go's clock gave.
+// Since returns the time elapsed since t on the monotonic clock; t is a time that time.Now returned.
 func Since(t time.Time) time.Duration { return time.Since(t) }
--- a/internal/labclock/on.go
+++ b/internal/labclock/on.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// Variable holds "OFFSET RATE": "200ms 0.9" is a wall clock that is 200 ms ahead, and a monotonic one by which 0.9 s go by in a second.
+// Variable names the environment variable with the skew, in the form "OFFSET RATE". "200ms 0.9" stands for a wall clock
+// that is 200 ms ahead and a monotonic clock that advances by 0.9 s in a second. Without it, no skew is applied.
 const Variable = "HAVENLAB_CLOCK"
 
 var (
@@ -32,8 +33,8 @@
 	os.Exit(1)
 }
 
-// Wall gives the wall clock with its offset.
+// Wall returns the time of the wall clock plus the configured offset.
 func Wall() time.Time { return time.Now().Add(offset) }
 
-// Since gives what the monotonic clock says has gone by, at its rate.
+// Since returns the time elapsed since t on the monotonic clock, scaled by the configured rate; t is a time that time.Now returned.
 func Since(t time.Time) time.Duration { return time.Duration(rate * float64(time.Since(t))) }
--- a/internal/operator/star/star.go
+++ b/internal/operator/star/star.go
@@ -34,9 +34,10 @@
 	Text string
 }
 
+// Error formats the error as its position in the file and its text.
 func (e Error) Error() string { return fmt.Sprintf("%s: %s", e.Pos, e.Text) }
 
-// Error gives a line for each.
+// Error joins the errors, one on each line.
 func (e Errors) Error() string {
 	lines := make([]string, len(e))
 	for i, x := range e {
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -18,6 +18,7 @@
 	GivenUp
 )
 
+// String returns the outcome in lower-case words.
 func (o Outcome) String() string { return [...]string{"undecided", "in force", "given up"}[o] }
 
 // Change is one that was proposed.
--- a/internal/takeover/api.go
+++ b/internal/takeover/api.go
@@ -109,6 +109,7 @@
 	Unknown         // it may have run
 )
 
+// String returns the outcome in lower-case words.
 func (o Outcome) String() string {
 	return [...]string{"open", "served", "never ran", "failed", "unknown"}[o]
 }
--- a/internal/wire/mysql/packet.go
+++ b/internal/wire/mysql/packet.go
@@ -241,6 +241,7 @@
 	Text   string
 }
 
+// Error formats the error as its number, its SQL state and its text.
 func (e *ServerError) Error() string { return fmt.Sprintf("%d (%s): %s", e.Number, e.State, e.Text) }
 
 // ParseErr reads an ERR packet. The state is missing in those that come before the handshake.
