Document the exported methods of lab/tier that had no comment

Change: Lose, Restore and two String methods have a comment of their own; Copy, Lose and Restore say that the planner must not run meanwhile, as their callers see to. Measured: gofmt, go vet and staticcheck find nothing in the package; comments only, its tests were not run.

--- a/internal/lab/tier/audit.go
+++ b/internal/lab/tier/audit.go
@@ -29,6 +29,7 @@
 	History []Seen // the shortest that shows it
 }
 
+// String formats the breach with the history that shows it, one request on each line, times in milliseconds.
 func (b Breach) String() string {
 	lines := []string{b.Promise + ": " + b.Text}
 	for _, s := range b.History {
--- a/internal/lab/tier/faults.go
+++ b/internal/lab/tier/faults.go
@@ -18,6 +18,7 @@
 	Who  []int // proxies, or planners where the kind says so
 }
 
+// String formats the fault as one line: its start in seconds, its kind, the processes it hits and its duration.
 func (f Fault) String() string {
 	return fmt.Sprintf("%6.2f s %s %v for %v", f.At.Seconds(), f.Kind, f.Who, f.For)
 }
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -310,10 +310,13 @@
 	return p, p.start()
 }
 
-// Copy keeps a copy of a planner's log, as a backup that is put back would be; Lose lets the log be lost, Restore puts a copy back. The planner
-// stands still meanwhile.
-func (p *Process) Copy() error    { return copyFile(p.disk, p.disk+".old") }
-func (p *Process) Lose() error    { return os.Remove(p.disk) }
+// Copy makes a backup of the planner's log, which Restore can put back. The planner must not run meanwhile.
+func (p *Process) Copy() error { return copyFile(p.disk, p.disk+".old") }
+
+// Lose removes the planner's log, as the loss of its disk would. The planner must not run meanwhile.
+func (p *Process) Lose() error { return os.Remove(p.disk) }
+
+// Restore overwrites the planner's log with the backup that Copy made. The planner must not run meanwhile.
 func (p *Process) Restore() error { return copyFile(p.disk+".old", p.disk) }
 
 func copyFile(from, to string) error {
