Fit, predict and judge the costs of a scale run, with tables and plots

A capacity page needs lines, not points: slopes with intervals, exponents, predictions written before the largest size runs, verdicts against the budgets, a text, a Markdown page and plots.

Loss: the peak of all control traffic is an upper bound where the runner gives only its parts.

--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -14,14 +14,12 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/vgsvg"
 
+	"havenproxy/internal/lab/chart"
 	"havenproxy/internal/lab/experiment"
 	"havenproxy/internal/lab/scenario"
 	"havenproxy/internal/lab/virtual"
 )
 
-// Size of a picture on a page.
-const width, height = 24 * vg.Centimeter, 8 * vg.Centimeter
-
 var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title>
 <style>
@@ -75,7 +73,7 @@
 				}
 				return '-'
 			}, strings.ToLower(p.Title))
-			if err := p.plot.Save(width, p.high, filepath.Join(pictures, fmt.Sprintf("%02d-%s.png", i, name))); err != nil {
+			if err := p.plot.Save(chart.Width, p.high, filepath.Join(pictures, fmt.Sprintf("%02d-%s.png", i, name))); err != nil {
 				return err
 			}
 		}
@@ -92,8 +90,8 @@
 
 // svg draws a plot as it stands in a page.
 func svg(p *plot.Plot, h vg.Length) (template.HTML, error) {
-	c := vgsvg.New(width, h)
-	p.Draw(newCanvas(c))
+	c := vgsvg.New(chart.Width, h)
+	p.Draw(chart.Canvas(c))
 	var out bytes.Buffer
 	if _, err := c.WriteTo(&out); err != nil {
 		return "", err
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -15,49 +15,19 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 
+	"havenproxy/internal/lab/chart"
 	"havenproxy/internal/lab/experiment"
 	"havenproxy/internal/lab/scenario"
 	"havenproxy/internal/lab/verdict"
 	"havenproxy/internal/lab/virtual"
 )
 
-// The colours of M. Okabe and K. Ito, "Color Universal Design", 2008, which colour-blind readers tell apart; lines differ in
-// their dashes as well.
-var colours = []color.RGBA{{0, 114, 178, 255}, {213, 94, 0, 255}, {0, 158, 115, 255}, {204, 121, 167, 255}, {86, 180, 233, 255}, {230, 159, 0, 255}, {0, 0, 0, 255}}
-
-var dashes = [][]vg.Length{nil, {6, 3}, {2, 2}, {8, 3, 2, 3}, {12, 4}, {4, 4, 1, 4}, {1, 3}}
-
-// newCanvas leaves a margin: labels of the last ticks reach beyond the axes.
-func newCanvas(c vg.CanvasSizer) draw.Canvas {
-	return draw.Crop(draw.New(c), 0, -0.6*vg.Centimeter, 0.1*vg.Centimeter, -0.3*vg.Centimeter)
-}
-
 // besides makes room for the legend at the right of a plot over time, where it hides no line.
 func besides(p *plot.Plot, s *scenario.Scenario) {
 	p.X.Min, p.X.Max = 0, 1.22*s.Length.Seconds()
 	p.Legend.Top, p.Legend.Padding = true, vg.Points(2)
 }
 
-func newPlot(x, y string) *plot.Plot {
-	p := plot.New()
-	p.X.Label.Text, p.Y.Label.Text = x, y
-	p.Legend.Top = true
-	p.Add(plotter.NewGrid())
-	return p
-}
-
-// line adds a line in the look that its number gives.
-func line(p *plot.Plot, i int, name string, xy plotter.XYs) error {
-	l, err := plotter.NewLine(xy)
-	if err != nil {
-		return err
-	}
-	l.Color, l.Dashes, l.Width = colours[i%len(colours)], dashes[i%len(dashes)], vg.Points(1.4)
-	p.Add(l)
-	p.Legend.Add(name, l)
-	return nil
-}
-
 // marks draws the faults of a scenario as lines across the plot, each with its name once.
 func marks(p *plot.Plot, s *scenario.Scenario, low, high float64) error {
 	var labels plotter.XYLabels
@@ -98,11 +68,11 @@
 }
 
 func finished(p *plot.Plot, title, text string) (part, error) {
-	return part{Title: title, Text: text, plot: p, high: height}, nil
+	return part{Title: title, Text: text, plot: p, high: chart.Height}, nil
 }
 
 func inAimOverTime(s *scenario.Scenario, r *virtual.Result) (part, error) {
-	p := newPlot("time of the request, s", "answered in aim, %")
+	p := chart.New("time of the request, s", "answered in aim, %")
 	p.Y.Min, p.Y.Max = 0, 105
 	besides(p, s)
 	for i := range s.Classes {
@@ -113,7 +83,7 @@
 			}
 		}
 		if len(xy) > 1 {
-			if err := line(p, i, s.Classes[i].Name, xy); err != nil {
+			if err := chart.Line(p, i, s.Classes[i].Name, xy); err != nil {
 				return part{}, err
 			}
 		}
@@ -125,7 +95,7 @@
 }
 
 func trafficOverTime(s *scenario.Scenario, r *virtual.Result) (part, error) {
-	p := newPlot("time of the request, s", "requests a second")
+	p := chart.New("time of the request, s", "requests a second")
 	var offered, aim plotter.XYs
 	most := 0.0
 	for t, x := range r.Seconds {
@@ -140,10 +110,10 @@
 	}
 	p.Y.Min, p.Y.Max = 0, 1.1*most
 	besides(p, s)
-	if err := line(p, 6, "asked", offered); err != nil {
+	if err := chart.Line(p, 6, "asked", offered); err != nil {
 		return part{}, err
 	}
-	if err := line(p, 0, "answered in aim", aim); err != nil {
+	if err := chart.Line(p, 0, "answered in aim", aim); err != nil {
 		return part{}, err
 	}
 	if err := marks(p, s, 0, 1.1*most); err != nil {
@@ -154,7 +124,7 @@
 
 // latencies draws answer times against their rank, both on log scales, so that the tail can be read.
 func latencies(s *scenario.Scenario, r *virtual.Result) (part, error) {
-	p := newPlot("part of the requests that took longer, %", "answer time, ms")
+	p := chart.New("part of the requests that took longer, %", "answer time, ms")
 	p.X.Scale, p.Y.Scale = falling{}, plot.LogScale{}
 	p.X.Tick.Marker = plot.ConstantTicks{{Value: 100, Label: "100"}, {Value: 50, Label: "50"}, {Value: 10, Label: "10"}, {Value: 1, Label: "1"}, {Value: 0.1, Label: "0.1"}, {Value: 0.01, Label: "0.01"}}
 	p.Y.Tick.Marker = plot.ConstantTicks{{Value: 1, Label: "1"}, {Value: 3, Label: "3"}, {Value: 10, Label: "10"}, {Value: 30, Label: "30"}, {Value: 100, Label: "100"}, {Value: 300, Label: "300"}, {Value: 1000, Label: "1000"}, {Value: 3000, Label: "3000"}, {Value: 10000, Label: "10000"}}
@@ -170,7 +140,7 @@
 		}
 		if len(xy) > 1 {
 			n++
-			if err := line(p, i, s.Classes[i].Name, xy); err != nil {
+			if err := chart.Line(p, i, s.Classes[i].Name, xy); err != nil {
 				return part{}, err
 			}
 		}
@@ -194,7 +164,7 @@
 	if len(r.Changes) == 0 {
 		return part{}, nil
 	}
-	p := newPlot("time, s", "level of reduced service (0 = normal)")
+	p := chart.New("time, s", "level of reduced service (0 = normal)")
 	lines := map[int]plotter.XYs{}
 	var order []int
 	top := 1.0
@@ -210,11 +180,11 @@
 		top = max(top, to)
 	}
 	for i, g := range order {
-		if i >= len(colours) {
+		if i >= len(chart.Colours) {
 			break
 		}
 		xy := append(lines[g], plotter.XY{X: s.Length.Seconds(), Y: lines[g][len(lines[g])-1].Y})
-		if err := line(p, i, fmt.Sprintf("group %d", g), xy); err != nil {
+		if err := chart.Line(p, i, fmt.Sprintf("group %d", g), xy); err != nil {
 			return part{}, err
 		}
 	}
@@ -240,7 +210,7 @@
 	if len(r.Load) < 2 || len(r.Load[0]) < 2 {
 		return part{}, nil
 	}
-	p := newPlot("time, s", "database")
+	p := chart.New("time, s", "database")
 	m := moreland.ExtendedBlackBody() // its lightness rises evenly: it reads in grey as well
 	m.SetMin(0)
 	m.SetMax(1.2)
@@ -254,7 +224,7 @@
 
 // forest draws the differences of a question, with their intervals.
 func forest(q experiment.Question, outcomes []*experiment.Outcome) (*plot.Plot, vg.Length, error) {
-	p := newPlot(fmt.Sprintf("difference: %s", q.Key()), "")
+	p := chart.New(fmt.Sprintf("difference: %s", q.Key()), "")
 	var names []string
 	low, high := 0.0, 0.0
 	row := 0.0
@@ -270,12 +240,12 @@
 			if err != nil {
 				return nil, 0, err
 			}
-			l.Color, l.Width = colours[i], vg.Points(2)
+			l.Color, l.Width = chart.Colours[i], vg.Points(2)
 			dot, err := plotter.NewScatter(plotter.XYs{{X: c.Mean, Y: row}})
 			if err != nil {
 				return nil, 0, err
 			}
-			dot.GlyphStyle = draw.GlyphStyle{Color: colours[i], Radius: vg.Points(4), Shape: map[verdict.Answer]draw.GlyphDrawer{
+			dot.GlyphStyle = draw.GlyphStyle{Color: chart.Colours[i], Radius: vg.Points(4), Shape: map[verdict.Answer]draw.GlyphDrawer{
 				verdict.CannotTell: draw.CircleGlyph{}, verdict.Better: draw.TriangleGlyph{}, verdict.Worse: draw.BoxGlyph{}}[c.Answer]}
 			p.Add(l, dot)
 			names = append(names, fmt.Sprintf("%s, %s: %s", c.Variant, o.Clock, c.Answer))
@@ -295,52 +265,6 @@
 	return p, vg.Length(2.5+1.0*row) * vg.Centimeter, nil
 }
 
-// Growth is what a fleet of one size costs.
-type Growth struct {
-	Proxies    int     `json:"proxies"`
-	Databases  int     `json:"databases"`
-	Rate       float64 `json:"requests_per_s"`
-	Worth      float64 `json:"worth"`
-	Probes     float64 `json:"probes_per_request"`
-	ProbeWork  float64 `json:"probe_work"` // part of the databases' capacity that answers probes
-	Misroutes  float64 `json:"misroutes_per_request"`
-	FirstWrite float64 `json:"first_write_ms"` // from an election, the median
-	Links      float64 `json:"links_per_database"`
-	CPU        float64 `json:"proxy_us_per_request"` // of the decisions and their state, no sockets
-	Idle       float64 `json:"idle_proxy"`           // part of a core that a proxy's clockwork takes by itself
-	Wall       float64 `json:"wall_per_model_s"`
-	Memory     float64 `json:"memory_mb"`
-	Steps      float64 `json:"steps_per_s"`
-}
-
-// GrowthPlot draws costs against the number of proxies times databases, on log scales.
-func GrowthPlot(path string, rows []Growth) error {
-	p := newPlot("proxies x databases", "")
-	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
-	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
-	p.Legend.Left = true
-	for i, x := range []struct {
-		name string
-		of   func(Growth) float64
-	}{{"wall s a model s", func(g Growth) float64 { return g.Wall }}, {"memory, GB", func(g Growth) float64 { return g.Memory / 1e3 }},
-		{"probes a request", func(g Growth) float64 { return g.Probes }}, {"misroutes a request", func(g Growth) float64 { return g.Misroutes }},
-		{"proxy us a request / 100", func(g Growth) float64 { return g.CPU / 100 }}, {"idle proxy, part of a core", func(g Growth) float64 { return g.Idle }}} {
-		var xy plotter.XYs
-		for _, g := range rows {
-			if y := x.of(g); y > 0 {
-				xy = append(xy, plotter.XY{X: float64(g.Proxies * g.Databases), Y: y})
-			}
-		}
-		if len(xy) < 2 {
-			continue
-		}
-		if err := line(p, i, x.name, xy); err != nil {
-			return err
-		}
-	}
-	return p.Save(width, 1.6*height, path)
-}
-
 // SweepPlot draws a sweep's first question: means with their standard errors, or a heat map of two settings.
 func SweepPlot(path string, o *experiment.Outcome) error {
 	e := o.Experiment
@@ -348,7 +272,7 @@
 	if len(s.Names) == 2 {
 		return sweepMap(path, o)
 	}
-	p := newPlot(s.Names[0], key)
+	p := chart.New(s.Names[0], key)
 	var xy plotter.XYs
 	var errs plotter.YErrors
 	for i, v := range e.Variants {
@@ -361,7 +285,7 @@
 		xy = append(xy, plotter.XY{X: float64(i), Y: mean})
 		errs = append(errs, struct{ Low, High float64 }{se, se})
 	}
-	if err := line(p, 0, key, xy); err != nil {
+	if err := chart.Line(p, 0, key, xy); err != nil {
 		return err
 	}
 	bars, err := plotter.NewYErrorBars(struct {
@@ -371,11 +295,11 @@
 	if err != nil {
 		return err
 	}
-	bars.Color = colours[0]
+	bars.Color = chart.Colours[0]
 	p.Add(bars)
 	p.NominalX(s.Values[0]...)
 	p.Legend = plot.NewLegend()
-	return p.Save(width, height, path)
+	return p.Save(chart.Width, chart.Height, path)
 }
 
 type sweepGrid struct {
@@ -398,7 +322,7 @@
 	e := o.Experiment
 	s, key := e.Sweep, e.Questions[0].Key()
 	g := sweepGrid{o, key}
-	p := newPlot(s.Names[0], s.Names[1])
+	p := chart.New(s.Names[0], s.Names[1])
 	low, high := math.Inf(1), math.Inf(-1)
 	var labels plotter.XYLabels
 	for c := range s.Values[0] {
@@ -427,5 +351,5 @@
 	p.NominalX(s.Values[0]...)
 	p.NominalY(s.Values[1]...)
 	p.Title.Text = key
-	return p.Save(width, 1.4*height, path)
+	return p.Save(chart.Width, 1.4*chart.Height, path)
 }
--- a/internal/lab/report/run.go
+++ b/internal/lab/report/run.go
@@ -6,6 +6,7 @@
 
 	"gonum.org/v1/plot/plotter"
 
+	"havenproxy/internal/lab/chart"
 	"havenproxy/internal/lab/load"
 	"havenproxy/internal/lab/play"
 	"havenproxy/internal/lab/scenario"
@@ -51,7 +52,7 @@
 		head.Text += " MARKED: " + m + "."
 	}
 	parts := []part{head}
-	p := newPlot("time at which requests were due, s", "requests in a tenth of a second")
+	p := chart.New("time at which requests were due, s", "requests in a tenth of a second")
 	var asked, aim, longest plotter.XYs
 	most, slowest := 1.0, 1.0
 	for i, x := range r.Load.Tenths {
@@ -66,26 +67,26 @@
 	}
 	besides(p, s)
 	p.Y.Min, p.Y.Max = 0, 1.1*most
-	if err := line(p, 6, "asked", asked); err != nil {
+	if err := chart.Line(p, 6, "asked", asked); err != nil {
 		return nil, err
 	}
-	if err := line(p, 0, "answered in aim", aim); err != nil {
+	if err := chart.Line(p, 0, "answered in aim", aim); err != nil {
 		return nil, err
 	}
 	if err := marks(p, s, 0, 1.1*most); err != nil {
 		return nil, err
 	}
-	parts = append(parts, part{Title: "Traffic", plot: p, high: height})
-	p = newPlot("time at which requests were due, s", "longest answer, ms")
+	parts = append(parts, part{Title: "Traffic", plot: p, high: chart.Height})
+	p = chart.New("time at which requests were due, s", "longest answer, ms")
 	besides(p, s)
 	p.Y.Min, p.Y.Max = 0, 1.1*slowest
-	if err := line(p, 1, "longest", longest); err != nil {
+	if err := chart.Line(p, 1, "longest", longest); err != nil {
 		return nil, err
 	}
 	if err := marks(p, s, 0, 1.1*slowest); err != nil {
 		return nil, err
 	}
-	parts = append(parts, part{Title: "Longest answers", Text: "Of what was served, by tenths of a second of the schedule.", plot: p, high: height})
+	parts = append(parts, part{Title: "Longest answers", Text: "Of what was served, by tenths of a second of the schedule.", plot: p, high: chart.Height})
 	if len(r.Events) > 0 {
 		e := part{Title: "What happened", Head: []string{"at, s", ""}}
 		for _, x := range r.Events {
--- a/internal/lab/scale/analysis/api.go
+++ b/internal/lab/scale/analysis/api.go
@@ -125,7 +125,7 @@
 	Size      Size    `json:"size"`
 	Seed      uint64  `json:"seed"`
 	Variant   string  `json:"variant"`           // which health checking was in force, as --variant names it
-	Vary      string  `json:"vary"`              // what its series varies: both, proxies or databases (--vary)
+	Vary      Axis    `json:"vary"`              // what its series varies (--vary)
 	Seconds   float64 `json:"seconds"`           // length of the measured window, s
 	Virtual   bool    `json:"virtual"`           // virtual time: CPU, memory and descriptors are not measured
 	Transport string  `json:"transport"`         // what carried the messages and what is counted, such as "loopback TCP and UDP, payload only"
@@ -215,15 +215,19 @@
 	Measurements []Measurement `json:"measurements"`      // in the order in which they ran
 	Events       []EventRow    `json:"events"`            // in the order in which they ran
 	Failover     Steps         `json:"failover"`          // of EventPrimaryCrash, where it ran
-	Predictions  []Prediction  `json:"predictions"`       // by Predict, before the largest size began
+	Predictions  []Prediction  `json:"predictions"`       // by PredictSize, before the largest size began
 	Stopped      string        `json:"stopped,omitempty"` // why the run ended before its end; empty where it did not
 }
 
 // Prediction is what the smaller sizes say of the largest, written before that one runs.
 type Prediction struct {
 	Metric   MetricName `json:"metric"`
-	Size     Size       `json:"size"`     // for which it is made
-	From     []Size     `json:"from"`     // of which it is made
+	Variant  string     `json:"variant"` // of the series
+	Axis     Axis       `json:"axis"`    // of the series
+	Virtual  bool       `json:"virtual"` // of the series
+	Size     Size       `json:"size"`    // for which it is made
+	From     []Size     `json:"from"`    // of which it is made
+	Model    Model      `json:"model"`
 	Value    float64    `json:"value"`    // in the metric's unit
 	Low      float64    `json:"low"`      // lower end of the 95% prediction interval, the metric's unit
 	High     float64    `json:"high"`     // upper end, the metric's unit
--- /dev/null
+++ b/internal/lab/scale/analysis/plots.go
@@ -0,0 +1,124 @@
+package analysis
+
+import (
+	"fmt"
+	"image/color"
+	"os"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"havenproxy/internal/lab/chart"
+)
+
+// WritePlots draws each fitted metric against size, along each axis, into a folder as SVG, with the budget as a line, and gives the files'
+// names. Variants stand side by side in one plot.
+func (r *Report) WritePlots(folder string) ([]string, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, axis := range Axes {
+		for _, metric := range Metrics {
+			fits := r.fitsOf(metric.Name, axis)
+			if len(fits) == 0 {
+				continue
+			}
+			p, err := plotFits(metric, axis, fits, r.Run.Predictions)
+			if err != nil {
+				return names, err
+			}
+			name := fmt.Sprintf("%s-%s.svg", metric.Name, axis)
+			if err := p.Save(chart.Width, chart.Height, filepath.Join(folder, name)); err != nil {
+				return names, err
+			}
+			names = append(names, name)
+		}
+	}
+	return names, nil
+}
+
+// fitsOf gives the fits of one metric along one axis.
+func (r *Report) fitsOf(name MetricName, axis Axis) []Fit {
+	var list []Fit
+	for _, f := range r.Fits {
+		if f.Metric == name && f.Axis == axis {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+func plotFits(metric Metric, axis Axis, fits []Fit, predictions []Prediction) (*plot.Plot, error) {
+	x := map[Axis]string{AxisBoth: "proxies, databases in proportion", AxisProxies: "proxies", AxisDatabases: "databases"}[axis]
+	p := chart.New(x, metric.Label+", "+metric.Unit)
+	p.Legend.Left = true
+	p.X.Min, p.Y.Min = 0, 0
+	right := 0.0
+	for i, f := range fits {
+		right = max(right, f.X[len(f.X)-1])
+		if err := addFit(p, i, f); err != nil {
+			return nil, err
+		}
+		if err := addPredictions(p, i, f, predictions); err != nil {
+			return nil, err
+		}
+	}
+	if limit, ok := BudgetOf(metric.Name); ok {
+		if err := addBudget(p, limit, right); err != nil {
+			return nil, err
+		}
+	}
+	p.Y.Max *= 1.15 // room for the legend
+	return p, nil
+}
+
+// addFit draws what was measured and the line through it.
+func addFit(p *plot.Plot, i int, f Fit) error {
+	var measured, fitted plotter.XYs
+	for k := range f.X {
+		measured = append(measured, plotter.XY{X: f.X[k], Y: f.Y[k]})
+		fitted = append(fitted, plotter.XY{X: f.X[k], Y: f.Line.At(f.X[k])})
+	}
+	name := f.Variant
+	if f.Virtual {
+		name += ", virtual time"
+	}
+	if err := chart.Points(p, i, name+", measured", measured); err != nil {
+		return err
+	}
+	return chart.Line(p, i, name+", line", fitted)
+}
+
+// addPredictions draws the intervals that were written down before the size ran.
+func addPredictions(p *plot.Plot, i int, f Fit, predictions []Prediction) error {
+	for _, prediction := range predictions {
+		own := prediction.Metric == f.Metric && f.same(Series{Variant: prediction.Variant, Axis: prediction.Axis, Virtual: prediction.Virtual})
+		if !own || !prediction.Interval {
+			continue
+		}
+		x := f.Axis.X(prediction.Size)
+		bar, err := plotter.NewLine(plotter.XYs{{X: x, Y: max(prediction.Low, 0)}, {X: x, Y: prediction.High}})
+		if err != nil {
+			return err
+		}
+		bar.Color, bar.Width = chart.Colours[i%len(chart.Colours)], vg.Points(4)
+		p.Add(bar)
+		p.Legend.Add(f.Variant+", prediction", bar)
+	}
+	return nil
+}
+
+// addBudget draws the budget across the plot.
+func addBudget(p *plot.Plot, limit, right float64) error {
+	l, err := plotter.NewLine(plotter.XYs{{X: 0, Y: limit}, {X: right, Y: limit}})
+	if err != nil {
+		return err
+	}
+	l.Color, l.Width, l.Dashes = color.RGBA{180, 0, 0, 255}, vg.Points(1.4), []vg.Length{8, 4}
+	p.Add(l)
+	p.Legend.Add(fmt.Sprintf("budget, %s", number(limit)), l)
+	return nil
+}
