--- a/internal/lab/scale/calculate/figures.go
+++ b/internal/lab/scale/calculate/figures.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"time"
+
+	"havenproxy/internal/handover"
+	"havenproxy/internal/ping"
 )
 
 // Figure is one calculated cell of the capacity page.
@@ -106,11 +109,16 @@
 	n := in.Size.Proxies
 	checks := float64(n) / in.ProbePeriod.Seconds()
 	shared := float64(n*in.HealthBudget) / float64(in.Size.Databases)
+	headless := float64(n) / ping.Quiet.Seconds()
+	search := handover.Config{}.WithDefaults().Search * time.Duration((n+3)/4)
 	return []Figure{
 		{role, "health checks, every proxy once a period", fmt.Sprintf("%d / %v", n, in.ProbePeriod), checks, "1/s"},
 		{role, "their processor time", fmt.Sprintf("%.0f/s x %v", checks, in.ProbeCost), checks * in.ProbeCost.Seconds(), "cores"},
 		{role, "health checks at the proxies' budget", fmt.Sprintf("%d x %d/s / %d", n, in.HealthBudget, in.Size.Databases), shared, "1/s"},
 		{role, "their processor time", fmt.Sprintf("%.1f/s x %v", shared, in.ProbeCost), shared * in.ProbeCost.Seconds(), "cores"},
+		{role, "health checks of a replica whose group has no primary (`internal/ping`, no bounded reads)", fmt.Sprintf("%d / %v", n, ping.Quiet), headless, "1/s"},
+		{role, "their processor time", fmt.Sprintf("%.0f/s x %v", headless, in.ProbeCost), headless * in.ProbeCost.Seconds(), "cores"},
+		{role, "between one proxy's checks of it while `handover` searches", fmt.Sprintf("50ms x (%d + 3) / 4", n), search.Seconds(), "s"},
 		{role, "connections, every proxy at least one", "one for each proxy", float64(n), ""},
 	}
 }
--- a/internal/lab/scale/calculate/messages.go
+++ b/internal/lab/scale/calculate/messages.go
@@ -37,6 +37,7 @@
 	Heartbeat, HeartbeatReply int // of the planners' consensus, to one follower
 	JoinCommand               int // the log's entry for a proxy that joins
 	State                     int // the planners' state with all members, without policies' texts
+	Status                    int // the answer to the operator's `policy status`
 }
 
 // Numbers as long as they become within months at the target.
@@ -152,7 +153,16 @@
 		state.Seats = append(state.Seats, rollout.Seat{Member: rollout.Member(exampleMember + i), Name: exampleName(i), Nonce: exampleNonce})
 	}
 	text, err := tier.EncodeState(&state)
+	if err != nil {
+		return err
+	}
 	m.State = len(text)
+	answer := tier.Answer{Planner: 1, Leader: 1, State: &state, Planners: []uint64{1, 2, 3}}
+	for _, seat := range state.Seats {
+		answer.Members = append(answer.Members, rollout.MemberInfo{Name: seat.Name, Member: seat.Member, Number: exampleNumber, Linked: true, Heard: in.Lease / asksInLease, Lease: in.Lease})
+	}
+	frame, err := tier.Append(nil, &tier.Frame{Answer: &answer})
+	m.Status = len(frame)
 	return err
 }
 
--- a/internal/lab/scale/calculate/write.go
+++ b/internal/lab/scale/calculate/write.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -60,16 +61,19 @@
 		{"change of policy: offered", m.Offer}, {"agreed", m.Agree}, {"hold", m.Hold}, {"held", m.Held}, {"in force", m.InForce},
 		{"join, asked", m.Hello}, {"answered, with the policy", m.Welcome},
 		{"planners' heartbeat", m.Heartbeat}, {"its answer", m.HeartbeatReply}, {"log entry of a join", m.JoinCommand}, {"planners' state", m.State},
+		{"operator's `policy status`, answered", m.Status},
 	}
 }
 
 // digits writes a figure with its thousands apart.
 func digits(x float64) string {
 	switch {
-	case x < 1 && x > -1:
+	case x == math.Trunc(x) && math.Abs(x) < 1000:
+		return strconv.FormatFloat(x, 'f', 0, 64)
+	case math.Abs(x) < 1:
 		return strconv.FormatFloat(x, 'g', 3, 64)
-	case x < 100 && x > -100:
-		return strconv.FormatFloat(x, 'f', 1, 64)
+	case math.Abs(x) < 100:
+		return strconv.FormatFloat(x, 'f', 2, 64)
 	}
 	text := strconv.FormatFloat(x, 'f', 0, 64)
 	sign := ""
