--- a/internal/lab/scale/calculate/figures.go
+++ b/internal/lab/scale/calculate/figures.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"havenproxy/internal/handover"
-	"havenproxy/internal/ping"
 )
 
 // Figure is one calculated cell of the capacity page.
@@ -37,7 +36,8 @@
 	probe, lease := m.ProbeQuery+m.ProbeReply, m.Renew+m.Granted
 	change := m.Offer + m.Agree + m.Hold + m.Held + m.InForce
 	watches := 1 / (in.ListBound / 2).Seconds()
-	checks := 1 / in.ProbePeriod.Seconds()
+	databases := float64(in.Size.Databases)
+	plain, bounded := in.checksOfReplica(situation{}), in.checksOfReplica(situation{bounded: true})
 	reports := 1 / in.RolesEvery.Seconds()
 	leaseRate := float64(lease) * asksInLease / in.Lease.Seconds()
 	watchRate := float64(m.ListCall+m.ListEmpty) * watches
@@ -46,8 +46,10 @@
 	probeRate := float64(probe * in.HealthBudget)
 	rest := float64(in.BytesBudget) - leaseRate - watchRate - changeRate - entryRate
 	return []Figure{
-		{role, "health checks, all databases once a period", fmt.Sprintf("%d databases / %v", in.Size.Databases, in.ProbePeriod), float64(in.Size.Databases) * checks, "1/s"},
-		{role, "their bytes", fmt.Sprintf("%.0f/s x (%d + %d) B", float64(in.Size.Databases)*checks, m.ProbeQuery, m.ProbeReply), float64(in.Size.Databases*probe) * checks, "B/s"},
+		{role, "health checks by `internal/ping`, no bounded reads", fmt.Sprintf("%d databases x %.3g/s, its schedule played", in.Size.Databases, plain), databases * plain, "1/s"},
+		{role, "their bytes", fmt.Sprintf("%.0f/s x (%d + %d) B", databases*plain, m.ProbeQuery, m.ProbeReply), databases * plain * float64(probe), "B/s"},
+		{role, "the same with bounded reads in each second", fmt.Sprintf("%d databases x %.3g/s, its schedule played", in.Size.Databases, bounded), databases * bounded, "1/s"},
+		{role, "their bytes", fmt.Sprintf("%.0f/s x (%d + %d) B", databases*bounded, m.ProbeQuery, m.ProbeReply), databases * bounded * float64(probe), "B/s"},
 		{role, "health checks at the budget, bytes", fmt.Sprintf("%d/s x (%d + %d) B", in.HealthBudget, m.ProbeQuery, m.ProbeReply), probeRate, "B/s"},
 		{role, "lease", fmt.Sprintf("%d asks / %v x (%d + %d) B", asksInLease, in.Lease, m.Renew, m.Granted), leaseRate, "B/s"},
 		{role, "watch of the list, no news", fmt.Sprintf("1 / %v x (%d + %d) B", in.ListBound/2, m.ListCall, m.ListEmpty), watchRate, "B/s"},
@@ -107,20 +109,25 @@
 func (in Inputs) databaseFigures(m Messages) []Figure {
 	const role = "database"
 	n := in.Size.Proxies
-	checks := float64(n) / in.ProbePeriod.Seconds()
+	plain, bounded := in.checksOfReplica(situation{}), in.checksOfReplica(situation{bounded: true})
+	headless := in.checksOfReplica(situation{headless: true})
 	shared := float64(n*in.HealthBudget) / float64(in.Size.Databases)
-	headless := float64(n) / ping.Quiet.Seconds()
 	search := handover.Config{}.WithDefaults().Search * time.Duration((n+3)/4)
-	return []Figure{
-		{role, "health checks, every proxy once a period", fmt.Sprintf("%d / %v", n, in.ProbePeriod), checks, "1/s"},
-		{role, "their processor time", fmt.Sprintf("%.0f/s x %v", checks, in.ProbeCost), checks * in.ProbeCost.Seconds(), "cores"},
+	played := func(what string, each float64) []Figure {
+		all := each * float64(n)
+		return []Figure{
+			{role, what, fmt.Sprintf("%d proxies x %.3g/s, `internal/ping`'s schedule played", n, each), all, "1/s"},
+			{role, "their processor time", fmt.Sprintf("%.0f/s x %v", all, in.ProbeCost), all * in.ProbeCost.Seconds(), "cores"},
+		}
+	}
+	rows := append(played("health checks, no bounded reads", plain), played("health checks, bounded reads in each second", bounded)...)
+	rows = append(rows, played("health checks of a replica whose group has no primary, no bounded reads", headless)...)
+	return append(rows, []Figure{
 		{role, "health checks at the proxies' budget", fmt.Sprintf("%d x %d/s / %d", n, in.HealthBudget, in.Size.Databases), shared, "1/s"},
 		{role, "their processor time", fmt.Sprintf("%.1f/s x %v", shared, in.ProbeCost), shared * in.ProbeCost.Seconds(), "cores"},
-		{role, "health checks of a replica whose group has no primary (`internal/ping`, no bounded reads)", fmt.Sprintf("%d / %v", n, ping.Quiet), headless, "1/s"},
-		{role, "their processor time", fmt.Sprintf("%.0f/s x %v", headless, in.ProbeCost), headless * in.ProbeCost.Seconds(), "cores"},
 		{role, "between one proxy's checks of it while `handover` searches", fmt.Sprintf("50ms x (%d + 3) / 4", n), search.Seconds(), "s"},
 		{role, "connections, every proxy at least one", "one for each proxy", float64(n), ""},
-	}
+	}...)
 }
 
 func (in Inputs) eventFigures(m Messages) []Figure {
--- a/internal/lab/scale/calculate/inputs.go
+++ b/internal/lab/scale/calculate/inputs.go
@@ -26,7 +26,6 @@
 	Statements   int           // a second, at one proxy
 	ComeBack     time.Duration // after which a refused client is told to ask again
 	PartedFor    time.Duration // how long regions lose each other
-	ProbePeriod  time.Duration // between two health checks of one database by one proxy, where every proxy checks all
 	ProbeCost    time.Duration // processor time of a database for one health check, as the bench's model has it
 	RolesEvery   time.Duration // between two reports of a role among peers
 	HealthBudget int           // health checks a second and proxy
@@ -38,7 +37,7 @@
 	return Inputs{Size: analysis.Target, GroupSize: 4, Lease: 2 * time.Second, ListBound: limit.DefaultBound,
 		PolicyBytes: 4 << 10, PolicyChanges: 820, Replaced: 184,
 		Connections: 2805, Statements: 3415, ComeBack: 500 * time.Millisecond, PartedFor: 3 * time.Minute,
-		ProbePeriod: time.Second, ProbeCost: 300 * time.Microsecond, RolesEvery: 500 * time.Millisecond,
+		ProbeCost: 300 * time.Microsecond, RolesEvery: 500 * time.Millisecond,
 		HealthBudget: analysis.BudgetProbes, BytesBudget: analysis.BudgetControlBytes}
 }
 
