Add havenlab scale: messages, bytes and CPU of hollow proxies by kind, on a virtual clock

What a proxy costs at size was known as totals only. Now the model tells an observer of each message at a proxy's edge, as long as the wire's codecs make it, and of the time that decisions take; havenlab scale adds them up by kind and second. Discovery's watch is modelled call by call where somebody counts.

No kernel sockets: CPU and memory are those of decisions and state alone, and there is a whole list with every change.

--- a/internal/lab/load/conn.go
+++ b/internal/lab/load/conn.go
@@ -189,17 +189,23 @@
 }
 
 func statement(id string, r *request, class *Class, after int64, wait time.Duration) string {
+	return StatementText(id, r.sess.id, class.Class, r.key, r.group, after, wait)
+}
+
+// StatementText words a statement with its comment: the request's id, the row that it asks for, the key of a write, and the Unix
+// milliseconds of its session's last commit (0 = none).
+func StatementText(id string, row uint64, class logic.Class, key string, group int, after int64, wait time.Duration) string {
 	comment := fmt.Sprintf("id=%s,c=%s,d=%d", id, class.Name, max(wait.Milliseconds(), 0))
 	verb := "SELECT val FROM state WHERE uid = '%016x'"
 	if class.Read == logic.Write {
 		verb = `INSERT INTO state (uid, val) VALUES ('%016x', '\x00') RETURNING val`
-		comment += ",k=" + r.key
+		comment += ",k=" + key
 	}
-	comment += ",cluster=" + strconv.Itoa(r.group)
+	comment += ",cluster=" + strconv.Itoa(group)
 	if after > 0 {
 		comment += ",after=" + strconv.FormatInt(after, 10)
 	}
-	return fmt.Sprintf(verb, r.sess.id) + " /* " + comment + " */"
+	return fmt.Sprintf(verb, row) + " /* " + comment + " */"
 }
 
 // field gives a field of an ErrorResponse.
--- /dev/null
+++ b/internal/lab/scale/model.go
@@ -0,0 +1,98 @@
+package scale
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/scale/analysis"
+	"havenproxy/internal/lab/virtual"
+)
+
+const (
+	// groupOf is how many databases hold the same data.
+	groupOf = 4
+	// demand is the part of the databases' capacity that is asked for at every size. Statements' work is scaled so that a fixed rate for
+	// each proxy comes to it.
+	demand = 0.6
+)
+
+// Zones are the zones of the fleet: the first three are one region's, the last two another's.
+var Zones = []string{"zone-1", "zone-2", "zone-3", "zone-4", "zone-5"}
+
+// firstRegion is how many of Zones are the first region's.
+const firstRegion = 3
+
+// modelConfig describes a size to the model: the true decisions and state of each proxy, on a virtual clock, with messages that are
+// carried within the process.
+func (c *Config) modelConfig(size analysis.Size) virtual.Config {
+	cfg := virtual.Yard(c.Seed)
+	cfg.Fleet.Zones = Zones
+	cfg.Fleet.Groups, cfg.Fleet.Members = size.Databases/groupOf, groupOf
+	cfg.Proxies, cfg.For = size.Proxies, c.Settle+c.For
+	rate := c.Rate * float64(size.Proxies)
+	cfg.Rate = func(time.Duration) float64 { return rate }
+	cfg.Fleet.Classes = scaleWork(cfg.Fleet.Classes, demand*cfg.Capacity()/rate)
+	cfg.Tier.Peers = c.PeerFacts
+	cfg.Clocked = !c.CountsOnly
+	return cfg
+}
+
+// scaleWork multiplies the work of statements.
+func scaleWork(classes []fleet.Class, factor float64) []fleet.Class {
+	out := append([]fleet.Class(nil), classes...)
+	for i := range out {
+		w := &out[i].Work
+		w.From, w.To = max(time.Duration(factor*float64(w.From)), 1), max(time.Duration(factor*float64(w.To)), 1)
+	}
+	return out
+}
+
+// transport says what carried messages in a run of the model.
+const transport = "in-process, virtual clock: sizes by the wire codecs, payload only, no kernel socket; CPU and memory are those of decisions and state alone"
+
+// measureModel runs one size in the model.
+func (c *Config) measureModel(size analysis.Size) (analysis.Measurement, error) {
+	if size.Databases%groupOf != 0 || size.Databases < groupOf || size.Proxies < 1 {
+		return analysis.Measurement{}, fmt.Errorf("size %v: databases come in groups of %d, and there is one proxy at least", size, groupOf)
+	}
+	if c.Rate <= 0 {
+		return analysis.Measurement{}, fmt.Errorf("a rate of %v requests a second and proxy: above 0 was expected", c.Rate)
+	}
+	cfg := c.modelConfig(size)
+	before, err := heapWithoutProxies(cfg.Fleet)
+	if err != nil {
+		return analysis.Measurement{}, err
+	}
+	r := newRecorder(size, c.Settle, c.Settle+c.For)
+	r.measureMemory = !c.CountsOnly
+	r.progress = func(at time.Duration) { c.tell(size, at, cfg.For) }
+	cfg.Observer = r
+	virtual.Play(cfg)
+	m := r.measurement()
+	m.Seed, m.Variant, m.Vary, m.Virtual, m.Transport = c.Seed, c.Variant, c.Vary, c.CountsOnly, transport
+	if !c.CountsOnly {
+		r.processorTime(&m)
+		perProxy := float64(r.heap-before) / float64(size.Proxies)
+		m.Memory = analysis.Sample{Mean: perProxy, Peak: perProxy, Seconds: 1}
+	}
+	return m, nil
+}
+
+// heapWithoutProxies gives the live bytes of the process with the databases' model and no proxy.
+func heapWithoutProxies(cfg fleet.Config) (uint64, error) {
+	databases, err := fleet.New(cfg, 0, fleet.Observer{})
+	if err != nil {
+		return 0, err
+	}
+	heap := liveHeap()
+	runtime.KeepAlive(databases)
+	return heap, nil
+}
+
+func (c *Config) tell(size analysis.Size, at, of time.Duration) {
+	if c.Progress != nil {
+		c.Progress(size, at, of)
+	}
+}
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -1,8 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,23 +21,6 @@
 	changed chan struct{} // closed when there is news
 }
 
-type instance struct {
-	ID        string  `json:"instanceId"`
-	Address   string  `json:"hostPort"`
-	Zone      string  `json:"zone"`
-	Machine   string  `json:"machineType"`
-	Group     int     `json:"cell"`
-	Lifecycle string  `json:"lifecycle"`
-	Weight    float64 `json:"weight"`
-	StartedMs int64   `json:"startedAtMs"`
-}
-
-type listing struct {
-	Generation int64      `json:"generation"`
-	Reset      bool       `json:"reset"`
-	Instances  []instance `json:"instances"`
-}
-
 func newLister(w *World, alias func(member int) string) (*lister, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -93,22 +74,22 @@
 	w.With(func(now time.Duration, f *fleet.Fleet) {
 		var entries []fleet.Entry
 		entries, generation, ok = f.List(now)
-		l := listing{Generation: generation, Reset: true}
+		var instances []Instance
 		for _, e := range entries {
 			m, at := f.Members()[e.Member], w.databases[e.Member].address
 			if alias != nil {
 				at = alias(e.Member)
 			}
-			in := instance{ID: fmt.Sprintf("s-%08x", e.Member+1), Address: at, Zone: w.zone(m.Zone),
-				Machine: "lab", Group: m.Group, Lifecycle: stateWord(e.State), Weight: 1}
+			in := Instance{ID: InstanceID(e.Member), Address: at, Zone: w.zone(m.Zone),
+				Machine: "lab", Group: m.Group, Lifecycle: LifecycleOf(e.State), Weight: 1}
 			if e.Started > 0 {
 				in.StartedMs = w.Unix(e.Started).UnixMilli()
 			}
 			if in.Lifecycle != "terminated" {
-				l.Instances = append(l.Instances, in)
+				instances = append(instances, in)
 			}
 		}
-		out, _ = json.Marshal(l)
+		out = EncodeList(generation, true, instances)
 	})
 	return out, generation, ok
 }
@@ -142,7 +123,7 @@
 		case <-changed:
 		case <-end.C:
 			watch, after = true, generation-1
-			fmt.Fprintf(out, `{"generation":%d,"reset":false,"instances":[]}`, generation)
+			out.Write(EncodeList(generation, false, nil))
 			return
 		case <-r.Context().Done():
 			return
--- a/internal/lab/standin/postgres.go
+++ b/internal/lab/standin/postgres.go
@@ -1,11 +1,8 @@
 package standin
 
 import (
-	"encoding/binary"
-	"fmt"
 	"net"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -201,36 +198,12 @@
 }
 
 // report words a database's report on itself.
-func (w *World) report(r fleet.Report) string {
-	return fmt.Sprintf("x0=%.6f,x1=%d,inflight=%d", float64(w.Unix(r.Position).UnixMicro())/1e6, b2i(r.Role == logic.RolePrimary), r.Inflight)
-}
+func (w *World) report(r fleet.Report) string { return ReportText(w.Unix(r.Position), r) }
 
-func b2i(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// encode puts the model's answer into messages. Its value names the request and how far the data goes, so that who
-// asked can tell a wrong answer and one that is too old. Positions are rounded down, so that data never looks fresher; a
-// commit is rounded up, so that a session asks for no less than it wrote.
+// encode puts the model's answer into messages.
 func (w *World) encode(id string, class int, r fleet.Reply) []byte {
 	role, at := w.stamps(class, r)
-	var out []byte
-	switch r.Result {
-	case fleet.Served:
-		return appendRow(nil, id+"@"+strconv.FormatInt(at, 10), role, at)
-	case fleet.NotPrimary:
-		out = errorOf(pg.CodeReadOnly, "this is no primary")
-	case fleet.TooFarBack:
-		out = errorOf(pg.CodeTooFarBack, "too far behind")
-	case fleet.TurnedAway:
-		out = errorOf(pg.CodeTooMany, "turned away")
-	default:
-		out = errorOf("XX000", "deposed")
-	}
-	return pg.AppendReady(appendParams(out, role, at))
+	return AppendReply(nil, id, r.Result, role, at)
 }
 
 // stamps gives the role and the position that an answer tells.
@@ -245,49 +218,6 @@
 	return role, at
 }
 
-// appendRow writes an answer of one row, the way PROTOCOL words it: role and position stand before ReadyForQuery.
-func appendRow(dst []byte, value, role string, atMs int64) []byte {
-	dst = message(dst, 'T', func(b []byte) []byte {
-		b = append(b, 0, 1)
-		b = append(b, "val\x00"...)
-		b = append(b, 0, 0, 0, 0, 0, 0)
-		b = binary.BigEndian.AppendUint32(b, 25) // text
-		return append(b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0)
-	})
-	dst = message(dst, 'D', func(b []byte) []byte {
-		b = append(b, 0, 1)
-		b = binary.BigEndian.AppendUint32(b, uint32(len(value)))
-		return append(b, value...)
-	})
-	dst = message(dst, 'C', func(b []byte) []byte { return append(b, "SELECT 1\x00"...) })
-	return pg.AppendReady(appendParams(dst, role, atMs))
-}
-
-func appendParams(dst []byte, role string, atMs int64) []byte {
-	if role != "" {
-		dst = message(dst, 'S', func(b []byte) []byte { return append(append(append(b, "role\x00"...), role...), 0) })
-	}
-	if atMs > 0 {
-		dst = message(dst, 'S', func(b []byte) []byte {
-			return append(strconv.AppendInt(append(b, "applied_ms\x00"...), atMs, 10), 0)
-		})
-	}
-	return dst
-}
-
-func errorOf(code, text string) []byte {
-	return message(nil, 'E', func(b []byte) []byte {
-		return fmt.Appendf(b, "SERROR\x00VERROR\x00C%s\x00M%s\x00\x00", code, text)
-	})
-}
-
-func message(dst []byte, kind byte, body func([]byte) []byte) []byte {
-	at := len(dst) + 1
-	dst = body(append(dst, kind, 0, 0, 0, 0))
-	binary.BigEndian.PutUint32(dst[at:], uint32(len(dst)-at))
-	return dst
-}
-
 // write sends bytes; the model's answers are small, so it does not wait on a peer that reads.
 func (s *session) write(b []byte) {
 	s.conn.SetWriteDeadline(time.Now().Add(time.Second))
--- a/internal/lab/standin/world.go
+++ b/internal/lab/standin/world.go
@@ -164,6 +164,7 @@
 
 func (w *World) warn(what string, err error) { slog.Warn("stand-in", "what", what, "error", err) }
 
-func stateWord(s logic.MemberState) string {
+// LifecycleOf words a member's state as discovery does.
+func LifecycleOf(s logic.MemberState) string {
 	return map[logic.MemberState]string{logic.Ready: "in_service", logic.Draining: "terminating", logic.Gone: "terminated"}[s]
 }
--- a/internal/lab/virtual/tier.go
+++ b/internal/lab/virtual/tier.go
@@ -86,6 +86,7 @@
 	w, t := n.w, n.w.tier
 	w.res.Messages++
 	w.res.MessageBytes += uint64(len(message))
+	n.count(noDatabase, PeerMessage, Sent, len(message))
 	text := append([]byte(nil), message...)
 	start := t.rng.IntN(len(w.nodes)) // receivers change buckets: nobody is always the last to hear
 	for b := range t.buckets {
@@ -118,8 +119,9 @@
 		return
 	}
 	if n.w.cfg.Clocked {
-		defer n.w.clocked(time.Now(), &n.w.res.InPeers)
+		defer n.clocked(time.Now(), ControlWork, &n.w.res.InPeers)
 	}
+	n.count(noDatabase, PeerMessage, Received, len(text))
 	n.front.HeardPeer(text)
 	n.arm()
 }
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -7,8 +7,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -71,6 +69,7 @@
 	Heat       bool // Result.Load is wanted
 	Record     bool // the history of writes, for a checker; it needs Fleet.Audit
 	Tier       Tier
+	Observer   Observer // is told what crosses proxies' edges; nil = nobody is
 }
 
 // Fault is a fault with its time.
@@ -210,6 +209,7 @@
 	watched      [][]*request // by class, in the order of coming, and so of the time by which they must have an answer
 	series       series
 	tier         *tier
+	codec        codec
 }
 
 // node is one proxy.
@@ -226,6 +226,7 @@
 	late    time.Duration // it stands still until then
 	inbox   []func()      // what waits for it
 	watch   bool
+	watches int            // counts calls to the list's service that wait for news
 	wake    state.Deadline // its own first deadline, among the world's
 	armed   time.Duration
 }
@@ -233,8 +234,11 @@
 // at lets something happen at a time.
 func (w *world) at(at time.Duration, do func()) { w.todo.Set(&state.Deadline{}, at, do) }
 
-// proxy does something at the proxy, once it has the time.
-func (n *node) proxy(do func()) {
+// proxy does something at the proxy that is no request's, once it has the time.
+func (n *node) proxy(do func()) { n.act(ControlWork, do) }
+
+// act does a kind of work at the proxy, once it has the time.
+func (n *node) act(work Work, do func()) {
 	if n.dead {
 		return
 	}
@@ -243,14 +247,20 @@
 		return
 	}
 	if n.w.cfg.Clocked {
-		defer n.w.clocked(time.Now(), &n.w.res.InProxies)
+		defer n.clocked(time.Now(), work, &n.w.res.InProxies)
 	}
 	do()
 	n.arm()
 }
 
 // clocked adds the true time that something took.
-func (w *world) clocked(began time.Time, to *time.Duration) { *to += time.Since(began) }
+func (n *node) clocked(began time.Time, work Work, to *time.Duration) {
+	took := time.Since(began)
+	*to += took
+	if o := n.w.cfg.Observer; o != nil {
+		o.Spent(n.w.clock.now-base, n.i, work, took)
+	}
+}
 
 // arm sees to it that the proxy is looked at when its first deadline is due. So a step costs nothing for the proxies that it
 // doesn't concern.
@@ -271,7 +281,7 @@
 		return
 	}
 	if n.w.cfg.Clocked {
-		defer n.w.clocked(time.Now(), &n.w.res.InTimers)
+		defer n.clocked(time.Now(), ControlWork, &n.w.res.InTimers)
 	}
 	if n.w.clock.now >= n.late {
 		n.front.Deadlines.Run(n.w.clock.now)
@@ -356,6 +366,7 @@
 		n.proxy(func() { n.front.Start(n, w.list(logic.ListCached)) })
 	}
 	w.series.begin(w)
+	w.observe()
 	w.schedule()
 	w.watch()
 	w.stops()
@@ -402,7 +413,7 @@
 	decide := LogicConfig(cfg.Fleet, cfg.ProxySeed+uint64(n.i)<<32+uint64(n.life)<<52)
 	decide.Handover, decide.Tuning, decide.Fronts = cfg.Handover, cfg.Tuning, max(cfg.Proxies, 1)
 	decide.PeerFacts = cfg.Tier.Peers
-	if len(cfg.Tier.Splits) > 0 || cfg.Tier.Uneven > 0 {
+	if len(cfg.Tier.Splits) > 0 || cfg.Tier.Uneven > 0 || cfg.Observer != nil {
 		decide.Zone = n.zone
 	}
 	if cfg.Tune != nil {
@@ -453,380 +464,3 @@
 		w.res.Steps++
 	}
 }
-
-// ---- Clients ----
-
-func (w *world) schedule() {
-	source := w.cfg.Arrivals
-	if source == nil {
-		source = arrivals.New(arrivals.Config{Seed: w.cfg.Seed, Rate: w.cfg.Rate, For: w.cfg.For, Shares: w.cfg.Shares, Groups: w.cfg.Fleet.Groups,
-			Sessions: w.cfg.Sessions, HotSession: w.cfg.HotSession})
-	}
-	var slot state.Deadline // one is planned at a time
-	var plan func()
-	plan = func() {
-		if in, more := source.Next(); more {
-			w.todo.Set(&slot, base+in.At, func() {
-				w.arrive(in)
-				plan()
-			})
-		}
-	}
-	plan()
-}
-
-// elected notes a new primary.
-func (w *world) elected(m int, r logic.Role) {
-	if r == logic.RolePrimary {
-		g := w.fleet.Members()[m].Group
-		w.newest[g] = len(w.res.Switches)
-		w.res.Switches = append(w.res.Switches, Election{At: w.clock.now - base, Group: g, Member: m})
-	}
-}
-
-// election is that of a member which has just become primary.
-func (w *world) election(m int) *Election {
-	if i, ok := w.newest[w.fleet.Members()[m].Group]; ok && w.res.Switches[i].Member == m {
-		return &w.res.Switches[i]
-	}
-	return nil
-}
-
-type request struct {
-	w       *world
-	n       *node
-	class   int
-	group   int
-	session uint64
-	hot     bool
-	key     string
-	due     time.Duration
-	until   time.Duration
-	tries   int
-	over    bool
-	id      logic.RequestID
-	called  time.Duration // the try in hand
-	inHand  bool          // a proxy has it
-	served  int           // the database that answered last
-	luck    float64       // its work, within its class's span: the same under every variant
-}
-
-func (w *world) arrive(in arrivals.Request) {
-	class := in.Class
-	r := &request{w: w, class: class, group: in.Group, due: w.clock.now, luck: in.Luck, hot: in.Session == 0}
-	if w.cfg.Record && w.cfg.Fleet.Classes[class].Read == logic.Write {
-		w.ids++
-		r.key = strconv.FormatUint(w.ids, 10)
-	}
-	if r.n = w.living(w.home(in.Group, in.Session)); in.Roam < w.cfg.Roam {
-		r.n = w.living(int(in.To) % len(w.nodes))
-	}
-	r.session = uint64(r.group)<<32 + uint64(in.Session)*0x9e3779b97f4a7c15 + 1
-	c := &w.cfg.Fleet.Classes[class]
-	r.until = r.due + c.Limit
-	w.open++
-	w.asked += c.Worth
-	w.res.Classes[class].Offered++
-	w.watched[class] = append(w.watched[class], r)
-	r.try()
-}
-
-// watch finds requests whose answer never comes, a second after the end of their time.
-func (w *world) watch() {
-	for class, list := range w.watched {
-		n := 0
-		for ; n < len(list) && (list[n].over || w.clock.now >= list[n].until+time.Second); n++ {
-			if r := list[n]; !r.over {
-				r.record(history.Unanswered)
-				r.end(&w.res.Classes[class].Silent, 0)
-			}
-			list[n] = nil
-		}
-		w.watched[class] = list[n:]
-	}
-	w.at(w.clock.now+100*time.Millisecond, w.watch)
-}
-
-func (r *request) try() {
-	w := r.w
-	w.res.Classes[r.class].Tries++
-	r.tries++
-	r.called, r.inHand = w.clock.now, true
-	if r.n.dead { // refused a connection
-		r.lost()
-		return
-	}
-	r.n.proxy(func() {
-		c := &w.cfg.Fleet.Classes[r.class]
-		in := state.Request{Class: c.Name, Wait: r.until - w.clock.now, Session: r.session, Group: r.group, Command: command{r}, Caller: r}
-		if at := w.after[r.session]; at > 0 && c.Read == logic.Session {
-			in.After = int64((w.clock.Unix() - w.clock.now + at) / time.Millisecond)
-		}
-		if in.Wait <= 0 {
-			r.Refused(0)
-			return
-		}
-		r.id, _ = r.n.front.Take(in)
-	})
-}
-
-// record notes the end of a try to write.
-func (r *request) record(e history.End) {
-	if r.key != "" {
-		r.w.res.Writes = append(r.w.res.Writes, history.Write{Key: r.key, Group: r.group, Call: r.called, Return: r.w.clock.now, End: e})
-	}
-}
-
-func (r *request) end(count *int, part float64) {
-	if r.over {
-		return
-	}
-	r.over = true
-	*count++
-	r.w.open--
-	r.w.worth += part * r.w.cfg.Fleet.Classes[r.class].Worth
-	r.w.series.end(r, part)
-	b := &r.w.res.BySession[1]
-	if r.hot {
-		b = &r.w.res.BySession[0]
-	}
-	b.Offered++
-	if part == 1 {
-		b.InAim++
-	}
-}
-
-// Served implements state.Caller.
-func (r *request) Served([]byte) {
-	k := &r.w.res.Classes[r.class]
-	c := &r.w.cfg.Fleet.Classes[r.class]
-	r.inHand = false
-	r.record(history.Served)
-	if c.Read == logic.Write {
-		r.w.after[r.session] = r.w.clock.now
-		if e := r.w.election(r.served); e != nil && e.First == 0 {
-			e.First = r.w.clock.now - base - e.At
-		}
-	}
-	if r.w.clock.now-r.due <= c.Aim {
-		r.end(&k.InAim, 1)
-		return
-	}
-	r.end(&k.Late, c.Late)
-}
-
-// Refused implements state.Caller.
-func (r *request) Refused(comeBack time.Duration) {
-	w := r.w
-	r.inHand = false
-	r.record(history.Refused)
-	wait := w.cfg.RetryWait
-	if w.cfg.Honour {
-		wait = max(wait, comeBack)
-	}
-	if r.tries > w.cfg.Retries || w.clock.now+wait >= r.until {
-		r.end(&w.res.Classes[r.class].Refused, 0)
-		return
-	}
-	w.at(w.clock.now+max(wait, time.Millisecond), r.try)
-}
-
-// Failed implements state.Caller.
-func (r *request) Failed() {
-	r.inHand = false
-	r.record(history.Failed)
-	r.end(&r.w.res.Classes[r.class].Failed, 0)
-}
-
-// Unfit implements state.Caller.
-func (r *request) Unfit([]byte) { r.Failed() }
-
-type command struct{ r *request }
-
-// AppendTo implements state.Command; nothing is written here.
-func (command) AppendTo(dst []byte, _ time.Duration) []byte { return dst }
-
-// ---- Databases, as the proxy sees them ----
-
-type conn struct {
-	w      *world
-	n      *node
-	m      int
-	to     state.Listener
-	up     bool
-	closed bool
-	ticket fleet.Ticket
-	out    bool
-}
-
-// Open implements state.Opener. The address is the member's number.
-func (n *node) Open(address string, _ int, to state.Listener) state.Conn {
-	w, m := n.w, 0
-	for _, d := range address {
-		m = m*10 + int(d-'0')
-	}
-	c := &conn{w: w, n: n, m: m, to: to}
-	w.conns[m] = append(w.conns[m], c)
-	n.conns[c] = struct{}{}
-	w.at(w.clock.now+3*w.cfg.Way, func() {
-		switch {
-		case c.closed || w.cutUntil(n, m, w.clock.now) > 0:
-		case w.fleet.Liveness(m) == fleet.Down:
-			n.proxy(c.refused)
-		case w.fleet.Liveness(m) == fleet.Up:
-			c.up = true
-			n.proxy(func() {
-				if !c.closed {
-					c.to.Up()
-				}
-			})
-		}
-	})
-	return c
-}
-
-// GivenUp implements state.Opener.
-func (n *node) GivenUp() int { return 0 }
-
-func (c *conn) down() {
-	if !c.closed {
-		c.Close()
-		c.to.Down()
-	}
-}
-
-func (c *conn) refused() {
-	if !c.closed {
-		c.Close()
-		c.to.Refused()
-	}
-}
-
-// turned ends connections to a database that died.
-func (w *world) turned(m int, l fleet.Liveness) {
-	if l != fleet.Down {
-		return
-	}
-	for _, c := range w.conns[m] {
-		w.carry(c.n, m, func() { c.n.proxy(c.down) })
-	}
-}
-
-// Send implements state.Conn.
-func (c *conn) Send(cmd state.Command, wait time.Duration) error {
-	r := cmd.(command).r
-	w := c.w
-	until := w.clock.now + wait
-	w.carry(c.n, c.m, func() {
-		if c.closed {
-			return
-		}
-		if e := w.election(c.m); e != nil && w.clock.now-base-e.At < pushed {
-			e.Push += w.fleet.MeanWork(r.class) / (w.fleet.Capacity(c.m) * pushed.Seconds())
-		}
-		c.ticket = w.fleet.Submit(w.clock.now, c.m, fleet.Query{Class: r.class, Key: r.key, After: w.after[r.session], Deadline: until, Luck: r.luck}, func(p fleet.Reply) {
-			w.carry(c.n, c.m, func() {
-				c.n.proxy(func() {
-					if !c.closed {
-						r.served = c.m
-						c.to.Reply(w.reply(p))
-					}
-				})
-			})
-		})
-		c.out = true
-	})
-	return nil
-}
-
-func (w *world) reply(p fleet.Reply) state.Reply {
-	out := state.Reply{Role: p.Role, Position: int64((w.clock.Unix() - w.clock.now + p.Position) / time.Millisecond)}
-	out.Result = [...]logic.Result{fleet.Served: logic.OK, fleet.NotPrimary: logic.Miss, fleet.TooFarBack: logic.Miss,
-		fleet.TurnedAway: logic.Full, fleet.Broken: logic.Failed}[p.Result]
-	return out
-}
-
-// Probe implements state.Conn.
-func (c *conn) Probe() error {
-	w := c.w
-	w.carry(c.n, c.m, func() {
-		if c.closed {
-			return
-		}
-		w.fleet.Probe(w.clock.now, c.m, func(r fleet.Report) {
-			w.carry(c.n, c.m, func() {
-				c.n.proxy(func() {
-					if !c.closed {
-						c.to.Reply(state.Reply{Result: logic.OK, Load: state.Load{Told: true, Role: r.Role, Queue: -1,
-							Position: (w.clock.Unix() - w.clock.now + r.Position).Seconds()}})
-					}
-				})
-			})
-		})
-	})
-	return nil
-}
-
-// Quiet implements state.Conn.
-func (c *conn) Quiet() bool { return !c.closed }
-
-// Close implements state.Conn.
-func (c *conn) Close() {
-	if c.closed {
-		return
-	}
-	c.closed = true
-	delete(c.n.conns, c)
-	c.w.conns[c.m] = slices.DeleteFunc(c.w.conns[c.m], func(x *conn) bool { return x == c })
-	if c.out {
-		c.w.carry(c.n, c.m, func() { c.w.fleet.Withdraw(c.w.clock.now, c.ticket) })
-	}
-}
-
-// ---- The list ----
-
-func (w *world) list(kind logic.ListKind) state.List {
-	entries, _, _ := w.fleet.List(w.clock.now)
-	out := state.List{Kind: kind}
-	for _, e := range entries {
-		m := w.fleet.Members()[e.Member]
-		x := state.Entry{Name: name(e.Member), Address: digits(e.Member), Zone: w.cfg.Fleet.Zones[m.Zone], Group: m.Group, State: e.State, Size: 1}
-		if e.Started > 0 {
-			x.Started = w.clock.Unix() - w.clock.now + e.Started
-		}
-		if e.State != logic.Gone {
-			out.Entries = append(out.Entries, x)
-		}
-	}
-	return out
-}
-
-func (n *node) news() {
-	switch {
-	case !n.watch:
-	case n.w.tier.ListCalls > 0:
-		n.call()
-	default:
-		n.front.Listed(n.w.list(logic.ListFull))
-	}
-}
-
-// Watch implements state.Watcher.
-func (n *node) Watch(on bool) {
-	n.watch = on
-	n.Fetch()
-}
-
-// Fetch implements state.Watcher.
-func (n *node) Fetch() { n.call() }
-
-func (n *node) call() {
-	w := n.w
-	w.listed(n, func(ok bool) {
-		if _, _, up := w.fleet.List(w.clock.now); !ok || !up {
-			n.proxy(func() { n.front.ListFailed(errDown) })
-			return
-		}
-		n.proxy(func() { n.front.Listed(w.list(logic.ListFull)) })
-	})
-}
