--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -58,7 +58,7 @@
 		o.Sizes = append(o.Sizes, analysis.Size{Proxies: s.proxies, Databases: s.databases})
 	}
 	quiet()
-	o.Variant, o.Vary = "all", "both"
+	o.Variant, o.Vary = "all", analysis.AxisBoth
 	o.Progress = terminalProgress(c.ErrOrStderr())
 	var run analysis.Run
 	for _, size := range o.Sizes {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -16,7 +16,7 @@
 // Config is what a scale run is to do.
 type Config struct {
 	Sizes      []analysis.Size
-	Vary       string        // what the sizes vary: both, proxies or databases
+	Vary       analysis.Axis // what the sizes vary: both, proxies or databases
 	For        time.Duration // measured time of each size
 	Settle     time.Duration // time before it
 	Rate       float64       // requests a second that each hollow proxy makes
