Draw plots on a logarithmic axis where the budget would vanish on a linear one

A cost of 870 beside a budget of 10 left the kept variant and the budget on one line at the bottom. Above a ratio of 30 the axis of costs is logarithmic.

--- a/internal/lab/scale/analysis/plots.go
+++ b/internal/lab/scale/analysis/plots.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"image/color"
+	"math"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -55,10 +57,11 @@
 	x := map[Axis]string{AxisBoth: "proxies, databases in proportion", AxisProxies: "proxies", AxisDatabases: "databases"}[axis]
 	p := chart.New(x, metric.Label+", "+metric.Unit)
 	p.Legend.Left = true
-	p.X.Min, p.Y.Min = 0, 0
+	limit, budgeted := BudgetOf(metric.Name)
+	scaleY(p, fits, limit)
 	right := 0.0
 	for i, f := range fits {
-		right = max(right, f.X[len(f.X)-1])
+		right = max(right, slices.Max(f.X))
 		if err := addFit(p, i, f); err != nil {
 			return nil, err
 		}
@@ -66,15 +69,41 @@
 			return nil, err
 		}
 	}
-	if limit, ok := BudgetOf(metric.Name); ok {
+	if budgeted {
 		if err := addBudget(p, limit, right); err != nil {
 			return nil, err
 		}
 	}
-	p.Y.Max *= 1.15 // room for the legend
+	p.X.Min, p.X.Max = 0, 1.03*right
 	return p, nil
 }
 
+// widestLinear is the ratio of the largest value to the smallest above which a linear axis hides the small ones.
+const widestLinear = 30
+
+// legendRoom is how many times the largest value a logarithmic axis reaches beyond it.
+const legendRoom = 100
+
+// scaleY chooses the axis of costs, with room for the legend above them. limit is the budget, 0 where there is none.
+func scaleY(p *plot.Plot, fits []Fit, limit float64) {
+	low, high := math.Inf(1), limit
+	for _, f := range fits {
+		low, high = min(low, slices.Min(f.Y)), max(high, slices.Max(f.Y))
+	}
+	if limit > 0 {
+		low = min(low, limit)
+	}
+	if low > 0 && high > widestLinear*low {
+		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+		p.Y.Min, p.Y.Max = low/2, high*legendRoom
+		return
+	}
+	p.Y.Min, p.Y.Max = 0, 1.5*high
+	if high <= 0 {
+		p.Y.Max = 1
+	}
+}
+
 // addFit draws what was measured and the line through it.
 func addFit(p *plot.Plot, i int, f Fit) error {
 	var measured, fitted plotter.XYs
@@ -100,7 +129,7 @@
 			continue
 		}
 		x := f.Axis.X(prediction.Size)
-		bar, err := plotter.NewLine(plotter.XYs{{X: x, Y: max(prediction.Low, 0)}, {X: x, Y: prediction.High}})
+		bar, err := plotter.NewLine(plotter.XYs{{X: x, Y: max(prediction.Low, p.Y.Min)}, {X: x, Y: prediction.High}})
 		if err != nil {
 			return err
 		}
