Cut plotted lines off at the axis, and say which value a verdict judged

Lines and intervals end at the axis now, and a prediction's lower end is not negative; a test brings the case about.

A verdict by prediction named the factor of the predicted value though it judged the interval's end; it names that of the end.

--- a/internal/lab/scale/analysis/plots.go
+++ b/internal/lab/scale/analysis/plots.go
@@ -58,14 +58,14 @@
 	p := chart.New(x, metric.Label+", "+metric.Unit)
 	p.Legend.Left = true
 	limit, budgeted := BudgetOf(metric.Name)
-	scaleY(p, fits, limit)
+	y := axisFor(fits, limit)
 	right := 0.0
 	for i, f := range fits {
 		right = max(right, slices.Max(f.X))
-		if err := addFit(p, i, f); err != nil {
+		if err := addFit(p, i, f, y.low); err != nil {
 			return nil, err
 		}
-		if err := addPredictions(p, i, f, predictions); err != nil {
+		if err := addPredictions(p, i, f, predictions, y.low); err != nil {
 			return nil, err
 		}
 	}
@@ -74,6 +74,7 @@
 			return nil, err
 		}
 	}
+	y.apply(p) // behind all lines: each stretches the axes to itself
 	p.X.Min, p.X.Max = 0, 1.03*right
 	return p, nil
 }
@@ -84,8 +85,14 @@
 // legendRoom is how many times the largest value a logarithmic axis reaches beyond it.
 const legendRoom = 100
 
-// scaleY chooses the axis of costs, with room for the legend above them. limit is the budget, 0 where there is none.
-func scaleY(p *plot.Plot, fits []Fit, limit float64) {
+// costAxis is the range of a plot's costs.
+type costAxis struct {
+	low, high   float64
+	logarithmic bool
+}
+
+// axisFor chooses the axis of costs, with room for the legend above them. limit is the budget, 0 where there is none.
+func axisFor(fits []Fit, limit float64) costAxis {
 	low, high := math.Inf(1), limit
 	for _, f := range fits {
 		low, high = min(low, slices.Min(f.Y)), max(high, slices.Max(f.Y))
@@ -93,23 +100,29 @@
 	if limit > 0 {
 		low = min(low, limit)
 	}
-	if low > 0 && high > widestLinear*low {
-		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
-		p.Y.Min, p.Y.Max = low/2, high*legendRoom
-		return
+	switch {
+	case low > 0 && high > widestLinear*low:
+		return costAxis{low / 2, high * legendRoom, true}
+	case high <= 0:
+		return costAxis{0, 1, false}
 	}
-	p.Y.Min, p.Y.Max = 0, 1.5*high
-	if high <= 0 {
-		p.Y.Max = 1
+	return costAxis{0, 1.5 * high, false}
+}
+
+// apply sets a plot's axis.
+func (a costAxis) apply(p *plot.Plot) {
+	p.Y.Min, p.Y.Max = a.low, a.high
+	if a.logarithmic {
+		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	}
 }
 
-// addFit draws what was measured and the line through it.
-func addFit(p *plot.Plot, i int, f Fit) error {
+// addFit draws what was measured and the line through it, cut off at the axis.
+func addFit(p *plot.Plot, i int, f Fit, floor float64) error {
 	var measured, fitted plotter.XYs
 	for k := range f.X {
 		measured = append(measured, plotter.XY{X: f.X[k], Y: f.Y[k]})
-		fitted = append(fitted, plotter.XY{X: f.X[k], Y: f.Line.At(f.X[k])})
+		fitted = append(fitted, plotter.XY{X: f.X[k], Y: max(f.Line.At(f.X[k]), floor)})
 	}
 	name := f.Variant
 	if f.Virtual {
@@ -122,14 +135,14 @@
 }
 
 // addPredictions draws the intervals that were written down before the size ran.
-func addPredictions(p *plot.Plot, i int, f Fit, predictions []Prediction) error {
+func addPredictions(p *plot.Plot, i int, f Fit, predictions []Prediction, floor float64) error {
 	for _, prediction := range predictions {
 		own := prediction.Metric == f.Metric && f.same(Series{Variant: prediction.Variant, Axis: prediction.Axis, Virtual: prediction.Virtual})
 		if !own || !prediction.Interval {
 			continue
 		}
 		x := f.Axis.X(prediction.Size)
-		bar, err := plotter.NewLine(plotter.XYs{{X: x, Y: max(prediction.Low, p.Y.Min)}, {X: x, Y: prediction.High}})
+		bar, err := plotter.NewLine(plotter.XYs{{X: x, Y: max(prediction.Low, floor)}, {X: x, Y: max(prediction.High, floor)}})
 		if err != nil {
 			return err
 		}
--- a/internal/lab/scale/analysis/predict.go
+++ b/internal/lab/scale/analysis/predict.go
@@ -58,6 +58,7 @@
 		p.Model = ModelPower
 		p.Value, p.Low, p.High, p.Interval = power.Predict(s.Axis.X(size))
 	}
+	p.Low = max(p.Low, 0) // no cost is negative
 	return p, true
 }
 
--- a/internal/lab/scale/analysis/report_test.go
+++ b/internal/lab/scale/analysis/report_test.go
@@ -165,3 +165,18 @@
 		t.Error("no breach was found")
 	}
 }
+
+// A line may fall below zero at the smallest sizes, where a logarithmic axis has no place for it.
+func TestPlotsOfLinesBelowZero(t *testing.T) {
+	r := &Run{}
+	for i, cost := range []float64{1e-4, 1.1e-4, 1.2e-4, 9e-3} {
+		r.Measurements = append(r.Measurements, Measurement{Size: sizes[i], Variant: "all", Vary: AxisBoth, ControlCPU: known(cost)})
+	}
+	r.Predictions = PredictSize(r, "all", AxisBoth, false, Target)
+	if len(r.Predictions) != 1 || r.Predictions[0].Low < 0 {
+		t.Errorf("%+v; one prediction from 0 on was expected", r.Predictions)
+	}
+	if _, err := Analyse(r, Target).WritePlots(t.TempDir()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/lab/scale/analysis/verdict.go
+++ b/internal/lab/scale/analysis/verdict.go
@@ -81,45 +81,48 @@
 	What    string  `json:"what"` // the metric's label or the event's name
 	Variant string  `json:"variant"`
 	Unit    string  `json:"unit"`
-	Limit   float64 `json:"limit"` // in Unit
-	Value   float64 `json:"value"` // in Unit; 0 where Basis is none
-	Peak    float64 `json:"peak"`  // in Unit, measured; 0 where it is not
+	Limit   float64 `json:"limit"`  // in Unit
+	Value   float64 `json:"value"`  // in Unit, measured or predicted; 0 where Basis is none
+	Judged  float64 `json:"judged"` // what was held against Limit: Value, or the end of the prediction's interval that decides
+	Peak    float64 `json:"peak"`   // in Unit, measured; 0 where it is not
 	Outcome Outcome `json:"outcome"`
 	Basis   Basis   `json:"basis"`
 	Why     string  `json:"why,omitempty"` // why it is not shown, or what limits it
 }
 
-// Factor is how many times the value fits into the limit; below 1 it doesn't. 0 where there is no value.
+// Factor is how many times the judged value fits into the limit; below 1 it doesn't. 0 where there is none.
 func (v *Verdict) Factor() float64 {
-	if v.Value <= 0 {
+	if v.Judged <= 0 {
 		return 0
 	}
-	return v.Limit / v.Value
+	return v.Limit / v.Judged
 }
 
 // String writes the outcome with its factor.
 func (v *Verdict) String() string {
 	switch v.Outcome {
 	case BearsByFactor:
-		if v.Value <= 0 {
+		if v.Judged <= 0 {
 			return "bears, nothing spent"
 		}
 		return fmt.Sprintf("bears by %.1f times", v.Factor())
 	case DoesNotBear:
-		return fmt.Sprintf("does not bear: %.1f times the budget", v.Value/v.Limit)
+		return fmt.Sprintf("does not bear: %.1f times the budget", v.Judged/v.Limit)
 	}
 	return string(v.Outcome)
 }
 
-// outcomeOf judges a value that is known.
-func outcomeOf(value, limit float64) Outcome {
+// judge holds a value against the limit.
+func (v *Verdict) judge(value float64) {
+	v.Judged = value
 	switch {
-	case value > limit:
-		return DoesNotBear
-	case value*largeFactor <= limit:
-		return BearsByFactor
+	case value > v.Limit:
+		v.Outcome = DoesNotBear
+	case value*largeFactor <= v.Limit:
+		v.Outcome = BearsByFactor
+	default:
+		v.Outcome = Bears
 	}
-	return Bears
 }
 
 // Judge gives the verdicts of one variant at a size: of the metrics from a measurement there, else from a prediction whose whole interval
@@ -148,7 +151,7 @@
 		// Of several measurements the worst decides.
 		if v.Basis == BasisNone || sample.Mean > v.Value {
 			v.Value, v.Peak, v.Basis, v.Why = sample.Mean, sample.Peak, BasisMeasured, ""
-			v.Outcome = outcomeOf(sample.Mean, b.Limit)
+			v.judge(sample.Mean)
 		}
 	}
 	if v.Basis == BasisNone {
@@ -167,9 +170,11 @@
 		case !p.Interval || len(p.From) < LeastSizes:
 			v.Why = fmt.Sprintf("predicted from %d sizes, %d are needed", len(p.From), LeastSizes)
 		case p.High <= b.Limit:
-			v.Outcome, v.Why = outcomeOf(p.High, b.Limit), "by the upper end of the prediction"
+			v.judge(p.High)
+			v.Why = "by the upper end of the prediction"
 		case p.Low > b.Limit:
-			v.Outcome, v.Why = DoesNotBear, "by the lower end of the prediction"
+			v.judge(p.Low)
+			v.Why = "by the lower end of the prediction"
 		default:
 			v.Why = "the budget lies inside the prediction's interval"
 		}
@@ -193,7 +198,8 @@
 		case !e.AllKnew && e.UntilAllKnow <= b.Limit:
 			v.Value, v.Basis, v.Outcome, v.Why = took, BasisMeasured, NotShown, "the run stopped waiting within the budget"
 		default:
-			v.Value, v.Basis, v.Outcome, v.Why = took, BasisMeasured, outcomeOf(took, v.Limit), ""
+			v.Value, v.Basis, v.Why = took, BasisMeasured, ""
+			v.judge(took)
 		}
 	}
 	return v
