Run havenlab scale over sizes and series, with predictions, limits and budgets

One size alone gives no slope. The run goes through sizes in proportion, proxies alone and databases alone, predicts the largest of each series before it begins, refuses a size that would go over the memory, ends in good order at its time bound or an interrupt, and exits with 1 where a budget is broken.

--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -1,9 +1,14 @@
 package command
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -18,63 +23,165 @@
 type scaleOptions struct {
 	scale.Config
 	sizes    []string
+	vary     []string
+	memory   float64 // GB
+	timeout  time.Duration
+	trial    bool
 	jsonPath string
+	pagePath string
 }
 
+// errBudget marks a run in which a budget is broken.
+var errBudget = errors.New("a budget is broken")
+
 func scaleCommand() *cobra.Command {
 	var o scaleOptions
 	c := &cobra.Command{
 		Use:   "scale",
-		Short: "Measure what fleets of several sizes cost, by kind of message",
+		Short: "Measure what fleets of several sizes cost, by kind of message; exit 1 where a budget is broken",
 		Long: "scale runs hollow proxies (the true decisions and state, with requests made inside) against hollow databases and discovery, and\n" +
 			"counts messages, bytes, processor time, memory and connections at their edges. All of it is one process on a virtual clock:\n" +
 			"messages have the sizes that the wire's codecs give them, but pass no kernel socket, so processor time and memory are those of\n" +
-			"decisions and state alone.",
-		Example: "  havenlab scale --sizes 50x80\n  havenlab scale --sizes 50x80,100x160 --json scale.json",
+			"decisions and state alone. The largest size of each series is predicted from the smaller ones before it runs.",
+		Example: "  havenlab scale --sizes 50x80\n  havenlab scale --vary both,proxies,databases --json scale.json --page scale.md",
 		Args:    cobra.NoArgs,
 		RunE:    func(c *cobra.Command, _ []string) error { return o.run(c) },
 	}
 	f := c.Flags()
-	f.StringSliceVar(&o.sizes, "sizes", []string{"50x80"}, "proxies x databases")
+	f.StringSliceVar(&o.sizes, "sizes", []string{"50x80", "100x160", "200x320", "400x640", "820x1300"}, "proxies x databases")
+	f.StringSliceVar(&o.vary, "vary", []string{string(analysis.AxisBoth)}, "what the sizes vary: both, proxies (before the databases of the smallest), databases")
 	f.DurationVar(&o.For, "for", 10*time.Second, "measured time of each size")
 	f.DurationVar(&o.Settle, "settle", 5*time.Second, "time before it")
 	f.Float64Var(&o.Rate, "rate", 500, "requests a second that each proxy makes")
 	f.Uint64Var(&o.Seed, "seed", 1, "of fleet and traffic")
 	f.IntVar(&o.PeerFacts, "peers", 0, "facts in a datagram between proxies, 31 at most; 0 = proxies don't talk")
+	f.Float64Var(&o.memory, "memory", float64(scale.MachineMemory()/2)/1e9, "GB that the run may hold")
+	f.DurationVar(&o.timeout, "timeout", 30*time.Minute, "bound on the whole run; what was measured until then is still printed")
 	f.BoolVar(&o.CountsOnly, "virtual", false, "messages and bytes only, which are the same every run")
-	f.StringVar(&o.jsonPath, "json", "", "write all that was measured to this file")
+	f.BoolVar(&o.trial, "trial", false, "call the figures trials")
+	f.StringVar(&o.jsonPath, "json", "", "write the run with its report to this file")
+	f.StringVar(&o.pagePath, "page", "", "write a Markdown page to this file, with plots beside it")
 	return c
 }
 
-func (o *scaleOptions) run(c *cobra.Command) error {
+// check reads the flags.
+func (o *scaleOptions) check() error {
 	sizes, err := parseSizes(o.sizes)
 	if err != nil {
 		return err
 	}
-	if o.For < time.Second || o.Settle < 0 || o.Rate <= 0 || o.PeerFacts < 0 || o.PeerFacts > 31 {
-		return fmt.Errorf("%w: --for is 1s at least, --settle 0s, --rate above 0, --peers 0 to 31", ErrUsage)
-	}
 	for _, s := range sizes {
-		o.Sizes = append(o.Sizes, analysis.Size{Proxies: s.proxies, Databases: s.databases})
+		size := analysis.Size{Proxies: s.proxies, Databases: s.databases}
+		if err := scale.CheckSize(size); err != nil {
+			return fmt.Errorf("%w: %w", ErrUsage, err)
+		}
+		o.Sizes = append(o.Sizes, size)
+	}
+	for _, name := range o.vary {
+		axis := analysis.Axis(name)
+		if axis != analysis.AxisBoth && axis != analysis.AxisProxies && axis != analysis.AxisDatabases {
+			return fmt.Errorf("%w: --vary has %q, some of %q were expected", ErrUsage, name, analysis.Axes)
+		}
+		o.Axes = append(o.Axes, axis)
+	}
+	if o.For < time.Second || o.Settle < 0 || o.Rate <= 0 || o.PeerFacts < 0 || o.PeerFacts > 31 || o.memory < 0 || o.timeout <= 0 {
+		return fmt.Errorf("%w: --for is 1s at least, --settle 0s, --rate above 0, --peers 0 to 31, --memory 0 at least, --timeout above 0", ErrUsage)
+	}
+	return nil
+}
+
+func (o *scaleOptions) run(c *cobra.Command) error {
+	if err := o.check(); err != nil {
+		return err
 	}
 	quiet()
-	o.Variant, o.Vary = "all", analysis.AxisBoth
+	out := c.OutOrStdout()
+	o.Variant, o.Memory, o.Until = "all", int64(o.memory*1e9), time.Now().Add(o.timeout)
+	if o.Memory > 0 {
+		debug.SetMemoryLimit(o.Memory)
+	}
 	o.Progress = terminalProgress(c.ErrOrStderr())
-	var run analysis.Run
-	for _, size := range o.Sizes {
-		m, err := o.Measure(size)
-		if err != nil {
+	o.Measured = func(m *analysis.Measurement) { printMeasurement(out, m) }
+	o.Predict = func(size analysis.Size, list []analysis.Prediction) { printPredictions(out, size, list) }
+	run := analysis.Run{Command: "havenlab " + strings.Join(os.Args[1:], " "), Commit: commit(), Machine: machine(), Trial: o.trial}
+	if err := o.Run(c.Context(), &run); err != nil {
+		return err
+	}
+	return o.report(out, &run)
+}
+
+// report prints what follows from a run, and writes its files.
+func (o *scaleOptions) report(out io.Writer, run *analysis.Run) error {
+	r := analysis.Analyse(run, analysis.Target)
+	fmt.Fprintln(out)
+	if err := r.WriteText(out); err != nil {
+		return err
+	}
+	if o.jsonPath != "" {
+		if err := report.JSON(o.jsonPath, r); err != nil {
 			return err
 		}
-		run.Measurements = append(run.Measurements, m)
-		printMeasurement(c.OutOrStdout(), &m)
 	}
-	if o.jsonPath != "" {
-		return report.JSON(o.jsonPath, run)
+	if o.pagePath != "" {
+		if err := writePage(r, o.pagePath); err != nil {
+			return err
+		}
+	}
+	switch {
+	case len(run.Measurements) == 0 && run.Stopped != "":
+		return fmt.Errorf("%w: %s", ErrUsage, run.Stopped)
+	case len(r.Breaches) > 0:
+		return fmt.Errorf("%w: %d of them, in the table above", errBudget, len(r.Breaches))
+	case run.Stopped != "":
+		return errors.New(run.Stopped)
 	}
 	return nil
 }
 
+// writePage writes a report as a Markdown page, with its plots in a folder beside it.
+func writePage(r *analysis.Report, path string) error {
+	folder := strings.TrimSuffix(path, filepath.Ext(path)) + "-plots"
+	names, err := r.WritePlots(folder)
+	if err != nil {
+		return err
+	}
+	pictures := make([]string, len(names))
+	for i, name := range names {
+		pictures[i] = filepath.Join(filepath.Base(folder), name)
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(r.WriteMarkdown(file, pictures), file.Close())
+}
+
+// commit names the code that runs.
+func commit() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	revision, modified := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			modified = ", with changes"
+		}
+	}
+	return revision + modified
+}
+
+// machine describes the one that runs, with how busy it is.
+func machine() string {
+	load, _ := os.ReadFile("/proc/loadavg")
+	one, _, _ := strings.Cut(string(load), " ")
+	return fmt.Sprintf("%d cores (GOMAXPROCS %d), %.0f GB, load average %s at the start", runtime.NumCPU(), runtime.GOMAXPROCS(0),
+		float64(scale.MachineMemory())/1e9, one)
+}
+
 // terminalProgress writes one line over and over, where errs is a terminal; else nil.
 func terminalProgress(errs io.Writer) func(analysis.Size, time.Duration, time.Duration) {
 	file, ok := errs.(*os.File)
@@ -89,9 +196,9 @@
 	}
 }
 
-// printMeasurement prints what one size cost.
+// printMeasurement prints what one size cost, by kind of message.
 func printMeasurement(out io.Writer, m *analysis.Measurement) {
-	fmt.Fprintf(out, "\n%v, seed %d, %.0f s measured\n%s\n", m.Size, m.Seed, m.Seconds, m.Transport)
+	fmt.Fprintf(out, "\n%v, varying %s, seed %d, %.0f s measured %s\n", m.Size, m.Vary, m.Seed, m.Seconds, m.Partial)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "kind\tdirection\tmessages/s a proxy\tpeak\tbusiest\tbytes/s a proxy\tpeak\tbusiest\t")
 	for _, t := range m.Traffic {
@@ -102,23 +209,19 @@
 			t.Bytes.Mean, t.Bytes.Peak, t.Bytes.Busiest)
 	}
 	w.Flush()
-	w = tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	row := func(name, unit string, factor float64, s analysis.Sample) {
-		if s.Measured() {
-			fmt.Fprintf(w, "%s\t%.3f\tpeak %.3f\tbusiest %.3f\t%s\n", name, factor*s.Mean, factor*s.Peak, factor*s.Busiest, unit)
+}
+
+// printPredictions prints what the smaller sizes say of the largest, before that one runs.
+func printPredictions(out io.Writer, size analysis.Size, list []analysis.Prediction) {
+	fmt.Fprintf(out, "\npredicted for %v, before it runs\n", size)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, p := range list {
+		m, _ := analysis.MetricByName(p.Metric)
+		interval := "no interval"
+		if p.Interval {
+			interval = fmt.Sprintf("%.4g to %.4g", p.Low, p.High)
 		}
+		fmt.Fprintf(w, "%s\t%.4g\t%s\t%s\t%s\n", m.Label, p.Value, interval, m.Unit, p.Model)
 	}
-	row("control traffic", "bytes/s a proxy, both ways", 1, m.ControlBytes)
-	row("health checks", "/s a proxy", 1, m.ProbesPerProxy)
-	row("health checks at a database", "/s", 1, m.ProbesPerDatabase)
-	row("CPU for control", "% of a core, a proxy", 100, m.ControlCPU)
-	row("CPU in all", "% of a core, a proxy", 100, m.TotalCPU)
-	row("memory", "MB a proxy", 1e-6, m.Memory)
-	row("connections of a proxy", "", 1, m.ConnectionsPerProxy)
-	row("connections to a database", "", 1, m.ConnectionsPerDatabase)
-	row("calls to discovery", "/s", 1, m.DiscoveryCalls)
-	row("bytes of discovery", "/s", 1, m.DiscoveryBytes)
-	row("requests", "/s a proxy", 1, m.RequestsPerProxy)
-	row("wrong sends", "/s a proxy", 1, m.WrongSends)
 	w.Flush()
 }
--- a/internal/lab/scale/model.go
+++ b/internal/lab/scale/model.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"time"
@@ -52,13 +53,18 @@
 // transport says what carried messages in a run of the model.
 const transport = "in-process, virtual clock: sizes by the wire codecs, payload only, no kernel socket; CPU and memory are those of decisions and state alone"
 
-// measureModel runs one size in the model.
-func (c *Config) measureModel(size analysis.Size) (analysis.Measurement, error) {
+// CheckSize tells what is wrong with a size.
+func CheckSize(size analysis.Size) error {
 	if size.Databases%groupOf != 0 || size.Databases < groupOf || size.Proxies < 1 {
-		return analysis.Measurement{}, fmt.Errorf("size %v: databases come in groups of %d, and there is one proxy at least", size, groupOf)
+		return fmt.Errorf("size %v: databases come in groups of %d, and there is one proxy at least", size, groupOf)
 	}
-	if c.Rate <= 0 {
-		return analysis.Measurement{}, fmt.Errorf("a rate of %v requests a second and proxy: above 0 was expected", c.Rate)
+	return nil
+}
+
+// measureModel runs one size in the model.
+func (c *Config) measureModel(ctx context.Context, size analysis.Size, axis analysis.Axis) (analysis.Measurement, error) {
+	if err := CheckSize(size); err != nil {
+		return analysis.Measurement{}, err
 	}
 	cfg := c.modelConfig(size)
 	before, err := heapWithoutProxies(cfg.Fleet)
@@ -67,12 +73,20 @@
 	}
 	r := newRecorder(size, c.Settle, c.Settle+c.For)
 	r.measureMemory = !c.CountsOnly
-	r.progress = func(at time.Duration) { c.tell(size, at, cfg.For) }
+	partial := ""
+	r.goOn = func(at time.Duration) bool {
+		c.tell(size, at, cfg.For)
+		if reason := c.overLimit(ctx); reason != "" {
+			partial = fmt.Sprintf("stopped at second %.0f of %.0f: %s", at.Seconds(), cfg.For.Seconds(), reason)
+		}
+		return partial == ""
+	}
 	cfg.Observer = r
 	virtual.Play(cfg)
 	m := r.measurement()
-	m.Seed, m.Variant, m.Vary, m.Virtual, m.Transport = c.Seed, c.Variant, c.Vary, c.CountsOnly, transport
-	if !c.CountsOnly {
+	m.Partial = partial
+	m.Seed, m.Variant, m.Vary, m.Virtual, m.Transport = c.Seed, c.Variant, axis, c.CountsOnly, transport
+	if !c.CountsOnly && partial == "" {
 		r.processorTime(&m)
 		perProxy := float64(r.heap-before) / float64(size.Proxies)
 		m.Memory = analysis.Sample{Mean: perProxy, Peak: perProxy, Seconds: 1}
--- a/internal/lab/scale/recorder.go
+++ b/internal/lab/scale/recorder.go
@@ -24,7 +24,7 @@
 type recorder struct {
 	size        analysis.Size
 	from, until time.Duration // the window
-	progress    func(at time.Duration)
+	goOn        func(at time.Duration) bool // is asked at the end of each second; nil = the run goes on
 
 	traffic       [virtual.MessageKinds][2]traffic
 	controlBytes  *tally
@@ -92,7 +92,7 @@
 }
 
 // Second implements virtual.Observer.
-func (r *recorder) Second(at time.Duration, proxies []*state.Front) {
+func (r *recorder) Second(at time.Duration, proxies []*state.Front) bool {
 	for i, front := range proxies {
 		if front == nil {
 			r.earlier[i] = state.Counters{}
@@ -115,9 +115,7 @@
 	if at == r.until && r.measureMemory {
 		r.heap = liveHeap()
 	}
-	if r.progress != nil {
-		r.progress(at)
-	}
+	return r.goOn == nil || r.goOn(at)
 }
 
 // wrongSends counts attempts at members that could not take them.
@@ -144,8 +142,11 @@
 // measurement puts what was counted into the analysis's terms.
 func (r *recorder) measurement() analysis.Measurement {
 	m := analysis.Measurement{Size: r.size, Seconds: (r.until - r.from).Seconds()}
-	for kind := range r.traffic {
-		for direction, t := range r.traffic[kind] {
+	for kind, both := range r.traffic {
+		if both[virtual.Sent].messages.total().Mean+both[virtual.Received].messages.total().Mean == 0 {
+			continue
+		}
+		for direction, t := range both {
 			m.Traffic = append(m.Traffic, analysis.Traffic{Kind: kinds[kind], Direction: directions[direction],
 				Messages: t.messages.each(), Bytes: t.bytes.each()})
 		}
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -8,6 +8,9 @@
 package scale
 
 import (
+	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"havenproxy/internal/lab/scale/analysis"
@@ -16,19 +19,72 @@
 // Config is what a scale run is to do.
 type Config struct {
 	Sizes      []analysis.Size
-	Vary       analysis.Axis // what the sizes vary: both, proxies or databases
-	For        time.Duration // measured time of each size
-	Settle     time.Duration // time before it
-	Rate       float64       // requests a second that each hollow proxy makes
+	Axes       []analysis.Axis // what series of sizes vary; see Series
+	For        time.Duration   // measured time of each size
+	Settle     time.Duration   // time before it
+	Rate       float64         // requests a second that each hollow proxy makes
 	Seed       uint64
 	PeerFacts  int    // facts in a datagram between proxies; 0 = proxies don't talk
 	Variant    string // which health checking is in force
 	CountsOnly bool   // messages and bytes only, which are the same every run
+	Memory     int64  // most bytes that the run may hold
+	Until      time.Time
 
 	Progress func(size analysis.Size, at, of time.Duration) // nil = nobody wants it
+	Measured func(*analysis.Measurement)                    // is called with each size's measurement; likewise
+	Predict  func(analysis.Size, []analysis.Prediction)     // is called before the largest size of a series; likewise
 }
 
-// Measure measures one size.
-func (c *Config) Measure(size analysis.Size) (analysis.Measurement, error) {
-	return c.measureModel(size)
+// Run measures all sizes along all axes, and predicts the largest of each series before that one runs. The run is whole only where its
+// Stopped is empty.
+func (c Config) Run(ctx context.Context, run *analysis.Run) error {
+	for _, axis := range c.Axes {
+		sizes := Series(c.Sizes, axis)
+		for i, size := range sizes {
+			if reason := c.refuses(ctx, size, run); reason != "" {
+				run.Stopped = fmt.Sprintf("%v was not started: %s", size, reason)
+				return nil
+			}
+			if i == len(sizes)-1 && i > 0 {
+				c.predict(run, axis, size)
+			}
+			m, err := c.measureModel(ctx, size, axis)
+			if err != nil {
+				return err
+			}
+			run.Measurements = append(run.Measurements, m)
+			if c.Measured != nil {
+				c.Measured(&m)
+			}
+			if m.Partial != "" {
+				run.Stopped = fmt.Sprintf("%v: %s", size, m.Partial)
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Config) predict(run *analysis.Run, axis analysis.Axis, size analysis.Size) {
+	predictions := analysis.PredictSize(run, c.Variant, axis, c.CountsOnly, size)
+	run.Predictions = append(run.Predictions, predictions...)
+	if c.Predict != nil {
+		c.Predict(size, predictions)
+	}
+}
+
+// Series gives the sizes of a series along an axis, the smallest first: the sizes as they are, or their proxies before the databases of
+// the smallest, or the proxies of the smallest before their databases.
+func Series(sizes []analysis.Size, axis analysis.Axis) []analysis.Size {
+	out := slices.Clone(sizes)
+	slices.SortFunc(out, func(a, b analysis.Size) int { return a.Proxies*a.Databases - b.Proxies*b.Databases })
+	for i := range out {
+		switch axis {
+		case analysis.AxisProxies:
+			out[i].Databases = out[0].Databases
+		case analysis.AxisDatabases:
+			out[i].Proxies = out[0].Proxies
+		}
+	}
+	return slices.Compact(out)
 }
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"context"
 	"log/slog"
 	"os"
 	"testing"
@@ -22,7 +23,7 @@
 
 func measure(t *testing.T, c Config, size analysis.Size) analysis.Measurement {
 	t.Helper()
-	m, err := c.Measure(size)
+	m, err := c.measureModel(t.Context(), size, analysis.AxisBoth)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -73,10 +74,66 @@
 func TestASizeThatMakesNoSenseIsRefused(t *testing.T) {
 	for _, size := range []analysis.Size{{Proxies: 0, Databases: 8}, {Proxies: 4, Databases: 6}} {
 		c := small()
-		if _, err := c.Measure(size); err == nil {
+		if _, err := c.measureModel(t.Context(), size, analysis.AxisBoth); err == nil {
 			t.Errorf("%v passed", size)
 		}
 	}
 }
 
 func near(a, b float64) bool { return a-b < 1e-6 && b-a < 1e-6 }
+
+func TestASeriesVariesOnePartOfTheSize(t *testing.T) {
+	sizes := []analysis.Size{{Proxies: 10, Databases: 16}, {Proxies: 5, Databases: 8}}
+	for axis, want := range map[analysis.Axis][]analysis.Size{
+		analysis.AxisBoth:      {{Proxies: 5, Databases: 8}, {Proxies: 10, Databases: 16}},
+		analysis.AxisProxies:   {{Proxies: 5, Databases: 8}, {Proxies: 10, Databases: 8}},
+		analysis.AxisDatabases: {{Proxies: 5, Databases: 8}, {Proxies: 5, Databases: 16}},
+	} {
+		if diff := cmp.Diff(want, Series(sizes, axis)); diff != "" {
+			t.Errorf("%s: %s", axis, diff)
+		}
+	}
+}
+
+func TestTheLargestSizeIsPredictedBeforeItRuns(t *testing.T) {
+	c := small()
+	c.Axes = []analysis.Axis{analysis.AxisBoth}
+	for i := 1; i <= 4; i++ {
+		c.Sizes = append(c.Sizes, analysis.Size{Proxies: 2 * i, Databases: 4 * i})
+	}
+	measured := 0
+	c.Measured = func(*analysis.Measurement) { measured++ }
+	c.Predict = func(size analysis.Size, list []analysis.Prediction) {
+		if measured != 3 || size != c.Sizes[3] || len(list) == 0 {
+			t.Errorf("%d predictions for %v behind %d sizes", len(list), size, measured)
+		}
+	}
+	var run analysis.Run
+	if err := c.Run(t.Context(), &run); err != nil || len(run.Measurements) != 4 || len(run.Predictions) == 0 || run.Stopped != "" {
+		t.Errorf("%d sizes, %d predictions, stopped %q, error %v", len(run.Measurements), len(run.Predictions), run.Stopped, err)
+	}
+}
+
+func TestASizeOverTheMemoryIsNotStarted(t *testing.T) {
+	c := small()
+	c.Axes, c.Memory = []analysis.Axis{analysis.AxisBoth}, 1<<30
+	c.Sizes = []analysis.Size{{Proxies: 820, Databases: 1300}}
+	var run analysis.Run
+	if err := c.Run(t.Context(), &run); err != nil || len(run.Measurements) > 0 || run.Stopped == "" {
+		t.Errorf("%d sizes, stopped %q, error %v", len(run.Measurements), run.Stopped, err)
+	}
+}
+
+func TestARunEndsWhereItIsInterrupted(t *testing.T) {
+	c := small()
+	ctx, cancel := context.WithCancel(t.Context())
+	c.Progress = func(_ analysis.Size, at, _ time.Duration) {
+		if at == 3*time.Second {
+			cancel()
+		}
+	}
+	m, err := c.measureModel(ctx, analysis.Size{Proxies: 4, Databases: 8}, analysis.AxisBoth)
+	if err != nil || m.Partial == "" || m.ProbesPerProxy.Seconds != 1 {
+		t.Errorf("partial %q with %d seconds, error %v", m.Partial, m.ProbesPerProxy.Seconds, err)
+	}
+}
--- a/internal/lab/virtual/observe.go
+++ b/internal/lab/virtual/observe.go
@@ -56,8 +56,8 @@
 	Message(Message)
 	// Spent tells of the true time that decisions and state took, on this machine; only with Config.Clocked.
 	Spent(at time.Duration, proxy int, work Work, took time.Duration)
-	// Second is called at the end of each second, with all proxies; nil stands for one that is down.
-	Second(at time.Duration, proxies []*state.Front)
+	// Second is called at the end of each second, with all proxies; nil stands for one that is down. False ends the run.
+	Second(at time.Duration, proxies []*state.Front) bool
 }
 
 // noDatabase stands in a message that no database sent or gets.
@@ -113,7 +113,7 @@
 				fronts[i] = n.front
 			}
 		}
-		w.cfg.Observer.Second(w.clock.now-base, fronts)
+		w.stopped = !w.cfg.Observer.Second(w.clock.now-base, fronts)
 		w.observe()
 	})
 }
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -210,6 +210,7 @@
 	series       series
 	tier         *tier
 	codec        codec
+	stopped      bool // the observer has ended the run
 }
 
 // node is one proxy.
@@ -450,7 +451,7 @@
 // run carries out all that is due, in the order of time, until nobody waits for an answer any more.
 func (w *world) run() {
 	end := base + w.cfg.For
-	for w.clock.now < end || w.open > 0 {
+	for !w.stopped && (w.clock.now < end || w.open > 0) {
 		next := time.Duration(math.MaxInt64)
 		if at, ok := w.fleet.Next(); ok {
 			next = at
