Count leases and policies in the scale run: the planners' decisions beside the model's proxies

Proxies take requests only with a lease. What it leaves out: more than one planner, and the planners' own log on disk.

--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -55,6 +55,8 @@
 	f.Float64Var(&o.Rate, "rate", 500, "requests a second that each proxy makes")
 	f.Uint64Var(&o.Seed, "seed", 1, "of fleet and traffic")
 	f.IntVar(&o.PeerFacts, "peers", 0, "facts in a datagram between proxies, 31 at most; 0 = proxies don't talk")
+	f.DurationVar(&o.Lease, "lease", 2*time.Second, "that proxies ask planners for; 0 = there are no planners")
+	f.DurationVar(&o.ChangeEvery, "change-every", 105*time.Second, "between two changes of policy, 4 KiB each, the first after half of it; 0 = none")
 	f.Float64Var(&o.memory, "memory", float64(scale.MachineMemory()/2)/1e9, "GB that the run may hold")
 	f.DurationVar(&o.timeout, "timeout", 30*time.Minute, "bound on the whole run; what was measured until then is still printed")
 	f.BoolVar(&o.CountsOnly, "virtual", false, "messages and bytes only, which are the same every run")
@@ -84,8 +86,8 @@
 		}
 		o.Axes = append(o.Axes, axis)
 	}
-	if o.For < time.Second || o.Settle < 0 || o.Rate <= 0 || o.PeerFacts < 0 || o.PeerFacts > 31 || o.memory < 0 || o.timeout <= 0 {
-		return fmt.Errorf("%w: --for is 1s at least, --settle 0s, --rate above 0, --peers 0 to 31, --memory 0 at least, --timeout above 0", ErrUsage)
+	if o.For < time.Second || o.Settle < 0 || o.Rate <= 0 || o.PeerFacts < 0 || o.PeerFacts > 31 || o.memory < 0 || o.Lease < 0 || o.Lease > 0 && o.Lease < 200*time.Millisecond || o.ChangeEvery < 0 || o.timeout <= 0 {
+		return fmt.Errorf("%w: --for is 1s at least, --settle 0s, --rate above 0, --peers 0 to 31, --memory 0 at least, --lease 0 or 200ms at least, --timeout above 0", ErrUsage)
 	}
 	return nil
 }
--- a/internal/lab/scale/model.go
+++ b/internal/lab/scale/model.go
@@ -14,6 +14,8 @@
 const (
 	// groupOf is how many databases hold the same data.
 	groupOf = 4
+	// policySize is the length of a policy's text, in bytes.
+	policySize = 4 << 10
 	// demand is the part of the databases' capacity that is asked for at every size. Statements' work is scaled so that a fixed rate for
 	// each proxy comes to it.
 	demand = 0.6
@@ -36,10 +38,24 @@
 	cfg.Rate = func(time.Duration) float64 { return rate }
 	cfg.Fleet.Classes = scaleWork(cfg.Fleet.Classes, demand*cfg.Capacity()/rate)
 	cfg.Tier.Peers = c.PeerFacts
+	if c.Lease > 0 {
+		cfg.Tier.Planners = &virtual.Planners{Lease: c.Lease, PolicySize: policySize, Changes: c.changes()}
+	}
 	cfg.Clocked = !c.CountsOnly
 	return cfg
 }
 
+// changes gives the times at which the tier's policy is changed in the measured window.
+func (c *Config) changes() (at []time.Duration) {
+	if c.ChangeEvery <= 0 {
+		return nil
+	}
+	for t := c.Settle + c.ChangeEvery/2; t < c.Settle+c.For; t += c.ChangeEvery {
+		at = append(at, t)
+	}
+	return at
+}
+
 // scaleWork multiplies the work of statements.
 func scaleWork(classes []fleet.Class, factor float64) []fleet.Class {
 	out := append([]fleet.Class(nil), classes...)
--- a/internal/lab/scale/recorder.go
+++ b/internal/lab/scale/recorder.go
@@ -23,7 +23,7 @@
 // recorder counts what crosses the edges of proxies in a window of a run. It implements virtual.Observer.
 type recorder struct {
 	size        analysis.Size
-	from, until time.Duration // the window
+	from, until time.Duration               // the window
 	goOn        func(at time.Duration) bool // is asked at the end of each second; nil = the run goes on
 
 	traffic       [virtual.MessageKinds][2]traffic
@@ -88,6 +88,9 @@
 
 // Spent implements virtual.Observer.
 func (r *recorder) Spent(_ time.Duration, proxy int, work virtual.Work, took time.Duration) {
+	if work == virtual.PlannerWork {
+		proxy = 0 // there is one planner
+	}
 	r.work[work].add(proxy, took.Seconds())
 }
 
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -18,17 +18,19 @@
 
 // Config is what a scale run is to do.
 type Config struct {
-	Sizes      []analysis.Size
-	Axes       []analysis.Axis // what series of sizes vary; see Series
-	For        time.Duration   // measured time of each size
-	Settle     time.Duration   // time before it
-	Rate       float64         // requests a second that each hollow proxy makes
-	Seed       uint64
-	PeerFacts  int    // facts in a datagram between proxies; 0 = proxies don't talk
-	Variant    string // which health checking is in force
-	CountsOnly bool   // messages and bytes only, which are the same every run
-	Memory     int64  // most bytes that the run may hold
-	Until      time.Time
+	Sizes       []analysis.Size
+	Axes        []analysis.Axis // what series of sizes vary; see Series
+	For         time.Duration   // measured time of each size
+	Settle      time.Duration   // time before it
+	Rate        float64         // requests a second that each hollow proxy makes
+	Seed        uint64
+	Lease       time.Duration // that proxies ask planners for; 0 = there are no planners
+	ChangeEvery time.Duration // between two changes of policy; 0 = there are none
+	PeerFacts   int           // facts in a datagram between proxies; 0 = proxies don't talk
+	Variant     string        // which health checking is in force
+	CountsOnly  bool          // messages and bytes only, which are the same every run
+	Memory      int64         // most bytes that the run may hold
+	Until       time.Time
 
 	Progress func(size analysis.Size, at, of time.Duration) // nil = nobody wants it
 	Measured func(*analysis.Measurement)                    // is called with each size's measurement; likewise
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -18,7 +18,7 @@
 }
 
 func small() Config {
-	return Config{For: 3 * time.Second, Settle: 2 * time.Second, Rate: 50, Seed: 7, Variant: "all", CountsOnly: true}
+	return Config{For: 3 * time.Second, Settle: 2 * time.Second, Rate: 50, Seed: 7, Lease: 2 * time.Second, ChangeEvery: 2 * time.Second, Variant: "all", CountsOnly: true}
 }
 
 func measure(t *testing.T, c Config, size analysis.Size) analysis.Measurement {
@@ -137,3 +137,20 @@
 		t.Errorf("partial %q with %d seconds, error %v", m.Partial, m.ProbesPerProxy.Seconds, err)
 	}
 }
+
+func TestLeasesAndPoliciesAreCounted(t *testing.T) {
+	m := measure(t, small(), analysis.Size{Proxies: 4, Databases: 8})
+	for _, kind := range []analysis.Kind{analysis.KindLease, analysis.KindPolicy} {
+		for _, x := range m.Traffic {
+			if x.Kind == kind && x.Bytes.Mean == 0 {
+				t.Errorf("nothing of kind %s was %s", kind, x.Direction)
+			}
+			if x.Kind == analysis.KindLease && (x.Messages.Mean < 2 || x.Messages.Mean > 3) { // five times in a lease of 2 s
+				t.Errorf("%.2f messages of leases %s a second and proxy", x.Messages.Mean, x.Direction)
+			}
+		}
+	}
+	if m.RequestsPerProxy.Mean == 0 || m.WrongSends.Mean > 1 {
+		t.Errorf("%.1f requests and %.1f wrong sends a second and proxy", m.RequestsPerProxy.Mean, m.WrongSends.Mean)
+	}
+}
--- a/internal/lab/virtual/observe.go
+++ b/internal/lab/virtual/observe.go
@@ -48,6 +48,7 @@
 const (
 	ControlWork Work = iota // health checks, lists, peers, leases, timers
 	RequestWork             // clients' requests and their answers
+	PlannerWork             // the leading planner's decisions; it is no proxy's
 	WorkKinds               // how many there are
 )
 
@@ -60,8 +61,10 @@
 	Second(at time.Duration, proxies []*state.Front) bool
 }
 
-// noDatabase stands in a message that no database sent or gets.
-const noDatabase = -1
+const (
+	noDatabase = -1 // in a message that no database sent or gets
+	noProxy    = -1 // of work that no proxy does
+)
 
 func (n *node) count(database int, kind MessageKind, d Direction, bytes int) {
 	if o := n.w.cfg.Observer; o != nil {
--- a/internal/lab/virtual/tier.go
+++ b/internal/lab/virtual/tier.go
@@ -29,6 +29,8 @@
 	Mutes  []Mute
 	Splits []Split
 	Stops  []Stop
+
+	Planners *Planners // nil = proxies take requests without a lease
 }
 
 // Mute is a time in which peers don't hear each other.
@@ -215,6 +217,9 @@
 	n.dead, n.leaving = true, false
 	n.life++
 	w.res.Stopped++
+	if n.link != nil {
+		n.link.leave()
+	}
 	n.inbox = nil
 	for _, list := range w.watched {
 		for _, r := range list {
@@ -235,6 +240,9 @@
 func (n *node) start(known state.List) {
 	n.dead, n.watch = false, false
 	n.front = n.w.front(n)
+	if n.w.planner != nil {
+		n.w.planner.join(n)
+	}
 	n.proxy(func() { n.front.Start(n, known) })
 }
 
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -139,6 +139,7 @@
 	Messages, MessageBytes, Delivered, DeliveredBytes uint64
 	ListCalls                                         uint64
 	Stopped                                           int
+	Changed                                           []PolicyChange // of the tier's policy, as proposed
 }
 
 // Election is a database that became primary, with what followed.
@@ -210,7 +211,8 @@
 	series       series
 	tier         *tier
 	codec        codec
-	stopped      bool // the observer has ended the run
+	planner      *planner // nil = there is none
+	stopped      bool     // the observer has ended the run
 }
 
 // node is one proxy.
@@ -227,6 +229,7 @@
 	late    time.Duration // it stands still until then
 	inbox   []func()      // what waits for it
 	watch   bool
+	link    *plannerLink   // nil = there is no planner
 	watches int            // counts calls to the list's service that wait for news
 	wake    state.Deadline // its own first deadline, among the world's
 	armed   time.Duration
@@ -335,6 +338,7 @@
 		watched: make([][]*request, len(cfg.Fleet.Classes))}
 	w.res.Classes = make([]ClassResult, len(cfg.Fleet.Classes))
 	w.beginTier()
+	w.beginPlanner()
 	var err error
 	w.fleet, err = fleet.New(cfg.Fleet, base-cfg.Before, fleet.Observer{
 		Liveness: w.turned,
@@ -364,6 +368,9 @@
 			}
 		}
 		w.nodes = append(w.nodes, n)
+		if w.planner != nil {
+			w.planner.join(n)
+		}
 		n.proxy(func() { n.front.Start(n, w.list(logic.ListCached)) })
 	}
 	w.series.begin(w)
