--- a/internal/lab/virtual/observe.go
+++ b/internal/lab/virtual/observe.go
@@ -48,6 +48,7 @@
 const (
 	ControlWork Work = iota // health checks, lists, peers, leases, timers
 	RequestWork             // clients' requests and their answers
+	PlannerWork             // the leading planner's decisions; it is no proxy's
 	WorkKinds               // how many there are
 )
 
@@ -56,12 +57,14 @@
 	Message(Message)
 	// Spent tells of the true time that decisions and state took, on this machine; only with Config.Clocked.
 	Spent(at time.Duration, proxy int, work Work, took time.Duration)
-	// Second is called at the end of each second, with all proxies; nil stands for one that is down.
-	Second(at time.Duration, proxies []*state.Front)
+	// Second is called at the end of each second, with all proxies; nil stands for one that is down. False ends the run.
+	Second(at time.Duration, proxies []*state.Front) bool
 }
 
-// noDatabase stands in a message that no database sent or gets.
-const noDatabase = -1
+const (
+	noDatabase = -1 // in a message that no database sent or gets
+	noProxy    = -1 // of work that no proxy does
+)
 
 func (n *node) count(database int, kind MessageKind, d Direction, bytes int) {
 	if o := n.w.cfg.Observer; o != nil {
@@ -113,7 +116,7 @@
 				fronts[i] = n.front
 			}
 		}
-		w.cfg.Observer.Second(w.clock.now-base, fronts)
+		w.stopped = !w.cfg.Observer.Second(w.clock.now-base, fronts)
 		w.observe()
 	})
 }
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -139,6 +139,7 @@
 	Messages, MessageBytes, Delivered, DeliveredBytes uint64
 	ListCalls                                         uint64
 	Stopped                                           int
+	Changed                                           []PolicyChange // of the tier's policy, as proposed
 }
 
 // Election is a database that became primary, with what followed.
@@ -210,6 +211,8 @@
 	series       series
 	tier         *tier
 	codec        codec
+	planner      *planner // nil = there is none
+	stopped      bool     // the observer has ended the run
 }
 
 // node is one proxy.
@@ -226,6 +229,7 @@
 	late    time.Duration // it stands still until then
 	inbox   []func()      // what waits for it
 	watch   bool
+	link    *plannerLink   // nil = there is no planner
 	watches int            // counts calls to the list's service that wait for news
 	wake    state.Deadline // its own first deadline, among the world's
 	armed   time.Duration
@@ -334,6 +338,7 @@
 		watched: make([][]*request, len(cfg.Fleet.Classes))}
 	w.res.Classes = make([]ClassResult, len(cfg.Fleet.Classes))
 	w.beginTier()
+	w.beginPlanner()
 	var err error
 	w.fleet, err = fleet.New(cfg.Fleet, base-cfg.Before, fleet.Observer{
 		Liveness: w.turned,
@@ -363,6 +368,9 @@
 			}
 		}
 		w.nodes = append(w.nodes, n)
+		if w.planner != nil {
+			w.planner.join(n)
+		}
 		n.proxy(func() { n.front.Start(n, w.list(logic.ListCached)) })
 	}
 	w.series.begin(w)
@@ -450,7 +458,7 @@
 // run carries out all that is due, in the order of time, until nobody waits for an answer any more.
 func (w *world) run() {
 	end := base + w.cfg.For
-	for w.clock.now < end || w.open > 0 {
+	for !w.stopped && (w.clock.now < end || w.open > 0) {
 		next := time.Duration(math.MaxInt64)
 		if at, ok := w.fleet.Next(); ok {
 			next = at
