--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -17,18 +17,20 @@
 	"havenproxy/internal/lab/report"
 	"havenproxy/internal/lab/scale"
 	"havenproxy/internal/lab/scale/analysis"
+	"havenproxy/internal/lab/scale/calculate"
 )
 
 // scaleOptions are the flags of `havenlab scale`.
 type scaleOptions struct {
 	scale.Config
-	sizes    []string
-	vary     []string
-	memory   float64 // GB
-	timeout  time.Duration
-	trial    bool
-	jsonPath string
-	pagePath string
+	sizes     []string
+	vary      []string
+	memory    float64 // GB
+	timeout   time.Duration
+	trial     bool
+	calculate bool
+	jsonPath  string
+	pagePath  string
 }
 
 // errBudget marks a run in which a budget is broken.
@@ -61,6 +63,7 @@
 	f.DurationVar(&o.timeout, "timeout", 30*time.Minute, "bound on the whole run; what was measured until then is still printed")
 	f.BoolVar(&o.CountsOnly, "virtual", false, "messages and bytes only, which are the same every run")
 	f.BoolVar(&o.trial, "trial", false, "call the figures trials")
+	f.BoolVar(&o.calculate, "calculate", false, "run nothing: print what follows for the target from settings and the lengths of messages")
 	f.StringVar(&o.jsonPath, "json", "", "write the run with its report to this file")
 	f.StringVar(&o.pagePath, "page", "", "write a Markdown page to this file, with plots beside it")
 	return c
@@ -98,6 +101,9 @@
 	}
 	quiet()
 	out := c.OutOrStdout()
+	if o.calculate {
+		return calculate.WriteMarkdown(out, calculate.Target())
+	}
 	o.Variant, o.Memory, o.Until = "all", int64(o.memory*1e9), time.Now().Add(o.timeout)
 	if o.Memory > 0 {
 		debug.SetMemoryLimit(o.Memory)
--- a/internal/lab/scale/analysis/api.go
+++ b/internal/lab/scale/analysis/api.go
@@ -5,26 +5,8 @@
 // squares against the number of proxies and the number of databases (N. Draper and H. Smith, "Applied Regression Analysis",
 // 3rd edition, 1998, chapters 1 and 3), so a figure at the target size has a slope, an interval and residuals behind it.
 //
-// The flags that the runner is to offer, with units and defaults (docs/operators/scale.md agrees with this list):
-//
-//	--sizes LIST       proxies x databases, such as 50x80,100x160,200x320,400x640,820x1300; 50x80
-//	--vary WHAT        both (databases in proportion to proxies), proxies (databases fixed) or databases (proxies fixed); both
-//	--for DURATION     measured time of each size, after its start has settled; 10s
-//	--settle DURATION  time from the last start of a size until it is measured; 5s
-//	--rate N           requests a second that each hollow proxy makes inside itself; 500
-//	--peers N          facts in a datagram between proxies, 31 at most; 0 (proxies don't talk)
-//	--seed N           of fleet, traffic and events; 1
-//	--events LIST      rolling-restart, dead-machines, rack, zone, regions-parted, primary-crash, policy-changes,
-//	                   discovery-away; or all; none
-//	--event-size PxD   the size at which events are run; the largest of --sizes
-//	--variant NAME     which health checking: all (every proxy checks every database) or subset (shared checks, where built); all
-//	--memory N         most memory of all processes together, in GB; 12
-//	--processes N      most processes; 300
-//	--timeout DURATION bound on the whole run; what was measured until then is still printed; 30m
-//	--virtual          messages and bytes only, which are the same every run; off
-//	--calculate        print what is calculated for the target (package calculate), and run nothing; off
-//	--json FILE        the Report, with the Run in it
-//	--page FILE        the Markdown page, with plots beside it as SVG
+// The flags of `havenlab scale` are in docs/operators/scale.md. Those for events, --events LIST and --event-size PxD, are yet to be
+// offered by the runner; LIST is all, or some of Events.
 //
 // The exit code is 0 where every budget that was measured is kept, 1 where one is broken, and 2 for flags that make no sense and
 // for a run that is refused because it would go over memory, processes, descriptors or ports.
--- a/internal/lab/scale/analysis/fit.go
+++ b/internal/lab/scale/analysis/fit.go
@@ -152,24 +152,26 @@
 	return value, low, high, ok
 }
 
-// shapeOf names the shape whose exponents alone an interval reaches.
+// widestShape is how far the interval of an exponent may reach from 0, 1 or 2 and still be named for it: a square root's growth must not
+// pass for constant.
+const widestShape = 0.5
+
+// shapeOf names the shape that an interval of exponents shows.
 func shapeOf(low, high float64) Shape {
-	holds := func(exponent float64) bool {
-		return low <= exponent+shapeTolerance && high >= exponent-shapeTolerance
+	near := func(exponent float64) bool {
+		reaches := low <= exponent+shapeTolerance && high >= exponent-shapeTolerance
+		return reaches && low > exponent-widestShape && high < exponent+widestShape
 	}
-	constant, linear, quadratic := holds(0), holds(1), holds(2)
 	switch {
-	case constant && linear, linear && quadratic:
-		return ShapeUnclear
-	case constant:
+	case near(0):
 		return ShapeConstant
-	case linear:
+	case near(1):
 		return ShapeLinear
-	case quadratic:
+	case near(2):
 		return ShapeQuadratic
-	case low > 0 && high < 1:
+	case low > shapeTolerance && high < 1-shapeTolerance:
 		return ShapeSublinear
-	case low > 1:
+	case low > 1+shapeTolerance:
 		return ShapeSuperlinear
 	}
 	return ShapeUnclear
--- a/internal/lab/scale/analysis/fit_test.go
+++ b/internal/lab/scale/analysis/fit_test.go
@@ -97,6 +97,11 @@
 			t.Errorf("%v: %s was named (exponent %.2f), %s was expected", y, p.Shape, p.Slope, c.want)
 		}
 	}
+	for _, c := range []struct{ low, high float64 }{{-0.04, 0.71}, {0.3, 0.9}, {0.4, 1.2}, {0.9, 1.6}, {-1, 3}} {
+		if shape := shapeOf(c.low, c.high); shape != ShapeUnclear {
+			t.Errorf("exponents %v to %v were named %s", c.low, c.high, shape)
+		}
+	}
 	if p := FitPower(x, []float64{1, 90, 2, 300, 9}); p.Shape != ShapeUnclear {
 		t.Errorf("noise was named %s", p.Shape)
 	}
