--- a/internal/lab/virtual/tier.go
+++ b/internal/lab/virtual/tier.go
@@ -29,6 +29,8 @@
 	Mutes  []Mute
 	Splits []Split
 	Stops  []Stop
+
+	Planners *Planners // nil = proxies take requests without a lease
 }
 
 // Mute is a time in which peers don't hear each other.
@@ -86,6 +88,7 @@
 	w, t := n.w, n.w.tier
 	w.res.Messages++
 	w.res.MessageBytes += uint64(len(message))
+	n.count(noDatabase, PeerMessage, Sent, len(message))
 	text := append([]byte(nil), message...)
 	start := t.rng.IntN(len(w.nodes)) // receivers change buckets: nobody is always the last to hear
 	for b := range t.buckets {
@@ -118,8 +121,9 @@
 		return
 	}
 	if n.w.cfg.Clocked {
-		defer n.w.clocked(time.Now(), &n.w.res.InPeers)
+		defer n.clocked(time.Now(), ControlWork, &n.w.res.InPeers)
 	}
+	n.count(noDatabase, PeerMessage, Received, len(text))
 	n.front.HeardPeer(text)
 	n.arm()
 }
@@ -213,6 +217,9 @@
 	n.dead, n.leaving = true, false
 	n.life++
 	w.res.Stopped++
+	if n.link != nil {
+		n.link.leave()
+	}
 	n.inbox = nil
 	for _, list := range w.watched {
 		for _, r := range list {
@@ -233,6 +240,9 @@
 func (n *node) start(known state.List) {
 	n.dead, n.watch = false, false
 	n.front = n.w.front(n)
+	if n.w.planner != nil {
+		n.w.planner.join(n)
+	}
 	n.proxy(func() { n.front.Start(n, known) })
 }
 
