Report the bound addresses to a parent process that asks, and log them all

Cause: a parent could only guess a free port for each listener and poll one of them; with port 0 nothing told it which port was bound.

Change: HAVEN_ENDPOINTS_FD names an inherited descriptor to which proxy and planner write one JSON object with all bound addresses once every listener is open (package endpoints); off without it. The line "started" bears mysql, admin and peers beside listen. MySQLAddress told nothing where the PostgreSQL socket was inherited (EDGE_ACCEPT_FD), and that socket's address later; it is the MySQL listener's now. Two tests in internal/net used a port that they had closed as one that refuses; they use port 1.

Loss: a descriptor that can't be written ends the process at its start.

--- a/internal/cli/plan/plan.go
+++ b/internal/cli/plan/plan.go
@@ -14,6 +14,7 @@
 
 	"github.com/spf13/cobra"
 
+	"havenproxy/internal/endpoints"
 	"havenproxy/internal/planner"
 )
 
@@ -60,6 +61,9 @@
 			if err != nil {
 				return err
 			}
+			if err := (endpoints.Endpoints{Planner: p.Address()}).Report(); err != nil {
+				return err
+			}
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
 			return p.Run(ctx)
--- a/internal/net/mysql_login.go
+++ b/internal/net/mysql_login.go
@@ -24,17 +24,21 @@
 func (s *Server) ListenMySQL(address string, o *MySQLOptions) error {
 	front := &mysqlFront{options: o, cached: map[string]fullLogin{}, guard: logins.New(logins.Config{}),
 		shapes: prepared.NewShapes(keptShapes, shapeRoom, shapeKeep), room: prepared.NewRoom(maxAllTexts), checking: make(chan struct{}, 1)}
-	return s.listen(address, func() speaker {
+	err := s.listen(address, func() speaker {
 		return &mysqlSpeaker{front: front, share: front.room.Share(maxStatements, maxTexts), statements: map[uint32]*mysqlStatement{}}
 	})
+	if err == nil {
+		s.mysql = s.listeners[len(s.listeners)-1]
+	}
+	return err
 }
 
 // MySQLAddress tells where MySQL's clients are listened for; empty = nowhere.
 func (s *Server) MySQLAddress() string {
-	if len(s.listeners) < 2 {
+	if s.mysql == nil {
 		return ""
 	}
-	return s.listeners[len(s.listeners)-1].Addr().String()
+	return s.mysql.Addr().String()
 }
 
 // mysqlFront is what all MySQL clients share.
--- a/internal/net/refused_test.go
+++ b/internal/net/refused_test.go
@@ -19,12 +19,7 @@
 
 // A dial to an address where nothing listens is told as refused, which is evidence; one that is taken and ended is not.
 func TestARefusedDialIsTold(t *testing.T) {
-	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	closed := ln.Addr().String()
-	ln.Close()
+	const closed = "127.0.0.1:1" // a reserved port on which nothing listens
 	ends := listen(t, func(stdnet.Conn) {})
 	_, front, loop := proxy(t, closed, 4, 4)
 	for address, want := range map[string]string{closed: "refused", ends: "down"} {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -42,6 +42,7 @@
 	deadlines *state.Deadlines
 	front     *state.Front
 	listeners []*listener
+	mysql     *listener // the one of them for MySQL's clients; nil = there is none
 
 	open        atomic.Int64 // connections that were accepted and not closed yet
 	clients     map[*client]struct{}
--- a/internal/net/work_test.go
+++ b/internal/net/work_test.go
@@ -170,12 +170,7 @@
 // What waits for a link that can't be made is bounded, and the book hears that its keepers can't be reached: the class's say counts at once.
 func TestWorkWithoutLinksIsBounded(t *testing.T) {
 	loop, list, seats := workers(t, 1)
-	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	dead := ln.Addr().String()
-	ln.Close()
+	const dead = "127.0.0.1:1" // a reserved port on which nothing listens
 	seats.Version, seats.Seats = 2, append(seats.Seats, rollout.Seat{Member: 2, Address: dead}, rollout.Seat{Member: 3, Address: dead})
 	x := list[0]
 	on(loop, func() { x.Tier(1, seats, 2*time.Second) })
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -94,9 +94,9 @@
 	if own.Tier != nil {
 		p.join(own, cfg)
 	}
-	slog.Info("started", "name", cfg.Name, "listen", p.listens(cfg), "discovery", cfg.Discovery,
-		"databases", len(cfg.Known.Instances),
-		"operator", o.Operator)
+	if err := p.reportStart(cfg, o.Operator); err != nil {
+		return err
+	}
 	go p.signals(caught, path, o.Operator)
 	p.loop.Run()
 	if p.failed != nil {
@@ -110,14 +110,6 @@
 	return nil
 }
 
-// listens tells where clients connect.
-func (p *proxy) listens(cfg settings.Config) string {
-	if p.accept > 0 {
-		return cfg.Listen
-	}
-	return p.server.Address()
-}
-
 func readConfig(path string) (settings.Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -288,9 +280,10 @@
 
 	text      []byte // the configuration at the start
 	admin     *net.Admin
-	accept    int   // the descriptor of a socket that listens already; 0 = there is none
-	failed    error // why it could not go on
-	serving   bool  // it can serve, and has been able to
+	peers     *net.Peers // nil = it doesn't talk with peers
+	accept    int        // the descriptor of a socket that listens already; 0 = there is none
+	failed    error      // why it could not go on
+	serving   bool       // it can serve, and has been able to
 	startedAt time.Duration
 	settling  state.Deadline
 
@@ -370,6 +363,7 @@
 		if err != nil { // the address is taken: all works without, if with more pings
 			slog.Warn("no talk with peers", "error", err)
 		} else {
+			p.peers = peers
 			p.front.Peers(peers)
 		}
 	}
