Keep the port of a stand-in database while its process is down

Cause: a database that dies closed its listener and listened again on the same port later; any program could take the port meanwhile.

Change: a socket that is bound and never listens holds the port for as long as the world lives; the listener shares it by SO_REUSEPORT, so that connections to a dead database are still refused.

--- a/internal/lab/standin/postgres.go
+++ b/internal/lab/standin/postgres.go
@@ -21,6 +21,7 @@
 	w       *World
 	id      int
 	address string
+	port    *reservedPort // its address, also while it is down
 	ln      net.Listener
 	conns   map[*session]struct{}
 }
@@ -34,12 +35,12 @@
 	out  []byte
 }
 
-func (db *database) listen(address string) error {
-	ln, err := net.Listen("tcp", address)
+func (db *database) listen() error {
+	ln, err := db.port.listen()
 	if err != nil {
 		return err
 	}
-	db.ln, db.address = ln, ln.Addr().String()
+	db.ln = ln
 	db.w.done.Add(1)
 	go db.accept(ln)
 	return nil
@@ -52,7 +53,7 @@
 		db.shut()
 	case fleet.Up:
 		if db.ln == nil {
-			if err := db.listen(db.address); err != nil {
+			if err := db.listen(); err != nil {
 				db.w.warn("can't listen again", err)
 			}
 		}
--- a/internal/lab/standin/world.go
+++ b/internal/lab/standin/world.go
@@ -61,12 +61,17 @@
 		return nil, err
 	}
 	for _, m := range w.fleet.Members() {
-		db := &database{w: w, id: m.ID, conns: map[*session]struct{}{}}
-		if err := db.listen("127.0.0.1:0"); err != nil {
+		port, err := reservePort()
+		if err != nil {
 			w.Close()
 			return nil, err
 		}
+		db := &database{w: w, id: m.ID, port: port, address: port.address, conns: map[*session]struct{}{}}
 		w.databases = append(w.databases, db)
+		if err := db.listen(); err != nil {
+			w.Close()
+			return nil, err
+		}
 	}
 	if w.list, err = newLister(w, nil); err != nil {
 		w.Close()
@@ -143,6 +148,7 @@
 	w.mu.Lock()
 	for _, db := range w.databases {
 		db.shut()
+		db.port.release()
 	}
 	w.mu.Unlock()
 	if w.list != nil {
