Let the bench wait for every listener and guess no ports

Cause: launch polled the PostgreSQL address alone, and the program opens its MySQL listener behind it. With MySQL's listener held back by a probe, Start returned, four writes were refused within 0.15 ms, and the program ended in good order: this is what TestARepeatedWriteOverMySQL showed.

Change: Start lets the program choose its ports and waits for its report of all listeners. FreePort and the restarts for ports that were taken are gone. In the tier's bench a process has a new port after each start; relays, whose ports are the bench's to the end, follow it, and lead nowhere while it is down.

A process that ends by itself is led to until the bench has seen its end.

--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -70,9 +70,7 @@
 				return fmt.Errorf("%w: %w", ErrUsage, err)
 			}
 			defer w.Close()
-			if o.Seed = seed; mysql {
-				o.MySQL = "free"
-			}
+			o.Seed, o.MySQL = seed, mysql
 			if verbose {
 				o.Log = c.ErrOrStderr()
 			}
--- a/internal/lab/command/repeat_test.go
+++ b/internal/lab/command/repeat_test.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p, err := launch.Start(context.Background(), w, cfg, launch.Options{Binary: binary, MySQL: "free"})
+		p, err := launch.Start(context.Background(), w, cfg, launch.Options{Binary: binary, MySQL: true})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -8,8 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,6 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"havenproxy/internal/endpoints"
 	"havenproxy/internal/lab/fleet"
 	"havenproxy/internal/lab/standin"
 	"havenproxy/logic"
@@ -28,9 +27,9 @@
 // Options say how the program is started.
 type Options struct {
 	Binary   string // the program; empty = havenproxy beside this one
-	Listen   string // 127.0.0.1:0 where empty
+	Listen   string // empty = a free port on 127.0.0.1
 	Operator string // an operator's file, if any
-	MySQL    string // where it listens for MySQL's clients; empty = it doesn't; "free" = on a free port
+	MySQL    bool   // it listens for MySQL's clients too, on a free port
 	MemoryMB int    // 192
 	Sockets  int    // 1024
 	Pin      int    // the one CPU that the program may use, counted from 1; 0 = any
@@ -109,115 +108,119 @@
 	return path, nil
 }
 
-// Ports for programs are taken from below those that the kernel gives to connections: one of those could take a port
-// between the look and the program's listening.
-const lowPort, ports = 20000, 12000
+// anyPort lets the program choose a free port, which it reports.
+const anyPort = "127.0.0.1:0"
 
-// FreePort finds a port that nobody listens on now. The program can't tell a port that it chose itself.
-func FreePort() (string, error) {
-	var err error
-	for range 50 {
-		address := fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(ports))
-		var ln net.Listener
-		if ln, err = net.Listen("tcp", address); err == nil {
-			return address, ln.Close()
-		}
+// Start runs the program before a world and waits until all its listeners are open.
+func Start(ctx context.Context, w *standin.World, cfg fleet.Config, o Options) (*Proxy, error) {
+	o, err := o.withDefaults()
+	if err != nil {
+		return nil, err
 	}
-	return "", err
-}
-
-// Start runs the program before a world and waits until it serves. Another program may take a port that was free at the
-// look: then it is started once more, on others.
-func Start(ctx context.Context, w *standin.World, cfg fleet.Config, o Options) (p *Proxy, err error) {
-	for range 5 {
-		if p, err = start(ctx, w, cfg, o); err == nil || o.Listen != "" && o.MySQL != "free" || !strings.Contains(err.Error(), "address already in use") {
-			break
-		}
+	dir, err := os.MkdirTemp("", "havenlab")
+	if err != nil {
+		return nil, err
+	}
+	p, err := startIn(ctx, dir, w, cfg, o)
+	if err != nil {
+		os.RemoveAll(dir)
+		return nil, err
 	}
-	return p, err
+	return p, nil
 }
 
-func start(ctx context.Context, w *standin.World, cfg fleet.Config, o Options) (*Proxy, error) {
-	var err error
+func (o Options) withDefaults() (Options, error) {
 	if o.Binary == "" {
-		if o.Binary, err = Beside("havenproxy"); err != nil {
-			return nil, err
+		binary, err := Beside("havenproxy")
+		if err != nil {
+			return o, err
 		}
+		o.Binary = binary
 	}
-	if o.Listen == "" {
-		if o.Listen, err = FreePort(); err != nil {
-			return nil, err
-		}
-	}
-	if o.MemoryMB == 0 {
-		o.MemoryMB = 192
-	}
-	if o.Sockets == 0 {
-		o.Sockets = 1024
-	}
+	o.Listen = cmp.Or(o.Listen, anyPort)
+	o.MemoryMB = cmp.Or(o.MemoryMB, 192)
+	o.Sockets = cmp.Or(o.Sockets, 1024)
+	return o, nil
+}
+
+// startIn starts the program with its files in a folder.
+func startIn(ctx context.Context, dir string, w *standin.World, cfg fleet.Config, o Options) (*Proxy, error) {
 	text, err := Config(w, cfg, o)
 	if err != nil {
 		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "havenlab")
-	if err != nil {
-		return nil, err
-	}
 	path := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
 	}
-	p := &Proxy{Address: o.Listen, ended: make(chan struct{}), dir: dir}
-	if o.MySQL != "" {
-		if o.MySQL == "free" {
-			if o.MySQL, err = FreePort(); err != nil {
-				return nil, err
-			}
-		}
-		if o.Operator, err = withMySQL(dir, o.Operator, o.MySQL); err != nil {
+	if o.MySQL {
+		if o.Operator, err = withMySQL(dir, o.Operator); err != nil {
 			return nil, err
 		}
-		p.MySQL = o.MySQL
 	}
-	p.cmd = exec.Command(o.Binary)
-	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_LISTEN="+o.Listen)
-	if o.Operator != "" {
-		p.cmd.Env = append(p.cmd.Env, "HAVEN_OPERATOR="+o.Operator)
-	}
-	if o.Cores > 0 {
-		p.cmd.Env = append(p.cmd.Env, fmt.Sprintf("GOMAXPROCS=%d", o.Cores))
-	}
-	// Ctrl-C on the terminal reaches the whole foreground group; the program is to be stopped by us, in order.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	p := &Proxy{ended: make(chan struct{}), dir: dir, cmd: command(path, o)}
 	var first bytes.Buffer
 	out := io.Writer(&first)
 	if o.Log != nil {
 		out = io.MultiWriter(o.Log, &first)
 	}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	report, err := RequestReport(p.cmd)
+	if err != nil {
+		return nil, err
+	}
 	if err := startPinned(p.cmd, o.Pin); err != nil {
+		report.Close()
 		return nil, err
 	}
 	go func() { p.err = p.cmd.Wait(); close(p.ended) }()
-	for {
-		conn, err := net.DialTimeout("tcp", o.Listen, time.Second)
-		if err == nil {
-			conn.Close()
-			return p, nil
-		}
-		select {
-		case <-p.ended:
-			return nil, fmt.Errorf("the proxy ended at its start: %v: %s", p.err, strings.TrimSpace(first.String()))
-		case <-ctx.Done():
-			p.Stop(time.Second)
-			return nil, ctx.Err()
-		case <-time.After(20 * time.Millisecond):
-		}
+	if err := p.await(ctx, report); errors.Is(err, ErrNoReport) {
+		<-p.ended
+		return nil, fmt.Errorf("%w: %v: %s", err, p.err, strings.TrimSpace(first.String()))
+	} else if err != nil {
+		p.Stop(time.Second)
+		return nil, err
+	}
+	return p, nil
+}
+
+// command makes the program's command line and environment.
+func command(config string, o Options) *exec.Cmd {
+	cmd := exec.Command(o.Binary)
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config, "EDGE_LISTEN="+o.Listen)
+	if o.Operator != "" {
+		cmd.Env = append(cmd.Env, "HAVEN_OPERATOR="+o.Operator)
+	}
+	if o.Cores > 0 {
+		cmd.Env = append(cmd.Env, fmt.Sprintf("GOMAXPROCS=%d", o.Cores))
+	}
+	// Ctrl-C on the terminal reaches the whole foreground group; the program is to be stopped by us, in order.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	return cmd
+}
+
+// await waits for the program's report and takes the addresses from it.
+func (p *Proxy) await(ctx context.Context, report *Report) error {
+	type result struct {
+		addresses endpoints.Endpoints
+		err       error
+	}
+	reported := make(chan result, 1)
+	go func() {
+		addresses, err := report.Read()
+		reported <- result{addresses, err}
+	}()
+	select {
+	case r := <-reported:
+		p.Address, p.MySQL = r.addresses.PostgreSQL, r.addresses.MySQL
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
 // withMySQL makes an operator's file that says what another one does, if any, and switches MySQL on.
-func withMySQL(dir, file, address string) (string, error) {
+func withMySQL(dir, file string) (string, error) {
 	var text []byte
 	if file != "" {
 		var err error
@@ -226,7 +229,7 @@
 		}
 	}
 	path := filepath.Join(dir, "operator.star")
-	return path, os.WriteFile(path, fmt.Appendf(text, "\nmysql(listen = %q)\n", address), 0o600)
+	return path, os.WriteFile(path, fmt.Appendf(text, "\nmysql(listen = %q)\n", anyPort), 0o600)
 }
 
 // startPinned starts a command on one CPU: a child inherits the mask of the thread that starts it.
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -68,9 +68,7 @@
 	if o.Cores == 0 {
 		o.Cores = s.Cores
 	}
-	if speaksMySQL {
-		o.MySQL = "free"
-	}
+	o.MySQL = speaksMySQL
 	p, err := launch.Start(ctx, w, cfg, o)
 	if err != nil {
 		return nil, err
--- a/internal/lab/tier/links.go
+++ b/internal/lab/tier/links.go
@@ -17,7 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/planner/client"
 	"havenproxy/internal/rollout"
 	"havenproxy/internal/wire/tier"
@@ -75,23 +74,26 @@
 		return c, err
 	}
 	defer os.RemoveAll(dir)
-	var addresses, named []string
-	for i := range l.Planners {
-		a, err := launch.FreePort()
-		if err != nil {
-			return c, err
-		}
-		addresses, named = append(addresses, a), append(named, fmt.Sprintf("%d=%s", i+1, a))
-	}
 	var planners []*Process
 	defer func() {
 		for _, p := range planners {
 			p.Kill()
 		}
 	}()
+	var all []*Process
+	var addresses, named []string
 	for i := range l.Planners {
-		args := []string{"plan", "--id", strconv.Itoa(i + 1), "--planners", strings.Join(named, ","), "--log", filepath.Join(dir, fmt.Sprint(i)), "--lease", l.Lease.String()}
-		p := &Process{Name: fmt.Sprint("planner", i+1), cmd: func() *exec.Cmd { return exec.Command(l.Binary, args...) }}
+		p, direct, err := newPlanner(i+1, dir)
+		if err != nil {
+			return c, err
+		}
+		defer direct.close()
+		all = append(all, p)
+		addresses, named = append(addresses, p.Address), append(named, fmt.Sprintf("%d=%s", i+1, p.Address))
+	}
+	for i, p := range all {
+		arguments := plannerArguments(i+1, named, p.disk, l.Lease)
+		p.cmd = func() *exec.Cmd { return exec.Command(l.Binary, arguments...) }
 		if err := p.start(); err != nil {
 			return c, err
 		}
@@ -108,6 +110,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	leading := all[leader-1].listens.get() // the links have no relay: what they cost is the planners' alone
 	slices.SortFunc(planners, func(a, b *Process) int {
 		if a.Name == fmt.Sprint("planner", leader) {
 			return -1
@@ -121,7 +124,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	for i := range l.Links {
-		conn, err := net.DialTimeout("tcp", addresses[leader-1], 5*time.Second)
+		conn, err := net.DialTimeout("tcp", leading, 5*time.Second)
 		if err != nil {
 			return c, err
 		}
--- a/internal/lab/tier/relay.go
+++ b/internal/lab/tier/relay.go
@@ -22,11 +22,31 @@
 	Reset   bool          // connections are reset, once
 }
 
+// target is the address that relays lead to. A process has another one after each start; while it has none, relays close what they accept.
+type target struct {
+	mu      sync.Mutex
+	address string
+}
+
+func fixedTarget(address string) *target { return &target{address: address} }
+
+func (t *target) get() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.address
+}
+
+func (t *target) set(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.address = address
+}
+
 // relay stands on a link between processes and passes what comes, or doesn't. Between processes of the tier it works on whole frames: to lose
 // a part of one would be to break the connection, which Reset does. On other links, to databases, the list and clients, it passes bytes.
 type relay struct {
 	listener net.Listener
-	to       string
+	to       *target
 	raw      bool
 
 	mu      sync.Mutex
@@ -35,7 +55,7 @@
 	conns   map[net.Conn]bool
 }
 
-func newRelay(to string, seed uint64, raw bool) (*relay, error) {
+func newRelay(to *target, seed uint64, raw bool) (*relay, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -117,7 +137,11 @@
 			for r.now().Cut { // it is up as far as the kernel goes, and says nothing
 				time.Sleep(20 * time.Millisecond)
 			}
-			out, err := net.DialTimeout("tcp", r.to, time.Second)
+			to := r.to.get()
+			if to == "" {
+				return
+			}
+			out, err := net.DialTimeout("tcp", to, time.Second)
 			if err != nil {
 				return
 			}
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -286,23 +286,7 @@
 	log := &launch.Lines{}
 	b := started(t, Config{Proxies: 1, Planners: 1, Lease: 2 * time.Second, Log: log})
 	first := b.Proxies[0]
-	address, err := launch.FreePort()
-	if err != nil {
-		t.Fatal(err)
-	}
-	text, err := os.ReadFile(b.Configuration())
-	if err != nil {
-		t.Fatal(err)
-	}
-	config, err := b.File("again.json", strings.Replace(string(text), first.Address, address, 1))
-	if err != nil {
-		t.Fatal(err)
-	}
-	second := &Process{Name: "again", Address: address, out: log, cmd: func() *exec.Cmd {
-		c := first.cmd()
-		c.Env = append(c.Env, "EDGE_CONFIG="+config)
-		return c
-	}}
+	second := &Process{Name: "again", out: log, cmd: first.cmd} // the program chooses its port
 	if err := second.Start(); err != nil {
 		t.Fatal(err)
 	}
