--- a/internal/net/pieces_test.go
+++ b/internal/net/pieces_test.go
@@ -1,7 +1,9 @@
 package net
 
 import (
+	"fmt"
 	stdnet "net"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +56,40 @@
 	}
 }
 
+// A client sends many commands at once, more than may be under way, and the server ends in the middle of them: all are answered, in order,
+// and the connection ends behind the last.
+func TestCommandsSentAtOnceOutlastTheClose(t *testing.T) {
+	const commands = 5 * maxPipelined
+	answer := make(chan bool)
+	s, _, loop := proxy(t, member(t, func(conn stdnet.Conn, text string) bool {
+		<-answer
+		return echo(conn, text)
+	}), 8, 1)
+	p := dial(t, s)
+	in := pg.AppendStartup(nil, "client", "core")
+	for i := range commands {
+		in = pg.AppendQuery(in, query(fmt.Sprint(i)))
+	}
+	p.conn.Write(in)
+	p.said(len(welcome))
+	until(loop, func() bool { return s.front.Counters.Taken == maxPipelined })
+	onLoop(loop, func() bool {
+		s.Drain()
+		return s.Drained()
+	})
+	close(answer)
+	for i := range commands {
+		types, bodies := p.said(3)
+		if types != "DCZ" || !strings.Contains(bodies[0], fmt.Sprintf("'%d'", i)) {
+			t.Fatalf("to command %d came %q, %q", i, types, bodies)
+		}
+	}
+	until(loop, s.Drained)
+	if types, _ := p.said(1); types != "!" {
+		t.Errorf("%q where the connection was to end", types)
+	}
+}
+
 // The time that an attempt tells its database is what is left to the client when it is written, for a further attempt too: what the attempt
 // before it and the wait for a connection have taken is no more in it.
 func TestTheTimeToldToADatabaseIsWhatIsLeft(t *testing.T) {
--- a/internal/run/ending_test.go
+++ b/internal/run/ending_test.go
@@ -160,6 +160,27 @@
 	}
 }
 
+// Many commands of one client stand in its buffer at the end, more than may be under way, to a database that hangs: each has its answer.
+func TestTheEndAnswersCommandsSentAtOnce(t *testing.T) {
+	const commands = 100
+	address, asked := hung(t)
+	p, ended := beginSlow(t, address)
+	var all [][]byte
+	for i := range commands {
+		all = append(all, ask(fmt.Sprint(i)))
+	}
+	conn := p.connect(t, all...)
+	wait(t, asked)
+	p.onLoop(p.stop)
+	p.skip(lastClients)
+	p.skip(p.patience + answerMargin)
+	got, err := io.ReadAll(conn)
+	if n := bytes.Count(got, []byte("SERROR\x00")); err != nil || n != commands {
+		t.Errorf("%d of %d commands were answered, error %v", n, commands, err)
+	}
+	<-ended
+}
+
 // What is taken behind the signal has no more time than the process has, so that no attempt waits past its end.
 func TestNoRequestOutlastsTheEnd(t *testing.T) {
 	address, asked := hung(t)
