--- a/internal/state/ending_test.go
+++ b/internal/state/ending_test.go
@@ -59,6 +59,25 @@
 	b.want(outcome(logic.Moot, true), outcome(logic.OK, true))
 }
 
+// A connection in the making, whose attempt has gone out on one that an answer freed, serves the next attempt where no other may be opened.
+func TestAConnectionInTheMakingServesWhoFindsNoRoom(t *testing.T) {
+	b := newBench(t, 2)
+	b.take(&caller{})
+	b.take(&caller{})
+	b.conns[0].to.Up()
+	b.conns[0].to.Reply(Reply{Result: logic.OK}) // it takes the second attempt
+	third := &caller{}
+	b.told = nil
+	b.take(third)
+	b.want("request") // and no outcome: it waits
+	b.conns[1].to.Up()
+	if b.conns[0].sent != 2 || b.conns[1].sent != 1 || len(b.conns) != 2 {
+		t.Errorf("%d and %d requests were written, over %d connections", b.conns[0].sent, b.conns[1].sent, len(b.conns))
+	}
+	b.conns[1].to.Reply(Reply{Result: logic.OK})
+	third.want(t, "served ")
+}
+
 // At the end all that is owed an answer has it at once, the requests that the router has not been told of as well.
 func TestEndAllAnswersAll(t *testing.T) {
 	b := newBench(t, 9)
