--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -10,7 +10,8 @@
 	"havenproxy/logic"
 )
 
-// Fleet is the model. It is not safe for concurrent use; times must not go back.
+// Fleet models replicated databases as events on a clock that its callers advance. It is not safe for concurrent use; times must
+// not decrease from call to call.
 type Fleet struct {
 	cfg     Config
 	rng     *rand.Rand
@@ -20,10 +21,10 @@
 	members []*Member
 	groups  []*group
 
-	list      []Entry // as told
+	list      []Entry // as discovery shows it
 	listGen   int64
-	listStill time.Duration // no news before
-	listDown  time.Duration // errors until then
+	listStill time.Duration // changes are published from this time on
+	listDown  time.Duration // discovery is unavailable before this time
 }
 
 // Member is one database.
@@ -261,7 +262,7 @@
 	done(m.report)
 }
 
-// List gives the list as its service tells it, its generation, and whether the service answers at all.
+// List returns the members as discovery shows them, the generation of that list, and whether discovery is available.
 func (f *Fleet) List(now time.Duration) (entries []Entry, generation int64, ok bool) {
 	f.Advance(now)
 	return append([]Entry(nil), f.list...), f.listGen, now >= f.listDown
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -12,8 +12,8 @@
 	"havenproxy/internal/state"
 )
 
-// Loop is the goroutine that owns the router and all connections' state. netpoll's poller reads the sockets and
-// hands its callbacks over, so that they come one at a time.
+// Loop is an event loop: one goroutine, in Run, that owns the router and the state of all connections. netpoll's poller
+// reads the sockets and posts its callbacks to the loop, so that they run one at a time.
 type Loop struct {
 	clock     state.Clock
 	deadlines *state.Deadlines
@@ -26,7 +26,8 @@
 	waited uint64 // how often it was
 }
 
-// NewLoop makes a loop and lets netpoll run its callbacks there.
+// NewLoop returns a loop that is not running yet, and makes netpoll post its callbacks to it. netpoll has one runner in a process, so
+// the newest loop receives the callbacks.
 func NewLoop(clock state.Clock, deadlines *state.Deadlines) *Loop {
 	l := &Loop{clock: clock, deadlines: deadlines, wake: make(chan struct{}, 1)}
 	useRunner(func(_ context.Context, callback func()) { l.Post(callback) })
@@ -40,7 +41,7 @@
 	}
 }
 
-// Post lets f run on the loop, from any goroutine.
+// Post queues f to run on the loop. It may be called from any goroutine and does not wait for f.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
 	l.queue = append(l.queue, f)
@@ -51,7 +52,7 @@
 	}
 }
 
-// Run runs the loop until Stop.
+// Run runs posted functions and due deadlines until Stop is called.
 func (l *Loop) Run() {
 	timer := time.NewTimer(time.Hour)
 	var work []func()
@@ -77,7 +78,7 @@
 	}
 }
 
-// Stop ends Run; it is called on the loop.
+// Stop makes Run return. It must be called on the loop.
 func (l *Loop) Stop() { l.stop = true }
 
 // buffer is the one buffer of a connection for what comes in. It grows as it needs; what is left behind the
--- a/internal/operator/star/star.go
+++ b/internal/operator/star/star.go
@@ -1,7 +1,8 @@
-// Package star reads a Starlark file that describes something by calls, such as level("busy", dwell = "5s"), into
-// typed values. It tells all that is wrong with a file at once, each with file:line:column, names the nearest known
-// word for an unknown one, and bounds what a file may cost: Starlark has no recursion and no endless loops, its steps
-// are counted, and nothing is loaded from elsewhere. What the calls mean is the business of the packages that use it.
+// Package star evaluates Starlark configuration files that consist of function calls, such as
+// level("busy", dwell = "5s"), and reads the calls' arguments into typed values. It reports all errors of a file at
+// once, each with file:line:column, and suggests the nearest known name for an unknown one. The cost of a file is
+// bounded by its size and by the number of execution steps; load statements are not available. The functions
+// themselves are defined by the packages that use this one.
 package star
 
 import (
@@ -19,16 +20,16 @@
 	"go.starlark.net/syntax"
 )
 
-// MaxSteps bounds the execution of a file; a large one takes some thousand.
+// MaxSteps is the largest number of Starlark steps that the execution of a file may take; a large file takes some thousand.
 const MaxSteps = 1_000_000
 
-// MaxSize bounds a file, in bytes.
+// MaxSize is the largest size of a file, in bytes.
 const MaxSize = 1 << 20
 
-// Errors are all that is wrong with a file, in its order.
+// Errors holds all errors of a file, ordered by position.
 type Errors []Error
 
-// Error is one thing that is wrong, with its place.
+// Error is one error of a file, with its position.
 type Error struct {
 	Pos  syntax.Position
 	Text string
@@ -46,7 +47,7 @@
 	return strings.Join(lines, "\n")
 }
 
-// Func is a word of a file: what a call of it does. What it gives is the call's value in the file; nil = None.
+// Func implements a function that files can call. Its result is the value of the call in the file; nil stands for None.
 type Func func(*Call) starlark.Value
 
 type file struct {
@@ -58,8 +59,9 @@
 
 var options = &syntax.FileOptions{Set: true, TopLevelControl: true, GlobalReassign: false}
 
-// Exec runs a file with the words that it may use. finish, if any, runs behind a file that came to its end: it checks
-// what only the whole file tells, by the calls that it kept. The error, if any, is an Errors.
+// Exec evaluates the file src, which may call the functions in words by their names; name is the file's name in errors.
+// If finish isn't nil, it runs after a file that was evaluated to its end, for checks that span several calls. An error
+// that Exec returns is of type Errors.
 func Exec(name string, src []byte, words map[string]Func, finish func()) error {
 	if len(src) > MaxSize {
 		return Errors{{syntax.MakePosition(&name, 1, 1), fmt.Sprintf("%d bytes, %d at most", len(src), MaxSize)}}
@@ -108,7 +110,7 @@
 	return nil
 }
 
-// fail adds what ended the run to what was found before.
+// fail appends the error that ended the evaluation to those found before, and returns all.
 func (f *file) fail(name string, err error) Errors {
 	var syn syntax.Error
 	var res resolve.ErrorList
@@ -134,8 +136,8 @@
 	return f.errs
 }
 
-// Call is one call of a word. Its methods take out arguments, each with its default where it is absent, and note what
-// is wrong with them; the caller goes on, so that all errors of a file are found in one run.
+// Call is one call of a function in a file. Its methods return arguments by name, or a default where an argument is
+// absent or invalid. They record errors rather than return them, so that one evaluation finds all errors of a file.
 type Call struct {
 	Word string
 	Pos  syntax.Position
@@ -159,7 +161,7 @@
 	return c
 }
 
-// Errorf notes an error at an argument; an empty name stands for the call.
+// Errorf records an error at the position of the argument arg, or of the call where arg is empty or not given by name.
 func (c *Call) Errorf(arg, format string, a ...any) {
 	pos := c.Pos
 	if c.expr != nil {
@@ -175,7 +177,7 @@
 	c.f.errs = append(c.f.errs, Error{pos, fmt.Sprintf(format, a...)})
 }
 
-// First takes the next positional argument as a string, or the one of that name.
+// First returns the next positional argument as a string, or the argument of that name. A missing or empty one is an error.
 func (c *Call) First(name string) string {
 	if c.next < len(c.pos) {
 		v := c.pos[c.next]
@@ -194,19 +196,19 @@
 	return s
 }
 
-// Rewind lets the positional arguments be taken once more.
+// Rewind makes First start again at the first positional argument.
 func (c *Call) Rewind() { c.next = 0 }
 
-// Has tells whether an argument is there.
+// Has reports whether the call has an argument of that name.
 func (c *Call) Has(name string) bool { _, ok := c.args[name]; return ok }
 
-// Value takes an argument as it is; nil = absent.
+// Value returns an argument unconverted, or nil if it is absent.
 func (c *Call) Value(name string) starlark.Value {
 	c.used[name] = true
 	return c.args[name]
 }
 
-// String takes a string.
+// String returns a string argument.
 func (c *Call) String(name, otherwise string) string {
 	v := c.Value(name)
 	if v == nil {
@@ -220,7 +222,7 @@
 	return s
 }
 
-// Choice takes one of several words.
+// Choice returns a string argument that has to be one of words.
 func (c *Call) Choice(name, otherwise string, words ...string) string {
 	s := c.String(name, otherwise)
 	if !c.Among(name, s, words) {
@@ -229,7 +231,7 @@
 	return s
 }
 
-// Among complains of a word that is none of those known.
+// Among reports whether word is one of words, and records an error at the argument name if it isn't.
 func (c *Call) Among(name, word string, words []string) bool {
 	if slices.Contains(words, word) {
 		return true
@@ -238,7 +240,7 @@
 	return false
 }
 
-// Bool takes True or False.
+// Bool returns an argument that is True or False.
 func (c *Call) Bool(name string, otherwise bool) bool {
 	v := c.Value(name)
 	if v == nil {
@@ -252,7 +254,7 @@
 	return bool(b)
 }
 
-// Int takes a whole number.
+// Int returns an integer argument in the range from least to most.
 func (c *Call) Int(name string, otherwise, least, most int) int {
 	v := c.Value(name)
 	if v == nil {
@@ -266,7 +268,7 @@
 	return n
 }
 
-// Float takes a number.
+// Float returns a number argument in the range from least to most.
 func (c *Call) Float(name string, otherwise, least, most float64) float64 {
 	v := c.Value(name)
 	if v == nil {
@@ -279,7 +281,7 @@
 	return n
 }
 
-// Number reads a number that stands somewhere in an argument.
+// Number converts v, a part of the argument name, to a number in the range from least to most, and reports whether it is one.
 func (c *Call) Number(name string, v starlark.Value, least, most float64) (float64, bool) {
 	n, ok := starlark.AsFloat(v)
 	if _, isBool := v.(starlark.Bool); isBool || !ok || !(n >= least && n <= most) {
@@ -296,7 +298,8 @@
 	return strconv.FormatFloat(x, 'g', -1, 64)
 }
 
-// Duration takes a length of time: a string with a unit, or a number under a name that ends in _ms or _s.
+// Duration returns a duration in the range from least to most. The argument is a string with a unit under the name itself,
+// or a number under the name with the suffix _ms or _s.
 func (c *Call) Duration(name string, otherwise, least, most time.Duration) time.Duration {
 	found, at := otherwise, ""
 	for _, form := range []struct {
@@ -334,7 +337,7 @@
 	return found
 }
 
-// Span reads a length of time that stands somewhere in an argument, such as "300ms".
+// Span converts v, a part of the argument name, to a duration, and reports whether it is one, such as "300ms".
 func (c *Call) Span(name string, v starlark.Value) (time.Duration, bool) {
 	s, ok := starlark.AsString(v)
 	d, err := time.ParseDuration(s)
@@ -345,7 +348,7 @@
 	return d, true
 }
 
-// Table takes a dictionary with strings as keys, in its order.
+// Table calls each for the entries of a dictionary with string keys, in the dictionary's order.
 func (c *Call) Table(name string, each func(key string, v starlark.Value)) {
 	v := c.Value(name)
 	if v == nil {
@@ -366,7 +369,7 @@
 	}
 }
 
-// List takes a list.
+// List calls each for the elements of a list, in order.
 func (c *Call) List(name string, each func(v starlark.Value)) {
 	v := c.Value(name)
 	if v == nil {
@@ -382,7 +385,7 @@
 	}
 }
 
-// unknown complains of what nobody took.
+// unknown records an error for each argument that no method has read.
 func (c *Call) unknown() {
 	if c.next < len(c.pos) {
 		c.Errorf("", "%s takes %d arguments without a name, %d are given", c.Word, c.next, len(c.pos))
@@ -399,7 +402,7 @@
 	}
 }
 
-// Nearest gives " (did you mean ...?)" with the known word that is nearest to one, or nothing if none is near.
+// Nearest returns the suffix " (did you mean ...?)" with the known name nearest to word, or "" if none is near.
 func Nearest(word string, known []string) string {
 	best, at := len(word)/2+1, ""
 	for _, k := range known {
@@ -413,7 +416,7 @@
 	return fmt.Sprintf(" (did you mean %q?)", at)
 }
 
-// distance counts the letters to add, drop or change between two words (Levenshtein).
+// distance returns the Levenshtein distance of two strings, in bytes.
 func distance(a, b string) int {
 	row := make([]int, len(b)+1)
 	for j := range row {
