Set netpoll's runner by Configure in the tests of crossings too

Change: those of net call useRunner, that of run calls netpoll.Configure. They hold the poller as before.

--- a/internal/net/ending_test.go
+++ b/internal/net/ending_test.go
@@ -187,14 +187,14 @@
 		t.Fatal(err)
 	}
 	post := func(_ context.Context, f func()) { loop.Post(f) }
-	netpoll.SetRunner(func(context.Context, func()) {
+	useRunner(func(context.Context, func()) {
 		close(there)
 		<-on
 	})
 	conn.SetOnRequest(func(context.Context, netpoll.Connection) error { return nil })
 	close(armed)
 	<-there
-	netpoll.SetRunner(post)
+	useRunner(post)
 	return func() { close(on) }
 }
 
--- a/internal/run/ending_test.go
+++ b/internal/run/ending_test.go
@@ -183,14 +183,17 @@
 	p, ended := begin(t, fmt.Sprintf(config, 1024, slowDatabase(t, asked, answer)))
 	there, on := make(chan struct{}), make(chan struct{})
 	first := true
-	netpoll.SetRunner(func(_ context.Context, f func()) { // the poller calls it
+	err := netpoll.Configure(netpoll.Config{Runner: func(_ context.Context, f func()) { // the poller calls it
 		if first {
 			first = false
 			close(there)
 			<-on
 		}
 		p.loop.Post(f)
-	})
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
 	conn := p.connect(t, ask("1"))
 	<-there
 	atEnd := make(chan struct{})
