--- a/internal/lab/scale/model.go
+++ b/internal/lab/scale/model.go
@@ -24,9 +24,6 @@
 // Zones are the zones of the fleet: the first three are one region's, the last two another's.
 var Zones = []string{"zone-1", "zone-2", "zone-3", "zone-4", "zone-5"}
 
-// firstRegion is how many of Zones are the first region's.
-const firstRegion = 3
-
 // modelConfig describes a size to the model: the true decisions and state of each proxy, on a virtual clock, with messages that are
 // carried within the process.
 func (c *Config) modelConfig(size analysis.Size) virtual.Config {
