--- /dev/null
+++ b/internal/healthcheck/fallback.go
@@ -0,0 +1,32 @@
+package healthcheck
+
+import "time"
+
+// fallback says how far a proxy relies on others, by whom it has received something lately.
+type fallback struct {
+	config  Config
+	spread  time.Duration // this proxy's own part of FallbackSpread
+	planner time.Duration // the last digest
+	peer    time.Duration // the last report of a peer
+	step    Step
+}
+
+// newFallback makes one that was received everything up to now: a proxy that starts has its time-outs to find a planner.
+func newFallback(now time.Duration, config Config, phase float64) *fallback {
+	return &fallback{config: config, spread: time.Duration(phase * float64(FallbackSpread)), planner: now, peer: now}
+}
+
+// update gives the step for now.
+func (f *fallback) update(now time.Duration) Step {
+	peerLost := now-f.peer > PeerTimeout+f.spread
+	plannerLost := now-f.planner > PlannerTimeout+f.spread
+	switch {
+	case !plannerLost || !f.config.has(guardFallback):
+		f.step = Shared
+	case !peerLost:
+		f.step = Peers
+	default:
+		f.step = Alone
+	}
+	return f.step
+}
--- /dev/null
+++ b/internal/healthcheck/main_test.go
@@ -0,0 +1,9 @@
+package healthcheck
+
+import (
+	"testing"
+
+	"havenproxy/internal/fixed"
+)
+
+func TestMain(m *testing.M) { fixed.Main(m) }
--- /dev/null
+++ b/internal/healthcheck/world_test.go
@@ -0,0 +1,358 @@
+package healthcheck
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"havenproxy/internal/subset"
+)
+
+// world is a tier, its planner and its databases on virtual time.
+type world struct {
+	scenario  *scenario
+	rng       *rand.Rand
+	now       time.Duration
+	events    eventQueue
+	scheduled int
+	nodes     []*simNode
+	tier      []subset.Proxy
+	databases []*simDatabase
+	relay     *Relay
+	planner   bool // it runs
+	disabled  guard
+	plan      Plan
+	violation string
+}
+
+// simNode is a proxy as the world runs it.
+type simNode struct {
+	node      *Node
+	self      subset.Proxy
+	zone      int
+	up        bool
+	since     time.Duration // when it started, woke up, or was last cut off
+	paused    bool
+	held      []func()      // what has come for it while it is paused
+	ahead     time.Duration // how far its wall clock is ahead, as others read it in its messages
+	epoch     uint32
+	lies      bool
+	later     bool // it runs a later version
+	muteUntil time.Duration
+	up2p      time.Duration // the last arrival of its link to the planner, and
+	down2p    time.Duration // of the planner's to it
+	starts    []time.Duration
+	sent      []sentBytes
+}
+
+type sentBytes struct {
+	at    time.Duration
+	bytes int
+}
+
+type simDatabase struct {
+	id    subset.DatabaseID
+	down  bool
+	since time.Duration // of its state
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+const (
+	simTick  = 100 * time.Millisecond
+	simStart = 1000 * time.Second
+	simDelay = 5 * time.Millisecond
+)
+
+func newWorld(s *scenario, seed uint64, disabled guard) *world {
+	w := &world{scenario: s, rng: rand.New(rand.NewPCG(seed, 1)), now: simStart, planner: true, disabled: disabled}
+	w.plan = NewPlan(Settings{Proxies: s.proxies, Databases: s.databases, TalkAllowed: true, ChecksPerSecond: 10, BytesPerSecond: s.bytes})
+	w.plan.Shared = true
+	w.relay = NewRelay(Config{Plan: w.plan, disabled: disabled})
+	for i := range s.databases {
+		w.databases = append(w.databases, &simDatabase{id: subset.DatabaseID(i + 1), since: w.now})
+	}
+	for i := range s.proxies {
+		p := subset.Proxy{ID: subset.ProxyID(i + 1), Zone: fmt.Sprint("zone-", i%s.zones)}
+		w.tier = append(w.tier, p)
+		w.nodes = append(w.nodes, &simNode{self: p, zone: i % s.zones})
+	}
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	s.setup(w)
+	return w
+}
+
+// after runs something later.
+func (w *world) after(d time.Duration, run func()) {
+	w.scheduled++
+	heap.Push(&w.events, event{w.now + d, w.scheduled, run})
+}
+
+// between draws a time.
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.rng.Float64()*float64(high-low))
+}
+
+func (w *world) start(n *simNode) {
+	n.up, n.since, n.epoch = true, w.now, n.epoch+1
+	n.node = NewNode(w.now, Config{Self: n.self, Epoch: n.epoch, Seed: 1, Plan: w.plan, disabled: w.disabled})
+	w.setTier(n)
+	var ids, used []subset.DatabaseID
+	for _, d := range w.databases {
+		if ids = append(ids, d.id); w.rng.IntN(3) == 0 {
+			used = append(used, d.id)
+		}
+	}
+	n.node.SetDatabases(w.now, ids)
+	n.node.SetUsed(w.now, used)
+	w.relay.Attach(w.now, n.self.ID)
+	n.node.PlannerConnected()
+}
+
+func (w *world) setTier(n *simNode) {
+	before := n.node.tier
+	changes := 0
+	for _, p := range w.nodes {
+		if slices.Contains(before, p.self) != slices.Contains(w.tier, p.self) {
+			changes++
+		}
+	}
+	if moved := n.node.SetTier(w.now, w.tier); len(before) > 0 && moved > changes*len(w.databases) {
+		w.fail("%d changes in the tier moved %d duties", changes, moved)
+	}
+	for _, d := range w.databases {
+		if got := len(n.node.assignment.Checkers(d.id)); len(before) > 0 && got != min(w.plan.Checkers, len(w.tier)) {
+			w.fail("database %d has %d checkers", d.id, got)
+		}
+	}
+}
+
+// membersChange lets each proxy find out about the tier at a time of its own.
+func (w *world) membersChange(tier []subset.Proxy) {
+	w.tier = tier
+	for _, n := range w.nodes {
+		w.after(w.between(0, 2*time.Second), func() {
+			if n.up {
+				w.setTier(n)
+			}
+		})
+	}
+}
+
+func (w *world) crash(n *simNode) {
+	n.up = false
+	w.relay.Detach(n.self.ID)
+}
+
+func (w *world) pause(n *simNode, d time.Duration) {
+	n.paused = true
+	w.after(d, func() {
+		n.paused, n.since = false, w.now
+		held := n.held
+		n.held = nil
+		for _, run := range held {
+			run()
+		}
+	})
+}
+
+func (w *world) set(d *simDatabase, down bool) {
+	if d.down != down {
+		d.down, d.since = down, w.now
+	}
+}
+
+// reachable tells whether a proxy's packets get to a database.
+func (w *world) reachable(n *simNode, d *simDatabase) bool {
+	return w.scenario.cut == nil || !w.scenario.cut(w, n, d)
+}
+
+// deliver runs something at a proxy, unless it has been replaced by then.
+func (w *world) deliver(n *simNode, at time.Duration, run func()) {
+	epoch := n.epoch
+	w.after(at-w.now, func() {
+		switch {
+		case !n.up || n.epoch != epoch:
+		case n.paused:
+			n.held = append(n.held, run)
+		default:
+			run()
+		}
+	})
+}
+
+// streamDelay is that of a reliable link: what is lost is sent again after a growing time.
+func (w *world) streamDelay() time.Duration {
+	delay, again := simDelay, 200*time.Millisecond
+	for w.rng.Float64() < w.scenario.loss && again < 2*time.Second {
+		delay, again = delay+again, again*2
+	}
+	return delay
+}
+
+func (w *world) check(n *simNode, id subset.DatabaseID) {
+	d := w.databases[id-1]
+	n.starts = append(n.starts, w.now)
+	ok := !d.down && w.reachable(n, d) && w.rng.Float64() >= w.scenario.checkLoss
+	seen, took := Observation{Answered: ok, Role: subset.Replica}, CheckTimeout
+	if ok || n.lies {
+		took = simDelay
+	}
+	seen.Answered = ok && !n.lies
+	node := n.node
+	w.deliver(n, w.now+took, func() { node.Checked(w.now, id, seen) })
+}
+
+func (w *world) send(n *simNode, m Message) {
+	n.sent = append(n.sent, sentBytes{w.now, HeaderBytes + PacketBytes + ReportBytes*len(m.Reports)})
+	for i := range m.Reports {
+		if m.Reports[i].Origin == n.self.ID {
+			m.Reports[i].At += n.ahead
+		}
+	}
+	if n.later && len(m.Reports) > 0 {
+		strange := m.Reports[0]
+		strange.Status, strange.At = Dead+5, strange.At+time.Millisecond
+		m.Reports = append([]Report{strange}, m.Reports...)
+	}
+	switch {
+	case w.now < n.muteUntil:
+	case m.ToPlanner:
+		n.up2p = max(n.up2p, w.now+w.streamDelay())
+		w.after(n.up2p-w.now, func() {
+			if w.planner {
+				w.relay.Receive(w.now, m)
+			}
+		})
+	case w.rng.Float64() >= w.scenario.loss:
+		delay := w.between(simDelay, 50*time.Millisecond)
+		if w.rng.IntN(5) == 0 { // some come late, by another way
+			delay = w.between(0, 8*time.Second)
+		}
+		to := w.nodes[m.To-1]
+		w.deliver(to, w.now+delay, func() { to.node.ReceivePeer(w.now, m) })
+	}
+}
+
+func (w *world) run(lasts time.Duration) {
+	for end := w.now + lasts; w.now < end && w.violation == ""; w.now += simTick {
+		for len(w.events) > 0 && w.events[0].at <= w.now {
+			heap.Pop(&w.events).(event).run()
+		}
+		w.step()
+		if w.now%(500*time.Millisecond) == 0 {
+			w.audit()
+		}
+	}
+}
+
+func (w *world) step() {
+	if w.planner {
+		w.relay.Tick(w.now)
+	}
+	for _, n := range w.nodes {
+		if !n.up {
+			continue
+		}
+		if digest, ok := w.relay.Next(w.now, n.self.ID); ok && w.planner && w.now >= n.muteUntil {
+			n.down2p = max(n.down2p, w.now+w.streamDelay())
+			w.deliver(n, n.down2p, func() { n.node.ReceiveDigest(w.now, digest) })
+		}
+		if n.paused {
+			continue
+		}
+		orders := n.node.Tick(w.now)
+		for _, id := range orders.Checks {
+			w.check(n, id)
+		}
+		for _, m := range orders.Messages {
+			w.send(n, m)
+		}
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.violation == "" {
+		w.violation = fmt.Sprintf("%s at %v: ", w.scenario.name, w.now-simStart) + fmt.Sprintf(format, args...)
+	}
+}
+
+// audit holds what the proxies conclude and do against what is so.
+func (w *world) audit() {
+	for _, n := range w.nodes {
+		if !n.up || n.paused {
+			continue
+		}
+		w.auditRates(n)
+		if n.lies {
+			continue
+		}
+		for _, d := range w.databases {
+			if w.reachable(n, d) {
+				w.auditDatabase(n, d)
+			}
+		}
+	}
+}
+
+func (w *world) auditDatabase(n *simNode, d *simDatabase) {
+	if !d.down && w.scenario.served && w.reachable(n, d) {
+		n.node.Served(w.now, d.id)
+	}
+	verdict := n.node.Verdict(w.now, d.id)
+	age := w.now - max(d.since, n.since)
+	switch {
+	case !d.down && age > w.scenario.aliveWithin && verdict.State == Ejected:
+		w.fail("proxy %d ejects database %d, up for %v: %+v", n.self.ID, d.id, w.now-d.since, verdict)
+	case d.down && w.scenario.knownWithin > 0 && age > w.scenario.knownWithin && verdict.State != Ejected && w.concerns(n, d):
+		w.fail("proxy %d doesn't know that database %d is down since %v: %+v, step %d", n.self.ID, d.id, w.now-d.since, verdict, n.node.Step())
+	}
+}
+
+// concerns tells whether a proxy has to know of a database: checking alone it need only know what it uses.
+func (w *world) concerns(n *simNode, d *simDatabase) bool {
+	item := n.node.scheduler.items[d.id]
+	return n.node.Step() != Alone || item != nil && item.used
+}
+
+func (w *world) auditRates(n *simNode) {
+	from := w.now - time.Second
+	for len(n.starts) > 0 && n.starts[0] <= from {
+		n.starts = n.starts[1:]
+	}
+	for len(n.sent) > 0 && n.sent[0].at <= from {
+		n.sent = n.sent[1:]
+	}
+	bytes := 0
+	for _, s := range n.sent {
+		bytes += s.bytes
+	}
+	if len(n.starts) > int(w.plan.ChecksPerSecond) {
+		w.fail("proxy %d began %d checks in a second", n.self.ID, len(n.starts))
+	}
+	if float64(bytes) > 1.5*w.plan.BytesPerSecond {
+		w.fail("proxy %d sent %d bytes in a second", n.self.ID, bytes)
+	}
+}
