--- /dev/null
+++ b/internal/healthcheck/bench_test.go
@@ -0,0 +1,34 @@
+package healthcheck
+
+import (
+	"fmt"
+	"testing"
+
+	"havenproxy/internal/subset"
+)
+
+func BenchmarkOneProxySecond820x1300(b *testing.B) {
+	var tier []subset.Proxy
+	for i := range 820 {
+		tier = append(tier, subset.Proxy{ID: subset.ProxyID(i + 1), Zone: fmt.Sprint("zone-", i%5)})
+	}
+	var ids []subset.DatabaseID
+	for i := range 1300 {
+		ids = append(ids, subset.DatabaseID(i+1))
+	}
+	plan := NewPlan(Settings{Proxies: len(tier), Databases: len(ids), TalkAllowed: true, ChecksPerSecond: 10, BytesPerSecond: 1600})
+	now := simStart
+	n := NewNode(now, Config{Self: tier[0], Epoch: 1, Seed: 1, Plan: plan})
+	n.SetDatabases(now, ids)
+	n.SetTier(now, tier)
+	n.SetUsed(now, ids)
+	for b.Loop() { // one second: ten ticks, a digest each, and the outcomes of the checks
+		for range 10 {
+			now += simTick
+			n.ReceiveDigest(now, Digest{})
+			for _, id := range n.Tick(now).Checks {
+				n.Checked(now, id, Observation{Answered: true, Role: subset.Replica})
+			}
+		}
+	}
+}
--- a/internal/healthcheck/node.go
+++ b/internal/healthcheck/node.go
@@ -28,8 +28,13 @@
 
 // NewNode makes one that knows neither tier nor databases.
 func NewNode(now time.Duration, config Config) *Node {
+	return NewNodeSharing(now, config, subset.NewAssignment(subset.Config{Checkers: config.Plan.Checkers, Seed: config.Seed}))
+}
+
+// NewNodeSharing makes one that goes by an assignment which others of the same process use as well: a simulation needs to compute it
+// once only.
+func NewNodeSharing(now time.Duration, config Config, assignment *subset.Assignment) *Node {
 	rng := rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID)))
-	assignment := subset.NewAssignment(subset.Config{Checkers: config.Plan.Checkers, Seed: config.Seed})
 	return &Node{config: config, assignment: assignment, view: NewView(config, assignment), observer: newObserver(config),
 		scheduler: newScheduler(config, rng), fallback: newFallback(now, config, rng.Float64()), outbox: newOutbox(config, rng)}
 }
