--- a/internal/state/ending.go
+++ b/internal/state/ending.go
@@ -30,16 +30,6 @@
 	}
 }
 
-// LatestEnd gives the latest deadline of a request that is owed an answer; 0 = none is.
-func (f *Front) LatestEnd() (at time.Duration) {
-	for _, q := range f.requests {
-		if q.caller != nil {
-			at = max(at, q.until)
-		}
-	}
-	return at
-}
-
 // Owed tells how many answers are owed to clients: requests without their final one, and values on their way in pieces.
 func (f *Front) Owed() int {
 	n := f.streams
@@ -64,5 +54,5 @@
 	if p, ok := a.req.caller.(Present); ok && !p.Present() {
 		f.Abandon(a.req.id)
 	}
-	return a.req.caller == nil || f.clock.Now() >= a.until || a.to.state != logic.Ready && !(a.to.state == logic.Gone && f.cfg.Logic.DrainOnly)
+	return a.req.caller == nil || f.clock.Now() >= a.until || !f.sendable(a.to)
 }
