--- a/internal/healthcheck/bench_test.go
+++ b/internal/healthcheck/bench_test.go
@@ -32,3 +32,23 @@
 		}
 	}
 }
+
+// BenchmarkRelaySecond820 is what a planner's relay costs: a heartbeat of each proxy, and ten looks at each link.
+func BenchmarkRelaySecond820(b *testing.B) {
+	relay, now := NewRelay(Config{Plan: Plan{BytesPerSecond: 1600}}), simStart
+	for id := subset.ProxyID(1); id <= 820; id++ {
+		relay.Attach(now, id)
+	}
+	for b.Loop() {
+		for range 10 {
+			now += simTick
+			relay.Tick(now)
+			for id := subset.ProxyID(1); id <= 820; id++ {
+				relay.Next(now, id)
+			}
+		}
+		for id := subset.ProxyID(1); id <= 820; id++ {
+			relay.Receive(now, Message{From: id, Epoch: 1, ToPlanner: true})
+		}
+	}
+}
--- a/internal/healthcheck/fallback.go
+++ b/internal/healthcheck/fallback.go
@@ -18,12 +18,12 @@
 
 // update gives the step for now.
 func (f *fallback) update(now time.Duration) Step {
-	peerLost := now-f.peer > PeerTimeout+f.spread
-	plannerLost := now-f.planner > PlannerTimeout+f.spread
+	plannerLost := f.planner + PlannerTimeout + f.spread
+	peersLost := max(f.peer, plannerLost) + PeerTimeout + f.spread // peers broadcast from plannerLost on
 	switch {
-	case !plannerLost || !f.config.has(guardFallback):
+	case now <= plannerLost || !f.config.has(guardFallback):
 		f.step = Shared
-	case !peerLost:
+	case now <= peersLost:
 		f.step = Peers
 	default:
 		f.step = Alone
--- a/internal/wire/healthcheck/healthcheck.go
+++ b/internal/wire/healthcheck/healthcheck.go
@@ -1,6 +1,6 @@
 // Package healthcheck packs what proxies and planners report to one another of databases, little-endian.
 //
-//	0       version, 1
+//	0       version, 2
 //	1       the kind of message: 1 = of a proxy, 2 = a digest of a planner
 //	2       0
 //	3..6    the proxy that sends it; 0 in a digest
@@ -31,7 +31,7 @@
 )
 
 const (
-	version     = 1
+	version     = 2 // 1 is internal/wire/peers, whose datagrams may come to the same socket
 	kindMessage = 1
 	kindDigest  = 2
 	noPosition  = 0xffff
