--- a/internal/healthcheck/world_test.go
+++ b/internal/healthcheck/world_test.go
@@ -53,9 +53,10 @@
 }
 
 type simDatabase struct {
-	id    subset.DatabaseID
-	down  bool
-	since time.Duration // of its state
+	id     subset.DatabaseID
+	down   bool
+	since  time.Duration                    // of its state
+	failed map[subset.ProxyID]time.Duration // the last check by each that was called unanswered
 }
 
 type event struct {
@@ -90,7 +91,7 @@
 	w.plan.Shared = true
 	w.relay = NewRelay(Config{Plan: w.plan, disabled: disabled})
 	for i := range s.databases {
-		w.databases = append(w.databases, &simDatabase{id: subset.DatabaseID(i + 1), since: w.now})
+		w.databases = append(w.databases, &simDatabase{id: subset.DatabaseID(i + 1), since: w.now, failed: map[subset.ProxyID]time.Duration{}})
 	}
 	for i := range s.proxies {
 		p := subset.Proxy{ID: subset.ProxyID(i + 1), Zone: fmt.Sprint("zone-", i%s.zones)}
@@ -220,7 +221,9 @@
 	if ok || n.lies {
 		took = simDelay
 	}
-	seen.Answered = ok && !n.lies
+	if seen.Answered = ok && !n.lies; !seen.Answered {
+		d.failed[n.self.ID] = w.now
+	}
 	node := n.node
 	w.deliver(n, w.now+took, func() { node.Checked(w.now, id, seen) })
 }
@@ -323,7 +326,15 @@
 	}
 	verdict := n.node.Verdict(w.now, d.id)
 	age := w.now - max(d.since, n.since)
+	witnesses := 0
+	for _, at := range d.failed {
+		if w.now-at <= 2*ReportTTL {
+			witnesses++
+		}
+	}
 	switch {
+	case verdict.State == Ejected && n.node.Step() != Alone && witnesses < max(w.plan.Checkers/2+1, 2):
+		w.fail("proxy %d ejects database %d, which %d proxies found dead: %+v", n.self.ID, d.id, witnesses, verdict)
 	case !d.down && age > w.scenario.aliveWithin && verdict.State == Ejected:
 		w.fail("proxy %d ejects database %d, up for %v: %+v", n.self.ID, d.id, w.now-d.since, verdict)
 	case d.down && w.scenario.knownWithin > 0 && age > w.scenario.knownWithin && verdict.State != Ejected && w.concerns(n, d):
