Tell a planner that is being replaced as one that votes until it has left

Change: Answer.Planners names those of both sets until the old one has left; replace waits for that, and status and its JSON show both for that time.

Measured: TestAPlannerThatIsBeingReplacedStillVotes fails without the change; the planner's tests pass (one run).

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -157,7 +157,7 @@
 		return
 	}
 	want := map[uint64]string{}
-	for _, id := range append(slices.Clone(p.conf.GetVoters()), p.conf.GetVotersOutgoing()...) {
+	for _, id := range p.voting() {
 		if id != p.cfg.ID {
 			want[id] = cmp.Or(p.state.Planners[id], p.cfg.Peers[id])
 		}
@@ -171,6 +171,14 @@
 	p.server.connect(want)
 }
 
+// voting gives the planners that vote now, by number. While one is being replaced, those are the old ones and the new one: most of either set
+// are needed, so that the old one is not replaced before it has left.
+func (p *Planner) voting() []uint64 {
+	all := append(slices.Clone(p.conf.GetVoters()), p.conf.GetVotersOutgoing()...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // Address tells where it listens.
 func (p *Planner) Address() string { return p.server.listener.Addr().String() }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -106,6 +107,38 @@
 	}
 }
 
+// While a planner is being replaced, most of the old planners are needed as well: the old one is told as one that votes until it has left.
+func TestAPlannerThatIsBeingReplacedStillVotes(t *testing.T) {
+	p := alone(t)
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ask, err := tier.Append(nil, &tier.Frame{Ask: &tier.Ask{Do: tier.DoStatus}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	answers := bufio.NewReader(conn)
+	for _, x := range []struct{ voters, leaving, want []uint64 }{
+		{voters: []uint64{2, 3, 4}, leaving: []uint64{1, 2, 3}, want: []uint64{1, 2, 3, 4}},
+		{voters: []uint64{2, 3, 4}, want: []uint64{2, 3, 4}},
+	} {
+		p.conf = &pb.ConfState{Voters: x.voters, VotersOutgoing: x.leaving}
+		if _, err := conn.Write(ask); err != nil {
+			t.Fatal(err)
+		}
+		(<-p.events)()
+		f, err := tier.Read(answers)
+		if err != nil || f.Answer == nil {
+			t.Fatalf("%+v, %v", f, err)
+		}
+		if !slices.Equal(f.Answer.Planners, x.want) {
+			t.Errorf("voters %v, leaving %v: told %v, want %v", x.voters, x.leaving, f.Answer.Planners, x.want)
+		}
+	}
+}
+
 // The first link to another planner begins with what the disk held as the process began, though who leads has filled it up meanwhile; later ones with what
 // it holds.
 func TestAnOlderCopyThatWasFilledUpIsKnown(t *testing.T) {
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -424,7 +424,7 @@
 
 func (s *server) status(id rollout.Link, text string, n rollout.Number) {
 	p := s.p
-	a := &tier.Answer{Error: text, Planner: p.cfg.ID, Leader: p.leads, State: p.state.Short(n), Planners: slices.Sorted(slices.Values(p.conf.GetVoters()))}
+	a := &tier.Answer{Error: text, Planner: p.cfg.ID, Leader: p.leads, State: p.state.Short(n), Planners: p.voting()}
 	if p.leader != nil {
 		if progress, ok := p.leader.Progress(p.now()); ok {
 			a.Progress = &progress
