--- /dev/null
+++ b/internal/lab/scale/scale_test.go
@@ -0,0 +1,156 @@
+package scale
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"havenproxy/internal/lab/scale/analysis"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetLogLoggerLevel(slog.LevelError)
+	os.Exit(m.Run())
+}
+
+func small() Config {
+	return Config{For: 3 * time.Second, Settle: 2 * time.Second, Rate: 50, Seed: 7, Lease: 2 * time.Second, ChangeEvery: 2 * time.Second, Variant: "all", CountsOnly: true}
+}
+
+func measure(t *testing.T, c Config, size analysis.Size) analysis.Measurement {
+	t.Helper()
+	m, err := c.measureModel(t.Context(), size, analysis.AxisBoth)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func TestCountsAreTheSameEveryRun(t *testing.T) {
+	size := analysis.Size{Proxies: 4, Databases: 8}
+	if diff := cmp.Diff(measure(t, small(), size), measure(t, small(), size)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestEveryHealthCheckIsAnswered(t *testing.T) {
+	m := measure(t, small(), analysis.Size{Proxies: 4, Databases: 8})
+	counted := map[analysis.Direction]float64{}
+	for _, x := range m.Traffic {
+		if x.Kind == analysis.KindProbe {
+			counted[x.Direction] = x.Messages.Mean
+		}
+	}
+	if sent, received := counted[analysis.Sent], counted[analysis.Received]; sent == 0 || sent-received > 1 || received-sent > 1 {
+		t.Errorf("%.2f messages of health checks sent a second and proxy, %.2f received", sent, received)
+	}
+	if perDatabase := m.ProbesPerProxy.Mean * 4 / 8; !near(perDatabase, m.ProbesPerDatabase.Mean) {
+		t.Errorf("%.3f checks a second at a database, %.3f counted there", perDatabase, m.ProbesPerDatabase.Mean)
+	}
+}
+
+func TestControlBytesAreThoseOfItsKinds(t *testing.T) {
+	c := small()
+	c.PeerFacts = 31
+	m := measure(t, c, analysis.Size{Proxies: 20, Databases: 8}) // few proxies don't talk: it would not pay
+	sum := 0.0
+	for _, x := range m.Traffic {
+		if x.Kind.Control() {
+			sum += x.Bytes.Mean
+		}
+		if x.Kind == analysis.KindPeers && x.Bytes.Mean == 0 {
+			t.Errorf("no datagram between proxies was %s", x.Direction)
+		}
+	}
+	if !near(sum, m.ControlBytes.Mean) {
+		t.Errorf("%.3f bytes a second by kind, %.3f in all", sum, m.ControlBytes.Mean)
+	}
+}
+
+func TestASizeThatMakesNoSenseIsRefused(t *testing.T) {
+	for _, size := range []analysis.Size{{Proxies: 0, Databases: 8}, {Proxies: 4, Databases: 6}} {
+		c := small()
+		if _, err := c.measureModel(t.Context(), size, analysis.AxisBoth); err == nil {
+			t.Errorf("%v passed", size)
+		}
+	}
+}
+
+func near(a, b float64) bool { return a-b < 1e-6 && b-a < 1e-6 }
+
+func TestASeriesVariesOnePartOfTheSize(t *testing.T) {
+	sizes := []analysis.Size{{Proxies: 10, Databases: 16}, {Proxies: 5, Databases: 8}}
+	for axis, want := range map[analysis.Axis][]analysis.Size{
+		analysis.AxisBoth:      {{Proxies: 5, Databases: 8}, {Proxies: 10, Databases: 16}},
+		analysis.AxisProxies:   {{Proxies: 5, Databases: 8}, {Proxies: 10, Databases: 8}},
+		analysis.AxisDatabases: {{Proxies: 5, Databases: 8}, {Proxies: 5, Databases: 16}},
+	} {
+		if diff := cmp.Diff(want, Series(sizes, axis)); diff != "" {
+			t.Errorf("%s: %s", axis, diff)
+		}
+	}
+}
+
+func TestTheLargestSizeIsPredictedBeforeItRuns(t *testing.T) {
+	c := small()
+	c.Axes = []analysis.Axis{analysis.AxisBoth}
+	for i := 1; i <= 4; i++ {
+		c.Sizes = append(c.Sizes, analysis.Size{Proxies: 2 * i, Databases: 4 * i})
+	}
+	measured := 0
+	c.Measured = func(*analysis.Measurement) { measured++ }
+	c.Predict = func(size analysis.Size, list []analysis.Prediction) {
+		if measured != 3 || size != c.Sizes[3] || len(list) == 0 {
+			t.Errorf("%d predictions for %v behind %d sizes", len(list), size, measured)
+		}
+	}
+	var run analysis.Run
+	if err := c.Run(t.Context(), &run); err != nil || len(run.Measurements) != 4 || len(run.Predictions) == 0 || run.Stopped != "" {
+		t.Errorf("%d sizes, %d predictions, stopped %q, error %v", len(run.Measurements), len(run.Predictions), run.Stopped, err)
+	}
+}
+
+func TestASizeOverTheMemoryIsNotStarted(t *testing.T) {
+	c := small()
+	c.Axes, c.Memory = []analysis.Axis{analysis.AxisBoth}, 1<<30
+	c.Sizes = []analysis.Size{{Proxies: 820, Databases: 1300}}
+	var run analysis.Run
+	if err := c.Run(t.Context(), &run); err != nil || len(run.Measurements) > 0 || run.Stopped == "" {
+		t.Errorf("%d sizes, stopped %q, error %v", len(run.Measurements), run.Stopped, err)
+	}
+}
+
+func TestARunEndsWhereItIsInterrupted(t *testing.T) {
+	c := small()
+	ctx, cancel := context.WithCancel(t.Context())
+	c.Progress = func(_ analysis.Size, at, _ time.Duration) {
+		if at == 3*time.Second {
+			cancel()
+		}
+	}
+	m, err := c.measureModel(ctx, analysis.Size{Proxies: 4, Databases: 8}, analysis.AxisBoth)
+	if err != nil || m.Partial == "" || m.ProbesPerProxy.Seconds != 1 {
+		t.Errorf("partial %q with %d seconds, error %v", m.Partial, m.ProbesPerProxy.Seconds, err)
+	}
+}
+
+func TestLeasesAndPoliciesAreCounted(t *testing.T) {
+	m := measure(t, small(), analysis.Size{Proxies: 4, Databases: 8})
+	for _, kind := range []analysis.Kind{analysis.KindLease, analysis.KindPolicy} {
+		for _, x := range m.Traffic {
+			if x.Kind == kind && x.Bytes.Mean == 0 {
+				t.Errorf("nothing of kind %s was %s", kind, x.Direction)
+			}
+			if x.Kind == analysis.KindLease && (x.Messages.Mean < 2 || x.Messages.Mean > 3) { // five times in a lease of 2 s
+				t.Errorf("%.2f messages of leases %s a second and proxy", x.Messages.Mean, x.Direction)
+			}
+		}
+	}
+	if m.RequestsPerProxy.Mean == 0 || m.WrongSends.Mean > 1 {
+		t.Errorf("%.1f requests and %.1f wrong sends a second and proxy", m.RequestsPerProxy.Mean, m.WrongSends.Mean)
+	}
+}
--- a/logic/refusal_test.go
+++ b/logic/refusal_test.go
@@ -14,8 +14,8 @@
 	refusalPart  = 10 // one proxy in so many may
 )
 
-// spell is what one proxy of a large tier sees: a few requests a second, whose attempts end as the spell says.
-type spell struct {
+// thinProxy is one proxy of a large tier, with a few requests a second, whose attempts end as the test says.
+type thinProxy struct {
 	*front
 	result Result        // of attempts
 	took   time.Duration // until they end
@@ -32,7 +32,7 @@
 }
 
 // run lets time pass, with five requests a second of all classes.
-func (s *spell) run(d time.Duration) {
+func (s *thinProxy) run(d time.Duration) {
 	const step, every = 10 * ms, 20 // in steps
 	for end := s.now + d; s.now < end; {
 		s.now += step
@@ -57,14 +57,14 @@
 }
 
 // Send implements Actions.
-func (s *spell) Send(id RequestID, to MemberID, timeout time.Duration) {
+func (s *thinProxy) Send(id RequestID, to MemberID, timeout time.Duration) {
 	s.front.Send(id, to, timeout)
 	s.out = append(s.out, s.sends[len(s.sends)-1])
 	s.refused, s.since = 0, s.now
 }
 
 // pings answers them, or lets them go by.
-func (s *spell) pings() {
+func (s *thinProxy) pings() {
 	ask := s.probes
 	s.probes = nil
 	for _, m := range ask {
@@ -80,14 +80,14 @@
 }
 
 // startAnew lists members as started now.
-func (s *spell) startAnew(ids ...MemberID) {
+func (s *thinProxy) startAnew(ids ...MemberID) {
 	for _, id := range ids {
 		s.r.Members(s.now, List{Kind: ListDelta, Entries: []Member{{ID: id, State: Ready, Born: s.now}}})
 	}
 }
 
-// well lets members serve from now on, unless what they do is to stay, and begins to measure.
-func (s *spell) well() {
+// measure lets members serve from now on, unless what they do is to stay, and begins to measure.
+func (s *thinProxy) measure() {
 	if !s.stays {
 		s.result, s.took, s.cut, s.queue = OK, 10*ms, false, 0
 	}
@@ -97,47 +97,47 @@
 // Whatever a proxy went through, by its own fault or its network's, it does not go on refusing all that comes once the databases serve it.
 func TestFewProxiesRefuseAllWhileDatabasesServe(t *testing.T) {
 	const proxies, members = 300, 6
-	for name, c := range map[string]func(s *spell){
-		"it has just started": func(s *spell) {},
-		"all answers came late": func(s *spell) {
+	for name, c := range map[string]func(s *thinProxy){
+		"it has just started": func(s *thinProxy) {},
+		"all answers came late": func(s *thinProxy) {
 			s.result, s.took = TimedOut, 1500*ms
 			s.run(8 * time.Second)
 		},
-		"all attempts were reset": func(s *spell) {
+		"all attempts were reset": func(s *thinProxy) {
 			s.result = Reset
 			s.run(8 * time.Second)
 		},
-		"no connection came up": func(s *spell) {
+		"no connection came up": func(s *thinProxy) {
 			s.result, s.cut = ConnectFailed, true
 			s.run(8 * time.Second)
 		},
-		"it was cut off for a moment": func(s *spell) {
+		"it was cut off for a moment": func(s *thinProxy) {
 			s.result, s.cut = ConnectFailed, true
 			s.run(1500 * ms)
 		},
-		"it stood still": func(s *spell) { s.now += 5 * time.Second },
-		"members were full": func(s *spell) {
+		"it stood still": func(s *thinProxy) { s.now += 5 * time.Second },
+		"members were full": func(s *thinProxy) {
 			s.result = Full
 			s.run(8 * time.Second)
 		},
-		"members are full all the while": func(s *spell) {
+		"members are full all the while": func(s *thinProxy) {
 			s.result, s.stays = Full, true
 		},
-		"members were full for a moment": func(s *spell) {
+		"members were full for a moment": func(s *thinProxy) {
 			s.result = Full
 			s.run(2 * time.Second)
 		},
-		"all answers were slow": func(s *spell) {
+		"all answers were slow": func(s *thinProxy) {
 			s.took = 900 * ms
 			s.run(8 * time.Second)
 		},
-		"all queues were long": func(s *spell) {
+		"all queues were long": func(s *thinProxy) {
 			s.queue = 3
 			s.run(8 * time.Second)
 		},
-		"half of the members have just started": func(s *spell) { s.startAnew(1, 2, 3) },
-		"all members have just started":         func(s *spell) { s.startAnew(1, 2, 3, 4, 5, 6) },
-		"peers told of failures everywhere": func(s *spell) {
+		"half of the members have just started": func(s *thinProxy) { s.startAnew(1, 2, 3) },
+		"all members have just started":         func(s *thinProxy) { s.startAnew(1, 2, 3, 4, 5, 6) },
+		"peers told of failures everywhere": func(s *thinProxy) {
 			for range 10 {
 				var facts []peers.Fact
 				for id := range MemberID(members) {
@@ -154,7 +154,7 @@
 			for seed := range uint64(seeds) {
 				cfg := manyFronts()
 				cfg.Fronts, cfg.Seed, cfg.PeerFacts = proxies, seed, 8
-				s := &spell{front: newFront(t, cfg), result: OK, took: 10 * ms}
+				s := &thinProxy{front: newFront(t, cfg), result: OK, took: 10 * ms}
 				s.r.act = s
 				s.opened = s.now
 				s.list(ListCached, members)
@@ -162,7 +162,7 @@
 					s.run(10 * time.Second)
 				}
 				c(s)
-				s.well()
+				s.measure()
 				s.run(20 * time.Second)
 				if none = max(none, s.worst); s.worst >= refusalSpan {
 					over++
