Keep netpoll to one poller, which the closing of connections relies on

Cause: behindPoller waits for the one poller that may be reading a connection which is to be closed. netpoll starts GOMAXPROCS/20 + 1 of them, so from 20 processors on the wait was for one of several, and a query could be read and dropped at a close.

Change: useRunner sets PollerNum to 1.

Nothing changes below 20 processors.

--- a/internal/net/fence.go
+++ b/internal/net/fence.go
@@ -21,7 +21,7 @@
 // behindPoller returns when the poller has ended what it was about: it may be in the middle of reading a connection that it has just been
 // told to leave alone. Whatever it fetches after a byte was written to a pipe, it fetches without that connection; the byte's arrival tells
 // that all before it is done. That takes as long as the poller's turn, some microseconds. This needs
-// a single poller, netpoll's default where GOMAXPROCS is below 20.
+// a single poller, which useRunner sees to.
 func (l *Loop) behindPoller() error {
 	if l.fence == nil {
 		var ends [2]int
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -34,10 +34,13 @@
 	return l
 }
 
-// useRunner makes netpoll hand its callbacks to run; all other settings of netpoll keep their defaults.
+// pollers is the number of netpoll's pollers. Loop.behindPoller relies on a single one; netpoll's default grows with GOMAXPROCS.
+const pollers = 1
+
+// useRunner makes netpoll hand its callbacks to run, and keeps it to one poller; its other settings keep their defaults.
 func useRunner(run func(context.Context, func())) {
-	if err := netpoll.Configure(netpoll.Config{Runner: run}); err != nil {
-		panic(err) // only a number of pollers or a load balancing method can be refused, and neither is set
+	if err := netpoll.Configure(netpoll.Config{Runner: run, PollerNum: pollers}); err != nil {
+		panic(err) // netpoll refuses a number of pollers below one only, or an unknown load balancing method
 	}
 }
 
