Measure real planners and a real proxy beside each size of the scale run

The model's processor time has no sockets in it. At each size in proportion, three havenplan processes now serve as many links as there are proxies, and a havenproxy before as many stand-in databases is watched by /proc, without requests and with them. Reading /proc has a package of its own. Descriptors are counted before a size begins.

The links' peak seconds are not known, only their means.

--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -22,13 +22,14 @@
 // scaleOptions are the flags of `havenlab scale`.
 type scaleOptions struct {
 	scale.Config
-	sizes    []string
-	vary     []string
-	memory   float64 // GB
-	timeout  time.Duration
-	trial    bool
-	jsonPath string
-	pagePath string
+	sizes     []string
+	vary      []string
+	memory    float64 // GB
+	timeout   time.Duration
+	processes bool
+	trial     bool
+	jsonPath  string
+	pagePath  string
 }
 
 // errBudget marks a run in which a budget is broken.
@@ -57,6 +58,8 @@
 	f.IntVar(&o.PeerFacts, "peers", 0, "facts in a datagram between proxies, 31 at most; 0 = proxies don't talk")
 	f.DurationVar(&o.Lease, "lease", 2*time.Second, "that proxies ask planners for; 0 = there are no planners")
 	f.DurationVar(&o.ChangeEvery, "change-every", 105*time.Second, "between two changes of policy, 4 KiB each, the first after half of it; 0 = none")
+	f.BoolVar(&o.processes, "processes", true, "measure real planners and a real proxy at each size, on loopback")
+	f.StringVar(&o.Binary, "proxy", "", "the program that they run (default: havenproxy beside this one)")
 	f.Float64Var(&o.memory, "memory", float64(scale.MachineMemory()/2)/1e9, "GB that the run may hold")
 	f.DurationVar(&o.timeout, "timeout", 30*time.Minute, "bound on the whole run; what was measured until then is still printed")
 	f.BoolVar(&o.CountsOnly, "virtual", false, "messages and bytes only, which are the same every run")
@@ -96,6 +99,11 @@
 	if err := o.check(); err != nil {
 		return err
 	}
+	if o.processes = o.processes && !o.CountsOnly; !o.processes {
+		o.Binary = ""
+	} else if err := program(&o.Binary); err != nil {
+		return err
+	}
 	quiet()
 	out := c.OutOrStdout()
 	o.Variant, o.Memory, o.Until = "all", int64(o.memory*1e9), time.Now().Add(o.timeout)
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -251,6 +251,9 @@
 // Reload lets the program read its files again.
 func (p *Proxy) Reload() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
 
+// Pid names the program's process.
+func (p *Proxy) Pid() int { return p.cmd.Process.Pid }
+
 // Ended is closed when the program has ended.
 func (p *Proxy) Ended() <-chan struct{} { return p.ended }
 
--- a/internal/lab/scale/limits.go
+++ b/internal/lab/scale/limits.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"havenproxy/internal/lab/scale/analysis"
@@ -65,6 +66,13 @@
 	if expected := expectedBytes(run, size); c.Memory > 0 && expected > c.Memory {
 		return fmt.Sprintf("it would take some %.1f GB of memory, %.1f GB are allowed", float64(expected)/1e9, float64(c.Memory)/1e9)
 	}
+	if c.Binary != "" {
+		var limit syscall.Rlimit
+		needed := descriptorsFor(size)
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && uint64(needed) > limit.Cur {
+			return fmt.Sprintf("it would take some %d descriptors, %d are allowed", needed, limit.Cur)
+		}
+	}
 	return c.overLimit(ctx)
 }
 
--- a/internal/lab/scale/model.go
+++ b/internal/lab/scale/model.go
@@ -67,7 +67,7 @@
 }
 
 // transport says what carried messages in a run of the model.
-const transport = "in-process, virtual clock: sizes by the wire codecs, payload only, no kernel socket; CPU and memory are those of decisions and state alone"
+const transport = "in-process, virtual clock: sizes by the wire codecs, payload only, no kernel socket; CPU and memory are those of decisions and state alone; separate processes: loopback TCP"
 
 // CheckSize tells what is wrong with a size.
 func CheckSize(size analysis.Size) error {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -29,6 +29,7 @@
 	PeerFacts   int           // facts in a datagram between proxies; 0 = proxies don't talk
 	Variant     string        // which health checking is in force
 	CountsOnly  bool          // messages and bytes only, which are the same every run
+	Binary      string        // the program that real processes run beside the model; empty = none runs
 	Memory      int64         // most bytes that the run may hold
 	Until       time.Time
 
@@ -50,7 +51,7 @@
 			if i == len(sizes)-1 && i > 0 {
 				c.predict(run, axis, size)
 			}
-			m, err := c.measureModel(ctx, size, axis)
+			m, err := c.measure(ctx, size, axis)
 			if err != nil {
 				return err
 			}
@@ -67,6 +68,16 @@
 	return nil
 }
 
+// measure measures a size in the model, and real processes beside it where sizes are in proportion.
+func (c *Config) measure(ctx context.Context, size analysis.Size, axis analysis.Axis) (analysis.Measurement, error) {
+	m, err := c.measureModel(ctx, size, axis)
+	if err != nil || m.Partial != "" || c.Binary == "" || axis != analysis.AxisBoth {
+		return m, err
+	}
+	m.Processes, err = c.measureProcesses(ctx, size)
+	return m, err
+}
+
 func (c *Config) predict(run *analysis.Run, axis analysis.Axis, size analysis.Size) {
 	predictions := analysis.PredictSize(run, c.Variant, axis, c.CountsOnly, size)
 	run.Predictions = append(run.Predictions, predictions...)
--- a/internal/lab/tier/cost.go
+++ b/internal/lab/tier/cost.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"havenproxy/internal/lab/procstat"
 	"havenproxy/internal/run"
 	"havenproxy/internal/wire/tier"
 )
@@ -62,7 +63,7 @@
 	x.On = !cfg.Naive
 	cpu := func() (sum time.Duration) {
 		for _, q := range b.Proxies {
-			used, resident := usage(q.run.Process.Pid)
+			used, resident := procstat.Usage(q.run.Process.Pid)
 			sum, x.Resident = sum+used, resident
 		}
 		return sum
--- a/internal/lab/tier/links.go
+++ b/internal/lab/tier/links.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"havenproxy/internal/lab/launch"
+	"havenproxy/internal/lab/procstat"
 	"havenproxy/internal/planner/client"
 	"havenproxy/internal/rollout"
 	"havenproxy/internal/wire/tier"
@@ -179,7 +180,7 @@
 	sleep(ctx, time.Second) // what the joins stirred up is over
 	before := make([]time.Duration, len(planners))
 	for i, p := range planners {
-		before[i], _ = usage(p.run.Process.Pid)
+		before[i], _ = procstat.Usage(p.run.Process.Pid)
 	}
 	from, s0, h0 := time.Now(), sent.Load(), heard.Load()
 	for i := range l.Changes {
@@ -211,7 +212,7 @@
 	sleep(ctx, time.Until(from.Add(l.For)))
 	took := time.Since(from)
 	for i, p := range planners {
-		cpu, resident := usage(p.run.Process.Pid)
+		cpu, resident := procstat.Usage(p.run.Process.Pid)
 		c.CPU, c.Resident = append(c.CPU, (cpu-before[i]).Seconds()/took.Seconds()), append(c.Resident, resident)
 	}
 	c.Sent, c.Heard = float64(sent.Load()-s0)/took.Seconds(), float64(heard.Load()-h0)/took.Seconds()
@@ -228,24 +229,3 @@
 	c.n.Add(int64(n))
 	return n, err
 }
-
-// usage reads what CPU time a process's threads have used, as the kernel's scheduler counts it, and how much memory it holds.
-func usage(pid int) (cpu time.Duration, resident int64) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, 0
-	}
-	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	if len(f) < 22 {
-		return 0, 0
-	}
-	pages, _ := strconv.ParseInt(f[21], 10, 64)
-	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
-	for _, t := range threads {
-		text, _ := os.ReadFile(t) // a thread that has ended meanwhile is not counted
-		if ns, err := strconv.ParseInt(strings.Split(string(text), " ")[0], 10, 64); err == nil {
-			cpu += time.Duration(ns)
-		}
-	}
-	return cpu, pages * int64(os.Getpagesize())
-}
