--- a/internal/lab/scale/recorder.go
+++ b/internal/lab/scale/recorder.go
@@ -36,6 +36,9 @@
 	connections   *tally
 	requests      *tally
 	wrongSends    *tally
+	refused       *tally
+	unserved      *tally           // refused or failed
+	gateShut      *tally           // refused for want of a lease
 	earlier       []state.Counters // of each proxy at the last second's end
 	tallies       []*tally
 	heap          uint64 // live bytes at the window's end; 0 = not measured
@@ -59,6 +62,7 @@
 	}
 	r.controlBytes, r.probes, r.listCalls, r.listBytes = tallyOf(size.Proxies), tallyOf(size.Proxies), tallyOf(size.Proxies), tallyOf(size.Proxies)
 	r.connections, r.requests, r.wrongSends = tallyOf(size.Proxies), tallyOf(size.Proxies), tallyOf(size.Proxies)
+	r.refused, r.unserved, r.gateShut = tallyOf(size.Proxies), tallyOf(size.Proxies), tallyOf(size.Proxies)
 	r.probesAt = tallyOf(size.Databases)
 	return r
 }
@@ -104,6 +108,9 @@
 		now, before := &front.Counters, &r.earlier[i]
 		r.requests.add(i, increase(now.Taken, before.Taken))
 		r.wrongSends.add(i, increase(wrongSends(now), wrongSends(before)))
+		r.refused.add(i, increase(now.Refused, before.Refused))
+		r.unserved.add(i, increase(now.Refused+now.Failed, before.Refused+before.Failed))
+		r.gateShut.add(i, increase(now.GateShut, before.GateShut))
 		r.connections.add(i, float64(front.Links()))
 		*before = *now
 	}
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -24,23 +24,52 @@
 	Settle      time.Duration   // time before it
 	Rate        float64         // requests a second that each hollow proxy makes
 	Seed        uint64
-	Lease       time.Duration // that proxies ask planners for; 0 = there are no planners
-	ChangeEvery time.Duration // between two changes of policy; 0 = there are none
-	PeerFacts   int           // facts in a datagram between proxies; 0 = proxies don't talk
-	Variant     string        // which health checking is in force
-	CountsOnly  bool          // messages and bytes only, which are the same every run
-	Binary      string        // the program that real processes run beside the model; empty = none runs
-	Memory      int64         // most bytes that the run may hold
+	Lease       time.Duration    // that proxies ask planners for; 0 = there are no planners
+	ChangeEvery time.Duration    // between two changes of policy; 0 = there are none
+	PeerFacts   int              // facts in a datagram between proxies; 0 = proxies don't talk
+	Variant     string           // which health checking is in force
+	CountsOnly  bool             // messages and bytes only, which are the same every run
+	Events      []analysis.Event // that are brought about behind the sizes
+	EventSize   analysis.Size    // at which
+	PartedFor   time.Duration    // how long regions are parted
+	Binary      string           // the program that real processes run beside the model; empty = none runs
+	Memory      int64            // most bytes that the run may hold
 	Until       time.Time
 
 	Progress func(size analysis.Size, at, of time.Duration) // nil = nobody wants it
+	Happened func(*analysis.EventRow)                       // is called with each event's row; likewise
 	Measured func(*analysis.Measurement)                    // is called with each size's measurement; likewise
 	Predict  func(analysis.Size, []analysis.Prediction)     // is called before the largest size of a series; likewise
 }
 
-// Run measures all sizes along all axes, and predicts the largest of each series before that one runs. The run is whole only where its
-// Stopped is empty.
-func (c Config) Run(ctx context.Context, run *analysis.Run) error {
+// Run measures all sizes along all axes, predicts the largest of each series before that one runs, and brings the events about. The run
+// is whole only where its Stopped is empty.
+func (c *Config) Run(ctx context.Context, run *analysis.Run) error {
+	if err := c.runSizes(ctx, run); err != nil || run.Stopped != "" {
+		return err
+	}
+	for _, name := range c.Events {
+		if reason := c.refuses(ctx, c.EventSize, run); reason != "" {
+			run.Stopped = fmt.Sprintf("%s at %v was not started: %s", name, c.EventSize, reason)
+			return nil
+		}
+		row, steps, err := c.MeasureEvent(ctx, name, c.EventSize)
+		if err != nil {
+			run.Stopped = err.Error()
+			return nil
+		}
+		run.Events = append(run.Events, row)
+		if name == analysis.EventPrimaryCrash {
+			run.Failover = steps
+		}
+		if c.Happened != nil {
+			c.Happened(&row)
+		}
+	}
+	return nil
+}
+
+func (c *Config) runSizes(ctx context.Context, run *analysis.Run) error {
 	for _, axis := range c.Axes {
 		sizes := Series(c.Sizes, axis)
 		for i, size := range sizes {
--- a/internal/lab/virtual/tier.go
+++ b/internal/lab/virtual/tier.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"havenproxy/internal/lab/history"
@@ -40,14 +41,21 @@
 type Split struct {
 	At, For time.Duration
 	Zone    int
+	Others  []int // zones that are cut off together with it
 }
 
+// apart tells whether the cut lies between two zones.
+func (s *Split) apart(a, b int) bool { return s.inside(a) != s.inside(b) }
+
+func (s *Split) inside(zone int) bool { return zone == s.Zone || slices.Contains(s.Others, zone) }
+
 // Stop ends proxies, and starts them again with nothing but the list that they had.
 type Stop struct {
-	At    time.Duration
-	First float64       // the first of them, as a part of the tier
-	Share float64       // how many, as a part of the tier
-	For   time.Duration // until they start again, behind their end
+	At      time.Duration
+	First   float64       // the first of them, as a part of the tier
+	Share   float64       // how many, as a part of the tier
+	For     time.Duration // until they start again, behind their end
+	Proxies []int         // which; nil = those that First and Share say
 	// Orderly proxies are told (SIGTERM): they take requests for 0.4 s more, answer all that they have and end, after 2 s at the latest.
 	// Others are killed, and their clients see their connections reset.
 	Orderly bool
@@ -140,7 +148,7 @@
 // parted tells whether nothing passes between two zones.
 func (t *tier) parted(now time.Duration, a, b int) bool {
 	for _, s := range t.Splits {
-		if now >= base+s.At && now < base+s.At+s.For && (a == s.Zone) != (b == s.Zone) {
+		if now >= base+s.At && now < base+s.At+s.For && s.apart(a, b) {
 			return true
 		}
 	}
@@ -150,7 +158,7 @@
 // partedUntil is the same for what waits for the end of the cut; 0 = they are not parted.
 func (t *tier) partedUntil(now time.Duration, a, b int) (end time.Duration) {
 	for _, s := range t.Splits {
-		if now >= base+s.At && now < base+s.At+s.For && (a == s.Zone) != (b == s.Zone) {
+		if now >= base+s.At && now < base+s.At+s.For && s.apart(a, b) {
 			end = max(end, base+s.At+s.For)
 		}
 	}
@@ -183,9 +191,7 @@
 
 func (w *world) stops() {
 	for _, s := range w.cfg.Tier.Stops {
-		first := int(math.Round(s.First * float64(len(w.nodes))))
-		last := min(first+int(math.Round(s.Share*float64(len(w.nodes)))), len(w.nodes))
-		for _, n := range w.nodes[min(first, last):last] {
+		for _, n := range w.hitBy(&s) {
 			if !s.Orderly {
 				w.at(base+s.At, func() { n.kill(s.For) })
 				continue
@@ -196,6 +202,19 @@
 	}
 }
 
+// hitBy gives the proxies that a stop ends.
+func (w *world) hitBy(s *Stop) (nodes []*node) {
+	for _, i := range s.Proxies {
+		nodes = append(nodes, w.nodes[i])
+	}
+	if s.Proxies != nil {
+		return nodes
+	}
+	first := int(math.Round(s.First * float64(len(w.nodes))))
+	last := min(first+int(math.Round(s.Share*float64(len(w.nodes)))), len(w.nodes))
+	return w.nodes[min(first, last):last]
+}
+
 // end waits until all is answered, or until the time is over.
 func (n *node) end(latest, down time.Duration) {
 	if n.dead {
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -70,6 +70,7 @@
 	Record     bool // the history of writes, for a checker; it needs Fleet.Audit
 	Tier       Tier
 	Observer   Observer // is told what crosses proxies' edges; nil = nobody is
+	Watch      *Watch   // nil = nobody looks
 }
 
 // Fault is a fault with its time.
@@ -375,6 +376,7 @@
 	}
 	w.series.begin(w)
 	w.observe()
+	w.look()
 	w.schedule()
 	w.watch()
 	w.stops()
--- a/internal/state/show.go
+++ b/internal/state/show.go
@@ -48,30 +48,43 @@
 // Databases gives all of them, by group and name.
 func (f *Front) Databases() (out []DatabaseView) {
 	for _, m := range f.names {
-		d := DatabaseView{Name: m.name, Address: m.address, State: stateName(m.state), Health: "ok", Behind: -1}
-		if facts, ok := f.planned.Member(f.clock.Now(), m.id); ok {
-			d.MemberFacts, d.Group = facts, int(facts.Group)
-			switch {
-			case facts.Silent:
-				d.Health = "silent"
-			case facts.Benched:
-				d.Health = "failing"
-			case facts.Cold:
-				if d.Health = "cold"; facts.Doubt > 0 {
-					d.Health = fmt.Sprintf("cold? %.0f%%", 100*facts.Doubt)
-				}
-			}
-			if facts.Position > 0 {
-				d.Behind = f.clock.Now() - facts.Position
-			}
-		}
-		d.Role = roleNames[d.MemberFacts.Role]
-		out = append(out, d)
+		out = append(out, f.view(m))
 	}
 	slices.SortFunc(out, func(a, b DatabaseView) int { return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Name, b.Name)) })
 	return out
 }
 
+// Database gives one of them; false = the list has none of that name.
+func (f *Front) Database(name string) (DatabaseView, bool) {
+	m := f.names[name]
+	if m == nil {
+		return DatabaseView{}, false
+	}
+	return f.view(m), true
+}
+
+func (f *Front) view(m *member) DatabaseView {
+	d := DatabaseView{Name: m.name, Address: m.address, State: stateName(m.state), Health: "ok", Behind: -1}
+	if facts, ok := f.planned.Member(f.clock.Now(), m.id); ok {
+		d.MemberFacts, d.Group = facts, int(facts.Group)
+		switch {
+		case facts.Silent:
+			d.Health = "silent"
+		case facts.Benched:
+			d.Health = "failing"
+		case facts.Cold:
+			if d.Health = "cold"; facts.Doubt > 0 {
+				d.Health = fmt.Sprintf("cold? %.0f%%", 100*facts.Doubt)
+			}
+		}
+		if facts.Position > 0 {
+			d.Behind = f.clock.Now() - facts.Position
+		}
+	}
+	d.Role = roleNames[d.MemberFacts.Role]
+	return d
+}
+
 // SwitchView is a group's place with its primary, or a switch that has ended.
 type SwitchView struct {
 	Group    int
