Bring events about at a size in the scale run: restarts, dead machines, rack, zone, regions, and others

A proxy that has just started gets no requests before it holds the tier's policy. What the model leaves out: cuts between databases, more than one planner.

--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -17,6 +18,7 @@
 	"havenproxy/internal/lab/report"
 	"havenproxy/internal/lab/scale"
 	"havenproxy/internal/lab/scale/analysis"
+	"havenproxy/internal/lab/scale/calculate"
 )
 
 // scaleOptions are the flags of `havenlab scale`.
@@ -28,6 +30,9 @@
 	timeout   time.Duration
 	processes bool
 	trial     bool
+	calculate bool
+	events    []string
+	eventSize string
 	jsonPath  string
 	pagePath  string
 }
@@ -60,10 +65,14 @@
 	f.DurationVar(&o.ChangeEvery, "change-every", 105*time.Second, "between two changes of policy, 4 KiB each, the first after half of it; 0 = none")
 	f.BoolVar(&o.processes, "processes", true, "measure real planners and a real proxy at each size, on loopback")
 	f.StringVar(&o.Binary, "proxy", "", "the program that they run (default: havenproxy beside this one)")
+	f.StringSliceVar(&o.events, "events", nil, "events that are brought about behind the sizes: all, or some of "+eventNames())
+	f.StringVar(&o.eventSize, "event-size", "", "the size at which they are (default: the largest of --sizes)")
+	f.DurationVar(&o.PartedFor, "parted-for", 3*time.Minute, "how long regions are parted in the event")
 	f.Float64Var(&o.memory, "memory", float64(scale.MachineMemory()/2)/1e9, "GB that the run may hold")
 	f.DurationVar(&o.timeout, "timeout", 30*time.Minute, "bound on the whole run; what was measured until then is still printed")
 	f.BoolVar(&o.CountsOnly, "virtual", false, "messages and bytes only, which are the same every run")
 	f.BoolVar(&o.trial, "trial", false, "call the figures trials")
+	f.BoolVar(&o.calculate, "calculate", false, "run nothing: print what follows for the target from settings and the lengths of messages")
 	f.StringVar(&o.jsonPath, "json", "", "write the run with its report to this file")
 	f.StringVar(&o.pagePath, "page", "", "write a Markdown page to this file, with plots beside it")
 	return c
@@ -89,29 +98,71 @@
 		}
 		o.Axes = append(o.Axes, axis)
 	}
+	if err := o.checkEvents(); err != nil {
+		return err
+	}
 	if o.For < time.Second || o.Settle < 0 || o.Rate <= 0 || o.PeerFacts < 0 || o.PeerFacts > 31 || o.memory < 0 || o.Lease < 0 || o.Lease > 0 && o.Lease < 200*time.Millisecond || o.ChangeEvery < 0 || o.timeout <= 0 {
 		return fmt.Errorf("%w: --for is 1s at least, --settle 0s, --rate above 0, --peers 0 to 31, --memory 0 at least, --lease 0 or 200ms at least, --timeout above 0", ErrUsage)
 	}
 	return nil
 }
 
+// checkEvents reads the flags for events.
+func (o *scaleOptions) checkEvents() error {
+	o.EventSize = o.Sizes[len(o.Sizes)-1]
+	if o.eventSize != "" {
+		list, err := parseSizes([]string{o.eventSize})
+		if err != nil {
+			return err
+		}
+		o.EventSize = analysis.Size{Proxies: list[0].proxies, Databases: list[0].databases}
+	}
+	if err := scale.CheckSize(o.EventSize); err != nil {
+		return fmt.Errorf("%w: --event-size: %w", ErrUsage, err)
+	}
+	if slices.Equal(o.events, []string{"all"}) {
+		o.Events = analysis.Events
+		return nil
+	}
+	for _, name := range o.events {
+		if !slices.Contains(analysis.Events, analysis.Event(name)) {
+			return fmt.Errorf("%w: --events has %q, all or some of %s were expected", ErrUsage, name, eventNames())
+		}
+		o.Events = append(o.Events, analysis.Event(name))
+	}
+	return nil
+}
+
+// eventNames lists the events, separated by commas.
+func eventNames() string {
+	var names []string
+	for _, e := range analysis.Events {
+		names = append(names, string(e))
+	}
+	return strings.Join(names, ",")
+}
+
 func (o *scaleOptions) run(c *cobra.Command) error {
 	if err := o.check(); err != nil {
 		return err
 	}
+	out := c.OutOrStdout()
+	if o.calculate {
+		return calculate.WriteMarkdown(out, calculate.Target())
+	}
 	if o.processes = o.processes && !o.CountsOnly; !o.processes {
 		o.Binary = ""
 	} else if err := program(&o.Binary); err != nil {
 		return err
 	}
 	quiet()
-	out := c.OutOrStdout()
 	o.Variant, o.Memory, o.Until = "all", int64(o.memory*1e9), time.Now().Add(o.timeout)
 	if o.Memory > 0 {
 		debug.SetMemoryLimit(o.Memory)
 	}
 	o.Progress = terminalProgress(c.ErrOrStderr())
 	o.Measured = func(m *analysis.Measurement) { printMeasurement(out, m) }
+	o.Happened = func(e *analysis.EventRow) { printEvent(out, e) }
 	o.Predict = func(size analysis.Size, list []analysis.Prediction) { printPredictions(out, size, list) }
 	run := analysis.Run{Command: "havenlab " + strings.Join(os.Args[1:], " "), Commit: commit(), Machine: machine(), Trial: o.trial}
 	if err := o.Run(c.Context(), &run); err != nil {
@@ -235,3 +286,16 @@
 	}
 	w.Flush()
 }
+
+// printEvent prints what one event cost.
+func printEvent(out io.Writer, e *analysis.EventRow) {
+	known := "all knew after"
+	if !e.AllKnew {
+		known = "not all knew within"
+	}
+	fmt.Fprintf(out, "\n%s at %v: %s %v; %d requests, %d refused, %d wrong sends until then; peak second: %.0f bytes and %.2f%% of a core a proxy, %.0f bytes and %.2f%% at the planner\n",
+		e.Event, e.Size, known, e.UntilAllKnow.Round(time.Millisecond), e.Requests, e.Refused, e.WrongSends, e.PeakProxyBytes, 100*e.PeakProxyCPU, e.PeakPlannerBytes, 100*e.PeakPlannerCPU)
+	for _, s := range e.Stopped {
+		fmt.Fprintf(out, "  %s: %v\n", s.What, s.For)
+	}
+}
--- a/internal/lab/virtual/tier.go
+++ b/internal/lab/virtual/tier.go
@@ -280,10 +280,13 @@
 	})
 }
 
+// joined tells whether a proxy has the tier's policy, without which it is not ready.
+func (n *node) joined() bool { return n.link == nil || n.link.proxy.Member() != 0 }
+
 // living gives the proxy at a place, or the next that takes requests.
 func (w *world) living(i int) *node {
 	for k := range w.nodes {
-		if n := w.nodes[(i+k)%len(w.nodes)]; !n.dead && !n.leaving {
+		if n := w.nodes[(i+k)%len(w.nodes)]; !n.dead && !n.leaving && n.joined() {
 			return n
 		}
 	}
