Hold the scale run's model against a real proxy on sockets, counted by its stand-ins

The model's counts had nothing beside them from a kernel socket. The stand-ins now count what they read and write by kind, and the real proxy beside each size, told of as many proxies, makes a measurement of its own: checks, bytes, CPU, memory and descriptors.

--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -259,7 +259,7 @@
 
 // printMeasurement prints what one size cost, by kind of message.
 func printMeasurement(out io.Writer, m *analysis.Measurement) {
-	fmt.Fprintf(out, "\n%v, varying %s, seed %d, %.0f s measured %s\n", m.Size, m.Vary, m.Seed, m.Seconds, m.Partial)
+	fmt.Fprintf(out, "\n%v, %s, varying %s, seed %d, %.0f s measured %s\n", m.Size, m.Variant, m.Vary, m.Seed, m.Seconds, m.Partial)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "kind\tdirection\tmessages/s a proxy\tpeak\tbusiest\tbytes/s a proxy\tpeak\tbusiest\t")
 	for _, t := range m.Traffic {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -80,16 +80,16 @@
 			if i == len(sizes)-1 && i > 0 {
 				c.predict(run, axis, size)
 			}
-			m, err := c.measure(ctx, size, axis)
+			list, err := c.measure(ctx, size, axis)
 			if err != nil {
 				return err
 			}
-			run.Measurements = append(run.Measurements, m)
-			if c.Measured != nil {
-				c.Measured(&m)
+			run.Measurements = append(run.Measurements, list...)
+			for i := range list {
+				c.measured(&list[i])
 			}
-			if m.Partial != "" {
-				run.Stopped = fmt.Sprintf("%v: %s", size, m.Partial)
+			if model := &list[0]; model.Partial != "" {
+				run.Stopped = fmt.Sprintf("%v: %s", size, model.Partial)
 				return nil
 			}
 		}
@@ -97,14 +97,24 @@
 	return nil
 }
 
-// measure measures a size in the model, and real processes beside it where sizes are in proportion.
-func (c *Config) measure(ctx context.Context, size analysis.Size, axis analysis.Axis) (analysis.Measurement, error) {
+// measure measures a size in the model, and real processes beside it where sizes are in proportion. What goes wrong with those makes
+// their measurement partial; the model's stands.
+func (c *Config) measure(ctx context.Context, size analysis.Size, axis analysis.Axis) ([]analysis.Measurement, error) {
 	m, err := c.measureModel(ctx, size, axis)
 	if err != nil || m.Partial != "" || c.Binary == "" || axis != analysis.AxisBoth {
-		return m, err
+		return []analysis.Measurement{m}, err
+	}
+	onSockets, err := c.measureProcesses(ctx, &m)
+	if err != nil {
+		onSockets = analysis.Measurement{Size: size, Vary: axis, Seed: c.Seed, Variant: SocketsVariant(c.Variant), Transport: socketsTransport, Partial: err.Error()}
+	}
+	return []analysis.Measurement{m, onSockets}, nil
+}
+
+func (c *Config) measured(m *analysis.Measurement) {
+	if c.Measured != nil {
+		c.Measured(m)
 	}
-	m.Processes, err = c.measureProcesses(ctx, size)
-	return m, err
 }
 
 func (c *Config) predict(run *analysis.Run, axis analysis.Axis, size analysis.Size) {
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -31,7 +31,7 @@
 	mux.HandleFunc("GET /v1/endpoints", l.serve)
 	l.srv = &http.Server{Handler: mux}
 	w.done.Add(1)
-	go func() { defer w.done.Done(); l.srv.Serve(ln) }()
+	go func() { defer w.done.Done(); l.srv.Serve(countedListener{ln, &w.traffic}) }()
 	return l, nil
 }
 
@@ -102,6 +102,8 @@
 }
 
 func (l *lister) serve(out http.ResponseWriter, r *http.Request) {
+	l.w.traffic[ListTraffic].read.add(1, 0)
+	defer l.w.traffic[ListTraffic].written.add(1, 0)
 	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	watch := err == nil
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
--- a/internal/lab/standin/postgres.go
+++ b/internal/lab/standin/postgres.go
@@ -29,6 +29,8 @@
 	buf  []byte
 	mu   sync.Mutex // of writes
 	out  []byte
+
+	openingRead, openingWritten int // bytes of the handshake that are not counted yet
 }
 
 func (db *database) listen(address string) error {
@@ -121,10 +123,13 @@
 		if opening == pg.OpenCancel {
 			return
 		}
+		s.openingRead = len(s.out)
 		break
 	}
 	if !s.hung() {
-		s.write(pg.AppendWelcome(nil))
+		welcome := pg.AppendWelcome(nil)
+		s.openingWritten = len(welcome)
+		s.write(welcome)
 	}
 	var ticket fleet.Ticket
 	defer func() { w.With(func(now time.Duration, f *fleet.Fleet) { f.Withdraw(now, ticket) }) }()
@@ -141,7 +146,7 @@
 		if err != nil {
 			return
 		}
-		ticket = s.query(string(text))
+		ticket = s.query(string(text), len(m.Raw))
 	}
 }
 
@@ -151,26 +156,28 @@
 	return is
 }
 
-func (s *session) query(text string) (t fleet.Ticket) {
+func (s *session) query(text string, size int) (t fleet.Ticket) {
 	w := s.db.w
 	switch trimmed := strings.Trim(text, " \t\r\n;"); {
 	case trimmed == "":
 		s.write(pg.AppendEmpty(nil))
 		return t
 	case strings.EqualFold(trimmed, "SELECT 1"), strings.EqualFold(trimmed, "SHOW load"):
+		s.countQuery(ProbeTraffic, size)
 		w.With(func(now time.Duration, f *fleet.Fleet) {
 			f.Probe(now, s.db.id, func(r fleet.Report) {
 				value := "1"
 				if trimmed[1] != 'E' && trimmed[1] != 'e' {
 					value = w.report(r)
 				}
-				s.write(appendRow(nil, value, "", 0))
+				s.answer(ProbeTraffic, appendRow(nil, value, "", 0))
 			})
 		})
 		return t
 	}
+	s.countQuery(RequestTraffic, size)
 	st, err := pg.ParseStatement(text)
-	t, ok := s.submit(&st.Hints, func(class int, r fleet.Reply) { s.write(w.encode(st.ID, class, r)) })
+	t, ok := s.submit(&st.Hints, func(class int, r fleet.Reply) { s.answer(RequestTraffic, w.encode(st.ID, class, r)) })
 	if err != nil || !ok {
 		s.write(pg.AppendReady(errorOf("08P01", "not a statement of this deployment")))
 	}
--- a/internal/lab/standin/world.go
+++ b/internal/lab/standin/world.go
@@ -27,6 +27,7 @@
 	databases []*database
 	list      *lister
 	lists     []*lister // further ones
+	traffic   traffic
 	log       func(at time.Duration, text string)
 }
 
