--- a/internal/lab/scale/incidents.go
+++ b/internal/lab/scale/incidents.go
@@ -9,6 +9,9 @@
 	"havenproxy/internal/lab/virtual"
 )
 
+// firstRegion is how many of Zones are the first region's.
+const firstRegion = 3
+
 // incident gives an event's course at a size.
 func (c *Config) incident(name analysis.Event, size analysis.Size) (*incident, error) {
 	switch name {
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -181,3 +181,15 @@
 		t.Errorf("a zone has %d proxies and %d databases", proxies, databases)
 	}
 }
+
+func TestARealProxysMemoryIsNotTheModels(t *testing.T) {
+	c := small()
+	size := analysis.Size{Proxies: 100, Databases: 160}
+	memory := func(variant string, bytes float64) analysis.Measurement {
+		return analysis.Measurement{Size: size, Variant: variant, Memory: analysis.Sample{Mean: bytes, Seconds: 1}}
+	}
+	run := analysis.Run{Measurements: []analysis.Measurement{memory(c.Variant, 1e6), memory(SocketsVariant(c.Variant), 1e9)}}
+	if got, want := c.expectedBytes(&run, size), int64(headroom*1e6*100); got != want {
+		t.Errorf("%d bytes are expected, not %d", got, want)
+	}
+}
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -124,7 +124,6 @@
 		select {
 		case <-changed:
 		case <-end.C:
-			watch, after = true, generation-1
 			out.Write(EncodeList(generation, false, nil))
 			return
 		case <-r.Context().Done():
--- a/internal/lab/standin/postgres.go
+++ b/internal/lab/standin/postgres.go
@@ -4,7 +4,6 @@
 	"net"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"havenproxy/internal/lab/fleet"
@@ -18,6 +17,7 @@
 	w       *World
 	id      int
 	address string
+	port    *reservedPort // its address, also while it is down
 	ln      net.Listener
 	conns   map[*session]struct{}
 }
@@ -27,18 +27,17 @@
 	db   *database
 	conn net.Conn
 	buf  []byte
-	mu   sync.Mutex // of writes
 	out  []byte
 
 	openingRead, openingWritten int // bytes of the handshake that are not counted yet
 }
 
-func (db *database) listen(address string) error {
-	ln, err := net.Listen("tcp", address)
+func (db *database) listen() error {
+	ln, err := db.port.listen()
 	if err != nil {
 		return err
 	}
-	db.ln, db.address = ln, ln.Addr().String()
+	db.ln = ln
 	db.w.done.Add(1)
 	go db.accept(ln)
 	return nil
@@ -51,7 +50,7 @@
 		db.shut()
 	case fleet.Up:
 		if db.ln == nil {
-			if err := db.listen(db.address); err != nil {
+			if err := db.listen(); err != nil {
 				db.w.warn("can't listen again", err)
 			}
 		}
@@ -231,23 +230,24 @@
 	s.conn.Write(b)
 }
 
-// take reads until a whole message is there.
-func take[T any](s *session, next func([]byte) (T, int, error)) (out T, err error) {
+// take reads from the connection until next finds a whole message, and returns that message. The message is parsed again
+// from a copy, s.out, so that it stays valid until the next call of take while s.buf is reused.
+func take[T any](s *session, next func([]byte) (T, int, error)) (parsed T, err error) {
 	for {
-		got, n, err := next(s.buf)
+		_, n, err := next(s.buf)
 		if err != nil {
-			return out, err
+			return parsed, err
 		}
 		if n > 0 {
-			s.out = append(s.out[:0], s.buf[:n]...) // the message outlives the buffer's next change
-			got, _, _ = next(s.out)
+			s.out = append(s.out[:0], s.buf[:n]...)
 			s.buf = append(s.buf[:0], s.buf[n:]...)
-			return got, nil
+			parsed, _, err = next(s.out)
+			return parsed, err
 		}
 		chunk := make([]byte, 4096)
 		k, err := s.conn.Read(chunk)
 		if err != nil {
-			return out, err
+			return parsed, err
 		}
 		s.buf = append(s.buf, chunk[:k]...)
 	}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -42,6 +42,7 @@
 	deadlines *state.Deadlines
 	front     *state.Front
 	listeners []*listener
+	mysql     *listener // the one of them for MySQL's clients; nil = there is none
 
 	open        atomic.Int64 // connections that were accepted and not closed yet
 	clients     map[*client]struct{}
@@ -57,7 +58,6 @@
 	crowdedAt   time.Duration // when it was last told that there are too many
 	lingering   int           // connections that are shut and wait for their clients' end
 	lingerMost  time.Duration // each of them, at most
-	crossed     int           // bytes that were read behind a shutdown, for nobody
 	draining    bool
 	away        bool // operators send clients away
 	sweeping    state.Deadline
