Measure decisions in the scale run by their thread's processor time, not by the wall

On a busy machine the wall clock counted other work to the proxies' decisions. The model takes a stopwatch; the scale run gives it the thread's own processor time and stays on one thread. Each reading is a system call, some 0.3 us, which is in the figures.

--- a/internal/lab/scale/events.go
+++ b/internal/lab/scale/events.go
@@ -68,7 +68,7 @@
 	if len(x.facts) > 0 {
 		cfg.Watch = &virtual.Watch{From: max(x.begins, c.Settle), Every: lookEvery, Look: seen.look}
 	}
-	result := virtual.Play(cfg)
+	result := play(cfg)
 	if stopped != "" {
 		return row, analysis.Steps{}, fmt.Errorf("%s at %v: %s", name, size, stopped)
 	}
--- a/internal/lab/scale/model.go
+++ b/internal/lab/scale/model.go
@@ -6,6 +6,8 @@
 	"runtime"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"havenproxy/internal/lab/fleet"
 	"havenproxy/internal/lab/scale/analysis"
 	"havenproxy/internal/lab/virtual"
@@ -38,6 +40,7 @@
 	if c.Lease > 0 {
 		cfg.Tier.Planners = &virtual.Planners{Lease: c.Lease, PolicySize: policySize, Changes: c.changes()}
 	}
+	cfg.Stopwatch = threadTime
 	cfg.Clocked = !c.CountsOnly
 	return cfg
 }
@@ -95,7 +98,7 @@
 		return partial == ""
 	}
 	cfg.Observer = r
-	virtual.Play(cfg)
+	play(cfg)
 	m := r.measurement()
 	m.Partial = partial
 	m.Seed, m.Variant, m.Vary, m.Virtual, m.Transport = c.Seed, c.Variant, axis, c.CountsOnly, transport
@@ -107,6 +110,22 @@
 	return m, nil
 }
 
+// play plays a run on one thread, whose processor time is measured: other work on the machine does not count.
+func play(cfg virtual.Config) *virtual.Result {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	return virtual.Play(cfg)
+}
+
+// threadTime is the processor time of the calling thread.
+func threadTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
+
 // heapWithoutProxies gives the live bytes of the process with the databases' model and no proxy.
 func heapWithoutProxies(cfg fleet.Config) (uint64, error) {
 	databases, err := fleet.New(cfg, 0, fleet.Observer{})
--- a/internal/lab/virtual/planner.go
+++ b/internal/lab/virtual/planner.go
@@ -97,10 +97,10 @@
 
 // act lets the leader do something, and carries out what it wants then.
 func (p *planner) act(do func()) {
-	began := time.Now()
+	began := p.w.stopwatch()
 	do()
 	if o := p.w.cfg.Observer; o != nil && p.w.cfg.Clocked {
-		o.Spent(p.w.clock.now-base, noProxy, PlannerWork, time.Since(began))
+		o.Spent(p.w.clock.now-base, noProxy, PlannerWork, p.w.stopwatch()-began)
 	}
 	p.ready()
 }
--- a/internal/lab/virtual/tier.go
+++ b/internal/lab/virtual/tier.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if n.w.cfg.Clocked {
-		defer n.clocked(time.Now(), ControlWork, &n.w.res.InPeers)
+		defer n.clocked(n.w.stopwatch(), ControlWork, &n.w.res.InPeers)
 	}
 	n.count(noDatabase, PeerMessage, Received, len(text))
 	n.front.HeardPeer(text)
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -66,11 +66,13 @@
 	Still      []Still             // the proxy's loop stands still
 	At         []Action
 	Clocked    bool // Result.InProxies and InTimers are wanted
-	Heat       bool // Result.Load is wanted
-	Record     bool // the history of writes, for a checker; it needs Fleet.Audit
-	Tier       Tier
-	Observer   Observer // is told what crosses proxies' edges; nil = nobody is
-	Watch      *Watch   // nil = nobody looks
+	// Stopwatch is the clock by which Clocked measures; nil = the machine's.
+	Stopwatch func() time.Duration
+	Heat      bool // Result.Load is wanted
+	Record    bool // the history of writes, for a checker; it needs Fleet.Audit
+	Tier      Tier
+	Observer  Observer // is told what crosses proxies' edges; nil = nobody is
+	Watch     *Watch   // nil = nobody looks
 }
 
 // Fault is a fault with its time.
@@ -188,6 +190,9 @@
 	return float64(c.Fleet.Groups*c.Fleet.Members*cores) / (work / sum)
 }
 
+// processStart is where the machine's clock counts from.
+var processStart = time.Now()
+
 // clock is the virtual clock.
 type clock struct{ now time.Duration }
 
@@ -252,21 +257,29 @@
 		return
 	}
 	if n.w.cfg.Clocked {
-		defer n.clocked(time.Now(), work, &n.w.res.InProxies)
+		defer n.clocked(n.w.stopwatch(), work, &n.w.res.InProxies)
 	}
 	do()
 	n.arm()
 }
 
 // clocked adds the true time that something took.
-func (n *node) clocked(began time.Time, work Work, to *time.Duration) {
-	took := time.Since(began)
+func (n *node) clocked(began time.Duration, work Work, to *time.Duration) {
+	took := n.w.stopwatch() - began
 	*to += took
 	if o := n.w.cfg.Observer; o != nil {
 		o.Spent(n.w.clock.now-base, n.i, work, took)
 	}
 }
 
+// stopwatch reads the clock by which work is measured.
+func (w *world) stopwatch() time.Duration {
+	if w.cfg.Stopwatch != nil {
+		return w.cfg.Stopwatch()
+	}
+	return time.Since(processStart)
+}
+
 // arm sees to it that the proxy is looked at when its first deadline is due. So a step costs nothing for the proxies that it
 // doesn't concern.
 func (n *node) arm() {
@@ -286,7 +299,7 @@
 		return
 	}
 	if n.w.cfg.Clocked {
-		defer n.clocked(time.Now(), ControlWork, &n.w.res.InTimers)
+		defer n.clocked(n.w.stopwatch(), ControlWork, &n.w.res.InTimers)
 	}
 	if n.w.clock.now >= n.late {
 		n.front.Deadlines.Run(n.w.clock.now)
