--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -10,12 +10,9 @@
 	"strings"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"havenproxy/internal/handover"
 	"havenproxy/internal/lab/arrivals"
 	"havenproxy/internal/lab/fleet"
-	"havenproxy/internal/lab/history"
 	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/levels"
 	"havenproxy/internal/state"
@@ -103,62 +100,6 @@
 	Do func(*state.Front)
 }
 
-// ClassResult is what became of a class.
-type ClassResult struct {
-	Offered, InAim, Late, Refused, Failed, Silent int
-	Tries                                         int
-}
-
-// Result is the outcome of a run.
-type Result struct {
-	Classes   []ClassResult
-	Worth     float64 // earned, as a part of what was asked for
-	Changes   []state.LevelChange
-	Ladder    []string           // the levels' names, the lowest first
-	PerGroup  []int              // level changes
-	Most      int                // of changes within any minute, of any group
-	Fell      int                // databases that fell over while cold
-	Levels    []state.GroupLevel // at the end
-	Kept      int                // groups that the router keeps at the end
-	Fleet     *fleet.Fleet
-	Writes    []history.Write // with Config.Record
-	Switches  []Election      // in their order
-	Held      int             // requests held at the end
-	BySession [2]ClassResult  // of the one that sends the most, and of the others
-	Worst10   float64         // the worth in the worst 10 s
-	Seconds   []Sample
-	Latency   []*hdrhistogram.Histogram // by class, of what was served, in microseconds from when it came
-	Load      [][]float64               // of each database in each second: its work, as a part of what its warm cores can do
-	Counters  state.Counters            // of all proxies
-	Steps     int                       // of the engine
-	Links     int                       // connections to databases at the end
-	// The true time that the proxies' decisions and state took, on this machine: for what came to them, and for what they do by
-	// the clock. With Config.Clocked.
-	InProxies, InTimers time.Duration
-	InPeers             time.Duration // the same for what peers tell
-	Events              []Event       // faults and what came of them
-
-	// Of the tier: messages to peers with their bytes, as sent and as they came to each receiver; calls for the list; proxies that ended.
-	Messages, MessageBytes, Delivered, DeliveredBytes uint64
-	ListCalls                                         uint64
-	Stopped                                           int
-	Changed                                           []PolicyChange // of the tier's policy, as proposed
-}
-
-// Election is a database that became primary, with what followed.
-type Election struct {
-	At     time.Duration
-	Group  int
-	Member int
-	First  time.Duration // until the first write was served by it; 0 = none was
-	Push   float64       // work sent to it in its first 2 s, against what it could do then
-}
-
-// InAim is the part of a class that was answered in time.
-func (r *Result) InAim(class int) float64 {
-	return float64(r.Classes[class].InAim) / float64(max(r.Classes[class].Offered, 1))
-}
-
 // Yard gives the fleet of the timber yards, with the shares of its classes.
 func Yard(seed uint64) Config {
 	return Config{Seed: seed, Fleet: fleet.Config{Seed: seed, Groups: 1, Members: 3, Zones: launch.Zones(), Classes: launch.Classes()},
@@ -221,92 +162,9 @@
 	stopped      bool     // the observer has ended the run
 }
 
-// node is one proxy.
-type node struct {
-	w     *world
-	i     int
-	zone  int
-	front *state.Front
-	life  int  // counts starts; what was under way in an earlier life is lost
-	dead  bool // between two lives
-	// leaving: it has been told to end and takes nothing new.
-	leaving bool
-	conns   map[*conn]struct{}
-	late    time.Duration // it stands still until then
-	inbox   []func()      // what waits for it
-	watch   bool
-	link    *plannerLink   // nil = there is no planner
-	watches int            // counts calls to the list's service that wait for news
-	wake    state.Deadline // its own first deadline, among the world's
-	armed   time.Duration
-}
-
 // at lets something happen at a time.
 func (w *world) at(at time.Duration, do func()) { w.todo.Set(&state.Deadline{}, at, do) }
 
-// proxy does something at the proxy that is no request's, once it has the time.
-func (n *node) proxy(do func()) { n.act(ControlWork, do) }
-
-// act does a kind of work at the proxy, once it has the time.
-func (n *node) act(work Work, do func()) {
-	if n.dead {
-		return
-	}
-	if n.w.clock.now < n.late {
-		n.inbox = append(n.inbox, do)
-		return
-	}
-	if n.w.cfg.Clocked {
-		defer n.clocked(n.w.stopwatch(), work, &n.w.res.InProxies)
-	}
-	do()
-	n.arm()
-}
-
-// clocked adds the true time that something took.
-func (n *node) clocked(began time.Duration, work Work, to *time.Duration) {
-	took := n.w.stopwatch() - began
-	*to += took
-	if o := n.w.cfg.Observer; o != nil {
-		o.Spent(n.w.clock.now-base, n.i, work, took)
-	}
-}
-
-// stopwatch reads the clock by which work is measured.
-func (w *world) stopwatch() time.Duration {
-	if w.cfg.Stopwatch != nil {
-		return w.cfg.Stopwatch()
-	}
-	return time.Since(processStart)
-}
-
-// arm sees to it that the proxy is looked at when its first deadline is due. So a step costs nothing for the proxies that it
-// doesn't concern.
-func (n *node) arm() {
-	at, ok := n.front.Deadlines.Next()
-	if !ok {
-		return
-	}
-	if at = max(at, n.late); n.armed == 0 || at < n.armed {
-		n.armed = at
-		n.w.todo.Set(&n.wake, at, n.due)
-	}
-}
-
-func (n *node) due() {
-	n.armed = 0
-	if n.dead {
-		return
-	}
-	if n.w.cfg.Clocked {
-		defer n.clocked(n.w.stopwatch(), ControlWork, &n.w.res.InTimers)
-	}
-	if n.w.clock.now >= n.late {
-		n.front.Deadlines.Run(n.w.clock.now)
-	}
-	n.arm()
-}
-
 // carry brings a message from a proxy to a database or back. A connection loses none: what the network drops comes a
 // retransmission later, and what a cut holds up comes behind its end.
 func (w *world) carry(n *node, m int, do func()) {
