--- a/internal/lab/scale/analysis/api.go
+++ b/internal/lab/scale/analysis/api.go
@@ -5,8 +5,7 @@
 // squares against the number of proxies and the number of databases (N. Draper and H. Smith, "Applied Regression Analysis",
 // 3rd edition, 1998, chapters 1 and 3), so a figure at the target size has a slope, an interval and residuals behind it.
 //
-// The flags of `havenlab scale` are in docs/operators/scale.md. Those for events, --events LIST and --event-size PxD, are yet to be
-// offered by the runner; LIST is all, or some of Events.
+// The flags of `havenlab scale` are in docs/operators/scale.md.
 //
 // The exit code is 0 where every budget that was measured is kept, 1 where one is broken, and 2 for flags that make no sense and
 // for a run that is refused because it would go over memory, processes, descriptors or ports.
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -154,3 +154,42 @@
 		t.Errorf("%.1f requests and %.1f wrong sends a second and proxy", m.RequestsPerProxy.Mean, m.WrongSends.Mean)
 	}
 }
+
+func TestEveryEventEndsWithAllInTheKnow(t *testing.T) {
+	c := small()
+	c.PartedFor = 10 * time.Second
+	for _, name := range analysis.Events {
+		row, steps, err := c.MeasureEvent(t.Context(), name, analysis.Size{Proxies: 10, Databases: 20})
+		if err != nil || !row.AllKnew || row.UntilAllKnow <= 0 || row.Requests == 0 || row.PeakProxyBytes == 0 || row.PeakPlannerBytes == 0 {
+			t.Errorf("%+v, error %v", row, err)
+		}
+		if name != analysis.EventPrimaryCrash {
+			continue
+		}
+		if sum := steps.Detect + steps.Decide + steps.Spread; steps.Detect == 0 || sum != row.UntilAllKnow {
+			t.Errorf("steps %+v, in all %v", steps, row.UntilAllKnow)
+		}
+	}
+}
+
+func TestAnEventHitsWhatItSays(t *testing.T) {
+	size := analysis.Size{Proxies: 820, Databases: 1300}
+	if n := len(rackMembers(size)); n != rackDatabases {
+		t.Errorf("a rack has %d databases", n)
+	}
+	if proxies, databases := len(zoneProxies(size, 4)), len(zoneMembers(size, 4)); proxies != 164 || databases != 260 {
+		t.Errorf("a zone has %d proxies and %d databases", proxies, databases)
+	}
+}
+
+func TestARealProxysMemoryIsNotTheModels(t *testing.T) {
+	c := small()
+	size := analysis.Size{Proxies: 100, Databases: 160}
+	memory := func(variant string, bytes float64) analysis.Measurement {
+		return analysis.Measurement{Size: size, Variant: variant, Memory: analysis.Sample{Mean: bytes, Seconds: 1}}
+	}
+	run := analysis.Run{Measurements: []analysis.Measurement{memory(c.Variant, 1e6), memory(SocketsVariant(c.Variant), 1e9)}}
+	if got, want := c.expectedBytes(&run, size), int64(headroom*1e6*100); got != want {
+		t.Errorf("%d bytes are expected, not %d", got, want)
+	}
+}
