--- a/internal/cli/policy.go
+++ b/internal/cli/policy.go
@@ -89,8 +89,8 @@
 		return err
 	}
 	var from *policy.Policy
-	if now.State.Force > 0 {
-		if from, err = find(ctx, cl, now.State.Force); err != nil {
+	if now.State.InForce > 0 {
+		if from, err = find(ctx, cl, now.State.InForce); err != nil {
 			return err
 		}
 	}
@@ -133,9 +133,9 @@
 			if f.asJSON {
 				json.NewEncoder(out).Encode(change{uint64(n), policy.Hash(text), x.Outcome.String(), x.Reason, took.Seconds(), diff})
 			} else if x.Outcome == rollout.InForce {
-				fmt.Fprintf(out, "policy %d is in force at %d proxies, after %v\n", n, len(a.State.Seats), took.Round(time.Millisecond))
+				fmt.Fprintf(out, "policy %d is in force at %d proxies, after %v\n", n, len(a.State.Members), took.Round(time.Millisecond))
 			}
-			if x.Outcome == rollout.GivenUp {
+			if x.Outcome == rollout.Aborted {
 				return errExit{exitGivenUp, fmt.Sprintf("policy %d was given up: %s", n, x.Reason)}
 			}
 			return nil
@@ -150,7 +150,7 @@
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
-		if next, err := cl.Status(ctx, 0); err == nil && next.State.Last >= n {
+		if next, err := cl.Status(ctx, 0); err == nil && next.State.LastNumber >= n {
 			a = next
 		}
 	}
@@ -177,8 +177,8 @@
 			line += ", "
 		}
 		line += w.Name
-		if w.Cut > 500*time.Millisecond {
-			line += fmt.Sprintf(" (not heard for %.1f s)", w.Cut.Seconds())
+		if w.SinceHeard > 500*time.Millisecond {
+			line += fmt.Sprintf(" (not heard for %.1f s)", w.SinceHeard.Seconds())
 		}
 	}
 	return line
@@ -297,7 +297,7 @@
 				return err
 			}
 			f.wait, _ = c.Flags().GetDuration("wait")
-			return f.propose(c, cl, x.Policy, fmt.Sprintf("back to %d: %s", x.Number, x.Why))
+			return f.propose(c, cl, x.Policy, fmt.Sprintf("back to %d: %s", x.Number, x.Comment))
 		})
 	c.Flags().Duration("wait", time.Minute, "how long to wait for the end; behind it exit 4")
 	return c
@@ -312,9 +312,9 @@
 			}
 			out := c.OutOrStdout()
 			if f.asJSON {
-				return json.NewEncoder(out).Encode(map[string]any{"in_force": a.State.Force, "leader": a.Leader, "planners": a.Planners, "progress": a.Progress, "members": a.Members})
+				return json.NewEncoder(out).Encode(map[string]any{"in_force": a.State.InForce, "leader": a.Leader, "planners": a.Planners, "progress": a.Progress, "members": a.Members})
 			}
-			fmt.Fprintf(out, "in force: %s\n", describe(a.State, a.State.Force))
+			fmt.Fprintf(out, "in force: %s\n", describe(a.State, a.State.InForce))
 			switch {
 			case a.Leader == 0:
 				fmt.Fprintln(out, "no planner leads: no change can be made, and leases run out")
@@ -334,9 +334,9 @@
 					link = "no"
 				}
 				if a.State.Lease > 0 {
-					lease = fmt.Sprintf("%.1f s", max(m.Lease.Seconds(), 0))
+					lease = fmt.Sprintf("%.1f s", max(m.LeaseLeft.Seconds(), 0))
 				}
-				fmt.Fprintf(w, "%s\t%d\t%s\t%.1f s ago\t%s\n", m.Name, m.Number, link, m.Heard.Seconds(), lease)
+				fmt.Fprintf(w, "%s\t%d\t%s\t%.1f s ago\t%s\n", m.Name, m.Number, link, m.SinceHeard.Seconds(), lease)
 			}
 			return w.Flush()
 		})
@@ -347,7 +347,7 @@
 	if x == nil {
 		return "each proxy's own files: the tier has no policy yet"
 	}
-	return fmt.Sprintf("policy %d (%s), since %s: %s", n, x.Hash, time.UnixMilli(x.Ended).UTC().Format(time.DateTime), x.Why)
+	return fmt.Sprintf("policy %d (%s), since %s: %s", n, x.Hash, time.UnixMilli(x.EndedAt).UTC().Format(time.DateTime), x.Comment)
 }
 
 func historyCommand() *cobra.Command {
@@ -368,9 +368,9 @@
 			}
 			var rows []row
 			for _, x := range slices.Backward(a.State.Changes) {
-				r := row{uint64(x.Number), x.Hash, time.UnixMilli(x.At).UTC(), 0, x.Outcome.String(), x.Why, x.Reason}
+				r := row{uint64(x.Number), x.Hash, time.UnixMilli(x.ProposedAt).UTC(), 0, x.Outcome.String(), x.Comment, x.Reason}
 				if x.Outcome != rollout.Undecided {
-					r.Seconds = float64(x.Ended-x.At) / 1e3
+					r.Seconds = float64(x.EndedAt-x.ProposedAt) / 1e3
 				}
 				rows = append(rows, r)
 			}
@@ -438,7 +438,7 @@
 				switch x := a.State.Change(n); {
 				case x == nil:
 					return fmt.Errorf("%w: no policy %d", errUsage, n)
-				case x.Outcome == rollout.GivenUp:
+				case x.Outcome == rollout.Aborted:
 					fmt.Fprintf(c.OutOrStdout(), "policy %d is given up: %s\n", n, x.Reason)
 					return nil
 				case x.Outcome == rollout.InForce:
--- a/internal/lab/command/tier.go
+++ b/internal/lab/command/tier.go
@@ -148,7 +148,7 @@
 		}
 		n := len(took[0]) + len(took[1]) + len(took[2])
 		fmt.Fprintf(w, "%s\t%d\t", row.kind, n)
-		for _, o := range []rollout.Outcome{rollout.InForce, rollout.GivenUp} {
+		for _, o := range []rollout.Outcome{rollout.InForce, rollout.Aborted} {
 			list := took[o]
 			slices.Sort(list)
 			at := func(q float64) string {
@@ -174,8 +174,8 @@
 		Example: "  havenlab links --links 300\n  havenlab links --links 3000 --for 20s",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if l.Links < 1 || l.Planners < 1 || l.Changes < 1 || l.For < time.Second || l.Lease < 200*time.Millisecond || l.Size > rollout.MostPolicy || l.Size < 1 {
-				return fmt.Errorf("%w: --links, --planners, --changes and --size are 1 at least, --size %d at most, --for 1s and --lease 200ms at least", ErrUsage, rollout.MostPolicy)
+			if l.Links < 1 || l.Planners < 1 || l.Changes < 1 || l.For < time.Second || l.Lease < 200*time.Millisecond || l.Size > rollout.MaxPolicyBytes || l.Size < 1 {
+				return fmt.Errorf("%w: --links, --planners, --changes and --size are 1 at least, --size %d at most, --for 1s and --lease 200ms at least", ErrUsage, rollout.MaxPolicyBytes)
 			}
 			if err := program(&l.Binary); err != nil {
 				return err
--- a/internal/lab/explore/rollout.go
+++ b/internal/lab/explore/rollout.go
@@ -75,7 +75,7 @@
 // Start gives the first state: nobody is a member yet.
 func (t *Tier) Start() State {
 	t.interned = &messages{byKey: map[envelope]uint16{}}
-	w := &world{t: t, now: 1000 * tick, state: &rollout.State{Without: t.Without}, term: 1, asks: make([]int, t.Proxies), hellos: make([]int, t.Proxies)}
+	w := &world{t: t, now: 1000 * tick, state: &rollout.State{DisabledGuards: t.Without}, term: 1, asks: make([]int, t.Proxies), hellos: make([]int, t.Proxies)}
 	w.leader = rollout.Lead(t.config(), w.state, w.term)
 	for i := range t.Proxies {
 		w.proxies = append(w.proxies, w.fresh(i))
@@ -86,9 +86,9 @@
 }
 
 func (t *Tier) config() rollout.Config {
-	c := rollout.Config{Margin: tick / 2, Answer: tick, Round: tick, Again: 1, Bound: 1000 * tick, Without: t.Without}
+	c := rollout.Config{ClockMargin: tick / 2, AnswerTimeout: tick, RoundTimeout: tick, RoundPause: 1, ChangeTimeout: 1000 * tick, DisabledGuards: t.Without}
 	if t.Leases {
-		c.Lease, c.Short = 2*tick, tick
+		c.Lease, c.ShortLease = 2*tick, tick
 	}
 	return c
 }
@@ -125,7 +125,7 @@
 // settle carries out what was ordered, and looks at what may be taken now.
 func (w *world) settle() {
 	for i, p := range w.proxies {
-		for _, m := range p.Out() {
+		for _, m := range p.TakeMessages() {
 			w.post(-1-i, m)
 		}
 	}
@@ -147,13 +147,13 @@
 		return
 	}
 	for i, p := range w.proxies {
-		n, v := p.May(w.now)
-		if v != rollout.Take {
+		n, v := p.AdmitRequest(w.now)
+		if v != rollout.Admit {
 			continue
 		}
 		switch c := w.state.Change(n); {
-		case n < w.state.Force:
-			w.broken = fmt.Sprintf("n%d takes a request under policy %d, and %d is in force", i, n, w.state.Force)
+		case n < w.state.InForce:
+			w.broken = fmt.Sprintf("n%d takes a request under policy %d, and %d is in force", i, n, w.state.InForce)
 		case n < w.top:
 			w.broken = fmt.Sprintf("n%d takes a request under policy %d, behind one that was taken under %d", i, n, w.top)
 		case c != nil && c.Outcome != rollout.InForce:
@@ -173,7 +173,7 @@
 	}
 	dst = w.leader.AppendState(w.state.AppendState(dst), w.now)
 	for _, c := range w.log {
-		dst = append(dst, byte(c.Act), byte(c.Number), byte(c.Member), byte(c.Round.Term), byte(c.Round.Count), byte(c.Members), byte(c.Nonce))
+		dst = append(dst, byte(c.Kind), byte(c.Number), byte(c.Member), byte(c.Round.Term), byte(c.Round.Count), byte(c.MembersVersion), byte(c.Nonce))
 	}
 	for _, id := range w.net {
 		dst = binary.LittleEndian.AppendUint16(dst, id)
@@ -198,14 +198,14 @@
 		if l.to >= 0 {
 			step(fmt.Sprintf("n%d hears %s", l.to, tell(l.text)), func(n *world) {
 				n.proxies[l.to] = n.proxies[l.to].Clone()
-				n.proxies[l.to].Heard(n.now, l.text)
+				n.proxies[l.to].Receive(n.now, l.text)
 			})
 		} else {
 			from := -1 - l.to
 			step(fmt.Sprintf("the leader hears %s of n%d", tell(l.text), from), func(n *world) {
 				m := l.text
 				m.Name = fmt.Sprint("n", from)
-				n.leader.Heard(n.now, rollout.Link(from+1), m)
+				n.leader.Receive(n.now, rollout.Link(from+1), m)
 			})
 		}
 	}
@@ -232,10 +232,10 @@
 			n.leader = rollout.Lead(n.t.config(), n.state, n.term)
 		})
 	}
-	if w.changes < w.t.Changes && w.leader.Leads() {
+	if w.changes < w.t.Changes && w.leader.Leading() {
 		step("a change is proposed", func(n *world) {
 			n.changes++
-			n.leader.Propose(rollout.Command{Act: rollout.Propose, Nonce: uint64(n.changes)})
+			n.leader.Propose(rollout.Command{Kind: rollout.Propose, Nonce: uint64(n.changes)})
 		})
 	}
 	if p := w.state.Pending(); p != nil && w.aborts < w.t.Aborts {
@@ -249,7 +249,7 @@
 			step(fmt.Sprintf("n%d asks for its lease", i), func(n *world) {
 				n.asks[i]++
 				n.proxies[i] = n.proxies[i].Clone()
-				n.proxies[i].Ask(n.now)
+				n.proxies[i].RenewLease(n.now)
 			})
 		}
 		if w.hellos[i] < w.t.Hellos {
@@ -270,19 +270,19 @@
 	}
 }
 
-var kinds = [...]string{rollout.Hello: "hello", rollout.Renew: "ask", rollout.Agree: "agree", rollout.Refuse: "refuse", rollout.Held: "held", rollout.Bye: "bye",
-	rollout.Welcome: "welcome", rollout.Wait: "wait", rollout.Gone: "gone", rollout.Granted: "granted", rollout.Offer: "offer", rollout.Hold: "hold",
-	rollout.Facts: "facts"}
+var kinds = [...]string{rollout.Hello: "hello", rollout.Renew: "ask", rollout.Agree: "agree", rollout.Refuse: "refuse", rollout.Held: "held", rollout.Leaving: "bye",
+	rollout.Welcome: "welcome", rollout.JoinDelayed: "wait", rollout.NotMember: "gone", rollout.Granted: "granted", rollout.Offer: "offer", rollout.Hold: "hold",
+	rollout.Status: "facts"}
 
 func tell(m rollout.Message) string {
 	return fmt.Sprintf("%s(member %d, seq %d, policy %d, round %v)", kinds[m.Kind], m.Member, m.Seq, m.Number, m.Round)
 }
 
-var acts = [...]string{rollout.Join: "join", rollout.Leave: "leave", rollout.Propose: "propose", rollout.GiveUp: "give up", rollout.Force: "force",
+var acts = [...]string{rollout.Join: "join", rollout.Leave: "leave", rollout.Propose: "propose", rollout.Abort: "give up", rollout.Commit: "force",
 	rollout.Release: "release"}
 
 func tellCommand(c rollout.Command) string {
-	return fmt.Sprintf("%s(member %d, policy %d, round %v)", acts[c.Act], c.Member, c.Number, c.Round)
+	return fmt.Sprintf("%s(member %d, policy %d, round %v)", acts[c.Kind], c.Member, c.Number, c.Round)
 }
 
 // Mutants are the small tiers in which each guard, by its bit, is missed soonest.
--- a/internal/lab/scale/calculate/bounds.go
+++ b/internal/lab/scale/calculate/bounds.go
@@ -24,8 +24,8 @@
 // Bounds works the bounds out for one length of the lease. Behind the last wait come at most a pause between rounds and one round.
 func (in Inputs) Bounds(m Messages) PolicyBounds {
 	c := in.rolloutConfig()
-	wait := c.Lease + c.Margin
-	behind := c.Again + c.Round
+	wait := c.Lease + c.ClockMargin
+	behind := c.RoundPause + c.RoundTimeout
 	asks := asksInLease / c.Lease.Seconds()
 	each := float64(m.Renew + m.Granted)
 	return PolicyBounds{
--- a/internal/lab/scale/calculate/calculate_test.go
+++ b/internal/lab/scale/calculate/calculate_test.go
@@ -83,9 +83,9 @@
 	for busy := true; busy; {
 		busy = false
 		for i, p := range x.proxies {
-			for _, m := range p.Out() {
+			for _, m := range p.TakeMessages() {
 				if !x.silent[i] {
-					x.leader.Heard(x.now, rollout.Link(i+1), m)
+					x.leader.Receive(x.now, rollout.Link(i+1), m)
 					busy = true
 				}
 			}
@@ -93,7 +93,7 @@
 		out, commit, confirm := x.leader.Ready()
 		for _, o := range out {
 			if i := int(o.Link) - 1; !x.silent[i] {
-				x.proxies[i].Heard(x.now, o.Message)
+				x.proxies[i].Receive(x.now, o.Message)
 			}
 		}
 		for _, c := range commit {
@@ -112,9 +112,9 @@
 	for until := x.now + d; x.now < until; {
 		x.now += step
 		for i, p := range x.proxies {
-			if !x.silent[i] && x.now-x.asked[i] >= p.Length()/asksInLease {
+			if !x.silent[i] && x.now-x.asked[i] >= p.LeaseDuration()/asksInLease {
 				x.asked[i] = x.now
-				p.Ask(x.now)
+				p.RenewLease(x.now)
 			}
 		}
 		x.leader.Tick(x.now)
@@ -124,10 +124,10 @@
 
 // change proposes one and tells how long it takes; while it waits, at is called with the time since.
 func (x *play) change(at func(since time.Duration)) time.Duration {
-	x.leader.Propose(rollout.Command{Act: rollout.Propose, Nonce: 77, Policy: []byte("p"), Hash: "h"})
-	began, force := x.now, x.state.Force
+	x.leader.Propose(rollout.Command{Kind: rollout.Propose, Nonce: 77, Policy: []byte("p"), Hash: "h"})
+	began, force := x.now, x.state.InForce
 	x.work()
-	for x.state.Force == force {
+	for x.state.InForce == force {
 		at(x.now - began)
 		x.pass(20 * time.Millisecond)
 		if x.now-began > time.Minute {
--- a/internal/lab/scale/calculate/messages.go
+++ b/internal/lab/scale/calculate/messages.go
@@ -123,7 +123,7 @@
 		{&m.Agree, rollout.Message{Kind: rollout.Agree, Member: exampleMember, Number: exampleNumber}},
 		{&m.Hold, rollout.Message{Kind: rollout.Hold, Member: exampleMember, Number: exampleNumber, Round: round}},
 		{&m.Held, rollout.Message{Kind: rollout.Held, Member: exampleMember, Number: exampleNumber, Round: round}},
-		{&m.InForce, rollout.Message{Kind: rollout.Facts, Member: exampleMember, Number: exampleNumber, Round: round}},
+		{&m.InForce, rollout.Message{Kind: rollout.Status, Member: exampleMember, Number: exampleNumber, Round: round}},
 		{&m.Hello, rollout.Message{Kind: rollout.Hello, Name: exampleName(0), Nonce: exampleNonce, Lease: in.Lease}},
 		{&m.Welcome, rollout.Message{Kind: rollout.Welcome, Member: exampleMember, Nonce: exampleNonce, Number: exampleNumber, Policy: policy}},
 	} {
@@ -143,14 +143,14 @@
 	if m.HeartbeatReply, err = consensusFrame(pb.MessageType_MsgHeartbeatResp); err != nil {
 		return err
 	}
-	command, err := tier.EncodeCommand(&rollout.Command{Act: rollout.Join, Name: exampleName(0), Nonce: exampleNonce, At: exampleStart})
+	command, err := tier.EncodeCommand(&rollout.Command{Kind: rollout.Join, Name: exampleName(0), Nonce: exampleNonce, Time: exampleStart})
 	if err != nil {
 		return err
 	}
 	m.JoinCommand = len(command)
-	state := rollout.State{Force: exampleNumber, Last: exampleNumber, Joined: exampleMember, Version: exampleVersion, Led: true, Lease: in.Lease}
+	state := rollout.State{InForce: exampleNumber, LastNumber: exampleNumber, LastMember: exampleMember, MembersVersion: exampleVersion, HasLed: true, Lease: in.Lease}
 	for i := range in.Size.Proxies {
-		state.Seats = append(state.Seats, rollout.Seat{Member: rollout.Member(exampleMember + i), Name: exampleName(i), Nonce: exampleNonce})
+		state.Members = append(state.Members, rollout.MemberEntry{Member: rollout.Member(exampleMember + i), Name: exampleName(i), Nonce: exampleNonce})
 	}
 	text, err := tier.EncodeState(&state)
 	if err != nil {
@@ -158,8 +158,8 @@
 	}
 	m.State = len(text)
 	answer := tier.Answer{Planner: 1, Leader: 1, State: &state, Planners: []uint64{1, 2, 3}}
-	for _, seat := range state.Seats {
-		answer.Members = append(answer.Members, rollout.MemberInfo{Name: seat.Name, Member: seat.Member, Number: exampleNumber, Linked: true, Heard: in.Lease / asksInLease, Lease: in.Lease})
+	for _, seat := range state.Members {
+		answer.Members = append(answer.Members, rollout.MemberInfo{Name: seat.Name, Member: seat.Member, Number: exampleNumber, Linked: true, SinceHeard: in.Lease / asksInLease, LeaseLeft: in.Lease})
 	}
 	frame, err := tier.Append(nil, &tier.Frame{Answer: &answer})
 	m.Status = len(frame)
--- a/internal/lab/tier/disk_test.go
+++ b/internal/lab/tier/disk_test.go
@@ -30,7 +30,7 @@
 	c := b.Client()
 	c.Planners = []string{p.Address}
 	for {
-		if a, err := c.Status(context.Background(), 0); err == nil && a.State.Force == n {
+		if a, err := c.Status(context.Background(), 0); err == nil && a.State.InForce == n {
 			return
 		}
 		time.Sleep(5 * time.Millisecond)
@@ -144,7 +144,7 @@
 	}
 	for c := b.Client(); ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
 		c.Planners = []string{full.Address}
-		if s, err := c.Status(ctx, 0); err == nil && s.State.Force == rollout.Number(n+1) {
+		if s, err := c.Status(ctx, 0); err == nil && s.State.InForce == rollout.Number(n+1) {
 			return
 		}
 	}
--- a/internal/lab/tier/links.go
+++ b/internal/lab/tier/links.go
@@ -53,7 +53,7 @@
 
 func (s *side) flush(sent *atomic.Int64) error {
 	var out []byte
-	for _, m := range s.proxy.Out() {
+	for _, m := range s.proxy.TakeMessages() {
 		var err error
 		if out, err = tier.Append(out, &tier.Frame{Tier: &m}); err != nil {
 			return err
@@ -139,8 +139,8 @@
 					return
 				}
 				s.mu.Lock()
-				s.proxy.Heard(time.Since(began), *f.Tier)
-				numbers, _ := s.proxy.Switched()
+				s.proxy.Receive(time.Since(began), *f.Tier)
+				numbers, _ := s.proxy.TakeSwitches()
 				s.flush(&sent)
 				s.mu.Unlock()
 				mu.Lock()
@@ -165,7 +165,7 @@
 				case <-t.C:
 				}
 				s.mu.Lock()
-				s.proxy.Ask(time.Since(began))
+				s.proxy.RenewLease(time.Since(began))
 				s.flush(&sent)
 				s.mu.Unlock()
 			}
@@ -193,7 +193,7 @@
 			return c, errors.Join(err, errors.New("a change was refused"))
 		}
 		looked := time.Now()
-		for n := a.State.Last; at(n) < l.Links; time.Sleep(200 * time.Microsecond) {
+		for n := a.State.LastNumber; at(n) < l.Links; time.Sleep(200 * time.Microsecond) {
 			if ctx.Err() != nil {
 				return c, fmt.Errorf("change %d is in force at %d of %d links, %d were closed: %w", n, at(n), l.Links, closed.Load(), ctx.Err())
 			}
@@ -205,7 +205,7 @@
 			if err != nil || x.State == nil {
 				continue
 			}
-			if i := slices.IndexFunc(x.State.Changes, func(c rollout.Change) bool { return c.Number == n && c.Outcome == rollout.GivenUp }); i >= 0 {
+			if i := slices.IndexFunc(x.State.Changes, func(c rollout.Change) bool { return c.Number == n && c.Outcome == rollout.Aborted }); i >= 0 {
 				return c, fmt.Errorf("change %d was given up, %d links were closed: %s", n, closed.Load(), x.State.Changes[i].Reason)
 			}
 		}
--- a/internal/lab/tier/run.go
+++ b/internal/lab/tier/run.go
@@ -123,7 +123,7 @@
 		p.Signal(syscall.SIGCONT)
 	}
 	// All faults are over: what is undecided has to end within the bound.
-	bound := rollout.Config{Lease: t.Lease}.WithDefaults().Bound + 3*time.Second
+	bound := rollout.Config{Lease: t.Lease}.WithDefaults().ChangeTimeout + 3*time.Second
 	var last *rollout.State
 	for end := time.Now().Add(bound); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
 		if a, err := cl.Status(ctx, 0); err == nil && a.Leader == a.Planner {
@@ -141,10 +141,10 @@
 		switch c.Outcome {
 		case rollout.Undecided:
 			r.Unended++
-		case rollout.GivenUp:
+		case rollout.Aborted:
 			gone = append(gone, uint64(c.Number))
 		}
-		r.Changes = append(r.Changes, Outcome{c.Number, c.Outcome, time.Duration(c.Ended-c.At) * time.Millisecond, c.Reason})
+		r.Changes = append(r.Changes, Outcome{c.Number, c.Outcome, time.Duration(c.EndedAt-c.ProposedAt) * time.Millisecond, c.Reason})
 	}
 	return gone, nil
 }
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -335,12 +335,12 @@
 	if err != nil || a.Error != "" {
 		t.Fatal(a.Error, err)
 	}
-	for n := a.State.Last; ; time.Sleep(10 * time.Millisecond) {
+	for n := a.State.LastNumber; ; time.Sleep(10 * time.Millisecond) {
 		a, err := b.Client().Status(t.Context(), 0)
 		if err != nil || a.State == nil || a.State.Pending() != nil {
 			continue
 		}
-		if c := a.State.Change(n); c.Outcome != rollout.GivenUp || !strings.Contains(c.Reason, " refuses: ") || !strings.HasPrefix(c.Reason, "n") {
+		if c := a.State.Change(n); c.Outcome != rollout.Aborted || !strings.Contains(c.Reason, " refuses: ") || !strings.HasPrefix(c.Reason, "n") {
 			t.Errorf("%+v", c)
 		}
 		break
--- a/internal/lab/tiersim/tiersim.go
+++ b/internal/lab/tiersim/tiersim.go
@@ -82,8 +82,8 @@
 
 // Play plays it.
 func Play(cfg Config) Result {
-	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x71e5)), state: &rollout.State{Without: cfg.Without}}
-	s.cfgR = rollout.Config{Lease: cfg.Lease, Short: cfg.Short, Without: cfg.Without}.WithDefaults()
+	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x71e5)), state: &rollout.State{DisabledGuards: cfg.Without}}
+	s.cfgR = rollout.Config{Lease: cfg.Lease, ShortLease: cfg.Short, DisabledGuards: cfg.Without}.WithDefaults()
 	for i := range cfg.Proxies {
 		n := &node{name: fmt.Sprint("n", i), offset: time.Duration(s.rng.Int64N(int64(time.Hour))), rate: 1 + cfg.Skew*(2*s.rng.Float64()-1)}
 		s.nodes = append(s.nodes, n)
@@ -114,12 +114,12 @@
 		return
 	}
 	if !n.stopped {
-		n.proxy.Ask(n.clock(s.Now))
+		n.proxy.RenewLease(n.clock(s.Now))
 		s.flush(n)
 	}
 	every := time.Second
 	if s.cfg.Lease > 0 {
-		every = n.proxy.Length() / 5
+		every = n.proxy.LeaseDuration() / 5
 	}
 	s.After(every, func() { s.beat(n, life) })
 }
@@ -138,13 +138,13 @@
 
 func (s *sim) flush(n *node) {
 	life := n.life
-	for _, m := range n.proxy.Out() {
+	for _, m := range n.proxy.TakeMessages() {
 		if n.cut {
 			continue
 		}
 		s.send(func() {
 			if l := s.leader; l != nil && !n.cut && n.life == life {
-				l.Heard(s.Now, rollout.Link(slices.Index(s.nodes, n)+1), m)
+				l.Receive(s.Now, rollout.Link(slices.Index(s.nodes, n)+1), m)
 				s.ready(l)
 			}
 		})
@@ -159,7 +159,7 @@
 		s.send(func() { s.heard(n, o.Message) })
 	}
 	for _, c := range commit {
-		c.At = int64(s.Now / time.Millisecond)
+		c.Time = int64(s.Now / time.Millisecond)
 		longest := 10 * time.Millisecond
 		if s.rng.Float64() < s.cfg.Late {
 			longest = 2 * time.Second
@@ -209,15 +209,15 @@
 	case n.stopped:
 		n.inbox = append(n.inbox, m)
 	default:
-		n.proxy.Heard(n.clock(s.Now), m)
-		n.proxy.Switched()
+		n.proxy.Receive(n.clock(s.Now), m)
+		n.proxy.TakeSwitches()
 		s.flush(n)
 	}
 }
 
 func (s *sim) lead(term rollout.Term) {
 	l := &leader{rollout.Lead(s.cfgR, s.state, term), term}
-	l.Since(s.pending, s.pendingAt)
+	l.SetChangeBegan(s.pending, s.pendingAt)
 	s.leader = l
 	s.ready(l)
 	var tick func()
@@ -259,8 +259,8 @@
 			n.stopped = false
 			s.take(n)
 			for _, m := range n.inbox {
-				n.proxy.Heard(n.clock(s.Now), m)
-				n.proxy.Switched()
+				n.proxy.Receive(n.clock(s.Now), m)
+				n.proxy.TakeSwitches()
 				s.take(n)
 			}
 			n.inbox = nil
@@ -274,11 +274,11 @@
 }
 
 func (s *sim) propose() {
-	if l := s.leader; l != nil && l.Leads() {
+	if l := s.leader; l != nil && l.Leading() {
 		if s.state.Pending() != nil {
 			s.out.Refused++
 		} else {
-			l.Propose(rollout.Command{Act: rollout.Propose, Nonce: s.rng.Uint64() | 1, Policy: []byte{1}})
+			l.Propose(rollout.Command{Kind: rollout.Propose, Nonce: s.rng.Uint64() | 1, Policy: []byte{1}})
 			s.ready(l)
 		}
 	}
@@ -294,12 +294,12 @@
 }
 
 func (s *sim) take(n *node) {
-	number, v := n.proxy.May(n.clock(s.Now))
+	number, v := n.proxy.AdmitRequest(n.clock(s.Now))
 	switch v {
-	case rollout.Keep:
+	case rollout.Delay:
 		s.out.Kept++
 		return
-	case rollout.Deny:
+	case rollout.Reject:
 		s.out.Denied++
 		return
 	}
@@ -307,7 +307,7 @@
 	why := ""
 	if number < s.newest {
 		why = fmt.Sprintf("at %v %s takes a request under policy %d, behind one under %d", s.Now, n.name, number, s.newest)
-	} else if c := s.state.Change(number); c != nil && c.Outcome == rollout.GivenUp {
+	} else if c := s.state.Change(number); c != nil && c.Outcome == rollout.Aborted {
 		why = fmt.Sprintf("at %v %s takes a request under policy %d, which was given up", s.Now, n.name, number)
 	}
 	if s.newest = max(s.newest, number); why != "" {
--- a/internal/lab/tiersim/tiersim_test.go
+++ b/internal/lab/tiersim/tiersim_test.go
@@ -19,7 +19,7 @@
 	if r.Breaches > 0 || r.InForce < 3 || r.Taken == 0 {
 		t.Errorf("%+v", r)
 	}
-	if bound := (rollout.Config{Lease: 2 * time.Second}).WithDefaults().Bound + time.Second; r.Took[len(r.Took)-1] > bound {
+	if bound := (rollout.Config{Lease: 2 * time.Second}).WithDefaults().ChangeTimeout + time.Second; r.Took[len(r.Took)-1] > bound {
 		t.Errorf("a change took %v, the bound is %v", r.Took[len(r.Took)-1], bound)
 	}
 }
@@ -50,7 +50,7 @@
 
 // Each guard that is taken out is missed by some seed.
 func TestGuardsTakenOutAreMissed(t *testing.T) {
-	for i, g := range []rollout.Guards{rollout.NoLeaseCheck, rollout.NoWait, rollout.NoStartCheck, rollout.NoTermCheck, rollout.NoLongestLease} {
+	for i, g := range []rollout.Guards{rollout.NoLeaseCheck, rollout.NoHold, rollout.NoStartCheck, rollout.NoTermCheck, rollout.NoLeaseMaximum} {
 		found := false
 		for seed := uint64(1); seed <= 400 && !found; seed++ {
 			found = Play(Config{Seed: seed, Proxies: 6, Lease: 2 * time.Second, Length: 15 * time.Second, Every: 200 * ms, Loss: 0.1, Double: 0.3, Delay: 60 * ms,
--- a/internal/lab/virtual/planner.go
+++ b/internal/lab/virtual/planner.go
@@ -54,7 +54,7 @@
 	life  int
 	link  rollout.Link
 	proxy *rollout.Proxy
-	seek  *rollout.Seeker
+	seek  *rollout.PlannerSelector
 	beat  state.Deadline
 }
 
@@ -85,7 +85,7 @@
 		text[i] = byte(i)
 	}
 	p.act(func() {
-		p.leader.Propose(rollout.Command{Act: rollout.Propose, Nonce: uint64(len(w.res.Changed)), Policy: text})
+		p.leader.Propose(rollout.Command{Kind: rollout.Propose, Nonce: uint64(len(w.res.Changed)), Policy: text})
 	})
 }
 
@@ -167,7 +167,7 @@
 	w := p.w
 	rng := rand.New(rand.NewPCG(w.cfg.Seed, uint64(n.i)<<20+uint64(n.life)))
 	cfg := rollout.Config{Lease: p.Lease}.WithDefaults()
-	l := &plannerLink{p: p, n: n, life: n.life, seek: rollout.NewSeeker(cfg, 1, rng),
+	l := &plannerLink{p: p, n: n, life: n.life, seek: rollout.NewPlannerSelector(cfg, 1, rng),
 		proxy: rollout.NewProxy(cfg, "n"+strconv.Itoa(n.i), rng.Uint64()|1, func(rollout.Number, []byte) string { return "" })}
 	n.front.Gate(l)
 	w.todo.Set(&l.beat, w.clock.now+time.Duration(rng.Int64N(int64(p.Lease/5)+1)), func() {
@@ -181,19 +181,19 @@
 func (l *plannerLink) leave() {
 	l.p.w.todo.Clear(&l.beat)
 	delete(l.p.links, l.link)
-	l.p.act(func() { l.p.leader.Down(l.link) })
+	l.p.act(func() { l.p.leader.LinkDown(l.link) })
 }
 
 // connect begins the link, or begins it anew.
 func (l *plannerLink) connect() {
 	if l.link > 0 {
 		delete(l.p.links, l.link)
-		l.p.act(func() { l.p.leader.Down(l.link) })
+		l.p.act(func() { l.p.leader.LinkDown(l.link) })
 	}
 	l.p.last++
 	l.link = l.p.last
 	l.p.links[l.link] = l
-	l.seek.Up(l.p.w.clock.now)
+	l.seek.Connected(l.p.w.clock.now)
 	l.proxy.Connected()
 	l.flush()
 }
@@ -201,12 +201,12 @@
 // pulse asks for the lease, and begins the link anew where the planner has been silent.
 func (l *plannerLink) pulse() {
 	now := l.p.w.clock.now
-	if l.seek.Silent(now) {
+	if l.seek.TimedOut(now) {
 		l.connect()
 	}
-	l.n.proxy(func() { l.proxy.Ask(now) })
+	l.n.proxy(func() { l.proxy.RenewLease(now) })
 	l.flush()
-	l.p.w.todo.Set(&l.beat, now+l.seek.Every(l.proxy.Length()), l.pulse)
+	l.p.w.todo.Set(&l.beat, now+l.seek.RenewInterval(l.proxy.LeaseDuration()), l.pulse)
 }
 
 // receive takes a message of the planner's.
@@ -216,9 +216,9 @@
 	}
 	w := l.p.w
 	l.n.proxy(func() {
-		l.seek.Heard(w.clock.now, m.Kind)
-		l.proxy.Heard(w.clock.now, m)
-		numbers, _ := l.proxy.Switched()
+		l.seek.Receive(w.clock.now, m.Kind)
+		l.proxy.Receive(w.clock.now, m)
+		numbers, _ := l.proxy.TakeSwitches()
 		for _, number := range numbers {
 			if i, ok := l.p.changes[number]; ok {
 				w.res.Changed[i].Last = w.clock.now - base
@@ -232,10 +232,10 @@
 
 func (l *plannerLink) flush() {
 	p, link := l.p, l.link
-	for _, m := range l.proxy.Out() {
+	for _, m := range l.proxy.TakeMessages() {
 		p.send(l, Sent, m, func() {
 			if p.links[link] == l {
-				p.act(func() { p.leader.Heard(p.w.clock.now, link, m) })
+				p.act(func() { p.leader.Receive(p.w.clock.now, link, m) })
 			}
 		})
 	}
@@ -243,6 +243,6 @@
 
 // May implements state.Gate.
 func (l *plannerLink) May(now time.Duration) (uint64, state.Verdict) {
-	number, verdict := l.proxy.May(now)
-	return uint64(number), [...]state.Verdict{rollout.Take: state.GateOpen, rollout.Keep: state.GateWait, rollout.Deny: state.GateShut}[verdict]
+	number, verdict := l.proxy.AdmitRequest(now)
+	return uint64(number), [...]state.Verdict{rollout.Admit: state.GateOpen, rollout.Delay: state.GateWait, rollout.Reject: state.GateShut}[verdict]
 }
--- a/internal/net/tier.go
+++ b/internal/net/tier.go
@@ -28,7 +28,7 @@
 	side      *rollout.Proxy
 	cfg       rollout.Config
 	planners  []string
-	seek      *rollout.Seeker
+	seek      *rollout.PlannerSelector
 	into      func(n rollout.Number, policy []byte) // puts a policy into effect
 
 	conn    netpoll.Connection
@@ -61,7 +61,7 @@
 		into: c.Into}
 	rng := rand.New(rand.NewPCG(c.Seed, 0x71e2))
 	t.side = rollout.NewProxy(t.cfg, c.Name, c.Nonce|1, c.Check)
-	t.seek = rollout.NewSeeker(t.cfg, len(t.planners), rng)
+	t.seek = rollout.NewPlannerSelector(t.cfg, len(t.planners), rng)
 	front.Gate(t)
 	t.dial()
 	return t
@@ -69,8 +69,8 @@
 
 // May implements state.Gate.
 func (t *Tier) May(now time.Duration) (uint64, state.Verdict) {
-	n, v := t.side.May(now)
-	return uint64(n), [...]state.Verdict{rollout.Take: state.GateOpen, rollout.Keep: state.GateWait, rollout.Deny: state.GateShut}[v]
+	n, v := t.side.AdmitRequest(now)
+	return uint64(n), [...]state.Verdict{rollout.Admit: state.GateOpen, rollout.Delay: state.GateWait, rollout.Reject: state.GateShut}[v]
 }
 
 // Ready tells whether this proxy holds the tier's policy and may serve.
@@ -88,7 +88,7 @@
 		return
 	}
 	t.dialing = true
-	address := t.planners[t.seek.At()]
+	address := t.planners[t.seek.Current()]
 	connect(t.loop, address, tierDial, func(conn netpoll.Connection, err error) {
 		t.dialing = false
 		switch {
@@ -100,7 +100,7 @@
 			return
 		}
 		t.conn, t.in.bytes = conn, nil
-		t.seek.Up(t.clock.Now())
+		t.seek.Connected(t.clock.Now())
 		attach(t.loop, conn, func() { t.readable(conn) }, func() { t.down(conn) })
 		t.side.Connected()
 		t.flush()
@@ -124,14 +124,14 @@
 // pulse asks for the lease, and gives a planner up that has been silent.
 func (t *Tier) pulse() {
 	now := t.clock.Now()
-	if t.seek.Silent(now) {
-		slog.Warn("a planner is silent, the next is tried", "planner", t.planners[t.seek.At()], "lease_left", t.side.Until()-now)
+	if t.seek.TimedOut(now) {
+		slog.Warn("a planner is silent, the next is tried", "planner", t.planners[t.seek.Current()], "lease_left", t.side.LeaseEnd()-now)
 		t.drop()
 		return
 	}
-	t.side.Ask(now)
+	t.side.RenewLease(now)
 	t.flush()
-	t.deadlines.Set(&t.beat, now+t.seek.Every(t.side.Length()), t.pulse)
+	t.deadlines.Set(&t.beat, now+t.seek.RenewInterval(t.side.LeaseDuration()), t.pulse)
 }
 
 func (t *Tier) drop() {
@@ -158,7 +158,7 @@
 			t.front.Counters.TierStrange++
 			if now := t.clock.Now(); t.toldAt == 0 || now-t.toldAt >= tierTell {
 				t.toldAt = now
-				slog.Warn("a planner's frame can't be read", "planner", t.planners[t.seek.At()], "error", err)
+				slog.Warn("a planner's frame can't be read", "planner", t.planners[t.seek.Current()], "error", err)
 			}
 			t.drop()
 			return
@@ -179,11 +179,11 @@
 
 func (t *Tier) message(m rollout.Message) {
 	now := t.clock.Now()
-	if t.seek.Heard(now, m.Kind) {
+	if t.seek.Receive(now, m.Kind) {
 		t.drop()
 		return
 	}
-	if m.Kind == rollout.Wait {
+	if m.Kind == rollout.JoinDelayed {
 		if m.Reason != t.waits {
 			t.waits = m.Reason
 			slog.Info("the tier lets this proxy wait", "reason", m.Reason, "lease_left", m.Lease)
@@ -191,8 +191,8 @@
 		return
 	}
 	t.waits = ""
-	t.side.Heard(now, m)
-	if numbers, with := t.side.Switched(); len(numbers) > 0 {
+	t.side.Receive(now, m)
+	if numbers, with := t.side.TakeSwitches(); len(numbers) > 0 {
 		for i, n := range numbers {
 			slog.Info("policy in force here", "number", uint64(n))
 			t.into(n, with[i])
@@ -204,7 +204,7 @@
 // flush sends what there is to say; without a link it is dropped, and said anew with the next.
 func (t *Tier) flush() {
 	t.out = t.out[:0]
-	for _, m := range t.side.Out() {
+	for _, m := range t.side.TakeMessages() {
 		out, err := tier.Append(t.out, &tier.Frame{Tier: &m})
 		if err == nil {
 			t.out = out
@@ -225,11 +225,11 @@
 func (t *Tier) Status() console.Tier {
 	s := console.Tier{Number: uint64(t.side.Number()), Member: uint64(t.side.Member()), Waits: t.waits, Leases: t.cfg.Lease > 0, Ready: t.Ready()}
 	if t.conn != nil {
-		s.Planner = t.planners[t.seek.At()]
+		s.Planner = t.planners[t.seek.Current()]
 	}
 	if s.Leases {
-		s.Lease = t.side.Until() - t.clock.Now()
+		s.Lease = t.side.LeaseEnd() - t.clock.Now()
 	}
-	_, _, s.Holds = t.side.Holds()
+	_, _, s.Holds = t.side.HeldRound()
 	return s
 }
--- a/internal/net/work.go
+++ b/internal/net/work.go
@@ -97,10 +97,10 @@
 }
 
 // Tier takes what is known of the members. It may be called with the same again; self is 0 for a proxy that is none.
-func (w *Work) Tier(self rollout.Member, t rollout.Tier, life time.Duration) {
+func (w *Work) Tier(self rollout.Member, t rollout.Membership, life time.Duration) {
 	known := takeover.Tier{Self: takeover.Member(self), Version: t.Version, Until: t.Until, Life: life}
 	clear(w.where)
-	for _, s := range t.Seats {
+	for _, s := range t.Members {
 		if s.Address != "" {
 			w.where[takeover.Member(s.Member)] = s.Address
 			known.Members = append(known.Members, takeover.Member(s.Member))
--- a/internal/net/work_test.go
+++ b/internal/net/work_test.go
@@ -17,7 +17,7 @@
 	orders chan takeover.Order
 }
 
-func workers(t *testing.T, n int) (loop *Loop, list []*worker, seats rollout.Tier) {
+func workers(t *testing.T, n int) (loop *Loop, list []*worker, seats rollout.Membership) {
 	deadlines := &state.Deadlines{}
 	clock := state.NewClock()
 	loop = NewLoop(clock, deadlines)
@@ -30,7 +30,7 @@
 			t.Fatal(err)
 		}
 		list = append(list, x)
-		seats.Seats = append(seats.Seats, rollout.Seat{Member: rollout.Member(i + 1), Address: x.Address()})
+		seats.Members = append(seats.Members, rollout.MemberEntry{Member: rollout.Member(i + 1), Address: x.Address()})
 	}
 	t.Cleanup(func() {
 		done := make(chan bool)
@@ -157,7 +157,7 @@
 	until(1, 2)
 	say(1, 1)
 	until(1, 3)
-	seats.Version, seats.Seats = 2, seats.Seats[:1] // the other has gone
+	seats.Version, seats.Members = 2, seats.Members[:1] // the other has gone
 	on(loop, func() { list[0].Tier(1, seats, 2*time.Second) })
 	say(2, 1)
 	until(1, 4)
@@ -171,7 +171,7 @@
 func TestWorkWithoutLinksIsBounded(t *testing.T) {
 	loop, list, seats := workers(t, 1)
 	const dead = "127.0.0.1:1" // a reserved port on which nothing listens
-	seats.Version, seats.Seats = 2, append(seats.Seats, rollout.Seat{Member: 2, Address: dead}, rollout.Seat{Member: 3, Address: dead})
+	seats.Version, seats.Members = 2, append(seats.Members, rollout.MemberEntry{Member: 2, Address: dead}, rollout.MemberEntry{Member: 3, Address: dead})
 	x := list[0]
 	on(loop, func() { x.Tier(1, seats, 2*time.Second) })
 	begin := func(s takeover.Survive, keys ...string) {
--- a/internal/planner/client/client.go
+++ b/internal/planner/client/client.go
@@ -65,7 +65,7 @@
 			last = fmt.Errorf("%w: %w", errNoAnswer, errors.Join(err))
 		case a.Leader == a.Planner:
 			return a, nil
-		case best == nil || a.State.Last > best.State.Last || a.State.Last == best.State.Last && a.State.Pending() == nil:
+		case best == nil || a.State.LastNumber > best.State.LastNumber || a.State.LastNumber == best.State.LastNumber && a.State.Pending() == nil:
 			best = a
 		}
 		c.at++
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -54,7 +54,7 @@
 	leads  uint64          // who, as far as known
 	began  time.Time
 
-	views            *rollout.Views
+	views            *rollout.MembershipHistory
 	applied, snapped uint64
 	reads            uint64         // confirmations asked for
 	opened           *tier.Start    // what the disk held when this process began
@@ -92,7 +92,7 @@
 		return nil, err
 	}
 	p := &Planner{cfg: cfg, store: st, state: &rollout.State{}, began: time.Now(), events: make(chan func(), mostEvents),
-		views:  rollout.NewViews(cfg.Rollout),
+		views:  rollout.NewMembershipHistory(cfg.Rollout),
 		urgent: make(chan func(), mostEvents), ended: make(chan struct{}), peers: map[uint64]*peer{}}
 	if cfg.Join && !fresh && st.begun() { // started again: it has joined already
 		cfg.Join = false
@@ -143,7 +143,7 @@
 	if p.state, err = tier.DecodeState(snap.GetData()); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
-	p.views.Skipped(p.now())
+	p.views.MarkIncomplete(p.now())
 	p.views.Applied(p.now(), p.state)
 	p.applied, p.snapped = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
 	p.conf = snap.GetMetadata().GetConfState()
@@ -211,7 +211,7 @@
 			panic(x)
 		}
 	}()
-	slog.Info("planner", "id", p.cfg.ID, "listen", p.Address(), "in_force", p.state.Force, "members", len(p.state.Seats))
+	slog.Info("planner", "id", p.cfg.ID, "listen", p.Address(), "in_force", p.state.InForce, "members", len(p.state.Members))
 	ticks := time.NewTicker(step)
 	defer ticks.Stop()
 	defer p.store.close()
@@ -247,9 +247,9 @@
 // begin begins to lead.
 func (p *Planner) begin(term rollout.Term) {
 	p.leader = rollout.Lead(p.cfg.Rollout, p.state, term)
-	p.leader.Since(p.pending, p.pendingAt)
+	p.leader.SetChangeBegan(p.pending, p.pendingAt)
 	if p.cfg.Rollout.Lease > 0 {
-		p.leader.Tells(p.views)
+		p.leader.ShareMembers(p.views)
 	}
 }
 
@@ -263,7 +263,7 @@
 		p.server.send(o.Link, &tier.Frame{Tier: &o.Message})
 	}
 	for i := range commit {
-		commit[i].At = p.unix()
+		commit[i].Time = p.unix()
 		text, err := tier.EncodeCommand(&commit[i])
 		if err == nil {
 			err = p.node.Propose(text)
@@ -356,21 +356,21 @@
 		p.failed = fmt.Errorf("the log holds what this version can't read (entry %d): %w", e.GetIndex(), err)
 		return
 	}
-	force := p.state.Force
+	force := p.state.InForce
 	err = p.state.Apply(c)
 	p.views.Applied(p.now(), p.state)
 	if x := p.state.Pending(); x != nil && x.Number != p.pending {
 		p.pending, p.pendingAt = x.Number, p.now()
 	}
-	if p.state.Force != force {
-		slog.Info("policy in force", "number", p.state.Force, "members", len(p.state.Seats))
+	if p.state.InForce != force {
+		slog.Info("policy in force", "number", p.state.InForce, "members", len(p.state.Members))
 	}
-	if c.Act == rollout.GiveUp && err == nil {
+	if c.Kind == rollout.Abort && err == nil {
 		slog.Info("change given up", "number", c.Number, "reason", c.Reason)
 	}
 	if p.leader != nil {
 		p.leader.Applied(p.now(), c, err)
-		if why := p.leader.Failed(); why != nil {
+		if why := p.leader.Err(); why != nil {
 			slog.Error("this planner can't lead", "error", why)
 			p.failed = why
 		}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -163,7 +163,7 @@
 	l.close()
 	s.p.post(func() {
 		if s.p.leader != nil {
-			s.p.leader.Down(id)
+			s.p.leader.LinkDown(id)
 		}
 	})
 }
@@ -192,10 +192,10 @@
 	case f.Tier != nil:
 		l.proxy = true
 		if p.leader == nil {
-			s.send(id, &tier.Frame{Tier: &rollout.Message{Kind: rollout.Elsewhere}})
+			s.send(id, &tier.Frame{Tier: &rollout.Message{Kind: rollout.NotLeader}})
 			return
 		}
-		p.leader.Heard(p.now(), id, *f.Tier)
+		p.leader.Receive(p.now(), id, *f.Tier)
 	case f.Ask != nil:
 		s.ask(id, f.Ask)
 	}
@@ -315,7 +315,7 @@
 	}
 	member := len(p.conf.GetVoters()) == 0 || slices.Contains(p.conf.GetVoters(), l.planner) || slices.Contains(p.conf.GetVotersOutgoing(), l.planner)
 	if !member {
-		if p.leader != nil && p.leader.Leads() { // who leads has all of the log: it has been replaced. Others may not have heard of a new one yet
+		if p.leader != nil && p.leader.Leading() { // who leads has all of the log: it has been replaced. Others may not have heard of a new one yet
 			s.strange(id, l.planner, fmt.Sprintf("planner %d has been replaced: stop it for good", l.planner))
 			return
 		}
@@ -355,8 +355,8 @@
 	refuse := func(err error) {
 		s.send(id, &tier.Frame{Answer: &tier.Answer{Error: err.Error(), Planner: p.cfg.ID, Leader: p.leads}})
 	}
-	if p.leader != nil && !p.leader.Leads() { // its term has yet to begin in the log: who asks comes again
-		s.send(id, &tier.Frame{Answer: &tier.Answer{Error: client.ErrNoLeader.Error(), Planner: p.cfg.ID, State: p.state.Short(0)}})
+	if p.leader != nil && !p.leader.Leading() { // its term has yet to begin in the log: who asks comes again
+		s.send(id, &tier.Frame{Answer: &tier.Answer{Error: client.ErrNoLeader.Error(), Planner: p.cfg.ID, State: p.state.WithoutPolicies(0)}})
 		return
 	}
 	if a.Do == tier.DoStatus {
@@ -374,7 +374,7 @@
 			return
 		}
 		s.waiting = append(s.waiting, waiting{a.Nonce, id, p.now() + askFor})
-		p.leader.Propose(rollout.Command{Act: rollout.Propose, Nonce: a.Nonce, Policy: a.Policy, Why: a.Why, Hash: a.Hash})
+		p.leader.Propose(rollout.Command{Kind: rollout.Propose, Nonce: a.Nonce, Policy: a.Policy, Comment: a.Why, Hash: a.Hash})
 	case tier.DoAbort:
 		p.leader.Abort(p.now(), a.Number, "by the operator")
 		s.status(id, "", 0)
@@ -403,7 +403,7 @@
 
 // settle answers proposals that the log has had.
 func (s *server) settle(c rollout.Command, err error) {
-	if c.Act != rollout.Propose {
+	if c.Kind != rollout.Propose {
 		return
 	}
 	n := s.waiting[:0]
@@ -424,7 +424,7 @@
 
 func (s *server) status(id rollout.Link, text string, n rollout.Number) {
 	p := s.p
-	a := &tier.Answer{Error: text, Planner: p.cfg.ID, Leader: p.leads, State: p.state.Short(n), Planners: slices.Sorted(slices.Values(p.conf.GetVoters()))}
+	a := &tier.Answer{Error: text, Planner: p.cfg.ID, Leader: p.leads, State: p.state.WithoutPolicies(n), Planners: slices.Sorted(slices.Values(p.conf.GetVoters()))}
 	if p.leader != nil {
 		if progress, ok := p.leader.Progress(p.now()); ok {
 			a.Progress = &progress
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -10,18 +10,18 @@
 )
 
 // play is a tier on a clock of the test's own: the log has each command at once, and each message comes.
-type play struct {
+type testTier struct {
 	now     time.Duration
 	state   *State
 	leader  *Leader
 	proxies []*Proxy
 	reasons []string // that proxies heard with Wait
 	deaf    map[int]bool
-	views   *Views
+	views   *MembershipHistory
 }
 
-func newPlay(cfg Config, proxies int, check func(Number, []byte) string) *play {
-	p := &play{now: time.Hour, state: &State{}, deaf: map[int]bool{}}
+func newTestTier(cfg Config, proxies int, check func(Number, []byte) string) *testTier {
+	p := &testTier{now: time.Hour, state: &State{}, deaf: map[int]bool{}}
 	p.leader = Lead(cfg, p.state, 1)
 	p.settle() // its term begins in the log
 	for i := range proxies {
@@ -32,13 +32,13 @@
 	return p
 }
 
-func (p *play) settle() {
+func (p *testTier) settle() {
 	for again := true; again; {
 		again = false
 		for i, x := range p.proxies {
-			for _, m := range x.Out() {
+			for _, m := range x.TakeMessages() {
 				again = true
-				p.leader.Heard(p.now, Link(i+1), m)
+				p.leader.Receive(p.now, Link(i+1), m)
 			}
 		}
 		out, commit, confirm := p.leader.Ready()
@@ -56,22 +56,22 @@
 		}
 		for _, o := range out {
 			again = true
-			if o.Kind == Wait {
+			if o.Kind == JoinDelayed {
 				p.reasons = append(p.reasons, o.Reason)
 			}
 			if i := int(o.Link) - 1; !p.deaf[i] {
-				p.proxies[i].Heard(p.now, o.Message)
+				p.proxies[i].Receive(p.now, o.Message)
 			}
 		}
 	}
 }
 
 // pass lets time go by; those named ask for their leases all the while.
-func (p *play) pass(d time.Duration, asking ...int) {
+func (p *testTier) pass(d time.Duration, asking ...int) {
 	for end := p.now + d; p.now < end; {
 		p.now += 20 * time.Millisecond
 		for _, i := range asking {
-			p.proxies[i].Ask(p.now)
+			p.proxies[i].RenewLease(p.now)
 		}
 		p.leader.Tick(p.now)
 		p.settle()
@@ -81,17 +81,17 @@
 func yes(Number, []byte) string { return "" }
 
 func TestAChangeIsRefusedByOneWithItsReason(t *testing.T) {
-	p := newPlay(Config{Lease: time.Second}, 3, yes)
+	p := newTestTier(Config{Lease: time.Second}, 3, yes)
 	p.proxies[1].check = func(Number, []byte) string { return "class x is in use" }
 	p.pass(100*time.Millisecond, 0, 1, 2)
-	p.leader.Propose(Command{Act: Propose, Nonce: 1, Policy: []byte("p")})
+	p.leader.Propose(Command{Kind: Propose, Nonce: 1, Policy: []byte("p")})
 	p.settle()
 	c := p.state.Change(1)
-	if c == nil || c.Outcome != GivenUp || c.Reason != "b refuses: class x is in use" || p.state.Force != 0 {
+	if c == nil || c.Outcome != Aborted || c.Reason != "b refuses: class x is in use" || p.state.InForce != 0 {
 		t.Fatalf("%+v", c)
 	}
 	for _, x := range p.proxies {
-		if n, v := x.May(p.now); n != 0 || v != Take {
+		if n, v := x.AdmitRequest(p.now); n != 0 || v != Admit {
 			t.Errorf("%s: policy %d, verdict %d", x.name, n, v)
 		}
 	}
@@ -99,61 +99,61 @@
 
 // With leases, expel lets a member go once its lease has ended: a member that lives, the operator being wrong, serves nothing behind the point.
 func TestExpelWaitsForTheLease(t *testing.T) {
-	p := newPlay(Config{Lease: time.Second}, 2, yes)
+	p := newTestTier(Config{Lease: time.Second}, 2, yes)
 	p.pass(100*time.Millisecond, 0, 1)
 	if err := p.leader.Expel(p.now, "b"); err != nil {
 		t.Fatal(err)
 	}
 	p.deaf[1] = true
-	p.leader.Propose(Command{Act: Propose, Nonce: 1})
+	p.leader.Propose(Command{Kind: Propose, Nonce: 1})
 	for range 200 {
 		p.pass(20*time.Millisecond, 0, 1)
-		if n, v := p.proxies[1].May(p.now); v == Take && n < p.state.Force {
-			t.Fatalf("b takes requests under policy %d, %d is in force", n, p.state.Force)
+		if n, v := p.proxies[1].AdmitRequest(p.now); v == Admit && n < p.state.InForce {
+			t.Fatalf("b takes requests under policy %d, %d is in force", n, p.state.InForce)
 		}
 	}
-	if p.state.Force != 1 {
+	if p.state.InForce != 1 {
 		t.Error("the change is not in force")
 	}
 }
 
 // Without leases each ask has an answer: a link that says nothing is given up by its proxy.
 func TestAnAskHasAnAnswerWithoutLeases(t *testing.T) {
-	p := newPlay(Config{}, 1, yes)
-	p.proxies[0].Ask(p.now)
-	for _, m := range p.proxies[0].Out() {
-		p.leader.Heard(p.now, 1, m)
+	p := newTestTier(Config{}, 1, yes)
+	p.proxies[0].RenewLease(p.now)
+	for _, m := range p.proxies[0].TakeMessages() {
+		p.leader.Receive(p.now, 1, m)
 	}
-	if out, _, _ := p.leader.Ready(); len(out) != 1 || out[0].Kind != Facts {
+	if out, _, _ := p.leader.Ready(); len(out) != 1 || out[0].Kind != Status {
 		t.Errorf("%+v", out)
 	}
 	p.deaf[0] = true
-	p.leader.Propose(Command{Act: Propose, Nonce: 1})
+	p.leader.Propose(Command{Kind: Propose, Nonce: 1})
 	p.pass(3 * time.Second)
-	if c := p.state.Change(1); c.Outcome != GivenUp || !strings.Contains(c.Reason, "waiting for a (to agree for 2s") {
+	if c := p.state.Change(1); c.Outcome != Aborted || !strings.Contains(c.Reason, "waiting for a (to agree for 2s") {
 		t.Errorf("%+v", c)
 	}
 }
 
 func TestWhoGoesByAnotherLeaseStaysOut(t *testing.T) {
-	p := newPlay(Config{Lease: time.Second}, 1, yes)
+	p := newTestTier(Config{Lease: time.Second}, 1, yes)
 	p.proxies = append(p.proxies, NewProxy(Config{Lease: 2 * time.Second}, "b", 7, yes))
 	p.proxies[1].Connected()
 	p.settle()
-	if len(p.state.Seats) != 1 || !slices.Equal(p.reasons, []string{"b goes by a lease of 2s, the planners by 1s"}) {
-		t.Errorf("%d members, %q", len(p.state.Seats), p.reasons)
+	if len(p.state.Members) != 1 || !slices.Equal(p.reasons, []string{"b goes by a lease of 2s, the planners by 1s"}) {
+		t.Errorf("%d members, %q", len(p.state.Members), p.reasons)
 	}
 	other := Lead(Config{Lease: 500 * time.Millisecond}, p.state, 2)
 	_, commit, _ := other.Ready()
 	other.Applied(p.now, commit[0], p.state.Apply(commit[0]))
-	if other.Leads() || other.Failed() == nil {
+	if other.Leading() || other.Err() == nil {
 		t.Error("a planner of another lease leads")
 	}
 }
 
 // A second process of one name stays out while the first one's lease runs, and is told so; a start of it anew comes in behind that.
 func TestANameIsOneMembers(t *testing.T) {
-	p := newPlay(Config{Lease: time.Second}, 1, yes)
+	p := newTestTier(Config{Lease: time.Second}, 1, yes)
 	p.pass(100*time.Millisecond, 0)
 	p.proxies = append(p.proxies, NewProxy(Config{Lease: time.Second}, "a", 999, yes))
 	p.proxies[1].Connected()
@@ -161,7 +161,7 @@
 	if len(p.reasons) != 1 || !strings.Contains(p.reasons[0], "a is a member already") || !strings.Contains(p.reasons[0], "once its lease has ended") {
 		t.Fatalf("%q", p.reasons)
 	}
-	if err := p.state.Apply(Command{Act: Join, Name: "a", Nonce: 5}); err == nil || len(p.state.Seats) != 1 { // on its way to the log already
+	if err := p.state.Apply(Command{Kind: Join, Name: "a", Nonce: 5}); err == nil || len(p.state.Members) != 1 { // on its way to the log already
 		t.Error("two members of one name")
 	}
 	p.pass(1400*time.Millisecond, 1)                                                        // the first has died
@@ -177,26 +177,26 @@
 func TestTheHistoryIsBounded(t *testing.T) {
 	s := &State{}
 	for i := range uint64(200) {
-		if err := s.Apply(Command{Act: Propose, Nonce: i + 1, Policy: make([]byte, 100<<10)}); err != nil {
+		if err := s.Apply(Command{Kind: Propose, Nonce: i + 1, Policy: make([]byte, 100<<10)}); err != nil {
 			t.Fatal(err)
 		}
 		if i == 3 {
-			s.Apply(Command{Act: Force, Number: 4, Round: Round{1, 1}, Members: s.Version})
+			s.Apply(Command{Kind: Commit, Number: 4, Round: Round{1, 1}, MembersVersion: s.MembersVersion})
 		} else {
-			s.Apply(Command{Act: GiveUp, Number: Number(i + 1), Round: Round{1, 0}})
+			s.Apply(Command{Kind: Abort, Number: Number(i + 1), Round: Round{1, 0}})
 		}
 	}
 	sum := 0
 	for _, c := range s.Changes {
 		sum += len(c.Policy)
 	}
-	if len(s.Changes) != keep || s.Force != 4 || len(s.Change(4).Policy) == 0 || sum > textRoom+2*MostPolicy || len(s.Change(200).Policy) == 0 {
-		t.Errorf("%d changes, %d bytes, in force %d", len(s.Changes), sum, s.Force)
+	if len(s.Changes) != maxChanges || s.InForce != 4 || len(s.Change(4).Policy) == 0 || sum > maxHistoryBytes+2*MaxPolicyBytes || len(s.Change(200).Policy) == 0 {
+		t.Errorf("%d changes, %d bytes, in force %d", len(s.Changes), sum, s.InForce)
 	}
-	if err := s.Apply(Command{Act: Propose, Nonce: 900, Policy: make([]byte, MostPolicy+1)}); err == nil {
+	if err := s.Apply(Command{Kind: Propose, Nonce: 900, Policy: make([]byte, MaxPolicyBytes+1)}); err == nil {
 		t.Error("a policy without a bound")
 	}
-	if x := s.Short(4); len(x.Change(4).Policy) == 0 || len(x.Change(200).Policy) != 0 || len(s.Change(200).Policy) == 0 {
+	if x := s.WithoutPolicies(4); len(x.Change(4).Policy) == 0 || len(x.Change(200).Policy) != 0 || len(s.Change(200).Policy) == 0 {
 		t.Error("Short leaves out the wrong ones")
 	}
 }
@@ -205,20 +205,20 @@
 func TestAShortLeaseIsAskedForMoreOften(t *testing.T) {
 	p := NewProxy(Config{Lease: 2 * time.Second}, "a", 1, yes)
 	now := time.Hour
-	p.Heard(now, Message{Kind: Welcome, Nonce: 1, Member: 5})
-	p.Heard(now, Message{Kind: Granted, Member: 5, Seq: 1})
-	if p.Until() != now+2*time.Second || p.Length() != 2*time.Second {
-		t.Fatalf("until %v, length %v", p.Until()-now, p.Length())
+	p.Receive(now, Message{Kind: Welcome, Nonce: 1, Member: 5})
+	p.Receive(now, Message{Kind: Granted, Member: 5, Seq: 1})
+	if p.LeaseEnd() != now+2*time.Second || p.LeaseDuration() != 2*time.Second {
+		t.Fatalf("until %v, length %v", p.LeaseEnd()-now, p.LeaseDuration())
 	}
-	p.Ask(now + time.Second)
-	p.Heard(now+time.Second, Message{Kind: Granted, Member: 5, Seq: 2, Lease: 250 * time.Millisecond})
-	if p.Until() != now+2*time.Second || p.Length() != 250*time.Millisecond {
-		t.Errorf("until %v, length %v", p.Until()-now, p.Length())
+	p.RenewLease(now + time.Second)
+	p.Receive(now+time.Second, Message{Kind: Granted, Member: 5, Seq: 2, Lease: 250 * time.Millisecond})
+	if p.LeaseEnd() != now+2*time.Second || p.LeaseDuration() != 250*time.Millisecond {
+		t.Errorf("until %v, length %v", p.LeaseEnd()-now, p.LeaseDuration())
 	}
-	p.Ask(now + 1900*time.Millisecond)
-	p.Heard(now+1900*time.Millisecond, Message{Kind: Granted, Member: 5, Seq: 3, Lease: 250 * time.Millisecond})
-	if p.Until() != now+2150*time.Millisecond {
-		t.Errorf("until %v", p.Until()-now)
+	p.RenewLease(now + 1900*time.Millisecond)
+	p.Receive(now+1900*time.Millisecond, Message{Kind: Granted, Member: 5, Seq: 3, Lease: 250 * time.Millisecond})
+	if p.LeaseEnd() != now+2150*time.Millisecond {
+		t.Errorf("until %v", p.LeaseEnd()-now)
 	}
 }
 
@@ -226,13 +226,13 @@
 // list before for as long as another may go by it.
 func TestMembersAreToldToWhoHasAnAddress(t *testing.T) {
 	cfg := Config{Lease: 2 * time.Second}.WithDefaults()
-	p := &play{now: time.Hour, state: &State{}, deaf: map[int]bool{}, views: NewViews(cfg)}
+	p := &testTier{now: time.Hour, state: &State{}, deaf: map[int]bool{}, views: NewMembershipHistory(cfg)}
 	p.leader = Lead(cfg, p.state, 1)
-	p.leader.Tells(p.views)
+	p.leader.ShareMembers(p.views)
 	p.settle()
 	join := func(address string) *Proxy {
 		x := NewProxy(cfg, string(rune('a'+len(p.proxies))), uint64(100*len(p.proxies)+1), yes)
-		x.At(address)
+		x.SetAddress(address)
 		x.Connected()
 		p.proxies = append(p.proxies, x)
 		p.settle()
@@ -240,60 +240,60 @@
 	}
 	a, mute := join("10.0.0.1:1"), join("")
 	p.pass(time.Second, 0, 1)
-	if x := a.Tier(); len(x.Seats) != 2 || x.Seats[0].Address != "10.0.0.1:1" || x.Until != a.Until() || mute.Tier().Version != 0 {
-		t.Fatalf("%+v, %+v", x, mute.Tier())
+	if x := a.Membership(); len(x.Members) != 2 || x.Members[0].Address != "10.0.0.1:1" || x.Until != a.LeaseEnd() || mute.Membership().Version != 0 {
+		t.Fatalf("%+v, %+v", x, mute.Membership())
 	}
 	p.deaf[0] = true // it is heard, and hears nothing: its list holds until its lease ends
-	until := a.Until()
+	until := a.LeaseEnd()
 	c := join("10.0.0.3:1")
 	p.pass(20*time.Millisecond, 0, 1, 2)
-	if x := c.Tier(); len(x.Seats) != 3 || len(x.Past) != 1 || len(x.Past[0].Members) != 1 || x.Past[0].Left < until-p.now || a.Tier().Until != until || len(a.Tier().Seats) != 2 {
-		t.Errorf("%+v, %+v, %v", x, a.Tier(), until-p.now)
+	if x := c.Membership(); len(x.Members) != 3 || len(x.Past) != 1 || len(x.Past[0].Members) != 1 || x.Past[0].Left < until-p.now || a.Membership().Until != until || len(a.Membership().Members) != 2 {
+		t.Errorf("%+v, %+v, %v", x, a.Membership(), until-p.now)
 	}
 	p.pass(3*time.Second, 1, 2) // the lost one goes
-	if x := c.Tier(); len(x.Seats) != 2 || x.Seats[0].Name != "b" || x.Until <= p.now {
+	if x := c.Membership(); len(x.Members) != 2 || x.Members[0].Name != "b" || x.Until <= p.now {
 		t.Errorf("%+v", x)
 	}
 	p.deaf[0] = false
-	p.proxies[0].Ask(p.now)
+	p.proxies[0].RenewLease(p.now)
 	p.settle()
-	if p.pass(20*time.Millisecond, 0); len(a.Tier().Seats) != 3 || a.Member() == 1 {
-		t.Errorf("%+v", a.Tier())
+	if p.pass(20*time.Millisecond, 0); len(a.Membership().Members) != 3 || a.Member() == 1 {
+		t.Errorf("%+v", a.Membership())
 	}
 	// A late word of an earlier grant prolongs no list but its own.
 	p.pass(20*time.Millisecond, 0, 1, 2)
-	before := c.Tier()
-	c.Ask(p.now + time.Second)
-	c.Out()
-	c.Heard(p.now+time.Second, Message{Kind: Granted, Member: c.Member(), Seq: c.seq, Lease: cfg.Lease, Version: before.Version - 1})
-	if c.Tier().Until != before.Until || c.Until() <= before.Until {
+	before := c.Membership()
+	c.RenewLease(p.now + time.Second)
+	c.TakeMessages()
+	c.Receive(p.now+time.Second, Message{Kind: Granted, Member: c.Member(), Seq: c.seq, Lease: cfg.Lease, MembersVersion: before.Version - 1})
+	if c.Membership().Until != before.Until || c.LeaseEnd() <= before.Until {
 		t.Error("another list's lease prolongs it")
 	}
-	c.Heard(p.now, Message{Kind: Members, Member: c.Member(), Version: before.Version - 1}) // nor does an earlier list come back
-	if c.Tier().Version != before.Version {
+	c.Receive(p.now, Message{Kind: Members, Member: c.Member(), MembersVersion: before.Version - 1}) // nor does an earlier list come back
+	if c.Membership().Version != before.Version {
 		t.Error("an earlier list is taken")
 	}
 	// A leader that may have missed lists says of none that it is whole, until no member can go by one that it has missed.
-	p.views.Skipped(p.now)
+	p.views.MarkIncomplete(p.now)
 	p.pass(cfg.Lease, 1, 2)
-	if c.Tier().Until != before.Until || c.Until() <= p.now {
-		t.Errorf("%v, %v", c.Tier().Until, before.Until)
+	if c.Membership().Until != before.Until || c.LeaseEnd() <= p.now {
+		t.Errorf("%v, %v", c.Membership().Until, before.Until)
 	}
-	if p.pass(time.Second, 1, 2); c.Tier().Until <= p.now {
+	if p.pass(time.Second, 1, 2); c.Membership().Until <= p.now {
 		t.Error("its list is not prolonged")
 	}
-	p.now += cfg.Lease + cfg.Margin // a has gone meanwhile, and the list with it
-	for i := range mostViews {      // nor one that has let a list go for want of room
-		p.views.Applied(p.now, &State{Version: uint64(1000 + i), Seats: []Seat{{Member: Member(i + 50), Address: "10.0.0.9:1"}}})
+	p.now += cfg.Lease + cfg.ClockMargin // a has gone meanwhile, and the list with it
+	for i := range maxPastMembers {      // nor one that has let a list go for want of room
+		p.views.Applied(p.now, &State{MembersVersion: uint64(1000 + i), Members: []MemberEntry{{Member: Member(i + 50), Address: "10.0.0.9:1"}}})
 	}
 	if _, ok := p.views.Past(p.now); !ok {
 		t.Error("there was room")
 	}
-	p.views.Applied(p.now, &State{Version: 2000, Seats: []Seat{{Member: 1999, Address: "10.0.0.9:1"}}})
-	if past, ok := p.views.Past(p.now); ok || len(past) != mostViews {
+	p.views.Applied(p.now, &State{MembersVersion: 2000, Members: []MemberEntry{{Member: 1999, Address: "10.0.0.9:1"}}})
+	if past, ok := p.views.Past(p.now); ok || len(past) != maxPastMembers {
 		t.Errorf("%d lists, whole: %v", len(past), ok)
 	}
-	if past, ok := p.views.Past(p.now + cfg.Lease + cfg.Margin); !ok || len(past) != 0 {
+	if past, ok := p.views.Past(p.now + cfg.Lease + cfg.ClockMargin); !ok || len(past) != 0 {
 		t.Errorf("%d lists, whole: %v", len(past), ok)
 	}
 }
@@ -303,34 +303,34 @@
 func TestASeekerLeavesWhoIsSilent(t *testing.T) {
 	cfg := Config{Lease: 2 * time.Second}.WithDefaults()
 	rng := rand.New(rand.NewPCG(1, 2))
-	s := NewSeeker(cfg, 3, rng)
-	now, first := time.Hour, s.At()
-	s.Up(now)
-	if s.Silent(now+900*time.Millisecond) || !s.Silent(now+1100*time.Millisecond) {
+	s := NewPlannerSelector(cfg, 3, rng)
+	now, first := time.Hour, s.Current()
+	s.Connected(now)
+	if s.TimedOut(now+900*time.Millisecond) || !s.TimedOut(now+1100*time.Millisecond) {
 		t.Error("half of a lease is the bound")
 	}
-	if s.Heard(now+time.Second, Granted) || s.Silent(now+1900*time.Millisecond) || !s.Heard(now, Elsewhere) || s.Heard(now, Wait) {
+	if s.Receive(now+time.Second, Granted) || s.TimedOut(now+1900*time.Millisecond) || !s.Receive(now, NotLeader) || s.Receive(now, JoinDelayed) {
 		t.Error("who speaks is left, or who doesn't lead is not")
 	}
 	var pauses []time.Duration
 	for range 30 {
 		pauses = append(pauses, s.Next())
 	}
-	if s.At() != first || pauses[0] > 150*time.Millisecond || pauses[29] < 1500*time.Millisecond || slices.Max(pauses) > 4500*time.Millisecond {
-		t.Errorf("at %d of %d, %v", s.At(), first, pauses)
+	if s.Current() != first || pauses[0] > 150*time.Millisecond || pauses[29] < 1500*time.Millisecond || slices.Max(pauses) > 4500*time.Millisecond {
+		t.Errorf("at %d of %d, %v", s.Current(), first, pauses)
 	}
-	s.Heard(now, Facts) // it leads
+	s.Receive(now, Status) // it leads
 	if p := s.Next(); p > 150*time.Millisecond {
 		t.Errorf("%v behind one that led", p)
 	}
-	other := NewSeeker(cfg, 3, rand.New(rand.NewPCG(1, 3)))
+	other := NewPlannerSelector(cfg, 3, rand.New(rand.NewPCG(1, 3)))
 	if other.Next() == pauses[0] {
 		t.Error("all come back at one time")
 	}
-	if s.Every(250*time.Millisecond) != 50*time.Millisecond || NewSeeker(Config{}.WithDefaults(), 3, rng).Every(0) != time.Second {
+	if s.RenewInterval(250*time.Millisecond) != 50*time.Millisecond || NewPlannerSelector(Config{}.WithDefaults(), 3, rng).RenewInterval(0) != time.Second {
 		t.Error("asks come too often or too seldom")
 	}
-	if free := NewSeeker(Config{}.WithDefaults(), 3, rng); free.Silent(9*time.Second) || !free.Silent(11*time.Second) {
+	if free := NewPlannerSelector(Config{}.WithDefaults(), 3, rng); free.TimedOut(9*time.Second) || !free.TimedOut(11*time.Second) {
 		t.Error("without leases")
 	}
 }
@@ -343,37 +343,37 @@
 		rng := rand.New(rand.NewPCG(seed, 3))
 		cfg := Config{Lease: 2 * time.Second}.WithDefaults()
 		p := NewProxy(cfg, "a", 1, func(Number, []byte) string { return "" })
-		s := NewSeeker(cfg, 3, rng)
-		old, next := s.At(), (s.At()+1+rng.IntN(2))%3
+		s := NewPlannerSelector(cfg, 3, rng)
+		old, next := s.Current(), (s.Current()+1+rng.IntN(2))%3
 		falls := time.Minute + time.Duration(rng.Int64N(int64(2*time.Second)))
 		leads := falls + 300*time.Millisecond + time.Duration(rng.Int64N(int64(600*time.Millisecond)))
-		p.Heard(time.Minute, Message{Kind: Welcome, Member: 1, Nonce: 1})
-		p.Out()
-		s.Up(time.Minute)
+		p.Receive(time.Minute, Message{Kind: Welcome, Member: 1, Nonce: 1})
+		p.TakeMessages()
+		s.Connected(time.Minute)
 		beat, dial := time.Minute, time.Duration(0)
 		for now := time.Minute; now < falls+8*time.Second; now += step {
 			if dial > 0 && now >= dial {
 				dial, beat = 0, now
-				s.Up(now)
+				s.Connected(now)
 			}
 			if dial == 0 && now >= beat {
-				if beat = now + s.Every(p.Length()); leave && s.Silent(now) {
+				if beat = now + s.RenewInterval(p.LeaseDuration()); leave && s.TimedOut(now) {
 					dial = now + s.Next()
 				} else {
-					p.Ask(now)
+					p.RenewLease(now)
 				}
 			}
-			for _, m := range p.Out() {
-				switch at := s.At(); {
+			for _, m := range p.TakeMessages() {
+				switch at := s.Current(); {
 				case at == old && now < falls, at == next && now >= leads:
-					if m.Kind == Renew && !s.Heard(now+step, Granted) {
-						p.Heard(now+step, Message{Kind: Granted, Member: 1, Seq: m.Seq, Lease: cfg.Lease})
+					if m.Kind == Renew && !s.Receive(now+step, Granted) {
+						p.Receive(now+step, Message{Kind: Granted, Member: 1, Seq: m.Seq, Lease: cfg.Lease})
 					}
-				case at != old && dial == 0 && s.Heard(now+step, Elsewhere):
+				case at != old && dial == 0 && s.Receive(now+step, NotLeader):
 					dial = now + step + s.Next()
 				}
 			}
-			if _, v := p.May(now); v == Deny && now > time.Minute+step {
+			if _, v := p.AdmitRequest(now); v == Reject && now > time.Minute+step {
 				refused += step
 			}
 		}
@@ -395,12 +395,12 @@
 // A change's work at the leading planner grows as its members do, not with their square: 3,000 could not hold within the time of a round.
 func TestAChangesWorkGrowsWithItsMembers(t *testing.T) {
 	for _, n := range []int{10, 100, 1000} {
-		p := newPlay(Config{Lease: time.Hour}, n, yes)
-		before := p.leader.looks
-		p.leader.Propose(Command{Act: Propose, Policy: []byte("x"), Nonce: 1})
+		p := newTestTier(Config{Lease: time.Hour}, n, yes)
+		before := p.leader.membersVisited
+		p.leader.Propose(Command{Kind: Propose, Policy: []byte("x"), Nonce: 1})
 		p.settle()
-		if looks := (p.leader.looks - before) / uint64(n); p.state.Force != 1 || looks > 10 {
-			t.Errorf("%d members: policy %d, each was looked at %d times", n, p.state.Force, looks)
+		if looks := (p.leader.membersVisited - before) / uint64(n); p.state.InForce != 1 || looks > 10 {
+			t.Errorf("%d members: policy %d, each was looked at %d times", n, p.state.InForce, looks)
 		}
 	}
 }
@@ -409,14 +409,14 @@
 func BenchmarkAChange(b *testing.B) {
 	for _, n := range []int{300, 1000, 3000} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
-			p := newPlay(Config{Lease: time.Hour}, n, yes)
+			p := newTestTier(Config{Lease: time.Hour}, n, yes)
 			b.ResetTimer()
 			for i := range b.N {
-				p.leader.Propose(Command{Act: Propose, Policy: []byte("x"), Nonce: uint64(i + 1)})
+				p.leader.Propose(Command{Kind: Propose, Policy: []byte("x"), Nonce: uint64(i + 1)})
 				p.settle()
 			}
-			if p.state.Force != Number(b.N) {
-				b.Fatalf("%d changes in force of %d", p.state.Force, b.N)
+			if p.state.InForce != Number(b.N) {
+				b.Fatalf("%d changes in force of %d", p.state.InForce, b.N)
 			}
 		})
 	}
--- a/internal/wire/tier/tier_test.go
+++ b/internal/wire/tier/tier_test.go
@@ -11,7 +11,7 @@
 
 func TestFramesComeOverInAnyCuts(t *testing.T) {
 	sent := []Frame{{Tier: &rollout.Message{Kind: rollout.Offer, Member: 7, Number: 3, Policy: make([]byte, 5000)}}, {Raft: []byte{1, 2}},
-		{Ask: &Ask{Do: DoPropose, Why: "why", Nonce: 1 << 60}}, {Answer: &Answer{State: &rollout.State{Force: 2, Changes: []rollout.Change{{Number: 2, Outcome: rollout.InForce}}}}}}
+		{Ask: &Ask{Do: DoPropose, Why: "why", Nonce: 1 << 60}}, {Answer: &Answer{State: &rollout.State{InForce: 2, Changes: []rollout.Change{{Number: 2, Outcome: rollout.InForce}}}}}}
 	var wire []byte
 	for i := range sent {
 		var err error
