Split the rollout leader by concern and give its results types

The leader is now cut into the term and messages, members, leases, the pending change, and progress; State.Apply and Proxy.Receive have one function a command and message. Ready and PolicySwitch replace positional results, submission replaces formatted strings as keys of commands in flight, errors are sentinel or typed with the texts they had, and numbers have names with units. Comments are written anew; package doc names its sources.

--- a/internal/lab/explore/rollout.go
+++ b/internal/lab/explore/rollout.go
@@ -129,11 +129,11 @@
 			w.post(-1-i, m)
 		}
 	}
-	out, commit, _ := w.leader.Ready()
-	for _, o := range out {
+	ready := w.leader.TakeReady()
+	for _, o := range ready.Messages {
 		w.post(int(o.Link)-1, o.Message)
 	}
-	w.log = append(w.log, commit...)
+	w.log = append(w.log, ready.Commands...)
 	if !w.t.Async && (len(w.log) > 0 || w.leader.Confirming()) {
 		for len(w.log) > 0 {
 			c := w.log[0]
--- a/internal/lab/scale/calculate/calculate_test.go
+++ b/internal/lab/scale/calculate/calculate_test.go
@@ -90,19 +90,19 @@
 				}
 			}
 		}
-		out, commit, confirm := x.leader.Ready()
-		for _, o := range out {
+		ready := x.leader.TakeReady()
+		for _, o := range ready.Messages {
 			if i := int(o.Link) - 1; !x.silent[i] {
 				x.proxies[i].Receive(x.now, o.Message)
 			}
 		}
-		for _, c := range commit {
+		for _, c := range ready.Commands {
 			x.leader.Applied(x.now, c, x.state.Apply(c))
 		}
-		if confirm {
+		if ready.Confirm {
 			x.leader.Confirmed(x.now)
 		}
-		busy = busy || len(out)+len(commit) > 0 || confirm
+		busy = busy || !ready.Empty()
 	}
 }
 
--- a/internal/lab/tier/links.go
+++ b/internal/lab/tier/links.go
@@ -140,12 +140,12 @@
 				}
 				s.mu.Lock()
 				s.proxy.Receive(time.Since(began), *f.Tier)
-				numbers, _ := s.proxy.TakeSwitches()
+				switches := s.proxy.TakeSwitches()
 				s.flush(&sent)
 				s.mu.Unlock()
 				mu.Lock()
-				for _, n := range numbers {
-					under[n]++
+				for _, x := range switches {
+					under[x.Number]++
 				}
 				mu.Unlock()
 			}
--- a/internal/lab/tiersim/tiersim.go
+++ b/internal/lab/tiersim/tiersim.go
@@ -153,12 +153,12 @@
 
 // ready carries out what a leader wants. Its commands take their way through the log, and may come there behind the next leader's first.
 func (s *sim) ready(l *leader) {
-	out, commit, confirm := l.Ready()
-	for _, o := range out {
+	ready := l.TakeReady()
+	for _, o := range ready.Messages {
 		n := s.nodes[o.Link-1]
 		s.send(func() { s.heard(n, o.Message) })
 	}
-	for _, c := range commit {
+	for _, c := range ready.Commands {
 		c.Time = int64(s.Now / time.Millisecond)
 		longest := 10 * time.Millisecond
 		if s.rng.Float64() < s.cfg.Late {
@@ -166,7 +166,7 @@
 		}
 		s.After(time.Millisecond+time.Duration(s.rng.Int64N(int64(longest))), func() { s.apply(l, c) })
 	}
-	if confirm {
+	if ready.Confirm {
 		s.After(time.Millisecond+time.Duration(s.rng.Int64N(int64(5*time.Millisecond))), func() {
 			if s.leader == l { // a round among the planners would fail for one that leads no more
 				l.Confirmed(s.Now)
--- a/internal/lab/virtual/planner.go
+++ b/internal/lab/virtual/planner.go
@@ -107,16 +107,16 @@
 
 func (p *planner) ready() {
 	w := p.w
-	out, commit, confirm := p.leader.Ready()
-	for _, o := range out {
+	ready := p.leader.TakeReady()
+	for _, o := range ready.Messages {
 		if l := p.links[o.Link]; l != nil {
 			p.send(l, Received, o.Message, func() { l.receive(o.Link, o.Message) })
 		}
 	}
-	for _, c := range commit {
+	for _, c := range ready.Commands {
 		w.at(w.clock.now+logDelay, func() { p.apply(c) })
 	}
-	if confirm {
+	if ready.Confirm {
 		w.at(w.clock.now+logDelay, func() { p.act(func() { p.leader.Confirmed(w.clock.now) }) })
 	}
 }
@@ -218,9 +218,8 @@
 	l.n.proxy(func() {
 		l.seek.Receive(w.clock.now, m.Kind)
 		l.proxy.Receive(w.clock.now, m)
-		numbers, _ := l.proxy.TakeSwitches()
-		for _, number := range numbers {
-			if i, ok := l.p.changes[number]; ok {
+		for _, s := range l.proxy.TakeSwitches() {
+			if i, ok := l.p.changes[s.Number]; ok {
 				w.res.Changed[i].Last = w.clock.now - base
 				w.res.Changed[i].Proxies++
 			}
--- a/internal/net/tier.go
+++ b/internal/net/tier.go
@@ -192,11 +192,9 @@
 	}
 	t.waits = ""
 	t.side.Receive(now, m)
-	if numbers, with := t.side.TakeSwitches(); len(numbers) > 0 {
-		for i, n := range numbers {
-			slog.Info("policy in force here", "number", uint64(n))
-			t.into(n, with[i])
-		}
+	for _, s := range t.side.TakeSwitches() {
+		slog.Info("policy in force here", "number", uint64(s.Number))
+		t.into(s.Number, s.Policy)
 	}
 	t.front.Passed()
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -258,13 +258,14 @@
 	if p.leader == nil {
 		return false
 	}
-	out, commit, confirm := p.leader.Ready()
-	for _, o := range out {
+	ready := p.leader.TakeReady()
+	for _, o := range ready.Messages {
 		p.server.send(o.Link, &tier.Frame{Tier: &o.Message})
 	}
-	for i := range commit {
-		commit[i].Time = p.unix()
-		text, err := tier.EncodeCommand(&commit[i])
+	for i := range ready.Commands {
+		command := &ready.Commands[i]
+		command.Time = p.unix()
+		text, err := tier.EncodeCommand(command)
 		if err == nil {
 			err = p.node.Propose(text)
 		}
@@ -272,11 +273,11 @@
 			slog.Warn("a command can't be written to the log", "error", err)
 		}
 	}
-	if confirm {
+	if ready.Confirm {
 		p.reads++
 		p.node.ReadIndex(binary.BigEndian.AppendUint64(nil, p.reads))
 	}
-	return len(out)+len(commit) > 0 || confirm
+	return !ready.Empty()
 }
 
 // ready does what the consensus asks for, the disk first.
--- a/internal/rollout/exploration.go
+++ b/internal/rollout/exploration.go
@@ -1,39 +1,40 @@
 package rollout
 
 import (
+	"bytes"
 	"encoding/binary"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
-// What explorers of all states need: copies, and a text by which equal states are known as such.
+// Copies and encodings of the state for the exhaustive exploration in internal/lab/explore.
 
-// Clone gives a copy that shares nothing that changes.
+// Clone returns a copy that shares no mutable data with p. Policy switches that were not taken are dropped.
 func (p *Proxy) Clone() *Proxy {
 	c := *p
-	c.messages, c.went, c.with = slices.Clone(p.messages), nil, nil
+	c.messages, c.switches = slices.Clone(p.messages), nil
 	return &c
 }
 
-// Clone gives a copy before another copy of the same state.
+// Clone returns a copy that works on another copy of the same state.
 func (l *Leader) Clone(s *State) *Leader {
 	c := *l
 	c.state = s
-	c.members, c.joining, c.inFlight = make(map[Member]*memberState, len(l.members)), maps.Clone(l.joining), maps.Clone(l.inFlight)
-	for m, s := range l.members {
-		x := *s
-		c.members[m] = &x
+	c.joining, c.inFlight = maps.Clone(l.joining), maps.Clone(l.inFlight)
+	c.members = make(map[Member]*memberState, len(l.members))
+	for id, member := range l.members {
+		clone := *member
+		c.members[id] = &clone
 	}
 	c.renewals, c.confirming = slices.Clone(l.renewals), slices.Clone(l.confirming)
-	c.messages, c.commands = slices.Clone(l.messages), slices.Clone(l.commands)
+	c.ready.Messages, c.ready.Commands = slices.Clone(l.ready.Messages), slices.Clone(l.ready.Commands)
 	return &c
 }
 
-// ago gives a time as one that lies so far back; those beyond far are alike.
-func appendAge(dst []byte, now, t, far time.Duration) []byte {
-	return binary.AppendVarint(dst, int64(min(max(now-t, -far), far)))
+// appendAge appends now - t, clamped to ±limit: times that lie further back have the same effect.
+func appendAge(dst []byte, now, t, limit time.Duration) []byte {
+	return binary.AppendVarint(dst, int64(min(max(now-t, -limit), limit)))
 }
 
 func appendFlags(dst []byte, flags ...bool) []byte {
@@ -53,71 +54,89 @@
 	return dst
 }
 
-// AppendState writes all that the proxy's further course hangs on; times count from now.
+// agesPerLease bounds the ages that AppendState tells apart, in leases.
+const agesPerLease = 3
+
+// AppendState appends an encoding of all that the proxy's future behaviour depends on. Times are relative to now.
 func (p *Proxy) AppendState(dst []byte, now time.Duration) []byte {
-	far := 3 * p.config.Lease
-	dst = appendNumbers(dst, uint64(p.member), uint64(p.number), uint64(p.staged), uint64(p.heldRound.Term), p.heldRound.Count, p.nonce, p.seq)
-	if dst = appendFlags(dst, p.hasLease); p.hasLease {
-		dst = appendAge(dst, now, p.leaseEnd, far)
+	limit := agesPerLease * p.config.Lease
+	dst = appendNumbers(dst, uint64(p.member), uint64(p.number), uint64(p.stagedNumber), uint64(p.heldRound.Term), p.heldRound.Count, p.nonce, p.seq)
+	dst = appendFlags(dst, p.hasLease)
+	if p.hasLease {
+		dst = appendAge(dst, now, p.leaseEnd, limit)
 	}
 	for i := range p.seq {
-		if p.seq-i < renewalsInFlight {
-			dst = appendAge(dst, now, p.renewalTimes[(p.seq-i)%renewalsInFlight], far)
+		if p.seq-i < maxRenewalsInFlight {
+			dst = appendAge(dst, now, *p.renewalTime(p.seq - i), limit)
 		}
 	}
 	return dst
 }
 
-// AppendState writes the state.
+// AppendState appends an encoding of the state.
 func (s *State) AppendState(dst []byte) []byte {
 	dst = appendNumbers(dst, uint64(s.InForce), uint64(s.LastNumber), uint64(s.LastMember), s.MembersVersion, uint64(s.ReleasedRound.Term), s.ReleasedRound.Count)
-	for _, c := range s.Changes {
-		dst = append(appendNumbers(dst, uint64(c.Number)), byte(c.Outcome))
+	for _, change := range s.Changes {
+		dst = append(appendNumbers(dst, uint64(change.Number)), byte(change.Outcome))
 	}
-	for _, x := range s.Members {
-		dst = append(appendNumbers(append(dst, 's'), uint64(x.Member), x.Nonce), x.Name...)
+	for _, entry := range s.Members {
+		dst = append(appendNumbers(append(dst, 's'), uint64(entry.Member), entry.Nonce), entry.Name...)
 	}
 	return dst
 }
 
-// AppendState writes all that the leader's further course hangs on, but for the log's state.
+// AppendState appends an encoding of all that the leader's future behaviour depends on, besides the log's state.
 func (l *Leader) AppendState(dst []byte, now time.Duration) []byte {
-	far := 3 * (l.config.Lease + l.config.ClockMargin)
-	dst = appendNumbers(dst, uint64(l.term), uint64(l.pending), l.round.Count)
-	dst = appendFlags(dst, l.termBegan > 0, l.roundOpen, l.abortReason != "", l.roundClosed > 0, l.confirm)
-	if l.pending > 0 {
-		dst = appendAge(dst, now, l.changeBegan, far)
-	}
-	if l.roundOpen {
-		dst = appendAge(dst, now, l.roundOpened, far)
-	}
-	if l.roundClosed > 0 {
-		dst = appendAge(dst, now, l.roundClosed, far)
-	}
-	for _, m := range slices.Sorted(maps.Keys(l.members)) {
-		s := l.members[m]
-		dst = appendNumbers(append(dst, 's'), uint64(m), uint64(s.link), uint64(s.policyNumber), uint64(s.heldRound.Term), s.heldRound.Count)
-		dst = appendAge(appendFlags(dst, s.agreed, s.leaving, s.awaitedSince > 0, s.lastRequest > 0), now, s.expiry, far)
-		if s.awaitedSince > 0 {
-			dst = appendAge(dst, now, s.awaitedSince, far)
-		}
-		if s.lastRequest > 0 {
-			dst = appendAge(dst, now, s.lastRequest, far)
-		}
+	limit := agesPerLease * (l.config.Lease + l.config.ClockMargin)
+	dst = appendNumbers(dst, uint64(l.term), uint64(l.change.number), l.round.Count)
+	dst = appendFlags(dst, l.Leading(), l.open, l.change.abortReason != "", l.released > 0, l.ready.Confirm)
+	if l.change.number > 0 {
+		dst = appendAge(dst, now, l.change.began, limit)
+	}
+	if l.open {
+		dst = appendAge(dst, now, l.opened, limit)
 	}
-	for _, k := range slices.Sorted(maps.Keys(l.joining)) {
-		dst = appendNumbers(append(dst, 'n'), uint64(k), l.joining[k].Nonce)
+	if l.released > 0 {
+		dst = appendAge(dst, now, l.released, limit)
 	}
-	for _, k := range slices.SortedFunc(maps.Keys(l.inFlight), strings.Compare) {
-		if now-l.inFlight[k] < l.config.AnswerTimeout {
-			dst = appendAge(append(dst, k...), now, l.inFlight[k], far)
+	for _, id := range slices.Sorted(maps.Keys(l.members)) {
+		dst = l.members[id].appendState(append(dst, 's'), id, now, limit)
+	}
+	for _, link := range slices.Sorted(maps.Keys(l.joining)) {
+		dst = appendNumbers(append(dst, 'n'), uint64(link), l.joining[link].Nonce)
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(l.inFlight), submission.compare) {
+		if now-l.inFlight[key] < l.config.AnswerTimeout {
+			dst = appendAge(key.appendState(dst), now, l.inFlight[key], limit)
 		}
 	}
-	for _, a := range append(slices.Clone(l.renewals), l.confirming...) {
-		dst = appendNumbers(append(dst, 'a'), uint64(a.member), a.seq, uint64(a.link))
+	for _, r := range append(slices.Clone(l.renewals), l.confirming...) {
+		dst = appendNumbers(append(dst, 'a'), uint64(r.member), r.seq, uint64(r.link))
 	}
 	return dst
 }
 
-// Confirming tells whether the leader waits to be confirmed.
+func (m *memberState) appendState(dst []byte, id Member, now, limit time.Duration) []byte {
+	dst = appendNumbers(dst, uint64(id), uint64(m.link), uint64(m.policyNumber), uint64(m.heldRound.Term), m.heldRound.Count)
+	dst = appendFlags(dst, m.agreed, m.leaving, m.awaitedSince > 0, m.lastRequest > 0)
+	dst = appendAge(dst, now, m.expiry, limit)
+	if m.awaitedSince > 0 {
+		dst = appendAge(dst, now, m.awaitedSince, limit)
+	}
+	if m.lastRequest > 0 {
+		dst = appendAge(dst, now, m.lastRequest, limit)
+	}
+	return dst
+}
+
+func (s submission) appendState(dst []byte) []byte {
+	dst = append(append(dst, 'c', byte(s.kind)), s.name...)
+	return appendNumbers(dst, uint64(s.member), uint64(s.round.Term), s.round.Count, s.version)
+}
+
+func (s submission) compare(other submission) int {
+	return bytes.Compare(s.appendState(nil), other.appendState(nil))
+}
+
+// Confirming reports whether the leader waits for Confirmed.
 func (l *Leader) Confirming() bool { return len(l.confirming) > 0 }
--- a/internal/rollout/membership_history.go
+++ b/internal/rollout/membership_history.go
@@ -5,78 +5,78 @@
 	"time"
 )
 
-// Views remembers the tier's lists of members that have been followed by others, for as long as a member may still go by one: who finds keepers of
-// something by the list has to ask those of each earlier one as well. Lists hold those that told an address, as members are told them. Each planner has
-// one, beside the log.
-type MembershipHistory struct {
-	retention       time.Duration // of a list behind its end
-	membersVersion  uint64
-	members         []Member
-	past            []pastMembers
-	incompleteUntil time.Duration // until then, not all that members may go by are known here
+// Membership is what a proxy knows of the members of its tier.
+type Membership struct {
+	Version uint64        // 0 = nothing is known
+	Members []MemberEntry // sorted by Member
+	Past    []PastMembers // as of when Version was received
+	// Until is how long the list may be used: a lease that was granted while it was current. Later, others may have received another.
+	Until time.Duration
 }
 
-type pastMembers struct {
-	members []Member
-	at      time.Duration
+// PastMembers is an earlier list of members that some member may still use.
+type PastMembers struct {
+	Members []Member      `cbor:"1,keyasint"`
+	Left    time.Duration `cbor:"2,keyasint"` // for at most this long
 }
 
-// mostViews bounds the lists that are remembered. Lists can't be merged: the keepers by a longer one are not those by either.
+// maxPastMembers bounds the earlier lists that are kept. Lists can't be merged: the replicas that a longer list selects are not those that
+// either of two shorter ones selects.
 const maxPastMembers = 64
 
-// NewViews begins to remember. cfg says how long a member may go by a list: for its lease, as it was granted last before the list ended.
-func NewMembershipHistory(cfg Config) *MembershipHistory {
-	cfg = cfg.WithDefaults()
-	return &MembershipHistory{retention: cfg.Lease + cfg.ClockMargin}
+// MembershipHistory keeps earlier lists of members while a member may still use one: whoever looks for the replicas of a record has to ask
+// those by each list. A list holds the members that have an address. Each planner has a history, besides the log.
+type MembershipHistory struct {
+	retention       time.Duration // of a list, from its replacement
+	version         uint64
+	members         []Member
+	past            []replacedMembers // the oldest first
+	incompleteUntil time.Duration     // a list that is unknown here may be in use until then
+}
+
+type replacedMembers struct {
+	members    []Member
+	replacedAt time.Duration
 }
 
-// Skipped tells that the state came as a whole: lists may have come and gone that were not seen here.
-func (v *MembershipHistory) MarkIncomplete(now time.Duration) { v.incompleteUntil = now + v.retention }
+// NewMembershipHistory returns an empty history. A member may use a list for the lease that was granted last before its replacement.
+func NewMembershipHistory(config Config) *MembershipHistory {
+	config = config.WithDefaults()
+	return &MembershipHistory{retention: config.Lease + config.ClockMargin}
+}
+
+// MarkIncomplete tells that the state was received as a whole, as a snapshot: lists may have come and gone unseen.
+func (h *MembershipHistory) MarkIncomplete(now time.Duration) { h.incompleteUntil = now + h.retention }
 
-// Applied is called behind each command that has been applied to the state.
-func (v *MembershipHistory) Applied(now time.Duration, s *State) {
-	if s.MembersVersion == v.membersVersion {
+// Applied must be called after each command that has been applied to the state.
+func (h *MembershipHistory) Applied(now time.Duration, s *State) {
+	if s.MembersVersion == h.version {
 		return
 	}
-	var next []Member
-	for _, x := range s.Members {
-		if x.Address != "" {
-			next = append(next, x.Member)
+	var members []Member
+	for _, entry := range s.Members {
+		if entry.Address != "" {
+			members = append(members, entry.Member)
 		}
 	}
-	if v.membersVersion > 0 && !slices.Equal(next, v.members) {
-		v.past = append(v.past, pastMembers{v.members, now})
+	if h.version > 0 && !slices.Equal(members, h.members) {
+		h.past = append(h.past, replacedMembers{members: h.members, replacedAt: now})
 	}
-	v.past = slices.DeleteFunc(v.past, func(e pastMembers) bool { return now >= e.at+v.retention })
-	if len(v.past) > maxPastMembers {
-		v.incompleteUntil = max(v.incompleteUntil, v.past[0].at+v.retention)
-		v.past = slices.Delete(v.past, 0, 1)
+	h.past = slices.DeleteFunc(h.past, func(p replacedMembers) bool { return now >= p.replacedAt+h.retention })
+	if len(h.past) > maxPastMembers {
+		h.incompleteUntil = max(h.incompleteUntil, h.past[0].replacedAt+h.retention)
+		h.past = slices.Delete(h.past, 0, 1)
 	}
-	v.membersVersion, v.members = s.MembersVersion, next
+	h.version, h.members = s.MembersVersion, members
 }
 
-// Past gives the earlier lists that members may still go by, the oldest first, and for how long. false = not all are known, and so nobody may be told that
-// a list is whole.
-func (v *MembershipHistory) Past(now time.Duration) (out []PastMembers, ok bool) {
-	for _, e := range v.past {
-		if left := e.at + v.retention - now; left > 0 {
-			out = append(out, PastMembers{e.members, left})
+// Past returns the earlier lists that members may still use, the oldest first. complete is false if there may be others; then no member
+// may be told that a list is complete.
+func (h *MembershipHistory) Past(now time.Duration) (past []PastMembers, complete bool) {
+	for _, p := range h.past {
+		if left := p.replacedAt + h.retention - now; left > 0 {
+			past = append(past, PastMembers{Members: p.members, Left: left})
 		}
 	}
-	return out, now >= v.incompleteUntil
-}
-
-// View is an earlier list of members.
-type PastMembers struct {
-	Members []Member      `cbor:"1,keyasint"`
-	Left    time.Duration `cbor:"2,keyasint"` // for so long others may still go by it
-}
-
-// Tier is what a proxy knows of its tier's members.
-type Membership struct {
-	Version uint64        // 0 = nothing
-	Members []MemberEntry // by Member
-	Past    []PastMembers // as of when Version was heard
-	// Until is how long the list may be gone by: a lease that was granted while it was the list. Behind that, others may have been told another.
-	Until time.Duration
+	return past, now >= h.incompleteUntil
 }
--- a/internal/rollout/planner_selector.go
+++ b/internal/rollout/planner_selector.go
@@ -6,69 +6,74 @@
 )
 
 const (
-	retryPause        = 100 * time.Millisecond // before the next planner is tried, doubled with each round of them, with jitter
+	retryPause        = 100 * time.Millisecond // before the next planner is tried; doubled after each pass over all of them, with jitter
 	maxRetryPause     = 3 * time.Second
-	renewalsPerLease  = 5           // for a lease, in its length
-	heartbeatInterval = time.Second // between signs of life where there are no leases
+	maxRetryDoublings = 8
+	renewalsPerLease  = 5           // renewals within the length of a lease
+	heartbeatInterval = time.Second // where there are no leases
 	silenceTimeout    = 10 * heartbeatInterval
 )
 
-// Seeker decides which planner a proxy speaks to, when it leaves one, and when it tries the next.
+// PlannerSelector decides which planner a proxy connects to, when it gives one up, and when it tries the next.
 type PlannerSelector struct {
 	config   Config
 	planners int
 	rng      *rand.Rand
 
-	current   int // of the planners
-	attempts  int // since the last that led
+	current   int // index of the planner
+	attempts  int // since the last message of a planner that leads
 	lastHeard time.Duration
 }
 
-// NewSeeker makes one for so many planners. Not all proxies begin with the same.
-func NewPlannerSelector(cfg Config, planners int, rng *rand.Rand) *PlannerSelector {
-	return &PlannerSelector{config: cfg, planners: planners, rng: rng, current: rng.IntN(planners)}
+// NewPlannerSelector returns a selector over that many planners. It starts with a random one, so that proxies spread over them.
+func NewPlannerSelector(config Config, planners int, rng *rand.Rand) *PlannerSelector {
+	return &PlannerSelector{config: config, planners: planners, rng: rng, current: rng.IntN(planners)}
 }
 
-// At gives the planner that is spoken to, by its place in the list.
+// Current returns the index of the planner to connect to.
 func (s *PlannerSelector) Current() int { return s.current }
 
-// Up tells that the link to it is up.
+// Connected tells that the connection to the current planner is up.
 func (s *PlannerSelector) Connected(now time.Duration) { s.lastHeard = now }
 
-// Heard tells of a message of it. leave = another planner has to be found: this one doesn't lead.
-func (s *PlannerSelector) Receive(now time.Duration, k Kind) (leave bool) {
+// Receive tells of a message of the current planner. It returns true if another planner is to be tried, since this one doesn't lead.
+func (s *PlannerSelector) Receive(now time.Duration, kind Kind) (leave bool) {
 	s.lastHeard = now
-	switch k {
+	switch kind {
 	case NotLeader:
 		return true
-	case JoinDelayed: // it leads, and lets this proxy wait
+	case JoinDelayed: // it leads, but the retries go on
 	default:
 		s.attempts = 0
 	}
 	return false
 }
 
-// Silent tells that it has said nothing for so long that the next is to be tried: half of a lease, so that the next can prolong that. One that
-// stands still keeps its links up.
+// TimedOut reports whether the current planner has been silent for so long that the next is to be tried. With leases that is half of a
+// lease, so that the next planner can still renew it. A planner whose process is stopped keeps its connections open.
 func (s *PlannerSelector) TimedOut(now time.Duration) bool {
+	timeout := silenceTimeout
 	if s.config.Lease > 0 {
-		return now-s.lastHeard > s.config.Lease/2
+		timeout = s.config.Lease / 2
 	}
-	return now-s.lastHeard > silenceTimeout
+	return now-s.lastHeard > timeout
 }
 
-// Next goes on to the next planner and tells after how long: hundreds of proxies that lose theirs at one moment don't come back at one.
+// Next selects the next planner and returns the pause before it is to be tried: exponential backoff with jitter, so that hundreds of
+// proxies that lose their planner at one moment don't reconnect at one moment.
 func (s *PlannerSelector) Next() (pause time.Duration) {
 	s.current = (s.current + 1) % s.planners
 	s.attempts++
-	pause = min(retryPause<<min(s.attempts/s.planners, 8), maxRetryPause)
-	return time.Duration((0.5 + s.rng.Float64()) * float64(pause))
+	doublings := min(s.attempts/s.planners, maxRetryDoublings)
+	pause = min(retryPause<<doublings, maxRetryPause)
+	jitter := 0.5 + s.rng.Float64()
+	return time.Duration(jitter * float64(pause))
 }
 
-// Every tells how often a proxy asks for its lease, given how long the last one was, or gives a sign of life.
-func (s *PlannerSelector) RenewInterval(length time.Duration) time.Duration {
+// RenewInterval returns how often a proxy renews a lease of that length, or sends a heartbeat where there are no leases.
+func (s *PlannerSelector) RenewInterval(lease time.Duration) time.Duration {
 	if s.config.Lease > 0 {
-		return length / renewalsPerLease
+		return lease / renewalsPerLease
 	}
 	return heartbeatInterval
 }
--- /dev/null
+++ b/internal/rollout/progress.go
@@ -0,0 +1,90 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Answer names what a change waits for from a member.
+type Answer string
+
+// The answers.
+const (
+	AnswerAgree Answer = "agree"
+	AnswerHold  Answer = "hold"
+)
+
+// PendingAnswer is an answer that a change waits for.
+type PendingAnswer struct {
+	Name       string        `json:"name"` // of the member
+	Answer     Answer        `json:"word"`
+	For        time.Duration `json:"for"` // since it was first requested
+	SinceHeard time.Duration `json:"cut"` // since the member's last message
+}
+
+// Progress describes how far the pending change is.
+type Progress struct {
+	Number  Number          `json:"number"`
+	Members int             `json:"members"`
+	Agreed  int             `json:"-"`
+	Held    int             `json:"-"`
+	For     time.Duration   `json:"for"` // since the change was proposed
+	Waiting []PendingAnswer `json:"waiting"`
+}
+
+// maxDescribed bounds the members that an abort's reason names.
+const maxDescribed = 3
+
+// Progress returns how far the pending change is; false if there is none.
+func (l *Leader) Progress(now time.Duration) (progress Progress, ok bool) {
+	change := l.state.Pending()
+	if change == nil || change.Number != l.change.number {
+		return Progress{}, false
+	}
+	progress = Progress{Number: change.Number, Members: len(l.state.Members), For: now - l.change.began}
+	for _, entry := range l.state.Members {
+		member := l.members[entry.Member]
+		if member == nil {
+			continue
+		}
+		if member.agreed {
+			progress.Agreed++
+		}
+		if l.open && member.heldRound == l.round {
+			progress.Held++
+		}
+		if member.awaitedSince > 0 {
+			progress.Waiting = append(progress.Waiting, member.pendingAnswer(now, entry.Name))
+		}
+	}
+	return progress, true
+}
+
+func (m *memberState) pendingAnswer(now time.Duration, name string) PendingAnswer {
+	answer := AnswerAgree
+	if m.agreed {
+		answer = AnswerHold
+	}
+	return PendingAnswer{Name: name, Answer: answer, For: now - m.awaitedSince, SinceHeard: now - m.lastHeard}
+}
+
+// describePending names the members that the change has waited for longest.
+func (l *Leader) describePending(now time.Duration) string {
+	progress, _ := l.Progress(now)
+	waiting := progress.Waiting
+	if len(waiting) == 0 {
+		return "the planners' log"
+	}
+	slices.SortFunc(waiting, func(a, b PendingAnswer) int { return int(b.For - a.For) })
+	var names []string
+	for _, w := range waiting[:min(len(waiting), maxDescribed)] {
+		names = append(names, fmt.Sprintf("%s (to %s for %v, last heard %v ago)", w.Name, w.Answer, w.For.Round(time.Millisecond), w.SinceHeard.Round(time.Millisecond)))
+	}
+	text := strings.Join(names, ", ")
+	if more := len(waiting) - len(names); more > 0 {
+		text = fmt.Sprintf("%s and %d more", text, more)
+	}
+	return text
+}
--- a/internal/rollout/proxy.go
+++ b/internal/rollout/proxy.go
@@ -2,82 +2,91 @@
 
 import "time"
 
-// Verdict says what a proxy does with a request that has come.
+// Admission is what a proxy does with a new request.
 type Admission uint8
 
-// The verdicts.
+// The admissions.
 const (
-	Admit  Admission = iota // under the policy whose number May gives
-	Delay                   // for the moment: a change is at its point
-	Reject                  // with a hint: this proxy can't know which policy holds
+	Admit  Admission = iota // under the policy that AdmitRequest returns
+	Delay                   // until the round has ended
+	Reject                  // with a hint to retry: this proxy can't know which policy is in force
 )
 
-// asks is how many asks for a lease may be on their way: an answer to an earlier one tells nothing new.
-const renewalsInFlight = 8
+// maxRenewalsInFlight bounds the renewals whose answers still count. An answer to an earlier one tells nothing new.
+const maxRenewalsInFlight = 8
 
-// Proxy is a proxy's side.
+// PolicySwitch is a policy that has come into force in a proxy.
+type PolicySwitch struct {
+	Number Number
+	Policy []byte
+}
+
+// CheckPolicy returns why a proxy can't serve under a policy; empty if it can.
+type CheckPolicy func(number Number, policy []byte) (reason string)
+
+// Proxy is the state of a proxy as a participant of the protocol. Its methods are not safe for concurrent use. Times are readings of one
+// monotonic clock.
 type Proxy struct {
-	config Config
-	name   string
-	nonce  uint64
+	config  Config
+	name    string
+	nonce   uint64 // of the current membership, or of the attempt to get one
+	address string
+	check   CheckPolicy
+
+	member       Member // 0 = none
+	number       Number // of the policy that the proxy serves under
+	stagedNumber Number // of the policy that it has agreed to
+	stagedPolicy []byte
+	heldRound    Round // zero = it does not hold
+	heldSince    time.Duration
 
-	member       Member
-	number       Number // the policy that it serves under
+	hasLease     bool
 	leaseEnd     time.Duration
-	hasLease     bool          // there is one, until then
-	lastLease    time.Duration // of the last that was granted; 0 = none was
-	staged       Number
-	policy       []byte // of staged
-	heldRound    Round  // zero = it holds nothing
-	heldSince    time.Duration
-	seq          uint64
-	renewalTimes [renewalsInFlight]time.Duration // when, by Seq
+	lastLease    time.Duration // length of the last lease that was granted; 0 = none was
+	seq          uint64        // of the last renewal
+	renewalTimes [maxRenewalsInFlight]time.Duration
 
-	address    string
 	membership Membership
-
-	// Check tells why this proxy can't serve under a policy; empty = it can.
-	check    func(Number, []byte) string
-	messages []Message
-	went     []Number // policies that are to be put into effect, with
-	with     [][]byte
+	messages   []Message
+	switches   []PolicySwitch
 }
 
-// NewProxy makes one that is no member yet. check tells why a policy can't be served under here, empty = it can. nonce is a random number
-// of this start.
-func NewProxy(cfg Config, name string, nonce uint64, check func(Number, []byte) string) *Proxy {
-	return &Proxy{config: cfg.WithDefaults(), name: name, nonce: nonce, check: check}
+// NewProxy returns a proxy that is not a member yet. nonce must be random, and different at each start.
+func NewProxy(config Config, name string, nonce uint64, check CheckPolicy) *Proxy {
+	return &Proxy{config: config.WithDefaults(), name: name, nonce: nonce, check: check}
 }
 
-// At says where other proxies of the tier reach this one. It is then told of them: see Tier.
+// SetAddress sets where other proxies of the tier reach this one, before it joins. It then receives their Membership.
 func (p *Proxy) SetAddress(address string) { p.address = address }
 
-// Tier gives what is known of the members.
+// Membership returns what is known of the members.
 func (p *Proxy) Membership() Membership { return p.membership }
 
-// Out gives the messages for the planner that is spoken to; they are given once.
-func (p *Proxy) TakeMessages() (m []Message) {
-	m, p.messages = p.messages, nil
-	return m
+// TakeMessages returns the messages that are to be sent to the current planner and forgets them.
+func (p *Proxy) TakeMessages() []Message {
+	messages := p.messages
+	p.messages = nil
+	return messages
 }
 
-// Switched gives the policies that have come into force here since it was last called. They are to be put into effect before the next
-// request is taken.
-func (p *Proxy) TakeSwitches() (n []Number, with [][]byte) {
-	n, with, p.went, p.with = p.went, p.with, nil, nil
-	return n, with
+// TakeSwitches returns the policies that have come into force since the last call, and forgets them. They must be put into effect before
+// the next request is admitted.
+func (p *Proxy) TakeSwitches() []PolicySwitch {
+	switches := p.switches
+	p.switches = nil
+	return switches
 }
 
-// Member gives the proxy's membership; 0 = none.
+// Member returns the proxy's membership; 0 if it has none.
 func (p *Proxy) Member() Member { return p.member }
 
-// Number gives the policy that requests are taken under, when they are.
+// Number returns the policy that requests are admitted under, if any are.
 func (p *Proxy) Number() Number { return p.number }
 
-// Until gives the end of the lease.
+// LeaseEnd returns when the lease ends.
 func (p *Proxy) LeaseEnd() time.Duration { return p.leaseEnd }
 
-// Length gives how long the lease is that was granted last: it is to be asked for a few times in that.
+// LeaseDuration returns the length of the last lease that was granted. A lease is to be renewed several times within that.
 func (p *Proxy) LeaseDuration() time.Duration {
 	if p.lastLease > 0 {
 		return p.lastLease
@@ -85,46 +94,59 @@
 	return p.config.Lease
 }
 
-// Holds tells the round in which requests are held, and since when.
-func (p *Proxy) HeldRound() (Round, time.Duration, bool) {
-	return p.heldRound, p.heldSince, p.heldRound != Round{}
+// HeldRound returns the round for which requests are held and since when; false if none are.
+func (p *Proxy) HeldRound() (round Round, since time.Duration, ok bool) {
+	return p.heldRound, p.heldSince, p.holds()
 }
 
-// May says what is to be done with a request that has been read. now has to be read from the clock behind the request's last byte: a
-// process that stood still between the two would take under a lease that had ended when the request came.
+func (p *Proxy) holds() bool { return p.heldRound != Round{} }
+
+// AdmitRequest decides what is to be done with a request that has been read. now must be read from the clock after the request's last
+// byte: a process that is paused between the two would otherwise admit it under a lease that had expired before the request came.
 func (p *Proxy) AdmitRequest(now time.Duration) (Number, Admission) {
-	off := p.config.DisabledGuards
-	switch {
-	case p.member == 0 && !off.Has(NoStartCheck):
+	disabled := p.config.DisabledGuards
+	if p.member == 0 && !disabled.Has(NoStartCheck) {
 		return 0, Reject
-	case p.member != 0 && p.config.Lease > 0 && (!p.hasLease || now >= p.leaseEnd) && !off.Has(NoLeaseCheck): // the fence against the cut off and the paused
+	}
+	leased := p.config.Lease == 0 || p.hasLease && now < p.leaseEnd
+	if p.member != 0 && !leased && !disabled.Has(NoLeaseCheck) { // fence against a proxy that was cut off or paused
 		return 0, Reject
-	case p.heldRound != Round{} && !off.Has(NoHold): // the wait at the point
+	}
+	if p.holds() && !disabled.Has(NoHold) {
 		return 0, Delay
 	}
 	return p.number, Admit
 }
 
-// Ready tells whether the proxy may serve: it holds the tier's policy.
-func (p *Proxy) Ready(now time.Duration) bool { _, v := p.AdmitRequest(now); return v != Reject }
+// Ready reports whether the proxy may serve: it has joined, and its lease has not expired.
+func (p *Proxy) Ready(now time.Duration) bool {
+	_, admission := p.AdmitRequest(now)
+	return admission != Reject
+}
 
-// Connected is the link to a planner that came up: it says who it is.
+// Connected tells that the connection to a planner is up.
 func (p *Proxy) Connected() {
-	p.send(Message{Kind: Hello, Name: p.name, Nonce: p.nonce, Member: p.member, Number: p.number, Round: p.heldRound, Lease: p.config.Lease, Address: p.address})
+	p.send(Message{Kind: Hello, Name: p.name, Nonce: p.nonce, Member: p.member, Number: p.number, Round: p.heldRound,
+		Lease: p.config.Lease, Address: p.address})
 }
 
-// Ask asks for the lease, and tells under which policy the proxy serves. It is called a few times in each lease's length.
+// RenewLease requests a lease; without leases it sends a heartbeat. Call it at PlannerSelector.RenewInterval.
 func (p *Proxy) RenewLease(now time.Duration) {
 	if p.member == 0 {
 		p.Connected()
 		return
 	}
 	p.seq++
-	p.renewalTimes[p.seq%renewalsInFlight] = now
+	*p.renewalTime(p.seq) = now
 	p.send(Message{Kind: Renew, Member: p.member, Seq: p.seq, Number: p.number, MembersVersion: p.membership.Version})
 }
 
-// Leave says that no more requests are taken.
+// renewalTime returns where the time of a renewal is kept.
+func (p *Proxy) renewalTime(seq uint64) *time.Duration {
+	return &p.renewalTimes[seq%maxRenewalsInFlight]
+}
+
+// Leave gives up the membership. The proxy admits no more requests.
 func (p *Proxy) Leave() {
 	if p.member != 0 {
 		p.send(Message{Kind: Leaving, Member: p.member})
@@ -132,86 +154,17 @@
 	}
 }
 
-// rejoin gives the membership up. The nonce is a new one, or a late Welcome to the earlier membership would be taken for this one's.
+// rejoin discards the membership and requests a new one. The nonce changes, so that a delayed Welcome to the former membership is not
+// taken for one to the new.
 func (p *Proxy) rejoin() {
-	p.member, p.hasLease, p.heldRound, p.staged, p.membership = 0, false, Round{}, 0, Membership{}
+	p.member, p.hasLease, p.heldRound, p.stagedNumber, p.membership = 0, false, Round{}, 0, Membership{}
 	p.nonce++
 	p.Connected()
 }
 
 func (p *Proxy) send(m Message) { p.messages = append(p.messages, m) }
 
-// Heard takes a planner's message.
-func (p *Proxy) Receive(now time.Duration, m Message) {
-	switch m.Kind {
-	case Welcome:
-		if p.member != 0 || m.Nonce != p.nonce { // it has come twice, or is for an earlier start of the same name
-			return
-		}
-		p.member, p.number, p.hasLease, p.heldRound = m.Member, m.Number, p.config.Lease == 0, Round{}
-		p.went, p.with = append(p.went, m.Number), append(p.with, m.Policy)
-		p.RenewLease(now)
-		return
-	case JoinDelayed:
-		return
-	}
-	if p.member == 0 || m.Member != p.member { // it was for an earlier membership
-		return
-	}
-	switch m.Kind {
-	case NotMember:
-		p.rejoin()
-	case Granted:
-		if m.Seq > p.seq || p.seq-m.Seq >= renewalsInFlight {
-			return
-		}
-		length := p.config.Lease
-		if m.Lease > 0 {
-			length = min(length, m.Lease)
-		}
-		if p.lastLease = length; !p.hasLease || p.renewalTimes[m.Seq%renewalsInFlight]+length > p.leaseEnd {
-			p.hasLease, p.leaseEnd = true, p.renewalTimes[m.Seq%renewalsInFlight]+length
-		}
-		if m.MembersVersion > 0 && m.MembersVersion == p.membership.Version { // the fence against a list that has been followed by another: a lease prolongs the one that it was granted with
-			p.membership.Until = max(p.membership.Until, p.renewalTimes[m.Seq%renewalsInFlight]+length)
-		}
-	case Members:
-		if m.MembersVersion > p.membership.Version {
-			p.membership = Membership{Version: m.MembersVersion, Members: m.Members, Past: m.PastMembers}
-		}
-	case Offer:
-		if m.Number <= p.number || p.heldRound != (Round{}) { // what is held for comes to its end first
-			return
-		}
-		if reason := p.check(m.Number, m.Policy); reason != "" {
-			p.send(Message{Kind: Refuse, Member: p.member, Number: m.Number, Reason: reason})
-			return
-		}
-		p.staged, p.policy = m.Number, m.Policy
-		p.send(Message{Kind: Agree, Member: p.member, Number: m.Number})
-	case Hold:
-		if m.Number != p.staged || m.Number <= p.number || m.Round.Before(p.heldRound) {
-			return
-		}
-		if p.heldRound == (Round{}) {
-			p.heldSince = now
-		}
-		p.heldRound = m.Round
-		p.send(Message{Kind: Held, Member: p.member, Number: m.Number, Round: m.Round})
-	case Status:
-		p.receiveStatus(m)
-	}
-}
-
-// facts takes what the planners' log says. Facts stay true: they may come late, twice, and from any planner.
-func (p *Proxy) receiveStatus(m Message) {
-	switch {
-	case m.Number > p.number && m.Number == p.staged:
-		p.number, p.heldRound = m.Number, Round{}
-		p.went, p.with = append(p.went, m.Number), append(p.with, p.policy)
-	case m.Number > p.number: // a change went by without this proxy: what it has is void
-		p.rejoin()
-	case m.Number == p.number && p.heldRound != (Round{}) && !m.Round.Before(p.heldRound):
-		p.heldRound = Round{}
-	}
+func (p *Proxy) switchTo(number Number, policy []byte) {
+	p.number, p.heldRound = number, Round{}
+	p.switches = append(p.switches, PolicySwitch{Number: number, Policy: policy})
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -41,8 +41,8 @@
 				p.leader.Receive(p.now, Link(i+1), m)
 			}
 		}
-		out, commit, confirm := p.leader.Ready()
-		for _, c := range commit {
+		ready := p.leader.TakeReady()
+		for _, c := range ready.Commands {
 			again = true
 			err := p.state.Apply(c)
 			if p.views != nil {
@@ -50,11 +50,11 @@
 			}
 			p.leader.Applied(p.now, c, err)
 		}
-		if confirm {
+		if ready.Confirm {
 			again = true
 			p.leader.Confirmed(p.now)
 		}
-		for _, o := range out {
+		for _, o := range ready.Messages {
 			again = true
 			if o.Kind == JoinDelayed {
 				p.reasons = append(p.reasons, o.Reason)
@@ -124,7 +124,7 @@
 	for _, m := range p.proxies[0].TakeMessages() {
 		p.leader.Receive(p.now, 1, m)
 	}
-	if out, _, _ := p.leader.Ready(); len(out) != 1 || out[0].Kind != Status {
+	if out := p.leader.TakeReady().Messages; len(out) != 1 || out[0].Kind != Status {
 		t.Errorf("%+v", out)
 	}
 	p.deaf[0] = true
@@ -144,7 +144,7 @@
 		t.Errorf("%d members, %q", len(p.state.Members), p.reasons)
 	}
 	other := Lead(Config{Lease: 500 * time.Millisecond}, p.state, 2)
-	_, commit, _ := other.Ready()
+	commit := other.TakeReady().Commands
 	other.Applied(p.now, commit[0], p.state.Apply(commit[0]))
 	if other.Leading() || other.Err() == nil {
 		t.Error("a planner of another lease leads")
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -2,74 +2,74 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 )
 
-// Outcome is what became of a change.
+// Outcome is the result of a change.
 type Outcome uint8
 
 // The outcomes.
 const (
 	Undecided Outcome = iota
-	InForce
+	InForce           // committed; a later change may have replaced it
 	Aborted
 )
 
-// String returns the outcome in lower-case words.
+// String returns the outcome in lower-case words, as operators read it.
 func (o Outcome) String() string { return [...]string{"undecided", "in force", "given up"}[o] }
 
-// Change is one that was proposed.
+// Change is a change of policy that was proposed.
 type Change struct {
 	Number     Number  `cbor:"1,keyasint"`
 	Nonce      uint64  `cbor:"2,keyasint,omitempty"`
-	Policy     []byte  `cbor:"3,keyasint,omitempty"`
+	Policy     []byte  `cbor:"3,keyasint,omitempty"` // nil once the history has dropped it
 	Comment    string  `cbor:"4,keyasint,omitempty"`
 	Outcome    Outcome `cbor:"5,keyasint,omitempty"`
-	Reason     string  `cbor:"6,keyasint,omitempty"`
+	Reason     string  `cbor:"6,keyasint,omitempty"` // of an abort
 	ProposedAt int64   `cbor:"7,keyasint,omitempty"` // Unix milliseconds
-	EndedAt    int64   `cbor:"8,keyasint,omitempty"`
-	Hash       string  `cbor:"9,keyasint,omitempty"` // of the policy, as who proposed it names it
+	EndedAt    int64   `cbor:"8,keyasint,omitempty"` // Unix milliseconds
+	Hash       string  `cbor:"9,keyasint,omitempty"` // of the policy, as the proposer computed it
 }
 
-// Seat is a member of the tier.
+// MemberEntry is the entry of a member in the tier's membership.
 type MemberEntry struct {
-	Member Member `cbor:"1,keyasint"`
-	Name   string `cbor:"2,keyasint"`
-	Nonce  uint64 `cbor:"3,keyasint,omitempty"`
-	// Address is where the others reach it; empty = they don't.
-	Address string `cbor:"4,keyasint,omitempty"`
+	Member  Member `cbor:"1,keyasint"`
+	Name    string `cbor:"2,keyasint"`
+	Nonce   uint64 `cbor:"3,keyasint,omitempty"`
+	Address string `cbor:"4,keyasint,omitempty"` // where other proxies reach it; empty = they can't
 }
 
-// State is what all planners hold alike: it comes of the log's commands and nothing else.
+// State is the replicated state machine of the planners. It depends on the log's commands only, so that all planners hold the same.
 type State struct {
-	InForce        Number        `cbor:"1,keyasint,omitempty"` // the policy in force; 0 = the one that proxies begin with by themselves
-	Changes        []Change      `cbor:"2,keyasint,omitempty"` // the last ones, the newest at the end
-	LastNumber     Number        `cbor:"3,keyasint,omitempty"`
-	Members        []MemberEntry `cbor:"4,keyasint,omitempty"` // by Member
-	LastMember     Member        `cbor:"5,keyasint,omitempty"` // the last
-	MembersVersion uint64        `cbor:"6,keyasint,omitempty"` // of Seats
-	ReleasedRound  Round         `cbor:"7,keyasint,omitempty"` // this round and all before it are over
-	HasLed         bool          `cbor:"8,keyasint,omitempty"` // some planner has, and so:
-	Lease          time.Duration `cbor:"9,keyasint,omitempty"` // what all go by; 0 = there are none
-
-	// Planners are the addresses of planners that have taken the place of others, by number. The rest are where they were at the beginning.
+	InForce        Number        `cbor:"1,keyasint,omitempty"` // the policy in force; 0 = the one in each proxy's configuration
+	Changes        []Change      `cbor:"2,keyasint,omitempty"` // the latest ones, the newest at the end
+	LastNumber     Number        `cbor:"3,keyasint,omitempty"` // the highest that was given to a change
+	Members        []MemberEntry `cbor:"4,keyasint,omitempty"` // sorted by Member
+	LastMember     Member        `cbor:"5,keyasint,omitempty"` // the highest that was given to a proxy
+	MembersVersion uint64        `cbor:"6,keyasint,omitempty"` // grows with each change of Members
+	ReleasedRound  Round         `cbor:"7,keyasint,omitempty"` // this round and all earlier ones have ended
+	HasLed         bool          `cbor:"8,keyasint,omitempty"` // some planner has led, and Lease is set
+	Lease          time.Duration `cbor:"9,keyasint,omitempty"` // the configured lease of the whole tier; 0 = there are no leases
+
+	// Planners holds the addresses of planners that have replaced others, by their number in the cluster.
 	Planners map[uint64]string `cbor:"10,keyasint,omitempty"`
 
-	DisabledGuards Guards `cbor:"-"` // see Config
+	DisabledGuards Guards `cbor:"-"` // for mutation tests only
 }
 
 const (
-	maxChanges = 64 // changes are remembered; the one in force is never forgotten
-	// MostPolicy bounds a policy's text, in bytes, and textRoom those of all changes but the one in force and the newest: older ones keep their
-	// line in the history, without their text. The whole state has to fit into one frame between planners.
-	MaxPolicyBytes  = 128 << 10
+	// MaxPolicyBytes bounds the text of one policy.
+	MaxPolicyBytes = 128 << 10
+	// maxHistoryBytes bounds the policy texts of older changes that are neither in force nor the newest, so that the whole state fits
+	// into one frame between planners. Beyond it the history keeps a change without its text.
 	maxHistoryBytes = 384 << 10
+	// maxChanges bounds the history. The change in force is never dropped.
+	maxChanges = 64
 )
 
-// Pending gives the change that is undecided; nil = there is none.
+// Pending returns the change that is undecided; nil if there is none.
 func (s *State) Pending() *Change {
 	if n := len(s.Changes); n > 0 && s.Changes[n-1].Outcome == Undecided {
 		return &s.Changes[n-1]
@@ -77,130 +77,39 @@
 	return nil
 }
 
-// Change gives a change by its number; nil = it isn't there, or not any more.
-func (s *State) Change(n Number) *Change {
+// Change returns a change by its number; nil if the history does not hold it.
+func (s *State) Change(number Number) *Change {
 	for i := range s.Changes {
-		if s.Changes[i].Number == n {
+		if s.Changes[i].Number == number {
 			return &s.Changes[i]
 		}
 	}
 	return nil
 }
 
-// Seat gives a member's; nil = it is none.
-func (s *State) Member(m Member) *MemberEntry {
-	if i, ok := slices.BinarySearchFunc(s.Members, m, func(x MemberEntry, m Member) int { return cmp.Compare(x.Member, m) }); ok {
+// Entry returns the entry of a member; nil if it is not a member.
+func (s *State) Entry(member Member) *MemberEntry {
+	byMember := func(entry MemberEntry, member Member) int { return cmp.Compare(entry.Member, member) }
+	if i, ok := slices.BinarySearchFunc(s.Members, member, byMember); ok {
 		return &s.Members[i]
 	}
 	return nil
 }
 
-// Short gives a copy without the texts of policies, but for that of one change.
-func (s *State) WithoutPolicies(n Number) *State {
+// WithoutPolicies returns a copy without the policy texts, except that of the change with number except.
+func (s *State) WithoutPolicies(except Number) *State {
 	c := s.Clone()
 	for i := range c.Changes {
-		if c.Changes[i].Number != n {
+		if c.Changes[i].Number != except {
 			c.Changes[i].Policy = nil
 		}
 	}
 	return c
 }
 
-// Clone gives a copy that shares nothing that changes.
+// Clone returns a copy that shares no mutable data with s.
 func (s *State) Clone() *State {
 	c := *s
 	c.Changes, c.Members, c.Planners = slices.Clone(s.Changes), slices.Clone(s.Members), maps.Clone(s.Planners)
 	return &c
 }
-
-// Apply carries out a command of the log. The error tells why it has no effect; all planners come to the same.
-func (s *State) Apply(c Command) error {
-	switch c.Kind {
-	case Join:
-		for _, x := range s.Members {
-			if x.Name == c.Name && x.Nonce == c.Nonce {
-				return nil // asked twice
-			}
-			if x.Name == c.Name {
-				return fmt.Errorf("%s is a member already", c.Name)
-			}
-		}
-		s.LastMember++
-		s.MembersVersion++
-		s.Members = append(s.Members, MemberEntry{Member: s.LastMember, Name: c.Name, Nonce: c.Nonce, Address: c.Address})
-	case Leave:
-		if c.Round.Term < s.ReleasedRound.Term && !s.DisabledGuards.Has(NoTermCheck) { // the fence against a leader of before: a later one may have given a lease
-			return fmt.Errorf("a later planner leads")
-		}
-		n := len(s.Members)
-		s.Members = slices.DeleteFunc(slices.Clone(s.Members), func(x MemberEntry) bool { return x.Member == c.Member })
-		if len(s.Members) < n {
-			s.MembersVersion++
-		}
-	case Propose:
-		for i := range s.Changes {
-			if s.Changes[i].Nonce == c.Nonce {
-				return nil
-			}
-		}
-		if p := s.Pending(); p != nil {
-			return fmt.Errorf("change %d is undecided", p.Number)
-		}
-		if len(c.Policy) > MaxPolicyBytes {
-			return fmt.Errorf("a policy of %d bytes, %d at most were expected", len(c.Policy), MaxPolicyBytes)
-		}
-		s.LastNumber++
-		s.Changes = append(slices.Clone(s.Changes), Change{Number: s.LastNumber, Nonce: c.Nonce, Policy: c.Policy, Comment: c.Comment, ProposedAt: c.Time, Hash: c.Hash})
-		for len(s.Changes) > maxChanges {
-			i := 0
-			if s.Changes[0].Number == s.InForce {
-				i = 1
-			}
-			s.Changes = slices.Delete(s.Changes, i, i+1)
-		}
-		room := maxHistoryBytes
-		for i := len(s.Changes) - 2; i >= 0; i-- {
-			if x := &s.Changes[i]; x.Number != s.InForce {
-				if room -= len(x.Policy); room < 0 {
-					x.Policy = nil
-				}
-			}
-		}
-	case Abort:
-		p := s.Pending()
-		if p == nil || p.Number != c.Number {
-			return fmt.Errorf("change %d is not undecided", c.Number)
-		}
-		if c.Round.Term < s.ReleasedRound.Term { // it may not know the round that is open
-			return fmt.Errorf("a later planner leads")
-		}
-		p.Outcome, p.Reason, p.EndedAt = Aborted, c.Reason, c.Time
-		s.releaseRound(c.Round)
-	case Commit:
-		p := s.Pending()
-		switch {
-		case p == nil || p.Number != c.Number:
-			return fmt.Errorf("change %d is not undecided", c.Number)
-		case !s.ReleasedRound.Before(c.Round) && !s.DisabledGuards.Has(NoTermCheck): // the fence against a leader of before: its members may have been let go
-			return fmt.Errorf("round %v is over", c.Round)
-		case s.MembersVersion != c.MembersVersion && !s.DisabledGuards.Has(NoMembersCheck): // the fence against who has joined since all agreed
-			return fmt.Errorf("the tier has changed")
-		}
-		p.Outcome, p.EndedAt = InForce, c.Time
-		s.InForce = p.Number
-		s.releaseRound(c.Round)
-	case Release:
-		if s.HasLed && s.Lease != c.Lease { // the fence against a planner that would let members go too early
-			return fmt.Errorf("the tier goes by a lease of %v, this planner by %v", s.Lease, c.Lease)
-		}
-		s.HasLed, s.Lease = true, c.Lease
-		s.releaseRound(c.Round)
-	}
-	return nil
-}
-
-func (s *State) releaseRound(r Round) {
-	if s.ReleasedRound.Before(r) {
-		s.ReleasedRound = r
-	}
-}
