--- a/internal/lab/command/states.go
+++ b/internal/lab/command/states.go
@@ -14,7 +14,7 @@
 )
 
 func statesCommand() *cobra.Command {
-	var t explore.Tier
+	var t explore.RolloutModel
 	var most, seeds int
 	var without string
 	var mutants bool
@@ -32,7 +32,7 @@
 				fmt.Fprintln(w, "guard taken out\tstates until it is missed")
 				for i, name := range rollout.GuardNames {
 					m := explore.Mutants[i]
-					m.Without = 1 << i
+					m.DisabledGuards = 1 << i
 					r := explore.All(m.Start(), most)
 					if r.Broken == "" {
 						return fmt.Errorf("%s is not missed in %d states", name, r.States)
@@ -46,7 +46,7 @@
 				if i < 0 {
 					return fmt.Errorf("%w: --without is %q, one of %q was expected", ErrUsage, without, rollout.GuardNames)
 				}
-				t.Without = 1 << i
+				t.DisabledGuards = 1 << i
 			}
 			if t.Proxies < 1 || t.Proxies > 8 || t.Changes < 1 {
 				return fmt.Errorf("%w: --proxies is 1 to 8, --changes 1 at least", ErrUsage)
@@ -56,9 +56,9 @@
 			if seeds > 0 && r.Broken == "" {
 				r = explore.Walk(t.Start, seeds, 200)
 			}
-			fmt.Fprintf(out, "%d states, %d steps, depth %d, all of them: %v, in %.1f s\n", r.States, r.Steps, r.Depth, r.Whole, time.Since(began).Seconds())
+			fmt.Fprintf(out, "%d states, %d steps, depth %d, all of them: %v, in %.1f s\n", r.States, r.Steps, r.Depth, r.Complete, time.Since(began).Seconds())
 			if r.Broken != "" {
-				return fmt.Errorf("%s, by\n  %s", r.Broken, strings.Join(r.Way, "\n  "))
+				return fmt.Errorf("%s, by\n  %s", r.Broken, strings.Join(r.Trace, "\n  "))
 			}
 			return nil
 		},
@@ -67,10 +67,10 @@
 	f.IntVar(&t.Proxies, "proxies", 2, "of the tier")
 	f.IntVar(&t.Changes, "changes", 1, "that are proposed")
 	f.IntVar(&t.Crashes, "crashes", 0, "of proxies, which start again at once")
-	f.IntVar(&t.Leaders, "leaders", 0, "that follow the first")
+	f.IntVar(&t.Elections, "leaders", 0, "that follow the first")
 	f.BoolVar(&t.Leases, "leases", false, "proxies need a lease, of two ticks")
-	f.IntVar(&t.Asks, "asks", 0, "for a lease, by each start of a proxy")
-	f.IntVar(&t.Ticks, "ticks", 0, "of the clock")
+	f.IntVar(&t.Renewals, "asks", 0, "for a lease, by each start of a proxy")
+	f.IntVar(&t.MaxTicks, "ticks", 0, "of the clock")
 	f.IntVar(&t.Hellos, "hellos", 0, "by which a proxy connects anew")
 	f.IntVar(&t.Aborts, "aborts", 0, "by the operator")
 	f.BoolVar(&t.Async, "late", false, "commands may come to the log late, and in any order")
--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -23,14 +23,14 @@
 // Report is what an exploration came to.
 type Report struct {
 	States, Steps, Depth int
-	Whole                bool     // nothing was left out
+	Complete             bool     // nothing was left out
 	Broken               string   // the rule that doesn't hold; empty = all do
-	Way                  []string // that leads there, the shortest
+	Trace                []string // that leads there, the shortest
 }
 
 type visited struct {
-	from uint64
-	step string
+	previous uint64
+	step     string
 }
 
 // All explores from a state, most states at most; 0 = all there are.
@@ -42,9 +42,9 @@
 	}
 	first := hash(start)
 	seen := map[uint64]visited{first: {}}
-	r := Report{States: 1, Whole: true}
+	r := Report{States: 1, Complete: true}
 	way := func(h uint64) (w []string) {
-		for ; h != first; h = seen[h].from {
+		for ; h != first; h = seen[h].previous {
 			w = append(w, seen[h].step)
 		}
 		slices.Reverse(w)
@@ -68,13 +68,13 @@
 					return
 				}
 				if most > 0 && r.States >= most {
-					r.Whole = false
+					r.Complete = false
 					return
 				}
 				seen[h] = visited{from, step}
 				r.States++
 				if r.Broken = n.Broken(); r.Broken != "" {
-					r.Way = way(h)
+					r.Trace = way(h)
 					return
 				}
 				next = append(next, n)
@@ -96,7 +96,7 @@
 	for seed := range seeds {
 		rng := rand.New(rand.NewPCG(uint64(seed), 0x3a1c))
 		s, way := start(), []string(nil)
-		for len(way) < most && s.Broken() == "" && (r.Broken == "" || len(way) < len(r.Way)) {
+		for len(way) < most && s.Broken() == "" && (r.Broken == "" || len(way) < len(r.Trace)) {
 			var next State
 			var step string
 			n := 0
@@ -112,8 +112,8 @@
 			r.Steps++
 		}
 		r.Depth = max(r.Depth, len(way))
-		if b := s.Broken(); b != "" && (r.Broken == "" || len(way) < len(r.Way)) {
-			r.Broken, r.Way = b, way
+		if b := s.Broken(); b != "" && (r.Broken == "" || len(way) < len(r.Trace)) {
+			r.Broken, r.Trace = b, way
 		}
 	}
 	return r
--- a/internal/lab/explore/takeover.go
+++ b/internal/lab/explore/takeover.go
@@ -12,217 +12,217 @@
 // Works is a small tier that hands work on: three proxies, one key, one database that remembers it for a while, a client that asks and may ask
 // again elsewhere. Every message ever sent may arrive at any time, any number of times, or never; a write that went out may run at once or
 // late; a proxy may end or stand still anywhere but between its last look and its write, which the group's memory has to cover.
-type Works struct {
-	Proxies int
-	Repeats int // of the client, each at another proxy
-	Crashes int
-	Ticks   int // of the clock: a promise lasts for two, and the database remembers for Window
-	Window  int
-	Late    int  // ticks by which a write may run late
-	Renews  bool // owners ask for their promises anew
-	Once    bool // messages arrive once at most; else any number of times
-	Without takeover.Guards
-	letters *post
+type TakeoverModel struct {
+	Proxies        int
+	Repeats        int // of the client, each at another proxy
+	Crashes        int
+	MaxTicks       int // of the clock: a promise lasts for two, and the database remembers for Window
+	Window         int
+	LateTicks      int  // ticks by which a write may run late
+	RenewLeases    bool // owners ask for their promises anew
+	DeliverOnce    bool // messages arrive once at most; else any number of times
+	DisabledGuards takeover.Guards
+	letters        *takeoverMessages
 }
 
-type post struct {
+type takeoverMessages struct {
 	byKey map[string]uint16
-	all   []parcel
+	all   []takeoverEnvelope
 }
 
-type parcel struct {
+type takeoverEnvelope struct {
 	from, to takeover.Member
-	text     takeover.Message
+	message  takeover.Message
 }
 
-const workTick = 100 * time.Millisecond
+const takeoverTick = 100 * time.Millisecond
 
 // sent is a write on its way to the database, or its answer on the way back.
-type sentWrite struct {
-	by   int // the proxy
-	left int // ticks in which it may yet run
-	ran  bool
+type write struct {
+	proxy     int // the proxy
+	ticksLeft int // ticks in which it may yet run
+	ran       bool
 }
 
-type workWorld struct {
-	t       *Works
-	now     int
-	books   []*takeover.Book // nil = it has ended
-	net     []uint16
-	out     []sentWrite
-	applied []int        // ticks at which it was
-	waits   map[int]bool // requests that have no answer yet, by id: 10 * proxy + repeat
-	heard   []string     // what clients have heard
-	asked   int
-	crashes int
-	broken  string
+type takeoverState struct {
+	model         *TakeoverModel
+	now           int
+	registries    []*takeover.Registry // nil = it has ended
+	network       []uint16
+	writes        []write
+	applied       []int        // ticks at which it was
+	pending       map[int]bool // requests that have no answer yet, by id: 10 * proxy + repeat
+	clientAnswers []string     // what clients have heard
+	requests      int
+	crashes       int
+	broken        string
 }
 
-func (t *Works) config() takeover.Config {
-	renew := 1000 * workTick
-	if t.Renews {
-		renew = workTick
+func (t *TakeoverModel) config() takeover.Config {
+	renew := 1000 * takeoverTick
+	if t.RenewLeases {
+		renew = takeoverTick
 	}
-	return takeover.Config{Renew: renew, Lease: 2 * workTick, Margin: workTick / 2, Again: 1000 * workTick, Keep: 1000 * workTick, Wait: 1000 * workTick, Without: t.Without}
+	return takeover.Config{RenewInterval: renew, Lease: 2 * takeoverTick, ClockMargin: takeoverTick / 2, RetryInterval: 1000 * takeoverTick, Retention: 1000 * takeoverTick, QuorumTimeout: 1000 * takeoverTick, DisabledGuards: t.DisabledGuards}
 }
 
 // Start gives the first state: the client has asked at the first proxy.
-func (t *Works) Start() State {
-	t.letters = &post{byKey: map[string]uint16{}}
-	w := &workWorld{t: t, now: 100, waits: map[int]bool{}}
+func (t *TakeoverModel) Start() State {
+	t.letters = &takeoverMessages{byKey: map[string]uint16{}}
+	w := &takeoverState{model: t, now: 100, pending: map[int]bool{}}
 	var members []takeover.Member
 	for i := range t.Proxies {
 		members = append(members, takeover.Member(i+1))
 	}
 	for i := range t.Proxies {
 		b := takeover.New(t.config())
-		b.View(w.at(), takeover.Member(i+1), members, 0)
-		b.Belongs(w.at() + 1000*workTick)
-		w.books = append(w.books, b)
+		b.SetMembers(w.clock(), takeover.Member(i+1), members, 0)
+		b.ExtendMembership(w.clock() + 1000*takeoverTick)
+		w.registries = append(w.registries, b)
 	}
-	w.ask(0)
+	w.request(0)
 	return w
 }
 
-func (w *workWorld) at() time.Duration { return time.Duration(w.now) * workTick }
+func (w *takeoverState) clock() time.Duration { return time.Duration(w.now) * takeoverTick }
 
-func (w *workWorld) clone() *workWorld {
+func (w *takeoverState) clone() *takeoverState {
 	c := *w
-	c.books = slices.Clone(w.books)
-	c.net, c.out, c.applied, c.heard = slices.Clone(w.net), slices.Clone(w.out), slices.Clone(w.applied), slices.Clone(w.heard)
-	c.waits = map[int]bool{}
-	for k := range w.waits {
-		c.waits[k] = true
+	c.registries = slices.Clone(w.registries)
+	c.network, c.writes, c.applied, c.clientAnswers = slices.Clone(w.network), slices.Clone(w.writes), slices.Clone(w.applied), slices.Clone(w.clientAnswers)
+	c.pending = map[int]bool{}
+	for k := range w.pending {
+		c.pending[k] = true
 	}
 	return &c
 }
 
 // with gives a copy in which proxy i may be changed.
-func (w *workWorld) with(i int) *workWorld {
+func (w *takeoverState) cloneFor(i int) *takeoverState {
 	c := w.clone()
-	if c.books[i] != nil {
-		c.books[i] = w.books[i].Clone()
+	if c.registries[i] != nil {
+		c.registries[i] = w.registries[i].Clone()
 	}
 	return c
 }
 
-func (w *workWorld) ask(i int) {
-	id := 10*(i+1) + w.asked
-	w.asked++
-	w.waits[id] = true
-	w.books[i].Begin(w.at(), uint64(id), takeover.Work{Key: "k", Digest: 1, Left: 30 * workTick}, takeover.Required)
+func (w *takeoverState) request(i int) {
+	id := 10*(i+1) + w.requests
+	w.requests++
+	w.pending[id] = true
+	w.registries[i].Begin(w.clock(), uint64(id), takeover.Work{Key: "k", Digest: 1, TimeLeft: 30 * takeoverTick}, takeover.Required)
 	w.settle(i)
 }
 
 // settle carries out what a proxy wants.
-func (w *workWorld) settle(i int) {
+func (w *takeoverState) settle(i int) {
 	for {
-		say, orders := w.books[i].Out()
+		say, orders := w.registries[i].TakeReady()
 		if len(say)+len(orders) == 0 {
 			w.prune(i)
 			return
 		}
 		for _, s := range say {
-			w.post(takeover.Member(i+1), s)
+			w.send(takeover.Member(i+1), s)
 		}
 		for _, o := range orders {
-			w.do(i, o)
+			w.act(i, o)
 		}
 	}
 }
 
-func (w *workWorld) post(from takeover.Member, s takeover.Say) {
+func (w *takeoverState) send(from takeover.Member, s takeover.Envelope) {
 	m := s.Message
-	text := []byte{byte(from), byte(s.To), byte(m.Kind), byte(m.Epoch), byte(m.Owner), byte(m.Owners)}
+	text := []byte{byte(from), byte(s.To), byte(m.Kind), byte(m.Epoch), byte(m.Owner), byte(m.OwnerCount)}
 	text = binary.AppendUvarint(text, m.Seq)
-	text = binary.AppendVarint(text, int64(m.Age/workTick))
-	if m.Lapsed {
+	text = binary.AppendVarint(text, int64(m.Age/takeoverTick))
+	if m.Expired {
 		text = append(text, 'l')
 	}
 	if m.Sent {
 		text = append(text, 's')
 	}
 	if m.Work != nil {
-		text = binary.AppendVarint(append(text, 'w'), int64(m.Work.Left/workTick))
+		text = binary.AppendVarint(append(text, 'w'), int64(m.Work.TimeLeft/takeoverTick))
 	}
 	if m.Result != nil {
 		text = append(text, 'r', byte(m.Result.Outcome))
 	}
-	id, ok := w.t.letters.byKey[string(text)]
+	id, ok := w.model.letters.byKey[string(text)]
 	if !ok {
-		id = uint16(len(w.t.letters.all))
-		w.t.letters.byKey[string(text)] = id
-		w.t.letters.all = append(w.t.letters.all, parcel{from, s.To, m})
+		id = uint16(len(w.model.letters.all))
+		w.model.letters.byKey[string(text)] = id
+		w.model.letters.all = append(w.model.letters.all, takeoverEnvelope{from, s.To, m})
 	}
-	if i, there := slices.BinarySearch(w.net, id); !there {
-		w.net = slices.Insert(w.net, i, id)
+	if i, there := slices.BinarySearch(w.network, id); !there {
+		w.network = slices.Insert(w.network, i, id)
 	}
 }
 
 // prune takes out messages that change nothing any more: without, each state would be many.
-func (w *workWorld) prune(i int) {
-	w.net = slices.DeleteFunc(w.net, func(id uint16) bool {
-		p := w.t.letters.all[id]
-		return int(p.to) == i+1 && (w.books[i] == nil || w.books[i].Deaf(p.text))
+func (w *takeoverState) prune(i int) {
+	w.network = slices.DeleteFunc(w.network, func(id uint16) bool {
+		p := w.model.letters.all[id]
+		return int(p.to) == i+1 && (w.registries[i] == nil || w.registries[i].Ignores(p.message))
 	})
 }
 
 // do carries an order out, as a proxy does: the look at the promise and the write are one step.
-func (w *workWorld) do(i int, o takeover.Order) {
-	switch o.Do {
-	case takeover.Go:
-		again := o.Run != nil && o.Run.May
-		window := time.Duration(w.t.Window) * workTick
-		if again && !w.t.Without.Has(takeover.NoWindow) && o.Run.First+time.Duration(w.t.Late)*workTick >= window {
+func (w *takeoverState) act(i int, o takeover.Action) {
+	switch o.Kind {
+	case takeover.Send:
+		again := o.TakenOver != nil && o.TakenOver.MayHaveBeenSent
+		window := time.Duration(w.model.Window) * takeoverTick
+		if again && !w.model.DisabledGuards.Has(takeover.NoWindowCheck) && o.TakenOver.SinceFirstSend+time.Duration(w.model.LateTicks)*takeoverTick >= window {
 			// It can't be under way any more when the group forgets its key.
-			w.books[i].Ended(w.at(), o.Key, takeover.Result{Outcome: takeover.Unknown})
+			w.registries[i].Complete(w.clock(), o.Key, takeover.Result{Outcome: takeover.Unknown})
 			return
 		}
-		w.out = append(w.out, sentWrite{by: i, left: -1})
-	case takeover.Answer, takeover.Refuse, takeover.Give, takeover.Clash:
-		if !w.waits[int(o.ID)] {
+		w.writes = append(w.writes, write{proxy: i, ticksLeft: -1})
+	case takeover.Answer, takeover.Reject, takeover.FailUnknown, takeover.Conflict:
+		if !w.pending[int(o.ID)] {
 			w.broken = fmt.Sprintf("request %d is answered twice, or was never asked", o.ID)
 			return
 		}
-		delete(w.waits, int(o.ID))
-		what := map[takeover.Do]string{takeover.Answer: "served", takeover.Refuse: "refused", takeover.Give: "failed", takeover.Clash: "clash"}[o.Do]
-		w.heard = append(w.heard, what)
+		delete(w.pending, int(o.ID))
+		what := map[takeover.ActionKind]string{takeover.Answer: "served", takeover.Reject: "refused", takeover.FailUnknown: "failed", takeover.Conflict: "clash"}[o.Kind]
+		w.clientAnswers = append(w.clientAnswers, what)
 		switch {
 		case what == "served" && len(w.applied) == 0:
 			w.broken = "a client hears that it was served, and it was not applied"
 		case what == "refused" && len(w.applied) > 0:
 			w.broken = "a client hears that it was refused, and it was applied"
-		case what != "served" && slices.Contains(w.heard[:len(w.heard)-1], "served"):
+		case what != "served" && slices.Contains(w.clientAnswers[:len(w.clientAnswers)-1], "served"):
 			w.broken = "a client hears another outcome behind served: " + what
 		}
 	}
 }
 
-func (w *workWorld) apply() {
-	if n := len(w.applied); n > 0 && w.now-w.applied[n-1] < w.t.Window {
+func (w *takeoverState) apply() {
+	if n := len(w.applied); n > 0 && w.now-w.applied[n-1] < w.model.Window {
 		return // a repeat, dropped
 	}
 	if w.applied = append(w.applied, w.now); len(w.applied) > 1 {
 		w.broken = fmt.Sprintf("it was applied at %v", w.applied)
 	}
-	if slices.Contains(w.heard, "refused") {
+	if slices.Contains(w.clientAnswers, "refused") {
 		w.broken = "it was applied, and a client has heard that it was refused"
 	}
 }
 
 // AppendTo implements State.
-func (w *workWorld) AppendTo(dst []byte) []byte {
-	for i, b := range w.books {
+func (w *takeoverState) AppendTo(dst []byte) []byte {
+	for i, b := range w.registries {
 		if dst = append(dst, byte(i)); b != nil {
-			dst = b.AppendState(dst, w.at(), 60*workTick)
+			dst = b.AppendState(dst, w.clock(), 60*takeoverTick)
 		}
 	}
-	for _, id := range w.net {
+	for _, id := range w.network {
 		dst = binary.AppendUvarint(dst, uint64(id)+1)
 	}
 	dst = append(dst, 0)
-	for _, s := range w.out {
-		dst = append(dst, 'o', byte(s.by), byte(s.left+1))
+	for _, s := range w.writes {
+		dst = append(dst, 'o', byte(s.proxy), byte(s.ticksLeft+1))
 		if s.ran {
 			dst = append(dst, 'r')
 		}
@@ -231,112 +231,112 @@
 		dst = append(dst, 'a', byte(w.now-at))
 	}
 	for _, id := range []int{10, 11, 12, 20, 21, 22, 30, 31, 32} {
-		if w.waits[id] {
+		if w.pending[id] {
 			dst = append(dst, 'w', byte(id))
 		}
 	}
-	for _, h := range w.heard {
+	for _, h := range w.clientAnswers {
 		dst = append(dst, h[0])
 	}
-	return append(dst, byte(w.asked), byte(w.crashes), byte(w.now-100), byte(len(w.broken)))
+	return append(dst, byte(w.requests), byte(w.crashes), byte(w.now-100), byte(len(w.broken)))
 }
 
 // Broken implements State.
-func (w *workWorld) Broken() string { return w.broken }
+func (w *takeoverState) Broken() string { return w.broken }
 
 // Next implements State.
-func (w *workWorld) Next(yield func(string, State)) {
-	for n, id := range w.net {
-		p := w.t.letters.all[id]
+func (w *takeoverState) Next(yield func(string, State)) {
+	for n, id := range w.network {
+		p := w.model.letters.all[id]
 		i := int(p.to) - 1
-		if w.books[i] == nil {
+		if w.registries[i] == nil {
 			continue
 		}
-		c := w.with(i)
-		if w.t.Once {
-			c.net = slices.Delete(c.net, n, n+1)
+		c := w.cloneFor(i)
+		if w.model.DeliverOnce {
+			c.network = slices.Delete(c.network, n, n+1)
 		}
-		c.books[i].Heard(c.at(), p.from, p.text)
+		c.registries[i].Receive(c.clock(), p.from, p.message)
 		c.settle(i)
-		yield(fmt.Sprintf("%d hears %s of %d (epoch %d, ask %d)", i+1, kindNames[p.text.Kind], p.from, p.text.Epoch, p.text.Seq), c)
+		yield(fmt.Sprintf("%d hears %s of %d (epoch %d, ask %d)", i+1, takeoverMessageNames[p.message.Kind], p.from, p.message.Epoch, p.message.Seq), c)
 	}
-	for n, s := range w.out {
-		if s.left < 0 && !s.ran && w.books[s.by] != nil { // the look and the write
-			c := w.with(s.by)
-			if c.books[s.by].MaySend(c.at(), "k") {
-				c.out[n].left = w.t.Late
-				yield(fmt.Sprintf("%d sends", s.by+1), c)
+	for n, s := range w.writes {
+		if s.ticksLeft < 0 && !s.ran && w.registries[s.proxy] != nil { // the look and the write
+			c := w.cloneFor(s.proxy)
+			if c.registries[s.proxy].MaySend(c.clock(), "k") {
+				c.writes[n].ticksLeft = w.model.LateTicks
+				yield(fmt.Sprintf("%d sends", s.proxy+1), c)
 			} else {
-				c.out = slices.Delete(c.out, n, n+1)
-				yield(fmt.Sprintf("%d finds its promise ended and sends nothing", s.by+1), c)
+				c.writes = slices.Delete(c.writes, n, n+1)
+				yield(fmt.Sprintf("%d finds its promise ended and sends nothing", s.proxy+1), c)
 			}
 		}
-		if s.left >= 0 && !s.ran {
+		if s.ticksLeft >= 0 && !s.ran {
 			c := w.clone()
 			c.apply()
-			c.out[n].ran = true
-			yield(fmt.Sprintf("what %d sent runs", s.by+1), c)
+			c.writes[n].ran = true
+			yield(fmt.Sprintf("what %d sent runs", s.proxy+1), c)
 		}
-		if s.ran && w.books[s.by] != nil {
-			c := w.with(s.by)
-			c.out = slices.Delete(c.out, n, n+1)
-			c.books[s.by].Ended(c.at(), "k", takeover.Result{Outcome: takeover.Served})
-			c.settle(s.by)
-			yield(fmt.Sprintf("%d has the answer", s.by+1), c)
+		if s.ran && w.registries[s.proxy] != nil {
+			c := w.cloneFor(s.proxy)
+			c.writes = slices.Delete(c.writes, n, n+1)
+			c.registries[s.proxy].Complete(c.clock(), "k", takeover.Result{Outcome: takeover.Served})
+			c.settle(s.proxy)
+			yield(fmt.Sprintf("%d has the answer", s.proxy+1), c)
 		}
 	}
-	if w.asked <= w.t.Repeats {
-		for i, b := range w.books {
+	if w.requests <= w.model.Repeats {
+		for i, b := range w.registries {
 			if b != nil {
-				c := w.with(i)
-				c.ask(i)
+				c := w.cloneFor(i)
+				c.request(i)
 				yield(fmt.Sprintf("the client asks again at %d", i+1), c)
 			}
 		}
 	}
-	if w.crashes < w.t.Crashes {
-		for i, b := range w.books {
+	if w.crashes < w.model.Crashes {
+		for i, b := range w.registries {
 			if b != nil {
 				c := w.clone()
-				c.books[i] = nil
+				c.registries[i] = nil
 				c.crashes++
 				c.prune(i)
 				yield(fmt.Sprintf("%d ends", i+1), c)
 			}
 		}
 	}
-	if w.now-100 < w.t.Ticks {
+	if w.now-100 < w.model.MaxTicks {
 		c := w.clone()
 		c.now++
-		for n := len(c.out) - 1; n >= 0; n-- { // a write that has not run by now won't any more
-			if c.out[n].left >= 0 && !c.out[n].ran {
-				if c.out[n].left--; c.out[n].left < 0 {
-					c.out = slices.Delete(c.out, n, n+1)
+		for n := len(c.writes) - 1; n >= 0; n-- { // a write that has not run by now won't any more
+			if c.writes[n].ticksLeft >= 0 && !c.writes[n].ran {
+				if c.writes[n].ticksLeft--; c.writes[n].ticksLeft < 0 {
+					c.writes = slices.Delete(c.writes, n, n+1)
 				}
 			}
 		}
 		yield("the clock goes on", c)
 	}
 	// Each proxy looks at its clock when it comes to it: one that stands still doesn't.
-	for i, b := range w.books {
+	for i, b := range w.registries {
 		if b == nil {
 			continue
 		}
-		c := w.with(i)
-		before := b.AppendState(nil, w.at(), 60*workTick)
-		c.books[i].Tick(c.at())
-		if say, orders := peek(c.books[i]); say+orders > 0 || string(before) != string(c.books[i].AppendState(nil, c.at(), 60*workTick)) {
+		c := w.cloneFor(i)
+		before := b.AppendState(nil, w.clock(), 60*takeoverTick)
+		c.registries[i].Tick(c.clock())
+		if say, orders := countReady(c.registries[i]); say+orders > 0 || string(before) != string(c.registries[i].AppendState(nil, c.clock(), 60*takeoverTick)) {
 			c.settle(i)
 			yield(fmt.Sprintf("%d looks at its clock", i+1), c)
 		}
 	}
 }
 
-func peek(b *takeover.Book) (int, int) {
+func countReady(b *takeover.Registry) (int, int) {
 	c := b.Clone()
-	say, orders := c.Out()
+	say, orders := c.TakeReady()
 	return len(say), len(orders)
 }
 
-var kindNames = map[takeover.Kind]string{takeover.Take: "take", takeover.Claim: "claim", takeover.Renew: "renew", takeover.Held: "held", takeover.Other: "other",
-	takeover.Unheard: "unheard", takeover.Full: "full", takeover.End: "end", takeover.Look: "look", takeover.Sure: "sure", takeover.Drop: "drop"}
+var takeoverMessageNames = map[takeover.Kind]string{takeover.Store: "take", takeover.TakeOver: "claim", takeover.Renew: "renew", takeover.Stored: "held", takeover.NotOwner: "other",
+	takeover.NotFound: "unheard", takeover.Full: "full", takeover.Complete: "end", takeover.Query: "look", takeover.MarkSent: "sure", takeover.Discard: "drop"}
--- a/internal/lab/worksim/worksim.go
+++ b/internal/lab/worksim/worksim.go
@@ -17,107 +17,109 @@
 
 // Config is a play's.
 type Config struct {
-	Seed    uint64
-	Proxies int
-	Writes  int           // begun, one each Every
-	Every   time.Duration // in the mean
-	Work    takeover.Config
-	Survive takeover.Survive
-	On      bool // proxies keep records; false = as without
+	Seed          uint64
+	Proxies       int
+	Writes        int           // begun, one each Every
+	WriteInterval time.Duration // in the mean
+	Takeover      takeover.Config
+	Durability    takeover.Durability
+	Enabled       bool // proxies keep records; false = as without
 
-	Loss, Double float64
-	Delay        time.Duration // of a message, at most; drawn for each
-	Faults       time.Duration // between two, in the mean; 0 = none
-	Longest      time.Duration // that one lasts
-	Members      time.Duration // until a proxy that is gone or cut off is taken out of the list of members
-	Skew         float64       // by which the rates of clocks differ at most
-	Window       time.Duration // for which a database remembers a key
-	Limit        time.Duration // that a client waits
-	Runs         time.Duration // that a write takes at the database, at most: late ones in ten times that
-	Again        int           // how often clients ask again
-	Together     int           // proxies that may be down, paused or cut off at one time; 0 = any number
-	Rest         time.Duration // behind a fault before the next may begin, where Together is set
-	Held         float64       // part of the writes that wait for a primary, for up to Limit
-	Between      bool          // a proxy may stand still between its look at the promise and its write
-	SameTry      time.Duration // a client asks again after so long at the latest
+	Loss, Duplication   float64
+	MaxDelay            time.Duration // of a message, at most; drawn for each
+	FaultInterval       time.Duration // between two, in the mean; 0 = none
+	MaxFault            time.Duration // that one lasts
+	MembershipTimeout   time.Duration // until a proxy that is gone or cut off is taken out of the list of members
+	ClockSkew           float64       // by which the rates of clocks differ at most
+	DeduplicationWindow time.Duration // for which a database remembers a key
+	ClientTimeout       time.Duration // that a client waits
+	MaxRunTime          time.Duration // that a write takes at the database, at most: late ones in ten times that
+	Retries             int           // how often clients ask again
+	MaxConcurrentFaults int           // proxies that may be down, paused or cut off at one time; 0 = any number
+	FaultPause          time.Duration // behind a fault before the next may begin, where Together is set
+	HeldShare           float64       // part of the writes that wait for a primary, for up to Limit
+	PauseBeforeWrite    bool          // a proxy may stand still between its look at the promise and its write
+	MaxRetryPause       time.Duration // a client asks again after so long at the latest
 }
 
 // Result is what came of it.
 type Result struct {
-	Writes, Served, Refused, Failed, Silent int // by the last answer that a client heard
-	Applied                                 int // keys that were applied
-	Doubled                                 int // that were applied more than once
-	Hollow                                  int // answers 'served' without an application
-	Lies                                    int // answers 'refused' where the key was applied, before or behind
-	Turned                                  int // 'refused' behind 'served'
-	Behind                                  int // keys that an owner sent behind one who had taken them over and sent
-	Unsure                                  int // 'failed' behind 'served': it can't be known where the client asked again
-	First                                   string
-	Counters                                takeover.Counters
-	Messages                                int
+	Writes, Served, Refused, Failed, Unanswered int // by the last answer that a client heard
+	Applied                                     int // keys that were applied
+	Doubled                                     int // that were applied more than once
+	ServedUnapplied                             int // answers 'served' without an application
+	RefusedApplied                              int // answers 'refused' where the key was applied, before or behind
+	RefusedAfterServed                          int // 'refused' behind 'served'
+	SentAfterTakeover                           int // keys that an owner sent behind one who had taken them over and sent
+	FailedAfterServed                           int // 'failed' behind 'served': it can't be known where the client asked again
+	FirstBreach                                 string
+	Counters                                    takeover.Counters
+	Messages                                    int
 }
 
 // Breaches counts what must not be.
-func (r Result) Breaches() int { return r.Doubled + r.Hollow + r.Lies + r.Turned + r.Behind }
+func (r Result) Violations() int {
+	return r.Doubled + r.ServedUnapplied + r.RefusedApplied + r.RefusedAfterServed + r.SentAfterTakeover
+}
 
-type sim struct {
+type simulation struct {
 	clockwork.Clock
-	cfg   Config
-	rng   *rand.Rand
-	nodes []*node
-	next  takeover.Member
-	keys  map[string]*fate
-	out   Result
-	list  []takeover.Member
-	ill   int
+	config  Config
+	rng     *rand.Rand
+	nodes   []*proxy
+	next    takeover.Member
+	keys    map[string]*keyHistory
+	result  Result
+	members []takeover.Member
+	faulty  int
 
-	lists   []oldList // of members that there were, and the present one
-	repeats handover.Config
+	memberLists []memberList // of members that there were, and the present one
+	repeats     handover.Config
 }
 
-type oldList struct {
+type memberList struct {
 	members []takeover.Member
-	ended   time.Duration
+	endedAt time.Duration
 }
 
 // fate is what is known of a key by who sees all.
-type fate struct {
-	name    string
-	applied []time.Duration
-	heard   []string
-	tries   int
-	epoch   takeover.Epoch // of the latest owner that has sent it
-	late    int            // sends of an owner that had been followed by another, which had sent
+type keyHistory struct {
+	name              string
+	applied           []time.Duration
+	answers           []string
+	attempts          int
+	epoch             takeover.Epoch // of the latest owner that has sent it
+	sentAfterTakeover int            // sends of an owner that had been followed by another, which had sent
 }
 
-type node struct {
-	i       int
-	book    *takeover.Book // nil = it has ended
-	member  takeover.Member
-	life    int
-	stopped bool
-	cut     bool
-	offset  time.Duration
-	rate    float64
-	inbox   []func()
-	asked   map[uint64]*ask
-	ids     uint64
+type proxy struct {
+	i           int
+	registry    *takeover.Registry // nil = it has ended
+	member      takeover.Member
+	life        int
+	stopped     bool
+	cut         bool
+	offset      time.Duration
+	rate        float64
+	inbox       []func()
+	requests    map[uint64]*request
+	lastRequest uint64
 }
 
 // ask is a client's.
-type ask struct {
-	f   *fate
-	end time.Duration
+type request struct {
+	history  *keyHistory
+	deadline time.Duration
 }
 
-func (n *node) clock(now time.Duration) time.Duration {
+func (n *proxy) clock(now time.Duration) time.Duration {
 	return n.offset + time.Duration(float64(now)*n.rate)
 }
 
 // on lets a node do something, now or once it wakes.
-func (s *sim) on(n *node, life int, do func()) {
+func (s *simulation) run(n *proxy, life int, do func()) {
 	switch {
-	case n.life != life || n.book == nil:
+	case n.life != life || n.registry == nil:
 	case n.stopped:
 		n.inbox = append(n.inbox, do)
 	default:
@@ -127,40 +129,40 @@
 }
 
 // Play plays it.
-func Play(cfg Config) Result {
-	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x3013)), keys: map[string]*fate{},
+func Run(cfg Config) Result {
+	s := &simulation{config: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x3013)), keys: map[string]*keyHistory{},
 		repeats: handover.Config{}.WithDefaults()}
 	for i := range cfg.Proxies {
-		s.nodes = append(s.nodes, &node{i: i, offset: time.Duration(s.rng.Int64N(int64(time.Hour))), rate: 1 + cfg.Skew*(2*s.rng.Float64()-1)})
-		s.begin(s.nodes[i])
+		s.nodes = append(s.nodes, &proxy{i: i, offset: time.Duration(s.rng.Int64N(int64(time.Hour))), rate: 1 + cfg.ClockSkew*(2*s.rng.Float64()-1)})
+		s.start(s.nodes[i])
 	}
-	s.members()
+	s.broadcastMembers()
 	for i := range cfg.Writes {
-		s.After(time.Duration(i)*cfg.Every+time.Duration(s.rng.Int64N(int64(cfg.Every))), func() { s.write(i) })
+		s.After(time.Duration(i)*cfg.WriteInterval+time.Duration(s.rng.Int64N(int64(cfg.WriteInterval))), func() { s.write(i) })
 	}
-	if cfg.Faults > 0 {
-		s.After(time.Duration(s.rng.ExpFloat64()*float64(cfg.Faults)), s.fault)
+	if cfg.FaultInterval > 0 {
+		s.After(time.Duration(s.rng.ExpFloat64()*float64(cfg.FaultInterval)), s.fault)
 	}
-	end := time.Duration(cfg.Writes)*cfg.Every + time.Duration(cfg.Again+1)*(cfg.Limit+cfg.SameTry) + 30*time.Second
+	end := time.Duration(cfg.Writes)*cfg.WriteInterval + time.Duration(cfg.Retries+1)*(cfg.ClientTimeout+cfg.MaxRetryPause) + 30*time.Second
 	s.Run(end)
 	s.audit()
-	return s.out
+	return s.result
 }
 
-func (s *sim) begin(n *node) {
+func (s *simulation) start(n *proxy) {
 	s.next++
-	n.member, n.book, n.life = s.next, takeover.New(s.cfg.Work), n.life+1
-	n.inbox, n.asked = nil, map[uint64]*ask{}
-	s.list = append(s.list, n.member)
+	n.member, n.registry, n.life = s.next, takeover.New(s.config.Takeover), n.life+1
+	n.inbox, n.requests = nil, map[uint64]*request{}
+	s.members = append(s.members, n.member)
 	life := n.life
 	var tick func()
 	tick = func() {
-		if n.life == life && n.book != nil {
+		if n.life == life && n.registry != nil {
 			if !n.stopped {
-				if !n.cut && slices.Contains(s.list, n.member) { // the planners prolong it
-					n.book.Belongs(n.clock(s.Now) + s.cfg.Members*4/5)
+				if !n.cut && slices.Contains(s.members, n.member) { // the planners prolong it
+					n.registry.ExtendMembership(n.clock(s.Now) + s.config.MembershipTimeout*4/5)
 				}
-				n.book.Tick(n.clock(s.Now))
+				n.registry.Tick(n.clock(s.Now))
 				s.settle(n)
 			}
 			s.After(15*time.Millisecond, tick)
@@ -170,61 +172,61 @@
 }
 
 // members tells all, each a little later than the other, who belongs to the tier.
-func (s *sim) members() {
-	list := slices.Clone(s.list)
-	keep := s.cfg.Members + s.cfg.Work.WithDefaults().Keep
-	s.lists = slices.DeleteFunc(s.lists, func(l oldList) bool { return s.Now-l.ended > keep })
-	before := slices.Clone(s.lists)
-	s.lists = append(s.lists, oldList{list, s.Now})
-	if len(s.lists) > 1 {
-		s.lists[len(s.lists)-2].ended = s.Now
+func (s *simulation) broadcastMembers() {
+	list := slices.Clone(s.members)
+	keep := s.config.MembershipTimeout + s.config.Takeover.WithDefaults().Retention
+	s.memberLists = slices.DeleteFunc(s.memberLists, func(l memberList) bool { return s.Now-l.endedAt > keep })
+	before := slices.Clone(s.memberLists)
+	s.memberLists = append(s.memberLists, memberList{list, s.Now})
+	if len(s.memberLists) > 1 {
+		s.memberLists[len(s.memberLists)-2].endedAt = s.Now
 	}
 	for _, n := range s.nodes {
-		if n.book == nil || n.cut {
+		if n.registry == nil || n.cut {
 			continue
 		}
 		life := n.life
-		s.After(time.Duration(s.rng.Int64N(int64(s.cfg.Delay)+1)), func() {
-			s.on(n, life, func() {
+		s.After(time.Duration(s.rng.Int64N(int64(s.config.MaxDelay)+1)), func() {
+			s.run(n, life, func() {
 				now := n.clock(s.Now)
-				n.book.View(now, n.member, list, now+keep)
+				n.registry.SetMembers(now, n.member, list, now+keep)
 				for _, l := range before {
-					n.book.Before(l.members, now+keep)
+					n.registry.AddPastMembers(l.members, now+keep)
 				}
 			})
 		})
 	}
 }
 
-func (s *sim) gone(m takeover.Member) {
-	if i := slices.Index(s.list, m); i >= 0 {
-		s.list = slices.Delete(slices.Clone(s.list), i, i+1)
-		s.members()
+func (s *simulation) remove(m takeover.Member) {
+	if i := slices.Index(s.members, m); i >= 0 {
+		s.members = slices.Delete(slices.Clone(s.members), i, i+1)
+		s.broadcastMembers()
 	}
 }
 
 // settle carries out what a proxy wants.
-func (s *sim) settle(n *node) {
-	for n.book != nil {
-		say, orders := n.book.Out()
+func (s *simulation) settle(n *proxy) {
+	for n.registry != nil {
+		say, orders := n.registry.TakeReady()
 		if len(say)+len(orders) == 0 {
 			return
 		}
 		for _, x := range say {
-			s.post(n, x)
+			s.send(n, x)
 		}
 		for _, o := range orders {
-			s.do(n, o)
+			s.act(n, o)
 		}
 	}
 }
 
-func (s *sim) post(n *node, x takeover.Say) {
-	s.out.Messages++
-	if n.cut || s.rng.Float64() < s.cfg.Loss {
+func (s *simulation) send(n *proxy, x takeover.Envelope) {
+	s.result.Messages++
+	if n.cut || s.rng.Float64() < s.config.Loss {
 		return
 	}
-	to := slices.IndexFunc(s.nodes, func(o *node) bool { return o.member == x.To && o.book != nil })
+	to := slices.IndexFunc(s.nodes, func(o *proxy) bool { return o.member == x.To && o.registry != nil })
 	if to < 0 {
 		return
 	}
@@ -232,108 +234,108 @@
 	life := o.life
 	arrive := func() {
 		if !o.cut {
-			s.on(o, life, func() { o.book.Heard(o.clock(s.Now), from, x.Message) })
+			s.run(o, life, func() { o.registry.Receive(o.clock(s.Now), from, x.Message) })
 		}
 	}
-	s.After(time.Duration(s.rng.Int64N(int64(s.cfg.Delay)+1)), arrive)
-	if s.rng.Float64() < s.cfg.Double {
-		s.After(time.Duration(s.rng.Int64N(50*int64(s.cfg.Delay)+1)), arrive)
+	s.After(time.Duration(s.rng.Int64N(int64(s.config.MaxDelay)+1)), arrive)
+	if s.rng.Float64() < s.config.Duplication {
+		s.After(time.Duration(s.rng.Int64N(50*int64(s.config.MaxDelay)+1)), arrive)
 	}
 }
 
 // write is a client's first ask for a key.
-func (s *sim) write(i int) {
-	f := &fate{name: fmt.Sprint("k", i)}
+func (s *simulation) write(i int) {
+	f := &keyHistory{name: fmt.Sprint("k", i)}
 	s.keys[f.name] = f
-	s.out.Writes++
-	s.try(f)
+	s.result.Writes++
+	s.request(f)
 }
 
-func (s *sim) try(f *fate) {
-	f.tries++
-	tries := f.tries
-	heard := len(f.heard)
+func (s *simulation) request(f *keyHistory) {
+	f.attempts++
+	tries := f.attempts
+	heard := len(f.answers)
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
-	if n.book != nil { // its socket is open, whether it stands still or not
+	if n.registry != nil { // its socket is open, whether it stands still or not
 		life := n.life
-		end := s.Now + s.cfg.Limit
-		s.on(n, life, func() { s.take(n, f, end) })
+		end := s.Now + s.config.ClientTimeout
+		s.run(n, life, func() { s.receiveRequest(n, f, end) })
 	}
 	// It asks again with its key where it has no answer, or is told to, and after a while anyway: it may have lost its connection.
-	wait := s.cfg.Limit
-	if s.cfg.SameTry > 0 {
-		wait = time.Duration(s.rng.Int64N(int64(s.cfg.SameTry)))
+	wait := s.config.ClientTimeout
+	if s.config.MaxRetryPause > 0 {
+		wait = time.Duration(s.rng.Int64N(int64(s.config.MaxRetryPause)))
 	}
 	s.After(wait, func() {
-		if f.tries == tries && f.tries <= s.cfg.Again && (len(f.heard) == heard || f.heard[len(f.heard)-1] != "served") {
-			s.try(f)
+		if f.attempts == tries && f.attempts <= s.config.Retries && (len(f.answers) == heard || f.answers[len(f.answers)-1] != "served") {
+			s.request(f)
 		}
 	})
 }
 
-func (s *sim) take(n *node, f *fate, end time.Duration) {
-	n.ids++
-	id := n.ids
-	n.asked[id] = &ask{f, end}
-	if !s.cfg.On {
-		s.send(n, f.name, math.MaxInt64)
+func (s *simulation) receiveRequest(n *proxy, f *keyHistory, end time.Duration) {
+	n.lastRequest++
+	id := n.lastRequest
+	n.requests[id] = &request{f, end}
+	if !s.config.Enabled {
+		s.sendWrite(n, f.name, math.MaxInt64)
 		return
 	}
 	for _, o := range s.nodes { // as its links show: one that stands still keeps its own
-		n.book.Link(o.member, o.book != nil && !o.cut && !n.cut)
+		n.registry.SetReachable(o.member, o.registry != nil && !o.cut && !n.cut)
 	}
-	n.book.Begin(n.clock(s.Now), id, takeover.Work{Key: f.name, Digest: 7, Left: max(end-s.Now, 0), Repeat: f.tries > 1}, s.cfg.Survive)
+	n.registry.Begin(n.clock(s.Now), id, takeover.Work{Key: f.name, Digest: 7, TimeLeft: max(end-s.Now, 0), IsRetry: f.attempts > 1}, s.config.Durability)
 }
 
-func (s *sim) do(n *node, o takeover.Order) {
-	switch o.Do {
-	case takeover.Go:
+func (s *simulation) act(n *proxy, o takeover.Action) {
+	switch o.Kind {
+	case takeover.Send:
 		last := time.Duration(math.MaxInt64) // when it may be sent
-		if o.Run != nil && o.Run.May && !s.cfg.Work.Without.Has(takeover.NoWindow) {
+		if o.TakenOver != nil && o.TakenOver.MayHaveBeenSent && !s.config.Takeover.DisabledGuards.Has(takeover.NoWindowCheck) {
 			// It must not be under way any more when its group forgets the key, by the judgement of one proxy.
-			last = s.repeats.ResendUntil(s.Now-o.Run.First, s.cfg.Window, 10*s.cfg.Runs)
+			last = s.repeats.ResendUntil(s.Now-o.TakenOver.SinceFirstSend, s.config.DeduplicationWindow, 10*s.config.MaxRunTime)
 		}
-		if s.rng.Float64() < s.cfg.Held { // it waits for a primary
+		if s.rng.Float64() < s.config.HeldShare { // it waits for a primary
 			life := n.life
-			s.After(time.Duration(s.rng.Int64N(int64(s.cfg.Limit))), func() {
-				s.on(n, life, func() { s.send(n, o.Key, last) })
+			s.After(time.Duration(s.rng.Int64N(int64(s.config.ClientTimeout))), func() {
+				s.run(n, life, func() { s.sendWrite(n, o.Key, last) })
 			})
 			return
 		}
-		s.send(n, o.Key, last)
-	case takeover.Without:
-		s.send(n, o.Key, math.MaxInt64)
+		s.sendWrite(n, o.Key, last)
+	case takeover.SendUnreplicated:
+		s.sendWrite(n, o.Key, math.MaxInt64)
 	case takeover.Answer:
-		s.hear(n, o.ID, "served")
-	case takeover.Refuse:
-		s.hear(n, o.ID, "refused")
-	case takeover.Give, takeover.Clash:
-		s.hear(n, o.ID, "failed")
+		s.answer(n, o.ID, "served")
+	case takeover.Reject:
+		s.answer(n, o.ID, "refused")
+	case takeover.FailUnknown, takeover.Conflict:
+		s.answer(n, o.ID, "failed")
 	}
 }
 
 // send is the proxy's look at the promise, and its write, at last then.
-func (s *sim) send(n *node, key string, last time.Duration) {
+func (s *simulation) sendWrite(n *proxy, key string, last time.Duration) {
 	life := n.life
-	if s.cfg.On && !n.book.MaySend(n.clock(s.Now), key) {
+	if s.config.Enabled && !n.registry.MaySend(n.clock(s.Now), key) {
 		return // the keepers' word counts from here on
 	}
 	if s.Now >= last {
-		n.book.Ended(n.clock(s.Now), key, takeover.Result{Outcome: takeover.Unknown})
+		n.registry.Complete(n.clock(s.Now), key, takeover.Result{Outcome: takeover.Unknown})
 		s.settle(n)
 		return
 	}
 	epoch := takeover.Epoch(0)
-	if s.cfg.On {
-		epoch = n.book.Epoch(key)
+	if s.config.Enabled {
+		epoch = n.registry.Epoch(key)
 	}
 	write := func() {
 		f := s.keys[key]
 		if epoch > 0 && epoch < f.epoch {
-			f.late++
+			f.sentAfterTakeover++
 		}
 		f.epoch = max(f.epoch, epoch)
-		took := time.Duration(s.rng.Int64N(int64(s.cfg.Runs) + 1))
+		took := time.Duration(s.rng.Int64N(int64(s.config.MaxRunTime) + 1))
 		if s.rng.IntN(10) == 0 {
 			took *= 10
 		}
@@ -341,39 +343,39 @@
 			return
 		}
 		s.After(took, func() {
-			if k := len(f.applied); k == 0 || s.Now-f.applied[k-1] >= s.cfg.Window {
+			if k := len(f.applied); k == 0 || s.Now-f.applied[k-1] >= s.config.DeduplicationWindow {
 				f.applied = append(f.applied, s.Now)
 			}
 			if s.rng.IntN(20) == 0 { // the answer is
 				return
 			}
 			s.After(time.Duration(s.rng.Int64N(int64(2*time.Millisecond))), func() {
-				s.on(n, life, func() {
-					if s.cfg.On {
-						n.book.Ended(n.clock(s.Now), key, takeover.Result{Outcome: takeover.Served})
+				s.run(n, life, func() {
+					if s.config.Enabled {
+						n.registry.Complete(n.clock(s.Now), key, takeover.Result{Outcome: takeover.Served})
 						return
 					}
-					for id, a := range n.asked {
-						if a.f == f {
-							s.hear(n, id, "served")
+					for id, a := range n.requests {
+						if a.history == f {
+							s.answer(n, id, "served")
 						}
 					}
 				})
 			})
 		})
 		// Without an answer in its time the attempt is given up: what became of it isn't known.
-		s.After(s.cfg.Limit, func() {
-			s.on(n, life, func() {
-				if s.cfg.On {
-					n.book.Ended(n.clock(s.Now), key, takeover.Result{Outcome: takeover.Unknown})
+		s.After(s.config.ClientTimeout, func() {
+			s.run(n, life, func() {
+				if s.config.Enabled {
+					n.registry.Complete(n.clock(s.Now), key, takeover.Result{Outcome: takeover.Unknown})
 				}
 			})
 		})
 	}
-	if s.cfg.Between && s.rng.IntN(50) == 0 {
-		s.After(time.Duration(s.rng.Int64N(int64(s.cfg.Longest))), func() {
-			if n.life == life && n.book != nil {
-				n.book.Judge(n.clock(s.Now), key)
+	if s.config.PauseBeforeWrite && s.rng.IntN(50) == 0 {
+		s.After(time.Duration(s.rng.Int64N(int64(s.config.MaxFault))), func() {
+			if n.life == life && n.registry != nil {
+				n.registry.CheckSent(n.clock(s.Now), key)
 				write()
 			}
 		})
@@ -382,41 +384,41 @@
 	write()
 }
 
-func (s *sim) hear(n *node, id uint64, what string) {
-	a := n.asked[id]
+func (s *simulation) answer(n *proxy, id uint64, what string) {
+	a := n.requests[id]
 	if a == nil {
 		return
 	}
-	delete(n.asked, id)
-	if s.Now > a.end+500*time.Millisecond { // its client has gone
+	delete(n.requests, id)
+	if s.Now > a.deadline+500*time.Millisecond { // its client has gone
 		return
 	}
-	a.f.heard = append(a.f.heard, what)
+	a.history.answers = append(a.history.answers, what)
 }
 
 // fault lets a proxy end, stand still or be cut off, for a while.
-func (s *sim) fault() {
-	s.After(time.Duration(s.rng.ExpFloat64()*float64(s.cfg.Faults)), s.fault)
+func (s *simulation) fault() {
+	s.After(time.Duration(s.rng.ExpFloat64()*float64(s.config.FaultInterval)), s.fault)
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
-	if n.stopped || n.cut || n.book == nil || s.cfg.Together > 0 && s.ill >= s.cfg.Together {
+	if n.stopped || n.cut || n.registry == nil || s.config.MaxConcurrentFaults > 0 && s.faulty >= s.config.MaxConcurrentFaults {
 		return
 	}
-	s.ill++
-	lasts := 50*time.Millisecond + time.Duration(s.rng.Int64N(int64(s.cfg.Longest)))
-	s.After(max(lasts, s.cfg.Members)+s.cfg.Rest, func() { s.ill-- })
+	s.faulty++
+	lasts := 50*time.Millisecond + time.Duration(s.rng.Int64N(int64(s.config.MaxFault)))
+	s.After(max(lasts, s.config.MembershipTimeout)+s.config.FaultPause, func() { s.faulty-- })
 	m, life := n.member, n.life
 	expire := func() {
-		s.After(s.cfg.Members, func() {
-			if n.life != life || n.member != m || n.stopped || n.cut || n.book == nil {
-				s.gone(m)
+		s.After(s.config.MembershipTimeout, func() {
+			if n.life != life || n.member != m || n.stopped || n.cut || n.registry == nil {
+				s.remove(m)
 			}
 		})
 	}
 	switch s.rng.IntN(3) {
 	case 0:
-		n.book = nil
-		s.After(s.cfg.Members, func() { s.gone(m) })
-		s.After(max(lasts, s.cfg.Members), func() { s.begin(n); s.members() })
+		n.registry = nil
+		s.After(s.config.MembershipTimeout, func() { s.remove(m) })
+		s.After(max(lasts, s.config.MembershipTimeout), func() { s.start(n); s.broadcastMembers() })
 	case 1:
 		n.stopped = true
 		expire()
@@ -429,81 +431,81 @@
 }
 
 // wake lets a proxy go on: what waits in its sockets is read first. One that was taken out of the tier joins anew.
-func (s *sim) wake(n *node, m takeover.Member) {
+func (s *simulation) wake(n *proxy, m takeover.Member) {
 	n.stopped = false
 	inbox := n.inbox
 	n.inbox = nil
 	for _, do := range inbox {
-		if n.book != nil {
+		if n.registry != nil {
 			do()
 			s.settle(n)
 		}
 	}
-	if n.book != nil && !slices.Contains(s.list, m) {
+	if n.registry != nil && !slices.Contains(s.members, m) {
 		s.next++
 		n.member = s.next
-		s.list = append(slices.Clone(s.list), n.member)
-		s.members()
+		s.members = append(slices.Clone(s.members), n.member)
+		s.broadcastMembers()
 	}
 }
 
-func (s *sim) audit() {
-	note := func(n *int, f *fate, what string) {
-		if *n++; s.out.First == "" {
-			s.out.First = fmt.Sprintf("%s %s: applied at %v, clients heard %v", f.name, what, f.applied, f.heard)
+func (s *simulation) audit() {
+	note := func(n *int, f *keyHistory, what string) {
+		if *n++; s.result.FirstBreach == "" {
+			s.result.FirstBreach = fmt.Sprintf("%s %s: applied at %v, clients heard %v", f.name, what, f.applied, f.answers)
 		}
 	}
-	for i := range s.out.Writes {
+	for i := range s.result.Writes {
 		f := s.keys[fmt.Sprint("k", i)]
 		if len(f.applied) > 0 {
-			s.out.Applied++
+			s.result.Applied++
 		}
 		if len(f.applied) > 1 {
-			note(&s.out.Doubled, f, "was doubled")
+			note(&s.result.Doubled, f, "was doubled")
 		}
-		if f.late > 0 && !s.cfg.Between {
-			note(&s.out.Behind, f, "was sent by one who had lost it")
+		if f.sentAfterTakeover > 0 && !s.config.PauseBeforeWrite {
+			note(&s.result.SentAfterTakeover, f, "was sent by one who had lost it")
 		}
-		served := slices.Index(f.heard, "served")
+		served := slices.Index(f.answers, "served")
 		switch {
 		case served >= 0 && len(f.applied) == 0:
-			note(&s.out.Hollow, f, "was served and not applied")
-		case served >= 0 && slices.Contains(f.heard[served:], "failed"):
-			s.out.Unsure++
-		case served >= 0 && slices.Contains(f.heard[served:], "refused"):
-			note(&s.out.Turned, f, "had another outcome behind served")
+			note(&s.result.ServedUnapplied, f, "was served and not applied")
+		case served >= 0 && slices.Contains(f.answers[served:], "failed"):
+			s.result.FailedAfterServed++
+		case served >= 0 && slices.Contains(f.answers[served:], "refused"):
+			note(&s.result.RefusedAfterServed, f, "had another outcome behind served")
 		}
-		if slices.Contains(f.heard, "refused") && len(f.applied) > 0 && !s.cleared(f) {
-			note(&s.out.Lies, f, "was refused and applied")
+		if slices.Contains(f.answers, "refused") && len(f.applied) > 0 && !s.cleared(f) {
+			note(&s.result.RefusedApplied, f, "was refused and applied")
 		}
 		switch {
-		case len(f.heard) == 0:
-			s.out.Silent++
+		case len(f.answers) == 0:
+			s.result.Unanswered++
 		case served >= 0:
-			s.out.Served++
-		case f.heard[len(f.heard)-1] == "refused":
-			s.out.Refused++
+			s.result.Served++
+		case f.answers[len(f.answers)-1] == "refused":
+			s.result.Refused++
 		default:
-			s.out.Failed++
+			s.result.Failed++
 		}
 	}
 	for _, n := range s.nodes {
-		if n.book != nil {
-			c := n.book.Counters
-			s.out.Counters.Recorded += c.Recorded
-			s.out.Counters.Without += c.Without
-			s.out.Counters.Claimed += c.Claimed
-			s.out.Counters.Again += c.Again
-			s.out.Counters.Unknown += c.Unknown
-			s.out.Counters.Joined += c.Joined
-			s.out.Counters.Lost += c.Lost
-			s.out.Counters.Beyond += c.Beyond
-			s.out.Counters.Refused += c.Refused
+		if n.registry != nil {
+			c := n.registry.Counters
+			s.result.Counters.Replicated += c.Replicated
+			s.result.Counters.Unreplicated += c.Unreplicated
+			s.result.Counters.TakenOver += c.TakenOver
+			s.result.Counters.Resent += c.Resent
+			s.result.Counters.Unknown += c.Unknown
+			s.result.Counters.Deduplicated += c.Deduplicated
+			s.result.Counters.Lost += c.Lost
+			s.result.Counters.SentAfterLease += c.SentAfterLease
+			s.result.Counters.Rejected += c.Rejected
 		}
 	}
 }
 
 // cleared tells that a key that was refused was asked for once more behind it, and ran then: a refusal is for what never ran by then.
-func (s *sim) cleared(f *fate) bool {
-	return f.tries > len(f.heard) || f.heard[len(f.heard)-1] != "refused"
+func (s *simulation) cleared(f *keyHistory) bool {
+	return f.attempts > len(f.answers) || f.answers[len(f.answers)-1] != "refused"
 }
--- a/internal/lab/worksim/worksim_test.go
+++ b/internal/lab/worksim/worksim_test.go
@@ -11,9 +11,9 @@
 
 // usual is a tier of six in which one after the other ends, stands still or is cut off.
 func usual(seed uint64) Config {
-	return Config{Seed: seed, Proxies: 6, Writes: 400, Every: 25 * ms, Survive: takeover.Required, On: true, Loss: []float64{0.1, 0.01, 0.5}[seed%3], Double: 0.05,
-		Delay: 3 * ms, Faults: 700 * ms, Together: 1, Rest: time.Second, Longest: 4 * time.Second, Members: 2500 * ms, Skew: 0.05, Window: 3 * time.Second,
-		Limit: 3 * time.Second, Runs: 90 * ms, Again: 2, SameTry: 3 * time.Second, Held: 0.2}
+	return Config{Seed: seed, Proxies: 6, Writes: 400, WriteInterval: 25 * ms, Durability: takeover.Required, Enabled: true, Loss: []float64{0.1, 0.01, 0.5}[seed%3], Duplication: 0.05,
+		MaxDelay: 3 * ms, FaultInterval: 700 * ms, MaxConcurrentFaults: 1, FaultPause: time.Second, MaxFault: 4 * time.Second, MembershipTimeout: 2500 * ms, ClockSkew: 0.05, DeduplicationWindow: 3 * time.Second,
+		ClientTimeout: 3 * time.Second, MaxRunTime: 90 * ms, Retries: 2, MaxRetryPause: 3 * time.Second, HeldShare: 0.2}
 }
 
 // Proxies end, stand still and are cut off under 400 keyed writes each, messages are lost at 1, 10 and 50%, doubled and overtaken: nothing is
@@ -21,9 +21,9 @@
 func TestWorkSurvivesTheLossOfItsProxy(t *testing.T) {
 	claimed := uint64(0)
 	for seed := uint64(1); seed <= 15; seed++ {
-		r := Play(usual(seed))
-		if claimed += r.Counters.Claimed; r.Breaches() > 0 {
-			t.Errorf("seed %d: %s; %+v", seed, r.First, r)
+		r := Run(usual(seed))
+		if claimed += r.Counters.TakenOver; r.Violations() > 0 {
+			t.Errorf("seed %d: %s; %+v", seed, r.FirstBreach, r)
 		}
 	}
 	if claimed == 0 {
@@ -36,8 +36,8 @@
 	doubled := 0
 	for seed := uint64(1); seed <= 10; seed++ {
 		c := usual(seed)
-		c.On = false
-		doubled += Play(c).Doubled
+		c.Enabled = false
+		doubled += Run(c).Doubled
 	}
 	if doubled == 0 {
 		t.Error("none is doubled")
@@ -51,12 +51,12 @@
 			t.Parallel()
 			for seed := uint64(1); seed <= 60; seed++ {
 				c := usual(seed)
-				c.Work.Without = 1 << g
-				if takeover.Guards(1 << g).Has(takeover.NoPromise | takeover.NoEpochCheck) { // keepers that hear an owner unlike one another
+				c.Takeover.DisabledGuards = 1 << g
+				if takeover.Guards(1 << g).Has(takeover.NoPromiseCheck | takeover.NoEpochCheck) { // keepers that hear an owner unlike one another
 					c.Loss = 0.5
 				}
-				if r := Play(c); r.Breaches() > 0 {
-					t.Logf("seed %d: %s", seed, r.First)
+				if r := Run(c); r.Violations() > 0 {
+					t.Logf("seed %d: %s", seed, r.FirstBreach)
 					return
 				}
 			}
--- a/internal/net/work.go
+++ b/internal/net/work.go
@@ -31,8 +31,8 @@
 	loop      *Loop
 	clock     state.Clock
 	deadlines *state.Deadlines
-	book      *takeover.Book
-	do        func(takeover.Order)
+	book      *takeover.Registry
+	do        func(takeover.Action)
 	listener  *listener
 	open      atomic.Int64
 
@@ -55,7 +55,7 @@
 }
 
 // ListenWork opens the address where the tier's other proxies come. do carries out what the book orders; it is called on the loop.
-func ListenWork(loop *Loop, clock state.Clock, deadlines *state.Deadlines, address string, cfg takeover.Config, do func(takeover.Order)) (*Work, error) {
+func ListenWork(loop *Loop, clock state.Clock, deadlines *state.Deadlines, address string, cfg takeover.Config, do func(takeover.Action)) (*Work, error) {
 	w := &Work{loop: loop, clock: clock, deadlines: deadlines, book: takeover.New(cfg), do: do, where: map[takeover.Member]string{},
 		links: map[takeover.Member]*workLink{}}
 	ln, err := stdnet.Listen("tcp4", address)
@@ -75,7 +75,7 @@
 func (w *Work) Address() string { return w.listener.Addr().String() }
 
 // Book gives the decisions. Whoever calls them calls Flush behind that.
-func (w *Work) Book() *takeover.Book { return w.book }
+func (w *Work) Book() *takeover.Registry { return w.book }
 
 // Close ends all links.
 func (w *Work) Close() {
@@ -98,7 +98,7 @@
 
 // Tier takes what is known of the members. It may be called with the same again; self is 0 for a proxy that is none.
 func (w *Work) Tier(self rollout.Member, t rollout.Membership, life time.Duration) {
-	known := takeover.Tier{Self: takeover.Member(self), Version: t.Version, Until: t.Until, Life: life}
+	known := takeover.Membership{Self: takeover.Member(self), Version: t.Version, Until: t.Until, Retention: life}
 	clear(w.where)
 	for _, s := range t.Members {
 		if s.Address != "" {
@@ -107,7 +107,7 @@
 		}
 	}
 	for _, v := range t.Past {
-		p := takeover.Past{Left: v.Left}
+		p := takeover.PastMembers{Left: v.Left}
 		for _, m := range v.Members {
 			p.Members = append(p.Members, takeover.Member(m))
 		}
@@ -119,7 +119,7 @@
 		}
 	}
 	w.self = known.Self
-	w.book.Tier(w.clock.Now(), known)
+	w.book.SetMembership(w.clock.Now(), known)
 	w.Flush()
 }
 
@@ -131,7 +131,7 @@
 	w.busy = true
 	defer func() { w.busy = false }()
 	for {
-		say, orders := w.book.Out()
+		say, orders := w.book.TakeReady()
 		if len(say)+len(orders) == 0 {
 			break
 		}
@@ -147,7 +147,7 @@
 	}
 }
 
-func (w *Work) tell(s takeover.Say) {
+func (w *Work) tell(s takeover.Envelope) {
 	address := w.where[s.To]
 	if address == "" {
 		w.Counters.Dropped++
@@ -182,7 +182,7 @@
 		l.conn.Close()
 	}
 	w.Counters.Dropped += uint64(len(l.out))
-	w.book.Link(m, true) // nothing is known of it any more
+	w.book.SetReachable(m, true) // nothing is known of it any more
 }
 
 // workLink is the way to one other proxy. What that one says comes on a link of its own.
@@ -218,13 +218,13 @@
 				l.again()
 			}
 		})
-		l.w.book.Link(l.to, true)
+		l.w.book.SetReachable(l.to, true)
 		l.flush()
 	})
 }
 
 func (l *workLink) again() {
-	l.w.book.Link(l.to, false)
+	l.w.book.SetReachable(l.to, false)
 	now := l.w.clock.Now()
 	l.w.deadlines.Set(&l.redial, now+l.pause(now), l.dial)
 }
@@ -317,6 +317,6 @@
 	}
 	for _, m := range x.Messages {
 		w.Counters.Heard++
-		w.book.Heard(w.clock.Now(), x.From, m)
+		w.book.Receive(w.clock.Now(), x.From, m)
 	}
 }
--- a/internal/net/work_test.go
+++ b/internal/net/work_test.go
@@ -14,7 +14,7 @@
 // worker is a proxy's part in work in hand, on a loop that it shares with the others of its test.
 type worker struct {
 	*Work
-	orders chan takeover.Order
+	orders chan takeover.Action
 }
 
 func workers(t *testing.T, n int) (loop *Loop, list []*worker, seats rollout.Membership) {
@@ -24,9 +24,9 @@
 	go loop.Run()
 	seats.Version = 1
 	for i := range n {
-		x := &worker{orders: make(chan takeover.Order, 64)}
+		x := &worker{orders: make(chan takeover.Action, 64)}
 		var err error
-		if x.Work, err = ListenWork(loop, clock, deadlines, "127.0.0.1:0", takeover.Config{}, func(o takeover.Order) { x.orders <- o }); err != nil {
+		if x.Work, err = ListenWork(loop, clock, deadlines, "127.0.0.1:0", takeover.Config{}, func(o takeover.Action) { x.orders <- o }); err != nil {
 			t.Fatal(err)
 		}
 		list = append(list, x)
@@ -62,7 +62,7 @@
 }
 
 // next waits for an order for a client's request; where none comes, the test's own time runs out.
-func next(x *worker) takeover.Order {
+func next(x *worker) takeover.Action {
 	for {
 		if o := <-x.orders; o.ID != 0 {
 			return o
@@ -74,12 +74,12 @@
 // gets the outcome.
 func TestWorkIsTakenOverOverLinks(t *testing.T) {
 	loop, list, _ := workers(t, 4)
-	work := takeover.Work{Key: "k", Digest: 1, Left: time.Minute, Statement: make([]byte, 100<<10), Class: "kayit"}
+	work := takeover.Work{Key: "k", Digest: 1, TimeLeft: time.Minute, Statement: make([]byte, 100<<10), Class: "kayit"}
 	on(loop, func() {
 		list[0].Book().Begin(list[0].clock.Now(), 7, work, takeover.Required)
 		list[0].Flush()
 	})
-	if o := next(list[0]); o.Do != takeover.Go || o.ID != 7 {
+	if o := next(list[0]); o.Kind != takeover.Send || o.ID != 7 {
 		t.Fatalf("%+v", o)
 	}
 	on(loop, func() {
@@ -94,7 +94,7 @@
 		for _, x := range list[1:] {
 			select {
 			case o := <-x.orders:
-				if o.Do != takeover.Go || o.Run == nil || !o.Run.May || len(o.Run.Statement) != 100<<10 {
+				if o.Kind != takeover.Send || o.TakenOver == nil || !o.TakenOver.MayHaveBeenSent || len(o.TakenOver.Statement) != 100<<10 {
 					t.Fatalf("%+v", o)
 				}
 				owner = x
@@ -104,15 +104,15 @@
 		time.Sleep(time.Millisecond)
 	}
 	on(loop, func() {
-		owner.Book().Ended(owner.clock.Now(), "k", takeover.Result{Outcome: takeover.Served, Value: []byte("done")})
+		owner.Book().Complete(owner.clock.Now(), "k", takeover.Result{Outcome: takeover.Served, Value: []byte("done")})
 		owner.Flush()
 	})
 	for _, x := range list[1:] {
 		on(loop, func() {
-			x.Book().Begin(x.clock.Now(), 9, takeover.Work{Key: "k", Digest: 1, Left: time.Minute, Repeat: true}, takeover.Required)
+			x.Book().Begin(x.clock.Now(), 9, takeover.Work{Key: "k", Digest: 1, TimeLeft: time.Minute, IsRetry: true}, takeover.Required)
 			x.Flush()
 		})
-		if o := next(x); o.Do != takeover.Answer || o.ID != 9 || string(o.Result.Value) != "done" {
+		if o := next(x); o.Kind != takeover.Answer || o.ID != 9 || string(o.Result.Value) != "done" {
 			t.Errorf("%+v", o)
 		}
 	}
@@ -127,7 +127,7 @@
 	}
 	defer conn.Close()
 	say := func(from, to takeover.Member) {
-		b, err := tier.Append(nil, &tier.Frame{Work: &tier.Work{From: from, To: to, Messages: []takeover.Message{{Kind: takeover.Look, Key: "k"}}}})
+		b, err := tier.Append(nil, &tier.Frame{Work: &tier.Work{From: from, To: to, Messages: []takeover.Message{{Kind: takeover.Query, Key: "k"}}}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -174,9 +174,9 @@
 	seats.Version, seats.Members = 2, append(seats.Members, rollout.MemberEntry{Member: 2, Address: dead}, rollout.MemberEntry{Member: 3, Address: dead})
 	x := list[0]
 	on(loop, func() { x.Tier(1, seats, 2*time.Second) })
-	begin := func(s takeover.Survive, keys ...string) {
+	begin := func(s takeover.Durability, keys ...string) {
 		for _, key := range keys {
-			x.Book().Begin(x.clock.Now(), 1, takeover.Work{Key: key, Digest: 1, Left: time.Minute, Statement: make([]byte, 300<<10)}, s)
+			x.Book().Begin(x.clock.Now(), 1, takeover.Work{Key: key, Digest: 1, TimeLeft: time.Minute, Statement: make([]byte, 300<<10)}, s)
 			x.Flush()
 		}
 	}
@@ -192,15 +192,15 @@
 		}
 	})
 	for range 6 {
-		if o := next(x); o.Do != takeover.Give { // a keeper has been asked: what it has can't be known
+		if o := next(x); o.Kind != takeover.FailUnknown { // a keeper has been asked: what it has can't be known
 			t.Errorf("%+v", o)
 		}
 	}
 	on(loop, func() { begin(takeover.Required, "g"); begin(takeover.Preferred, "h") }) // no link is up, which is known by now
-	if o := next(x); o.Do != takeover.Refuse {
+	if o := next(x); o.Kind != takeover.Reject {
 		t.Errorf("%+v", o)
 	}
-	if o := next(x); o.Do != takeover.Without {
+	if o := next(x); o.Kind != takeover.SendUnreplicated {
 		t.Errorf("%+v", o)
 	}
 }
--- a/internal/takeover/ring.go
+++ b/internal/takeover/replica_sets.go
@@ -9,7 +9,7 @@
 )
 
 // view is a list of the tier's members, as it held until some time.
-type view struct {
+type memberList struct {
 	members []Member // sorted
 	until   time.Duration
 }
@@ -26,7 +26,7 @@
 }
 
 // keepers gives the n members that rank highest for a key, the first one first.
-func keepers(key string, members []Member, n int) []Member {
+func selectReplicas(key string, members []Member, n int) []Member {
 	type ranked struct {
 		m Member
 		w uint64
@@ -58,9 +58,9 @@
 
 // sets gives the sets of keepers that a key has now and may have had for whoever still acts on an earlier list of members. What is agreed has
 // to be agreed by most of each: two owners that go by different lists ask one set at least in common.
-func (b *Book) sets(now time.Duration, key string) (out []set) {
+func (b *Registry) replicaSets(now time.Duration, key string) (out []replicaSet) {
 	add := func(members []Member) {
-		s := set{members: keepers(key, members, 2*b.cfg.Copies-1)}
+		s := replicaSet{members: selectReplicas(key, members, 2*b.config.Quorum-1)}
 		for _, o := range out {
 			if slices.Equal(o.members, s.members) {
 				return
@@ -73,8 +73,8 @@
 				living++
 			}
 		}
-		if s.need = min(len(s.members)/2+1, living); b.cfg.Without.Has(NoMajority) {
-			s.need = min(1, living)
+		if s.quorum = min(len(s.members)/2+1, living); b.config.DisabledGuards.Has(NoMajority) {
+			s.quorum = min(1, living)
 		}
 		out = append(out, s)
 	}
@@ -88,13 +88,13 @@
 }
 
 // set is one of keepers.
-type set struct {
+type replicaSet struct {
 	members []Member
-	need    int // of them have to agree
+	quorum  int // of them have to agree
 }
 
 // enough tells whether most of each set are among those that something holds for.
-func enough(sets []set, holds func(Member) bool) bool {
+func hasQuorum(sets []replicaSet, holds func(Member) bool) bool {
 	for _, s := range sets {
 		n := 0
 		for _, m := range s.members {
@@ -102,7 +102,7 @@
 				n++
 			}
 		}
-		if n < s.need {
+		if n < s.quorum {
 			return false
 		}
 	}
@@ -110,7 +110,7 @@
 }
 
 // all gives the members of all sets, each once.
-func all(sets []set) (out []Member) {
+func allReplicas(sets []replicaSet) (out []Member) {
 	for _, s := range sets {
 		for _, m := range s.members {
 			if !slices.Contains(out, m) {
