--- a/internal/lab/scale/limits.go
+++ b/internal/lab/scale/limits.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"havenproxy/internal/lab/scale/analysis"
@@ -47,13 +48,13 @@
 	return pages * int64(os.Getpagesize())
 }
 
-// expectedBytes estimates what a size will take: by the last measurement, its memory carried on with proxies x databases.
-func expectedBytes(run *analysis.Run, size analysis.Size) int64 {
+// expectedBytes estimates what a size will take in the model: by its last measurement there, carried on with proxies x databases.
+func (c *Config) expectedBytes(run *analysis.Run, size analysis.Size) int64 {
 	pairs := float64(size.Proxies * size.Databases)
 	estimate := int64(bytesPerPair * pairs)
 	for i := range run.Measurements {
 		m := &run.Measurements[i]
-		if m.Memory.Measured() && m.Size.Proxies > 0 {
+		if m.Variant == c.Variant && m.Memory.Measured() {
 			estimate = int64(headroom * m.Memory.Mean / float64(m.Size.Databases) * pairs)
 		}
 	}
@@ -62,9 +63,16 @@
 
 // refuses tells why a size must not be started; empty = it may.
 func (c *Config) refuses(ctx context.Context, size analysis.Size, run *analysis.Run) string {
-	if expected := expectedBytes(run, size); c.Memory > 0 && expected > c.Memory {
+	if expected := c.expectedBytes(run, size); c.Memory > 0 && expected > c.Memory {
 		return fmt.Sprintf("it would take some %.1f GB of memory, %.1f GB are allowed", float64(expected)/1e9, float64(c.Memory)/1e9)
 	}
+	if c.Binary != "" {
+		var limit syscall.Rlimit
+		needed := descriptorsFor(size)
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && uint64(needed) > limit.Cur {
+			return fmt.Sprintf("it would take some %d descriptors, %d are allowed", needed, limit.Cur)
+		}
+	}
 	return c.overLimit(ctx)
 }
 
