End the wait for a poller that stands still with an error, where it ended the process

Cause: the wait for netpoll's poller, before a connection is closed, had netpoll's read time-out of 1 s on a pipe. Where it ran out, netpoll formats the connection's remote address, which a pipe does not have: a nil pointer, a panic, and the process is gone. Seen once, in a test of internal/run under heavy load; a machine that stalls for a second between the two threads is enough.

Change: the wait is ended by closing the pipe, which gives an error; the next wait makes a new one, so that a late byte of the one before is never taken for its own.

--- a/internal/net/fence.go
+++ b/internal/net/fence.go
@@ -12,40 +12,65 @@
 	"havenproxy/internal/state"
 )
 
-// fence is a pipe to oneself by way of netpoll's poller.
+// fence is a pipe to oneself by way of netpoll's poller. A byte that arrives on it tells that the poller has done all that it began before.
 type fence struct {
-	conn netpoll.Connection
-	in   int
+	conn    netpoll.Connection // the end that is read, by netpoll
+	writeFD int
+}
+
+// fenceTimeout bounds the wait for the poller.
+const fenceTimeout = time.Second
+
+func newFence() (*fence, error) {
+	var ends [2]int
+	if err := syscall.Pipe2(ends[:], syscall.O_CLOEXEC|syscall.O_NONBLOCK); err != nil {
+		return nil, err
+	}
+	conn, err := netpoll.NewFDConnection(ends[0])
+	if err != nil {
+		syscall.Close(ends[0])
+		syscall.Close(ends[1])
+		return nil, err
+	}
+	return &fence{conn: conn, writeFD: ends[1]}, nil
+}
+
+// pass sends a byte through the poller and waits for it. A wait that takes longer than timeout ends by closing the connection: netpoll's own
+// read timeout panics on a connection without a remote address, which a pipe is. After an error the fence has to be closed.
+func (f *fence) pass(timeout time.Duration) error {
+	if _, err := syscall.Write(f.writeFD, []byte{1}); err != nil {
+		return err
+	}
+	timer := time.AfterFunc(timeout, func() { f.conn.Close() })
+	defer timer.Stop()
+	if _, err := f.conn.Reader().Next(1); err != nil {
+		return err
+	}
+	return f.conn.Reader().Release()
+}
+
+func (f *fence) close() {
+	f.conn.Close()
+	syscall.Close(f.writeFD)
 }
 
 // behindPoller returns when the poller has ended what it was about: it may be in the middle of reading a connection that it has just been
 // told to leave alone. Whatever it fetches after a byte was written to a pipe, it fetches without that connection; the byte's arrival tells
 // that all before it is done. That takes as long as the poller's turn, some microseconds. This needs
-// a single poller, which useRunner sees to.
-func (l *Loop) behindPoller() error {
+// a single poller, which useRunner sees to. An error tells that the poller could not be waited for, within fenceTimeout or at all.
+func (l *Loop) behindPoller() (err error) {
 	if l.fence == nil {
-		var ends [2]int
-		if err := syscall.Pipe2(ends[:], syscall.O_CLOEXEC|syscall.O_NONBLOCK); err != nil {
+		if l.fence, err = newFence(); err != nil {
 			return err
 		}
-		conn, err := netpoll.NewFDConnection(ends[0])
-		if err != nil {
-			syscall.Close(ends[0])
-			syscall.Close(ends[1])
-			return err
-		}
-		conn.SetReadTimeout(time.Second)
-		l.fence = &fence{conn, ends[1]}
 	}
-	if _, err := syscall.Write(l.fence.in, []byte{1}); err != nil {
+	if err := l.fence.pass(fenceTimeout); err != nil {
+		l.fence.close() // its byte may still be on its way
+		l.fence = nil
 		return err
 	}
-	_, err := l.fence.conn.Reader().Next(1)
-	if err == nil {
-		l.waited++
-		err = l.fence.conn.Reader().Release()
-	}
-	return err
+	l.waited++
+	return nil
 }
 
 // BehindPoller lets f run on the loop behind all that the poller has begun by now. It is called on the loop.
--- /dev/null
+++ b/internal/net/fence_test.go
@@ -0,0 +1,27 @@
+package net
+
+import (
+	"testing"
+	"time"
+
+	"havenproxy/internal/state"
+)
+
+// A poller that stands still is waited for within the bound only. The wait ends with an error, and the next one begins anew.
+func TestAPollerThatStandsStillIsNotWaitedForBeyondTheBound(t *testing.T) {
+	const shortTimeout = time.Millisecond
+	loop := NewLoop(state.NewClock(), new(state.Deadlines))
+	if err := loop.behindPoller(); err != nil {
+		t.Fatal(err)
+	}
+	letPollerGo := holdPoller(t, loop)
+	if err := loop.fence.pass(shortTimeout); err == nil {
+		t.Error("a byte has passed a poller that stands still")
+	}
+	letPollerGo()
+	loop.fence.close()
+	loop.fence = nil
+	if err := loop.behindPoller(); err != nil {
+		t.Errorf("behind it: %v", err)
+	}
+}
