Split takeover by concern, with typed results and comments in plain English

Ready, replicaRequest and takeoverStart replace positional results and long parameter lists; numbers have names. Doc comments of the package, lab/explore and lab/worksim are written anew. Behaviour, wire forms and the texts of traces stay.

--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -1,6 +1,6 @@
-// Package explore visits all states that a system of pure rooms can come to, breadth first, and gives the shortest way to one that breaks a
-// rule. States are known again by a hash of 64 bits of their text (xxhash): with ten million of them the chance that any two share one is 3
-// in a million.
+// Package explore visits all reachable states of a model, breadth first, and returns the shortest trace to one that violates an invariant.
+// States are compared by a 64-bit hash of their encoding (xxhash): with ten million of them the probability that any two share one is 3 in a
+// million. It models packages rollout and takeover, which do no I/O.
 package explore
 
 import (
@@ -10,22 +10,22 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// State is one of a system's.
+// State is a state of a model.
 type State interface {
-	// AppendTo writes all that the further course hangs on: equal texts, equal states.
+	// AppendTo appends an encoding of all that the further course depends on: equal encodings mean equal states.
 	AppendTo(dst []byte) []byte
-	// Next gives the states that may follow, each with what leads to it.
+	// Next yields each state that may follow, with the step that leads to it.
 	Next(yield func(step string, s State))
-	// Broken tells which rule doesn't hold; empty = all do.
+	// Broken returns the invariant that is violated; empty if none is.
 	Broken() string
 }
 
-// Report is what an exploration came to.
+// Report is the result of an exploration.
 type Report struct {
 	States, Steps, Depth int
-	Complete             bool     // nothing was left out
-	Broken               string   // the rule that doesn't hold; empty = all do
-	Trace                []string // that leads there, the shortest
+	Complete             bool     // all reachable states were visited
+	Broken               string   // the invariant that is violated; empty if none is
+	Trace                []string // the steps that lead there
 }
 
 type visited struct {
--- a/internal/lab/explore/rollout.go
+++ b/internal/lab/explore/rollout.go
@@ -9,32 +9,33 @@
 	"havenproxy/internal/rollout"
 )
 
-// Tier is a small tier that changes its policy: some proxies, the planners as one register that keeps what was written, with a leader that
-// may die and be followed by another. Every message ever sent may arrive at any time, any number of times, or never; whatever acts may
-// stand still for any time. What may happen more than that is bounded here.
+// RolloutModel is a small tier that changes its policy: some proxies, and the planners as one log with a leader that may die and be followed by
+// another. Each message that was sent may arrive at any time, any number of times, or never, and any process may be paused for any time. The
+// fields bound what else may happen.
 type RolloutModel struct {
 	Proxies   int
 	Changes   int
 	Crashes   int // of proxies, in all
-	Elections int // that follow the first
-	Renewals  int // for a lease, by each membership of a proxy
-	Hellos    int // beyond the first of each start
+	Elections int // leaders after the first
+	Renewals  int // by each membership of a proxy
+	Hellos    int // after the first of each start of a proxy
 	MaxTicks  int // of the clock; a lease lasts for two
 	Aborts    int
 	Leases    bool
-	// Async lets anything happen between a command's writing and its effect, and between an ask for a lease and the leader's confirmation.
-	// Otherwise both are one step; a leader that dies in between is one that dies before.
+	// Async lets anything happen between the submission of a command and its effect, and between a renewal and the leader's confirmation.
+	// Otherwise each pair is one step; a leader that dies in between is one that dies before.
 	Async          bool
 	DisabledGuards rollout.Guards
 	interned       *messageTable
 }
 
-// messages numbers all that were ever sent, so that a state is a set of small numbers.
+// messageTable numbers all messages that were ever sent, so that a state is a set of small numbers.
 type messageTable struct {
 	byKey map[messageKey]uint16
 	all   []envelope
 }
 
+// messageKey is what tells messages apart.
 type messageKey struct {
 	to     int
 	kind   rollout.Kind
@@ -47,13 +48,14 @@
 }
 
 type envelope struct {
-	to      int // a proxy, or -1 - from for the planner
+	to      int // the index of a proxy, or -1 - its index for a message to the leader
 	message rollout.Message
 }
 
+// tick is the step of the model's clock. It is short, since no code under test depends on its length, and a multiple of all fractions used.
 const tick = 12 * time.Nanosecond
 
-// world is a state of it.
+// rolloutState is one state of the model.
 type rolloutState struct {
 	model   *RolloutModel
 	now     time.Duration
--- a/internal/lab/explore/takeover.go
+++ b/internal/lab/explore/takeover.go
@@ -9,22 +9,23 @@
 	"havenproxy/internal/takeover"
 )
 
-// Works is a small tier that hands work on: three proxies, one key, one database that remembers it for a while, a client that asks and may ask
-// again elsewhere. Every message ever sent may arrive at any time, any number of times, or never; a write that went out may run at once or
-// late; a proxy may end or stand still anywhere but between its last look and its write, which the group's memory has to cover.
+// TakeoverModel is a small tier that takes work over: some proxies, one key, one database that deduplicates for a while, and a client that may
+// retry at other proxies. Each message that was sent may arrive at any time, any number of times, or never; a write that was sent may run at
+// once or late. A proxy may end, or be paused anywhere except between its last check and its write, which the group's deduplication covers.
 type TakeoverModel struct {
 	Proxies        int
-	Repeats        int // of the client, each at another proxy
+	Repeats        int // retries of the client
 	Crashes        int
-	MaxTicks       int // of the clock: a promise lasts for two, and the database remembers for Window
-	Window         int
-	LateTicks      int  // ticks by which a write may run late
-	RenewLeases    bool // owners ask for their promises anew
-	DeliverOnce    bool // messages arrive once at most; else any number of times
+	MaxTicks       int  // of the clock; a lease lasts for two
+	Window         int  // ticks for which the database remembers a key
+	LateTicks      int  // by which a write may run late
+	RenewLeases    bool // owners renew their leases
+	DeliverOnce    bool // each message arrives once at most; otherwise any number of times
 	DisabledGuards takeover.Guards
 	letters        *takeoverMessages
 }
 
+// takeoverMessages numbers all messages that were ever sent, so that a state is a set of small numbers.
 type takeoverMessages struct {
 	byKey map[string]uint16
 	all   []takeoverEnvelope
@@ -35,12 +36,13 @@
 	message  takeover.Message
 }
 
+// takeoverTick is the step of the model's clock.
 const takeoverTick = 100 * time.Millisecond
 
-// sent is a write on its way to the database, or its answer on the way back.
+// write is a write on its way to the database, or its answer on the way back.
 type write struct {
-	proxy     int // the proxy
-	ticksLeft int // ticks in which it may yet run
+	proxy     int // index of the sender
+	ticksLeft int // in which it may yet run; -1 = it has not been sent
 	ran       bool
 }
 
@@ -117,15 +119,15 @@
 // settle carries out what a proxy wants.
 func (w *takeoverState) settle(i int) {
 	for {
-		say, orders := w.registries[i].TakeReady()
-		if len(say)+len(orders) == 0 {
+		ready := w.registries[i].TakeReady()
+		if ready.Empty() {
 			w.prune(i)
 			return
 		}
-		for _, s := range say {
+		for _, s := range ready.Messages {
 			w.send(takeover.Member(i+1), s)
 		}
-		for _, o := range orders {
+		for _, o := range ready.Actions {
 			w.act(i, o)
 		}
 	}
@@ -325,18 +327,15 @@
 		c := w.cloneFor(i)
 		before := b.AppendState(nil, w.clock(), 60*takeoverTick)
 		c.registries[i].Tick(c.clock())
-		if say, orders := countReady(c.registries[i]); say+orders > 0 || string(before) != string(c.registries[i].AppendState(nil, c.clock(), 60*takeoverTick)) {
+		if isReady(c.registries[i]) || string(before) != string(c.registries[i].AppendState(nil, c.clock(), 60*takeoverTick)) {
 			c.settle(i)
 			yield(fmt.Sprintf("%d looks at its clock", i+1), c)
 		}
 	}
 }
 
-func countReady(b *takeover.Registry) (int, int) {
-	c := b.Clone()
-	say, orders := c.TakeReady()
-	return len(say), len(orders)
-}
+// isReady reports whether a registry has something to be carried out, without taking it.
+func isReady(r *takeover.Registry) bool { return !r.Clone().TakeReady().Empty() }
 
 var takeoverMessageNames = map[takeover.Kind]string{takeover.Store: "take", takeover.TakeOver: "claim", takeover.Renew: "renew", takeover.Stored: "held", takeover.NotOwner: "other",
 	takeover.NotFound: "unheard", takeover.Full: "full", takeover.Complete: "end", takeover.Query: "look", takeover.MarkSent: "sure", takeover.Discard: "drop"}
--- a/internal/lab/worksim/worksim.go
+++ b/internal/lab/worksim/worksim.go
@@ -1,6 +1,6 @@
-// Package worksim plays, on a virtual clock, a tier whose proxies hand keyed writes on (package takeover): proxies that end, stand still and
-// wake, links that are cut, messages that are lost, doubled and overtaken, clocks of unlike rates, clients that ask again elsewhere, and
-// databases that remember a key for a while and may run what they got late. An auditor notes every application and every answer.
+// Package worksim simulates, on a virtual clock, a tier whose proxies take over keyed writes of one another (package takeover). Proxies end or
+// are paused, links are cut, messages are lost, duplicated and reordered, clocks run at different rates, clients retry at other proxies, and
+// databases deduplicate for a limited time and may run a write late. An auditor records every application of a write and every answer.
 package worksim
 
 import (
@@ -15,49 +15,49 @@
 	"havenproxy/internal/takeover"
 )
 
-// Config is a play's.
+// Config holds the parameters of a simulation. Shares are between 0 and 1.
 type Config struct {
 	Seed          uint64
 	Proxies       int
-	Writes        int           // begun, one each Every
-	WriteInterval time.Duration // in the mean
+	Writes        int
+	WriteInterval time.Duration // between two writes, in the mean
 	Takeover      takeover.Config
 	Durability    takeover.Durability
-	Enabled       bool // proxies keep records; false = as without
+	Enabled       bool // proxies replicate records; false = the baseline without takeover
 
-	Loss, Duplication   float64
-	MaxDelay            time.Duration // of a message, at most; drawn for each
-	FaultInterval       time.Duration // between two, in the mean; 0 = none
-	MaxFault            time.Duration // that one lasts
-	MembershipTimeout   time.Duration // until a proxy that is gone or cut off is taken out of the list of members
+	Loss, Duplication   float64       // shares of the messages
+	MaxDelay            time.Duration // of a message
+	FaultInterval       time.Duration // between two faults, in the mean; 0 = no faults
+	MaxFault            time.Duration // duration of a fault
+	MembershipTimeout   time.Duration // after which a proxy that is down or cut off is removed from the members
 	ClockSkew           float64       // by which the rates of clocks differ at most
 	DeduplicationWindow time.Duration // for which a database remembers a key
-	ClientTimeout       time.Duration // that a client waits
-	MaxRunTime          time.Duration // that a write takes at the database, at most: late ones in ten times that
-	Retries             int           // how often clients ask again
-	MaxConcurrentFaults int           // proxies that may be down, paused or cut off at one time; 0 = any number
-	FaultPause          time.Duration // behind a fault before the next may begin, where Together is set
-	HeldShare           float64       // part of the writes that wait for a primary, for up to Limit
-	PauseBeforeWrite    bool          // a proxy may stand still between its look at the promise and its write
-	MaxRetryPause       time.Duration // a client asks again after so long at the latest
+	ClientTimeout       time.Duration
+	MaxRunTime          time.Duration // of a write at the database; one in ten takes up to ten times as long
+	Retries             int           // of a client
+	MaxConcurrentFaults int           // 0 = any number
+	FaultPause          time.Duration // after a fault before the next one, with MaxConcurrentFaults
+	HeldShare           float64       // of the writes that wait for a primary, for up to ClientTimeout
+	PauseBeforeWrite    bool          // a proxy may be paused between its check of the lease and its write
+	MaxRetryPause       time.Duration // before a client retries; 0 = it retries after ClientTimeout
 }
 
-// Result is what came of it.
+// Result counts what happened, by key unless it says otherwise.
 type Result struct {
-	Writes, Served, Refused, Failed, Unanswered int // by the last answer that a client heard
-	Applied                                     int // keys that were applied
-	Doubled                                     int // that were applied more than once
-	ServedUnapplied                             int // answers 'served' without an application
-	RefusedApplied                              int // answers 'refused' where the key was applied, before or behind
-	RefusedAfterServed                          int // 'refused' behind 'served'
-	SentAfterTakeover                           int // keys that an owner sent behind one who had taken them over and sent
-	FailedAfterServed                           int // 'failed' behind 'served': it can't be known where the client asked again
+	Writes, Served, Refused, Failed, Unanswered int // by the last answer that the client received
+	Applied                                     int
+	Doubled                                     int // applied more than once
+	ServedUnapplied                             int // answered as served, but not applied
+	RefusedApplied                              int // answered as refused, but applied
+	RefusedAfterServed                          int
+	SentAfterTakeover                           int // sent by a former owner after its successor had sent it
+	FailedAfterServed                           int // allowed: the proxy of a late retry may not learn the outcome
 	FirstBreach                                 string
-	Counters                                    takeover.Counters
+	Counters                                    takeover.Counters // summed over the proxies
 	Messages                                    int
 }
 
-// Breaches counts what must not be.
+// Violations counts the keys for which a guarantee was violated.
 func (r Result) Violations() int {
 	return r.Doubled + r.ServedUnapplied + r.RefusedApplied + r.RefusedAfterServed + r.SentAfterTakeover
 }
@@ -128,7 +128,7 @@
 	}
 }
 
-// Play plays it.
+// Run runs a simulation to its end.
 func Run(cfg Config) Result {
 	s := &simulation{config: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x3013)), keys: map[string]*keyHistory{},
 		repeats: handover.Config{}.WithDefaults()}
@@ -208,14 +208,14 @@
 // settle carries out what a proxy wants.
 func (s *simulation) settle(n *proxy) {
 	for n.registry != nil {
-		say, orders := n.registry.TakeReady()
-		if len(say)+len(orders) == 0 {
+		ready := n.registry.TakeReady()
+		if ready.Empty() {
 			return
 		}
-		for _, x := range say {
+		for _, x := range ready.Messages {
 			s.send(n, x)
 		}
-		for _, o := range orders {
+		for _, o := range ready.Actions {
 			s.act(n, o)
 		}
 	}
--- a/internal/net/work.go
+++ b/internal/net/work.go
@@ -26,7 +26,7 @@
 )
 
 // Work carries what a tier's proxies say to one another of work in hand: a link to each member that there is something to tell, and a listener for
-// theirs. It decides nothing: takeover.Book does. All of it runs on the loop.
+// theirs. It decides nothing: takeover.Registry does. All of it runs on the loop.
 type Work struct {
 	loop      *Loop
 	clock     state.Clock
@@ -131,14 +131,14 @@
 	w.busy = true
 	defer func() { w.busy = false }()
 	for {
-		say, orders := w.book.TakeReady()
-		if len(say)+len(orders) == 0 {
+		ready := w.book.TakeReady()
+		if ready.Empty() {
 			break
 		}
-		for _, s := range say {
+		for _, s := range ready.Messages {
 			w.tell(s)
 		}
-		for _, o := range orders {
+		for _, o := range ready.Actions {
 			w.do(o)
 		}
 	}
--- a/internal/takeover/exploration.go
+++ b/internal/takeover/exploration.go
@@ -7,106 +7,136 @@
 	"time"
 )
 
-// What explorers of all states need: copies, and a text by which equal states are known as such.
+// Copies and encodings of the state for the exhaustive exploration in internal/lab/explore.
 
-// Clone gives a copy that shares nothing that changes.
-func (b *Registry) Clone() *Registry {
-	c := *b
-	c.past, c.clocks, c.unreachable = slices.Clone(b.past), maps.Clone(b.clocks), maps.Clone(b.unreachable)
-	c.messages, c.actions = slices.Clone(b.messages), slices.Clone(b.actions)
-	c.records, c.tasks = make(map[string]*record, len(b.records)), make(map[string]*task, len(b.tasks))
-	for k, r := range b.records {
-		x := *r
-		c.records[k] = &x
+// Clone returns a copy that shares no mutable data with r.
+func (r *Registry) Clone() *Registry {
+	c := *r
+	c.past, c.clocks, c.unreachable = slices.Clone(r.past), maps.Clone(r.clocks), maps.Clone(r.unreachable)
+	c.ready.Messages, c.ready.Actions = slices.Clone(r.ready.Messages), slices.Clone(r.ready.Actions)
+	c.records = make(map[string]*record, len(r.records))
+	for key, rec := range r.records {
+		clone := *rec
+		c.records[key] = &clone
 	}
-	for k, t := range b.tasks {
-		x := *t
-		x.requests, x.answers, x.grants = slices.Clone(t.requests), maps.Clone(t.answers), maps.Clone(t.grants)
-		x.storedAt, x.resentSeq = maps.Clone(t.storedAt), maps.Clone(t.resentSeq)
-		c.tasks[k] = &x
+	c.tasks = make(map[string]*task, len(r.tasks))
+	for key, t := range r.tasks {
+		c.tasks[key] = t.clone()
 	}
 	return &c
 }
 
-// AppendState writes all that the book's further course hangs on; times count from now, and those that lie further back than far are alike.
-func (b *Registry) AppendState(dst []byte, now, far time.Duration) []byte {
-	n := func(x ...uint64) {
-		for _, v := range x {
-			dst = binary.AppendUvarint(dst, v)
-		}
+func (t *task) clone() *task {
+	c := *t
+	c.requests, c.answers, c.grants = slices.Clone(t.requests), maps.Clone(t.answers), maps.Clone(t.grants)
+	c.storedAt, c.resentSeq = maps.Clone(t.storedAt), maps.Clone(t.resentSeq)
+	return &c
+}
+
+// encoder appends values to a state's encoding. Times are relative to now; ages beyond limit are alike.
+type encoder struct {
+	dst        []byte
+	now, limit time.Duration
+}
+
+func (e *encoder) numbers(values ...uint64) {
+	for _, value := range values {
+		e.dst = binary.AppendUvarint(e.dst, value)
 	}
-	at := func(t time.Duration) { dst = binary.AppendVarint(dst, int64(min(max(now-t, -far), far))) }
-	flag := func(flags ...bool) {
-		x := uint64(0)
-		for i, f := range flags {
-			if f {
-				x |= 1 << i
-			}
+}
+
+func (e *encoder) age(at time.Duration) {
+	e.dst = binary.AppendVarint(e.dst, int64(min(max(e.now-at, -e.limit), e.limit)))
+}
+
+func (e *encoder) flags(flags ...bool) {
+	bits := uint64(0)
+	for i, flag := range flags {
+		if flag {
+			bits |= 1 << i
 		}
-		n(x)
 	}
-	result := func(r *Result) {
-		if r == nil {
-			n(0)
-			return
-		}
-		n(uint64(r.Outcome) + 1)
+	e.numbers(bits)
+}
+
+func (e *encoder) result(result *Result) {
+	if result == nil {
+		e.numbers(0)
+		return
+	}
+	e.numbers(uint64(result.Outcome) + 1)
+}
+
+// AppendState appends an encoding of all that the registry's future behaviour depends on. Times are relative to now; those that lie further
+// back than limit are alike.
+func (r *Registry) AppendState(dst []byte, now, limit time.Duration) []byte {
+	e := &encoder{dst: dst, now: now, limit: limit}
+	e.numbers(uint64(r.self), r.seq)
+	for _, member := range r.members {
+		e.numbers(uint64(member))
 	}
-	n(uint64(b.self), b.seq)
-	for _, m := range b.members {
-		n(uint64(m))
+	for _, key := range slices.Sorted(maps.Keys(r.records)) {
+		e.dst = append(append(e.dst, 'k'), key...)
+		e.record(r.records[key])
 	}
-	for _, k := range slices.Sorted(maps.Keys(b.records)) {
-		r := b.records[k]
-		dst = append(append(dst, 'k'), k...)
-		n(uint64(r.owner), uint64(r.epoch), uint64(r.ownerCount), r.work.Digest)
-		flag(r.unreplicated, r.sent, r.secondHand)
-		result(r.result)
-		if at(r.storedAt); r.result != nil {
-			at(r.endedAt)
-		} else {
-			at(r.leaseEnd)
-			at(r.deadline)
-		}
+	for _, key := range slices.Sorted(maps.Keys(r.tasks)) {
+		e.dst = append(append(e.dst, 't'), key...)
+		e.task(r.tasks[key])
+		e.answers(r.tasks[key])
 	}
-	for _, k := range slices.Sorted(maps.Keys(b.tasks)) {
-		t := b.tasks[k]
-		dst = append(append(dst, 't'), k...)
-		n(uint64(t.stage), uint64(t.epoch), t.seq, t.firstSeq, t.work.Digest, uint64(len(t.requests)))
-		n(t.requests...)
-		flag(t.answered, t.unreplicated, t.sent, t.takenOver != nil)
-		result(t.result)
-		at(t.stageBegan)
-		at(t.lastRequest)
-		at(t.deadline)
-		for _, m := range slices.Sorted(maps.Keys(t.storedAt)) {
-			n(uint64(m))
-			at(t.storedAt[m])
-		}
-		for i := range uint64(len(t.requestTimes)) {
-			if t.seq >= i && t.seq-i >= t.firstSeq {
-				at(t.requestTimes[(t.seq-i)%uint64(len(t.requestTimes))])
-			}
-		}
-		for _, m := range slices.Sorted(maps.Keys(t.answers)) {
-			x := t.answers[m]
-			n(uint64(m), uint64(x.Kind), uint64(x.Epoch), uint64(x.Owner), uint64(x.OwnerCount))
-			flag(x.Expired)
-		}
-		for _, m := range slices.Sorted(maps.Keys(t.grants)) {
-			n(uint64(m))
-			at(t.grants[m])
+	return e.dst
+}
+
+func (e *encoder) record(rec *record) {
+	e.numbers(uint64(rec.owner), uint64(rec.epoch), uint64(rec.ownerCount), rec.work.Digest)
+	e.flags(rec.unreplicated, rec.sent, rec.secondHand)
+	e.result(rec.result)
+	e.age(rec.storedAt)
+	if rec.result != nil {
+		e.age(rec.endedAt)
+		return
+	}
+	e.age(rec.leaseEnd)
+	e.age(rec.deadline)
+}
+
+func (e *encoder) task(t *task) {
+	e.numbers(uint64(t.stage), uint64(t.epoch), t.seq, t.firstSeq, t.work.Digest, uint64(len(t.requests)))
+	e.numbers(t.requests...)
+	e.flags(t.answered, t.unreplicated, t.sent, t.takenOver != nil)
+	e.result(t.result)
+	e.age(t.stageBegan)
+	e.age(t.lastRequest)
+	e.age(t.deadline)
+}
+
+func (e *encoder) answers(t *task) {
+	for _, member := range slices.Sorted(maps.Keys(t.storedAt)) {
+		e.numbers(uint64(member))
+		e.age(t.storedAt[member])
+	}
+	for i := range uint64(maxRequestsInFlight) {
+		if t.seq >= i && t.seq-i >= t.firstSeq {
+			e.age(*t.requestTime(t.seq - i))
 		}
 	}
-	return dst
+	for _, member := range slices.Sorted(maps.Keys(t.answers)) {
+		answer := t.answers[member]
+		e.numbers(uint64(member), uint64(answer.Kind), uint64(answer.Epoch), uint64(answer.Owner), uint64(answer.OwnerCount))
+		e.flags(answer.Expired)
+	}
+	for _, member := range slices.Sorted(maps.Keys(t.grants)) {
+		e.numbers(uint64(member))
+		e.age(t.grants[member])
+	}
 }
 
-// Deaf tells of a message that this proxy takes no notice of, now and ever: an answer to an ask of a stage that is over.
-func (b *Registry) Ignores(m Message) bool {
+// Ignores reports whether a message has no effect now or later: an answer to a request of an earlier stage.
+func (r *Registry) Ignores(m Message) bool {
 	switch m.Kind {
 	case Stored, NotOwner, NotFound, Full:
-		t := b.tasks[m.Key]
-		return t == nil && m.Seq <= b.seq || t != nil && m.Seq < t.firstSeq
+		t := r.tasks[m.Key]
+		return t == nil && m.Seq <= r.seq || t != nil && m.Seq < t.firstSeq
 	}
 	return false
 }
--- a/internal/takeover/replica.go
+++ b/internal/takeover/replica.go
@@ -1,211 +1,210 @@
 package takeover
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-// record is one that is kept, for whomever.
+// record is what a replica stores of a write.
 type record struct {
 	work         Work
-	storedAt     time.Duration // when it was first held here
-	deadline     time.Duration // when its client gives up
+	storedAt     time.Duration // when it was first stored here
+	deadline     time.Duration // of the client
 	owner        Member
 	epoch        Epoch
-	leaseEnd     time.Duration // nobody else gets it before
-	ownerCount   int           // that it was held for here
-	unreplicated bool          // its first owner may have sent it without enough keepers
-	sent         bool          // an owner may have sent it, by its own word
-	secondHand   bool          // it comes of another keeper or a claimant: when it began, and whether others have forgotten it, isn't known here
-	result       *Result
+	leaseEnd     time.Duration // no other owner is accepted before
+	ownerCount   int           // owners that it was stored for
+	unreplicated bool          // its first owner may have sent it without a quorum
+	sent         bool          // an owner has announced that it may have sent it
+	secondHand   bool          // not received from its first owner: when it began, and whether others have dropped it, is unknown
+	result       *Result       // nil = it has not ended
 	endedAt      time.Duration
 }
 
-// hear takes a message as a keeper, and answers it.
-func (b *Registry) receiveAsReplica(now time.Duration, from Member, m Message) {
+// replicaRequest is a request of another proxy, or of this one, for a record.
+type replicaRequest struct {
+	Message
+	now  time.Duration
+	from Member
+	key  string
+	rec  *record // nil = it is not stored here
+}
+
+// receiveAsReplica handles a request and answers it.
+func (r *Registry) receiveAsReplica(now time.Duration, from Member, m Message) {
 	key := m.Key
 	if m.Work != nil {
 		key = m.Work.Key
 	}
-	r := b.records[key]
-	answer := func(x Message) {
-		x.Key, x.Seq = key, m.Seq
-		b.send(now, from, x)
-	}
-	other := func() {
-		x := Message{Kind: NotOwner, Epoch: r.epoch, Owner: r.owner, Result: r.result, Expired: b.expired(now, r), Digest: r.work.Digest, Age: now - r.storedAt}
-		answer(x)
-	}
-	grant := func(owners int) {
-		r.owner = from
-		r.leaseEnd = max(r.leaseEnd, now+b.config.Lease+b.config.ClockMargin)
-		work := r.work
-		work.TimeLeft = max(r.deadline-now, 0)
-		answer(Message{Kind: Stored, Epoch: r.epoch, OwnerCount: owners, Age: now - r.storedAt, Work: &work, Unreplicated: r.unreplicated, Sent: r.sent, SecondHand: r.secondHand})
-	}
-	if r == nil && (m.Kind == Store || m.Kind == TakeOver || m.Kind == Transfer) && from != b.self && now-m.Echo > b.config.Retention/2 && !b.config.DisabledGuards.Has(NoAgeCheck) {
-		// The fence against what comes once its record was forgotten: that is Keep behind its end at the earliest.
-		answer(Message{Kind: ClockUnknown})
+	req := &replicaRequest{Message: m, now: now, from: from, key: key, rec: r.records[key]}
+	if req.createsRecord() && from != r.self && now-m.Echo > r.config.Retention/2 && !r.config.DisabledGuards.Has(NoAgeCheck) {
+		// Fence against a message from before the record was dropped, which is Retention after its end at the earliest.
+		r.answerRequest(req, Message{Kind: ClockUnknown})
 		return
 	}
 	switch m.Kind {
 	case Store:
-		switch {
-		case m.Work == nil:
-		case r == nil && len(b.records) >= b.config.MaxRecords:
-			b.Counters.Full++
-			answer(Message{Kind: Full})
-		case r == nil:
-			r = &record{work: *m.Work, storedAt: now, deadline: now + m.Work.TimeLeft, epoch: 1, ownerCount: 1, unreplicated: m.Unreplicated}
-			b.records[key] = r
-			grant(1)
-		case r.result == nil && r.owner == from && r.epoch == 1 && r.work.Digest == m.Work.Digest:
-			grant(1)
-		default:
-			other()
-		}
+		r.receiveStore(req)
 	case TakeOver:
-		switch {
-		case m.Work == nil:
-		case r == nil: // it never came here, and won't any more: Take finds the record
-			r = &record{work: *m.Work, storedAt: now, deadline: now + m.Work.TimeLeft, epoch: m.Epoch, ownerCount: 1, unreplicated: m.Unreplicated, secondHand: true}
-			b.records[key] = r
-			grant(0)
-		case r.result != nil || r.work.Digest != m.Work.Digest:
-			other()
-		case r.owner == from && r.epoch == m.Epoch:
-			grant(r.ownerCount - 1)
-		case m.Epoch <= r.epoch && !b.config.DisabledGuards.Has(NoEpochCheck), !b.expired(now, r) && !b.config.DisabledGuards.Has(NoPromiseCheck):
-			other()
-		default:
-			r.epoch, r.leaseEnd = m.Epoch, 0
-			r.ownerCount++
-			grant(r.ownerCount - 1)
-		}
+		r.receiveTakeOver(req)
 	case Renew, MarkSent:
-		switch {
-		case r == nil:
-			answer(Message{Kind: NotFound})
-		case r.result != nil, (r.owner != from || r.epoch != m.Epoch) && !b.config.DisabledGuards.Has(NoEpochCheck): // the fence against an owner that has been followed by another
-			other()
-		default:
-			if m.Kind == MarkSent {
-				r.sent = true
-				return
-			}
-			grant(r.ownerCount)
-		}
+		r.receiveRenew(req)
 	case Discard:
-		if r != nil && r.owner == from && r.epoch == 1 && m.Epoch == 1 && r.result == nil && !r.sent {
-			delete(b.records, key)
-		}
+		r.receiveDiscard(req)
 	case Complete:
-		if m.Result == nil {
-			return
-		}
-		switch {
-		case r == nil: // it never came here, but has ended: who asks again is to hear so
-			r = &record{work: Work{Key: key, Digest: m.Digest}, storedAt: now, owner: from, epoch: m.Epoch, ownerCount: 1}
-			b.records[key] = r
-			fallthrough
-		case r.result == nil && r.owner == from && r.epoch == m.Epoch, m.Result.Outcome == Served && (r.result == nil || r.result.Outcome != Served):
-			// That it was applied stays true, whoever owns it by now.
-			x := *m.Result
-			r.result, r.endedAt = &x, now
-		}
-		if r != nil && r.result != nil {
-			answer(Message{Kind: NotOwner, Epoch: r.epoch, Owner: r.owner, Result: r.result, Digest: r.work.Digest})
-		}
+		r.receiveComplete(req)
 	case Transfer:
-		b.receiveTransfer(now, key, r, m)
+		r.receiveTransfer(req)
 	case Query:
-		if r == nil {
-			answer(Message{Kind: NotFound})
-			return
-		}
-		other()
+		r.receiveQuery(req)
 	}
 }
 
-func (b *Registry) expired(now time.Duration, r *record) bool {
-	return r.result == nil && now >= r.leaseEnd
-}
-
-// watch looks after what is kept for others: what nobody owns any more is claimed, what has ended long ago forgotten.
-func (b *Registry) checkRecords(now time.Duration) {
-	for _, key := range b.dueRecords(now) {
-		r := b.records[key]
-		switch {
-		case r.result != nil:
-			if now-r.endedAt >= b.config.Retention || b.config.DisabledGuards.Has(NoRetention) {
-				delete(b.records, key)
-			}
-		case b.tasks[key] != nil: // this proxy has it in hand already
-		case now >= r.deadline+b.config.Retention: // nobody could be asked about it for as long
-			delete(b.records, key)
-		case b.expired(now, r):
-			rank := 0
-			if s := b.replicaSets(now, key); len(s) > 0 {
-				rank = max(slices.Index(s[0].members, b.self), 0)
-			}
-			if now >= r.leaseEnd+time.Duration(rank)*b.config.Lease/4 { // not all at once
-				b.takeOver(now, key, r.work, r.epoch, r.deadline, r.unreplicated, r.sent)
-			}
-		}
+// createsRecord reports whether the request may create a record.
+func (req *replicaRequest) createsRecord() bool {
+	return req.rec == nil && (req.Kind == Store || req.Kind == TakeOver || req.Kind == Transfer)
+}
+
+// fromOwner reports whether the record's present owner sent the request.
+func (req *replicaRequest) fromOwner(epoch Epoch) bool {
+	return req.rec.owner == req.from && req.rec.epoch == epoch
+}
+
+func (r *Registry) answerRequest(req *replicaRequest, answer Message) {
+	answer.Key, answer.Seq = req.key, req.Seq
+	r.send(req.now, req.from, answer)
+}
+
+// answerNotOwner answers with the present state of the record.
+func (r *Registry) answerNotOwner(req *replicaRequest) {
+	rec := req.rec
+	r.answerRequest(req, Message{Kind: NotOwner, Epoch: rec.epoch, Owner: rec.owner, Result: rec.result,
+		Expired: rec.expired(req.now), Digest: rec.work.Digest, Age: req.now - rec.storedAt})
+}
+
+// grantLease makes the sender the owner. ownerCount is what it is told.
+func (r *Registry) grantLease(req *replicaRequest, ownerCount int) {
+	rec := req.rec
+	rec.owner = req.from
+	rec.leaseEnd = max(rec.leaseEnd, req.now+r.config.replicaLease())
+	r.answerRequest(req, Message{Kind: Stored, Epoch: rec.epoch, OwnerCount: ownerCount, Age: req.now - rec.storedAt,
+		Work: rec.workLeft(req.now), Unreplicated: rec.unreplicated, Sent: rec.sent, SecondHand: rec.secondHand})
+}
+
+// workLeft returns the work with the time that is left to the client's deadline.
+func (rec *record) workLeft(now time.Duration) *Work {
+	work := rec.work
+	work.TimeLeft = max(rec.deadline-now, 0)
+	return &work
+}
+
+// expired reports whether the owner's lease has expired before the write ended.
+func (rec *record) expired(now time.Duration) bool {
+	return rec.result == nil && now >= rec.leaseEnd
+}
+
+// create stores a record.
+func (r *Registry) create(req *replicaRequest, rec *record) {
+	rec.storedAt, rec.ownerCount = req.now, max(rec.ownerCount, 1)
+	r.records[req.key] = rec
+	req.rec = rec
+}
+
+func (r *Registry) receiveStore(req *replicaRequest) {
+	rec := req.rec
+	switch {
+	case req.Work == nil:
+	case rec == nil && len(r.records) >= r.config.MaxRecords:
+		r.Counters.Full++
+		r.answerRequest(req, Message{Kind: Full})
+	case rec == nil:
+		r.create(req, &record{work: *req.Work, deadline: req.now + req.Work.TimeLeft, epoch: firstEpoch, unreplicated: req.Unreplicated})
+		r.grantLease(req, 1)
+	case rec.result == nil && req.fromOwner(firstEpoch) && rec.work.Digest == req.Work.Digest: // a duplicate
+		r.grantLease(req, 1)
+	default:
+		r.answerNotOwner(req)
 	}
 }
 
-// repair hands what is kept here to those who have become keepers of it, since a list of members that lacks one that was. Without, the loss of a
-// second keeper within the time that a record is of use would lose it.
-func (b *Registry) transferRecords(now time.Duration) {
-	if len(b.past) == 0 {
+func (r *Registry) receiveTakeOver(req *replicaRequest) {
+	if req.Work == nil {
+		return
+	}
+	rec := req.rec
+	if rec == nil { // it never came here, and a late Store finds this record
+		r.create(req, &record{work: *req.Work, deadline: req.now + req.Work.TimeLeft, epoch: req.Epoch, unreplicated: req.Unreplicated, secondHand: true})
+		r.grantLease(req, 0)
 		return
 	}
-	before := b.past[len(b.past)-1].members
-	keys := make([]string, 0, len(b.records))
-	for key := range b.records {
-		keys = append(keys, key)
+	disabled := r.config.DisabledGuards
+	switch {
+	case rec.result != nil || rec.work.Digest != req.Work.Digest:
+		r.answerNotOwner(req)
+	case req.fromOwner(req.Epoch): // a duplicate
+		r.grantLease(req, rec.ownerCount-1)
+	case req.Epoch <= rec.epoch && !disabled.Has(NoEpochCheck):
+		r.answerNotOwner(req)
+	case !rec.expired(req.now) && !disabled.Has(NoPromiseCheck):
+		r.answerNotOwner(req)
+	default:
+		rec.epoch, rec.leaseEnd = req.Epoch, 0
+		rec.ownerCount++
+		r.grantLease(req, rec.ownerCount-1)
 	}
-	slices.Sort(keys)
-	for _, key := range keys {
-		r := b.records[key]
-		was := selectReplicas(key, before, 2*b.config.Quorum-1)
-		for _, m := range selectReplicas(key, b.members, 2*b.config.Quorum-1) {
-			if slices.Contains(was, m) || m == b.self {
-				continue
-			}
-			b.transfer(now, m, r)
-		}
+}
+
+// receiveRenew handles Renew and MarkSent, which only the owner may send.
+func (r *Registry) receiveRenew(req *replicaRequest) {
+	rec := req.rec
+	switch {
+	case rec == nil:
+		r.answerRequest(req, Message{Kind: NotFound})
+	case rec.result != nil:
+		r.answerNotOwner(req)
+	case !req.fromOwner(req.Epoch) && !r.config.DisabledGuards.Has(NoEpochCheck): // fence against a former owner
+		r.answerNotOwner(req)
+	case req.Kind == MarkSent:
+		rec.sent = true
+	default:
+		r.grantLease(req, rec.ownerCount)
 	}
 }
 
-// copy hands a record on.
-func (b *Registry) transfer(now time.Duration, to Member, r *record) {
-	work := r.work
-	work.TimeLeft = max(r.deadline-now, 0)
-	x := Message{Kind: Transfer, Work: &work, Epoch: r.epoch, Owner: r.owner, OwnerCount: r.ownerCount, Result: r.result, Unreplicated: r.unreplicated, Sent: r.sent}
-	if r.result != nil {
-		x.SinceEnd = now - r.endedAt
+func (r *Registry) receiveDiscard(req *replicaRequest) {
+	rec := req.rec
+	if rec != nil && req.Epoch == firstEpoch && req.fromOwner(firstEpoch) && rec.result == nil && !rec.sent {
+		delete(r.records, req.key)
 	}
-	b.send(now, to, x)
 }
 
-// copied takes a record from another keeper. Its owner may hold a promise of others that is as long as any: the same is kept here.
-func (b *Registry) receiveTransfer(now time.Duration, key string, r *record, m Message) {
-	if m.Work == nil || m.SinceEnd >= b.config.Retention || len(b.records) >= b.config.MaxRecords && r == nil {
+func (r *Registry) receiveComplete(req *replicaRequest) {
+	if req.Result == nil {
 		return
 	}
-	switch {
-	case r == nil:
-		r = &record{work: *m.Work, storedAt: now, deadline: now + m.Work.TimeLeft, owner: m.Owner, epoch: m.Epoch, ownerCount: max(m.OwnerCount, 1), unreplicated: m.Unreplicated,
-			sent: m.Sent, secondHand: true, leaseEnd: now + b.config.Lease + b.config.ClockMargin}
-		b.records[key] = r
-	case m.Epoch > r.epoch && r.result == nil:
-		r.owner, r.epoch, r.ownerCount, r.leaseEnd = m.Owner, m.Epoch, max(r.ownerCount, m.OwnerCount), max(r.leaseEnd, now+b.config.Lease+b.config.ClockMargin)
+	created := req.rec == nil
+	if created { // it never came here, but a client that retries is to learn the outcome
+		r.create(req, &record{work: Work{Key: req.key, Digest: req.Digest}, owner: req.from, epoch: req.Epoch})
 	}
-	r.unreplicated, r.sent = r.unreplicated || m.Unreplicated, r.sent || m.Sent
-	if m.Result != nil && (r.result == nil || m.Result.Outcome == Served && r.result.Outcome != Served) {
-		x := *m.Result
-		r.result, r.endedAt = &x, now-m.SinceEnd
+	rec := req.rec
+	if created || rec.result == nil && req.fromOwner(req.Epoch) || rec.supersedes(req.Result) {
+		rec.end(req.now, *req.Result)
+	}
+	if rec.result != nil {
+		r.answerRequest(req, Message{Kind: NotOwner, Epoch: rec.epoch, Owner: rec.owner, Result: rec.result, Digest: rec.work.Digest})
+	}
+}
+
+// supersedes reports whether a result replaces the record's: that a write was applied stays true, whoever owns it.
+func (rec *record) supersedes(result *Result) bool {
+	return result.Outcome == Served && (rec.result == nil || rec.result.Outcome != Served)
+}
+
+func (rec *record) end(at time.Duration, result Result) {
+	rec.result, rec.endedAt = &result, at
+}
+
+func (r *Registry) receiveQuery(req *replicaRequest) {
+	if req.rec == nil {
+		r.answerRequest(req, Message{Kind: NotFound})
+		return
 	}
+	r.answerNotOwner(req)
 }
--- a/internal/takeover/replica_sets.go
+++ b/internal/takeover/replica_sets.go
@@ -1,6 +1,7 @@
 package takeover
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -8,115 +9,111 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// view is a list of the tier's members, as it held until some time.
+// memberList is a list of the tier's members that some proxy may use until then.
 type memberList struct {
 	members []Member // sorted
 	until   time.Duration
 }
 
-// weight ranks a member for a key: rendezvous hashing.
-func weight(key string, m Member) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], uint64(m))
-	d.Write(b[:])
-	d.WriteString(key)
-	return d.Sum64()
+// replicaSet is the replicas of a key by one list of members.
+type replicaSet struct {
+	members []Member
+	quorum  int // how many have to agree
 }
 
-// keepers gives the n members that rank highest for a key, the first one first.
+// count returns how many replicas a condition holds for.
+func (s replicaSet) count(holds func(Member) bool) int {
+	n := 0
+	for _, member := range s.members {
+		if holds(member) {
+			n++
+		}
+	}
+	return n
+}
+
+// weight ranks a member for a key (rendezvous hashing).
+func weight(key string, member Member) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	var number [8]byte
+	binary.LittleEndian.PutUint64(number[:], uint64(member))
+	digest.Write(number[:])
+	digest.WriteString(key)
+	return digest.Sum64()
+}
+
+// selectReplicas returns the n members with the greatest weight for a key, the greatest first; among equals the lower number.
 func selectReplicas(key string, members []Member, n int) []Member {
-	type ranked struct {
-		m Member
-		w uint64
+	type candidate struct {
+		member Member
+		weight uint64
 	}
-	best := make([]ranked, 0, n+1)
-	for _, m := range members {
-		r := ranked{m, weight(key, m)}
-		i, _ := slices.BinarySearchFunc(best, r, func(a, b ranked) int {
-			if a.w != b.w {
-				if a.w > b.w {
-					return -1
-				}
-				return 1
-			}
-			return int(a.m) - int(b.m)
-		})
-		if i < n {
-			if best = slices.Insert(best, i, r); len(best) > n {
-				best = best[:n]
-			}
+	byWeight := func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.member, b.member))
+	}
+	best := make([]candidate, 0, n+1)
+	for _, member := range members {
+		c := candidate{member: member, weight: weight(key, member)}
+		i, _ := slices.BinarySearchFunc(best, c, byWeight)
+		if i >= n {
+			continue
 		}
+		best = slices.Insert(best, i, c)
+		best = best[:min(len(best), n)]
 	}
-	out := make([]Member, len(best))
-	for i, r := range best {
-		out[i] = r.m
+	replicas := make([]Member, len(best))
+	for i, c := range best {
+		replicas[i] = c.member
 	}
-	return out
+	return replicas
 }
 
-// sets gives the sets of keepers that a key has now and may have had for whoever still acts on an earlier list of members. What is agreed has
-// to be agreed by most of each: two owners that go by different lists ask one set at least in common.
-func (b *Registry) replicaSets(now time.Duration, key string) (out []replicaSet) {
-	add := func(members []Member) {
-		s := replicaSet{members: selectReplicas(key, members, 2*b.config.Quorum-1)}
-		for _, o := range out {
-			if slices.Equal(o.members, s.members) {
-				return
-			}
-		}
-		// A member that has left is gone for good, and what it knew with it: of the rest all have to agree where most can't any more.
-		living := 0
-		for _, m := range s.members {
-			if _, ok := slices.BinarySearch(b.members, m); ok {
-				living++
-			}
-		}
-		if s.quorum = min(len(s.members)/2+1, living); b.config.DisabledGuards.Has(NoMajority) {
-			s.quorum = min(1, living)
-		}
-		out = append(out, s)
-	}
-	add(b.members)
-	for _, v := range b.past {
-		if now < v.until {
-			add(v.members)
+// replicaSets returns the replicas of a key by the present list of members, and by each earlier one that others may still use. Agreement takes
+// a quorum of each, so that two owners that use different lists have at least one set in common.
+func (r *Registry) replicaSets(now time.Duration, key string) []replicaSet {
+	sets := r.appendReplicaSet(nil, key, r.members)
+	for _, list := range r.past {
+		if now < list.until {
+			sets = r.appendReplicaSet(sets, key, list.members)
 		}
 	}
-	return out
+	return sets
 }
 
-// set is one of keepers.
-type replicaSet struct {
-	members []Member
-	quorum  int // of them have to agree
+// appendReplicaSet appends the set of a list, unless it is there already.
+func (r *Registry) appendReplicaSet(sets []replicaSet, key string, members []Member) []replicaSet {
+	set := replicaSet{members: selectReplicas(key, members, r.config.replicas())}
+	if slices.ContainsFunc(sets, func(other replicaSet) bool { return slices.Equal(other.members, set.members) }) {
+		return sets
+	}
+	// A member that has left does not come back, and its records are lost: where the others are no majority, all of them have to agree.
+	present := set.count(func(member Member) bool {
+		_, ok := slices.BinarySearch(r.members, member)
+		return ok
+	})
+	majority := len(set.members)/2 + 1
+	if r.config.DisabledGuards.Has(NoMajority) {
+		majority = 1
+	}
+	set.quorum = min(majority, present)
+	return append(sets, set)
 }
 
-// enough tells whether most of each set are among those that something holds for.
+// hasQuorum reports whether a condition holds for a quorum of each set.
 func hasQuorum(sets []replicaSet, holds func(Member) bool) bool {
-	for _, s := range sets {
-		n := 0
-		for _, m := range s.members {
-			if holds(m) {
-				n++
-			}
-		}
-		if n < s.quorum {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(sets, func(set replicaSet) bool { return set.count(holds) < set.quorum })
 }
 
-// all gives the members of all sets, each once.
-func allReplicas(sets []replicaSet) (out []Member) {
-	for _, s := range sets {
-		for _, m := range s.members {
-			if !slices.Contains(out, m) {
-				out = append(out, m)
+// allReplicas returns the members of all sets, each once.
+func allReplicas(sets []replicaSet) []Member {
+	var members []Member
+	for _, set := range sets {
+		for _, member := range set.members {
+			if !slices.Contains(members, member) {
+				members = append(members, member)
 			}
 		}
 	}
-	return out
+	return members
 }
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -48,9 +48,9 @@
 			if b == nil {
 				continue
 			}
-			say, orders := b.TakeReady()
-			p.actions[m] = append(p.actions[m], orders...)
-			for _, s := range say {
+			ready := b.TakeReady()
+			p.actions[m] = append(p.actions[m], ready.Actions...)
+			for _, s := range ready.Messages {
 				again = true
 				arrive := func() {
 					if to := p.registries[s.To]; to != nil {
@@ -395,16 +395,16 @@
 	k.Tick(p.now)
 	w := work("k2")
 	k.Receive(p.now, far[0], Message{Kind: Store, Work: &w, Seq: 900, Echo: p.now, Clock: p.now})
-	if say, orders := k.TakeReady(); len(say)+len(orders) > 0 || len(k.records) != 1 {
-		t.Errorf("a keeper says %+v, does %+v, keeps %d", say, orders, len(k.records))
+	if ready := k.TakeReady(); !ready.Empty() || len(k.records) != 1 {
+		t.Errorf("a keeper says %+v, does %+v, keeps %d", ready.Messages, ready.Actions, len(k.records))
 	}
 	p.begin(far[0], 2, w, Required)
 	p.want(far[0], "a new one", Reject)
 	k.SetMembers(p.now, 77, p.registries[1].members, p.now)
 	k.ExtendMembership(p.now + time.Second)
 	k.Tick(p.now)
-	if say, _ := k.TakeReady(); len(say) > 0 || len(k.records) > 0 {
-		t.Errorf("under a new membership it says %+v", say)
+	if ready := k.TakeReady(); len(ready.Messages) > 0 || len(k.records) > 0 {
+		t.Errorf("under a new membership it says %+v", ready.Messages)
 	}
 }
 
