Rename internal/membership's API and internals to the standard terms

What a catalogue says of a member is a report; Source, Drop, Failed and News become AddCatalogue, DropCatalogue, CatalogueFailed and Update; Heard and Silent MarkAlive and MarkSilent. Mechanical, by the type checker; in internal/state only the calls change. The fields of Config keep their names, which the operator's file uses.

--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -13,112 +13,112 @@
 
 // Members is the merged view with what it is made of. It is not safe for concurrent use; times must not go back.
 type Members struct {
-	cfg     Config
-	sources []*source
-	byID    map[string]*Member // by any id that it bears
-	byPlace map[string]*Member // by address
-	order   []*Member          // in the order of their coming
-	view    *immutable.SortedMap[string, Entry]
-	dirty   []*Member
-	changed []Entry
-	version uint64
+	config    Config
+	sources   []*source
+	byID      map[string]*Member // by any id that it bears
+	byAddress map[string]*Member // by address
+	order     []*Member          // in the order of their coming
+	view      *immutable.SortedMap[string, Entry]
+	dirty     []*Member
+	changed   []Entry
+	version   uint64
 }
 
 // Member is one database.
 type Member struct {
 	Entry
-	m       *Members
-	said    []saying // by source
-	ids     []string
-	heard   time.Duration // the last sign of life; 0 = none
-	silent  bool
-	absent  time.Duration // since when no catalogue lists it; 0 = one does
-	failing time.Duration // since when all that list it call it critical; 0 = not all do
-	renamed time.Duration // when a new id came at its address; 0 = that is settled
-	newID   string        // that id
-	queued  bool
-}
-
-// saying is what a source says of a member.
-type saying struct {
+	members      *Members
+	reports      []report // by source
+	ids          []string
+	lastAlive    time.Duration // the last sign of life; 0 = none
+	silent       bool
+	absentSince  time.Duration // since when no catalogue lists it; 0 = one does
+	failingSince time.Duration // since when all that list it call it critical; 0 = not all do
+	renamedAt    time.Duration // when a new id came at its address; 0 = that is settled
+	newID        string        // that id
+	queued       bool
+}
+
+// report is what a catalogue says of a member.
+type report struct {
 	Fact
-	lists   bool
-	since   time.Duration // it has said so
-	lostAt  time.Duration // it listed it until then; 0 = it never did
-	penalty float64
-	at      time.Duration // when the penalty was reckoned
-	damped  bool
+	listed         bool
+	unchangedSince time.Duration // it has said so
+	delistedAt     time.Duration // it listed it until then; 0 = it never did
+	penalty        float64
+	penaltyAt      time.Duration // when the penalty was reckoned
+	damped         bool
 }
 
 type source struct {
-	name     string
-	trust    Trust
-	known    bool // it has answered
-	contact  time.Duration
-	index    uint64
-	behind   time.Duration
-	failures int
-	lastErr  string
-	skipped  int
-	listed   int
-	doubted  time.Duration // since when; 0 = it is not
-	before   int           // how many it listed before the doubt
-	doubts   int
-	dropped  bool
-}
-
-// New makes an empty view.
+	name         string
+	trust        Trust
+	hasAnswered  bool // it has answered
+	lastContact  time.Duration
+	index        uint64
+	behind       time.Duration
+	failures     int
+	lastErr      string
+	skipped      int
+	listed       int
+	doubtedSince time.Duration // since when; 0 = it is not
+	listedBefore int           // how many it listed before the doubt
+	doubts       int
+	dropped      bool
+}
+
+// New returns an empty view.
 func New(cfg Config) *Members {
-	return &Members{cfg: cfg.WithDefaults(), byID: map[string]*Member{}, byPlace: map[string]*Member{}, view: immutable.NewSortedMap[string, Entry](nil)}
+	return &Members{config: cfg.WithDefaults(), byID: map[string]*Member{}, byAddress: map[string]*Member{}, view: immutable.NewSortedMap[string, Entry](nil)}
 }
 
-// Configure puts other settings into force.
-func (m *Members) Configure(cfg Config) { m.cfg = cfg.WithDefaults() }
+// Configure replaces the settings.
+func (m *Members) Configure(cfg Config) { m.config = cfg.WithDefaults() }
 
-// Source names a catalogue before its first news, or changes how far it goes.
-func (m *Members) Source(name string, t Trust) {
+// AddCatalogue registers a catalogue before its first Update, or changes how far it is trusted.
+func (m *Members) AddCatalogue(name string, t Trust) {
 	if t.Weight == 0 {
 		t.Weight = 0.8
 	}
-	if s := m.source(name); s >= 0 {
+	if s := m.sourceIndex(name); s >= 0 {
 		m.sources[s].trust, m.sources[s].dropped = t, false
 		return
 	}
 	m.sources = append(m.sources, &source{name: name, trust: t})
 }
 
-func (m *Members) source(name string) int {
+func (m *Members) sourceIndex(name string) int {
 	return slices.IndexFunc(m.sources, func(s *source) bool { return s.name == name })
 }
 
-// Drop takes a catalogue's word out: another takes its place. Its members stay as those do that vanish.
-func (m *Members) Drop(now time.Duration, name string) {
-	i := m.source(name)
+// DropCatalogue removes a catalogue that another replaces. Its members are treated as no longer listed.
+func (m *Members) DropCatalogue(now time.Duration, name string) {
+	i := m.sourceIndex(name)
 	if i < 0 || m.sources[i].dropped {
 		return
 	}
-	m.sources[i].dropped, m.sources[i].listed, m.sources[i].known = true, 0, false
+	m.sources[i].dropped, m.sources[i].listed, m.sources[i].hasAnswered = true, 0, false
 	for _, x := range m.order {
-		if s := x.say(i); s.lists {
-			s.lists, s.lostAt = false, now
-			x.queue()
+		if s := x.report(i); s.listed {
+			s.listed, s.delistedAt = false, now
+			x.enqueue()
 		}
 	}
-	m.settle(now)
+	m.processQueue(now)
 }
 
-// Failed notes that a catalogue could not be asked. What it said stands, and loses weight.
-func (m *Members) Failed(now time.Duration, name string, why string) {
-	if i := m.source(name); i >= 0 {
+// CatalogueFailed records that a catalogue could not be queried. Its last reports stay in force and lose weight with time.
+func (m *Members) CatalogueFailed(now time.Duration, name string, why string) {
+	if i := m.sourceIndex(name); i >= 0 {
 		m.sources[i].failures++
 		m.sources[i].lastErr = why
 	}
-	m.settle(now)
+	m.processQueue(now)
 }
 
-// News takes in a catalogue's answer.
-func (m *Members) News(now time.Duration, name string, n News) {
-	i := m.source(name)
+// Update handles a catalogue's answer.
+func (m *Members) Update(now time.Duration, name string, n News) {
+	i := m.sourceIndex(name)
 	if i < 0 || m.sources[i].dropped {
 		return
 	}
@@ -130,21 +130,21 @@
 		n.Facts = slices.DeleteFunc(slices.Clone(n.Facts), func(f Fact) bool { return f.Health < Draining || f.Health == Terminated })
 		for _, f := range n.Facts {
 			if x := m.byID[f.ID]; x != nil && x.Address == f.Address {
-				x.take(now, i, f)
+				x.receive(now, i, f)
 			}
 		}
-		m.settle(now)
+		m.processQueue(now)
 		return
 	}
-	src.known, src.contact, src.index, src.behind, src.failures = true, now, n.Index, n.Behind, 0
+	src.hasAnswered, src.lastContact, src.index, src.behind, src.failures = true, now, n.Index, n.Behind, 0
 	src.skipped += n.Skipped
 	was := src.listed
 	seen := map[*Member]bool{}
 	for _, f := range n.Facts {
 		if f.Health == Terminated {
 			if x := m.byID[f.ID]; x != nil {
-				x.lose(now, i)
-				x.say(i).Health = Terminated
+				x.delist(now, i)
+				x.report(i).Health = Terminated
 			}
 			continue
 		}
@@ -158,45 +158,45 @@
 			continue
 		}
 		seen[x] = true
-		x.take(now, i, f)
+		x.receive(now, i, f)
 	}
 	vanished := 0
 	if n.Whole {
 		for _, x := range m.order {
-			if x.say(i).lists && !seen[x] {
+			if x.report(i).listed && !seen[x] {
 				vanished++
 			}
 		}
 		// Doubt comes before the members lose their places, so that none is dropped by what is doubted.
-		if !src.trust.Binding && was >= m.cfg.Least && float64(vanished) > m.cfg.Panic*float64(was) && src.doubted == 0 {
-			src.doubted, src.before = now, was
+		if !src.trust.Binding && was >= m.config.Least && float64(vanished) > m.config.Panic*float64(was) && src.doubtedSince == 0 {
+			src.doubtedSince, src.listedBefore = now, was
 			src.doubts++
 		}
 		for _, x := range m.order {
-			if x.say(i).lists && !seen[x] {
-				x.lose(now, i)
+			if x.report(i).listed && !seen[x] {
+				x.delist(now, i)
 			}
 		}
 	}
 	src.listed = 0
 	for _, x := range m.order {
-		if x.say(i).lists {
+		if x.report(i).listed {
 			src.listed++
 		}
 	}
-	if src.doubted > 0 && float64(src.listed) >= (1-m.cfg.Panic/2)*float64(src.before) {
-		m.believe(now, i)
+	if src.doubtedSince > 0 && float64(src.listed) >= (1-m.config.Panic/2)*float64(src.listedBefore) {
+		m.endDoubt(now, i)
 	}
-	m.settle(now)
+	m.processQueue(now)
 }
 
 // believe ends the doubt in a catalogue. What it doesn't list counts as lost from now on.
-func (m *Members) believe(now time.Duration, i int) {
-	m.sources[i].doubted = 0
+func (m *Members) endDoubt(now time.Duration, i int) {
+	m.sources[i].doubtedSince = 0
 	for _, x := range m.order {
-		if s := x.say(i); !s.lists && s.lostAt > 0 {
-			s.lostAt = now
-			x.queue()
+		if s := x.report(i); !s.listed && s.delistedAt > 0 {
+			s.delistedAt = now
+			x.enqueue()
 		}
 	}
 }
@@ -206,35 +206,35 @@
 func (m *Members) find(now time.Duration, i int, f Fact) *Member {
 	if x := m.byID[f.ID]; x != nil {
 		if x.Address != f.Address {
-			if other := m.byPlace[f.Address]; other != nil && other != x && other.Entry.State != Gone {
+			if other := m.byAddress[f.Address]; other != nil && other != x && other.Entry.State != Gone {
 				return nil // another has that place
 			}
-			delete(m.byPlace, x.Address)
-			m.byPlace[f.Address] = x
-			if s := x.say(i); s.lists && (f.Started == 0 || f.Started != s.Started) { // a process doesn't move: this is another, and cold
-				x.begin(now)
+			delete(m.byAddress, x.Address)
+			m.byAddress[f.Address] = x
+			if s := x.report(i); s.listed && (f.Started == 0 || f.Started != s.Started) { // a process doesn't move: this is another, and cold
+				x.markStarted(now)
 			}
 		}
 		return x
 	}
-	if x := m.byPlace[f.Address]; x != nil {
+	if x := m.byAddress[f.Address]; x != nil {
 		listed := false // by this source, under another id, in an answer of today
-		for k := range x.said {
-			listed = listed || k == i && x.said[k].lists && x.said[k].ID != f.ID && !m.sources[i].trust.Binding
+		for k := range x.reports {
+			listed = listed || k == i && x.reports[k].listed && x.reports[k].ID != f.ID && !m.sources[i].trust.Binding
 		}
 		switch {
 		case x.Entry.State == Gone && !x.inUse():
 			m.forget(x)
 		case m.sources[i].trust.Binding: // its ids are what they are
 			break
-		case listed && x.renamed > 0 && x.newID != f.ID:
+		case listed && x.renamedAt > 0 && x.newID != f.ID:
 			return nil
-		case i != x.first(): // another catalogue has its own names for it
+		case i != x.firstSource(): // another catalogue has its own names for it
 			m.byID[f.ID] = x
 			x.ids = append(x.ids, f.ID)
 			return x
-		case x.renamed == 0:
-			x.renamed, x.newID = now, f.ID
+		case x.renamedAt == 0:
+			x.renamedAt, x.newID = now, f.ID
 			m.byID[f.ID] = x
 			x.ids = append(x.ids, f.ID)
 			return x
@@ -242,17 +242,17 @@
 			return x
 		}
 	}
-	x := &Member{m: m, ids: []string{f.ID}}
+	x := &Member{members: m, ids: []string{f.ID}}
 	x.Entry = Entry{ID: f.ID, Address: f.Address}
-	m.byID[f.ID], m.byPlace[f.Address] = x, x
+	m.byID[f.ID], m.byAddress[f.Address] = x, x
 	m.order = append(m.order, x)
 	return x
 }
 
 // first is the source that named the member first.
-func (x *Member) first() int {
-	for i := range x.said {
-		if x.said[i].lists || x.said[i].lostAt > 0 {
+func (x *Member) firstSource() int {
+	for i := range x.reports {
+		if x.reports[i].listed || x.reports[i].delistedAt > 0 {
 			return i
 		}
 	}
@@ -265,151 +265,151 @@
 			delete(m.byID, id)
 		}
 	}
-	if m.byPlace[x.Address] == x {
-		delete(m.byPlace, x.Address)
+	if m.byAddress[x.Address] == x {
+		delete(m.byAddress, x.Address)
 	}
 	m.order = slices.DeleteFunc(m.order, func(y *Member) bool { return y == x })
 }
 
 // begin notes that a member's process is taken to have started just now: what was seen of an earlier one is void.
-func (x *Member) begin(now time.Duration) {
-	x.Begun, x.heard, x.silent = now, 0, false
+func (x *Member) markStarted(now time.Duration) {
+	x.Begun, x.lastAlive, x.silent = now, 0, false
 }
 
 // inUse tells whether a member is in the view.
 func (x *Member) inUse() bool {
-	_, ok := x.m.view.Get(x.ID)
+	_, ok := x.members.view.Get(x.ID)
 	return ok
 }
 
 // say gives a source's place with a member.
-func (x *Member) say(i int) *saying {
-	for len(x.said) <= i {
-		x.said = append(x.said, saying{})
+func (x *Member) report(i int) *report {
+	for len(x.reports) <= i {
+		x.reports = append(x.reports, report{})
 	}
-	return &x.said[i]
+	return &x.reports[i]
 }
 
 // better tells healths that let a member in from those that don't.
-func (h Health) better() bool { return h == Passing || h == Warning }
+func (h Health) admits() bool { return h == Passing || h == Warning }
 
 // take notes what a source says.
-func (x *Member) take(now time.Duration, i int, f Fact) {
-	s := x.say(i)
-	if !s.lists && s.lostAt > 0 || s.lists && s.Health.better() != f.Health.better() && f.Health < Draining && s.Health < Draining {
-		x.flap(now, s)
+func (x *Member) receive(now time.Duration, i int, f Fact) {
+	s := x.report(i)
+	if !s.listed && s.delistedAt > 0 || s.listed && s.Health.admits() != f.Health.admits() && f.Health < Draining && s.Health < Draining {
+		x.addPenalty(now, s)
 	}
-	if !s.lists || s.Health != f.Health || s.Role != f.Role {
-		s.since = now
+	if !s.listed || s.Health != f.Health || s.Role != f.Role {
+		s.unchangedSince = now
 	}
 	if f.Started > 0 && f.Started > s.Started && s.Started > 0 {
-		x.heard, x.silent = 0, false // another process: what was seen of the old one is void
+		x.lastAlive, x.silent = 0, false // another process: what was seen of the old one is void
 	}
-	s.Fact, s.lists = f, true
-	x.queue()
+	s.Fact, s.listed = f, true
+	x.enqueue()
 }
 
 // lose notes that a source lists a member no more.
-func (x *Member) lose(now time.Duration, i int) {
-	s := x.say(i)
-	if s.lists {
-		s.lists, s.lostAt, s.since = false, now, now
-		x.flap(now, s)
-		x.queue()
+func (x *Member) delist(now time.Duration, i int) {
+	s := x.report(i)
+	if s.listed {
+		s.listed, s.delistedAt, s.unchangedSince = false, now, now
+		x.addPenalty(now, s)
+		x.enqueue()
 	}
 }
 
 // flap adds a penalty for a change, over what time has left of the earlier ones.
-func (x *Member) flap(now time.Duration, s *saying) {
-	c := &x.m.cfg
-	s.penalty = min(s.decayed(now, c.Half)+c.Flap, c.Most)
-	s.at = now
+func (x *Member) addPenalty(now time.Duration, s *report) {
+	c := &x.members.config
+	s.penalty = min(s.decayedPenalty(now, c.Half)+c.Flap, c.Most)
+	s.penaltyAt = now
 	if s.penalty > c.Suppress {
 		s.damped = true
 	}
 }
 
-func (s *saying) decayed(now, half time.Duration) float64 {
-	return s.penalty * math.Exp2(-float64(now-s.at)/float64(half))
+func (s *report) decayedPenalty(now, half time.Duration) float64 {
+	return s.penalty * math.Exp2(-float64(now-s.penaltyAt)/float64(half))
 }
 
-// Heard notes a sign of life of a member, on a connection that was up since opened (0 = not told).
-func (m *Members) Heard(now time.Duration, id string, opened time.Duration) {
+// MarkAlive records that a member answered, on a connection that has been up since opened (0 = unknown).
+func (m *Members) MarkAlive(now time.Duration, id string, opened time.Duration) {
 	x := m.byID[id]
 	if x == nil {
 		return
 	}
-	fresh := x.silent || x.heard == 0 || now-x.heard > m.cfg.Answers
-	x.heard, x.silent = now, false
-	if x.renamed > 0 && opened > 0 && opened < x.renamed { // the connection has outlived the change of names
-		x.renamed = 0
+	fresh := x.silent || x.lastAlive == 0 || now-x.lastAlive > m.config.Answers
+	x.lastAlive, x.silent = now, false
+	if x.renamedAt > 0 && opened > 0 && opened < x.renamedAt { // the connection has outlived the change of names
+		x.renamedAt = 0
 		fresh = true
 	}
 	if fresh {
-		x.queue()
-		m.settle(now)
+		x.enqueue()
+		m.processQueue(now)
 	}
 }
 
-// Silent notes that a member owes answers and gives none.
-func (m *Members) Silent(now time.Duration, id string) {
+// MarkSilent records that a member owes answers and gives none.
+func (m *Members) MarkSilent(now time.Duration, id string) {
 	if x := m.byID[id]; x != nil && !x.silent {
 		x.silent = true
-		x.queue()
-		m.settle(now)
+		x.enqueue()
+		m.processQueue(now)
 	}
 }
 
-// Tick moves on what moves by time alone. It need not come more often than some ten times a second.
+// Tick does what is due by the clock. Ten calls a second are enough.
 func (m *Members) Tick(now time.Duration) {
 	for i, s := range m.sources {
-		if s.doubted > 0 && now-s.doubted >= m.cfg.PanicFor {
-			m.believe(now, i)
+		if s.doubtedSince > 0 && now-s.doubtedSince >= m.config.PanicFor {
+			m.endDoubt(now, i)
 		}
 	}
 	for _, x := range m.order {
-		if x.waits() {
-			x.queue()
+		if x.isTimeDependent() {
+			x.enqueue()
 		}
 	}
-	m.settle(now)
+	m.processQueue(now)
 }
 
 // waits tells of a member whose state may change by time alone.
-func (x *Member) waits() bool {
-	if x.absent > 0 || x.failing > 0 || x.renamed > 0 || x.Entry.State == Gone {
+func (x *Member) isTimeDependent() bool {
+	if x.absentSince > 0 || x.failingSince > 0 || x.renamedAt > 0 || x.Entry.State == Gone {
 		return true
 	}
-	return slices.ContainsFunc(x.said, func(s saying) bool { return s.damped })
+	return slices.ContainsFunc(x.reports, func(s report) bool { return s.damped })
 }
 
-func (x *Member) queue() {
+func (x *Member) enqueue() {
 	if !x.queued {
 		x.queued = true
-		x.m.dirty = append(x.m.dirty, x)
+		x.members.dirty = append(x.members.dirty, x)
 	}
 }
 
-func (x *Member) answers(now time.Duration) bool {
-	return x.heard > 0 && !x.silent && now-x.heard <= x.m.cfg.Answers
+func (x *Member) isAlive(now time.Duration) bool {
+	return x.lastAlive > 0 && !x.silent && now-x.lastAlive <= x.members.config.Answers
 }
 
 // settle decides all members that something has happened to.
-func (m *Members) settle(now time.Duration) {
+func (m *Members) processQueue(now time.Duration) {
 	list := m.dirty
 	m.dirty = nil
 	for _, x := range list {
 		x.queued = false
-		if x.renamed > 0 && now-x.renamed >= m.cfg.Same {
+		if x.renamedAt > 0 && now-x.renamedAt >= m.config.Same {
 			m.replace(now, x)
 			continue
 		}
-		m.judge(now, x)
+		m.reevaluate(now, x)
 	}
 }
 
 // judge decides one member, and puts what comes of it into the view.
-func (m *Members) judge(now time.Duration, x *Member) {
+func (m *Members) reevaluate(now time.Duration, x *Member) {
 	x.Entry.State, x.Entry.Why = x.decide(now)
 	x.describe(now)
 	m.publish(x)
@@ -417,63 +417,63 @@
 
 // replace lets a new id at an old address be a new database: no connection from before has answered.
 func (m *Members) replace(now time.Duration, x *Member) {
-	id, began, said := x.newID, x.renamed, x.said
-	x.renamed = 0
+	id, began, said := x.newID, x.renamedAt, x.reports
+	x.renamedAt = 0
 	x.Entry.State, x.Entry.Why = Gone, "another id has its address"
 	m.publish(x)
 	m.forget(x)
 	for i := range said {
-		if !said[i].lists || said[i].ID != id {
+		if !said[i].listed || said[i].ID != id {
 			continue
 		}
 		y := m.find(now, i, said[i].Fact)
 		if y == nil { // another has taken the address meanwhile
 			continue
 		}
-		y.take(now, i, said[i].Fact)
+		y.receive(now, i, said[i].Fact)
 		y.Begun = began
-		m.judge(now, y)
+		m.reevaluate(now, y)
 	}
 }
 
 // decide says what becomes of a member, and why.
 func (x *Member) decide(now time.Duration) (State, string) {
-	c := &x.m.cfg
+	c := &x.members.config
 	listed, passing, critical, doubted, damped := "", "", "", "", ""
 	lost := time.Duration(0)
-	for i := range x.said {
-		s, src := &x.said[i], x.m.sources[i]
-		if s.damped && s.decayed(now, c.Half) < c.Reuse {
+	for i := range x.reports {
+		s, src := &x.reports[i], x.members.sources[i]
+		if s.damped && s.decayedPenalty(now, c.Half) < c.Reuse {
 			s.damped = false
 		}
 		switch {
-		case s.lists && (s.Health == Draining || s.Health == Maintenance): // whatever else is said
+		case s.listed && (s.Health == Draining || s.Health == Maintenance): // whatever else is said
 			return Drains, src.name + " says " + s.Health.String()
-		case s.lists && src.trust.Binding:
+		case s.listed && src.trust.Binding:
 			return Ready, src.name + " lists it"
-		case !s.lists && src.trust.Binding && s.lostAt > 0 && !src.dropped:
+		case !s.listed && src.trust.Binding && s.delistedAt > 0 && !src.dropped:
 			return Gone, src.name + " lists it no more"
 		case s.damped && !src.dropped:
 			damped = src.name
-		case s.lists && s.Health.better():
+		case s.listed && s.Health.admits():
 			listed, passing = src.name, src.name
-		case s.lists:
+		case s.listed:
 			listed, critical = src.name, src.name
-		case src.doubted > 0 && s.lostAt >= src.doubted:
+		case src.doubtedSince > 0 && s.delistedAt >= src.doubtedSince:
 			doubted = src.name
 		}
-		if !s.lists {
-			lost = max(lost, s.lostAt)
+		if !s.listed {
+			lost = max(lost, s.delistedAt)
 		}
 	}
-	if x.absent = 0; listed == "" && damped == "" && doubted == "" {
-		x.absent = lost
+	if x.absentSince = 0; listed == "" && damped == "" && doubted == "" {
+		x.absentSince = lost
 	}
-	if x.failing = cmp.Or(x.failing, now); critical == "" || passing != "" {
-		x.failing = 0
+	if x.failingSince = cmp.Or(x.failingSince, now); critical == "" || passing != "" {
+		x.failingSince = 0
 	}
-	answers := x.answers(now)
-	was, inUse := x.m.view.Get(x.ID)
+	answers := x.isAlive(now)
+	was, inUse := x.members.view.Get(x.ID)
 	inUse = inUse && was.State == Ready
 	switch {
 	case passing != "":
@@ -484,13 +484,13 @@
 		return Ready, damped + " flaps, and is not followed"
 	case doubted != "" && inUse:
 		return Ready, doubted + " has lost too many at once to be believed"
-	case critical != "" && inUse && now-x.failing < c.Failing:
+	case critical != "" && inUse && now-x.failingSince < c.Failing:
 		return Ready, critical + " says critical, for now"
 	case critical != "" || damped != "":
 		return Gone, "it doesn't answer, and " + cmp.Or(critical, damped) + " says no better"
-	case answers && now-x.absent < c.Keep:
+	case answers && now-x.absentSince < c.Keep:
 		return Ready, "it answers, though nobody lists it"
-	case inUse && now-x.absent < c.Lost:
+	case inUse && now-x.absentSince < c.Lost:
 		return Ready, "it was listed a moment ago"
 	}
 	return Gone, "nobody lists it"
@@ -500,36 +500,36 @@
 func (x *Member) describe(now time.Duration) {
 	best, weight := -1, -1.0
 	role, roleWeight := NoRole, 0.0
-	for i := range x.said {
-		s, src := &x.said[i], x.m.sources[i]
-		if !s.lists && s.lostAt == 0 {
+	for i := range x.reports {
+		s, src := &x.reports[i], x.members.sources[i]
+		if !s.listed && s.delistedAt == 0 {
 			continue
 		}
-		w := src.weight(now, x.m.cfg.Decay)
-		if !s.lists {
+		w := src.weight(now, x.members.config.Decay)
+		if !s.listed {
 			w /= 100 // what it last said, where nobody says more
 		}
 		if w > weight {
 			best, weight = i, w
 		}
-		if s.lists && s.Role != NoRole && w > roleWeight {
+		if s.listed && s.Role != NoRole && w > roleWeight {
 			role, roleWeight = s.Role, w
 		}
 	}
 	if best < 0 {
 		return
 	}
-	f := &x.said[best].Fact
+	f := &x.reports[best].Fact
 	x.Address, x.Zone, x.Group, x.Weight, x.Role = f.Address, f.Zone, f.Group, f.Weight, role
 	x.Started = max(x.Started, f.Started)
 }
 
 // weight is that of a source's word: less, the longer it has not been heard.
 func (s *source) weight(now, half time.Duration) float64 {
-	if !s.known || s.dropped {
+	if !s.hasAnswered || s.dropped {
 		return 0
 	}
-	return s.trust.Weight * math.Exp2(-float64(now-s.contact+s.behind)/float64(half))
+	return s.trust.Weight * math.Exp2(-float64(now-s.lastContact+s.behind)/float64(half))
 }
 
 // publish puts a member's change into the view. One that is gone, and that nobody lists any more, is forgotten.
@@ -539,62 +539,62 @@
 	case x.State == Gone:
 		if in {
 			m.view = m.view.Delete(x.ID)
-			m.change(x)
+			m.recordChange(x)
 		}
-		if x.absent > 0 {
+		if x.absentSince > 0 {
 			m.forget(x)
 		}
-	case !in || !same(x.Entry, was):
+	case !in || !sameEntry(x.Entry, was):
 		m.view = m.view.Set(x.ID, x.Entry)
-		m.change(x)
+		m.recordChange(x)
 	}
 }
 
-func (m *Members) change(x *Member) {
+func (m *Members) recordChange(x *Member) {
 	m.version++
 	m.changed = append(m.changed, x.Entry)
 }
 
 // same tells whether nothing has changed that anybody acts on.
-func same(a, b Entry) bool {
+func sameEntry(a, b Entry) bool {
 	return a.Address == b.Address && a.Zone == b.Zone && a.Group == b.Group && a.State == b.State && a.Role == b.Role && a.Weight == b.Weight &&
 		a.Started == b.Started && a.Begun == b.Begun && a.Why == b.Why
 }
 
-// Changes gives the members that have changed since the last call, in the order of their changes.
-func (m *Members) Changes() []Entry {
+// TakeChanges returns the members that have changed since the last call, in the order of their changes.
+func (m *Members) TakeChanges() []Entry {
 	out := m.changed
 	m.changed = nil
 	return out
 }
 
-// View gives the members in use as they are now. It shares what it can with the views before and behind it, and never changes: who
-// holds it reads one version, without a lock or a copy.
+// View returns the members in use and the version of the view. It is a persistent map that never changes: a holder reads one version
+// without a lock or a copy.
 func (m *Members) View() (*immutable.SortedMap[string, Entry], uint64) { return m.view, m.version }
 
-// Explain gives all that is known of each member, to be shown.
+// Explain returns all that is known of each member, for operators, sorted by group and ID.
 func (m *Members) Explain(now time.Duration) (out []Entry) {
 	for _, x := range m.order {
 		e := x.Entry
-		for i := range x.said {
-			s, src := &x.said[i], m.sources[i]
-			if !s.lists && s.lostAt == 0 || src.dropped {
+		for i := range x.reports {
+			s, src := &x.reports[i], m.sources[i]
+			if !s.listed && s.delistedAt == 0 || src.dropped {
 				continue
 			}
 			what := s.Health.String()
 			if s.Role != NoRole {
 				what += ", " + s.Role.String()
 			}
-			if !s.lists {
+			if !s.listed {
 				what = "not listed"
 			}
 			if s.damped {
-				what += fmt.Sprintf(", damped (%.0f)", s.decayed(now, m.cfg.Half))
+				what += fmt.Sprintf(", damped (%.0f)", s.decayedPenalty(now, m.config.Half))
 			}
-			e.Facts = append(e.Facts, Known{Source: src.name, What: what, Age: now - s.since, Confidence: src.weight(now, m.cfg.Decay)})
+			e.Facts = append(e.Facts, Known{Source: src.name, What: what, Age: now - s.unchangedSince, Confidence: src.weight(now, m.config.Decay)})
 		}
-		if x.heard > 0 {
-			k := Known{Source: "seen", What: "answers", Age: now - x.heard, Confidence: 1}
+		if x.lastAlive > 0 {
+			k := Known{Source: "seen", What: "answers", Age: now - x.lastAlive, Confidence: 1}
 			if x.silent {
 				k.What = "silent"
 			}
@@ -607,19 +607,19 @@
 	return out
 }
 
-// Catalogues gives the sources, to be shown.
+// Catalogues returns the state of each catalogue, for operators.
 func (m *Members) Catalogues(now time.Duration) (out []Catalogue) {
 	for i, s := range m.sources {
 		if s.dropped {
 			continue
 		}
-		c := Catalogue{Name: s.name, Members: s.listed, Index: s.index, Contact: now - s.contact, Behind: s.behind, Failures: s.failures,
-			Doubted: s.doubted > 0, Doubts: s.doubts, Skipped: s.skipped, LastError: s.lastErr}
-		if !s.known {
+		c := Catalogue{Name: s.name, Members: s.listed, Index: s.index, Contact: now - s.lastContact, Behind: s.behind, Failures: s.failures,
+			Doubted: s.doubtedSince > 0, Doubts: s.doubts, Skipped: s.skipped, LastError: s.lastErr}
+		if !s.hasAnswered {
 			c.Contact = -1
 		}
 		for _, x := range m.order {
-			if x.say(i).damped {
+			if x.report(i).damped {
 				c.Suppressed++
 			}
 		}
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -26,7 +26,7 @@
 
 func begin(t *testing.T, n int) *script {
 	x := &script{t: t, m: New(Config{}), now: 100 * s, facts: map[string]Fact{}, state: map[string]State{}}
-	x.m.Source("c", Trust{})
+	x.m.AddCatalogue("c", Trust{})
 	for i := range n {
 		id := fmt.Sprintf("db-%d", i)
 		x.facts[id] = Fact{ID: id, Address: fmt.Sprintf("10.0.0.%d:5432", i+1), Group: i % 3, Weight: 1}
@@ -47,12 +47,12 @@
 	slices.SortFunc(n.Facts, func(a, b Fact) int {
 		return len(a.ID)*1000 + int(a.ID[len(a.ID)-1]) - len(b.ID)*1000 - int(b.ID[len(b.ID)-1])
 	})
-	x.m.News(x.now, "c", n)
+	x.m.Update(x.now, "c", n)
 	x.look()
 }
 
 func (x *script) look() {
-	for _, e := range x.m.Changes() {
+	for _, e := range x.m.TakeChanges() {
 		if x.state[e.ID] != e.State {
 			x.moves++
 		}
@@ -65,7 +65,7 @@
 	for end := x.now + d; x.now < end; {
 		x.now += 100 * ms
 		for _, id := range answering {
-			x.m.Heard(x.now, id, 50*s)
+			x.m.MarkAlive(x.now, id, 50*s)
 		}
 		x.m.Tick(x.now)
 		x.look()
@@ -104,7 +104,7 @@
 	x.is("db-1", Ready, "passing again")
 
 	x.health("db-2", Critical)
-	x.m.Silent(x.now, "db-2")
+	x.m.MarkSilent(x.now, "db-2")
 	x.pass(20 * s)
 	x.is("db-2", Ready, "a check may err; whoever sends there sees for himself")
 
@@ -155,7 +155,7 @@
 	}
 	x.is("db-1", Ready, "while it flaps")
 	x.health("db-1", Critical)
-	x.m.Silent(x.now, "db-1")
+	x.m.MarkSilent(x.now, "db-1")
 	x.pass(200 * s)
 	x.is("db-1", Gone, "and is critical for good")
 	if c := x.m.Catalogues(x.now)[0]; c.Suppressed != 0 {
@@ -264,7 +264,7 @@
 // Who knows of no leader is believed in a drain, and in nothing else.
 func TestWithoutALeader(t *testing.T) {
 	x := begin(t, 4)
-	x.m.News(x.now, "c", News{Whole: true, NoLead: true, Facts: []Fact{{ID: "db-0", Address: "10.0.0.1:5432", Health: Maintenance},
+	x.m.Update(x.now, "c", News{Whole: true, NoLead: true, Facts: []Fact{{ID: "db-0", Address: "10.0.0.1:5432", Health: Maintenance},
 		{ID: "db-1", Address: "10.0.0.2:5432", Health: Critical}}})
 	x.look()
 	x.is("db-0", Drains, "a drain")
@@ -280,7 +280,7 @@
 // Ids given twice, two nodes with one address, names for addresses: the first counts, the others are told.
 func TestWhatCanNotBe(t *testing.T) {
 	x := begin(t, 3)
-	x.m.News(x.now, "c", News{Whole: true, Facts: []Fact{x.facts["db-0"], x.facts["db-1"], x.facts["db-2"],
+	x.m.Update(x.now, "c", News{Whole: true, Facts: []Fact{x.facts["db-0"], x.facts["db-1"], x.facts["db-2"],
 		{ID: "db-1", Address: "10.0.0.77:1"}, {ID: "db-7", Address: "10.0.0.1:5432"}, {ID: "db-8", Address: "db8.example:5432"}}, Skipped: 2})
 	x.look()
 	x.all(Ready)
@@ -293,22 +293,22 @@
 // A platform's own list binds, in both directions and at once.
 func TestAListThatBinds(t *testing.T) {
 	x := begin(t, 3)
-	x.m.Source("platform", Trust{Binding: true})
+	x.m.AddCatalogue("platform", Trust{Binding: true})
 	own := []Fact{{ID: "p0", Address: "10.1.0.1:1"}, {ID: "p1", Address: "10.1.0.2:1"}, {ID: "p2", Address: "10.1.0.3:1"}, {ID: "p3", Address: "10.1.0.4:1"}}
-	x.m.News(x.now, "platform", News{Whole: true, Facts: own})
+	x.m.Update(x.now, "platform", News{Whole: true, Facts: own})
 	x.look()
 	x.is("p0", Ready, "listed")
-	x.m.News(x.now, "platform", News{Facts: []Fact{{ID: "p0", Health: Terminated}}})
+	x.m.Update(x.now, "platform", News{Facts: []Fact{{ID: "p0", Health: Terminated}}})
 	x.look()
 	x.is("p0", Gone, "terminated")
-	x.m.Heard(x.now, "p1", s)
-	x.m.News(x.now, "platform", News{Whole: true})
+	x.m.MarkAlive(x.now, "p1", s)
+	x.m.Update(x.now, "platform", News{Whole: true})
 	x.look()
 	for _, id := range []string{"p1", "p2", "p3"} {
 		x.is(id, Gone, "all left out, at once, though it answers")
 	}
 	x.all(Ready) // the other catalogue's
-	x.m.Drop(x.now, "c")
+	x.m.DropCatalogue(x.now, "c")
 	x.look()
 	x.all(Ready)
 	x.pass(11 * s)
@@ -318,8 +318,8 @@
 // Two catalogues under other names: one member, and the drain of either counts. A catalogue that falls silent loses its weight.
 func TestTwoCatalogues(t *testing.T) {
 	x := begin(t, 3)
-	x.m.Source("d", Trust{Weight: 0.9})
-	x.m.News(x.now, "d", News{Whole: true, Facts: []Fact{{ID: "other-name", Address: "10.0.0.1:5432", Zone: "north", Role: Primary}}})
+	x.m.AddCatalogue("d", Trust{Weight: 0.9})
+	x.m.Update(x.now, "d", News{Whole: true, Facts: []Fact{{ID: "other-name", Address: "10.0.0.1:5432", Zone: "north", Role: Primary}}})
 	x.look()
 	v, _ := x.m.View()
 	if e, ok := v.Get("db-0"); v.Len() != 3 || !ok || e.Zone != "north" || e.Role != Primary {
@@ -333,7 +333,7 @@
 	if e, _ := v.Get("db-0"); e.Zone != "" {
 		t.Errorf("the word of the silent one still counts: %+v", e)
 	}
-	x.m.News(x.now, "d", News{Whole: true, Facts: []Fact{{ID: "other-name", Address: "10.0.0.1:5432", Health: Draining}}})
+	x.m.Update(x.now, "d", News{Whole: true, Facts: []Fact{{ID: "other-name", Address: "10.0.0.1:5432", Health: Draining}}})
 	x.look()
 	x.is("db-0", Drains, "by its other name")
 	for _, e := range x.m.Explain(x.now) {
@@ -365,11 +365,11 @@
 			id := i/4 + k
 			n.Facts = append(n.Facts, Fact{ID: fmt.Sprintf("i-%d", id), Address: fmt.Sprintf("10.%d.%d.%d:1", id>>16&255, id>>8&255, id&255)})
 		}
-		x.m.News(x.now, "c", n)
+		x.m.Update(x.now, "c", n)
 		x.pass(s)
 	}
-	if len(x.m.order) > 14 || len(x.m.byID) > 14 || len(x.m.byPlace) > 14 || x.m.view.Len() > 12 {
-		t.Errorf("%d members, %d ids, %d addresses, %d in the view", len(x.m.order), len(x.m.byID), len(x.m.byPlace), x.m.view.Len())
+	if len(x.m.order) > 14 || len(x.m.byID) > 14 || len(x.m.byAddress) > 14 || x.m.view.Len() > 12 {
+		t.Errorf("%d members, %d ids, %d addresses, %d in the view", len(x.m.order), len(x.m.byID), len(x.m.byAddress), x.m.view.Len())
 	}
 }
 
@@ -378,7 +378,7 @@
 func TestAnyOrderOfEvents(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		x := begin(t, 0)
-		x.m.Source("d", Trust{})
+		x.m.AddCatalogue("d", Trust{})
 		seen := map[string]State{}
 		for range rapid.IntRange(1, 60).Draw(rt, "events") {
 			x.now += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "gap")) * ms
@@ -390,15 +390,15 @@
 					n.Facts = append(n.Facts, Fact{ID: fmt.Sprintf("m-%d", rapid.IntRange(0, 5).Draw(rt, "id")), Address: fmt.Sprintf("10.0.0.%d:1", rapid.IntRange(0, 5).Draw(rt, "at")),
 						Health: Health(rapid.IntRange(0, 5).Draw(rt, "health"))})
 				}
-				x.m.News(x.now, rapid.SampledFrom([]string{"c", "d"}).Draw(rt, "source"), n)
+				x.m.Update(x.now, rapid.SampledFrom([]string{"c", "d"}).Draw(rt, "source"), n)
 			case 2:
-				x.m.Heard(x.now, id, x.now-time.Duration(rapid.IntRange(0, 9).Draw(rt, "up"))*s)
+				x.m.MarkAlive(x.now, id, x.now-time.Duration(rapid.IntRange(0, 9).Draw(rt, "up"))*s)
 			case 3:
-				x.m.Silent(x.now, id)
+				x.m.MarkSilent(x.now, id)
 			default:
 				x.m.Tick(x.now)
 			}
-			for _, e := range x.m.Changes() {
+			for _, e := range x.m.TakeChanges() {
 				seen[e.ID] = e.State
 			}
 		}
@@ -421,19 +421,19 @@
 // BenchmarkDelta is what one change among 5,000 instances costs.
 func BenchmarkDelta(b *testing.B) {
 	m := New(Config{})
-	m.Source("c", Trust{})
+	m.AddCatalogue("c", Trust{})
 	n := News{Whole: true}
 	for i := range 5000 {
 		n.Facts = append(n.Facts, Fact{ID: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255)})
 	}
-	m.News(s, "c", n)
-	m.Changes()
+	m.Update(s, "c", n)
+	m.TakeChanges()
 	b.ReportAllocs()
 	for i := range b.N {
 		f := &n.Facts[i%5000]
 		f.Zone = fmt.Sprint(i)
-		m.News(s+time.Duration(i)*ms, "c", n)
-		if got := len(m.Changes()); got != 1 {
+		m.Update(s+time.Duration(i)*ms, "c", n)
+		if got := len(m.TakeChanges()); got != 1 {
 			b.Fatal(got)
 		}
 	}
--- a/internal/state/catalogue.go
+++ b/internal/state/catalogue.go
@@ -32,7 +32,7 @@
 		return
 	case f.merged == nil:
 		f.merged, f.failing = membership.New(*cfg), map[string]bool{}
-		f.merged.Source(OwnList, membership.Trust{Binding: true})
+		f.merged.AddCatalogue(OwnList, membership.Trust{Binding: true})
 		f.mergeTick()
 		// What is in use stays in use until others know better, also where the platform's list has no word from now on.
 		known := membership.News{Whole: true}
@@ -43,14 +43,14 @@
 			}
 		}
 		slices.SortFunc(known.Facts, func(a, b membership.Fact) int { return cmp.Compare(a.ID, b.ID) })
-		f.merged.News(f.clock.Now(), OwnList, known)
+		f.merged.Update(f.clock.Now(), OwnList, known)
 	default:
 		f.merged.Configure(*cfg)
 	}
 	if alone {
-		f.merged.Drop(f.clock.Now(), OwnList)
+		f.merged.DropCatalogue(f.clock.Now(), OwnList)
 	} else {
-		f.merged.Source(OwnList, membership.Trust{Binding: true})
+		f.merged.AddCatalogue(OwnList, membership.Trust{Binding: true})
 	}
 	f.mergedNews()
 }
@@ -65,13 +65,13 @@
 
 // Source names a catalogue whose word counts from now on.
 func (f *Front) Source(name string) {
-	f.merged.Source(name, membership.Trust{})
+	f.merged.AddCatalogue(name, membership.Trust{})
 }
 
 // DropSource ends it.
 func (f *Front) DropSource(name string) {
 	if f.merged != nil {
-		f.merged.Drop(f.clock.Now(), name)
+		f.merged.DropCatalogue(f.clock.Now(), name)
 		f.mergedNews()
 	}
 }
@@ -85,7 +85,7 @@
 		delete(f.failing, source)
 		slog.Info("catalogue answers again", "source", source)
 	}
-	f.merged.News(f.clock.Now(), source, n)
+	f.merged.Update(f.clock.Now(), source, n)
 	f.mergedNews()
 }
 
@@ -99,7 +99,7 @@
 		f.failing[source] = true
 		slog.Warn("catalogue fails", "source", source, "error", why)
 	}
-	f.merged.Failed(f.clock.Now(), source, why.Error())
+	f.merged.CatalogueFailed(f.clock.Now(), source, why.Error())
 	f.mergedNews()
 }
 
@@ -114,7 +114,7 @@
 		n.Facts = append(n.Facts, membership.Fact{ID: e.Name, Address: e.Address, Zone: e.Zone, Group: e.Group, Health: healthOf(e.State),
 			Weight: e.Size, Started: e.Started})
 	}
-	f.merged.News(f.clock.Now(), OwnList, n)
+	f.merged.Update(f.clock.Now(), OwnList, n)
 	if !f.mergedNews() { // the router waits for the end of its call
 		f.take(List{Kind: logic.ListDelta})
 	}
@@ -122,7 +122,7 @@
 
 // mergedNews hands on what has changed in the view, and tells whether anything has.
 func (f *Front) mergedNews() bool {
-	changes := f.merged.Changes()
+	changes := f.merged.TakeChanges()
 	if len(changes) == 0 {
 		return false
 	}
@@ -150,9 +150,9 @@
 	}
 	switch {
 	case r.Result == logic.OK || r.Result == logic.Miss || r.Result == logic.Failed || r.Result == logic.Full:
-		f.merged.Heard(f.clock.Now(), m.name, r.opened)
+		f.merged.MarkAlive(f.clock.Now(), m.name, r.opened)
 	case silent:
-		f.merged.Silent(f.clock.Now(), m.name)
+		f.merged.MarkSilent(f.clock.Now(), m.name)
 	default:
 		return
 	}
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -94,7 +94,7 @@
 		slog.Warn("discovery fails", "error", why)
 	}
 	if f.merged != nil {
-		f.merged.Failed(f.clock.Now(), OwnList, why.Error())
+		f.merged.CatalogueFailed(f.clock.Now(), OwnList, why.Error())
 	}
 	f.tell(func() { f.router.Members(f.clock.Now(), logic.List{Kind: logic.ListFailed}) })
 }
