--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -193,3 +193,21 @@
 		t.Errorf("%d bytes are expected, not %d", got, want)
 	}
 }
+
+// The counts of one seed are the same on every machine. Where a change to the proxy moves them on purpose, the scale run is made anew and
+// docs/CAPACITY.md and these figures with it.
+func TestCountsAreThoseOfTheRecordedRun(t *testing.T) {
+	const within = 0.02
+	c := Config{For: 5 * time.Second, Settle: 5 * time.Second, Rate: 500, Seed: 1, Lease: 2 * time.Second, Variant: "all", CountsOnly: true}
+	m := measure(t, c, analysis.Size{Proxies: 50, Databases: 80})
+	for name, pair := range map[string][2]float64{
+		"health checks a second and proxy":         {m.ProbesPerProxy.Mean, 20.56},
+		"bytes of control a second and proxy":      {m.ControlBytes.Mean, 2477},
+		"connections to a database":                {m.ConnectionsPerDatabase.Mean, 144.6},
+		"bytes that discovery carries in a second": {m.DiscoveryBytes.Mean, 5020},
+	} {
+		if got, recorded := pair[0], pair[1]; got < recorded*(1-within) || got > recorded*(1+within) {
+			t.Errorf("%s: %.2f, recorded were %.2f", name, got, recorded)
+		}
+	}
+}
