--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -54,7 +54,7 @@
 	leads  uint64          // who, as far as known
 	began  time.Time
 
-	views            *rollout.Views
+	views            *rollout.MembershipHistory
 	applied, snapped uint64
 	reads            uint64         // confirmations asked for
 	opened           *tier.Start    // what the disk held when this process began
@@ -92,7 +92,7 @@
 		return nil, err
 	}
 	p := &Planner{cfg: cfg, store: st, state: &rollout.State{}, began: time.Now(), events: make(chan func(), mostEvents),
-		views:  rollout.NewViews(cfg.Rollout),
+		views:  rollout.NewMembershipHistory(cfg.Rollout),
 		urgent: make(chan func(), mostEvents), ended: make(chan struct{}), peers: map[uint64]*peer{}}
 	if cfg.Join && !fresh && st.begun() { // started again: it has joined already
 		cfg.Join = false
@@ -143,7 +143,7 @@
 	if p.state, err = tier.DecodeState(snap.GetData()); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
-	p.views.Skipped(p.now())
+	p.views.MarkIncomplete(p.now())
 	p.views.Applied(p.now(), p.state)
 	p.applied, p.snapped = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
 	p.conf = snap.GetMetadata().GetConfState()
@@ -157,7 +157,7 @@
 		return
 	}
 	want := map[uint64]string{}
-	for _, id := range append(slices.Clone(p.conf.GetVoters()), p.conf.GetVotersOutgoing()...) {
+	for _, id := range p.voting() {
 		if id != p.cfg.ID {
 			want[id] = cmp.Or(p.state.Planners[id], p.cfg.Peers[id])
 		}
@@ -171,6 +171,14 @@
 	p.server.connect(want)
 }
 
+// voting gives the planners that vote now, by number. While one is being replaced, those are the old ones and the new one: most of either set
+// are needed, so that the old one is not replaced before it has left.
+func (p *Planner) voting() []uint64 {
+	all := append(slices.Clone(p.conf.GetVoters()), p.conf.GetVotersOutgoing()...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // Address tells where it listens.
 func (p *Planner) Address() string { return p.server.listener.Addr().String() }
 
@@ -211,7 +219,7 @@
 			panic(x)
 		}
 	}()
-	slog.Info("planner", "id", p.cfg.ID, "listen", p.Address(), "in_force", p.state.Force, "members", len(p.state.Seats))
+	slog.Info("planner", "id", p.cfg.ID, "listen", p.Address(), "in_force", p.state.InForce, "members", len(p.state.Members))
 	ticks := time.NewTicker(step)
 	defer ticks.Stop()
 	defer p.store.close()
@@ -247,9 +255,9 @@
 // begin begins to lead.
 func (p *Planner) begin(term rollout.Term) {
 	p.leader = rollout.Lead(p.cfg.Rollout, p.state, term)
-	p.leader.Since(p.pending, p.pendingAt)
+	p.leader.SetChangeBegan(p.pending, p.pendingAt)
 	if p.cfg.Rollout.Lease > 0 {
-		p.leader.Tells(p.views)
+		p.leader.ShareMembers(p.views)
 	}
 }
 
@@ -258,13 +266,14 @@
 	if p.leader == nil {
 		return false
 	}
-	out, commit, confirm := p.leader.Ready()
-	for _, o := range out {
+	ready := p.leader.TakeReady()
+	for _, o := range ready.Messages {
 		p.server.send(o.Link, &tier.Frame{Tier: &o.Message})
 	}
-	for i := range commit {
-		commit[i].At = p.unix()
-		text, err := tier.EncodeCommand(&commit[i])
+	for i := range ready.Commands {
+		command := &ready.Commands[i]
+		command.Time = p.unix()
+		text, err := tier.EncodeCommand(command)
 		if err == nil {
 			err = p.node.Propose(text)
 		}
@@ -272,11 +281,11 @@
 			slog.Warn("a command can't be written to the log", "error", err)
 		}
 	}
-	if confirm {
+	if ready.Confirm {
 		p.reads++
 		p.node.ReadIndex(binary.BigEndian.AppendUint64(nil, p.reads))
 	}
-	return len(out)+len(commit) > 0 || confirm
+	return !ready.Empty()
 }
 
 // ready does what the consensus asks for, the disk first.
@@ -356,21 +365,21 @@
 		p.failed = fmt.Errorf("the log holds what this version can't read (entry %d): %w", e.GetIndex(), err)
 		return
 	}
-	force := p.state.Force
+	force := p.state.InForce
 	err = p.state.Apply(c)
 	p.views.Applied(p.now(), p.state)
 	if x := p.state.Pending(); x != nil && x.Number != p.pending {
 		p.pending, p.pendingAt = x.Number, p.now()
 	}
-	if p.state.Force != force {
-		slog.Info("policy in force", "number", p.state.Force, "members", len(p.state.Seats))
+	if p.state.InForce != force {
+		slog.Info("policy in force", "number", p.state.InForce, "members", len(p.state.Members))
 	}
-	if c.Act == rollout.GiveUp && err == nil {
+	if c.Kind == rollout.Abort && err == nil {
 		slog.Info("change given up", "number", c.Number, "reason", c.Reason)
 	}
 	if p.leader != nil {
 		p.leader.Applied(p.now(), c, err)
-		if why := p.leader.Failed(); why != nil {
+		if why := p.leader.Err(); why != nil {
 			slog.Error("this planner can't lead", "error", why)
 			p.failed = why
 		}
