Share health checks by the tier's checkers in state and logic, and in the model

Every proxy checked every database it used, at a rate that grows with the fleet. internal/healthcheck, which decides who checks what and what a quorum concludes, was used by nothing.

internal/state carries the node: its list, its duties, outcomes of all checks, the planner's digests, and changed verdicts to the router. internal/healthcheck gives verdicts as changes (TakeVerdicts), with the time at which a quorum had seen the role. logic/health.go takes them: a quorum's death counts as a failed check of one's own, positions are believed as heard, a cold start can only tighten a budget, and the end of an ejection is checked first. Checks of a proxy's own are left for answers that are owed, the first use of a group, groups without a primary, and, within the budget, positions that a request waits for.

--- a/internal/healthcheck/api.go
+++ b/internal/healthcheck/api.go
@@ -97,6 +97,7 @@
 	ColdStart bool          // by a quorum
 	Failing   bool          // by a quorum
 	Role      subset.Role   // that a quorum has last seen; RoleUnknown = there is no such
+	RoleAt    time.Duration // when a quorum had seen that role, then or later
 	Position  time.Duration // that a quorum has seen reached or passed; 0 = not known
 	Votes     int           // checkers that call it dead and are believed
 	Quorum    int           // how many are needed
--- a/internal/healthcheck/node.go
+++ b/internal/healthcheck/node.go
@@ -17,6 +17,7 @@
 	scheduler  *scheduler
 	fallback   *fallback
 	outbox     *outbox
+	changes    *changes
 	tier       []subset.Proxy
 	databases  []subset.DatabaseID
 	used       []subset.DatabaseID
@@ -36,7 +37,7 @@
 func NewNodeSharing(now time.Duration, config Config, assignment *subset.Assignment) *Node {
 	rng := rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID)))
 	return &Node{config: config, assignment: assignment, view: NewView(config, assignment), observer: newObserver(config),
-		scheduler: newScheduler(config, rng), fallback: newFallback(now, config, rng.Float64()), outbox: newOutbox(config, rng)}
+		scheduler: newScheduler(config, rng), fallback: newFallback(now, config, rng.Float64()), outbox: newOutbox(config, rng), changes: newChanges()}
 }
 
 // SetTier tells which proxies there are; this one is among them. It gives how many duties of the tier have moved.
@@ -53,6 +54,7 @@
 	n.databases = slices.Clone(ids)
 	n.assignment.SetDatabases(ids)
 	n.view.SetDatabases(ids)
+	n.changes.keep(ids)
 	n.reschedule(now)
 }
 
@@ -75,6 +77,7 @@
 func (n *Node) Checked(now time.Duration, id subset.DatabaseID, seen Observation) {
 	n.scheduler.done(now, id, n.fallback.step, seen.Answered)
 	n.view.Own(now, id, seen.Answered)
+	n.changes.add(id)
 	if r, ok := n.observer.observe(now, id, seen); ok {
 		news := r.Status != Alive || n.view.ailing(id)
 		n.view.Receive(now, r)
@@ -100,7 +103,9 @@
 	for _, change := range d.Changes {
 		switch change.Kind {
 		case ReportChanged:
-			n.view.Receive(now, change.Report)
+			if n.view.Receive(now, change.Report) {
+				n.changes.add(change.Report.Database)
+			}
 		case CheckerSilent, CheckerHeard:
 			n.view.Silent(change.Report.Origin, change.Kind == CheckerSilent)
 			if change.Report.Origin == n.config.Self.ID { // what it reported has been dropped
@@ -114,7 +119,11 @@
 func (n *Node) ReceivePeer(now time.Duration, m Message) {
 	n.fallback.peer = now
 	for _, r := range m.Reports {
-		if n.view.Receive(now, r) && n.fallback.step != Shared {
+		if !n.view.Receive(now, r) {
+			continue
+		}
+		n.changes.add(r.Database)
+		if n.fallback.step != Shared {
 			n.outbox.addBroadcast(r)
 		}
 	}
--- a/internal/healthcheck/verdict.go
+++ b/internal/healthcheck/verdict.go
@@ -15,7 +15,7 @@
 	lastDeath     time.Duration // the newest time of a report of a death, doubted ones as well
 	own           bool          // this proxy is one of the checkers
 	failing, cold int
-	roles         [subset.Primary + 1]int
+	roles         [subset.Primary + 1]sightings
 	positions     []time.Duration
 }
 
@@ -44,7 +44,8 @@
 	v.count(now, &t, database, checkers)
 	quorum, zones := v.quorum(checkers)
 	verdict := Verdict{Votes: t.dead, Quorum: quorum, Failing: t.failing >= quorum, ColdStart: t.cold >= quorum,
-		Role: t.role(quorum), Position: t.position(quorum)}
+		Position: t.position(quorum)}
+	verdict.Role, verdict.RoleAt = t.role(quorum)
 	verdict.State = v.state(now, database, &t, quorum, zones, step)
 	return verdict
 }
@@ -122,20 +123,40 @@
 	case ColdStart:
 		t.cold++
 	}
-	t.roles[r.Role]++
+	t.roles[r.Role].add(r.At)
 	if r.Position > 0 {
 		t.positions = append(t.positions, r.Position)
 	}
 }
 
-// role gives the role that a quorum has last seen.
-func (t *tally) role(quorum int) subset.Role {
+// role gives the role that a quorum has last seen, and the latest time at or behind which a quorum has.
+func (t *tally) role(quorum int) (subset.Role, time.Duration) {
 	for role := subset.Replica; role <= subset.Primary; role++ {
-		if t.roles[role] >= quorum {
-			return role
+		if t.roles[role].count >= quorum {
+			return role, t.roles[role].newest(quorum)
 		}
 	}
-	return subset.RoleUnknown
+	return subset.RoleUnknown, 0
+}
+
+// sightings are the times at which checkers have last seen something. They need no memory of their own.
+type sightings struct {
+	times [maxVotes]time.Duration
+	count int
+}
+
+func (s *sightings) add(at time.Duration) {
+	if s.count < len(s.times) {
+		s.times[s.count] = at
+		s.count++
+	}
+}
+
+// newest gives the latest time at or behind which n have seen it.
+func (s *sightings) newest(n int) time.Duration {
+	times := s.times[:s.count]
+	slices.Sort(times)
+	return times[len(times)-n]
 }
 
 // position gives the position that a quorum has seen reached or passed, so that a single one too far ahead is outvoted.
--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -31,6 +31,7 @@
 	processes bool
 	trial     bool
 	calculate bool
+	variant   string
 	events    []string
 	eventSize string
 	jsonPath  string
@@ -56,6 +57,7 @@
 	f := c.Flags()
 	f.StringSliceVar(&o.sizes, "sizes", []string{"50x80", "100x160", "200x320", "400x640", "820x1300"}, "proxies x databases")
 	f.StringSliceVar(&o.vary, "vary", []string{string(analysis.AxisBoth)}, "what the sizes vary: both, proxies (before the databases of the smallest), databases")
+	f.StringVar(&o.variant, "variant", scale.VariantAll, "health checking: all (each proxy checks every database), shared (by the tier's checkers), both, one after the other")
 	f.DurationVar(&o.For, "for", 10*time.Second, "measured time of each size")
 	f.DurationVar(&o.Settle, "settle", 5*time.Second, "time before it")
 	f.Float64Var(&o.Rate, "rate", 500, "requests a second that each proxy makes")
@@ -98,6 +100,9 @@
 		}
 		o.Axes = append(o.Axes, axis)
 	}
+	if variantsOf[o.variant] == nil {
+		return fmt.Errorf("%w: --variant is %q, all, shared or both was expected", ErrUsage, o.variant)
+	}
 	if err := o.checkEvents(); err != nil {
 		return err
 	}
@@ -156,7 +161,7 @@
 		return err
 	}
 	quiet()
-	o.Variant, o.Memory, o.Until = "all", int64(o.memory*1e9), time.Now().Add(o.timeout)
+	o.Memory, o.Until = int64(o.memory*1e9), time.Now().Add(o.timeout)
 	if o.Memory > 0 {
 		debug.SetMemoryLimit(o.Memory)
 	}
@@ -165,12 +170,21 @@
 	o.Happened = func(e *analysis.EventRow) { printEvent(out, e) }
 	o.Predict = func(size analysis.Size, list []analysis.Prediction) { printPredictions(out, size, list) }
 	run := analysis.Run{Command: "havenlab " + strings.Join(os.Args[1:], " "), Commit: commit(), Machine: machine(), Trial: o.trial}
-	if err := o.Run(c.Context(), &run); err != nil {
-		return err
+	for _, o.Variant = range variantsOf[o.variant] {
+		if err := o.Run(c.Context(), &run); err != nil {
+			return err
+		}
 	}
 	return o.report(out, &run)
 }
 
+// variantsOf gives what runs for each value of --variant.
+var variantsOf = map[string][]string{
+	scale.VariantAll:    {scale.VariantAll},
+	scale.VariantShared: {scale.VariantShared},
+	"both":              {scale.VariantAll, scale.VariantShared},
+}
+
 // report prints what follows from a run, and writes its files.
 func (o *scaleOptions) report(out io.Writer, run *analysis.Run) error {
 	r := analysis.Analyse(run, analysis.Target)
@@ -270,6 +284,8 @@
 			t.Bytes.Mean, t.Bytes.Peak, t.Bytes.Busiest)
 	}
 	w.Flush()
+	fmt.Fprintf(out, "checks %.2f/s a proxy (busiest second %.0f); control %.0f bytes/s a proxy (busiest second %.0f); connections %.1f a database; control %.2f%% of a core a proxy; worth %.4f\n",
+		m.ProbesPerProxy.Mean, m.ProbesPerProxy.Busiest, m.ControlBytes.Mean, m.ControlBytes.Busiest, m.ConnectionsPerDatabase.Mean, 100*m.ControlCPU.Mean, m.Worth)
 }
 
 // printPredictions prints what the smaller sizes say of the largest, before that one runs.
--- a/internal/lab/scale/analysis/api.go
+++ b/internal/lab/scale/analysis/api.go
@@ -116,12 +116,13 @@
 
 	Traffic []Traffic `json:"traffic"` // one entry for each kind and direction that was counted
 
-	ControlBytes   Sample `json:"control_bytes"`    // bytes both ways a second and proxy, all kinds but requests together; where 0, Traffic is added up and the peak is an upper bound
-	ProbesPerProxy Sample `json:"probes_per_proxy"` // health checks begun a second and proxy
-	ControlCPU     Sample `json:"control_cpu"`      // share of one core for each proxy without requests (a run at --rate 0, or requests' part taken off)
-	TotalCPU       Sample `json:"total_cpu"`        // share of one core for each proxy, requests included
-	Memory         Sample `json:"memory"`           // bytes a proxy: resident set of the process of N hollow proxies less that with none, over N
-	Descriptors    Sample `json:"descriptors"`      // open descriptors a proxy, those that the process has without proxies taken off
+	Worth          float64 `json:"worth,omitempty"`  // that clients earned, as a part of what they asked for, the time before the window included
+	ControlBytes   Sample  `json:"control_bytes"`    // bytes both ways a second and proxy, all kinds but requests together; where 0, Traffic is added up and the peak is an upper bound
+	ProbesPerProxy Sample  `json:"probes_per_proxy"` // health checks begun a second and proxy
+	ControlCPU     Sample  `json:"control_cpu"`      // share of one core for each proxy without requests (a run at --rate 0, or requests' part taken off)
+	TotalCPU       Sample  `json:"total_cpu"`        // share of one core for each proxy, requests included
+	Memory         Sample  `json:"memory"`           // bytes a proxy: resident set of the process of N hollow proxies less that with none, over N
+	Descriptors    Sample  `json:"descriptors"`      // open descriptors a proxy, those that the process has without proxies taken off
 
 	ConnectionsPerDatabase Sample `json:"connections_per_database"` // open connections to one database, from all proxies; the mean over databases
 	ConnectionsPerProxy    Sample `json:"connections_per_proxy"`    // open connections of one proxy to all databases
--- a/internal/lab/scale/model.go
+++ b/internal/lab/scale/model.go
@@ -23,6 +23,17 @@
 	demand = 0.6
 )
 
+// The variants of health checking.
+const (
+	VariantAll    = "all"    // each proxy checks every database
+	VariantShared = "shared" // the tier's checkers do, and report by the planners, where the plan says that it pays
+)
+
+const (
+	checksBudget      = 10   // checks a second of one proxy, where they are shared
+	reportBytesBudget = 1600 // bytes a second that one proxy sends, and is sent, for reports then
+)
+
 // Zones are the zones of the fleet: the first three are one region's, the last two another's.
 var Zones = []string{"zone-1", "zone-2", "zone-3", "zone-4", "zone-5"}
 
@@ -41,6 +52,9 @@
 		cfg.Tier.Planners = &virtual.Planners{Lease: c.Lease, PolicySize: policySize, Changes: c.changes()}
 	}
 	cfg.Stopwatch = threadTime
+	if c.Variant == VariantShared {
+		cfg.Tier.Checks = &virtual.SharedChecks{ChecksPerSecond: checksBudget, BytesPerSecond: reportBytesBudget}
+	}
 	cfg.Clocked = !c.CountsOnly
 	return cfg
 }
@@ -98,8 +112,9 @@
 		return partial == ""
 	}
 	cfg.Observer = r
-	play(cfg)
+	result := play(cfg)
 	m := r.measurement()
+	m.Worth = result.Worth
 	m.Partial = partial
 	m.Seed, m.Variant, m.Vary, m.Virtual, m.Transport = c.Seed, c.Variant, axis, c.CountsOnly, transport
 	if !c.CountsOnly && partial == "" {
--- a/internal/lab/scale/recorder.go
+++ b/internal/lab/scale/recorder.go
@@ -12,7 +12,7 @@
 // kinds are the analysis's names of the model's kinds of message.
 var kinds = [virtual.MessageKinds]analysis.Kind{virtual.ProbeMessage: analysis.KindProbe, virtual.RequestMessage: analysis.KindRequest,
 	virtual.ListMessage: analysis.KindList, virtual.PeerMessage: analysis.KindPeers, virtual.LeaseMessage: analysis.KindLease,
-	virtual.PolicyMessage: analysis.KindPolicy}
+	virtual.PolicyMessage: analysis.KindPolicy, virtual.HealthMessage: analysis.KindHealth}
 
 // directions are the analysis's names of the model's directions.
 var directions = [2]analysis.Direction{virtual.Sent: analysis.Sent, virtual.Received: analysis.Received}
--- /dev/null
+++ b/internal/lab/virtual/health_test.go
@@ -0,0 +1,79 @@
+package virtual
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"havenproxy/internal/lab/fleet"
+)
+
+// checkers gives a tier with planners before sixteen databases.
+func checkers(checksPerSecond float64) Config {
+	c := several(12)
+	c.Tier.Planners = &Planners{Lease: 2 * second}
+	c.Tier.Checks = &SharedChecks{ChecksPerSecond: checksPerSecond, BytesPerSecond: 1600}
+	c.For = 12 * second
+	return c
+}
+
+// The list goes on naming a database that hangs. A death that few proxies can see by themselves ejects the database at all of them.
+func TestADeathReachesAllByThePlanner(t *testing.T) {
+	c := checkers(6)
+	c.Rate = func(time.Duration) float64 { return 1 } // nearly nobody uses anything
+	c.Faults = []Fault{{At: 4 * second, Fault: fleet.Fault{Kind: fleet.Hang, Group: 1, Member: 1, For: time.Minute}}}
+	knew := 0
+	c.Watch = &Watch{From: 10 * second, Every: second, Look: func(v *View) bool {
+		knew = 0
+		for i := range c.Proxies {
+			if database, ok := v.Database(i, c.Fleet.Members+1); ok && database.Silent {
+				knew++
+			}
+		}
+		return knew == c.Proxies
+	}}
+	r := Play(c)
+	if knew != c.Proxies || r.Counters.Verdicts == 0 || r.Counters.DigestsMalformed > 0 {
+		t.Errorf("%d of %d proxies know of the death, %d verdicts", knew, c.Proxies, r.Counters.Verdicts)
+	}
+}
+
+// checksFrom plays a run and counts the checks behind a time, when each proxy has met the databases that it uses.
+func checksFrom(c Config, from time.Duration) (checks uint64, r *Result) {
+	c.Watch = &Watch{From: from, Every: second, Look: func(v *View) bool {
+		for i := range c.Proxies {
+			checks -= v.Proxy(i).Counters.Probes
+		}
+		return true
+	}}
+	r = Play(c)
+	return checks + r.Counters.Probes, r
+}
+
+func TestSharingSparesChecks(t *testing.T) {
+	const from = 4 * second
+	c := checkers(6)
+	c.Fleet.Groups = 40
+	c.Rate = func(time.Duration) float64 { return 1000 }
+	shared, sharedRun := checksFrom(c, from)
+	c.Tier.Checks = nil
+	all, allRun := checksFrom(c, from)
+	if perSecond := float64(shared) / (c.For - from).Seconds() / float64(c.Proxies); perSecond > 6.5 {
+		t.Errorf("%.1f checks a second and proxy, 6 are the budget", perSecond)
+	}
+	if 2*shared > all || sharedRun.Worth < allRun.Worth-0.02 {
+		t.Errorf("%d checks and worth %.3f, with all checking %d and %.3f", shared, sharedRun.Worth, all, allRun.Worth)
+	}
+}
+
+// Where every proxy may check everything within its budget, nothing is otherwise than without shared checks.
+func TestASmallFleetIsNotShared(t *testing.T) {
+	c := checkers(100)
+	with := Play(c)
+	c.Tier.Checks = nil
+	without := Play(c)
+	if diff := cmp.Diff(without.Counters, with.Counters); diff != "" || with.Worth != without.Worth {
+		t.Error(diff)
+	}
+}
--- a/internal/lab/virtual/observe.go
+++ b/internal/lab/virtual/observe.go
@@ -18,6 +18,7 @@
 	PeerMessage                       // a datagram between proxies
 	LeaseMessage                      // a lease that is asked for, and granted
 	PolicyMessage                     // all else between a proxy and a planner
+	HealthMessage                     // what checkers report by planners, where health checks are shared
 	MessageKinds                      // how many there are
 )
 
--- a/internal/lab/virtual/planner.go
+++ b/internal/lab/virtual/planner.go
@@ -45,6 +45,7 @@
 	last    rollout.Link
 	buffer  []byte
 	changes map[rollout.Number]int // in res.Changed
+	health  *healthRelay           // nil = each proxy checks for itself
 }
 
 // plannerLink is a proxy's link to its planner. It implements state.Gate.
@@ -56,6 +57,8 @@
 	proxy *rollout.Proxy
 	seek  *rollout.Seeker
 	beat  state.Deadline
+	// missed tells that messages of shared health checks were lost in a cut.
+	missed bool
 }
 
 func (w *world) beginPlanner() {
@@ -66,6 +69,9 @@
 	p := &planner{Planners: w.cfg.Tier.Planners, w: w, state: &rollout.State{}, links: map[rollout.Link]*plannerLink{}, changes: map[rollout.Number]int{}}
 	w.planner = p
 	p.leader = rollout.Lead(cfg, p.state, 1)
+	if c := w.cfg.Tier.Checks; c != nil {
+		p.health = newHealthRelay(p, c)
+	}
 	p.ready()
 	p.tick()
 	for _, at := range p.Changes {
@@ -195,6 +201,9 @@
 	l.p.links[l.link] = l
 	l.seek.Up(l.p.w.clock.now)
 	l.proxy.Connected()
+	if l.p.health != nil {
+		l.p.health.connected(l)
+	}
 	l.flush()
 }
 
--- a/internal/lab/virtual/tier.go
+++ b/internal/lab/virtual/tier.go
@@ -32,6 +32,8 @@
 	Stops  []Stop
 
 	Planners *Planners // nil = proxies take requests without a lease
+	// Checks are health checks that the tier shares; it needs Planners. nil = each proxy checks all.
+	Checks *SharedChecks
 }
 
 // Mute is a time in which peers don't hear each other.
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -453,6 +453,7 @@
 	if cfg.Tier.Peers > 0 {
 		f.Peers(n)
 	}
+	w.shareChecks(n, f)
 	return f
 }
 
--- a/internal/ping/ping.go
+++ b/internal/ping/ping.go
@@ -30,6 +30,7 @@
 	Proxies  int           // that ping the same databases
 	Tick     time.Duration // the grain of the proxy's clock
 	Tightest time.Duration // bound of any class; 0 = none has one
+	Shared   bool          // the tier shares health checks: see dueShared
 
 	bounded time.Duration // when the last bounded read came
 }
@@ -76,10 +77,14 @@
 	Members  int           // of its group
 	Rate     float64       // requests a second to its group
 	Asked    time.Duration // the last of them
+	Ejected  bool          // dead by the word of a quorum
 }
 
 // Due tells whether a member is to be pinged now, and until when it need not be looked at unless something happens to it.
 func (s *Schedule) Due(now time.Duration, m *Member) (due bool, until time.Duration) {
+	if s.Shared {
+		return s.dueShared(now, m)
+	}
 	since, period, steady, owes := now-m.Probed, s.Period(now), every, m.Owes
 	if m.Primary {
 		period = every
--- /dev/null
+++ b/internal/ping/shared.go
@@ -0,0 +1,32 @@
+package ping
+
+import "time"
+
+// inUse is how long a group counts as in use behind a request to it.
+const inUse = 10 * time.Second
+
+// InUse tells whether a group whose last request came at a time is in use; 0 = none came.
+func InUse(now, asked time.Duration) bool { return asked > 0 && now-asked <= inUse }
+
+// dueShared is Due where the tier shares health checks. Steady checks are its checkers' then. Left are those for an answer that is owed,
+// and in a group that is in use the first one, those while it has no primary, and those of a member that is silent here and not ejected.
+func (s *Schedule) dueShared(now time.Duration, m *Member) (due bool, until time.Duration) {
+	since := now - m.Probed
+	headless := m.Headless && since >= every || m.Search > 0 && since >= m.Search
+	switch {
+	case m.Owes:
+		return true, 0
+	case !InUse(now, m.Asked):
+		return false, now + Rest
+	case m.Probed == 0:
+		due = !m.Known
+	case m.Silent:
+		due = !m.Ejected && since >= silentAsk && m.Asked > m.Probed
+	default:
+		due = headless
+	}
+	if due || m.Silent || m.Headless || m.Search > 0 {
+		return due, 0
+	}
+	return false, now + Rest
+}
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -1,6 +1,10 @@
 package state
 
-import "log/slog"
+import (
+	"log/slog"
+
+	"havenproxy/logic"
+)
 
 // Counters count since the start.
 type Counters struct {
@@ -22,6 +26,8 @@
 	// Of MySQL: executions of prepared statements written to databases, and statements that had to be prepared on a
 	// connection before one.
 	Executes, Prepares uint64
+	// Of shared health checks: digests of planners, those that could not be read, and verdicts that were handed to the router.
+	Digests, DigestsMalformed, Verdicts uint64
 }
 
 // LogValue lets slog print the counters.
@@ -43,5 +49,28 @@
 		slog.Uint64("peers_told", c.PeersTold), slog.Uint64("peers_heard", c.PeersHeard),
 		slog.Uint64("peers_strange", c.PeersStrange),
 		slog.Uint64("loads", c.Loads), slog.Uint64("load_errors", c.LoadErrors),
-		slog.Uint64("executes", c.Executes), slog.Uint64("prepares", c.Prepares))
+		slog.Uint64("executes", c.Executes), slog.Uint64("prepares", c.Prepares),
+		slog.Uint64("digests", c.Digests), slog.Uint64("digests_malformed", c.DigestsMalformed), slog.Uint64("verdicts", c.Verdicts))
+}
+
+// end counts how an attempt ended.
+func (c *Counters) end(r logic.Result) {
+	switch r {
+	case logic.OK:
+		c.OK++
+	case logic.Miss:
+		c.Miss++
+	case logic.Failed:
+		c.Error++
+	case logic.Full:
+		c.Full++
+	case logic.TimedOut:
+		c.TimedOut++
+	case logic.ConnectFailed:
+		c.ConnectFailed++
+	case logic.Reset:
+		c.Reset++
+	case logic.Cancelled:
+		c.Cancelled++
+	}
 }
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -97,6 +97,7 @@
 	teller  Teller // nil = there is no talk with peers
 	message []byte
 	facts   []peers.Fact
+	checks  *sharedChecks // nil = the tier doesn't share health checks
 
 	trace    *trace.Writer       // nil = none is kept
 	merged   *membership.Members // of several catalogues; nil = the platform's list stands alone
@@ -332,6 +333,7 @@
 	f.Counters.end(r.Result)
 	a.to.heard(r, false)
 	f.seen(a.to, r, false)
+	f.checks.served(f, a.to, r)
 	switch {
 	case r.Result == logic.OK && r.Stream != nil:
 		if q.caller == nil {
@@ -352,27 +354,6 @@
 	f.tell(func() { f.router.Outcome(f.clock.Now(), o) })
 }
 
-func (c *Counters) end(r logic.Result) {
-	switch r {
-	case logic.OK:
-		c.OK++
-	case logic.Miss:
-		c.Miss++
-	case logic.Failed:
-		c.Error++
-	case logic.Full:
-		c.Full++
-	case logic.TimedOut:
-		c.TimedOut++
-	case logic.ConnectFailed:
-		c.ConnectFailed++
-	case logic.Reset:
-		c.Reset++
-	case logic.Cancelled:
-		c.Cancelled++
-	}
-}
-
 // SetTimer implements logic.Actions.
 func (f *Front) SetTimer(id logic.TimerID, at time.Duration) {
 	d := f.timers[id]
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -435,6 +435,7 @@
 	if w := m.witness; w != nil && r.Result == logic.OK && !w.askedAgain {
 		defer w.askAgain()
 	}
+	f.checks.checked(f, m, r)
 	p := logic.Probed{Member: m.id, Result: r.Result, Took: took, Report: f.report(r), Opened: r.opened, Refused: r.refused}
 	f.tell(func() { f.router.Probed(f.clock.Now(), p) })
 }
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -84,6 +84,7 @@
 		}
 	}
 	f.tell(func() { f.router.Members(f.clock.Now(), out) })
+	f.checks.listed(f)
 }
 
 // ListFailed tells that a call failed or that a watch broke; the list in hand still holds.
--- a/internal/wire/tier/tier.go
+++ b/internal/wire/tier/tier.go
@@ -39,6 +39,7 @@
 	Start   *Start           `cbor:"5,keyasint,omitempty"` // of a planner to another, before all else on a link
 	Strange string           `cbor:"6,keyasint,omitempty"` // a planner to another: why its messages are not taken
 	Work    *Work            `cbor:"7,keyasint,omitempty"` // between proxies
+	Health  []byte           `cbor:"8,keyasint,omitempty"` // between a proxy and a planner: a message of internal/wire/healthcheck
 }
 
 // Work is what one proxy of a tier says to another of work in hand, several messages at a time.
--- /dev/null
+++ b/logic/health.go
@@ -0,0 +1,146 @@
+package logic
+
+import (
+	"time"
+
+	"havenproxy/internal/healthcheck"
+	"havenproxy/internal/peers"
+	"havenproxy/internal/ping"
+	"havenproxy/internal/subset"
+)
+
+// What a router takes over of health checks that its tier shares. Who checks what, and what a quorum concludes, is internal/healthcheck's
+// to decide; the rules on drains, the age of data, slow start and attempts stay in logic.go, and hold whatever the verdict.
+
+// checkBudget bounds the checks that one proxy sends, as a token bucket of one second.
+type checkBudget struct {
+	perSecond float64 // 0 = checks are not shared, and not bounded here
+	saved     float64
+	at        time.Duration
+}
+
+// reservedPart is the part of the bucket that checks for positions leave to the tier's checks and to answers that are owed.
+const reservedPart = 0.5
+
+func (b *checkBudget) fill(now time.Duration) {
+	b.saved = min(b.saved+b.perSecond*(now-b.at).Seconds(), b.perSecond)
+	b.at = now
+}
+
+// spend takes a check off, whatever it is for. Checks that are owed go out beyond the budget, and are made up for.
+func (b *checkBudget) spend(now time.Duration) {
+	b.fill(now)
+	b.saved = max(b.saved-1, -b.perSecond)
+}
+
+// spare tells whether a check may be sent that merely helps.
+func (b *checkBudget) spare(now time.Duration) bool {
+	b.fill(now)
+	return b.saved > reservedPart*b.perSecond
+}
+
+// ShareChecks tells that the tier shares health checks, and how many a second this proxy may send; 0 = they are not shared.
+func (r *Router) ShareChecks(now time.Duration, perSecond float64) {
+	r.checks = checkBudget{perSecond: perSecond, at: now}
+	r.pings.Shared = perSecond > 0
+	for _, m := range r.order {
+		m.restsTill, m.ejected = 0, false
+	}
+}
+
+// sharesChecks tells whether the tier shares health checks.
+func (r *Router) sharesChecks() bool { return r.checks.perSecond > 0 }
+
+// informed tells whether others spare this proxy most pings, so that it does without one of a member's own.
+func (r *Router) informed() bool { return r.sharesChecks() || r.peers.On() }
+
+// thin tells of traffic for which pings at their periods are too many, so that they go out at need. Where checks are shared these keep
+// within the budget, save while a primary is looked for.
+func (r *Router) thin(now time.Duration, g *group) bool {
+	if r.sharesChecks() {
+		return g.primary == nil || r.checks.spare(now)
+	}
+	return r.pings.Thin(now, len(g.members), r.rateOf(now, g))
+}
+
+// probe sends a health check, if none is out.
+func (r *Router) probe(now time.Duration, m *member) {
+	if r.cfg.MayProbe && !m.probing && m.State == Ready {
+		m.probing, m.probedAt = true, now
+		r.checks.spend(now)
+		r.wake(m)
+		r.act.Probe(m.ID)
+	}
+}
+
+// Check sends a health check that this proxy owes its tier. Its outcome comes as that of any other.
+func (r *Router) Check(now time.Duration, id MemberID) {
+	r.begin(now)
+	if m := r.members[id]; m != nil {
+		r.probe(now, m)
+	}
+}
+
+// InUse tells whether requests have come to a group lately.
+func (r *Router) InUse(now time.Duration, id GroupID) bool {
+	g := r.groups[id]
+	return g != nil && ping.InUse(now, g.rate.last)
+}
+
+// Verdict takes what a quorum of the tier's checkers has found out about a member. A death counts as a failed health check of this
+// proxy's own. Its end does not count as an answer: a member that is used is checked first, and one that is not when it is.
+func (r *Router) Verdict(now time.Duration, id MemberID, v healthcheck.Verdict) {
+	r.begin(now)
+	m := r.members[id]
+	if m == nil || !r.sharesChecks() {
+		return
+	}
+	was := m.verdict
+	m.verdict, m.ejected = v, v.State == healthcheck.Ejected
+	if v.ColdStart && !was.ColdStart {
+		r.startedCold(now, m, v.RoleAt)
+	}
+	switch {
+	case m.ejected:
+		r.eject(now, m)
+	case v.Role != subset.RoleUnknown:
+		r.believe(m, roleOf(v.Role), min(v.Position, now), min(v.RoleAt, now), now)
+		m.toldAt = max(m.toldAt, min(v.RoleAt, now))
+	}
+	if v.Failing && !was.Failing {
+		r.failures.Note(now, &m.bench, 1)
+		r.failures.Spread(now, &m.bench, r.cfg.Fronts, r.rng.Float64())
+	}
+	if was.State == healthcheck.Ejected && !m.ejected && m.seat.Silent && ping.InUse(now, m.group.rate.last) {
+		r.probe(now, m)
+	}
+	if len(r.held) > 0 {
+		r.retryHeld(now)
+	}
+}
+
+// eject marks a member silent that is dead by the word of a quorum, as a failed check would. Peers are not told: it was not seen here.
+func (r *Router) eject(now time.Duration, m *member) {
+	if m.seat.Silent {
+		return
+	}
+	m.group.lead.Silent(now, m.seat)
+	r.follow(now, m.group)
+	r.hedge(now, m)
+}
+
+// startedCold takes the word of a quorum that a member has just started, where nothing is known of it here. It only ever makes this proxy
+// send less: a start that is known stays as it is, and a member that is cold is never taken for a warm one.
+func (r *Router) startedCold(now time.Duration, m *member, at time.Duration) {
+	if _, sure := m.seat.Cold(now, r.cfg.Cold); sure == 0 && at > 0 {
+		m.group.lead.Born(now, m.seat, min(at, now), false)
+		r.follow(now, m.group)
+	}
+}
+
+func roleOf(role subset.Role) Role {
+	return [...]Role{subset.RoleUnknown: RoleUnknown, subset.Replica: RoleReplica, subset.Primary: RolePrimary}[role]
+}
+
+// ShortNumber gives the number of a member in the tier's messages.
+func ShortNumber(id MemberID) subset.DatabaseID { return subset.DatabaseID(peers.Short(uint64(id))) }
--- /dev/null
+++ b/logic/health_test.go
@@ -0,0 +1,114 @@
+package logic
+
+import (
+	"testing"
+	"time"
+
+	"havenproxy/internal/healthcheck"
+	"havenproxy/internal/subset"
+)
+
+// sharing gives a settled router whose tier shares health checks, with member 1 as the primary of four.
+func sharing(t *testing.T) *front {
+	f := settled(t, manyFronts(), 4)
+	f.pass(400 * ms)
+	f.r.ShareChecks(f.now, 10)
+	f.probes = nil
+	return f
+}
+
+func TestOnlyAQuorumsDeathEjects(t *testing.T) {
+	f := sharing(t)
+	f.r.Verdict(f.now, 2, healthcheck.Verdict{State: healthcheck.Serving, Votes: 1, Quorum: 2})
+	f.r.Verdict(f.now, 3, healthcheck.Verdict{State: healthcheck.Doubted, Votes: 2, Quorum: 2})
+	if f.r.members[2].seat.Silent || f.r.members[3].seat.Silent {
+		t.Error("a single checker's word, or one in doubt, has ejected a member")
+	}
+	f.r.Verdict(f.now, 2, healthcheck.Verdict{State: healthcheck.Ejected, Votes: 2, Quorum: 2})
+	if m := f.r.members[2]; !m.seat.Silent || f.r.usable(m, f.now) {
+		t.Error("a quorum's death has not ejected the member")
+	}
+	f.r.Verdict(f.now, 1, healthcheck.Verdict{State: healthcheck.Ejected, Votes: 2, Quorum: 2, Role: subset.Replica, RoleAt: f.now})
+	if f.r.members[1].role() != RolePrimary {
+		t.Error("the role of before a death is believed with it")
+	}
+}
+
+// A verdict is no answer: whoever was ejected is used once it has answered this proxy itself, and is asked when it is to be used.
+func TestTheEndOfAnEjectionIsCheckedFirst(t *testing.T) {
+	f := sharing(t)
+	f.r.Verdict(f.now, 2, healthcheck.Verdict{State: healthcheck.Ejected})
+	f.pass(6 * time.Second)
+	if len(f.probes) > 0 {
+		t.Errorf("an ejected member is checked by all: %v", f.probes)
+	}
+	f.r.members[2].group.rate.add(f.now, thinSpan)
+	f.r.Verdict(f.now, 2, healthcheck.Verdict{State: healthcheck.Serving})
+	if !f.r.members[2].seat.Silent || len(f.probes) != 1 || f.probes[0] != 2 {
+		t.Errorf("silent %v, checks %v", f.r.members[2].seat.Silent, f.probes)
+	}
+	f.r.Probed(f.now, Probed{Member: 2, Result: OK, Took: ms, Report: Report{Role: RoleReplica, Queue: -1}})
+	if f.r.members[2].seat.Silent {
+		t.Error("it has answered")
+	}
+}
+
+func TestPositionsAreBelievedAsHeard(t *testing.T) {
+	f := sharing(t)
+	m := f.r.members[3]
+	heard := f.now - 30*ms
+	f.r.Verdict(f.now, 3, healthcheck.Verdict{Role: subset.Replica, RoleAt: f.now, Position: heard})
+	f.pass(200 * ms)
+	if m.position != heard {
+		t.Errorf("position %v, heard was %v", m.position, heard)
+	}
+	f.r.Verdict(f.now, 3, healthcheck.Verdict{Role: subset.Replica, RoleAt: f.now, Position: heard - time.Second})
+	if m.position != heard {
+		t.Error("a position has gone back")
+	}
+	f.r.Verdict(f.now, 3, healthcheck.Verdict{Role: subset.Replica, RoleAt: f.now + time.Second, Position: f.now + time.Second})
+	if m.position > f.now {
+		t.Error("data from the future")
+	}
+}
+
+// What others say of a start can make a member cold here, and never warm.
+func TestHearsayNeverLoosensAColdBudget(t *testing.T) {
+	f := sharing(t)
+	m := f.r.members[2]
+	f.r.entry(f.now, Member{ID: 2, Group: m.Group, State: Ready, Size: 1, Born: f.now - time.Second})
+	cold := f.r.warmth(f.now, m)
+	f.r.Verdict(f.now, 2, healthcheck.Verdict{State: healthcheck.Serving, Role: subset.Replica, RoleAt: f.now})
+	f.r.Verdict(f.now, 2, healthcheck.Verdict{State: healthcheck.Serving, ColdStart: true, Role: subset.Replica, RoleAt: f.now - 10*time.Second})
+	if got := f.r.warmth(f.now, m); got != cold || cold >= 1 {
+		t.Errorf("warmth %v, and %v after hearsay", cold, got)
+	}
+	f.r.Verdict(f.now, 3, healthcheck.Verdict{State: healthcheck.Serving, ColdStart: true, Role: subset.Replica, RoleAt: f.now})
+	if m := f.r.members[3]; f.r.warmth(f.now, m) >= 1 || m.role() != RoleReplica {
+		t.Errorf("warmth %v, role %v", f.r.warmth(f.now, m), m.role())
+	}
+	f.r.entry(f.now, Member{ID: 4, Group: m.Group, State: Draining, Size: 1})
+	f.r.Verdict(f.now, 4, healthcheck.Verdict{State: healthcheck.Serving, Role: subset.Replica, RoleAt: f.now})
+	if f.r.usable(f.r.members[4], f.now) {
+		t.Error("a drain is lifted by hearsay")
+	}
+}
+
+// Steady checks are the checkers'; those that merely help keep within the budget.
+func TestSharedChecksKeepToTheBudget(t *testing.T) {
+	f := sharing(t)
+	f.pass(5 * time.Second)
+	if len(f.probes) > 0 {
+		t.Errorf("a proxy that has no duty and no requests checks %v", f.probes)
+	}
+	sent := 0
+	for range 100 {
+		if f.r.thin(f.now, f.r.members[2].group) {
+			f.r.checks.spend(f.now)
+			sent++
+		}
+	}
+	if sent != 5 {
+		t.Errorf("%d checks for positions at once, half of a second's budget of 10 was expected", sent)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -324,7 +324,7 @@
 		return m, 0
 	}
 	if r.inquire(now, q, 1, func(m *member) bool { // a ping makes no room, where peers tell the rest
-		if !r.peers.On() {
+		if !r.informed() {
 			return r.eligible(now, q, m) || m == p && q.asked > 0
 		}
 		return r.eligible(now, q, m) && !q.qualifies(m, now) && !r.crowded(now, m, part)
@@ -404,15 +404,10 @@
 	return true
 }
 
-// thin tells of traffic for which pings at their periods are too many.
-func (r *Router) thin(now time.Duration, g *group) bool {
-	return r.pings.Thin(now, len(g.members), r.rateOf(now, g))
-}
-
 // nearest keeps those within the ping window of the quickest.
 func (r *Router) nearest(list []*member) []*member {
 	pingOf := func(m *member) time.Duration { return m.ping }
-	return ping.Nearest(list, r.cfg.Tuning.PingWindow, r.peers.On(), pingOf)
+	return ping.Nearest(list, r.cfg.Tuning.PingWindow, r.informed(), pingOf)
 }
 
 // long tells of reads that may stall applying: spread at random they push each replica out of the filter.
@@ -857,7 +852,7 @@
 		now-max(m.heardAt, m.out[0].sentAt, m.probedAt) > r.patience(m, m.out[0])
 	g, due := m.group, false
 	due, m.restsTill = r.pings.Due(now, &ping.Member{Probed: m.probedAt, Placed: m.placedAt, Owes: owes,
-		First: m.firstAt, Known: m.toldAt > 0,
+		First: m.firstAt, Known: m.toldAt > 0, Ejected: m.ejected,
 		Silent: m.seat.Silent, Primary: m.role() == RolePrimary, Headless: g.primary == nil, Asked: g.rate.last,
 		Search: g.lead.Searching(now, r.cfg.Fronts), Members: len(g.members), Rate: r.rateOf(now, g)})
 	if due {
@@ -865,14 +860,6 @@
 	}
 }
 
-func (r *Router) probe(now time.Duration, m *member) {
-	if r.cfg.MayProbe && !m.probing && m.State == Ready {
-		m.probing, m.probedAt = true, now
-		r.wake(m)
-		r.act.Probe(m.ID)
-	}
-}
-
 // Probed takes the result of a ping.
 func (r *Router) Probed(now time.Duration, p Probed) {
 	r.begin(now)
--- a/logic/state.go
+++ b/logic/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"havenproxy/internal/handover"
+	"havenproxy/internal/healthcheck"
 	"havenproxy/internal/limit"
 	"havenproxy/internal/peers"
 	"havenproxy/internal/ping"
@@ -51,6 +52,7 @@
 	pings    ping.Schedule
 	priority limit.Priority // among classes, at cold members
 	peers    *peers.Gossip  // what the other proxies have seen
+	checks   checkBudget    // where the tier shares them
 }
 
 // member is this front's view of one process.
@@ -63,14 +65,16 @@
 
 	ping      time.Duration // moving average; 0 = never answered
 	probing   bool
-	probedAt  time.Duration // the last probe sent
-	heardAt   time.Duration // the last sign of life
-	stuck     bool          // it has an attempt overdue, and has answered none since
-	toldAt    time.Duration // when a peer last had an answer from it, as told
-	firstAt   time.Duration // when it is to be pinged first
-	placedAt  time.Duration // the last news of its position
-	restsTill time.Duration // it need not be looked at before, unless something happens
-	awake     bool          // it is in the list of those that are looked at each time
+	probedAt  time.Duration       // the last probe sent
+	heardAt   time.Duration       // the last sign of life
+	stuck     bool                // it has an attempt overdue, and has answered none since
+	toldAt    time.Duration       // when a peer last had an answer from it, as told
+	verdict   healthcheck.Verdict // of the tier's checkers, the last
+	ejected   bool                // by it
+	firstAt   time.Duration       // when it is to be pinged first
+	placedAt  time.Duration       // the last news of its position
+	restsTill time.Duration       // it need not be looked at before, unless something happens
+	awake     bool                // it is in the list of those that are looked at each time
 
 	out []*attempt // this front's attempts there, oldest first
 	limit.Limit
