Compare the worth of shared health checks with that of all checking everything

havenlab scale ran both ways side by side, but told nothing of what clients earn in an event, nor whether a difference is more than chance.

--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -32,6 +32,7 @@
 	trial     bool
 	calculate bool
 	variant   string
+	compare   int
 	events    []string
 	eventSize string
 	jsonPath  string
@@ -58,6 +59,7 @@
 	f.StringSliceVar(&o.sizes, "sizes", []string{"50x80", "100x160", "200x320", "400x640", "820x1300"}, "proxies x databases")
 	f.StringSliceVar(&o.vary, "vary", []string{string(analysis.AxisBoth)}, "what the sizes vary: both, proxies (before the databases of the smallest), databases")
 	f.StringVar(&o.variant, "variant", scale.VariantAll, "health checking: all (each proxy checks every database), shared (by the tier's checkers), both, one after the other")
+	f.IntVar(&o.compare, "compare", 0, "compare the worth of shared checks with that of all checking everything: so many seeds, 5 at least, at --event-size, calm and with each of --events; 0 = measure sizes")
 	f.DurationVar(&o.For, "for", 10*time.Second, "measured time of each size")
 	f.DurationVar(&o.Settle, "settle", 5*time.Second, "time before it")
 	f.Float64Var(&o.Rate, "rate", 500, "requests a second that each proxy makes")
@@ -169,6 +171,9 @@
 	o.Measured = func(m *analysis.Measurement) { printMeasurement(out, m) }
 	o.Happened = func(e *analysis.EventRow) { printEvent(out, e) }
 	o.Predict = func(size analysis.Size, list []analysis.Prediction) { printPredictions(out, size, list) }
+	if o.compare > 0 {
+		return o.compareWorth(c.Context(), out)
+	}
 	run := analysis.Run{Command: "havenlab " + strings.Join(os.Args[1:], " "), Commit: commit(), Machine: machine(), Trial: o.trial}
 	for _, o.Variant = range variantsOf[o.variant] {
 		if err := o.Run(c.Context(), &run); err != nil {
--- a/internal/lab/scale/analysis/api.go
+++ b/internal/lab/scale/analysis/api.go
@@ -176,10 +176,11 @@
 	PeakProxyCPU     float64 `json:"peak_proxy_cpu"`     // share of one core for each proxy in the busiest second
 	PeakPlannerCPU   float64 `json:"peak_planner_cpu"`   // share of one core of the busiest planner in its busiest second
 
-	WrongSends int    `json:"wrong_sends"` // attempts at a member that could not take them, from the event until all knew, all proxies
-	Requests   int    `json:"requests"`    // statements made in that time, all proxies
-	Refused    int    `json:"refused"`     // of these refused
-	Stopped    []Stop `json:"stopped"`     // what stopped and for how long; empty where nothing did
+	WrongSends int     `json:"wrong_sends"`     // attempts at a member that could not take them, from the event until all knew, all proxies
+	Worth      float64 `json:"worth,omitempty"` // that clients earned in the whole run, as a part of what they asked for
+	Requests   int     `json:"requests"`        // statements made in that time, all proxies
+	Refused    int     `json:"refused"`         // of these refused
+	Stopped    []Stop  `json:"stopped"`         // what stopped and for how long; empty where nothing did
 }
 
 // Steps are the parts of a failover's time, each measured on its own. A part that is 0 was not measured.
--- a/internal/lab/scale/events.go
+++ b/internal/lab/scale/events.go
@@ -79,6 +79,7 @@
 		row.UntilAllKnow = own.For
 	}
 	r.fill(&row)
+	row.Worth = result.Worth
 	var steps analysis.Steps
 	if x.steps != nil {
 		steps = x.steps.result(c.Settle, seen)
