Carry shared health checks between proxies and planners in the real program

Reports and digests passed in the model only.

tier(checks = N, report_bytes = B) in the operator's file sets a budget; without one, which is the default, nothing is otherwise. A proxy that has one tells its zone as it joins, is told of the tier's members with their zones, and shares checks with those that told one, as the member number that the planners gave it. Frames of tier have a part for the messages of internal/wire/healthcheck. The planner that leads relays them; it takes a message on its member's own link only. A new link is sent all once its lease was granted on it.

Losses and limits: needs leases (members are told with them) and zones. The list of members is sent whole with each change of the tier: at 820 proxies some 50 KB to each, reckoned, not run; it has to become a delta before it is used at that size. Nothing passes among proxies while no planner is heard: they check duties and what they use, and go on alone 6 to 8 s later.

--- a/internal/net/tier.go
+++ b/internal/net/tier.go
@@ -40,6 +40,7 @@
 	redial  state.Deadline
 	dialing bool
 	stopped bool
+	health  tierHealth
 }
 
 // TierConfig is what a proxy is told of its tier.
@@ -50,17 +51,21 @@
 	Seed     uint64
 	// Nonce tells this start from any other. It must not come of the configuration: a proxy that was killed would come back as the member that it
 	// was, and what that one had agreed to or held would count for one that holds nothing; and two processes of one name would be one member.
-	Nonce uint64
-	Check func(n rollout.Number, policy []byte) string // why it can't be served under here; empty = it can
-	Into  func(n rollout.Number, policy []byte)        // puts it into effect; called on the loop
+	Nonce  uint64
+	Check  func(n rollout.Number, policy []byte) string // why it can't be served under here; empty = it can
+	Into   func(n rollout.Number, policy []byte)        // puts it into effect; called on the loop
+	Health HealthConfig
 }
 
 // JoinTier lets a proxy go by its tier's policy. Until it holds that, it takes no request. It is called on the loop.
 func JoinTier(loop *Loop, clock state.Clock, front *state.Front, c TierConfig) *Tier {
 	t := &Tier{loop: loop, clock: clock, deadlines: &front.Deadlines, front: front, cfg: c.Rollout.WithDefaults(), planners: c.Planners,
-		into: c.Into}
+		into: c.Into, health: tierHealth{config: c.Health}}
 	rng := rand.New(rand.NewPCG(c.Seed, 0x71e2))
 	t.side = rollout.NewProxy(t.cfg, c.Name, c.Nonce|1, c.Check)
+	if c.Health.shares() {
+		t.side.In(c.Health.Zone)
+	}
 	t.seek = rollout.NewSeeker(t.cfg, len(t.planners), rng)
 	front.Gate(t)
 	t.dial()
@@ -99,7 +104,7 @@
 			conn.Close()
 			return
 		}
-		t.conn, t.in.bytes = conn, nil
+		t.conn, t.in.bytes, t.health.connected = conn, nil, false
 		t.seek.Up(t.clock.Now())
 		attach(t.loop, conn, func() { t.readable(conn) }, func() { t.down(conn) })
 		t.side.Connected()
@@ -170,6 +175,9 @@
 		if f.Tier != nil {
 			t.message(*f.Tier)
 		}
+		if f.Health != nil {
+			t.digest(f.Health)
+		}
 	}
 	if t.conn == conn {
 		t.in.cut(used)
@@ -198,6 +206,7 @@
 			t.into(n, with[i])
 		}
 	}
+	t.shareChecks(&m)
 	t.front.Passed()
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -52,6 +52,9 @@
 	Planners []string
 	Rollout  rollout.Config
 	Tell     bool // answers tell clients the policy's number
+	// Checks is how many health checks a second this proxy may send, and ReportBytes how many bytes for reports on them: where it would
+	// need more, the tier's proxies check on behalf of one another. 0 = there is no budget, and each proxy checks all.
+	Checks, ReportBytes float64
 }
 
 // Revision tells which file a proxy runs.
@@ -170,6 +173,10 @@
 		c.Errorf("", "tier() is called a second time")
 	}
 	t := &Tier{Name: c.String("name", ""), Tell: c.Bool("tell_clients", false)}
+	t.Checks, t.ReportBytes = c.Float("checks", 0, 0, 1000), c.Float("report_bytes", 1600, 200, 1e6)
+	if c.Has("report_bytes") && t.Checks == 0 {
+		c.Errorf("report_bytes", "report_bytes goes with checks: without a budget of checks nothing is reported")
+	}
 	c.List("planners", func(v starlark.Value) {
 		address, ok := starlark.AsString(v)
 		if _, err := netip.ParseAddrPort(address); !ok || err != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -199,3 +199,24 @@
 		}
 	}
 }
+
+// Health checks are shared only where the file sets a budget for them.
+func TestATierMayHaveABudgetOfChecks(t *testing.T) {
+	for text, want := range map[string][2]float64{
+		`tier(planners = ["10.0.0.1:7400"])`:                                   {0, 1600},
+		`tier(planners = ["10.0.0.1:7400"], checks = 10, report_bytes = 2000)`: {10, 2000},
+	} {
+		f, err := Parse("x.star", []byte(text), classes)
+		if err != nil || [2]float64{f.Tier.Checks, f.Tier.ReportBytes} != want {
+			t.Errorf("%s: %+v, %v", text, f.Tier, err)
+		}
+	}
+	for text, want := range map[string]string{
+		`tier(planners = ["10.0.0.1:7400"], report_bytes = 2000)`: "goes with checks",
+		`tier(planners = ["10.0.0.1:7400"], checks = -1)`:         "checks",
+	} {
+		if _, err := Parse("x.star", []byte(text), classes); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -20,6 +20,7 @@
 
 	"havenproxy/internal/labclock"
 	"havenproxy/internal/rollout"
+	"havenproxy/internal/subset"
 	"havenproxy/internal/wire/tier"
 )
 
@@ -52,6 +53,7 @@
 	state  *rollout.State
 	leader *rollout.Leader // nil while another leads
 	leads  uint64          // who, as far as known
+	health *healthRelay    // nil while another leads
 	began  time.Time
 
 	views            *rollout.Views
@@ -225,6 +227,7 @@
 			p.node.Tick()
 			if p.leader != nil {
 				p.leader.Tick(p.now())
+				p.healthTick()
 			}
 		case f := <-p.urgent:
 			f()
@@ -247,6 +250,7 @@
 // begin begins to lead.
 func (p *Planner) begin(term rollout.Term) {
 	p.leader = rollout.Lead(p.cfg.Rollout, p.state, term)
+	p.health = newHealthRelay()
 	p.leader.Since(p.pending, p.pendingAt)
 	if p.cfg.Rollout.Lease > 0 {
 		p.leader.Tells(p.views)
@@ -283,7 +287,7 @@
 func (p *Planner) ready() {
 	rd := p.node.Ready()
 	if term := rollout.Term(p.node.BasicStatus().HardState.GetTerm()); p.leader != nil && term != p.leader.Term() {
-		p.leader = nil // it led, another did, and it leads again: what it knew of leases is void
+		p.leader, p.health = nil, nil // it led, another did, and it leads again: what it knew of leases is void
 		if p.node.BasicStatus().RaftState == raft.StateLeader {
 			p.begin(term)
 		}
@@ -331,7 +335,7 @@
 	}
 	if p.leader != nil {
 		slog.Info("this planner leads no more", "leader", s.Lead)
-		p.leader = nil
+		p.leader, p.health = nil, nil
 		p.server.dropProxies()
 	}
 }
@@ -359,6 +363,9 @@
 	force := p.state.Force
 	err = p.state.Apply(c)
 	p.views.Applied(p.now(), p.state)
+	if c.Act == rollout.Leave && err == nil && p.health != nil {
+		p.health.relay.Forget(subset.ProxyID(c.Member))
+	}
 	if x := p.state.Pending(); x != nil && x.Number != p.pending {
 		p.pending, p.pendingAt = x.Number, p.now()
 	}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -165,6 +165,7 @@
 		if s.p.leader != nil {
 			s.p.leader.Down(id)
 		}
+		s.p.healthDown(id)
 	})
 }
 
@@ -196,6 +197,8 @@
 			return
 		}
 		p.leader.Heard(p.now(), id, *f.Tier)
+	case f.Health != nil:
+		s.health(id, f.Health)
 	case f.Ask != nil:
 		s.ask(id, f.Ask)
 	}
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -108,7 +108,7 @@
 	Hold                      // it is to hold what comes
 	Facts                     // Number is in force, all rounds up to Round are over
 	Elsewhere                 // this planner doesn't lead
-	Members                   // the tier's members are Seats as of Version, for who told an Address
+	Members                   // the tier's members are Seats as of Version, for who told an Address or a Zone
 )
 
 // Message is one between a proxy and a planner.
@@ -130,6 +130,8 @@
 	Version uint64 `cbor:"12,keyasint,omitempty"` // of the members, as the proxy knows them with Renew, as they are with Granted and Members
 	Seats   []Seat `cbor:"13,keyasint,omitempty"`
 	Past    []View `cbor:"14,keyasint,omitempty"`
+	// Zone is where the proxy runs, with Hello, if it shares health checks with the others; it is told of them then.
+	Zone string `cbor:"15,keyasint,omitempty"`
 }
 
 // Act says what a command does.
@@ -161,6 +163,7 @@
 	// Lease is what the leader goes by, with Release. Planners that go by another can't lead.
 	Lease time.Duration `cbor:"12,keyasint,omitempty"`
 	Hash  string        `cbor:"13,keyasint,omitempty"` // of Policy, with Propose
-	// Address is a member's, with Join.
+	// Address and Zone are a member's, with Join.
 	Address string `cbor:"14,keyasint,omitempty"`
+	Zone    string `cbor:"15,keyasint,omitempty"`
 }
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -166,7 +166,7 @@
 			length := l.length(now)
 			l.grant(now, s, length)
 			granted := Message{Kind: Granted, Member: a.member, Seq: a.seq, Lease: length}
-			if l.views != nil && l.state.Seat(a.member).Address != "" { // the log was looked at behind the ask: so far the list is sure to hold
+			if l.views != nil && l.state.Seat(a.member).needsMembers() { // the log was looked at behind the ask: so far the list is sure to hold
 				past, whole := l.views.Past(now)
 				if whole { // the fence against keepers that nobody names any more
 					granted.Version = l.state.Version
@@ -351,7 +351,13 @@
 		return
 	}
 	l.names[link] = m
-	l.try(now, "join "+m.Name, Command{Act: Join, Name: m.Name, Nonce: m.Nonce, Address: m.Address})
+	l.try(now, "join "+m.Name, Command{Act: Join, Name: m.Name, Nonce: m.Nonce, Address: m.Address, Zone: m.Zone})
+}
+
+// Holds tells whether a member's link is this one.
+func (l *Leader) Holds(m Member, link Link) bool {
+	s := l.seats[m]
+	return s != nil && s.link == link && l.state.Seat(m) != nil
 }
 
 // Expel lets the operator say that a member has ended for good. With leases it goes when its own has ended, so that nothing hangs on whether
--- a/internal/rollout/proxy.go
+++ b/internal/rollout/proxy.go
@@ -34,6 +34,7 @@
 	asked  [asks]time.Duration // when, by Seq
 
 	address string
+	zone    string
 	tier    Tier
 
 	// Check tells why this proxy can't serve under a policy; empty = it can.
@@ -52,6 +53,9 @@
 // At says where other proxies of the tier reach this one. It is then told of them: see Tier.
 func (p *Proxy) At(address string) { p.address = address }
 
+// In says in which zone the proxy runs, which lets it share health checks with the others. It is then told of them: see Tier.
+func (p *Proxy) In(zone string) { p.zone = zone }
+
 // Tier gives what is known of the members.
 func (p *Proxy) Tier() Tier { return p.tier }
 
@@ -108,7 +112,7 @@
 
 // Connected is the link to a planner that came up: it says who it is.
 func (p *Proxy) Connected() {
-	p.say(Message{Kind: Hello, Name: p.name, Nonce: p.nonce, Member: p.member, Number: p.number, Round: p.held, Lease: p.cfg.Lease, Address: p.address})
+	p.say(Message{Kind: Hello, Name: p.name, Nonce: p.nonce, Member: p.member, Number: p.number, Round: p.held, Lease: p.cfg.Lease, Address: p.address, Zone: p.zone})
 }
 
 // Ask asks for the lease, and tells under which policy the proxy serves. It is called a few times in each lease's length.
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -41,6 +41,8 @@
 	Nonce  uint64 `cbor:"3,keyasint,omitempty"`
 	// Address is where the others reach it; empty = they don't.
 	Address string `cbor:"4,keyasint,omitempty"`
+	// Zone is where it runs, if it shares health checks; empty = it does not.
+	Zone string `cbor:"5,keyasint,omitempty"`
 }
 
 // State is what all planners hold alike: it comes of the log's commands and nothing else.
@@ -95,6 +97,9 @@
 	return nil
 }
 
+// needsMembers tells whether a member is to be told of the others.
+func (s *Seat) needsMembers() bool { return s.Address != "" || s.Zone != "" }
+
 // Short gives a copy without the texts of policies, but for that of one change.
 func (s *State) Short(n Number) *State {
 	c := s.Clone()
@@ -127,7 +132,7 @@
 		}
 		s.Joined++
 		s.Version++
-		s.Seats = append(s.Seats, Seat{Member: s.Joined, Name: c.Name, Nonce: c.Nonce, Address: c.Address})
+		s.Seats = append(s.Seats, Seat{Member: s.Joined, Name: c.Name, Nonce: c.Nonce, Address: c.Address, Zone: c.Zone})
 	case Leave:
 		if c.Round.Term < s.Released.Term && !s.Without.Has(NoTermCheck) { // the fence against a leader of before: a later one may have given a lease
 			return fmt.Errorf("a later planner leads")
--- a/internal/run/tier.go
+++ b/internal/run/tier.go
@@ -21,10 +21,19 @@
 	p.server.TellPolicy(own.Tier.Tell)
 	p.log = slog.Default()
 	p.tier = net.JoinTier(p.loop, p.clock, p.front, net.TierConfig{Name: cmp.Or(own.Tier.Name, cfg.Name), Planners: own.Tier.Planners,
-		Rollout: own.Tier.Rollout, Seed: cfg.Settings.Config.Seed, Nonce: rand.Uint64(), Check: p.agrees, Into: p.enforce})
+		Rollout: own.Tier.Rollout, Seed: cfg.Settings.Config.Seed, Nonce: rand.Uint64(), Check: p.agrees, Into: p.enforce,
+		Health: net.HealthConfig{Zone: zoneName(cfg), ChecksPerSecond: own.Tier.Checks, BytesPerSecond: own.Tier.ReportBytes}})
 	p.server.Belongs(p.tier)
 }
 
+// zoneName gives the name of the zone that this proxy runs in; empty = the configuration names none.
+func zoneName(cfg settings.Config) string {
+	if zone := cfg.Settings.Config.Zone; zone < len(cfg.Settings.Zones) {
+		return cfg.Settings.Zones[zone]
+	}
+	return ""
+}
+
 // agrees tells why this proxy can't serve under a policy; empty = it can.
 func (p *proxy) agrees(_ rollout.Number, text []byte) string {
 	next, err := policy.Decode(text)
--- a/internal/state/health.go
+++ b/internal/state/health.go
@@ -46,9 +46,17 @@
 	usedEvery = 2 * time.Second
 )
 
-// ShareChecks lets the proxy share health checks with its tier, where the plan says that it pays. It is to be called once, before Start.
+// ShareChecks lets the proxy share health checks with its tier, where the plan says that it pays. Called again, it begins anew as another
+// member, with no tier.
 func (f *Front) ShareChecks(config SharedChecksConfig) {
+	if f.checks != nil {
+		f.Deadlines.Clear(&f.checks.timer)
+	}
+	if f.SharesChecks() {
+		f.tell(func() { f.planned.ShareChecks(f.clock.Now(), 0) })
+	}
 	f.checks = &sharedChecks{config: config, members: map[subset.DatabaseID]logic.MemberID{}}
+	f.checks.listed(f)
 }
 
 // SharesChecks tells whether checks are shared now.
