--- a/internal/lab/command/scale_compare.go
+++ b/internal/lab/command/scale_compare.go
@@ -23,9 +23,13 @@
 		return err
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "\nshared less all\tmean\tinterval, 95% for all rows together\tseeds\tanswer")
+	fmt.Fprintln(w, "\nshared less all\tmean\tinterval, 95% for all rows together\tseeds\tanswer\tagainst 0.005")
 	for _, c := range comparisons {
-		fmt.Fprintf(w, "%s\t%+.4f\t%+.4f to %+.4f\t%d\t%v\n", c.Name, c.Mean, c.Low, c.High, len(c.Diffs), c.Answer)
+		size := "it may matter"
+		if c.Small {
+			size = "too small to matter"
+		}
+		fmt.Fprintf(w, "%s\t%+.5f\t%+.5f to %+.5f\t%d\t%v\t%s\n", c.Name, c.Mean, c.Low, c.High, len(c.Diffs), c.Answer, size)
 	}
 	return w.Flush()
 }
--- a/internal/lab/scale/events.go
+++ b/internal/lab/scale/events.go
@@ -123,7 +123,7 @@
 	row.PeakPlannerCPU = r.work[virtual.PlannerWork].total().Peak
 	for second := range r.requests.seconds {
 		bytes := 0.0
-		for _, kind := range []virtual.MessageKind{virtual.LeaseMessage, virtual.PolicyMessage} {
+		for _, kind := range []virtual.MessageKind{virtual.LeaseMessage, virtual.PolicyMessage, virtual.HealthMessage} {
 			bytes += r.traffic[kind][virtual.Sent].bytes.seconds[second] + r.traffic[kind][virtual.Received].bytes.seconds[second]
 		}
 		row.PeakPlannerBytes = max(row.PeakPlannerBytes, bytes)
