--- a/internal/lab/virtual/health.go
+++ b/internal/lab/virtual/health.go
@@ -25,7 +25,6 @@
 	relay      *healthcheck.Relay
 	assignment *subset.Assignment // all proxies come to the same one, so it is computed once
 	tier       []subset.Proxy
-	message    []byte
 }
 
 func newHealthRelay(p *planner, c *SharedChecks) *healthRelay {
