--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -1,6 +1,6 @@
-// Package explore visits all states that a system of pure rooms can come to, breadth first, and gives the shortest way to one that breaks a
-// rule. States are known again by a hash of 64 bits of their text (xxhash): with ten million of them the chance that any two share one is 3
-// in a million.
+// Package explore visits all reachable states of a model, breadth first, and returns the shortest trace to one that violates an invariant.
+// States are compared by a 64-bit hash of their encoding (xxhash): with ten million of them the probability that any two share one is 3 in a
+// million. It models packages rollout and takeover, which do no I/O.
 package explore
 
 import (
@@ -10,27 +10,27 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// State is one of a system's.
+// State is a state of a model.
 type State interface {
-	// AppendTo writes all that the further course hangs on: equal texts, equal states.
+	// AppendTo appends an encoding of all that the further course depends on: equal encodings mean equal states.
 	AppendTo(dst []byte) []byte
-	// Next gives the states that may follow, each with what leads to it.
+	// Next yields each state that may follow, with the step that leads to it.
 	Next(yield func(step string, s State))
-	// Broken tells which rule doesn't hold; empty = all do.
+	// Broken returns the invariant that is violated; empty if none is.
 	Broken() string
 }
 
-// Report is what an exploration came to.
+// Report is the result of an exploration.
 type Report struct {
 	States, Steps, Depth int
-	Whole                bool     // nothing was left out
-	Broken               string   // the rule that doesn't hold; empty = all do
-	Way                  []string // that leads there, the shortest
+	Complete             bool     // all reachable states were visited
+	Broken               string   // the invariant that is violated; empty if none is
+	Trace                []string // the steps that lead there
 }
 
 type visited struct {
-	from uint64
-	step string
+	previous uint64
+	step     string
 }
 
 // All explores from a state, most states at most; 0 = all there are.
@@ -42,9 +42,9 @@
 	}
 	first := hash(start)
 	seen := map[uint64]visited{first: {}}
-	r := Report{States: 1, Whole: true}
+	r := Report{States: 1, Complete: true}
 	way := func(h uint64) (w []string) {
-		for ; h != first; h = seen[h].from {
+		for ; h != first; h = seen[h].previous {
 			w = append(w, seen[h].step)
 		}
 		slices.Reverse(w)
@@ -68,13 +68,13 @@
 					return
 				}
 				if most > 0 && r.States >= most {
-					r.Whole = false
+					r.Complete = false
 					return
 				}
 				seen[h] = visited{from, step}
 				r.States++
 				if r.Broken = n.Broken(); r.Broken != "" {
-					r.Way = way(h)
+					r.Trace = way(h)
 					return
 				}
 				next = append(next, n)
@@ -96,7 +96,7 @@
 	for seed := range seeds {
 		rng := rand.New(rand.NewPCG(uint64(seed), 0x3a1c))
 		s, way := start(), []string(nil)
-		for len(way) < most && s.Broken() == "" && (r.Broken == "" || len(way) < len(r.Way)) {
+		for len(way) < most && s.Broken() == "" && (r.Broken == "" || len(way) < len(r.Trace)) {
 			var next State
 			var step string
 			n := 0
@@ -112,8 +112,8 @@
 			r.Steps++
 		}
 		r.Depth = max(r.Depth, len(way))
-		if b := s.Broken(); b != "" && (r.Broken == "" || len(way) < len(r.Way)) {
-			r.Broken, r.Way = b, way
+		if b := s.Broken(); b != "" && (r.Broken == "" || len(way) < len(r.Trace)) {
+			r.Broken, r.Trace = b, way
 		}
 	}
 	return r
--- a/internal/lab/virtual/planner.go
+++ b/internal/lab/virtual/planner.go
@@ -55,7 +55,7 @@
 	life  int
 	link  rollout.Link
 	proxy *rollout.Proxy
-	seek  *rollout.Seeker
+	seek  *rollout.PlannerSelector
 	beat  state.Deadline
 	// missed tells that messages of shared health checks were lost in a cut.
 	missed bool
@@ -91,7 +91,7 @@
 		text[i] = byte(i)
 	}
 	p.act(func() {
-		p.leader.Propose(rollout.Command{Act: rollout.Propose, Nonce: uint64(len(w.res.Changed)), Policy: text})
+		p.leader.Propose(rollout.Command{Kind: rollout.Propose, Nonce: uint64(len(w.res.Changed)), Policy: text})
 	})
 }
 
@@ -113,16 +113,16 @@
 
 func (p *planner) ready() {
 	w := p.w
-	out, commit, confirm := p.leader.Ready()
-	for _, o := range out {
+	ready := p.leader.TakeReady()
+	for _, o := range ready.Messages {
 		if l := p.links[o.Link]; l != nil {
 			p.send(l, Received, o.Message, func() { l.receive(o.Link, o.Message) })
 		}
 	}
-	for _, c := range commit {
+	for _, c := range ready.Commands {
 		w.at(w.clock.now+logDelay, func() { p.apply(c) })
 	}
-	if confirm {
+	if ready.Confirm {
 		w.at(w.clock.now+logDelay, func() { p.act(func() { p.leader.Confirmed(w.clock.now) }) })
 	}
 }
@@ -173,7 +173,7 @@
 	w := p.w
 	rng := rand.New(rand.NewPCG(w.cfg.Seed, uint64(n.i)<<20+uint64(n.life)))
 	cfg := rollout.Config{Lease: p.Lease}.WithDefaults()
-	l := &plannerLink{p: p, n: n, life: n.life, seek: rollout.NewSeeker(cfg, 1, rng),
+	l := &plannerLink{p: p, n: n, life: n.life, seek: rollout.NewPlannerSelector(cfg, 1, rng),
 		proxy: rollout.NewProxy(cfg, "n"+strconv.Itoa(n.i), rng.Uint64()|1, func(rollout.Number, []byte) string { return "" })}
 	n.front.Gate(l)
 	w.todo.Set(&l.beat, w.clock.now+time.Duration(rng.Int64N(int64(p.Lease/5)+1)), func() {
@@ -187,19 +187,19 @@
 func (l *plannerLink) leave() {
 	l.p.w.todo.Clear(&l.beat)
 	delete(l.p.links, l.link)
-	l.p.act(func() { l.p.leader.Down(l.link) })
+	l.p.act(func() { l.p.leader.LinkDown(l.link) })
 }
 
 // connect begins the link, or begins it anew.
 func (l *plannerLink) connect() {
 	if l.link > 0 {
 		delete(l.p.links, l.link)
-		l.p.act(func() { l.p.leader.Down(l.link) })
+		l.p.act(func() { l.p.leader.LinkDown(l.link) })
 	}
 	l.p.last++
 	l.link = l.p.last
 	l.p.links[l.link] = l
-	l.seek.Up(l.p.w.clock.now)
+	l.seek.Connected(l.p.w.clock.now)
 	l.proxy.Connected()
 	if l.p.health != nil {
 		l.p.health.connected(l)
@@ -210,12 +210,12 @@
 // pulse asks for the lease, and begins the link anew where the planner has been silent.
 func (l *plannerLink) pulse() {
 	now := l.p.w.clock.now
-	if l.seek.Silent(now) {
+	if l.seek.TimedOut(now) {
 		l.connect()
 	}
-	l.n.proxy(func() { l.proxy.Ask(now) })
+	l.n.proxy(func() { l.proxy.RenewLease(now) })
 	l.flush()
-	l.p.w.todo.Set(&l.beat, now+l.seek.Every(l.proxy.Length()), l.pulse)
+	l.p.w.todo.Set(&l.beat, now+l.seek.RenewInterval(l.proxy.LeaseDuration()), l.pulse)
 }
 
 // receive takes a message of the planner's.
@@ -225,11 +225,10 @@
 	}
 	w := l.p.w
 	l.n.proxy(func() {
-		l.seek.Heard(w.clock.now, m.Kind)
-		l.proxy.Heard(w.clock.now, m)
-		numbers, _ := l.proxy.Switched()
-		for _, number := range numbers {
-			if i, ok := l.p.changes[number]; ok {
+		l.seek.Receive(w.clock.now, m.Kind)
+		l.proxy.Receive(w.clock.now, m)
+		for _, s := range l.proxy.TakeSwitches() {
+			if i, ok := l.p.changes[s.Number]; ok {
 				w.res.Changed[i].Last = w.clock.now - base
 				w.res.Changed[i].Proxies++
 			}
@@ -241,10 +240,10 @@
 
 func (l *plannerLink) flush() {
 	p, link := l.p, l.link
-	for _, m := range l.proxy.Out() {
+	for _, m := range l.proxy.TakeMessages() {
 		p.send(l, Sent, m, func() {
 			if p.links[link] == l {
-				p.act(func() { p.leader.Heard(p.w.clock.now, link, m) })
+				p.act(func() { p.leader.Receive(p.w.clock.now, link, m) })
 			}
 		})
 	}
@@ -252,6 +251,6 @@
 
 // May implements state.Gate.
 func (l *plannerLink) May(now time.Duration) (uint64, state.Verdict) {
-	number, verdict := l.proxy.May(now)
-	return uint64(number), [...]state.Verdict{rollout.Take: state.GateOpen, rollout.Keep: state.GateWait, rollout.Deny: state.GateShut}[verdict]
+	number, verdict := l.proxy.AdmitRequest(now)
+	return uint64(number), [...]state.Verdict{rollout.Admit: state.GateOpen, rollout.Delay: state.GateWait, rollout.Reject: state.GateShut}[verdict]
 }
--- a/internal/net/health.go
+++ b/internal/net/health.go
@@ -45,7 +45,7 @@
 // shareChecks follows the tier's members, as the planner's last message has left them. The planner believes a member's reports on its own
 // link only, so that nothing is sent before it is known to have taken this link for one.
 func (t *Tier) shareChecks(m *rollout.Message) {
-	h, known := &t.health, t.side.Tier()
+	h, known := &t.health, t.side.Membership()
 	if !h.config.shares() || t.side.Member() == 0 || known.Version == 0 {
 		return
 	}
@@ -57,9 +57,9 @@
 	if h.version != known.Version {
 		h.version = known.Version
 		var members []subset.Proxy
-		for _, seat := range known.Seats {
-			if seat.Zone != "" { // others run an earlier version, or don't share: they would be checkers that never report
-				members = append(members, subset.Proxy{ID: subset.ProxyID(seat.Member), Zone: seat.Zone})
+		for _, entry := range known.Members {
+			if entry.Zone != "" { // others run an earlier version, or don't share: they would be checkers that never report
+				members = append(members, subset.Proxy{ID: subset.ProxyID(entry.Member), Zone: entry.Zone})
 			}
 		}
 		t.front.SetTier(members)
@@ -73,6 +73,6 @@
 // digest takes what a planner passes on of others' reports.
 func (t *Tier) digest(message []byte) {
 	if err := t.front.ReceiveDigest(message); err != nil {
-		slog.Debug("a digest of health checks can't be read", "planner", t.planners[t.seek.At()], "error", err)
+		slog.Debug("a digest of health checks can't be read", "planner", t.planners[t.seek.Current()], "error", err)
 	}
 }
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -48,7 +48,7 @@
 		slog.Debug("a report of health checks can't be read", "error", err)
 		return
 	}
-	if !p.leader.Holds(rollout.Member(m.From), id) {
+	if !p.leader.IsLinkOf(rollout.Member(m.From), id) {
 		return
 	}
 	if p.health.links[id] != m.From {
@@ -85,7 +85,7 @@
 	r.next = now + relayEvery
 	r.relay.Tick(now)
 	for id, proxy := range r.links {
-		if !p.leader.Holds(rollout.Member(proxy), id) {
+		if !p.leader.IsLinkOf(rollout.Member(proxy), id) {
 			continue
 		}
 		if digest, ok := r.relay.Next(now, proxy); ok {
