--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -64,7 +64,7 @@
 	}
 	s.LastMember++
 	s.MembersVersion++
-	s.Members = append(s.Members, MemberEntry{Member: s.LastMember, Name: c.Name, Nonce: c.Nonce, Address: c.Address})
+	s.Members = append(s.Members, MemberEntry{Member: s.LastMember, Name: c.Name, Nonce: c.Nonce, Address: c.Address, Zone: c.Zone})
 	return nil
 }
 
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -46,7 +46,7 @@
 	Hold        // request to hold new requests for Round
 	Status      // policy Number is in force, and all rounds up to Round have ended
 	NotLeader   // this planner does not lead
-	Members     // the membership entries as of MembersVersion, for proxies that announced an Address
+	Members     // the membership entries as of MembersVersion, for proxies that announced an Address or a Zone
 )
 
 // Message is a message between a proxy and a planner. Which fields are set depends on Kind.
@@ -65,6 +65,8 @@
 	Lease time.Duration `cbor:"10,keyasint,omitempty"`
 	// Address is, with Hello, where other proxies reach this one. Empty if they can't; the proxy then receives no Members.
 	Address string `cbor:"11,keyasint,omitempty"`
+	// Zone is, with Hello, where this proxy runs, if it shares health checks with the others. It then receives Members.
+	Zone string `cbor:"15,keyasint,omitempty"`
 	// MembersVersion is, with Renew, the version that the proxy knows; with Granted and Members, the current one.
 	MembersVersion uint64        `cbor:"12,keyasint,omitempty"`
 	Members        []MemberEntry `cbor:"13,keyasint,omitempty"`
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -39,6 +39,7 @@
 	Name    string `cbor:"2,keyasint"`
 	Nonce   uint64 `cbor:"3,keyasint,omitempty"`
 	Address string `cbor:"4,keyasint,omitempty"` // where other proxies reach it; empty = they can't
+	Zone    string `cbor:"5,keyasint,omitempty"` // where it runs, if it shares health checks; empty = it doesn't
 }
 
 // State is the replicated state machine of the planners. It depends on the log's commands only, so that all planners hold the same.
@@ -96,6 +97,9 @@
 	return nil
 }
 
+// needsMembers reports whether the member is to receive the membership entries.
+func (e *MemberEntry) needsMembers() bool { return e.Address != "" || e.Zone != "" }
+
 // WithoutPolicies returns a copy without the policy texts, except that of the change with number except.
 func (s *State) WithoutPolicies(except Number) *State {
 	c := s.Clone()
