--- a/internal/rollout/command.go
+++ b/internal/rollout/command.go
@@ -31,4 +31,5 @@
 	Lease          time.Duration `cbor:"12,keyasint,omitempty"` // with Release: the leader's configured lease, which must equal the tier's
 	Hash           string        `cbor:"13,keyasint,omitempty"` // of Policy
 	Address        string        `cbor:"14,keyasint,omitempty"` // of the proxy that joins
+	Zone           string        `cbor:"15,keyasint,omitempty"` // of the proxy that joins, if it shares health checks
 }
--- a/internal/rollout/leader_leases.go
+++ b/internal/rollout/leader_leases.go
@@ -66,7 +66,7 @@
 	length := l.leaseDuration(now)
 	l.grantLease(now, member, length)
 	granted := Message{Kind: Granted, Member: r.member, Seq: r.seq, Lease: length}
-	if l.history != nil && entry.Address != "" {
+	if l.history != nil && entry.needsMembers() {
 		// The log was confirmed after the request: the list is valid for the granted lease. It is sent only if all earlier lists are known,
 		// or replicas that only an earlier list names would be missed.
 		past, complete := l.history.Past(now)
--- a/internal/rollout/leader_members.go
+++ b/internal/rollout/leader_members.go
@@ -69,7 +69,7 @@
 		}
 	}
 	l.joining[link] = hello
-	l.submit(now, submission{kind: Join, name: hello.Name}, Command{Kind: Join, Name: hello.Name, Nonce: hello.Nonce, Address: hello.Address})
+	l.submit(now, submission{kind: Join, name: hello.Name}, Command{Kind: Join, Name: hello.Name, Nonce: hello.Nonce, Address: hello.Address, Zone: hello.Zone})
 }
 
 // reconnect takes a member's new connection.
@@ -111,6 +111,12 @@
 	member.link, member.lastHeard, member.policyNumber = link, now, number
 }
 
+// IsLinkOf reports whether link is the one over which a member was heard last.
+func (l *Leader) IsLinkOf(member Member, link Link) bool {
+	state := l.members[member]
+	return state != nil && state.link == link
+}
+
 // Expel removes a member on the operator's word that it has ended for good. With leases it is removed once its lease has expired, so the
 // word need not be true. Without leases it is removed at once, and goes on serving under its policy if it has not ended.
 // The error wraps ErrNotMember if nobody has that name.
--- a/internal/rollout/proxy.go
+++ b/internal/rollout/proxy.go
@@ -31,6 +31,7 @@
 	name    string
 	nonce   uint64 // of the current membership, or of the attempt to get one
 	address string
+	zone    string // empty = it does not share health checks
 	check   CheckPolicy
 
 	member       Member // 0 = none
@@ -59,6 +60,9 @@
 // SetAddress sets where other proxies of the tier reach this one, before it joins. It then receives their Membership.
 func (p *Proxy) SetAddress(address string) { p.address = address }
 
+// SetZone sets in which zone this proxy runs, before it joins, if it shares health checks with others. It then receives their Membership.
+func (p *Proxy) SetZone(zone string) { p.zone = zone }
+
 // Membership returns what is known of the members.
 func (p *Proxy) Membership() Membership { return p.membership }
 
@@ -127,7 +131,7 @@
 // Connected tells that the connection to a planner is up.
 func (p *Proxy) Connected() {
 	p.send(Message{Kind: Hello, Name: p.name, Nonce: p.nonce, Member: p.member, Number: p.number, Round: p.heldRound,
-		Lease: p.config.Lease, Address: p.address})
+		Lease: p.config.Lease, Address: p.address, Zone: p.zone})
 }
 
 // RenewLease requests a lease; without leases it sends a heartbeat. Call it at PlannerSelector.RenewInterval.
