Test of a death's way through the planner: wait for the checkers' verdicts too

Cause: a checker of the silent database knows of it by its own failed check, and the quorum's verdict comes back to it a moment later; the test asked for the verdict in the moment in which all knew of the silence.

Change: the test waits for silence and verdict at each proxy, and asks besides that some proxy knows by the verdict alone.

--- a/internal/net/health_test.go
+++ b/internal/net/health_test.go
@@ -16,10 +16,11 @@
 // silentDatabase is the address of the database that hangs.
 const silentDatabase = "db-3"
 
-// databases stands for all databases: they are checked without a socket.
+// databases stands for all databases, as one proxy sees them: they are checked without a socket.
 type databases struct {
-	loop  *Loop
-	hangs bool // silentDatabase answers no check
+	loop     *Loop
+	hangs    bool // silentDatabase answers no check
+	unheeded int  // checks of silentDatabase that this proxy has sent since it hangs
 }
 
 // Open implements state.Opener.
@@ -49,21 +50,25 @@
 func (c *checked) Close()                                  {}
 
 func (c *checked) Probe() error {
-	if c.address != silentDatabase || !c.all.hangs {
-		c.all.loop.Post(func() {
-			c.to.Reply(state.Reply{Result: logic.OK, Load: state.Load{Told: true, Role: logic.RoleReplica, Queue: -1}})
-		})
+	if c.address == silentDatabase && c.all.hangs {
+		c.all.unheeded++
+		return nil
 	}
+	c.all.loop.Post(func() {
+		c.to.Reply(state.Reply{Result: logic.OK, Load: state.Load{Told: true, Role: logic.RoleReplica, Queue: -1}})
+	})
 	return nil
 }
 
 // sharer is a proxy of a tier that shares health checks.
 type sharer struct {
-	front *state.Front
-	tier  *Tier
+	front     *state.Front
+	tier      *Tier
+	databases *databases
 }
 
-func newSharer(t *testing.T, all *databases, clock state.Clock, address string, i int) *sharer {
+func newSharer(t *testing.T, loop *Loop, clock state.Clock, address string, i int) *sharer {
+	all := &databases{loop: loop}
 	class := logic.Class{Name: "any", Aim: time.Second, Limit: time.Second}
 	front, err := state.New(state.Config{Logic: logic.Config{Seed: uint64(i), Tick: 5 * time.Millisecond, Classes: []logic.Class{class},
 		MayProbe: true, Fronts: 6}, ConnectTimeout: time.Second, IdleClose: time.Minute, MaxLinks: 100}, clock, all)
@@ -76,8 +81,8 @@
 		list.Entries = append(list.Entries, state.Entry{Name: name, Address: name, Group: n / 4, State: logic.Ready, Size: 1})
 	}
 	front.Start(all, list)
-	x := &sharer{front: front}
-	x.tier = JoinTier(all.loop, clock, front, TierConfig{Name: fmt.Sprint("proxy-", i), Planners: []string{address}, Nonce: uint64(2*i + 1),
+	x := &sharer{front: front, databases: all}
+	x.tier = JoinTier(loop, clock, front, TierConfig{Name: fmt.Sprint("proxy-", i), Planners: []string{address}, Nonce: uint64(2*i + 1),
 		Seed: uint64(i), Rollout: rollout.Config{Lease: 2 * time.Second}, Check: func(rollout.Number, []byte) string { return "" },
 		Into:   func(rollout.Number, []byte) {},
 		Health: HealthConfig{Zone: fmt.Sprint("zone-", i%3), ChecksPerSecond: 10, BytesPerSecond: 1600}})
@@ -103,17 +108,17 @@
 	return p.Address()
 }
 
-// What the checkers of a database find out passes over real links and the planner to the proxies that don't check it.
+// What the checkers of a database find out passes over real links and the planner to the proxies that don't check it. A checker knows
+// of the silence by its own check before the quorum's verdict has come back to it, so that both are waited for.
 func TestADeathPassesByThePlannerToAllProxies(t *testing.T) {
 	address := runPlanner(t)
 	clock := state.NewClock()
 	loop := NewLoop(clock, &state.Deadlines{})
 	go loop.Run()
-	all := &databases{loop: loop}
 	var list []*sharer
 	on(loop, func() {
 		for i := range 6 {
-			list = append(list, newSharer(t, all, clock, address, i))
+			list = append(list, newSharer(t, loop, clock, address, i))
 		}
 	})
 	defer on(loop, func() {
@@ -137,17 +142,28 @@
 		}
 	}
 	until(func(f *state.Front) bool { return f.SharesChecks() && f.Counters.Digests > 0 })
-	on(loop, func() { all.hangs = true })
+	on(loop, func() {
+		for _, x := range list {
+			x.databases.hangs = true
+		}
+	})
 	until(func(f *state.Front) bool {
 		database, ok := f.Database(silentDatabase)
-		return ok && database.Silent
+		return ok && database.Silent && f.Counters.Verdicts > 0
 	})
 	on(loop, func() {
+		byVerdictAlone := 0
 		for i, x := range list {
+			if x.databases.unheeded == 0 {
+				byVerdictAlone++
+			}
 			c := &x.front.Counters
-			if other, _ := x.front.Database("db-1"); other.Silent || c.Verdicts == 0 || c.DigestsMalformed > 0 || c.TierStrange > 0 {
-				t.Errorf("proxy %d: db-1 silent %v, %d verdicts, %d malformed, %d strange frames", i, other.Silent, c.Verdicts, c.DigestsMalformed, c.TierStrange)
+			if other, _ := x.front.Database("db-1"); other.Silent || c.DigestsMalformed > 0 || c.TierStrange > 0 {
+				t.Errorf("proxy %d: db-1 silent %v, %d malformed, %d strange frames", i, other.Silent, c.DigestsMalformed, c.TierStrange)
 			}
 		}
+		if byVerdictAlone == 0 {
+			t.Error("each proxy has checked the database itself")
+		}
 	})
 }
