Shared checks: bounded reads of thin groups stay on replicas that check for themselves

Change: where checks are shared and members check the age of data themselves, such a read goes to a replica whose lag was within the bound when it last told its position; the replica turns it away if that is no longer so, and then gets none before it has told its position anew. Where members don't check, nothing changes.

--- a/internal/lab/virtual/health_test.go
+++ b/internal/lab/virtual/health_test.go
@@ -77,3 +77,24 @@
 		t.Error(diff)
 	}
 }
+
+// Groups that get three requests a second of a proxy each bring no young positions by their answers. Their bounded reads, a third of
+// the requests, went to the primaries, and crowded writes out.
+func TestThinGroupsLoseNothingByShared(t *testing.T) {
+	c := several(30)
+	c.Fleet.Groups, c.Fleet.Members, c.For = 40, 4, 10*second
+	c.Retries = 0
+	rate := 0.6 * c.Capacity()
+	c.Rate = func(time.Duration) float64 { return rate }
+	c.Tier.Planners = &Planners{Lease: 2 * second}
+	const from = 4 * second // by then each proxy has met all databases
+	allChecks, all := checksFrom(c, from)
+	c.Tier.Checks = &SharedChecks{ChecksPerSecond: 5, BytesPerSecond: 1600}
+	sharedChecks, shared := checksFrom(c, from)
+	if shared.Worth < all.Worth-0.005 {
+		t.Errorf("worth %.4f, with all checking %.4f", shared.Worth, all.Worth)
+	}
+	if 4*sharedChecks > allChecks {
+		t.Errorf("%d checks, with all checking %d", sharedChecks, allChecks)
+	}
+}
--- a/logic/health.go
+++ b/logic/health.go
@@ -73,6 +73,24 @@
 	}
 }
 
+// trustsMembers tells whether a bounded read may go to a member whose position is not known to be recent enough. Where checks are shared,
+// positions come with answers and are old in groups that get few requests; members that check for themselves answer no read from data
+// that is too old.
+func (r *Router) trustsMembers() bool { return r.sharesChecks() && r.cfg.Checks != ChecksNone }
+
+// mayQualify tells whether a member is likely to be recent enough for a bounded read: its lag was within the bound when it last told its
+// position, or it has told none yet.
+func (q *request) mayQualify(m *member) bool {
+	return q.class.Read == Bounded && m.lag <= q.class.MaxAge
+}
+
+// missed notes that a member turned a bounded read away, so that it gets no other before it has told its position anew.
+func (m *member) missed(q *request) {
+	if q.class.Read == Bounded {
+		m.lag = max(m.lag, q.class.MaxAge+1)
+	}
+}
+
 // Check sends a health check that this proxy owes its tier. Its outcome comes as that of any other.
 func (r *Router) Check(now time.Duration, id MemberID) {
 	r.begin(now)
--- a/logic/health_test.go
+++ b/logic/health_test.go
@@ -112,3 +112,63 @@
 		t.Errorf("%d checks for positions at once, half of a second's budget of 10 was expected", sent)
 	}
 }
+
+// thinSharing is sharing in a group that has had no request for five seconds, with the budget of checks spent: all positions are too old
+// for a bounded read, and none can be asked for.
+func thinSharing(t *testing.T, checks Checks) *front {
+	f := sharing(t)
+	f.r.cfg.Checks = checks
+	f.pass(5 * time.Second)
+	for range 20 {
+		f.r.checks.spend(f.now)
+	}
+	return f
+}
+
+// Each bounded read of a thin group went to the primary once checks were shared, and crowded its writes out.
+func TestBoundedReadsStayOnReplicasWhereChecksAreShared(t *testing.T) {
+	f := thinSharing(t, ChecksWait)
+	s := f.mustSend(f.request(clsBounded, 1))
+	if s.to == 1 || len(f.probes) > 0 {
+		t.Errorf("sent to %d with %d checks, though the replicas' lag was small when last told", s.to, len(f.probes))
+	}
+	f.end(s, OK)
+	for _, id := range []MemberID{2, 3, 4} { // a replica that says that it is behind
+		f.r.members[id].lag = 900 * ms
+	}
+	f.now += time.Second
+	if s := f.mustSend(f.request(clsBounded, 2)); s.to != 1 {
+		t.Errorf("sent to %d, which was behind when it was last heard of", s.to)
+	}
+}
+
+func TestAReplicaThatTurnsABoundedReadAwayGetsNoOther(t *testing.T) {
+	f := thinSharing(t, ChecksRefuse)
+	id := f.request(clsBounded, 0)
+	first := f.mustSend(id)
+	f.end(first, Miss)
+	f.r.members[first.to].position = 0 // the answer told none
+	f.end(f.mustSend(id), OK)
+	for range 20 {
+		f.now += time.Second // behind which no position is recent
+		f.r.checks.saved = 0
+		id := f.request(clsBounded, 0)
+		if s := f.mustSend(id); s.to == first.to {
+			t.Fatalf("sent to %d, which has turned one away and told no position since", s.to)
+		}
+		f.end(f.mustSend(id), OK)
+	}
+	f.r.members[first.to].probing = true
+	f.r.Probed(f.now, Probed{Member: first.to, Result: OK, Took: ms, Report: Report{Role: RoleReplica, Position: f.now - 10*ms}})
+	if q := (&request{class: &f.r.cfg.Classes[clsBounded]}); !q.mayQualify(f.r.members[first.to]) {
+		t.Error("it has told a recent position")
+	}
+}
+
+// Where members answer from whatever they have, the position filter alone keeps a read from data that is too old.
+func TestNoBoundedReadOnTrustWhereMembersDontCheck(t *testing.T) {
+	f := thinSharing(t, ChecksNone)
+	if s := f.mustSend(f.request(clsBounded, 1)); s.to != 1 {
+		t.Errorf("sent to %d, whose position is %v old", s.to, f.now-f.r.members[s.to].position)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -186,6 +186,9 @@
 func (r *Router) learn(m *member, role Role, position, at, now time.Duration) {
 	r.peers.Saw(now, uint64(m.ID), peers.Role(role), at, position)
 	r.believe(m, role, position, at, now)
+	if position > 0 {
+		m.lag = now - m.position
+	}
 }
 
 // believe takes them, whoever has seen them.
@@ -323,6 +326,11 @@
 	if m := r.pick(now, q, part, func(m *member) bool { return q.qualifies(m, now) }); m != nil {
 		return m, 0
 	}
+	if r.trustsMembers() {
+		if m := r.pick(now, q, part, q.mayQualify); m != nil {
+			return m, 0
+		}
+	}
 	if r.inquire(now, q, 1, func(m *member) bool { // a ping makes no room, where peers tell the rest
 		if !r.informed() {
 			return r.eligible(now, q, m) || m == p && q.asked > 0
@@ -710,6 +718,8 @@
 		r.learn(m, o.Load.Role, o.Load.Position, cmp.Or(o.Load.Position, now), now)
 	}
 	switch o.Result {
+	case Miss:
+		m.missed(q)
 	case OK:
 		took := now - a.sentAt
 		limit.Quantile(&r.cost[q.Class], took, costPart)
--- a/logic/state.go
+++ b/logic/state.go
@@ -73,6 +73,7 @@
 	ejected   bool                // by it
 	firstAt   time.Duration       // when it is to be pinged first
 	placedAt  time.Duration       // the last news of its position
+	lag       time.Duration       // of its position behind the time at which it last told one itself; 0 = it has not
 	restsTill time.Duration       // it need not be looked at before, unless something happens
 	awake     bool                // it is in the list of those that are looked at each time
 
