Shared checks: reads and idle connections keep to a subset of each group

The router prefers the subset among the members that every other filter leaves, ping window included, and uses any other where none of it can take a read. An idle connection outside it is closed after 2 s; checks and requests use the same connections.

Off wherever checks are not shared.

--- a/internal/lab/virtual/health_test.go
+++ b/internal/lab/virtual/health_test.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// Of each group that it uses a proxy keeps connections to the primary and to one of three replicas, as two hundred proxies give them even
+// shares then; checks and requests share them. A few more were opened where two requests met, or nobody of the subset could take one.
+func TestSharingSparesConnections(t *testing.T) {
+	c := several(200)
+	c.Fleet.Groups, c.Fleet.Members, c.For = 2, 4, 10*second
+	c.Rate = func(time.Duration) float64 { return 200 }
+	c.Tier.Planners = &Planners{Lease: 2 * second}
+	all := Play(c)
+	c.Tier.Checks = &SharedChecks{ChecksPerSecond: 5, BytesPerSecond: 1600}
+	shared := Play(c)
+	if most := c.Proxies * c.Fleet.Groups * 2 * 4 / 3; shared.Links > most || shared.Links > all.Links/2 || shared.Worth < all.Worth-0.005 {
+		t.Errorf("%d connections, %d at most, and worth %.4f; with all checking %d and %.4f", shared.Links, most, shared.Worth, all.Links, all.Worth)
+	}
+}
+
 // Groups that get three requests a second of a proxy each bring no young positions by their answers. Their bounded reads, a third of
 // the requests, went to the primaries, and crowded writes out.
 func TestThinGroupsLoseNothingByShared(t *testing.T) {
--- a/internal/state/health.go
+++ b/internal/state/health.go
@@ -53,6 +53,7 @@
 		f.Deadlines.Clear(&f.checks.timer)
 	}
 	if f.SharesChecks() {
+		f.checks.dropSubset(f)
 		f.tell(func() { f.planned.ShareChecks(f.clock.Now(), 0) })
 	}
 	f.checks = &sharedChecks{config: config, members: map[subset.DatabaseID]logic.MemberID{}}
@@ -114,6 +115,7 @@
 	if !plan.Shared {
 		s.node = nil
 		f.Deadlines.Clear(&s.timer)
+		s.dropSubset(f)
 		f.tell(func() { f.planned.ShareChecks(f.clock.Now(), 0) })
 		return
 	}
@@ -174,6 +176,7 @@
 	if now-s.usedAt >= usedEvery {
 		s.usedAt = now
 		s.setUsed(f, now)
+		s.chooseSubset(f, now)
 	}
 	orders := s.node.Tick(now)
 	for _, number := range orders.Checks {
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -144,12 +144,27 @@
 		}
 		m.idle = append(m.idle, l)
 	}
-	if f.cfg.IdleClose > 0 {
-		f.Deadlines.Set(&l.Deadline, f.clock.Now()+time.Duration(idlePart*float64(f.cfg.IdleClose)), func() {
-			f.Counters.ClosedIdle++
-			f.close(l)
-		})
+	f.closeWhenIdle(l)
+}
+
+// closeWhenIdle closes an idle connection once it has been so for long, unless it is used before.
+func (f *Front) closeWhenIdle(l *link) {
+	if f.cfg.IdleClose <= 0 {
+		return
+	}
+	f.Deadlines.Set(&l.Deadline, f.clock.Now()+f.idleFor(l.m), func() {
+		f.Counters.ClosedIdle++
+		f.close(l)
+	})
+}
+
+// idleFor gives how long an idle connection to a member is kept.
+func (f *Front) idleFor(m *member) time.Duration {
+	idle := time.Duration(idlePart * float64(f.cfg.IdleClose))
+	if m.outsideSubset {
+		return min(idle, idleOutsideSubset)
 	}
+	return idle
 }
 
 // Up implements Listener.
@@ -292,9 +307,10 @@
 	}
 }
 
-// scarce tells that there is no room for a connection for probes beside each for requests. Then one serves for both, one after
-// the other: kept apart, those for probes would take most of what may be open, and requests open and close the rest in turn.
-func (f *Front) scarce() bool { return 2*len(f.members) > f.cfg.MaxLinks }
+// scarce tells that there is no room for a connection for probes beside each for requests, or that few are to be open as the tier shares
+// health checks. Then one serves for both, one after the other: kept apart, those for probes would take most of what may be open, and
+// requests open and close the rest in turn.
+func (f *Front) scarce() bool { return 2*len(f.members) > f.cfg.MaxLinks || f.SharesChecks() }
 
 // Probe implements logic.Actions. Probes have a connection of their own to each member, unless connections are scarce, and none is
 // shared at one time: a ping is to measure the way, not a handshake or a request before it.
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -40,6 +40,8 @@
 	seen    bool // in the whole list in hand
 	drained bool // listed as draining, and not as ready since
 
+	outsideSubset bool // its group is used, and this proxy keeps no connections to it
+
 	role   logic.Role // as it last told
 	silent bool       // its last probe had no answer
 
--- a/internal/subset/api.go
+++ b/internal/subset/api.go
@@ -55,7 +55,8 @@
 
 // ConnectionConfig says how many replicas are enough.
 type ConnectionConfig struct {
-	ReadsPerReplica float64 // reads a second that one replica is given at most before another is connected to
+	ReadsPerReplica float64 // reads a second that one replica is given at most before another is connected to; 0 = any number
 	MinReplicas     int     // of each group in use
+	Proxies         int     // that choose alike: few of them need more replicas each, so that all replicas get even shares; 0 = that is no matter
 	Seed            uint64  // of the tier
 }
--- a/internal/subset/connections.go
+++ b/internal/subset/connections.go
@@ -32,8 +32,24 @@
 	return out
 }
 
+// maxImbalance is the standard deviation of a replica's share of the reads, as a part of its mean, that the proxies' choices may leave.
+const maxImbalance = 0.1
+
+// replicasForBalance gives how many of a group's replicas each proxy has to use, so that the shares of the replicas differ by
+// maxImbalance. Where each of P proxies draws k of n replicas, a replica has P k/n of them in the mean, with the variance of a binomial
+// distribution: (n/k - 1) / P relative to the square of the mean.
+func replicasForBalance(replicas, proxies int) int {
+	if proxies <= 0 {
+		return 0
+	}
+	return int(math.Ceil(float64(replicas) / (1 + maxImbalance*maxImbalance*float64(proxies))))
+}
+
 func keepInGroup(kept map[DatabaseID]bool, self Proxy, members []Database, reads float64, config ConnectionConfig) {
-	needed := max(int(math.Ceil(reads/config.ReadsPerReplica)), config.MinReplicas)
+	needed := config.MinReplicas
+	if config.ReadsPerReplica > 0 {
+		needed = max(needed, int(math.Ceil(reads/config.ReadsPerReplica)))
+	}
 	primaryKnown := false
 	var replicas []Database
 	for _, d := range members {
@@ -45,6 +61,7 @@
 			replicas = append(replicas, d)
 		}
 	}
+	needed = max(needed, replicasForBalance(len(replicas), config.Proxies))
 	if !primaryKnown {
 		needed++
 	}
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -127,6 +127,41 @@
 	})
 }
 
+// Few proxies use more replicas each than many do, so that no replica's share differs much from the others'.
+func TestReplicasGetEvenShares(t *testing.T) {
+	const groups, members, zones = 50, 4, 5
+	databases, _ := makeDatabases(groups*members, members, zones)
+	var traffic []Traffic
+	for g := range groups {
+		traffic = append(traffic, Traffic{Group: GroupID(g)})
+	}
+	for _, c := range []struct{ proxies, replicas int }{{6, 3}, {50, 2}, {100, 2}, {200, 1}, {820, 1}} {
+		shares := map[DatabaseID]float64{}
+		connections := 0
+		for _, p := range makeProxies(c.proxies, zones) {
+			kept := Connections(p, databases, traffic, ConnectionConfig{MinReplicas: 1, Proxies: c.proxies})
+			connections += len(kept)
+			for _, id := range kept {
+				shares[id] += 1 / float64(c.replicas)
+			}
+		}
+		if want := c.proxies * groups * (1 + c.replicas); connections != want {
+			t.Errorf("%d proxies: %d connections, %d were expected", c.proxies, connections, want)
+		}
+		squares, count := 0.0, 0
+		mean := float64(c.proxies) / (members - 1)
+		for _, d := range databases {
+			if d.Role != Primary {
+				squares += (shares[d.ID] - mean) * (shares[d.ID] - mean)
+				count++
+			}
+		}
+		if deviation := math.Sqrt(squares/float64(count)) / mean; deviation > 1.2*maxImbalance {
+			t.Errorf("%d proxies, %d replicas each: shares differ by %.3f", c.proxies, c.replicas, deviation)
+		}
+	}
+}
+
 // One replica that is ejected is replaced by one other, and nothing else changes.
 func TestConnectionsChangeByOne(t *testing.T) {
 	databases, _ := makeDatabases(4, 4, 5)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -367,7 +367,7 @@
 	}
 	near = r.nearest(near)
 	for len(near) > 0 {
-		m := near[r.rng.IntN(len(near))]
+		m := r.draw(near)
 		if r.bears(now, m, part) {
 			return m
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -71,6 +71,7 @@
 	toldAt    time.Duration       // when a peer last had an answer from it, as told
 	verdict   healthcheck.Verdict // of the tier's checkers, the last
 	ejected   bool                // by it
+	inSubset  bool                // this proxy keeps connections to it
 	firstAt   time.Duration       // when it is to be pinged first
 	placedAt  time.Duration       // the last news of its position
 	lag       time.Duration       // of its position behind the time at which it last told one itself; 0 = it has not
