A new process waits for its agent's list where lists are pushed

The process called the agent at once, but sent the requests that came before the answer by the list of its configuration, which may name as ready a database that has drained since. No request was seen to break a rule by it; docs/design/endings.md had it as a part without a test.

Where lists are asked for nothing changes.

Tests red without it, with and without probes.

--- a/internal/limit/calls.go
+++ b/internal/limit/calls.go
@@ -14,6 +14,7 @@
 	calledAt time.Duration // when the outstanding one was made; 0 = none
 	nextAt   time.Duration // when to call next; 0 = no need
 	failed   bool          // the last one did
+	ended    bool          // one of them at least has
 }
 
 func (c *Calls) bound() time.Duration {
@@ -47,6 +48,7 @@
 
 // Answered notes its end; another follows where it failed, after a time drawn by a number from 0 to 1.
 func (c *Calls) Answered(now time.Duration, failed bool, draw float64) {
+	c.ended = true
 	if c.calledAt, c.failed = 0, failed; failed {
 		least, most := c.Pauses()
 		c.nextAt = now + least + time.Duration(draw*float64(most-least))
@@ -61,5 +63,8 @@
 // Due tells that a call is to be made.
 func (c *Calls) Due(now time.Duration) bool { return c.nextAt > 0 && now >= c.nextAt }
 
+// Ended tells that a call has ended, whether or not it failed.
+func (c *Calls) Ended() bool { return c.ended }
+
 // Well tells that the last call that ended did not fail.
 func (c *Calls) Well() bool { return !c.failed }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -324,7 +324,7 @@
 	}
 	// A list that is pushed comes as far as the agent on the own machine, which has to be asked for it like any other service. Without
 	// this, nobody asked at all: the router asks only where it is told so.
-	s.Config.Pull = true
+	s.Config.Pull, s.Config.Pushed = true, !s.Config.Pull
 	p := &proxy{clock: clock}
 	databases := &net.Databases{ConnectTimeout: s.ConnectTimeout}
 	var err error
--- a/logic/api.go
+++ b/logic/api.go
@@ -119,6 +119,9 @@
 
 	Tick time.Duration // the front hands over events no more often than this
 	Pull bool          // the member list comes only when asked for (Watch, Fetch)
+	// Pushed tells that an agent on this machine has the list, and that what the agent has counts as told from the router's first event on:
+	// a fresh router holds requests until the first call for it has ended. With Pull.
+	Pushed bool
 	// ListBound is by when a change of the list has to be known here, counted from when the list's service had it and could be reached,
 	// whatever call to it failed before; 0 = limit.DefaultBound.
 	ListBound time.Duration
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -904,12 +904,13 @@
 	}
 }
 
-// opening tells whether a group is unknown to a fresh router: not all its members have answered a ping.
+// opening tells of a fresh router that the agent has yet to answer, or a member of the group a ping.
 func (r *Router) opening(now time.Duration, g *group) bool {
-	if now-r.startAt >= freshHold || !r.cfg.MayProbe {
+	listOwed := r.cfg.Pushed && !r.calls.Ended()
+	if now-r.startAt >= freshHold || !r.cfg.MayProbe && !listOwed {
 		return false
 	}
-	return len(g.members) == 0 || slices.ContainsFunc(g.members, func(m *member) bool {
+	return listOwed || len(g.members) == 0 || slices.ContainsFunc(g.members, func(m *member) bool {
 		return m.State == Ready && m.heardAt == 0 && m.toldAt == 0 && !m.seat.Silent
 	})
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -573,3 +573,42 @@
 		t.Errorf("sent to %d, though member 2's word is the newest", s.to)
 	}
 }
+
+// Where lists are pushed, the agent's list counts as told from a process's first moment: what is known of it from the configuration may be
+// older, and name a database that drains.
+func TestAFreshRouterWaitsForTheAgentsList(t *testing.T) {
+	for _, probes := range []bool{true, false} {
+		cfg := testConfig()
+		cfg.Pull, cfg.Pushed, cfg.MayProbe = true, true, probes
+		f := settled(t, cfg, 3) // by the configuration's list; all checks have been answered
+		early := f.request(clsAny, 0)
+		if _, sent := f.last(early); sent {
+			t.Fatal("sent before the agent has been heard")
+		}
+		f.r.Members(f.now, List{Kind: ListDelta, Entries: []Member{{ID: 2, State: Draining}, {ID: 1, State: Draining}}})
+		f.pass(20 * ms)
+		if s := f.mustSend(early); s.to != 3 {
+			t.Errorf("probes %v: sent to %d, which drains", probes, s.to)
+		}
+	}
+}
+
+// An agent that fails, or says nothing, holds nobody up for long; and where lists are asked for there is nothing to wait for.
+func TestAFreshRouterWaitsNoLongerThanForChecks(t *testing.T) {
+	cfg := testConfig()
+	cfg.Pull, cfg.Pushed = true, true
+	failing := settled(t, cfg, 3)
+	id := failing.request(clsAny, 0)
+	failing.r.Members(failing.now, List{Kind: ListFailed})
+	failing.pass(20 * ms)
+	failing.mustSend(id)
+
+	silent := settled(t, cfg, 3)
+	id = silent.request(clsAny, 0)
+	silent.pass(freshHold)
+	silent.mustSend(id)
+
+	cfg.Pushed = false
+	asked := settled(t, cfg, 3)
+	asked.mustSend(asked.request(clsAny, 0))
+}
