--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -12,7 +12,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"go.etcd.io/raft/v3"
@@ -25,16 +24,6 @@
 	"havenproxy/internal/wire/tier"
 )
 
-// Config is one planner's.
-type Config struct {
-	ID      uint64            // from 1 on
-	Listen  string            // where proxies, planners and operators come
-	Peers   map[uint64]string // all planners, this one included, with their addresses
-	File    string            // of the log
-	Join    bool              // it takes the place of another: its log, which has yet to be begun, comes from the others
-	Rollout rollout.Config
-}
-
 const (
 	step       = 20 * time.Millisecond // of the clock
 	heartbeats = 2                     // steps
@@ -75,15 +64,6 @@
 	peers  map[uint64]*peer
 }
 
-// peer is what is known of another planner.
-type peer struct {
-	term, acked uint64        // it has acknowledged entries up to acked to the leader of term, which may be this one
-	voted       uint64        // it has been in that term, at least
-	told        bool          // that its messages are not taken
-	process     uint64        // that said what its disk held, and was believed
-	heardAt     time.Duration // its last message
-}
-
 // Open makes a planner that doesn't run yet.
 func Open(cfg Config) (*Planner, error) {
 	cfg.Rollout = cfg.Rollout.WithDefaults()
@@ -181,14 +161,6 @@
 	p.server.connect(want)
 }
 
-// voting gives the planners that vote now, by number. While one is being replaced, those are the old ones and the new one: most of either set
-// are needed, so that the old one is not replaced before it has left.
-func (p *Planner) voting() []uint64 {
-	all := append(slices.Clone(p.conf.GetVoters()), p.conf.GetVotersOutgoing()...)
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
 // Address tells where it listens.
 func (p *Planner) Address() string { return p.server.listener.Addr().String() }
 
@@ -402,127 +374,6 @@
 	p.server.settle(c, err)
 }
 
-// Replace begins to put a new planner in an old one's place: both at one moment, by joint consensus, so that at no time one more may fail than
-// before. The error tells why it can't be.
-func (p *Planner) Replace(old, id uint64, address string) error {
-	voters := p.conf.GetVoters()
-	was, err := p.store.known(id)
-	switch {
-	case err != nil:
-		return err
-	case len(p.conf.GetVotersOutgoing()) > 0:
-		return errors.New("another planner is being replaced")
-	case !slices.Contains(voters, old):
-		return fmt.Errorf("planner %d is none of the tier's: those are %d", old, voters)
-	case id == 0 || slices.Contains(voters, id) || p.state.Planners[id] != "" || was != 0:
-		return fmt.Errorf("planner %d is or was one of the tier's: a new one needs a number of its own, since the others remember what it said", id)
-	case old == p.cfg.ID:
-		return fmt.Errorf("planner %d leads: stop it first, or ask again once another leads", old)
-	}
-	live := p.live(voters, old)
-	if n := len(voters)/2 + 1; live < n {
-		return fmt.Errorf("beside planner %d only %d of %d live, and %d have to", old, live, len(voters), n)
-	}
-	simple := func(t pb.ConfChangeType, id uint64) *pb.ConfChangeSingle {
-		return &pb.ConfChangeSingle{Type: &t, NodeId: &id}
-	}
-	return p.node.ProposeConfChange(&pb.ConfChangeV2{Changes: []*pb.ConfChangeSingle{simple(pb.ConfChangeType_ConfChangeAddNode, id),
-		simple(pb.ConfChangeType_ConfChangeRemoveNode, old)}, Context: []byte(address)})
-}
-
-// live counts the voters but one that have been heard lately, this planner among them. The consensus' own mark of them is of no use: it is
-// taken off all of them once in each election time-out, and comes back with the next message of each.
-func (p *Planner) live(voters []uint64, but uint64) (count int) {
-	for _, id := range voters {
-		if id == but {
-			continue
-		}
-		if id == p.cfg.ID || p.peer(id).heardAt > 0 && p.now()-p.peer(id).heardAt <= aliveFor {
-			count++
-		}
-	}
-	return count
-}
-
-// changed takes a change of the planners that has come through the log.
-func (p *Planner) changed(cc *pb.ConfChangeV2) {
-	before := p.conf.GetVoters()
-	p.conf = p.node.ApplyConfChange(cc)
-	for _, c := range cc.GetChanges() {
-		if c.GetType() == pb.ConfChangeType_ConfChangeAddNode && !slices.Contains(before, c.GetNodeId()) {
-			if p.state.Planners == nil {
-				p.state.Planners = map[uint64]string{}
-			}
-			p.state.Planners[c.GetNodeId()] = string(cc.GetContext())
-		}
-	}
-	slog.Info("planners", "voters", p.conf.GetVoters(), "leaving", p.conf.GetVotersOutgoing())
-	p.connect()
-	p.shorten() // the new one begins with a snapshot that names it
-	if !slices.Contains(p.conf.GetVoters(), p.cfg.ID) && len(p.conf.GetVotersOutgoing()) == 0 && slices.Contains(before, p.cfg.ID) {
-		p.failed = ErrGone
-	}
-}
-
-// met judges what another planner says that its disk holds. The text tells why its messages can't be taken: a vote or an entry that it has
-// promised and forgotten would break what the consensus stands on. Of a process that has not been judged yet the disk counts as it was when
-// the process began: an older copy may have been filled up by who leads before a link of it has come here. Nothing was acknowledged to
-// this planner meanwhile, since it takes no messages of a process before it has judged it.
-func (p *Planner) met(s *tier.Start) (why string, err error) {
-	known, err := p.store.knows(s.Planner, s.Disk)
-	if err != nil {
-		return "", err
-	}
-	x := p.peer(s.Planner)
-	term, last := s.Term, s.Last
-	if s.Process != x.process && s.Process != 0 {
-		term, last = s.BeganTerm, s.BeganLast
-	}
-	switch {
-	case known != s.Disk:
-		return fmt.Sprintf("planner %d has begun its log anew: what it had promised is lost. Put a new one in its place: havenproxy policy replace", s.Planner), nil
-	case term < x.voted, term == x.term && last < x.acked:
-		return fmt.Sprintf("planner %d has an older copy of its log: term %d and entry %d, and it had said %d and %d. Put a new one in its place: havenproxy policy replace",
-			s.Planner, term, last, max(x.voted, x.term), x.acked), nil
-	}
-	x.process = s.Process
-	return "", nil
-}
-
-func (p *Planner) peer(id uint64) *peer {
-	if p.peers[id] == nil {
-		p.peers[id] = &peer{}
-	}
-	return p.peers[id]
-}
-
-// said notes what another planner has promised by a message. All but the messages before a vote are sent once the disk has what they say.
-func (p *Planner) said(m *pb.Message) {
-	x := p.peer(m.GetFrom())
-	switch m.GetType() {
-	case pb.MessageType_MsgPreVote, pb.MessageType_MsgPreVoteResp:
-		return
-	case pb.MessageType_MsgAppResp:
-		if t := m.GetTerm(); !m.GetReject() {
-			if t > x.term {
-				x.term, x.acked = t, 0
-			}
-			if t == x.term {
-				x.acked = max(x.acked, m.GetIndex())
-			}
-		}
-	}
-	x.voted = max(x.voted, m.GetTerm())
-}
-
-// start is what this planner's disk holds.
-func (p *Planner) start() *tier.Start {
-	hard, _, _ := p.store.mem.InitialState()
-	last, _ := p.store.mem.LastIndex()
-	return &tier.Start{Planner: p.cfg.ID, Disk: p.store.disk, Term: hard.GetTerm(), Last: last, Process: p.process,
-		BeganTerm: p.beganTerm, BeganLast: p.beganLast}
-}
-
 func (p *Planner) shorten() {
 	text, err := tier.EncodeState(p.state)
 	if err == nil {
@@ -534,36 +385,3 @@
 	}
 	p.snapped = p.applied
 }
-
-// quiet lets the consensus say only what goes wrong.
-type quiet struct{}
-
-func (quiet) Debug(...any)                     {}
-func (quiet) Debugf(string, ...any)            {}
-func (quiet) Info(...any)                      {}
-func (quiet) Infof(string, ...any)             {}
-func (quiet) Warning(v ...any)                 { slog.Debug("consensus: " + fmt.Sprint(v...)) }
-func (quiet) Warningf(format string, v ...any) { slog.Debug("consensus: " + fmt.Sprintf(format, v...)) }
-func (quiet) Error(v ...any)                   { slog.Error("consensus: " + fmt.Sprint(v...)) }
-func (quiet) Errorf(format string, v ...any)   { slog.Error("consensus: " + fmt.Sprintf(format, v...)) }
-func (quiet) Fatal(v ...any)                   { panic(fmt.Sprint(v...)) }
-func (quiet) Fatalf(format string, v ...any)   { panic(fmt.Sprintf(format, v...)) }
-func (quiet) Panic(v ...any)                   { panic(consensusPanic(fmt.Sprint(v...))) }
-func (quiet) Panicf(format string, v ...any)   { panic(consensusPanic(fmt.Sprintf(format, v...))) }
-
-// consensusPanic is what the consensus can't go on with.
-type consensusPanic string
-
-// ParsePeers reads "1=ADDRESS,2=ADDRESS".
-func ParsePeers(text string) (map[uint64]string, error) {
-	out := map[uint64]string{}
-	for _, w := range strings.Split(text, ",") {
-		var id uint64
-		number, address, ok := strings.Cut(strings.TrimSpace(w), "=")
-		if _, err := fmt.Sscanf(number, "%d", &id); !ok || err != nil || id == 0 || address == "" || out[id] != "" {
-			return nil, fmt.Errorf("%q: planners as 1=ADDRESS,2=ADDRESS,3=ADDRESS were expected", text)
-		}
-		out[id] = address
-	}
-	return out, nil
-}
