--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -20,7 +19,6 @@
 	"havenproxy/internal/rollout"
 	"havenproxy/internal/state"
 	"havenproxy/internal/trace"
-	"havenproxy/internal/wire/mysql"
 	"havenproxy/internal/wire/settings"
 )
 
@@ -168,105 +166,9 @@
 	}
 }
 
-// tracing opens the file in which what clients ask is to be kept, if any; the function that it gives puts that into effect, on
-// the loop. A file that goes on as it was goes on.
-func (p *proxy) tracing(t *operator.Trace) (func(), error) {
-	var cfg trace.Config
-	if t != nil {
-		cfg = trace.Config{File: t.File, Sample: t.Sample, Most: t.Most}
-	}
-	if p.traceFile != "" {
-		cfg.File = p.traceFile
-	}
-	if cfg.File == "" {
-		p.traced = nil
-		return func() { go p.untrace(p.front.Trace(nil)) }, nil
-	}
-	if t != nil && t.SaltFile != "" {
-		salt, err := os.ReadFile(t.SaltFile)
-		if err != nil {
-			return nil, fmt.Errorf("trace: %w", err)
-		}
-		if len(salt) < leastSalt {
-			return nil, fmt.Errorf("trace: %s holds %d bytes, at least %d were expected", t.SaltFile, len(salt), leastSalt)
-		}
-		cfg.Salt = salt
-	}
-	if p.traced != nil && reflect.DeepEqual(*p.traced, cfg) {
-		return func() {}, nil
-	}
-	var classes []string
-	for _, c := range p.front.Classes() {
-		classes = append(classes, c.Name)
-	}
-	w, err := trace.Create(cfg, classes, p.clock.Unix())
-	if err != nil {
-		return nil, fmt.Errorf("trace: %w", err)
-	}
-	p.traced = &cfg
-	slog.Info("what clients ask is kept", "file", cfg.File, "sample", w.Sample(), "most_bytes", w.Most())
-	return func() { go p.untrace(p.front.Trace(w)) }, nil
-}
-
-// untrace ends a trace; it waits for the disk, so it has no place on the loop.
-func (p *proxy) untrace(w *trace.Writer) {
-	if w == nil {
-		return
-	}
-	err := w.Close()
-	slog.Info("trace closed", "records", w.Kept, "dropped", w.Dropped, "full", w.Full(), "error", err)
-}
-
 // leastSalt is the least length of the secret of a trace's hashes, in bytes.
 const leastSalt = 16
 
-// mysqlUsers reads the secrets of MySQL's users.
-func mysqlUsers(m *operator.MySQL) (map[string]mysql.Secret, error) {
-	users := map[string]mysql.Secret{}
-	for name, text := range m.Users {
-		secret, err := mysql.ParseSecret(text)
-		if err != nil {
-			return nil, fmt.Errorf("mysql: user %q: %w", name, err)
-		}
-		users[name] = secret
-	}
-	return users, nil
-}
-
-// listenMySQL starts the second front, if there is one; nothing runs before the loop does.
-func (p *proxy) listenMySQL(m *operator.MySQL) error {
-	if m == nil {
-		return nil
-	}
-	users, err := mysqlUsers(m)
-	if err != nil {
-		return err
-	}
-	p.mysql = &net.MySQLOptions{Users: users}
-	go func() { // it takes tenths of a second, in which nobody is to wait; users may come to need it at a SIGHUP
-		key, err := mysql.NewKey()
-		if err != nil {
-			slog.Error("no key for MySQL's full logins", "error", err)
-			return
-		}
-		p.loop.Post(func() { p.mysql.Key = key })
-	}()
-	if m.PasswordFile != "" {
-		text, err := os.ReadFile(m.PasswordFile)
-		if err != nil {
-			return fmt.Errorf("mysql: %w", err)
-		}
-		p.databases.MySQLPassword = strings.TrimRight(string(text), "\r\n")
-	}
-	p.databases.MySQLUser = m.ServerUser
-	p.databases.MySQL = func(group int) bool { return m.Groups == nil || m.Groups[group] }
-	if err := p.server.ListenMySQL(m.Listen, p.mysql); err != nil {
-		return err
-	}
-	slog.Info("MySQL is spoken", "listen", p.server.MySQLAddress(), "users", len(users))
-	return nil
-}
-
 // proxy is the running program.
 type proxy struct {
 	databases *net.Databases
@@ -375,125 +277,3 @@
 	})
 	return p, nil
 }
-
-// signals hands signals to the loop; path is that of the configuration, file the operator's.
-func (p *proxy) signals(caught <-chan os.Signal, path, file string) {
-	for s := range caught {
-		switch s {
-		case syscall.SIGUSR1:
-			p.loop.Post(func() { slog.Info("counters", "pending", p.front.Pending(), "counters", &p.front.Counters) })
-		case syscall.SIGHUP:
-			p.reload(path, file)
-		default:
-			p.loop.Post(p.stop)
-		}
-	}
-}
-
-// reload reads both files again. It asks the discovery that the configuration names now, and puts the operator's file
-// into effect; all else stays as it was at the start: requests, pins and connections are kept. If either can't be used,
-// nothing is changed.
-func (p *proxy) reload(path, file string) {
-	fail := func(err error) {
-		slog.Error("can't reload", "error", err)
-		p.loop.Post(func() { p.front.Counters.LoadErrors++ })
-	}
-	text, err := os.ReadFile(path)
-	if err == nil {
-		err = settings.Whole(p.text, text)
-	}
-	if err != nil {
-		fail(err)
-		return
-	}
-	cfg, own, err := readAll(path, file)
-	if err != nil {
-		fail(err)
-		return
-	}
-	effect, err := p.ready(own)
-	if err != nil {
-		fail(err)
-		return
-	}
-	p.loop.Post(func() {
-		slog.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Config.Classes))
-		p.front.Counters.Loads++
-		if p.tier == nil {
-			p.front.Reload(cfg.Settings.Config)
-		} else {
-			slog.Info("classes, levels, handover and routing stay as the tier's policy has them", "number", p.tier.Number())
-		}
-		for _, c := range cfg.Settings.Config.Classes { // never less: what is open keeps its time
-			p.patience = min(max(p.patience, c.Limit), longestPatience)
-		}
-		p.discovery.Move(cfg.Discovery)
-		effect()
-	})
-}
-
-// ready reads all that an operator's file names, and gives what puts it into effect, on the loop. Nothing is changed where any of it
-// can't be used: the trace's file, the one thing that is made here, comes last.
-func (p *proxy) ready(own *operator.File) (effect func(), err error) {
-	watched, watch, err := p.watching(own)
-	if err != nil {
-		return nil, err
-	}
-	trace, err := p.tracing(own.Trace)
-	if err != nil {
-		return nil, err
-	}
-	p.watched = watched
-	return func() {
-		p.apply(own)
-		trace()
-		watch()
-	}, nil
-}
-
-// stop ends the proxy in good order: it goes on as before while clients still come, then closes what is idle
-// and ends with its last answer.
-func (p *proxy) stop() {
-	if p.stopping {
-		return
-	}
-	p.stopping = true
-	slog.Info("stopping", "pending", p.front.Pending())
-	now := p.clock.Now()
-	p.answerBy, p.killAt = now+p.patience+answerMargin, now+p.patience+stopMargin
-	p.front.EndBy(p.answerBy)
-	p.front.Deadlines.Clear(&p.settling)
-	if p.accept > 0 && p.serving {
-		p.server.Leave()
-	}
-	p.front.Deadlines.Set(&p.timer, now+lastClients, func() {
-		p.server.Drain()
-		p.front.Deadlines.Set(&p.timer, p.clock.Now()+drainStep, p.drained) // connections just accepted show up until then
-	})
-}
-
-func (p *proxy) drained() {
-	now := p.clock.Now()
-	if now >= p.answerBy {
-		p.front.EndAll()
-	}
-	if p.nothingOwed() || now >= p.killAt {
-		// A connection may have been accepted, and a query read, that the loop has yet to hear of: whatever the poller has begun by now
-		// stands before this in the loop's queue.
-		p.loop.BehindPoller(func() {
-			if p.nothingOwed() || p.clock.Now() >= p.killAt {
-				if p.tier != nil {
-					p.tier.Leave()
-				}
-				p.loop.Stop()
-				return
-			}
-			p.front.Deadlines.Set(&p.timer, p.clock.Now()+drainStep, p.drained)
-		})
-		return
-	}
-	p.front.Deadlines.Set(&p.timer, now+drainStep, p.drained)
-}
-
-// nothingOwed closes the clients that are owed nothing, and tells whether none is left.
-func (p *proxy) nothingOwed() bool { return p.server.Drained() && p.front.Owed() == 0 }
