Test that a planner passes on no reports in another member's name

The check that a report comes over its own member's link (IsLinkOf) had no test. A proxy sends reports of a death in the names of five others; none takes the database for dead. Without the check the forged ones shut out the true ones, as they bear a later start, and the death of another database, which the test waits for, is never known: red, by the time bound. The set-up of both tests is one now.

--- a/internal/net/health_test.go
+++ b/internal/net/health_test.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
+	"math"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"havenproxy/internal/healthcheck"
 	"havenproxy/internal/planner"
 	"havenproxy/internal/rollout"
 	"havenproxy/internal/state"
+	"havenproxy/internal/subset"
+	wire "havenproxy/internal/wire/healthcheck"
 	"havenproxy/logic"
 )
 
@@ -108,52 +113,80 @@
 	return p.Address()
 }
 
-// What the checkers of a database find out passes over real links and the planner to the proxies that don't check it. A checker knows
-// of the silence by its own check before the quorum's verdict has come back to it, so that both are waited for.
-func TestADeathPassesByThePlannerToAllProxies(t *testing.T) {
+// sharers is a tier of six proxies with a planner, whose loop runs until the test ends.
+type sharers struct {
+	t     *testing.T
+	loop  *Loop
+	clock state.Clock
+	list  []*sharer
+}
+
+func newSharers(t *testing.T) *sharers {
 	address := runPlanner(t)
 	clock := state.NewClock()
-	loop := NewLoop(clock, &state.Deadlines{})
-	go loop.Run()
-	var list []*sharer
-	on(loop, func() {
+	s := &sharers{t: t, loop: NewLoop(clock, &state.Deadlines{}), clock: clock}
+	go s.loop.Run()
+	on(s.loop, func() {
 		for i := range 6 {
-			list = append(list, newSharer(t, loop, clock, address, i))
+			s.list = append(s.list, newSharer(t, s.loop, clock, address, i))
 		}
 	})
-	defer on(loop, func() {
-		for _, x := range list {
-			x.tier.Leave()
-			x.tier.drop()
-		}
-		loop.Stop()
+	t.Cleanup(func() {
+		on(s.loop, func() {
+			for _, x := range s.list {
+				x.tier.Leave()
+				x.tier.drop()
+			}
+			s.loop.Stop()
+		})
 	})
-	until := func(holds func(*state.Front) bool) { // where it never does, the test's own time runs out
-		for hold := 0; hold < len(list); time.Sleep(time.Millisecond) {
-			on(loop, func() {
-				hold = 0
-				for _, x := range list {
-					x.front.Deadlines.Run(clock.Now())
-					if holds(x.front) {
-						hold++
-					}
-				}
-			})
+	return s
+}
+
+// until waits for something to hold at all proxies.
+func (s *sharers) until(holds func(*state.Front) bool) {
+	s.t.Helper()
+	end := time.Now().Add(time.Minute)
+	for hold := 0; hold < len(s.list); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("it holds at %d of %d proxies after a minute", hold, len(s.list))
 		}
+		on(s.loop, func() {
+			hold = 0
+			for _, x := range s.list {
+				x.front.Deadlines.Run(s.clock.Now())
+				if holds(x.front) {
+					hold++
+				}
+			}
+		})
 	}
-	until(func(f *state.Front) bool { return f.SharesChecks() && f.Counters.Digests > 0 })
-	on(loop, func() {
-		for _, x := range list {
+}
+
+// hang lets silentDatabase answer no check of any proxy from now on, and waits until all know.
+func (s *sharers) hang() {
+	on(s.loop, func() {
+		for _, x := range s.list {
 			x.databases.hangs = true
 		}
 	})
-	until(func(f *state.Front) bool {
+	s.until(func(f *state.Front) bool {
 		database, ok := f.Database(silentDatabase)
 		return ok && database.Silent && f.Counters.Verdicts > 0
 	})
-	on(loop, func() {
+}
+
+func sharesChecks(f *state.Front) bool { return f.SharesChecks() && f.Counters.Digests > 0 }
+
+// What the checkers of a database find out passes over real links and the planner to the proxies that don't check it. A checker knows
+// of the silence by its own check before the quorum's verdict has come back to it, so that both are waited for.
+func TestADeathPassesByThePlannerToAllProxies(t *testing.T) {
+	s := newSharers(t)
+	s.until(sharesChecks)
+	s.hang()
+	on(s.loop, func() {
 		byVerdictAlone := 0
-		for i, x := range list {
+		for i, x := range s.list {
 			if x.databases.unheeded == 0 {
 				byVerdictAlone++
 			}
@@ -167,3 +200,33 @@
 		}
 	})
 }
+
+// A proxy that sends reports in the names of all others is not believed: the planner takes a member's reports on that member's link only.
+func TestReportsInAnothersNameAreNotPassedOn(t *testing.T) {
+	s := newSharers(t)
+	s.until(sharesChecks)
+	on(s.loop, func() {
+		now := s.clock.Now()
+		for _, victim := range s.list[1:] {
+			from := subset.ProxyID(victim.tier.health.member)
+			forged := healthcheck.Report{Origin: from, Epoch: math.MaxUint32, Database: numberOf("db-1"), Status: healthcheck.Dead, At: now}
+			s.list[0].tier.SendReports(wire.AppendMessage(nil, wire.Clock{Unix: s.clock.Unix(), Now: now},
+				healthcheck.Message{From: from, Epoch: math.MaxUint32, Reports: []healthcheck.Report{forged}}))
+		}
+	})
+	s.hang() // a true death takes as long to be known as a forged one would, and was reported behind it
+	on(s.loop, func() {
+		for i, x := range s.list {
+			if database, _ := x.front.Database("db-1"); database.Silent {
+				t.Errorf("proxy %d takes a database for dead that all checkers reach", i)
+			}
+		}
+	})
+}
+
+// numberOf gives a database's number in the tier's messages.
+func numberOf(name string) subset.DatabaseID {
+	hash := fnv.New64a()
+	hash.Write([]byte(name))
+	return logic.ShortNumber(logic.MemberID(hash.Sum64()))
+}
