--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -33,6 +33,7 @@
 	calculate bool
 	variant   string
 	compare   int
+	jobs      int
 	events    []string
 	eventSize string
 	jsonPath  string
@@ -60,6 +61,7 @@
 	f.StringSliceVar(&o.vary, "vary", []string{string(analysis.AxisBoth)}, "what the sizes vary: both, proxies (before the databases of the smallest), databases")
 	f.StringVar(&o.variant, "variant", scale.VariantAll, "health checking: all (each proxy checks every database), shared (by the tier's checkers), both, one after the other")
 	f.IntVar(&o.compare, "compare", 0, "compare the worth of shared checks with that of all checking everything: so many seeds, 5 at least, at --event-size, calm and with each of --events; 0 = measure sizes")
+	f.IntVar(&o.jobs, "jobs", 1, "runs of --compare at once; each holds what one run does, and --memory bounds all of them together")
 	f.DurationVar(&o.For, "for", 10*time.Second, "measured time of each size")
 	f.DurationVar(&o.Settle, "settle", 5*time.Second, "time before it")
 	f.Float64Var(&o.Rate, "rate", 500, "requests a second that each proxy makes")
@@ -108,8 +110,8 @@
 	if err := o.checkEvents(); err != nil {
 		return err
 	}
-	if o.For < time.Second || o.Settle < 0 || o.Rate <= 0 || o.PeerFacts < 0 || o.PeerFacts > 31 || o.memory < 0 || o.Lease < 0 || o.Lease > 0 && o.Lease < 200*time.Millisecond || o.ChangeEvery < 0 || o.timeout <= 0 {
-		return fmt.Errorf("%w: --for is 1s at least, --settle 0s, --rate above 0, --peers 0 to 31, --memory 0 at least, --lease 0 or 200ms at least, --timeout above 0", ErrUsage)
+	if o.For < time.Second || o.Settle < 0 || o.Rate <= 0 || o.PeerFacts < 0 || o.PeerFacts > 31 || o.memory < 0 || o.Lease < 0 || o.Lease > 0 && o.Lease < 200*time.Millisecond || o.ChangeEvery < 0 || o.timeout <= 0 || o.jobs < 1 {
+		return fmt.Errorf("%w: --for is 1s at least, --settle 0s, --rate above 0, --peers 0 to 31, --memory 0 at least, --lease 0 or 200ms at least, --timeout above 0, --jobs 1 at least", ErrUsage)
 	}
 	return nil
 }
--- a/internal/lab/command/scale_compare.go
+++ b/internal/lab/command/scale_compare.go
@@ -9,14 +9,14 @@
 	"havenproxy/internal/lab/scale/analysis"
 )
 
-// compareWorth prints what shared health checks earn against all checking everything, with each seed as it is done.
+// compareWorth prints what shared health checks earn against all checking everything, with each seed.
 func (o *scaleOptions) compareWorth(ctx context.Context, out io.Writer) error {
 	trial := ""
 	if o.trial {
 		trial = ", trials"
 	}
 	fmt.Fprintf(out, "worth at %v, %g requests a second and proxy%s\n", o.EventSize, o.Rate, trial)
-	comparisons, err := o.CompareWorth(ctx, o.EventSize, o.Events, o.compare, func(event analysis.Event, seed uint64, all, shared float64) {
+	comparisons, err := o.CompareWorth(ctx, o.EventSize, o.Events, o.compare, o.jobs, func(event analysis.Event, seed uint64, all, shared float64) {
 		fmt.Fprintf(out, "%s, seed %d: all %.4f, shared %.4f\n", event, seed, all, shared)
 	})
 	if err != nil {
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -211,3 +212,20 @@
 		}
 	}
 }
+
+// The figures don't depend on how many runs go on at once.
+func TestComparisonsAreTheSameWithAnyNumberOfJobs(t *testing.T) {
+	size := analysis.Size{Proxies: 12, Databases: 16}
+	c := Config{Settle: time.Second, For: time.Second, Rate: 50, Seed: 3, Lease: 2 * time.Second}
+	var differences [2][]float64
+	for i, jobs := range []int{1, 4} {
+		comparisons, err := c.CompareWorth(t.Context(), size, nil, 5, jobs, nil)
+		if err != nil || len(comparisons) != 1 {
+			t.Fatal(comparisons, err)
+		}
+		differences[i] = comparisons[0].Diffs
+	}
+	if !slices.Equal(differences[0], differences[1]) || len(differences[0]) != 5 {
+		t.Errorf("one at a time %v, four at once %v", differences[0], differences[1])
+	}
+}
