scale: estimate a size's memory by the line through the sizes measured before

With one small size measured, memory was carried on in proportion to proxies x databases: 36.3 GB for 820 x 1,300, so that events there were refused, where the run of that size measured 4.76 MB for each of 820 proxies. The line through the last two sizes is used now.

--- a/internal/lab/scale/limits.go
+++ b/internal/lab/scale/limits.go
@@ -48,17 +48,29 @@
 	return pages * int64(os.Getpagesize())
 }
 
-// expectedBytes estimates what a size will take in the model: by its last measurement there, carried on with proxies x databases.
+// expectedBytes estimates what a size will take in the model. What a proxy holds grows with the databases in a line, which is drawn through
+// the last two sizes that were measured; with one alone it is taken to grow in proportion, which is an upper figure.
 func (c *Config) expectedBytes(run *analysis.Run, size analysis.Size) int64 {
-	pairs := float64(size.Proxies * size.Databases)
-	estimate := int64(bytesPerPair * pairs)
+	var last, before *analysis.Measurement
 	for i := range run.Measurements {
 		m := &run.Measurements[i]
-		if m.Variant == c.Variant && m.Memory.Measured() {
-			estimate = int64(headroom * m.Memory.Mean / float64(m.Size.Databases) * pairs)
+		if m.Variant != c.Variant || !m.Memory.Measured() {
+			continue
 		}
+		if last != nil && last.Size.Databases < m.Size.Databases {
+			before = last
+		}
+		last = m
+	}
+	proxies, databases := float64(size.Proxies), float64(size.Databases)
+	switch {
+	case last == nil:
+		return int64(bytesPerPair * proxies * databases)
+	case before == nil:
+		return int64(headroom * last.Memory.Mean / float64(last.Size.Databases) * databases * proxies)
 	}
-	return estimate
+	slope := max(last.Memory.Mean-before.Memory.Mean, 0) / float64(last.Size.Databases-before.Size.Databases)
+	return int64(headroom * (last.Memory.Mean + slope*(databases-float64(last.Size.Databases))) * proxies)
 }
 
 // refuses tells why a size must not be started; empty = it may.
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -213,6 +213,23 @@
 	}
 }
 
+// A proxy holds something whatever the fleet: carried on in proportion from a small size, that came to 36 GB at 820 x 1,300, which held 4.
+func TestMemoryIsEstimatedByALine(t *testing.T) {
+	c := Config{Variant: VariantAll}
+	var run analysis.Run
+	for _, m := range []struct {
+		size   analysis.Size
+		memory float64
+	}{{analysis.Size{Proxies: 50, Databases: 80}, 1.4e6}, {analysis.Size{Proxies: 100, Databases: 160}, 1.7e6}} {
+		run.Measurements = append(run.Measurements, analysis.Measurement{Size: m.size, Variant: VariantAll, Memory: analysis.Sample{Mean: m.memory, Seconds: 1}})
+	}
+	size := analysis.Size{Proxies: 820, Databases: 1300}
+	perProxy := 1.7e6 + 0.3e6/80*(1300-160)
+	if got, want := c.expectedBytes(&run, size), int64(headroom*perProxy*820); got < want-1000 || got > want+1000 {
+		t.Errorf("%d bytes are expected, not %d", got, want)
+	}
+}
+
 // The figures don't depend on how many runs go on at once.
 func TestComparisonsAreTheSameWithAnyNumberOfJobs(t *testing.T) {
 	size := analysis.Size{Proxies: 12, Databases: 16}
