Tier: members are told what has changed in place of the whole list

Cause: each change of the tier's members sent the whole list to every proxy that shares health checks (or has an address): at 820 members 32,824 B to each, 26.9 MB from the leader for one restart (calculated, by the codec), and once more with each renewal while a release goes on.

Change: a renewal says that its proxy takes changes; the planner keeps 2,048 changes and sends who has joined and left since the version that the proxy knows: 73 B for one restart, 59,860 B from the leader. Who knows no version, one that is not kept, or runs an earlier version of the program is sent all. Earlier lists for takeover (PastMembers) go as before.

--- a/internal/lab/scale/calculate/figures.go
+++ b/internal/lab/scale/calculate/figures.go
@@ -58,6 +58,8 @@
 		{role, "left of the budget for checks and their results", fmt.Sprintf("%d - lease - watch - list - policy", in.BytesBudget), rest, "B/s"},
 		{role, "left of it once checks are at their budget", "the same - health checks at the budget", rest - probeRate, "B/s"},
 		{role, "reports of all databases' roles by peers, received", fmt.Sprintf("%d / %v x %d B + heads", in.Size.Databases, in.RolesEvery, m.PeerFact), in.roleBytes(m) * reports, "B/s"},
+		{role, "restarts in the tier, where checks are shared, as changes", fmt.Sprintf("%d a day x %d B / 86,400 s", in.Replaced, m.MembersChange), float64(in.Replaced*m.MembersChange) / secondsPerDay, "B/s"},
+		{role, "the same with whole lists", fmt.Sprintf("%d a day x %d B / 86,400 s", in.Replaced, m.MembersWhole), float64(in.Replaced*m.MembersWhole) / secondsPerDay, "B/s"},
 		{role, "the whole list, at a start", fmt.Sprintf("%d entries x %d B + head", in.Size.Databases, m.ListEntry), float64(m.ListWhole), "B"},
 		{role, "its time at the budget", fmt.Sprintf("%d B / %d B/s", m.ListWhole, in.BytesBudget), float64(m.ListWhole) / float64(in.BytesBudget), "s"},
 	}
@@ -88,6 +90,8 @@
 		{role, "leader: confirmations that it leads, at most", fmt.Sprintf("2 x %.0f/s x (%d + %d) B, one for each ask; asks that come together share one", asks, m.Heartbeat, m.HeartbeatReply), confirm, "B/s"},
 		{role, "state with all members, without policies' texts", fmt.Sprintf("%d members, encoded", n), float64(m.State), "B"},
 		{role, "log, entries for joins and leaves", fmt.Sprintf("2 x %d a day x %d B, at most as long as a join", in.Replaced, m.JoinCommand), float64(2 * in.Replaced * m.JoinCommand), "B a day"},
+		{role, "leader: one proxy that restarts, told to all that share health checks, as a change", fmt.Sprintf("%d x %d B", n, m.MembersChange), float64(n * m.MembersChange), "B"},
+		{role, "leader: the same with whole lists, as earlier versions take", fmt.Sprintf("%d x %d B", n, m.MembersWhole), float64(n * m.MembersWhole), "B"},
 		{role, "leader: connections", fmt.Sprintf("%d proxies + 2 from and 2 to followers", n), float64(n + 4), ""},
 	}
 }
--- a/internal/lab/scale/calculate/messages.go
+++ b/internal/lab/scale/calculate/messages.go
@@ -33,6 +33,7 @@
 	Renew, Granted                    int // a lease asked for, and granted
 	Offer, Agree, Hold, Held, InForce int // a change of policy, for one proxy
 	Hello, Welcome                    int // a proxy that joins; Welcome holds the policy
+	MembersWhole, MembersChange       int // the tier's members, for who shares health checks: all; one proxy that has restarted
 
 	Heartbeat, HeartbeatReply int // of the planners' consensus, to one follower
 	JoinCommand               int // the log's entry for a proxy that joins
@@ -55,6 +56,14 @@
 // exampleName is a proxy's.
 func exampleName(i int) string { return fmt.Sprintf("proxy-r1-z2-%04d", i) }
 
+// exampleEntries are the tier's members, with their zones.
+func exampleEntries(proxies int) (entries []rollout.MemberEntry) {
+	for i := range proxies {
+		entries = append(entries, rollout.MemberEntry{Member: rollout.Member(exampleMember + i), Name: exampleName(i), Nonce: exampleNonce, Zone: "r1-z2"})
+	}
+	return entries
+}
+
 // Encode writes each message once and measures it.
 func Encode(in Inputs) (m Messages, err error) {
 	m.ProbeQuery = len(pg.AppendQuery(nil, "SHOW load"))
@@ -113,6 +122,7 @@
 func (m *Messages) encodeTier(in Inputs) error {
 	policy := []byte(strings.Repeat("p", in.PolicyBytes))
 	round := rollout.Round{Term: exampleTerm, Count: 3}
+	entries := exampleEntries(in.Size.Proxies)
 	for _, x := range []struct {
 		to      *int
 		message rollout.Message
@@ -126,6 +136,9 @@
 		{&m.InForce, rollout.Message{Kind: rollout.Status, Member: exampleMember, Number: exampleNumber, Round: round}},
 		{&m.Hello, rollout.Message{Kind: rollout.Hello, Name: exampleName(0), Nonce: exampleNonce, Lease: in.Lease}},
 		{&m.Welcome, rollout.Message{Kind: rollout.Welcome, Member: exampleMember, Nonce: exampleNonce, Number: exampleNumber, Policy: policy}},
+		{&m.MembersWhole, rollout.Message{Kind: rollout.Members, Member: exampleMember, MembersVersion: exampleVersion, Members: entries}},
+		{&m.MembersChange, rollout.Message{Kind: rollout.Members, Member: exampleMember, MembersVersion: exampleVersion, SinceVersion: exampleVersion - 2,
+			Members: entries[:1], LeftMembers: []rollout.Member{exampleMember - 1}}},
 	} {
 		frame, err := tier.Append(nil, &tier.Frame{Tier: &x.message})
 		if err != nil {
@@ -149,8 +162,9 @@
 	}
 	m.JoinCommand = len(command)
 	state := rollout.State{InForce: exampleNumber, LastNumber: exampleNumber, LastMember: exampleMember, MembersVersion: exampleVersion, HasLed: true, Lease: in.Lease}
-	for i := range in.Size.Proxies {
-		state.Members = append(state.Members, rollout.MemberEntry{Member: rollout.Member(exampleMember + i), Name: exampleName(i), Nonce: exampleNonce})
+	for _, entry := range exampleEntries(in.Size.Proxies) {
+		entry.Zone = "" // health checks are not shared
+		state.Members = append(state.Members, entry)
 	}
 	text, err := tier.EncodeState(&state)
 	if err != nil {
--- a/internal/lab/scale/calculate/write.go
+++ b/internal/lab/scale/calculate/write.go
@@ -60,6 +60,7 @@
 		{"lease (`wire/tier`), asked", m.Renew}, {"granted", m.Granted},
 		{"change of policy: offered", m.Offer}, {"agreed", m.Agree}, {"hold", m.Hold}, {"held", m.Held}, {"in force", m.InForce},
 		{"join, asked", m.Hello}, {"answered, with the policy", m.Welcome},
+		{"the tier's members, where checks are shared: all", m.MembersWhole}, {"one that has restarted", m.MembersChange},
 		{"planners' heartbeat", m.Heartbeat}, {"its answer", m.HeartbeatReply}, {"log entry of a join", m.JoinCommand}, {"planners' state", m.State},
 		{"operator's `policy status`, answered", m.Status},
 	}
--- a/internal/rollout/leader_leases.go
+++ b/internal/rollout/leader_leases.go
@@ -11,6 +11,7 @@
 	seq            uint64
 	link           Link
 	membersVersion uint64 // that the member knows
+	takesChanges   bool   // it takes what has changed since then
 }
 
 // receiveRenewal queues a request for a lease, or answers it where there are no leases and the request is a mere heartbeat.
@@ -20,7 +21,7 @@
 		l.send(link, l.status(m.Member))
 	}
 	if l.config.Lease > 0 {
-		l.queueRenewal(renewal{member: m.Member, seq: m.Seq, link: link, membersVersion: m.MembersVersion})
+		l.queueRenewal(renewal{member: m.Member, seq: m.Seq, link: link, membersVersion: m.MembersVersion, takesChanges: m.TakesChanges})
 	}
 }
 
@@ -73,13 +74,26 @@
 		if complete {
 			granted.MembersVersion = l.state.MembersVersion
 			if r.membersVersion != granted.MembersVersion {
-				l.send(r.link, Message{Kind: Members, Member: r.member, MembersVersion: l.state.MembersVersion, Members: l.state.Members, PastMembers: past})
+				l.send(r.link, l.membersFor(r, past))
 			}
 		}
 	}
 	l.send(r.link, granted)
 }
 
+// membersFor returns the message with the membership for a member: what has changed since the version that it knows, where that is known
+// here, and all entries otherwise.
+func (l *Leader) membersFor(r renewal, past []PastMembers) Message {
+	m := Message{Kind: Members, Member: r.member, MembersVersion: l.state.MembersVersion, Members: l.state.Members, PastMembers: past}
+	if !r.takesChanges {
+		return m
+	}
+	if joined, left, ok := l.history.Since(r.membersVersion); ok {
+		m.SinceVersion, m.Members, m.LeftMembers = r.membersVersion, joined, left
+	}
+	return m
+}
+
 // leaseDuration returns the length of a lease that is granted now.
 func (l *Leader) leaseDuration(now time.Duration) time.Duration {
 	if l.change.number != 0 && l.state.Pending() != nil && now-l.change.began >= l.config.Lease/2 {
--- a/internal/rollout/membership_history.go
+++ b/internal/rollout/membership_history.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -32,6 +33,20 @@
 	members         []Member
 	past            []replacedMembers // the oldest first
 	incompleteUntil time.Duration     // a list that is unknown here may be in use until then
+
+	entries []MemberEntry // as of version
+	changes []membershipChange
+}
+
+// maxMembershipChanges bounds the changes that are kept for those who know an earlier version: all of some days, or of a restart of every
+// proxy, at the planned size. Who knows none of the versions is sent all entries.
+const maxMembershipChanges = 2048
+
+// membershipChange is what led from one version to the next.
+type membershipChange struct {
+	from   uint64
+	joined []MemberEntry
+	left   []Member
 }
 
 type replacedMembers struct {
@@ -67,9 +82,74 @@
 		h.incompleteUntil = max(h.incompleteUntil, h.past[0].replacedAt+h.retention)
 		h.past = slices.Delete(h.past, 0, 1)
 	}
+	h.recordChange(s)
 	h.version, h.members = s.MembersVersion, members
 }
 
+// recordChange keeps what leads from the version before to the state's.
+func (h *MembershipHistory) recordChange(s *State) {
+	if h.version > 0 {
+		change := membershipChange{from: h.version}
+		for _, entry := range s.Members {
+			if !hasMember(h.entries, entry.Member) {
+				change.joined = append(change.joined, entry)
+			}
+		}
+		for _, entry := range h.entries {
+			if !hasMember(s.Members, entry.Member) {
+				change.left = append(change.left, entry.Member)
+			}
+		}
+		h.changes = append(h.changes, change)
+		if len(h.changes) > maxMembershipChanges {
+			h.changes = slices.Delete(h.changes, 0, len(h.changes)-maxMembershipChanges)
+		}
+	}
+	h.entries = slices.Clone(s.Members)
+}
+
+// hasMember looks a member up in entries that are sorted by Member.
+func hasMember(entries []MemberEntry, member Member) bool {
+	_, found := slices.BinarySearchFunc(entries, member, func(entry MemberEntry, member Member) int { return cmp.Compare(entry.Member, member) })
+	return found
+}
+
+// Since returns what has changed since a version: who has joined and is still there, and who has left. ok is false where that version is not
+// known here any more, or never was.
+func (h *MembershipHistory) Since(version uint64) (joined []MemberEntry, left []Member, ok bool) {
+	first := slices.IndexFunc(h.changes, func(c membershipChange) bool { return c.from == version })
+	if first < 0 {
+		return nil, nil, false
+	}
+	for _, change := range h.changes[first:] {
+		joined = append(joined, change.joined...)
+		for _, member := range change.left {
+			before := len(joined)
+			joined = slices.DeleteFunc(joined, func(entry MemberEntry) bool { return entry.Member == member })
+			if len(joined) == before { // it had joined before that version
+				left = append(left, member)
+			}
+		}
+	}
+	return joined, left, true
+}
+
+// apply returns the membership after a message of Members. ok is false where the message's changes are those of another version than the one
+// that is known here.
+func (m *Membership) apply(message *Message) (after Membership, ok bool) {
+	after = Membership{Version: message.MembersVersion, Members: message.Members, Past: message.PastMembers}
+	if message.SinceVersion == 0 {
+		return after, true
+	}
+	if message.SinceVersion != m.Version {
+		return Membership{}, false
+	}
+	after.Members = slices.Clone(m.Members)
+	after.Members = slices.DeleteFunc(after.Members, func(entry MemberEntry) bool { return slices.Contains(message.LeftMembers, entry.Member) })
+	after.Members = append(after.Members, message.Members...) // who joins later has a higher number
+	return after, true
+}
+
 // Past returns the earlier lists that members may still use, the oldest first. complete is false if there may be others; then no member
 // may be told that a list is complete.
 func (h *MembershipHistory) Past(now time.Duration) (past []PastMembers, complete bool) {
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -46,7 +46,7 @@
 	Hold        // request to hold new requests for Round
 	Status      // policy Number is in force, and all rounds up to Round have ended
 	NotLeader   // this planner does not lead
-	Members     // the membership entries as of MembersVersion, for proxies that announced an Address or a Zone
+	Members     // the membership entries as of MembersVersion, or their changes, for proxies that announced an Address or a Zone
 )
 
 // Message is a message between a proxy and a planner. Which fields are set depends on Kind.
@@ -71,6 +71,13 @@
 	MembersVersion uint64        `cbor:"12,keyasint,omitempty"`
 	Members        []MemberEntry `cbor:"13,keyasint,omitempty"`
 	PastMembers    []PastMembers `cbor:"14,keyasint,omitempty"`
+	// TakesChanges is, with Renew, whether the proxy takes Members that hold what has changed since the version that it knows. Earlier versions
+	// of the program don't.
+	TakesChanges bool `cbor:"16,keyasint,omitempty"`
+	// SinceVersion is, with Members, the version that Members and LeftMembers are to be applied to: who has joined since, and who has left.
+	// 0 = Members holds all.
+	SinceVersion uint64   `cbor:"17,keyasint,omitempty"`
+	LeftMembers  []Member `cbor:"18,keyasint,omitempty"`
 }
 
 // Link identifies a connection to a proxy. 0 means that there is none.
--- a/internal/rollout/proxy.go
+++ b/internal/rollout/proxy.go
@@ -142,7 +142,8 @@
 	}
 	p.seq++
 	*p.renewalTime(p.seq) = now
-	p.send(Message{Kind: Renew, Member: p.member, Seq: p.seq, Number: p.number, MembersVersion: p.membership.Version})
+	p.send(Message{Kind: Renew, Member: p.member, Seq: p.seq, Number: p.number,
+		MembersVersion: p.membership.Version, TakesChanges: p.membership.Version > 0})
 }
 
 // renewalTime returns where the time of a renewal is kept.
--- a/internal/rollout/proxy_receive.go
+++ b/internal/rollout/proxy_receive.go
@@ -20,8 +20,11 @@
 	case Granted:
 		p.receiveLease(m)
 	case Members:
-		if m.MembersVersion > p.membership.Version {
-			p.membership = Membership{Version: m.MembersVersion, Members: m.Members, Past: m.PastMembers}
+		if m.MembersVersion <= p.membership.Version {
+			return
+		}
+		if after, ok := p.membership.apply(&m); ok { // otherwise the next renewal says which version is known
+			p.membership = after
 		}
 	case Offer:
 		p.receiveOffer(m)
