scale: each proxy has 2,805 clients at every size, as at the target

Cause: the model's 300 sessions a group did not grow with the fleet, and a session comes to one proxy: of 820 proxies each saw about 31% of the groups (1 - (1 - 1/820)^300, calculated).

Change: as many sessions a group as 2,805 clients of each proxy make, the target's number.

--- a/internal/lab/scale/model.go
+++ b/internal/lab/scale/model.go
@@ -18,6 +18,9 @@
 	groupOf = 4
 	// policySize is the length of a policy's text, in bytes.
 	policySize = 4 << 10
+	// connectionsOfProxy is how many clients are connected to each proxy at the target. Each is one session, which asks one group by one
+	// proxy, so that with as many every proxy sends to every group.
+	connectionsOfProxy = 2805
 	// demand is the part of the databases' capacity that is asked for at every size. Statements' work is scaled so that a fixed rate for
 	// each proxy comes to it.
 	demand = 0.6
@@ -44,6 +47,7 @@
 	cfg.Fleet.Zones = Zones
 	cfg.Fleet.Groups, cfg.Fleet.Members = size.Databases/groupOf, groupOf
 	cfg.Proxies, cfg.For = size.Proxies, c.Settle+c.For
+	cfg.Sessions = connectionsOfProxy * size.Proxies / cfg.Fleet.Groups
 	rate := c.Rate * float64(size.Proxies)
 	cfg.Rate = func(time.Duration) float64 { return rate }
 	cfg.Fleet.Classes = scaleWork(cfg.Fleet.Classes, demand*cfg.Capacity()/rate)
