--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -186,22 +186,20 @@
 	}
 }
 
-// Each link to another planner begins with what the disk held as the process began, though who leads has filled it up meanwhile, and with what
-// it holds now.
-func TestEachLinkTellsWhatTheDiskHeldAtTheStart(t *testing.T) {
+// besideListener opens planner 1 of three, with the test in place of planner 2. nextLink gives the next link that it opens to that one.
+func besideListener(t *testing.T) (p *Planner, nextLink func() net.Conn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	p, err := Open(Config{ID: 1, Listen: "127.0.0.1:0", Peers: map[uint64]string{1: "127.0.0.1:0", 2: ln.Addr().String(), 3: "127.0.0.1:1"},
+	p, err = Open(Config{ID: 1, Listen: "127.0.0.1:0", Peers: map[uint64]string{1: "127.0.0.1:0", 2: ln.Addr().String(), 3: "127.0.0.1:1"},
 		File: filepath.Join(t.TempDir(), "log")})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer p.store.close()
-	defer p.server.close()
-	nextLink := func() net.Conn {
+	t.Cleanup(func() { p.server.close(); p.store.close(); ln.Close() })
+	return p, func() net.Conn {
+		t.Helper()
 		ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
 		conn, err := ln.Accept()
 		if err != nil {
@@ -209,7 +207,18 @@
 		}
 		return conn
 	}
+}
+
+// Who has heard what a planner promised may be one to which that one has nothing to send: it is told of the start all the same, so that it
+// can judge it. Each link begins with what the disk held as the process began, though who leads has filled it up meanwhile, and with what it
+// holds now.
+func TestEachLinkTellsWhatTheDiskHeldAtTheStart(t *testing.T) {
+	p, nextLink := besideListener(t)
 	first := nextLink()
+	f, err := tier.Read(bufio.NewReader(first))
+	if err != nil || f.Start == nil || f.Start.Planner != 1 || f.Start.Process != p.process || p.process == 0 {
+		t.Errorf("%+v, %v: the start of process %d was expected", f.Start, err, p.process)
+	}
 	index, term := uint64(2), uint64(1)
 	if err := p.store.save(&raft.Ready{Entries: []*pb.Entry{{Index: &index, Term: &term}}}); err != nil {
 		t.Fatal(err)
@@ -217,39 +226,12 @@
 	first.Close()
 	second := nextLink()
 	defer second.Close()
-	f, err := tier.Read(bufio.NewReader(second))
-	if err != nil || f.Start == nil || f.Start.BeganLast != 1 || f.Start.Last != 2 || f.Start.Process != p.process || p.process == 0 {
+	f, err = tier.Read(bufio.NewReader(second))
+	if err != nil || f.Start == nil || f.Start.BeganLast != 1 || f.Start.Last != 2 || f.Start.Process != p.process {
 		t.Errorf("%+v, %v: entry 1 as process %d began and 2 now were expected", f.Start, err, p.process)
 	}
 }
 
-// Who has heard what a planner promised may be one to which that one has nothing to send: it is told of the start all the same, so that it
-// can judge it.
-func TestEachPlannerIsToldOfAStart(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	p, err := Open(Config{ID: 1, Listen: "127.0.0.1:0", Peers: map[uint64]string{1: "127.0.0.1:0", 2: ln.Addr().String(), 3: "127.0.0.1:1"},
-		File: filepath.Join(t.TempDir(), "log")})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.store.close()
-	defer p.server.close()
-	ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
-	conn, err := ln.Accept()
-	if err != nil {
-		t.Fatal("nobody comes: ", err)
-	}
-	defer conn.Close()
-	f, err := tier.Read(bufio.NewReader(conn))
-	if err != nil || f.Start == nil || f.Start.Planner != 1 || f.Start.Process != p.process {
-		t.Errorf("%+v, %v: the start of process %d was expected", f.Start, err, p.process)
-	}
-}
-
 // A planner that begins, or is sent the state as a whole, may have missed lists of members: it says of none that all are known.
 func TestAPlannerThatBeginsKnowsNotAllLists(t *testing.T) {
 	p, err := Open(Config{ID: 1, Listen: "127.0.0.1:0", Peers: map[uint64]string{1: "127.0.0.1:0"}, File: filepath.Join(t.TempDir(), "log"),
