--- a/internal/net/health_test.go
+++ b/internal/net/health_test.go
@@ -25,7 +25,7 @@
 type databases struct {
 	loop     *Loop
 	hangs    bool // silentDatabase answers no check
-	unheeded int  // checks of silentDatabase that this proxy has sent since it hangs
+	unanswered int  // checks of silentDatabase that this proxy has sent since it hangs
 }
 
 // Open implements state.Opener.
@@ -56,7 +56,7 @@
 
 func (c *checked) Probe() error {
 	if c.address == silentDatabase && c.all.hangs {
-		c.all.unheeded++
+		c.all.unanswered++
 		return nil
 	}
 	c.all.loop.Post(func() {
@@ -187,7 +187,7 @@
 	on(s.loop, func() {
 		byVerdictAlone := 0
 		for i, x := range s.list {
-			if x.databases.unheeded == 0 {
+			if x.databases.unanswered == 0 {
 				byVerdictAlone++
 			}
 			c := &x.front.Counters
