--- a/internal/net/health_test.go
+++ b/internal/net/health_test.go
@@ -23,8 +23,8 @@
 
 // databases stands for all databases, as one proxy sees them: they are checked without a socket.
 type databases struct {
-	loop     *Loop
-	hangs    bool // silentDatabase answers no check
+	loop       *Loop
+	hangs      bool // silentDatabase answers no check
 	unanswered int  // checks of silentDatabase that this proxy has sent since it hangs
 }
 
