--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -24,6 +24,7 @@
 	stop   bool
 	fence  *fence // nil before the poller was first waited for
 	waited uint64 // how often it was
+	turns  turns
 }
 
 // NewLoop returns a loop that is not running yet, and makes netpoll post its callbacks to it. netpoll has one runner in a process, so
@@ -34,6 +35,11 @@
 	return l
 }
 
+// Measure lets the loop count how often it is held up, and note for how long at most. It must be called before Run.
+func (l *Loop) Measure(counters *state.Counters, delays *state.Delays) {
+	l.turns.counters, l.turns.delays = counters, delays
+}
+
 // pollers is the number of netpoll's pollers. Loop.behindPoller relies on a single one; netpoll's default grows with GOMAXPROCS.
 const pollers = 1
 
@@ -63,11 +69,14 @@
 		l.mu.Lock()
 		work, l.queue = l.queue, work[:0]
 		l.mu.Unlock()
+		before := l.clock.Now()
 		for i, f := range work {
 			f()
-			work[i] = nil
+			now := l.clock.Now()
+			l.turns.ended(f, before, now)
+			work[i], before = nil, now
 		}
-		l.deadlines.Run(l.clock.Now())
+		l.runDeadlines(before)
 		if l.stop || len(work) > 0 {
 			continue
 		}
@@ -81,6 +90,17 @@
 	}
 }
 
+// runDeadlines runs what is due.
+func (l *Loop) runDeadlines(now time.Duration) {
+	due, ok := l.deadlines.Next()
+	if !ok || due > now {
+		return
+	}
+	l.turns.late(due, now)
+	l.deadlines.Run(now)
+	l.turns.ended(l.deadlines.Run, now, l.clock.Now())
+}
+
 // Stop makes Run return. It must be called on the loop.
 func (l *Loop) Stop() { l.stop = true }
 
--- a/internal/run/reload.go
+++ b/internal/run/reload.go
@@ -16,7 +16,9 @@
 	for s := range caught {
 		switch s {
 		case syscall.SIGUSR1:
-			p.loop.Post(func() { slog.Info("counters", "pending", p.front.Pending(), "counters", &p.front.Counters) })
+			p.loop.Post(func() {
+				slog.Info("counters", "pending", p.front.Pending(), "counters", &p.front.Counters, "refusals", p.front.Refusals(), "delays", &p.front.Delays)
+			})
 		case syscall.SIGHUP:
 			p.reload(path, file)
 		default:
@@ -33,6 +35,7 @@
 		slog.Error("can't reload", "error", err)
 		p.loop.Post(func() { p.front.Counters.LoadErrors++ })
 	}
+	begun := p.clock.Now()
 	text, err := os.ReadFile(path)
 	if err == nil {
 		err = settings.Whole(p.text, text)
@@ -52,7 +55,7 @@
 		return
 	}
 	p.loop.Post(func() {
-		slog.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Config.Classes))
+		slog.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Config.Classes), "bytes", len(text), "took", p.clock.Now()-begun)
 		p.front.Counters.Loads++
 		if p.tier == nil {
 			p.front.Reload(cfg.Settings.Config)
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -104,7 +104,7 @@
 	if p.consul != nil {
 		p.consul.Stop()
 	}
-	slog.Info("stopped", "unanswered", p.front.Pending(), "counters", &p.front.Counters)
+	slog.Info("stopped", "unanswered", p.front.Pending(), "counters", &p.front.Counters, "refusals", p.front.Refusals(), "delays", &p.front.Delays)
 	return nil
 }
 
@@ -239,6 +239,7 @@
 		p.patience = min(max(p.patience, c.Limit), longestPatience)
 	}
 	p.loop = net.NewLoop(p.clock, &p.front.Deadlines)
+	p.loop.Measure(&p.front.Counters, &p.front.Delays)
 	databases.Loop, databases.Counters, p.databases = p.loop, &p.front.Counters, databases
 	buffers := mostBuffers
 	if cfg.MemoryMB > 0 {
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"havenproxy/logic"
 )
@@ -28,6 +29,21 @@
 	Executes, Prepares uint64
 	// Of shared health checks: digests of planners, those that could not be read, and verdicts that were handed to the router.
 	Digests, DigestsMalformed, Verdicts uint64
+
+	NoRoom       uint64 // connections to databases that were not opened, for want of room
+	AnsweredLate uint64 // requests whose answer came behind the time that their clients wait
+	SlowTurns    uint64 // functions that held the loop for long
+}
+
+// Delays is how late the loop that owns the state has been, at most, since the start.
+type Delays struct {
+	LongestTurn    time.Duration // that one function held the loop for
+	LatestDeadline time.Duration // that a deadline was run behind its time
+}
+
+// LogValue lets slog print the delays.
+func (d *Delays) LogValue() slog.Value {
+	return slog.GroupValue(slog.Duration("longest_turn", d.LongestTurn), slog.Duration("latest_deadline", d.LatestDeadline))
 }
 
 // LogValue lets slog print the counters.
@@ -50,6 +66,7 @@
 		slog.Uint64("peers_strange", c.PeersStrange),
 		slog.Uint64("loads", c.Loads), slog.Uint64("load_errors", c.LoadErrors),
 		slog.Uint64("executes", c.Executes), slog.Uint64("prepares", c.Prepares),
+		slog.Uint64("no_room", c.NoRoom), slog.Uint64("answered_late", c.AnsweredLate), slog.Uint64("slow_turns", c.SlowTurns),
 		slog.Uint64("digests", c.Digests), slog.Uint64("digests_malformed", c.DigestsMalformed), slog.Uint64("verdicts", c.Verdicts))
 }
 
--- a/internal/state/figures.go
+++ b/internal/state/figures.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"log/slog"
+
 	"havenproxy/internal/wire/admin"
 	"havenproxy/logic"
 )
@@ -43,6 +45,12 @@
 	dst = admin.AppendGauge(dst, open, "in_progress")
 	dst = admin.AppendGauge(dst, listed, "known_databases")
 	dst = admin.AppendGauge(dst, avoided, "skipped_databases")
+	for reason, n := range f.planned.Refusals() {
+		dst = admin.AppendCounter(dst, n, "refused", logic.RefusalReason(reason).String())
+	}
+	dst = admin.AppendCounter(dst, f.Counters.AnsweredLate, "answered_late")
+	dst = admin.AppendCounter(dst, f.Counters.SlowTurns, "slow_turns")
+	dst = admin.AppendCounter(dst, f.Counters.NoRoom, "no_room_for_connection")
 	dst = admin.AppendCounter(dst, f.Counters.Loads, "loads")
 	return admin.AppendCounter(dst, f.Counters.LoadErrors, "load_errors")
 }
@@ -57,3 +65,12 @@
 
 // ListTold tells whether the list has come from its service since the start, rather than from what this proxy had before.
 func (f *Front) ListTold() bool { return f.told }
+
+// Refusals gives the refused requests by reason, for the log.
+func (f *Front) Refusals() slog.Value {
+	var reasons []slog.Attr
+	for reason, n := range f.planned.Refusals() {
+		reasons = append(reasons, slog.Uint64(logic.RefusalReason(reason).String(), n))
+	}
+	return slog.GroupValue(reasons...)
+}
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -67,6 +67,7 @@
 // Front stands between callers, databases and the router. All calls must come from one goroutine.
 type Front struct {
 	Counters  Counters
+	Delays    Delays
 	Deadlines Deadlines
 
 	cfg     Config
@@ -99,6 +100,7 @@
 	facts   []peers.Fact
 	checks  *sharedChecks // nil = the tier doesn't share health checks
 
+	late     lateAnswers
 	trace    *trace.Writer       // nil = none is kept
 	merged   *membership.Members // of several catalogues; nil = the platform's list stands alone
 	merging  Deadline
@@ -112,7 +114,9 @@
 	name   string
 	class  int
 	cmd    Command
+	group  int
 	caller Caller        // nil once answered or abandoned
+	since  time.Duration // when it was taken
 	until  time.Duration // when its client stops waiting
 	tries  int
 	open   *attempt // never two at once
@@ -189,9 +193,9 @@
 	f.lastID++
 	f.Counters.Taken++
 	f.perClass[class].Taken++
-	q := &request{id: f.lastID, name: in.Name, class: class, cmd: in.Command, caller: in.Caller}
+	q := &request{id: f.lastID, name: in.Name, class: class, group: in.Group, cmd: in.Command, caller: in.Caller, since: f.clock.Now()}
 	f.requests[q.id] = q
-	q.until = f.clock.Now() + max(in.Wait-wayHome, 0)
+	q.until = q.since + max(in.Wait-wayHome, 0)
 	if f.endBy > 0 {
 		q.until = min(q.until, f.endBy)
 	}
@@ -248,6 +252,7 @@
 	q.caller = nil
 	*count++
 	*of(&f.perClass[q.class])++
+	f.noteLate(q)
 	give(caller)
 	f.forget(q)
 }
--- /dev/null
+++ b/internal/state/late_test.go
@@ -0,0 +1,25 @@
+package state
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against incident 38 going unseen: an answer that comes behind its client's time is counted as late, one in time is not.
+func TestAnswersBehindTheirTimeAreCounted(t *testing.T) {
+	b := newBench(t, 9)
+	in := func(wait time.Duration) {
+		id, err := b.f.Take(Request{Name: "r", Class: "any", Wait: wait, Command: command{}, Caller: &caller{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.now += 300 * time.Millisecond
+		b.f.Refuse(id, 0)
+	}
+	if in(time.Second); b.f.Counters.AnsweredLate != 0 {
+		t.Error("an answer in time is counted as late")
+	}
+	if in(238 * time.Millisecond); b.f.Counters.AnsweredLate != 1 {
+		t.Error("an answer behind its client's time is not counted")
+	}
+}
--- a/internal/state/place.go
+++ b/internal/state/place.go
@@ -47,6 +47,7 @@
 // open starts a connection, if need be in the place of one that is idle elsewhere.
 func (f *Front) open(m *member) *link {
 	if f.links+f.opener.GivenUp() >= f.cfg.MaxLinks && !f.makeRoom() {
+		f.Counters.NoRoom++
 		return nil
 	}
 	f.links++
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -597,6 +597,7 @@
 		if !q.over {
 			r.quotas.Back(q.Tenant)
 		}
+		r.refusals[r.refusalReason(now, q)]++
 		if t := q.tallyOf(); q.class.primaryMode() && q.group.primary == nil {
 			t.NoPrimary++
 		} else {
--- a/logic/state.go
+++ b/logic/state.go
@@ -52,7 +52,8 @@
 	pings    ping.Schedule
 	priority limit.Priority // among classes, at cold members
 	peers    *peers.Gossip  // what the other proxies have seen
-	checks   checkBudget    // where the tier shares them
+	refusals [RefusalReasons]uint64
+	checks   checkBudget // where the tier shares them
 }
 
 // member is this front's view of one process.
