--- a/internal/lab/largefleet/peers.go
+++ b/internal/lab/largefleet/peers.go
@@ -24,7 +24,6 @@
 	all       string
 	addresses []string
 	proxies   int
-	heard     chan struct{}
 }
 
 // newPeers opens the tier's socket. The proxy sends to it, too: that is how it becomes known where the proxy listens.
