A check or an attempt without room for its connection is no evidence against its database

Cause: a check for which this proxy may open no further connection (a quarter of its descriptors) was told to the router as a failed connection: the database counted as silent, all peers were told so and checked it in their turn, and when it answered later it was taken for one that may have restarted cold. The same for attempts: the database counted as failing. The shortage is this proxy's own. Change: both end as moot (never sent); a moot check says nothing of its member, to the router, to peers, or to the tier's checkers. TestTheRouterIsNotCalledFromWithinItself wanted the wrong result and wants the right one now.

--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -339,8 +339,8 @@
 		return
 	}
 	l := f.open(m)
-	if l == nil {
-		f.probed(m, Reply{Result: logic.ConnectFailed}, 0)
+	if l == nil { // that says nothing of the database
+		f.tell(func() { f.router.Probed(f.clock.Now(), logic.Probed{Member: to, Result: logic.Moot}) })
 		return
 	}
 	l.probing, m.probe = true, l
--- a/internal/state/place.go
+++ b/internal/state/place.go
@@ -32,12 +32,12 @@
 }
 
 // placeOnOpening puts an attempt for which no connection may be opened on one in the making that nobody waits for any more: its own attempt
-// has gone out on another that fell free. Where there is none, the attempt has failed.
+// has gone out on another that fell free. Where there is none, nothing has been sent, and its database is not to blame.
 func (f *Front) placeOnOpening(a *attempt) {
 	unclaimed := func(l *link) bool { return l.attempt == nil && l.address == a.to.address }
 	i := slices.IndexFunc(a.to.opening, unclaimed)
 	if i < 0 {
-		f.drop(a, Reply{Result: logic.ConnectFailed})
+		f.drop(a, Reply{Result: logic.Moot})
 		return
 	}
 	l := a.to.opening[i]
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -309,7 +309,7 @@
 	if _, err := b.f.Take(Request{Class: "any", Wait: time.Second, Command: command{}, Caller: c}); err != nil {
 		t.Fatal(err)
 	}
-	b.want("request", outcome(logic.ConnectFailed, false), fmt.Sprintf("probed %d", logic.ConnectFailed))
+	b.want("request", outcome(logic.Moot, false), fmt.Sprintf("probed %d", logic.Moot))
 	b.f.Refuse(1, time.Millisecond)
 	c.want(t, "refused 1ms")
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -891,6 +891,7 @@
 		r.learn(m, p.Report.Role, p.Report.Position, cmp.Or(p.Report.Position, now), now)
 	case Full, Miss, Failed:
 		r.heard(m, now)
+	case Moot: // it was never sent, which says nothing of the member
 	default:
 		if m.heardAt <= m.probedAt {
 			r.lost(m, now)
