A dial that fails for want of something on this machine blames no database

The incident's mistake in related code: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL at socket or connect were told as a database that can't be reached: silent to the router, told to peers, failing where it was an attempt. Now such a dial ends as moot, like one for which there is no room; no_room counts it. TestADialWithoutADescriptorIsNoDeadDatabase lowers the limit on descriptors; without the change it ends as "down".

--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	stdnet "net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -91,6 +92,14 @@
 	}()
 }
 
+// localShortages are the errors of socket and connect that tell of a want on this machine, and not of the peer or the way to it.
+var localShortages = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+// isLocalShortage tells whether a dial failed for want of something on this machine.
+func isLocalShortage(err error) bool {
+	return slices.ContainsFunc(localShortages, func(shortage error) bool { return errors.Is(err, shortage) })
+}
+
 // refusal asks why a dial failed at once: netpoll tells a refused one, behind which no process listens, like any other that the
 // peer ended. A second dial by the standard library tells them apart; it runs beside the loop, and only behind a failure.
 func refusal(address string, err error) error {
@@ -213,12 +222,16 @@
 	if l.closed {
 		return
 	}
+	up := l.conn != nil
 	l.Close()
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		l.to.Refused()
-		return
+	case !up && isLocalShortage(err):
+		l.to.Unopened()
+	default:
+		l.to.Down()
 	}
-	l.to.Down()
 }
 
 func (l *link) readable() {
--- a/internal/net/refused_test.go
+++ b/internal/net/refused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	stdnet "net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 func (e *ear) Reply(state.Reply) { e.heard <- "reply" }
 func (e *ear) Down()             { e.heard <- "down" }
 func (e *ear) Refused()          { e.heard <- "refused" }
+func (e *ear) Unopened()         { e.heard <- "unopened" }
 func (e *ear) Spoilt()           { e.heard <- "spoilt" }
 
 // A dial to an address where nothing listens is told as refused, which is evidence; one that is taken and ended is not.
@@ -35,3 +37,31 @@
 		}
 	}
 }
+
+// Guards against incident 38's mistake in dials: a process out of descriptors (EMFILE) says so of itself, and does not take its databases for
+// dead ones.
+func TestADialWithoutADescriptorIsNoDeadDatabase(t *testing.T) {
+	database := listen(t, func(stdnet.Conn) {})
+	_, front, loop := proxy(t, database, 4, 4)
+	var before syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	e := &ear{make(chan string, 4)}
+	limit := syscall.Rlimit{Cur: 3, Max: before.Max} // those that are open stay open
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	loop.Post(func() { front.Opener().Open(database, 0, e) })
+	var got string
+	select {
+	case got = <-e.heard:
+	case <-time.After(patience):
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	if got != "unopened" {
+		t.Errorf("a dial without a descriptor ends as %q, want unopened", got)
+	}
+}
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -39,6 +39,7 @@
 	Reply(Reply) // the answer to the last command
 	Down()       // it is lost, or never came up
 	Refused()    // it never came up: nothing listens at the address
+	Unopened()   // it never came up, for want of something on this machine: that says nothing of the database
 	Spoilt()     // what came is no answer; it is closed
 }
 
@@ -278,6 +279,14 @@
 	}
 }
 
+// Unopened implements Listener.
+func (l *link) Unopened() {
+	if l.state == linkOpening {
+		l.f.Counters.NoRoom++
+		l.fail(Reply{Result: logic.Moot})
+	}
+}
+
 // Spoilt implements Listener. The request may have run; a probe has told nothing, but its member lives.
 func (l *link) Spoilt() {
 	r := Reply{Result: logic.Reset}
@@ -302,6 +311,8 @@
 	switch {
 	case a != nil:
 		l.f.end(a, r)
+	case l.probing && r.Result == logic.Moot:
+		l.f.probeUnsent(l.m.id)
 	case l.probing && was != linkIdle:
 		l.f.probed(l.m, r, 0)
 	}
@@ -317,7 +328,7 @@
 func (f *Front) Probe(to logic.MemberID) {
 	m := f.members[to]
 	if m == nil || m.probe != nil && m.probe.state != linkIdle {
-		f.tell(func() { f.router.Probed(f.clock.Now(), logic.Probed{Member: to, Result: logic.Moot}) })
+		f.probeUnsent(to)
 		return
 	}
 	f.Counters.Probes++
@@ -339,13 +350,18 @@
 		return
 	}
 	l := f.open(m)
-	if l == nil { // that says nothing of the database
-		f.tell(func() { f.router.Probed(f.clock.Now(), logic.Probed{Member: to, Result: logic.Moot}) })
+	if l == nil {
+		f.probeUnsent(to)
 		return
 	}
 	l.probing, m.probe = true, l
 }
 
+// probeUnsent tells the router that a probe was never sent, which says nothing of its member.
+func (f *Front) probeUnsent(to logic.MemberID) {
+	f.tell(func() { f.router.Probed(f.clock.Now(), logic.Probed{Member: to, Result: logic.Moot}) })
+}
+
 func (f *Front) ask(l *link) {
 	l.state, l.asked = linkBusy, f.clock.Now()
 	f.Deadlines.Set(&l.Deadline, l.asked+probeTimeout, l.overdue)
--- a/internal/state/shortage_test.go
+++ b/internal/state/shortage_test.go
@@ -25,3 +25,20 @@
 	b.take(&caller{})
 	b.want("request", outcome(logic.Moot, false))
 }
+
+// A dial that fails for want of something on this machine, such as a descriptor, is treated like one that was never made.
+func TestAConnectionThatThisMachineCantOpenBlamesNobody(t *testing.T) {
+	b := newBench(t, 9)
+	b.f.Probe(b.id("one"))
+	b.conns[0].to.Unopened()
+	if b.probe.Result != logic.Moot || b.f.names["one"].silent || b.f.links != 0 {
+		t.Errorf("a check: result %d, silent %v, %d connections counted", b.probe.Result, b.f.names["one"].silent, b.f.links)
+	}
+	b.told = nil
+	b.take(&caller{})
+	b.conns[1].to.Unopened()
+	b.want("request", outcome(logic.Moot, false))
+	if b.f.Counters.NoRoom != 2 {
+		t.Errorf("%d connections are counted as without room, want 2", b.f.Counters.NoRoom)
+	}
+}
