A proxy checks no databases that nobody asks for where it can't connect to all of them

Cause: a new proxy checked each listed database within 0.3 s. Each check needs a connection; before 3,200 databases with room for 122 that is thousands of dials, each of which searched all members for a connection to close, in one run of the deadlines' queue. Evidence: 'loop held up by Deadlines.Run took=1.05s', 3,820 checks and 833 connections in a trial of 10 s. Change: where the list is longer than the connections that the proxy may have (a quarter of its descriptors), members are checked as a request needs them: a write all of its group, a read one. Shorter lists are checked as before, by calculation. Not mended by this: the loop is held for 0.33 s at the start and 0.17 s by a list, on 0.1 of a core.

--- a/internal/ping/ping.go
+++ b/internal/ping/ping.go
@@ -31,6 +31,8 @@
 	Tick     time.Duration // the grain of the proxy's clock
 	Tightest time.Duration // bound of any class; 0 = none has one
 	Shared   bool          // the tier shares health checks: see dueShared
+	Listed   int           // databases of the list
+	Room     int           // connections to databases that this proxy may have; 0 = any number
 
 	bounded time.Duration // when the last bounded read came
 }
@@ -49,6 +51,9 @@
 // Many tells of proxies in such number that pings at that period would take much of a database, a tenth of a core.
 func (s *Schedule) Many() bool { return float64(s.Proxies)/s.Shortest().Seconds() > 10*thinAll }
 
+// OnNeed tells whether databases that nobody asks for are not checked at all: a check takes a connection, and there is not room for one to each.
+func (s *Schedule) OnNeed() bool { return s.Room > 0 && s.Listed > s.Room }
+
 // Period is how old a replica's position may get.
 func (s *Schedule) Period(now time.Duration) time.Duration {
 	if s.Tightest > 0 && now-s.bounded < every {
@@ -60,7 +65,7 @@
 // Thin tells whether pings at that period are too many for a group's members and this proxy's requests to it, in a second.
 func (s *Schedule) Thin(now time.Duration, members int, rate float64) bool {
 	pings := 1 / s.Period(now).Seconds()
-	return pings*float64(s.Proxies) > thinAll && pings*float64(members) > thinPings*rate
+	return (pings*float64(s.Proxies) > thinAll || s.OnNeed()) && pings*float64(members) > thinPings*rate
 }
 
 // Member is what there is to know of one.
@@ -92,6 +97,9 @@
 	if m.Probed == 0 && m.Search == 0 && (m.Known || now < m.First) {
 		return false, max(m.First, now+Rest)
 	}
+	if m.Probed == 0 && m.Search == 0 && !m.Owes && s.OnNeed() && s.Thin(now, m.Members, m.Rate) {
+		return false, now + Rest // who asks for its group has it checked
+	}
 	if m.Probed == 0 || m.Search > 0 && since >= m.Search && !m.Silent {
 		return true, 0
 	}
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -142,6 +142,9 @@
 		f.classes[c.Name] = i
 	}
 	f.perClass = make([]ClassCounters, len(cfg.Logic.Classes))
+	if cfg.Logic.Connections == 0 {
+		cfg.Logic.Connections = cfg.MaxLinks
+	}
 	var err error
 	f.planned, err = logic.New(cfg.Logic, f)
 	f.router = f.planned
--- a/logic/api.go
+++ b/logic/api.go
@@ -130,6 +130,7 @@
 	Checks    Checks
 
 	MayProbe    bool
+	Connections int // to members that this front may have at once; 0 = any number
 	MayCancel   bool
 	Parallel    bool // two attempts of one request may be out together
 	PeerFacts   int  // how many facts a message to all peers holds; 0 = there is no talk
--- a/logic/large_fleet_test.go
+++ b/logic/large_fleet_test.go
@@ -10,7 +10,7 @@
 func large(t *testing.T, groups int) *front {
 	t.Helper()
 	cfg := testConfig()
-	cfg.Fronts, cfg.PeerFacts = 400, 17
+	cfg.Fronts, cfg.PeerFacts, cfg.Connections = 400, 17, 122
 	f := newFront(t, cfg)
 	l := List{Kind: ListCached}
 	for id := range 4 * groups {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -67,7 +67,7 @@
 		members: map[MemberID]*member{}, groups: map[GroupID]*group{}, requests: map[RequestID]*request{},
 		cost: make([]time.Duration, len(cfg.Classes)), slow: make([]time.Duration, len(cfg.Classes)),
 		retries: retryReserve, lead: handover.New(cfg.Handover),
-		pings: ping.Schedule{Proxies: cfg.Fronts, Tick: cfg.Tick}, calls: limit.Calls{Bound: cfg.ListBound}}
+		pings: ping.Schedule{Proxies: cfg.Fronts, Tick: cfg.Tick, Room: cfg.Connections}, calls: limit.Calls{Bound: cfg.ListBound}}
 	r.nobody = r.newGroup(-1)
 	r.pins.init(keepEntries)
 	r.commits.init(keepEntries)
@@ -103,6 +103,7 @@
 		r.entry(now, e)
 	}
 	r.order = slices.DeleteFunc(r.order, func(m *member) bool { return !m.listed && r.leftOut(now, m) })
+	r.pings.Listed = len(r.order)
 	r.retryHeld(now)
 }
 
@@ -913,7 +914,13 @@
 	if now-r.startAt >= freshHold || !r.cfg.MayProbe && !listOwed {
 		return false
 	}
-	return listOwed || len(g.members) == 0 || slices.ContainsFunc(g.members, func(m *member) bool {
+	if listOwed || len(g.members) == 0 {
+		return true
+	}
+	if r.pings.OnNeed() && r.thin(now, g) { // its members are checked as the request needs them, and no others
+		return false
+	}
+	return slices.ContainsFunc(g.members, func(m *member) bool {
 		return m.State == Ready && m.heardAt == 0 && m.toldAt == 0 && !m.seat.Silent
 	})
 }
