Discovery's answers in pieces are put together once

Cause: with each piece that came, an answer in chunks was put together from its beginning, and one without a length looked through anew: work that grows with the square of the list. Change: discovery.Parser goes on where it has stopped.

--- a/internal/wire/discovery/http.go
+++ b/internal/wire/discovery/http.go
@@ -16,6 +16,8 @@
 	maxHead = 16 << 10
 	maxBody = 4 << 20 // some thousand databases
 
+	maxChunkHead = 64
+
 	statusOK = 200
 )
 
@@ -41,102 +43,186 @@
 	Close  bool // the service ends the connection behind it
 }
 
-// Next cuts the first answer off buf; 0 means that it isn't whole yet.
-func Next(buf []byte) (r Response, n int, err error) {
+// Parser reads answers from a buffer that grows. It goes on where it has stopped, so that reading an answer that comes in many pieces takes time
+// in proportion to its length.
+type Parser struct {
+	head    *head
+	at      int    // how far the body has been read, from the start of the buffer
+	chunked []byte // what its chunks have held so far
+	depth   bracketDepth
+}
+
+// head is what an answer's head says.
+type head struct {
+	status  int
+	close   bool
+	length  int // of the body; negative = not told
+	chunked bool
+}
+
+// Next cuts the first answer off buf, in one go.
+func Next(buf []byte) (Response, int, error) { return new(Parser).Next(buf) }
+
+// Next cuts the first answer off buf; 0 means that it isn't whole yet. Until it is, buf must begin with the same bytes at each call. The body is
+// valid until the next one.
+func (p *Parser) Next(buf []byte) (r Response, n int, err error) {
+	if p.head == nil {
+		if err := p.parseHead(buf); err != nil || p.head == nil {
+			return r, 0, err
+		}
+	}
+	r, n, err = p.next(buf)
+	if n > 0 || err != nil {
+		*p = Parser{}
+	}
+	return r, n, err
+}
+
+func (p *Parser) next(buf []byte) (Response, int, error) {
+	h := p.head
+	r := Response{Status: h.status, Close: h.close}
+	switch {
+	case h.chunked:
+		return p.chunks(r, buf)
+	case h.status == 204 || h.status == 304:
+		return r, p.at, nil
+	case h.length < 0:
+		r.Close = true
+		return p.untilEnd(r, buf)
+	case len(buf) < p.at+h.length:
+		return r, 0, nil
+	}
+	r.Body = buf[p.at : p.at+h.length]
+	return r, p.at + h.length, nil
+}
+
+// parseHead reads the head, if all of it is there.
+func (p *Parser) parseHead(buf []byte) error {
 	split := bytes.Index(buf, []byte("\r\n\r\n"))
 	if split < 0 {
 		if len(buf) > maxHead {
-			return r, 0, ErrMalformed
+			return ErrMalformed
 		}
-		return r, 0, nil
+		return nil
 	}
 	lines := strings.Split(string(buf[:split]), "\r\n")
 	status := strings.SplitN(lines[0], " ", 3)
 	if split > maxHead || len(status) < 2 || !strings.HasPrefix(status[0], "HTTP/1.") {
-		return r, 0, ErrMalformed
+		return ErrMalformed
 	}
-	if r.Status, err = strconv.Atoi(status[1]); err != nil || r.Status < 200 || r.Status > 599 {
-		return r, 0, ErrMalformed
+	h := &head{length: -1, close: status[0] == "HTTP/1.0"}
+	var err error
+	if h.status, err = strconv.Atoi(status[1]); err != nil || h.status < 200 || h.status > 599 {
+		return ErrMalformed
 	}
-	length, chunked := -1, false
-	r.Close = status[0] == "HTTP/1.0"
 	for _, line := range lines[1:] {
-		name, value, ok := strings.Cut(line, ":")
-		if value = strings.TrimSpace(value); !ok {
-			return r, 0, ErrMalformed
-		}
-		switch strings.ToLower(name) {
-		case "content-length":
-			if length, err = strconv.Atoi(value); err != nil || length < 0 || length > maxBody {
-				return r, 0, ErrMalformed
-			}
-		case "transfer-encoding":
-			chunked = strings.EqualFold(value, "chunked")
-		case "connection":
-			r.Close = strings.EqualFold(value, "close")
+		if err := h.field(line); err != nil {
+			return err
 		}
 	}
-	head := split + 4
-	switch {
-	case chunked:
-		r.Body, n, err = chunks(buf[head:])
-	case r.Status == 204 || r.Status == 304:
-	case length < 0:
-		r.Close = true
-		return untilEnd(r, buf, head)
-	case len(buf) < head+length:
-		return r, 0, nil
-	default:
-		r.Body, n = buf[head:head+length], length
+	p.head, p.at = h, split+len("\r\n\r\n")
+	return nil
+}
+
+// field reads a field of the head.
+func (h *head) field(line string) (err error) {
+	name, value, ok := strings.Cut(line, ":")
+	if value = strings.TrimSpace(value); !ok {
+		return ErrMalformed
 	}
-	if err != nil || n < 0 {
-		return r, 0, err
+	switch strings.ToLower(name) {
+	case "content-length":
+		if h.length, err = strconv.Atoi(value); err != nil || h.length < 0 || h.length > maxBody {
+			return ErrMalformed
+		}
+	case "transfer-encoding":
+		h.chunked = strings.EqualFold(value, "chunked")
+	case "connection":
+		h.close = strings.EqualFold(value, "close")
 	}
-	return r, head + n, nil
+	return nil
 }
 
 // untilEnd reads an answer with neither length nor chunks, which the end of the connection bounds (RFC 9112, section 6.3). A reset ends it
 // likewise, half way, so that the end proves nothing: a list is whole where its JSON is. The body of any other status is nobody's.
-func untilEnd(r Response, buf []byte, head int) (Response, int, error) {
-	body := buf[head:]
-	text := bytes.TrimRight(body, " \t\r\n")
-	switch {
-	case r.Status != statusOK:
+func (p *Parser) untilEnd(r Response, buf []byte) (Response, int, error) {
+	if r.Status != statusOK {
 		return r, len(buf), nil
-	case len(body) > maxBody, len(text) > 0 && bytes.TrimLeft(text, " \t\r\n")[0] != '{':
+	}
+	start := p.at
+	text := bytes.TrimLeft(buf[start:], " \t\r\n")
+	if len(buf)-start > maxBody || len(text) > 0 && text[0] != '{' {
 		return r, 0, ErrMalformed
-	case len(text) == 0 || text[len(text)-1] != '}' || !json.Valid(text):
-		return r, 0, nil
 	}
-	r.Body = body
-	return r, len(buf), nil
+	p.depth.read(buf[start:])
+	if body := buf[start:]; p.depth.closed() && json.Valid(body) {
+		r.Body = body
+		return r, len(buf), nil
+	}
+	return r, 0, nil
+}
+
+// bracketDepth follows the brackets of a JSON text that grows, to tell when its object may be whole.
+type bracketDepth struct {
+	seen              int // bytes
+	depth             int
+	opened            bool
+	inString, escaped bool
 }
 
-// chunks gathers a body that comes in chunks; -1 means that it isn't whole yet.
-func chunks(buf []byte) (body []byte, n int, err error) {
+// read goes on to the end of a text, of which it has seen the beginning.
+func (d *bracketDepth) read(text []byte) {
+	for _, c := range text[d.seen:] {
+		switch {
+		case d.escaped:
+			d.escaped = false
+		case d.inString:
+			d.escaped = c == '\\'
+			d.inString = c != '"'
+		case c == '"':
+			d.inString = true
+		case c == '{' || c == '[':
+			d.depth++
+			d.opened = true
+		case c == '}' || c == ']':
+			d.depth--
+		}
+	}
+	d.seen = len(text)
+}
+
+// closed tells whether each bracket is closed.
+func (d *bracketDepth) closed() bool { return d.opened && d.depth <= 0 }
+
+// chunks gathers a body that comes in chunks.
+func (p *Parser) chunks(r Response, buf []byte) (Response, int, error) {
 	for {
-		line := bytes.Index(buf[n:], []byte("\r\n"))
+		rest := buf[p.at:]
+		line := bytes.Index(rest, []byte("\r\n"))
 		if line < 0 {
-			if len(buf)-n > 64 {
-				return nil, 0, ErrMalformed
+			if len(rest) > maxChunkHead {
+				return r, 0, ErrMalformed
 			}
-			return nil, -1, nil
+			return r, 0, nil
 		}
-		digits, _, _ := strings.Cut(string(buf[n:n+line]), ";")
+		digits, _, _ := strings.Cut(string(rest[:line]), ";")
 		size, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
-		if err != nil || len(body)+int(size) > maxBody {
-			return nil, 0, ErrMalformed
+		if err != nil || len(p.chunked)+int(size) > maxBody {
+			return r, 0, ErrMalformed
 		}
-		at := n + line + 2
-		if n = at + int(size) + 2; len(buf) < n {
-			return nil, -1, nil
+		from := line + 2
+		end := from + int(size) + 2
+		if len(rest) < end {
+			return r, 0, nil
 		}
-		if string(buf[n-2:n]) != "\r\n" {
-			return nil, 0, ErrMalformed
+		if string(rest[end-2:end]) != "\r\n" {
+			return r, 0, ErrMalformed
 		}
+		p.at += end
 		if size == 0 {
-			return body, n, nil
+			r.Body = p.chunked
+			return r, p.at, nil
 		}
-		body = append(body, buf[at:n-2]...)
+		p.chunked = append(p.chunked, rest[from:end-2]...)
 	}
 }
