--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -68,7 +68,9 @@
 
 // take puts a list into effect.
 func (f *Front) take(l List) {
-	out := logic.List{Kind: l.Kind}
+	out := logic.List{Kind: l.Kind, Entries: make([]logic.Member, 0, len(l.Entries))}
+	f.changesLogged = 0
+	defer f.logFurtherChanges()
 	for _, m := range f.names {
 		m.seen = false
 	}
@@ -89,6 +91,22 @@
 	f.checks.listed(f)
 }
 
+// mostChangesLogged is how many changes of one list are logged one by one.
+const mostChangesLogged = 50
+
+// logsChange counts a change of the list in hand, and tells whether it is logged by itself.
+func (f *Front) logsChange() bool {
+	f.changesLogged++
+	return f.changesLogged <= mostChangesLogged
+}
+
+// logFurtherChanges logs how many changes of the list in hand were not logged by themselves.
+func (f *Front) logFurtherChanges() {
+	if n := f.changesLogged - mostChangesLogged; n > 0 {
+		slog.Info("further databases listed or changed", "changes", n, "databases", len(f.names))
+	}
+}
+
 // ListFailed tells that a call failed or that a watch broke; the list in hand still holds.
 func (f *Front) ListFailed(why error) {
 	f.Counters.ListFailures++
@@ -108,7 +126,9 @@
 	if m == nil {
 		m = &member{id: f.memberID(e.Name), name: e.Name, state: e.State, links: map[*link]struct{}{}}
 		f.names[e.Name], f.members[m.id] = m, m
-		slog.Info("database listed", "name", e.Name, "address", e.Address, "group", e.Group, "state", stateName(e.State))
+		if f.logsChange() {
+			slog.Info("database listed", "name", e.Name, "address", e.Address, "group", e.Group, "state", stateName(e.State))
+		}
 	}
 	m.group, m.zone, m.size = e.Group, e.Zone, e.Size
 	// A start is placed once. The two clocks are not read in one moment, and the wall clock is set now and then: placed anew with each
@@ -139,7 +159,7 @@
 
 // leave notes a change of a member's state. One that wants nothing new needs no idle connections.
 func (f *Front) leave(m *member, to logic.MemberState) {
-	if m.state != to {
+	if m.state != to && f.logsChange() {
 		slog.Info("database changed", "name", m.name, "address", m.address, "from", stateName(m.state), "to", stateName(to))
 	}
 	m.state = to
