A peer's word of silence has only databases in use checked, where the list is long

Cause: where a peer reports a database as silent, a proxy checked it, whether or not anybody asked for it. When a third of 3,200 databases hangs, that is a connection to each of a thousand, at every proxy at once.

--- a/internal/lab/command/large_fleet.go
+++ b/internal/lab/command/large_fleet.go
@@ -57,6 +57,8 @@
 	f.Float64Var(&cfg.Share, "share", 0.3, "of a core that the proxy gets")
 	f.Float64Var(&cfg.Rate, "rate", 17, "requests a second")
 	f.DurationVar(&cfg.For, "for", 10*time.Second, "how long requests come")
+	f.StringVar((*string)(&cfg.Fault.Kind), "fault", "", "of many databases at once, in the middle third: crash, hang, slow, drain, lag, errors")
+	f.Float64Var(&cfg.Fault.Part, "part", 0.3, "of the databases that have it")
 	f.IntVar(&cfg.Reloads, "reloads", 0, "SIGHUPs, spread over that time")
 	f.Uint64Var(&cfg.Seed, "seed", 1, "of all random numbers")
 	f.BoolVarP(&verbose, "verbose", "v", false, "show the proxy's log")
--- a/internal/lab/largefleet/largefleet.go
+++ b/internal/lab/largefleet/largefleet.go
@@ -28,7 +28,8 @@
 	Share     float64       // of a core that the proxy gets
 	Rate      float64       // requests a second
 	For       time.Duration // how long requests come
-	Reloads   int           // SIGHUPs, spread evenly over the run
+	Fault     Fault
+	Reloads   int // SIGHUPs, spread evenly over the run
 	Seed      uint64
 	Log       io.Writer // of the proxy; nil = dropped
 }
@@ -102,8 +103,12 @@
 		}
 	}()
 	clients := newClients(proxy.Address, model.Classes, model.Groups, rand.New(rand.NewPCG(cfg.Seed, 1)))
-	go cfg.reload(ctx, proxy)
-	go tier.talk(ctx, world, cfg)
+	playing, stop := context.WithCancel(ctx)
+	defer stop()
+	silent := &faulty{}
+	go cfg.reload(playing, proxy)
+	go cfg.Fault.play(playing, world, &cfg, silent)
+	go tier.talk(playing, world, &cfg, silent)
 	result = clients.run(ctx, cfg.Rate, cfg.For)
 	result.Descriptors = procstat.Descriptors(proxy.Pid())
 	result.Opened, result.Probes = world.Accepted(), world.Traffic()[standin.ProbeTraffic].Read.Messages
@@ -113,11 +118,9 @@
 // reload sends the run's SIGHUPs.
 func (c *Config) reload(ctx context.Context, proxy *launch.Proxy) {
 	for range c.Reloads {
-		select {
-		case <-ctx.Done():
+		if !wait(ctx, c.For/time.Duration(c.Reloads+1)) {
 			return
-		case <-time.After(c.For / time.Duration(c.Reloads+1)):
-			proxy.Reload()
 		}
+		proxy.Reload()
 	}
 }
--- a/internal/lab/largefleet/peers.go
+++ b/internal/lab/largefleet/peers.go
@@ -39,7 +39,7 @@
 func (p *peerTier) close() { p.conn.Close() }
 
 // talk sends what the other proxies learn of databases from their requests, once the proxy has sent its first datagram.
-func (p *peerTier) talk(ctx context.Context, world *standin.World, cfg Config) {
+func (p *peerTier) talk(ctx context.Context, world *standin.World, cfg *Config, silent *faulty) {
 	if p.proxies <= 1 {
 		return
 	}
@@ -67,7 +67,8 @@
 		for range int(datagrams) {
 			var list []peers.Fact
 			for range max(1, int(facts/datagrams)) {
-				list = append(list, factOf(rng.IntN(cfg.Databases), now))
+				member := rng.IntN(cfg.Databases)
+				list = append(list, factOf(member, now, silent.has(member)))
 			}
 			if _, err := p.conn.WriteToUDPAddrPort(wire.Append(nil, time.Duration(world.Unix(now).UnixNano()), now, list), proxy); err != nil {
 				return
@@ -76,10 +77,14 @@
 	}
 }
 
-func factOf(member int, now time.Duration) peers.Fact {
+// factOf is what a peer has just learned of a database.
+func factOf(member int, now time.Duration, silent bool) peers.Fact {
 	h := fnv.New64a()
 	h.Write([]byte(standin.InstanceID(member)))
 	f := peers.Fact{Database: peers.Short(h.Sum64()), Role: peers.Replica, At: now, Position: now - peerLag}
+	if silent {
+		return peers.Fact{Database: f.Database, Ails: peers.Silent, At: now}
+	}
 	if member%GroupSize == 0 {
 		f.Role, f.Position = peers.Primary, now
 	}
--- a/logic/large_fleet_test.go
+++ b/logic/large_fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"havenproxy/internal/peers"
 )
 
 // large is a router of a tier of 400 proxies before many groups of four, of which it has heard nothing yet. Member 4g+1 is the primary of
@@ -98,3 +100,26 @@
 		t.Errorf("%d looks at members with 3,200 of them, %d with 200; at most 1.4 times as many may be needed", large, small)
 	}
 }
+
+// Guards against incident 38's mistake in what peers tell: where a thousand databases fall silent, a proxy checked each of them on its peers' word,
+// whether or not anybody asked for it.
+func TestAPeersWordOfSilenceHasOnlyGroupsInUseChecked(t *testing.T) {
+	f := large(t, 800)
+	f.passLarge(time.Second)
+	f.nextID++
+	f.r.Request(f.now, Request{ID: f.nextID, Class: clsUnsafe, Group: 7, Deadline: f.now + time.Second})
+	f.pongLarge()
+	f.passLarge(3 * time.Second)
+	for id := range MemberID(1000) {
+		fact := peers.Fact{Database: peers.Short(uint64(id + 1)), Ails: peers.Silent, At: f.now}
+		f.r.Heard(f.now, []peers.Fact{fact})
+	}
+	for _, m := range f.probes {
+		if f.r.members[m].Group != 7 {
+			t.Fatalf("%d checks, one of member %d, which nobody asks for", len(f.probes), m)
+		}
+	}
+	if len(f.probes) == 0 {
+		t.Error("no member of the group in use was checked")
+	}
+}
--- a/logic/peers.go
+++ b/logic/peers.go
@@ -45,7 +45,8 @@
 	r.believe(m, Role(f.Role), f.Position, f.At, now)
 	switch {
 	case f.Ails == peers.Silent:
-		if m.heardAt < f.At && !m.seat.Silent && now-m.probedAt >= wordEvery {
+		inUse := !r.pings.OnNeed() || m.group.inRounds
+		if inUse && m.heardAt < f.At && !m.seat.Silent && now-m.probedAt >= wordEvery {
 			r.probe(now, m)
 		}
 		return
