--- a/internal/net/long_list_test.go
+++ b/internal/net/long_list_test.go
@@ -1,7 +1,9 @@
 package net
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
 	stdnet "net"
 	"strings"
 	"testing"
@@ -10,11 +12,11 @@
 	"havenproxy/internal/wire/discovery"
 )
 
-// listOf words a whole list of so many databases.
-func listOf(databases int) string {
+// listOf words a whole list of so many databases, whose names begin alike.
+func listOf(prefix string, databases int) string {
 	entries := make([]string, databases)
 	for i := range entries {
-		entries[i] = fmt.Sprintf(`{"instanceId":"s%d","hostPort":"127.0.0.1:1","cell":%d,"lifecycle":"in_service","weight":1}`, i, i/4)
+		entries[i] = fmt.Sprintf(`{"instanceId":"%s%d","hostPort":"127.0.0.1:1","cell":%d,"lifecycle":"in_service","weight":1}`, prefix, i, i/4)
 	}
 	return fmt.Sprintf(`{"generation":1,"reset":true,"instances":[%s]}`, strings.Join(entries, ","))
 }
@@ -22,14 +24,17 @@
 // Guards against incident 38: the loop read a list of thousands in one go. It is read beside the loop, and the service's close right behind it
 // does not lose it; one that is still being read when the proxy moves to another service is not put into effect.
 func TestALongListIsReadBesideTheLoop(t *testing.T) {
-	serve := func(databases int) string {
-		text := listOf(databases)
+	var log bytes.Buffer
+	defer slog.SetDefault(slog.Default())
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	serve := func(prefix string, databases int) string {
+		text := listOf(prefix, databases)
 		return listen(t, func(conn stdnet.Conn) {
 			conn.Read(make([]byte, 4096))
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(text), text)
 		})
 	}
-	old, next := serve(4000), serve(3200)
+	old, next := serve("old", 3200), serve("next", 4000)
 	_, front, loop := proxy(t, "127.0.0.1:1", 4, 4)
 	moved := make(chan struct{})
 	loop.Post(func() {
@@ -47,18 +52,25 @@
 		look()
 	})
 	<-moved
-	known := func() (text string) {
+	look := func() (figures, logged string, failures uint64) {
 		done := make(chan struct{})
-		loop.Post(func() { text = string(front.Figures(nil)); close(done) })
+		loop.Post(func() {
+			figures, logged, failures = string(front.Figures(nil)), log.String(), front.Counters.ListFailures
+			close(done)
+		})
 		<-done
-		return text
+		return figures, logged, failures
 	}
-	for end := time.Now().Add(patience); !strings.Contains(known(), "known_databases:3200|g"); {
+	figures, logged, failures := look()
+	for end := time.Now().Add(patience); !strings.Contains(figures, "known_databases:4000|g"); figures, logged, failures = look() {
 		if time.Now().After(end) {
-			t.Fatalf("the list of the new service is not in effect: %s", known())
+			t.Fatalf("the list of the new service is not in effect: %s", figures)
 		}
 	}
-	if front.Counters.ListFailures > 0 {
-		t.Errorf("%d calls count as failed", front.Counters.ListFailures)
+	if strings.Contains(logged, "name=old") || !strings.Contains(logged, "name=next") {
+		t.Error("the list of the service before was put into effect")
+	}
+	if failures > 0 {
+		t.Errorf("%d calls count as failed", failures)
 	}
 }
--- a/internal/net/turns_test.go
+++ b/internal/net/turns_test.go
@@ -10,18 +10,12 @@
 	"havenproxy/internal/state"
 )
 
-// steppedClock is a clock that stands still until it is set.
-type steppedClock struct{ now time.Duration }
-
-func (c *steppedClock) Now() time.Duration  { return c.now }
-func (c *steppedClock) Unix() time.Duration { return c.now }
-
 // Guards against incident 38 going unseen: what holds the loop is counted and named, and so is a deadline that is run late.
 func TestAHeldUpLoopIsCountedAndNamed(t *testing.T) {
 	var log bytes.Buffer
 	defer slog.SetDefault(slog.Default())
 	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
-	clock, deadlines, counters, delays := &steppedClock{now: time.Hour}, &state.Deadlines{}, &state.Counters{}, &state.Delays{}
+	clock, deadlines, counters, delays := &handClock{now: time.Hour}, &state.Deadlines{}, &state.Counters{}, &state.Delays{}
 	loop := NewLoop(clock, deadlines)
 	loop.Measure(counters, delays)
 	var due state.Deadline
@@ -43,7 +37,7 @@
 // Guards against incident 38: a deadline waited for all that stood in the loop's queue, and with it a request's answer. It is run once it is late,
 // before what was posted behind.
 func TestALateDeadlineDoesNotWaitForTheQueue(t *testing.T) {
-	clock, deadlines := &steppedClock{now: time.Hour}, &state.Deadlines{}
+	clock, deadlines := &handClock{now: time.Hour}, &state.Deadlines{}
 	loop := NewLoop(clock, deadlines)
 	var due state.Deadline
 	var order []string
@@ -59,7 +53,7 @@
 
 // The time that a request waited in the loop's queue is taken from what its client waits.
 func TestTheLoopTellsWhenBytesWereRead(t *testing.T) {
-	clock, deadlines := &steppedClock{now: time.Hour}, &state.Deadlines{}
+	clock, deadlines := &handClock{now: time.Hour}, &state.Deadlines{}
 	loop := NewLoop(clock, deadlines)
 	var received, within time.Duration
 	loop.Post(func() { clock.now += time.Second })
