--- /dev/null
+++ b/review/standins/crowd.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	crowdSize     = 240                    // clients that connect and rest before their first request
+	crowdRest     = 500 * time.Millisecond // between the last connection and the first request
+	holdUp        = 120 * time.Millisecond // for which the proxy does not run; the page names up to 0.15 s
+	firstSend     = 15 * time.Millisecond  // after the beginning of the hold-up: the first request of the crowd
+	sendWindow    = 90 * time.Millisecond  // in which the crowd sends its requests, one after the other
+	crowdWait     = 1200 * time.Millisecond
+	crowdRounds   = 3
+	roundDistance = 4 * time.Second
+)
+
+// heldUpCrowd plays a crowd of clients that connect, rest, and then send their first requests within a tenth of a second, in which the
+// proxy is held up and one more client connects.
+func heldUpCrowd(env *environment) (bool, error) {
+	var databases []*database
+	for i := range 4 {
+		db, err := startDatabase(env.record, fmt.Sprintf("s-%08x", i+1), i == 0, 25*time.Millisecond, 16)
+		if err != nil {
+			return false, err
+		}
+		defer db.close()
+		databases = append(databases, db)
+	}
+	disco, err := startDiscovery(databases)
+	if err != nil {
+		return false, err
+	}
+	defer disco.server.Close()
+	known, _ := disco.snapshot()
+	p, err := startProxy(env.root, env.folder, disco.address, "", known)
+	if err != nil {
+		return false, err
+	}
+	defer p.stop()
+	if err := p.awaitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(time.Second)
+	total := tally{}
+	for round := range crowdRounds {
+		began := time.Now()
+		got, err := crowdOnce(env, p, round)
+		if err != nil {
+			return false, err
+		}
+		total.add(got)
+		time.Sleep(roundDistance - time.Since(began))
+		if p.hasEnded() {
+			env.record.say("the proxy has ended: %v", p.state)
+			return true, nil
+		}
+	}
+	env.record.say("%d requests: %d served, %d refused, %d failed, %d lost", total.sent, total.served, total.refused, total.failed, total.lost)
+	if total.served == 0 && total.lost == 0 {
+		return false, fmt.Errorf("nothing was sent")
+	}
+	return total.lost > 0, nil
+}
+
+// resting is a connection of the crowd, on which nothing was asked yet.
+type resting struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func connectAndRest(address string) (*resting, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn.Write(startupMessage())
+	c := &resting{conn, bufio.NewReader(conn)}
+	conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if !awaitWelcome(c.r) {
+		conn.Close()
+		return nil, fmt.Errorf("no welcome")
+	}
+	return c, nil
+}
+
+// isOpen reports whether the proxy has left the connection open.
+func (c *resting) isOpen() bool {
+	c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.r.Peek(1)
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
+
+func crowdOnce(env *environment, p *proxy, round int) (total tally, err error) {
+	var crowd []*resting
+	for range crowdSize {
+		if c, err := connectAndRest(p.address); err == nil {
+			crowd = append(crowd, c)
+		}
+	}
+	time.Sleep(crowdRest)
+	open := crowd[:0]
+	for _, c := range crowd {
+		if c.isOpen() {
+			open = append(open, c)
+		} else {
+			c.conn.Close() // a resting connection may be closed
+		}
+	}
+	crowd = open
+	env.record.say("round %d: %d clients rest", round, len(crowd))
+	if len(crowd) == 0 {
+		return total, fmt.Errorf("no client could connect")
+	}
+	began := time.Now()
+	if env.trouble {
+		env.record.note("the proxy is held up")
+		if err := p.command.Process.Signal(syscall.SIGSTOP); err != nil {
+			return total, err
+		}
+		time.AfterFunc(holdUp, func() {
+			p.command.Process.Signal(syscall.SIGCONT)
+			env.record.note("the proxy runs again")
+		})
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	count := func(t tally) {
+		mu.Lock()
+		total.add(t)
+		mu.Unlock()
+	}
+	time.Sleep(firstSend / 3)
+	wait.Go(func() { count(askOnce(env, p.address, nil, round, 0)) })
+	time.Sleep(firstSend - time.Since(began))
+	for i, c := range crowd {
+		time.Sleep(time.Until(began.Add(firstSend + sendWindow*time.Duration(i)/time.Duration(len(crowd)))))
+		wait.Go(func() { count(askOnce(env, p.address, c, round, i+1)) })
+	}
+	wait.Wait()
+	return total, nil
+}
+
+// askOnce sends a request on a resting connection, or on a new one, and waits for its answer for much longer than the request's time. If
+// the resting connection ends with nothing on it, the request is sent once more on a new connection, as the protocol has it for a close
+// that crosses a request.
+func askOnce(env *environment, address string, c *resting, round, number int) (t tally) {
+	t.sent = 1
+	id := fmt.Sprintf("%04x%012x", round+1, number+1)
+	text := fmt.Sprintf("SELECT val FROM state WHERE uid = '7f3a9c21e0b4d%03x' /* id=%s,c=stok-bakis,d=%d,cluster=0 */", number, id, crowdWait.Milliseconds())
+	again := c != nil
+	for {
+		sentAt := time.Now()
+		if c == nil {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				env.record.note("client %d: id %s can't connect: %v", number, id, err)
+				t.refused++ // nothing was taken
+				return t
+			}
+			conn.Write(append(startupMessage(), queryMessage(text)...))
+			conn.SetReadDeadline(sentAt.Add(crowdWait + 2*time.Second))
+			c = &resting{conn, bufio.NewReader(conn)}
+			if !awaitWelcome(c.r) {
+				env.record.note("client %d: id %s got no welcome within %v", number, id, time.Since(sentAt).Round(time.Millisecond))
+				conn.Close()
+				t.lost++
+				return t
+			}
+		} else {
+			c.conn.SetReadDeadline(sentAt.Add(crowdWait + 2*time.Second))
+			c.conn.Write(queryMessage(text))
+		}
+		env.record.noteAt(sentAt, "client %d sends id %s", number, id)
+		kind, err := readAnswer(c.r, id)
+		c.conn.Close()
+		took := time.Since(sentAt)
+		timeout, isNet := err.(net.Error)
+		switch {
+		case err != nil && again && !(isNet && timeout.Timeout()):
+			env.record.note("client %d: the connection ended under id %s, which goes out again", number, id)
+			again, c = false, nil
+			continue
+		case err != nil || took > crowdWait+answerGrace:
+			t.lost++
+		case kind == "served":
+			t.served++
+		case kind == "53300" || kind == "57P03":
+			t.refused++
+		default:
+			t.failed++
+		}
+		env.record.note("client %d: id %s %s %v after %v", number, id, kind, err, took.Round(time.Millisecond))
+		return t
+	}
+}
