--- a/review/standins/crowd.go
+++ b/review/standins/crowd.go
@@ -10,18 +10,22 @@
 )
 
 const (
-	crowdSize     = 240                    // clients that connect and rest before their first request
-	crowdRest     = 500 * time.Millisecond // between the last connection and the first request
-	holdUp        = 120 * time.Millisecond // for which the proxy does not run; the page names up to 0.15 s
-	firstSend     = 15 * time.Millisecond  // after the beginning of the hold-up: the first request of the crowd
-	sendWindow    = 90 * time.Millisecond  // in which the crowd sends its requests, one after the other
+	crowdSize     = 240                     // clients that connect; the proxy closes some of them again
+	crowdRest     = 200 * time.Millisecond  // between the last connection and the first bytes of requests
+	crowdWriting  = 1400 * time.Millisecond // in which a client writes its request; the pages name 2 s
+	crowdPieces   = 28                      // of a request, so that there is one every 50 ms
+	holdUp        = 120 * time.Millisecond  // for which the proxy does not run; the page names up to 0.15 s
+	newcomerAfter = 5 * time.Millisecond    // behind the beginning of the hold-up another client connects
+	crowdAfter    = 15 * time.Millisecond   // behind it the first client of the crowd begins to write
+	crowdWindow   = 90 * time.Millisecond   // between the first and the last of the crowd
 	crowdWait     = 1200 * time.Millisecond
 	crowdRounds   = 3
-	roundDistance = 4 * time.Second
+	roundDistance = 6 * time.Second
+	aliveWait     = 15 * time.Second // for an answer to an empty query, behind a round
 )
 
-// heldUpCrowd plays a crowd of clients that connect, rest, and then send their first requests within a tenth of a second, in which the
-// proxy is held up and one more client connects.
+// heldUpCrowd plays a crowd of clients that connect, rest, and then write their first requests slowly. While they begin to, the proxy is held
+// up for a tenth of a second, in which one more client connects.
 func heldUpCrowd(env *environment) (bool, error) {
 	var databases []*database
 	for i := range 4 {
@@ -55,11 +59,15 @@
 			return false, err
 		}
 		total.add(got)
-		time.Sleep(roundDistance - time.Since(began))
 		if p.hasEnded() {
 			env.record.say("the proxy has ended: %v", p.state)
 			return true, nil
 		}
+		if answers := p.answersWithin(aliveWait); !answers {
+			env.record.say("the proxy, which runs, has answered no empty query for %v, %v behind the hold-up", aliveWait, time.Since(began).Round(time.Second))
+			break
+		}
+		time.Sleep(roundDistance - time.Since(began))
 	}
 	env.record.say("%d requests: %d served, %d refused, %d failed, %d lost", total.sent, total.served, total.refused, total.failed, total.lost)
 	if total.served == 0 && total.lost == 0 {
@@ -100,9 +108,11 @@
 func crowdOnce(env *environment, p *proxy, round int) (total tally, err error) {
 	var crowd []*resting
 	for range crowdSize {
-		if c, err := connectAndRest(p.address); err == nil {
-			crowd = append(crowd, c)
+		c, err := connectAndRest(p.address)
+		if err != nil {
+			return total, fmt.Errorf("a client can't connect before the disruption: %w", err)
 		}
+		crowd = append(crowd, c)
 	}
 	time.Sleep(crowdRest)
 	open := crowd[:0]
@@ -118,6 +128,13 @@
 	if len(crowd) == 0 {
 		return total, fmt.Errorf("no client could connect")
 	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	count := func(t tally) {
+		mu.Lock()
+		total.add(t)
+		mu.Unlock()
+	}
 	began := time.Now()
 	if env.trouble {
 		env.record.note("the proxy is held up")
@@ -129,27 +146,30 @@
 			env.record.note("the proxy runs again")
 		})
 	}
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	count := func(t tally) {
-		mu.Lock()
-		total.add(t)
-		mu.Unlock()
-	}
-	time.Sleep(firstSend / 3)
+	time.Sleep(time.Until(began.Add(newcomerAfter)))
 	wait.Go(func() { count(askOnce(env, p.address, nil, round, 0)) })
-	time.Sleep(firstSend - time.Since(began))
 	for i, c := range crowd {
-		time.Sleep(time.Until(began.Add(firstSend + sendWindow*time.Duration(i)/time.Duration(len(crowd)))))
+		time.Sleep(time.Until(began.Add(crowdAfter + crowdWindow*time.Duration(i)/time.Duration(len(crowd)))))
 		wait.Go(func() { count(askOnce(env, p.address, c, round, i+1)) })
 	}
 	wait.Wait()
 	return total, nil
 }
 
-// askOnce sends a request on a resting connection, or on a new one, and waits for its answer for much longer than the request's time. If
-// the resting connection ends with nothing on it, the request is sent once more on a new connection, as the protocol has it for a close
-// that crosses a request.
+// writeSlowly writes a message in pieces.
+func writeSlowly(conn net.Conn, message []byte) {
+	began := time.Now()
+	for i := range crowdPieces {
+		time.Sleep(time.Until(began.Add(crowdWriting * time.Duration(i) / crowdPieces)))
+		if _, err := conn.Write(message[len(message)*i/crowdPieces : len(message)*(i+1)/crowdPieces]); err != nil {
+			return // the connection has ended, which reading tells too
+		}
+	}
+}
+
+// askOnce writes a request slowly on a resting connection, or at once on a new one, and waits for its answer for much longer than the
+// request's time. If the resting connection ends without an answer, the request is sent once more on a new connection, as the protocol has
+// it for a close that crosses a request.
 func askOnce(env *environment, address string, c *resting, round, number int) (t tally) {
 	t.sent = 1
 	id := fmt.Sprintf("%04x%012x", round+1, number+1)
@@ -174,10 +194,11 @@
 				return t
 			}
 		} else {
+			writeSlowly(c.conn, queryMessage(text))
+			sentAt = time.Now()
 			c.conn.SetReadDeadline(sentAt.Add(crowdWait + 2*time.Second))
-			c.conn.Write(queryMessage(text))
 		}
-		env.record.noteAt(sentAt, "client %d sends id %s", number, id)
+		env.record.noteAt(sentAt, "client %d has sent id %s", number, id)
 		kind, err := readAnswer(c.r, id)
 		c.conn.Close()
 		took := time.Since(sentAt)
--- a/review/standins/proxy.go
+++ b/review/standins/proxy.go
@@ -8,9 +8,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 // proxy is a process of the program under review, started as the platform starts it.
@@ -97,7 +99,7 @@
 	if operatorFile != "" {
 		p.command.Env = append(p.command.Env, "HAVEN_OPERATOR="+operatorFile)
 	}
-	if err := p.command.Start(); err != nil {
+	if err := startOnOneCore(p.command); err != nil {
 		return nil, err
 	}
 	go func() {
@@ -108,34 +110,68 @@
 	return p, nil
 }
 
+// cpuSet is a set of CPUs as the kernel takes it.
+type cpuSet [16]uint64
+
+func affinity(call uintptr, set *cpuSet) error {
+	if _, _, errno := syscall.RawSyscall(call, 0, unsafe.Sizeof(*set), uintptr(unsafe.Pointer(set))); errno != 0 {
+		return errno
+	}
+	return nil
+}
+
+// startOnOneCore starts a command on one CPU, as the platform does: "The processes run on one core". Its own threads keep all CPUs.
+func startOnOneCore(command *exec.Cmd) error {
+	runtime.LockOSThread() // a child inherits the CPUs of the thread that starts it
+	defer runtime.UnlockOSThread()
+	var all, one cpuSet
+	if err := affinity(syscall.SYS_SCHED_GETAFFINITY, &all); err != nil {
+		return err
+	}
+	for i, word := range all {
+		if word != 0 {
+			one[i] = word & -word
+			break
+		}
+	}
+	if err := affinity(syscall.SYS_SCHED_SETAFFINITY, &one); err != nil {
+		return err
+	}
+	defer affinity(syscall.SYS_SCHED_SETAFFINITY, &all)
+	return command.Start()
+}
+
 // awaitReady waits until the proxy answers an empty query, as the front does.
 func (p *proxy) awaitReady() error {
-	for began := time.Now(); time.Since(began) < 30*time.Second; time.Sleep(50 * time.Millisecond) {
-		select {
-		case <-p.ended:
-			return fmt.Errorf("the proxy has ended: %v", p.state)
-		default:
-		}
+	if !p.answersWithin(30 * time.Second) {
+		return fmt.Errorf("the proxy is not ready after 30 s, or has ended")
+	}
+	return nil
+}
+
+// answersWithin reports whether the proxy answers an empty query on a new connection within a time; it is asked again and again.
+func (p *proxy) answersWithin(limit time.Duration) bool {
+	for began := time.Now(); time.Since(began) < limit && !p.hasEnded(); time.Sleep(50 * time.Millisecond) {
 		conn, err := net.Dial("tcp", p.address)
 		if err != nil {
 			continue
 		}
 		conn.SetDeadline(time.Now().Add(2 * time.Second))
 		conn.Write(append(startupMessage(), queryMessage("")...))
-		r, answered := bufio.NewReader(conn), false
+		r := bufio.NewReader(conn)
 		for {
 			m, err := readMessage(r)
-			if err != nil || m.kind == 'I' || m.kind == 'E' {
-				answered = err == nil && m.kind == 'I'
+			if err != nil || m.kind == 'E' {
 				break
 			}
+			if m.kind == 'I' {
+				conn.Close()
+				return true
+			}
 		}
 		conn.Close()
-		if answered {
-			return nil
-		}
 	}
-	return fmt.Errorf("the proxy is not ready after 30 s")
+	return false
 }
 
 // hasEnded reports whether the process has ended.
