Review case 2: clients get another group's data once an address is used again

With Consul a new database of another group, at the address of one that has ended, is taken for that one: it is sent requests of the old group and serves them. It takes the place of the drain in Consul, which stays as a finding; the slow reader is case 3.

--- a/review/standins/consul.go
+++ b/review/standins/consul.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// consul is a stand-in for an agent of Consul: the health entries of one service, with blocking queries.
+// consul is a stand-in for an agent of Consul: the health entries of services, with blocking queries.
 type consul struct {
 	address string
 	server  *http.Server
@@ -17,22 +17,22 @@
 
 	mu       sync.Mutex
 	index    uint64
-	services []*database
+	services map[string][]*database // by the service's name
 	draining map[string]bool
 	changed  chan struct{}
-	written  uint64 // the greatest index that was written to a caller
+	written  map[string]uint64 // by service, the greatest index that was written to a caller
 }
 
 const consulService = "stok-db"
 
-func startConsul(rec *record, databases []*database) (*consul, error) {
+func startConsul(rec *record, services map[string][]*database) (*consul, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	c := &consul{address: ln.Addr().String(), record: rec, index: 10, services: append([]*database(nil), databases...), draining: map[string]bool{}, changed: make(chan struct{})}
+	c := &consul{address: ln.Addr().String(), record: rec, index: 10, services: services, draining: map[string]bool{}, changed: make(chan struct{}), written: map[string]uint64{}}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/health/service/"+consulService, c.health)
+	mux.HandleFunc("GET /v1/health/service/{name}", c.health)
 	c.server = &http.Server{Handler: mux}
 	go c.server.Serve(ln)
 	return c, nil
@@ -54,15 +54,23 @@
 // deregister removes an instance.
 func (c *consul) deregister(name string) {
 	c.change(func() {
-		for i, db := range c.services {
-			if db.name == name {
-				c.services = append(append([]*database(nil), c.services[:i]...), c.services[i+1:]...)
-				break
+		for service, list := range c.services {
+			var left []*database
+			for _, db := range list {
+				if db.name != name {
+					left = append(left, db)
+				}
 			}
+			c.services[service] = left
 		}
 	})
 }
 
+// register adds an instance to a service.
+func (c *consul) register(service string, db *database) {
+	c.change(func() { c.services[service] = append(c.services[service], db) })
+}
+
 // awaitTold waits until the present state has been written to the proxy, and returns when it was seen to be.
 func (c *consul) awaitTold() (time.Time, bool) {
 	c.mu.Lock()
@@ -70,7 +78,10 @@
 	c.mu.Unlock()
 	for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(time.Millisecond) {
 		c.mu.Lock()
-		told := c.written >= index
+		told := true
+		for service := range c.services {
+			told = told && c.written[service] >= index
+		}
 		c.mu.Unlock()
 		if told {
 			return time.Now(), true
@@ -79,10 +90,10 @@
 	return time.Time{}, false
 }
 
-// entries returns the instances in the form of the API; the lock is held.
-func (c *consul) entries() []byte {
+// entries returns a service's instances in the form of the API; the lock is held.
+func (c *consul) entries(service string) []byte {
 	out := []map[string]any{}
-	for _, db := range c.services {
+	for _, db := range c.services[service] {
 		host, port, _ := net.SplitHostPort(db.address)
 		number, _ := strconv.Atoi(port)
 		tags := []string{}
@@ -91,9 +102,9 @@
 		}
 		out = append(out, map[string]any{
 			"Node": map[string]any{"ID": "node-" + db.name, "Node": "host-" + db.name, "Address": host, "Datacenter": "dc1"},
-			"Service": map[string]any{"ID": db.name, "Service": consulService, "Tags": tags, "Address": host, "Port": number,
-				"Meta": map[string]string{"group": "0", "zone": "merkez-ofis"}, "Weights": map[string]int{"Passing": 1, "Warning": 1}},
-			"Checks": []map[string]any{{"Node": "host-" + db.name, "CheckID": "service:" + db.name, "Name": "alive", "Status": "passing", "ServiceID": db.name, "ServiceName": consulService}},
+			"Service": map[string]any{"ID": db.name, "Service": service, "Tags": tags, "Address": host, "Port": number,
+				"Meta": db.meta(), "Weights": map[string]int{"Passing": 1, "Warning": 1}},
+			"Checks": []map[string]any{{"Node": "host-" + db.name, "CheckID": "service:" + db.name, "Name": "alive", "Status": "passing", "ServiceID": db.name, "ServiceName": service}},
 		})
 	}
 	body, _ := json.Marshal(out)
@@ -101,6 +112,7 @@
 }
 
 func (c *consul) health(w http.ResponseWriter, r *http.Request) {
+	service := r.PathValue("name")
 	after, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
 	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
 	if err != nil {
@@ -118,7 +130,7 @@
 		}
 	}
 	c.mu.Lock()
-	index, body := c.index, c.entries()
+	index, body := c.index, c.entries(service)
 	c.mu.Unlock()
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
@@ -131,7 +143,16 @@
 		f.Flush()
 	}
 	c.mu.Lock()
-	c.written = max(c.written, index)
+	c.written[service] = max(c.written[service], index)
 	c.mu.Unlock()
-	c.record.note("consul tells index %d: %s", index, body)
+	c.record.note("consul tells index %d of %s: %s", index, service, body)
+}
+
+// meta returns the instance's metadata: its group, its zone and, if it has started during the case, when.
+func (db *database) meta() map[string]string {
+	meta := map[string]string{"group": strconv.Itoa(db.group), "zone": "merkez-ofis"}
+	if !db.startedAt.IsZero() {
+		meta["started"] = strconv.FormatInt(db.startedAt.UnixMilli(), 10)
+	}
+	return meta
 }
--- a/review/standins/consuldrain.go
+++ b/review/standins/consuldrain.go
@@ -37,7 +37,7 @@
 		return false, err
 	}
 	defer disco.server.Close()
-	agent, err := startConsul(env.record, databases)
+	agent, err := startConsul(env.record, map[string][]*database{consulService: databases})
 	if err != nil {
 		return false, err
 	}
--- a/review/standins/database.go
+++ b/review/standins/database.go
@@ -19,6 +19,8 @@
 	primary   atomic.Bool
 	work      time.Duration // time of one request
 	valueSize int           // bytes of each value
+	group     int
+	startedAt time.Time // zero = long ago
 
 	listener net.Listener
 	inflight atomic.Int64
@@ -29,16 +31,22 @@
 
 // arrival is a request that a database has begun.
 type arrival struct {
-	at        time.Time
-	id, class string
+	at             time.Time
+	id, class      string
+	group, command string // the group that the statement names, and its first word
 }
 
 func startDatabase(rec *record, name string, primary bool, work time.Duration, valueSize int) (*database, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return startDatabaseAt(rec, "127.0.0.1:0", name, 0, primary, work, valueSize)
+}
+
+// startDatabaseAt starts a database of a group at a given address.
+func startDatabaseAt(rec *record, address, name string, group int, primary bool, work time.Duration, valueSize int) (*database, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	db := &database{name: name, address: ln.Addr().String(), record: rec, work: work, valueSize: valueSize, listener: ln, conns: map[net.Conn]struct{}{}}
+	db := &database{group: group, name: name, address: ln.Addr().String(), record: rec, work: work, valueSize: valueSize, listener: ln, conns: map[net.Conn]struct{}{}}
 	db.primary.Store(primary)
 	go func() {
 		for {
@@ -116,11 +124,12 @@
 		db.record.say("%s got what no client sent: %q", db.name, text)
 		return readyMessage(errorMessage(nil, "08P01", "not a statement of this deployment"))
 	}
+	command, _, _ := strings.Cut(text, " ")
 	now := time.Now()
 	db.mu.Lock()
-	db.requests = append(db.requests, arrival{now, hints["id"], hints["c"]})
+	db.requests = append(db.requests, arrival{now, hints["id"], hints["c"], hints["cluster"], command})
 	db.mu.Unlock()
-	db.record.noteAt(now, "%s begins id=%s c=%s d=%s", db.name, hints["id"], hints["c"], hints["d"])
+	db.record.noteAt(now, "%s begins %s id=%s c=%s d=%s cluster=%s", db.name, command, hints["id"], hints["c"], hints["d"], hints["cluster"])
 	write := strings.HasPrefix(text, "INSERT")
 	role := "replica"
 	if db.primary.Load() {
@@ -133,7 +142,7 @@
 	time.Sleep(db.work)
 	db.inflight.Add(-1)
 	value := make([]byte, db.valueSize)
-	copy(value, hints["id"])
+	copy(value, hints["id"]+"@"+db.name)
 	return db.withStatus(rowMessages(nil, value), role)
 }
 
--- a/review/standins/discovery.go
+++ b/review/standins/discovery.go
@@ -45,7 +45,7 @@
 	}
 	d := &discovery{address: ln.Addr().String(), list: list{Generation: 1, Reset: true, Instances: []instance{}}, changed: make(chan struct{})}
 	for _, db := range databases {
-		d.list.Instances = append(d.list.Instances, instance{ID: db.name, Address: db.address, Zone: "merkez-ofis", Machine: "standart-3c", Lifecycle: "in_service", Weight: 1})
+		d.list.Instances = append(d.list.Instances, instance{ID: db.name, Address: db.address, Zone: "merkez-ofis", Machine: "standart-3c", Group: db.group, Lifecycle: "in_service", Weight: 1})
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/endpoints", d.endpoints)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,10 +23,11 @@
 	exitNotRun
 )
 
-// The first three are the cases 1 to 3; what the others show stands in the report.
+// held-up-crowd, replaced-across and slow-reader are the cases 1 to 3; what the others show stands in the report.
 var cases = map[string]func(*environment) (broken bool, err error){
 	"held-up-crowd":         heldUpCrowd,
 	"slow-reader":           slowReader,
+	"replaced-across":       replacedAcrossGroups,
 	"drain-then-deregister": drainThenDeregister,
 	"restart-amid-reloads":  restartAmidReloads,
 	"drain-only":            func(e *environment) (bool, error) { return consulDrain(e, "True", false) },
--- a/review/standins/traffic.go
+++ b/review/standins/traffic.go
@@ -26,6 +26,7 @@
 	class string
 	wait  time.Duration
 	write bool
+	group int
 }
 
 func startTraffic(rec *record, address, prefix string, clients int, pause time.Duration, mix []request) *traffic {
@@ -71,10 +72,10 @@
 		}
 		next := mix[n%len(mix)]
 		id := fmt.Sprintf("%s%012x", t.prefix, t.lastID.Add(1))
-		comment := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=0 */", id, next.class, next.wait.Milliseconds())
+		comment := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d */", id, next.class, next.wait.Milliseconds(), next.group)
 		text := fmt.Sprintf("SELECT val FROM state WHERE uid = '7f3a9c21e0b4d%03x' %s", number, comment)
 		if next.write {
-			comment = fmt.Sprintf("/* id=%s,c=%s,d=%d,k=%s,cluster=0 */", id, next.class, next.wait.Milliseconds(), id)
+			comment = fmt.Sprintf("/* id=%s,c=%s,d=%d,k=%s,cluster=%d */", id, next.class, next.wait.Milliseconds(), id, next.group)
 			text = fmt.Sprintf("INSERT INTO state (uid, val) VALUES ('7f3a9c21e0b4d%03x', '\\x9f03') RETURNING val %s", number, comment)
 		}
 		conn.SetDeadline(time.Now().Add(next.wait + 2*time.Second))
