--- a/review/standins/foreign.go
+++ b/review/standins/foreign.go
@@ -99,6 +99,11 @@
 	if got.served == 0 {
 		return false, fmt.Errorf("nothing was served")
 	}
+	for _, db := range databases {
+		if n := load.sources[source{1 - db.group, db.name}]; n > 0 {
+			env.record.say("clients of group %d were served %d values of %s, a database of group %d", 1-db.group, n, db.name, db.group)
+		}
+	}
 	foreign := 0
 	for _, db := range databases {
 		count, last := 0, time.Time{}
--- a/review/standins/slowreader.go
+++ b/review/standins/slowreader.go
@@ -160,24 +160,31 @@
 
 // readAnswer reads one answer: "served", or the code of an error.
 func readAnswer(r *bufio.Reader, id string) (kind string, err error) {
+	kind, _, err = readValue(r, id)
+	return kind, err
+}
+
+// readValue reads one answer, and its value if it is served.
+func readValue(r *bufio.Reader, id string) (kind, value string, err error) {
 	for {
 		m, err := readMessage(r)
 		if err != nil {
-			return "", err
+			return "", "", err
 		}
 		switch m.kind {
 		case 'D':
 			kind = "served"
 			if len(m.body) < 6+len(id) || string(m.body[6:6+len(id)]) != id {
-				return "", fmt.Errorf("a value that is not that of id %s", id)
+				return "", "", fmt.Errorf("a value that is not that of id %s", id)
 			}
+			value = string(m.body[6:])
 		case 'E':
 			kind = errorCode(m.body)
 		case 'Z':
 			if kind == "" {
-				return "", io.ErrUnexpectedEOF
+				return "", "", io.ErrUnexpectedEOF
 			}
-			return kind, nil
+			return kind, value, nil
 		}
 	}
 }
--- a/review/standins/traffic.go
+++ b/review/standins/traffic.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,13 @@
 	lastID  atomic.Uint64
 	mu      sync.Mutex
 	tally   tally
+	sources map[source]int // served requests
+}
+
+// source is where a served request's value came from.
+type source struct {
+	group    int // that the request named
+	database string
 }
 
 // request is what a client of a class sends.
@@ -30,7 +38,7 @@
 }
 
 func startTraffic(rec *record, address, prefix string, clients int, pause time.Duration, mix []request) *traffic {
-	t := &traffic{record: rec, address: address, prefix: prefix, stop: make(chan struct{})}
+	t := &traffic{record: rec, address: address, prefix: prefix, stop: make(chan struct{}), sources: map[source]int{}}
 	for i := range clients {
 		t.done.Go(func() { t.client(i, pause, mix) })
 	}
@@ -80,7 +88,8 @@
 		}
 		conn.SetDeadline(time.Now().Add(next.wait + 2*time.Second))
 		conn.Write(queryMessage(text))
-		kind, err := readAnswer(r, id)
+		kind, value, err := readValue(r, id)
+		_, from, _ := strings.Cut(strings.TrimRight(value, "\x00"), "@")
 		t.mu.Lock()
 		t.tally.sent++
 		switch {
@@ -88,13 +97,14 @@
 			t.tally.lost++
 		case kind == "served":
 			t.tally.served++
+			t.sources[source{next.group, from}]++
 		case kind == "53300" || kind == "57P03":
 			t.tally.refused++
 		default:
 			t.tally.failed++
 		}
 		t.mu.Unlock()
-		t.record.note("client %d: id %s %s %v", number, id, kind, err)
+		t.record.note("client %d: id %s of group %d %s %s %v", number, id, next.group, kind, from, err)
 		if err != nil {
 			conn.Close()
 			conn = nil
