--- a/review/standins/crowd.go
+++ b/review/standins/crowd.go
@@ -15,6 +15,7 @@
 	crowdWriting  = 1400 * time.Millisecond // in which a client writes its request; the pages name 2 s
 	crowdPieces   = 28                      // of a request, so that there is one every 50 ms
 	holdUp        = 120 * time.Millisecond  // for which the proxy does not run; the page names up to 0.15 s
+	holdUpMost    = 150 * time.Millisecond  // a longer hold-up is none that the pages name: the case could not run
 	newcomerAfter = 5 * time.Millisecond    // behind the beginning of the hold-up another client connects
 	crowdAfter    = 15 * time.Millisecond   // behind it the first client of the crowd begins to write
 	crowdWindow   = 90 * time.Millisecond   // between the first and the last of the crowd
@@ -136,15 +137,19 @@
 		mu.Unlock()
 	}
 	began := time.Now()
+	heldUp := make(chan time.Duration, 1) // how long the proxy did not run, at most
 	if env.trouble {
 		env.record.note("the proxy is held up")
+		stopped := time.Now()
 		if err := p.command.Process.Signal(syscall.SIGSTOP); err != nil {
 			return total, err
 		}
 		time.AfterFunc(holdUp, func() {
 			p.command.Process.Signal(syscall.SIGCONT)
-			env.record.note("the proxy runs again")
+			heldUp <- time.Since(stopped)
 		})
+	} else {
+		heldUp <- 0
 	}
 	time.Sleep(time.Until(began.Add(newcomerAfter)))
 	wait.Go(func() { count(askOnce(env, p.address, nil, round, 0)) })
@@ -153,6 +158,11 @@
 		wait.Go(func() { count(askOnce(env, p.address, c, round, i+1)) })
 	}
 	wait.Wait()
+	if took := <-heldUp; took > holdUpMost {
+		return total, fmt.Errorf("this machine held the proxy up for %v, longer than the pages name", took)
+	} else if env.trouble {
+		env.record.say("round %d: the proxy was held up for %v", round, took.Round(100*time.Microsecond))
+	}
 	return total, nil
 }
 
--- a/review/standins/proxy.go
+++ b/review/standins/proxy.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -102,6 +103,7 @@
 	if err := startOnOneCore(p.command); err != nil {
 		return nil, err
 	}
+	p.endOnSignal()
 	go func() {
 		p.command.Wait()
 		p.state = p.command.ProcessState
@@ -110,6 +112,17 @@
 	return p, nil
 }
 
+// endOnSignal ends the process, and this one, if this one is told to end: nothing that a case has started stays behind.
+func (p *proxy) endOnSignal() {
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-caught
+		p.command.Process.Kill()
+		os.Exit(exitNotRun)
+	}()
+}
+
 // cpuSet is a set of CPUs as the kernel takes it.
 type cpuSet [16]uint64
 
