Log a callback that never returns, and count answers dropped by a close

A watchdog outside the loop logs, once a callback, the stack of one that has not returned for a second. A connection that the proxy closes over due answers is counted (answers_dropped, log and metrics) and logged with its cause and the bytes that the kernel still held.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -283,8 +284,20 @@
 		return
 	}
 	if _, err := c.conn.Write(b); err != nil {
-		c.closeNow()
+		c.closeDroppingAnswers(err)
+	}
+}
+
+// closeDroppingAnswers closes a connection over which the answers that are due can't be sent, and counts them as
+// dropped unless the client has closed it.
+func (c *client) closeDroppingAnswers(cause error) {
+	if c.phase == phaseClosed {
+		return
+	}
+	if !errors.Is(cause, syscall.EPIPE) && !errors.Is(cause, syscall.ECONNRESET) && !errors.Is(cause, netpoll.ErrConnClosed) {
+		c.server.recordDroppedAnswers(c, cause)
 	}
+	c.closeNow()
 }
 
 // closeWithError sends a final error after the answers that are still due: queries sent before the protocol violation
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -27,13 +27,14 @@
 	pollerWaits uint64         // number of completed waits for the poller
 
 	stats      callbackStats
+	watchdog   *watchdog
 	receivedAt time.Duration
 }
 
 // NewLoop returns a loop that is not running yet, and makes netpoll post its callbacks to it. netpoll has one runner in a process, so
 // the newest loop receives the callbacks.
 func NewLoop(clock state.Clock, deadlines *state.Deadlines) *Loop {
-	l := &Loop{clock: clock, deadlines: deadlines, wake: make(chan struct{}, 1)}
+	l := &Loop{clock: clock, deadlines: deadlines, wake: make(chan struct{}, 1), watchdog: newWatchdog()}
 	useRunner(func(_ context.Context, callback func()) { l.receive(callback) })
 	return l
 }
@@ -85,6 +86,8 @@
 
 // Run runs posted functions and due deadlines until Stop is called.
 func (l *Loop) Run() {
+	go l.watchdog.watch(watchdogInterval, logStuckCallback)
+	defer close(l.watchdog.stop)
 	timer := time.NewTimer(time.Hour)
 	var work []func()
 	for !l.stopped {
@@ -93,7 +96,9 @@
 		l.mu.Unlock()
 		before := l.clock.Now()
 		for i, f := range work {
+			l.watchdog.begin()
 			f()
+			l.watchdog.end()
 			now := l.clock.Now()
 			l.stats.recordCallback(f, before, now)
 			work[i], before = nil, now
@@ -122,7 +127,9 @@
 		return
 	}
 	l.stats.recordDeadlineDelay(due, now)
+	l.watchdog.begin()
 	l.deadlines.Run(now)
+	l.watchdog.end()
 	l.stats.recordCallback(l.deadlines.Run, now, l.clock.Now())
 }
 
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -33,6 +33,7 @@
 	idleCloseFraction = 3 // above one in this many of the connections, idle clients are closed before connections run out
 
 	overLimitLogInterval = 10 * time.Second // minimum time between log lines about rejected clients
+	droppedLogInterval   = 10 * time.Second // minimum time between log lines about dropped answers
 )
 
 // Server serves clients.
@@ -56,6 +57,7 @@
 	excess             int
 	idleCloseTimer     state.Deadline
 	overLimitLoggedAt  time.Duration // when it was last logged that there are too many clients
+	droppedLoggedAt    time.Duration // when it was last logged that answers were dropped
 	lingering          int           // connections that are shut down and wait for their clients to close
 	maxLinger          time.Duration // for each of them
 	draining           bool
@@ -201,6 +203,19 @@
 	return context.WithValue(ctx, clientKey{}, c)
 }
 
+// recordDroppedAnswers counts and logs the answers that c is owed and will not get, because the proxy closes its
+// connection.
+func (s *Server) recordDroppedAnswers(c *client, cause error) {
+	s.engine.Counters.AnswersDropped += uint64(len(c.pending))
+	now := s.clock.Now()
+	if s.droppedLoggedAt > 0 && now-s.droppedLoggedAt < droppedLogInterval {
+		return
+	}
+	s.droppedLoggedAt = now
+	slog.Warn("client connection closed with answers due", "client", c.remoteAddress, "answers", len(c.pending),
+		"unacknowledged_bytes", c.unsentBytes(), "cause", cause)
+}
+
 func (s *Server) atLimit() bool { return len(s.clients)-s.excess >= s.maxClients }
 
 // makeRoom closes silent and idle clients as long as the limit is reached.
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -36,6 +36,7 @@
 
 	ConnectionsNotOpened uint64 // connections to databases that were not opened because of a limit or a local error
 	AnsweredLate         uint64 // requests answered after their client's wait had ended
+	AnswersDropped       uint64 // answers that were due on clients' connections that the proxy closed
 	SlowTurns            uint64 // functions that blocked the event loop for long
 }
 
@@ -71,7 +72,7 @@
 		slog.Uint64("peers_strange", c.PeerInvalid),
 		slog.Uint64("loads", c.ConfigLoads), slog.Uint64("load_errors", c.ConfigLoadErrors),
 		slog.Uint64("executes", c.Executes), slog.Uint64("prepares", c.Prepares),
-		slog.Uint64("no_room", c.ConnectionsNotOpened), slog.Uint64("answered_late", c.AnsweredLate), slog.Uint64("slow_turns", c.SlowTurns),
+		slog.Uint64("no_room", c.ConnectionsNotOpened), slog.Uint64("answered_late", c.AnsweredLate), slog.Uint64("answers_dropped", c.AnswersDropped), slog.Uint64("slow_turns", c.SlowTurns),
 		slog.Uint64("digests", c.Digests), slog.Uint64("digests_malformed", c.DigestsMalformed), slog.Uint64("verdicts", c.Verdicts))
 }
 
--- a/internal/state/metrics.go
+++ b/internal/state/metrics.go
@@ -49,6 +49,7 @@
 		dst = admin.AppendCounter(dst, n, "refused", logic.RefusalReason(reason).String())
 	}
 	dst = admin.AppendCounter(dst, e.Counters.AnsweredLate, "answered_late")
+	dst = admin.AppendCounter(dst, e.Counters.AnswersDropped, "answers_dropped")
 	dst = admin.AppendCounter(dst, e.Counters.SlowTurns, "slow_turns")
 	dst = admin.AppendCounter(dst, e.Counters.ConnectionsNotOpened, "no_room_for_connection")
 	dst = admin.AppendCounter(dst, e.Counters.ConfigLoads, "loads")
