End each round of makeRoom by its own count: a hold-up no longer hangs the proxy

Cause: Server.makeRoom went on until no more than a quarter of the clients were silent, with no regard to age. evict keeps a client whose input waits in the loop's queue and moves it to the back. After a hold-up the poller has read the input of all silent clients before the loop comes to the new connection, which came first, so each of them is kept, for ever: the callbacks that would make them other than silent run on the same loop.

Change: a round looks at each silent and then each idle client once at most. The same lists in closeIdleClients end by the time at which a kept client is noted.

Test, before the change (the loop held, 12 silent clients of 44, the new client first): ERROR loop stuck: a callback has not returned for_at_least=1s stack=... (*Server).evict ...

--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -218,30 +218,38 @@
 
 func (s *Server) atLimit() bool { return len(s.clients)-s.excess >= s.maxClients }
 
-// makeRoom closes silent and idle clients as long as the limit is reached.
+// makeRoom closes silent and idle clients as long as the limit is reached, or too many clients are silent. It looks at
+// each of them once at most: evict may keep a client, and what it waits for happens only once makeRoom has returned.
 func (s *Server) makeRoom() {
 	now := s.clock.Now()
-	for {
-		element := s.silent.Front()
-		atLimit := s.atLimit() || len(s.clients) >= s.maxClients+s.maxExcess
-		if manySilent := s.silent.Len() > s.maxClients/maxSilentFraction; !manySilent && !atLimit {
-			return
-		} else if element == nil || !manySilent && now-element.Value.(*client).since < minSilentTime {
-			if element = s.idle.Front(); element == nil || now-element.Value.(*client).since < minIdleTime {
-				return
-			}
+	for range s.silent.Len() {
+		c := s.silent.Front().Value.(*client)
+		if !s.tooManySilent() && (!s.full() || now-c.since < minSilentTime) {
+			break
 		}
-		s.evict(element.Value.(*client), now)
+		s.evict(c, now)
+	}
+	for range s.idle.Len() {
+		c := s.idle.Front().Value.(*client)
+		if !s.full() || now-c.since < minIdleTime {
+			break
+		}
+		s.evict(c, now)
 	}
 }
 
+func (s *Server) tooManySilent() bool { return s.silent.Len() > s.maxClients/maxSilentFraction }
+
+// full reports whether no further client can be served, or even rejected with an answer.
+func (s *Server) full() bool { return s.atLimit() || len(s.clients) >= s.maxClients+s.maxExcess }
+
 // closeIdleClients closes clients that have long been idle when many are connected. Their connections may be needed
 // elsewhere: a load balancer in front of the proxies opens only a share of its descriptors.
 func (s *Server) closeIdleClients() {
 	now := s.clock.Now()
 	for element := s.idle.Front(); element != nil && len(s.clients) > s.idleCloseThreshold; element = s.idle.Front() {
 		c := element.Value.(*client)
-		if due := c.since + minIdleTime; due > now {
+		if due := c.since + minIdleTime; due > now { // also ends the round at the first client that evict has kept
 			s.deadlines.Set(&s.idleCloseTimer, due, s.closeIdleClients)
 			return
 		}
