Write to sockets without waiting for the peer: slow readers get all their answers

Cause: answers went out by netpoll's Write on the loop, which waits for room in the socket's buffer for 20 ms, with the loop held meanwhile; then client.write closed the connection and abandoned all that was pending. Databases, discovery, planners, other proxies and the operators' address were written to in the same way.

Against the other hypotheses: no deadline of a request was over, and no database failed (the answers were there).

Change: each connection has a write queue. The kernel takes what it has room for; the rest is kept in order and goes out when an epoll instance of its own reports the socket as writable. A peer is given up after 10 s in which it takes no byte by the kernel's count of unacknowledged ones, not by an empty buffer. No query is read from a client while over 256 KiB wait for it; while all clients' answers hold an eighth of the memory limit, each client gets one at a time. Streams are written through the same queue, which bounds what is read from the database, and hold no second client descriptor. What closes a client's connection (error, drain, eviction, termination, broken stream) does so behind the answers that wait, and a connection that is shut down is read on while its client still takes bytes. A database command of which a part waits has not run when its connection ends or its time is over. ENOBUFS and ENOMEM pause, EINTR is repeated.

--- a/internal/net/admin.go
+++ b/internal/net/admin.go
@@ -62,6 +62,7 @@
 type adminConn struct {
 	admin    *Admin
 	conn     netpoll.Connection
+	output   *writeQueue
 	input    buffer
 	answered bool // the response has been written
 	timer    state.Deadline
@@ -73,6 +74,7 @@
 		a.conns.Front().Value.(*adminConn).close()
 	}
 	c := &adminConn{admin: a, conn: conn}
+	c.output = newWriteQueue(a.loop, conn, c.closeOnceSent, func(error) { c.close() })
 	c.element = a.conns.PushBack(c)
 	conn.AddCloseCallback(func(netpoll.Connection) error { a.loop.Post(c.closed); return nil })
 	a.deadlines.Set(&c.timer, a.clock.Now()+adminCallTimeout, func() { c.respond(wire.BadRequest, []byte("no whole call in time\n")) })
@@ -127,14 +129,23 @@
 	c.respond(wire.OK, []byte("ok\n"))
 }
 
-// respond writes the response. The connection is closed after finalAnswerDelay, so that the client has time to read
-// it.
+// respond writes the response.
 func (c *adminConn) respond(status int, body []byte) {
 	c.answered = true
-	if _, err := c.conn.Write(wire.AppendResponse(nil, status, body)); err != nil {
+	c.admin.deadlines.Clear(&c.timer)
+	if err := c.output.write(wire.AppendResponse(nil, status, body)); err != nil {
 		c.close()
 		return
 	}
+	c.closeOnceSent()
+}
+
+// closeOnceSent closes the connection when the kernel has taken the whole response. It does so after
+// finalAnswerDelay, so that the client has time to read it.
+func (c *adminConn) closeOnceSent() {
+	if c.output.len() > 0 {
+		return
+	}
 	c.admin.deadlines.Set(&c.timer, c.admin.clock.Now()+finalAnswerDelay, c.close)
 }
 
@@ -147,6 +158,7 @@
 	if c.element == nil {
 		return
 	}
+	c.output.close()
 	c.admin.conns.Remove(c.element)
 	c.element = nil
 	c.admin.deadlines.Clear(&c.timer)
@@ -173,7 +185,6 @@
 			return context.Background()
 		}),
 		netpoll.WithOnConnect(accept),
-		netpoll.WithWriteTimeout(writeTimeout),
 		netpoll.WithIdleTimeout(keepAliveInterval))
 	if err != nil {
 		return nil, err
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"errors"
+	stdnet "net"
 	"syscall"
 	"time"
 
@@ -22,7 +23,9 @@
 	// Closing a connection with unread input resets it, and the final answer is lost, so input that is still on its
 	// way is awaited. The wait is short, because to the client the end of the connection is the end of the answer.
 	finalAnswerDelay = 20 * time.Millisecond
-	maxPipelined     = 16 // pending queries of one client; hundreds at once would crowd out those of other clients
+	// While more bytes than this wait for a client, none of its queries is read.
+	maxUnsent    = 256 << 10
+	maxPipelined = 16 // pending queries of one client; hundreds at once would crowd out those of other clients
 )
 
 var (
@@ -70,6 +73,7 @@
 	server           *Server
 	protocol         clientProtocol
 	conn             netpoll.Connection
+	output           *writeQueue // answers that the socket has not taken yet
 	remoteAddress    string
 	input            buffer
 	closing          bool // the proxy is closing the connection, because no answer was due
@@ -82,9 +86,10 @@
 	hasQueried       bool // it has sent a complete query
 	partialQuery     bool // it has sent a part of a query, and the timer runs for the rest
 	usesConsole      bool
+	closesOnceSent   bool // the connection is closed once the socket has taken all answers
 	pending          []*pendingQuery
 	timer            state.Deadline
-	consoleTimer     state.Deadline // waits for room in the send buffer
+	consoleTimer     state.Deadline // waits until the client has taken the last answer
 
 	list    *list.List // the server's list of silent or idle clients that it is in, or nil
 	element *list.Element
@@ -161,11 +166,19 @@
 	c.partialQuery = partial
 }
 
-// acceptsQuery reports whether another query is read. The console takes one at a time, because its answers are large.
+// acceptsQuery reports whether another query is read. A client that does not read its answers gets no further ones;
+// while answers take much memory in all, and in the console, whose answers are large, one is given at a time.
 func (c *client) acceptsQuery() bool {
-	return len(c.pending) < c.protocol.maxPending() && !(c.usesConsole && len(c.pending) > 0)
+	if len(c.pending) >= c.protocol.maxPending() || c.output.len() > maxUnsent {
+		return false
+	}
+	oneAtATime := c.usesConsole || c.server.unsent > c.server.maxUnsent
+	return !oneAtATime || !c.owesAnswer()
 }
 
+// owesAnswer reports whether an answer is due that the socket has not taken whole.
+func (c *client) owesAnswer() bool { return len(c.pending) > 0 || c.output.len() > 0 }
+
 func (c *client) queryTimedOut() { c.closeMalformed(errQueryTimeout) }
 
 func (c *client) closeMalformed(err error) {
@@ -181,7 +194,7 @@
 	case c.phase >= phaseClosing:
 	case !c.hasQueried:
 		target = &c.server.silent
-	case len(c.pending) == 0 && len(c.input.bytes) == 0:
+	case !c.owesAnswer() && len(c.input.bytes) == 0:
 		target = &c.server.idle
 	}
 	if target == c.list {
@@ -259,42 +272,113 @@
 			output = append(output, c.pending[n].answer...)
 		}
 	}
+	c.server.unsent += len(answer) - len(output) // those that wait for earlier answers are held here
 	if n == 0 {
 		return
 	}
-	mayBeWaiting := len(c.pending) >= c.protocol.maxPending() || c.usesConsole
 	c.pending = append(c.pending[:0], c.pending[n:]...)
 	c.write(output)
 	if last {
-		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+finalAnswerDelay, c.closeNow)
+		c.closeOnceSent()
 	}
-	if mayBeWaiting { // queries may be waiting in the buffer
+	if len(c.input.bytes) > 0 { // queries may be waiting in the buffer
 		c.server.loop.Post(c.parse)
 	}
-	if c.server.closesAfterAnswer() && len(c.pending) == 0 {
+	if c.server.closesAfterAnswer() && !c.owesAnswer() {
 		c.server.loop.Post(c.closeIdle)
 	}
 	c.updateIdleList()
 }
 
-// write sends bytes. The socket's buffer has room for several of the largest answers: only a client that has stopped
-// reading makes a write wait, and its connection is closed after writeTimeout.
+// openOutput makes the queue through which everything is written to the client.
+func (c *client) openOutput() {
+	c.output = newWriteQueue(c.server.loop, c.conn, c.outputProgressed, c.closeDroppingAnswers)
+	c.output.total = &c.server.unsent
+}
+
+// write sends bytes, or keeps those that the socket does not take now.
 func (c *client) write(b []byte) {
 	if c.phase == phaseClosed || len(b) == 0 {
 		return
 	}
-	if _, err := c.conn.Write(b); err != nil {
+	if err := c.output.write(b); err != nil {
 		c.closeDroppingAnswers(err)
 	}
 }
 
+// outputProgressed goes on with what waited until the client had taken bytes.
+func (c *client) outputProgressed() {
+	if len(c.pending) > 0 && c.pending[0].stream != nil {
+		c.pending[0].stream.transfer()
+	}
+	if c.phase == phaseClosed {
+		return
+	}
+	if !c.owesAnswer() {
+		c.allSent()
+	}
+	if len(c.input.bytes) > 0 {
+		c.parse()
+	}
+}
+
+// allSent is called when the socket has taken all answers, after some of them had to wait.
+func (c *client) allSent() {
+	c.updateIdleList()
+	switch {
+	case c.closesOnceSent:
+		c.closeOnceSent()
+	case c.server.closesAfterAnswer():
+		c.server.loop.Post(c.closeIdle)
+	}
+}
+
+// closeOnceSent closes the connection when the socket has taken all answers. It does so after finalAnswerDelay, so that
+// the client has time to read the last one.
+func (c *client) closeOnceSent() {
+	if c.closesOnceSent = c.output.len() > 0; !c.closesOnceSent {
+		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+finalAnswerDelay, c.closeAfterAnswers)
+	}
+}
+
+// closeAfterAnswers closes the connection; if answers are still on their way, it is read on meanwhile, because unread
+// input would reset it.
+func (c *client) closeAfterAnswers() {
+	if c.output.inTransit() > 0 {
+		c.server.closeGracefully(c.conn)
+	}
+	c.closeNow()
+}
+
+// terminate ends the connection of a client that has said that it goes. It gets the answers that are complete.
+func (c *client) terminate() {
+	if c.output.len() == 0 {
+		c.closeNow()
+		return
+	}
+	c.closeAfterOutput()
+}
+
+// closeAfterOutput closes the connection once the socket has taken what has been written to it; the answers behind are
+// abandoned.
+func (c *client) closeAfterOutput() {
+	if c.phase >= phaseClosing {
+		return
+	}
+	c.phase = phaseClosing
+	c.server.deadlines.Clear(&c.timer)
+	c.abandonPending()
+	c.updateIdleList()
+	c.closeOnceSent()
+}
+
 // closeDroppingAnswers closes a connection over which the answers that are due can't be sent, and counts them as
 // dropped unless the client has closed it.
 func (c *client) closeDroppingAnswers(cause error) {
 	if c.phase == phaseClosed {
 		return
 	}
-	if !errors.Is(cause, syscall.EPIPE) && !errors.Is(cause, syscall.ECONNRESET) && !errors.Is(cause, netpoll.ErrConnClosed) {
+	if !errors.Is(cause, syscall.EPIPE) && !errors.Is(cause, syscall.ECONNRESET) && !errors.Is(cause, stdnet.ErrClosed) {
 		c.server.recordDroppedAnswers(c, cause)
 	}
 	c.closeNow()
@@ -315,7 +399,7 @@
 
 // closeIdle closes a connection to which no answer is due.
 func (c *client) closeIdle() {
-	if c.phase != phaseClosed && len(c.pending) == 0 && len(c.input.bytes) == 0 && c.conn.Reader().Len() == 0 {
+	if c.phase != phaseClosed && !c.owesAnswer() && len(c.input.bytes) == 0 && c.conn.Reader().Len() == 0 {
 		c.beginClose()
 	}
 }
@@ -333,6 +417,7 @@
 		if query.stream != nil {
 			query.stream.Stop()
 		}
+		c.server.unsent -= len(query.answer)
 		if !query.answered && query.id != 0 {
 			c.server.engine.Abandon(query.id)
 		}
@@ -358,6 +443,7 @@
 	c.server.deadlines.Clear(&c.timer)
 	c.server.deadlines.Clear(&c.consoleTimer)
 	c.abandonPending()
+	c.output.close()
 	c.input.bytes = nil
 	c.protocol.connectionClosed(c)
 	c.updateBufferedBytes()
--- a/internal/net/console.go
+++ b/internal/net/console.go
@@ -2,12 +2,8 @@
 
 import (
 	stdnet "net"
-	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-	"golang.org/x/sys/unix"
-
 	"havenproxy/internal/console"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
@@ -17,10 +13,8 @@
 	// An answer is at most this long, and the next one is not built before the client's machine has acknowledged the
 	// last. This bounds what a client that does not read can make the proxy hold.
 	maxTableBytes = 64 << 10
-	// An answer waits until the socket has sent the last one; the socket is polled at this interval,
+	// consolePollInterval is how often the socket is polled for that acknowledgement.
 	consolePollInterval = 20 * time.Millisecond
-	// and the connection is closed after this time.
-	consoleWriteTimeout = 3 * time.Second
 )
 
 // EnableConsole lets clients on loopback use the console, or no longer; existing console sessions stay.
@@ -73,26 +67,18 @@
 	return ip != nil && ip.IsLoopback()
 }
 
-// answerConsole answers a console statement once the socket has room: a write must never block the loop.
+// answerConsole answers a console statement once the client has taken the last answer. A client that stops taking it is
+// closed.
 func (c *client) answerConsole(query *pendingQuery, text string) {
-	if c.unsentBytes() > 0 {
-		giveUpAt := c.server.clock.Now() + consoleWriteTimeout
-		var poll func()
-		poll = func() {
-			switch {
-			case c.phase == phaseClosed:
-			case c.unsentBytes() == 0:
-				c.executeConsole(query, text)
-			case c.server.clock.Now() >= giveUpAt:
-				c.closeNow()
-			default:
-				c.server.deadlines.Set(&c.consoleTimer, c.server.clock.Now()+consolePollInterval, poll)
-			}
-		}
-		poll()
-		return
+	switch {
+	case c.phase == phaseClosed:
+	case c.output.len() == 0 && c.output.inTransit() == 0:
+		c.executeConsole(query, text)
+	case c.output.stalled():
+		c.closeDroppingAnswers(errStalled)
+	default:
+		c.server.deadlines.Set(&c.consoleTimer, c.server.clock.Now()+consolePollInterval, func() { c.answerConsole(query, text) })
 	}
-	c.executeConsole(query, text)
 }
 
 func (c *client) executeConsole(query *pendingQuery, text string) {
@@ -103,16 +89,3 @@
 	}
 	query.complete(pg.AppendResultSet(nil, table.Columns, table.Rows, "SHOW", maxTableBytes))
 }
-
-// unsentBytes returns how many bytes the kernel holds that the client's machine has not acknowledged yet.
-func (c *client) unsentBytes() int {
-	conn, ok := c.conn.(netpoll.Conn)
-	if !ok {
-		return 0
-	}
-	n, err := unix.IoctlGetInt(conn.Fd(), syscall.TIOCOUTQ)
-	if err != nil {
-		return 0
-	}
-	return n
-}
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -69,7 +69,7 @@
 	}
 	db.reply.Reset()
 	db.awaitingAnswer, db.probing = true, false
-	return db.writeBuffered(cmd.AppendTo(db.output[:0], wait))
+	return db.writeBuffered(cmd.AppendTo(db.scratch[:0], wait))
 }
 
 // Probe implements state.Conn.
--- a/internal/net/discovery.go
+++ b/internal/net/discovery.go
@@ -38,7 +38,8 @@
 	conn            netpoll.Connection
 	input           buffer
 	parser          discovery.Parser
-	output          []byte
+	output          *writeQueue
+	request         []byte // the last request, whose memory is reused
 	calling         bool
 	parsing         bool // a long list is being parsed outside the loop
 	parseCount      int  // number of parses started; the result of an earlier one is ignored
@@ -96,7 +97,7 @@
 	if d.firstCall {
 		wait, timeout = d.schedule.FirstCallTimeouts()
 	}
-	d.output = discovery.AppendRequest(d.output[:0], d.address, d.generation, wait)
+	d.request = discovery.AppendRequest(d.request[:0], d.address, d.generation, wait)
 	d.deadlines.Set(&d.timer, d.clock.Now()+timeout, func() { d.fail(errors.New("no answer within the timeout")) })
 	if d.conn != nil {
 		d.send()
@@ -119,12 +120,17 @@
 		return
 	}
 	d.conn = conn
+	d.output = newWriteQueue(d.loop, conn, nil, func(err error) {
+		if turn == d.connectionCount {
+			d.fail(err)
+		}
+	})
 	attachCallbacks(d.loop, conn, func() { d.handleInput(turn) }, func() { d.connectionLost(turn) })
 	d.send()
 }
 
 func (d *Discovery) send() {
-	if _, err := d.conn.Write(d.output); err != nil {
+	if err := d.output.write(d.request); err != nil {
 		turn := d.connectionCount
 		d.loop.Post(func() { // not directly: the engine may be in the middle of its own call
 			if turn == d.connectionCount {
@@ -268,6 +274,7 @@
 	if d.conn != nil {
 		conn := d.conn
 		d.conn = nil
+		d.output.close()
 		conn.Close()
 	}
 }
--- a/internal/net/health.go
+++ b/internal/net/health.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return
 	}
-	if _, err := t.conn.Write(frame); err != nil {
+	if err := t.output.write(frame); err != nil {
 		t.drop()
 	}
 }
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -59,10 +59,11 @@
 	protocol       databaseProtocol
 	conn           netpoll.Connection // nil until it is connected
 	input          buffer
-	output         []byte
-	dialDone       bool // the dial has succeeded or failed
-	awaitingAnswer bool // to the first message or to the last command
-	probing        bool // the last command was a query for the load report
+	output         *writeQueue // nil until it is connected
+	scratch        []byte      // where commands are built
+	dialDone       bool        // the dial has succeeded or failed
+	awaitingAnswer bool        // to the first message or to the last command
+	probing        bool        // the last command was a query for the load report
 	closed         bool
 	answerStarted  bool // a part of an answer has arrived, and answerTimer is set
 	answerTimer    state.Deadline
@@ -81,8 +82,7 @@
 			err = dialError(address, err)
 		}
 		if err == nil {
-			conn.SetWriteTimeout(writeTimeout)
-			// Room for the largest query: a database that does not read must not block the loop.
+			// Room for the largest query.
 			if c, ok := conn.(netpoll.Conn); ok {
 				syscall.SetsockoptInt(c.Fd(), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
 				// This also bounds how much of a long value is read ahead, apart from what netpoll reads meanwhile.
@@ -146,6 +146,7 @@
 		return
 	}
 	l.conn = conn
+	l.output = newWriteQueue(l.databases.Loop, conn, nil, l.connectionLost)
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		if l.protocol.detaching() {
 			l.protocol.detached()
@@ -159,21 +160,21 @@
 	}
 }
 
-// write sends bytes. After an error the last byte was not written; the connection is ending.
+// write sends bytes, or keeps them until the socket takes them. After an error the last byte was not written; the
+// connection is ending.
 func (l *databaseLink) write(b []byte) error {
 	if l.closed || l.conn == nil {
 		return stdnet.ErrClosed
 	}
-	_, err := l.conn.Write(b)
-	return err
+	return l.output.write(b)
 }
 
 // writeBuffered writes b, which is built in the link's own buffer, and keeps the buffer for reuse unless it has
 // become large.
 func (l *databaseLink) writeBuffered(b []byte) error {
 	err := l.write(b)
-	if l.output = b; cap(b) > maxIdleBuffer {
-		l.output = nil
+	if l.scratch = b; cap(b) > maxIdleBuffer {
+		l.scratch = nil
 	}
 	return err
 }
@@ -184,8 +185,13 @@
 	l.databases.Loop.Post(func() { l.listener.Reply(state.Reply{Result: logic.Failed, BadRequest: true}) })
 }
 
+// CommandWritten reports whether the socket has taken the last command whole. Before that nothing of it can have run.
+func (l *databaseLink) CommandWritten() bool { return l.output.len() == 0 }
+
 // Reusable implements state.Conn.
-func (l *databaseLink) Reusable() bool { return !l.awaitingAnswer && l.hasNoInput() }
+func (l *databaseLink) Reusable() bool {
+	return !l.awaitingAnswer && l.output.len() == 0 && l.hasNoInput()
+}
 
 // hasNoInput reports that no bytes have arrived that belong to no command. Answers carry no identifier: any leftover
 // bytes, even those still in the kernel, would be taken for the answer to the next command.
@@ -209,6 +215,7 @@
 	l.closed = true
 	l.stopAnswerTimer()
 	if l.conn != nil {
+		l.output.close()
 		l.conn.Close()
 	} else if !l.dialDone {
 		l.databases.abandonedDials++
@@ -220,7 +227,7 @@
 	if l.closed || l.protocol.detaching() {
 		return
 	}
-	if reply, known := l.protocol.replyAtEnd(err); known {
+	if reply, known := l.replyAtEnd(err); known {
 		l.listener.Reply(reply)
 	}
 	if l.closed {
@@ -238,6 +245,15 @@
 	}
 }
 
+// replyAtEnd returns the reply to the current command, if it is known, when the connection has ended. A command whose
+// last byte was not written has not run.
+func (l *databaseLink) replyAtEnd(err error) (state.Reply, bool) {
+	if l.output != nil && !l.CommandWritten() && l.awaitingAnswer && !l.probing && l.protocol.ready() {
+		return state.Reply{Result: logic.ConnectFailed}, true
+	}
+	return l.protocol.replyAtEnd(err)
+}
+
 func (l *databaseLink) handleInput() {
 	if err := l.input.fill(l.conn.Reader()); err != nil {
 		l.connectionLost(err)
@@ -286,7 +302,7 @@
 // protocolError ends a connection whose input can no longer be split into valid answers.
 func (l *databaseLink) protocolError(err error) {
 	l.databases.logProtocolError(l.address, err)
-	reply, known := l.protocol.replyAtEnd(err)
+	reply, known := l.replyAtEnd(err)
 	l.Close()
 	// netpoll closes the connection when this callback has returned; no further attempt may be sent before that
 	l.databases.Loop.Post(func() {
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -26,15 +26,17 @@
 	barrier     *pollerBarrier // nil until the poller is first waited for
 	pollerWaits uint64         // number of completed waits for the poller
 
-	stats      callbackStats
-	watchdog   *watchdog
-	receivedAt time.Duration
+	stats       callbackStats
+	watchdog    *watchdog
+	writePoller *writePoller
+	receivedAt  time.Duration
 }
 
 // NewLoop returns a loop that is not running yet, and makes netpoll post its callbacks to it. netpoll has one runner in a process, so
 // the newest loop receives the callbacks.
 func NewLoop(clock state.Clock, deadlines *state.Deadlines) *Loop {
 	l := &Loop{clock: clock, deadlines: deadlines, wake: make(chan struct{}, 1), watchdog: newWatchdog()}
+	l.writePoller = &writePoller{loop: l}
 	useRunner(func(_ context.Context, callback func()) { l.receive(callback) })
 	return l
 }
@@ -88,6 +90,7 @@
 func (l *Loop) Run() {
 	go l.watchdog.watch(watchdogInterval, logStuckCallback)
 	defer close(l.watchdog.stop)
+	defer l.writePoller.close()
 	timer := time.NewTimer(time.Hour)
 	var work []func()
 	for !l.stopped {
--- a/internal/net/mysql_client.go
+++ b/internal/net/mysql_client.go
@@ -112,7 +112,7 @@
 	c.noteQuery()
 	switch body[0] {
 	case mysql.ComQuit:
-		c.closeNow()
+		c.terminate()
 	case mysql.ComPing, mysql.ComInitDB:
 		m.sendOK(c)
 	case mysql.ComSetOption:
--- a/internal/net/mysql_database.go
+++ b/internal/net/mysql_database.go
@@ -126,12 +126,17 @@
 		db.rejectCommand()
 		return nil
 	}
-	return db.writeBuffered(cmd.AppendTo(db.output[:0], wait))
+	return db.writeBuffered(cmd.AppendTo(db.scratch[:0], wait))
 }
 
 // Preparing reports that the current request has not been written yet, although a PREPARE for it has.
 func (db *mysqlDatabase) Preparing() bool { return db.execution != nil && !db.execution.Sent }
 
+// CommandWritten reports whether the socket has taken the current request whole.
+func (db *mysqlDatabase) CommandWritten() bool {
+	return !db.Preparing() && db.databaseLink.CommandWritten()
+}
+
 // writeNextStep writes the next command of the current execution.
 func (db *mysqlDatabase) writeNextStep() error {
 	switch step, statement := db.execution.Next(db.cache); step {
@@ -139,7 +144,7 @@
 		db.preparingText = db.execution.Text
 		db.expectAnswer(true)
 		db.databases.Counters.Prepares++
-		return db.writeBuffered(mysql.AppendCommand(db.output[:0], mysql.ComStmtPrepare, db.execution.Text))
+		return db.writeBuffered(mysql.AppendCommand(db.scratch[:0], mysql.ComStmtPrepare, db.execution.Text))
 	case prepared.Execute:
 		db.preparingText = ""
 		db.expectAnswer(false)
@@ -147,7 +152,7 @@
 			db.reply.Due()
 		}
 		db.databases.Counters.Executes++
-		output := db.output[:0]
+		output := db.scratch[:0]
 		for param, data := range db.executeCommand.longData {
 			output = mysql.AppendLongData(output, statement.ID, param, data)
 		}
@@ -175,7 +180,7 @@
 func (db *mysqlDatabase) Probe() error {
 	db.awaitingAnswer, db.probing, db.execution, db.preparingText = true, true, nil, ""
 	db.expectAnswer(false)
-	return db.writeBuffered(mysql.AppendCommand(db.output[:0], mysql.ComQuery, loadQueryMySQL))
+	return db.writeBuffered(mysql.AppendCommand(db.scratch[:0], mysql.ComQuery, loadQueryMySQL))
 }
 
 // ready implements databaseProtocol.
--- a/internal/net/planner_link.go
+++ b/internal/net/planner_link.go
@@ -33,7 +33,8 @@
 
 	conn                 netpoll.Connection
 	input                buffer
-	output               []byte
+	output               *writeQueue // of conn
+	frames               []byte      // where frames are built
 	invalidFrameLoggedAt time.Duration
 	joinDelayReason      string // why the proxy cannot join, as last logged
 	renewTimer           state.Deadline
@@ -107,6 +108,11 @@
 			return
 		}
 		t.conn, t.input.bytes, t.health.connected = conn, nil, false
+		t.output = newWriteQueue(t.loop, conn, nil, func(error) {
+			if conn == t.conn {
+				t.drop()
+			}
+		})
 		t.selector.Connected(t.clock.Now())
 		attachCallbacks(t.loop, conn, func() { t.handleInput(conn) }, func() { t.connectionClosed(conn) })
 		t.proxy.Connected()
@@ -122,6 +128,7 @@
 
 func (t *PlannerLink) connectionClosed(conn netpoll.Connection) {
 	if conn != nil && conn == t.conn {
+		t.output.close()
 		t.conn = nil
 		t.deadlines.Clear(&t.renewTimer)
 		t.tryNextPlanner()
@@ -212,17 +219,17 @@
 
 // flush sends the pending messages; without a link they are dropped, and generated again for the next one.
 func (t *PlannerLink) flush() {
-	t.output = t.output[:0]
+	t.frames = t.frames[:0]
 	for _, m := range t.proxy.TakeMessages() {
-		frame, err := tier.Append(t.output, &tier.Frame{Rollout: &m})
+		frames, err := tier.Append(t.frames, &tier.Frame{Rollout: &m})
 		if err == nil {
-			t.output = frame
+			t.frames = frames
 		}
 	}
-	if t.conn == nil || len(t.output) == 0 {
+	if t.conn == nil || len(t.frames) == 0 {
 		return
 	}
-	if _, err := t.conn.Write(t.output); err != nil {
+	if err := t.output.write(t.frames); err != nil {
 		t.drop()
 	}
 }
--- a/internal/net/poller_barrier.go
+++ b/internal/net/poller_barrier.go
@@ -145,8 +145,9 @@
 		syscall.Close(fd)
 		return err
 	}
-	conn.SetWriteTimeout(writeTimeout)
 	c.conn = conn
+	c.output.close()
+	c.openOutput()
 	open := &c.server.open
 	open.Add(1)
 	conn.AddCloseCallback(func(netpoll.Connection) error { open.Add(-1); return nil })
@@ -163,7 +164,8 @@
 const maxLinger = 200 * time.Millisecond
 
 // closeGracefully closes a connection in two steps (RFC 9112, section 9.6): it shuts down the write side, then reads
-// and discards what the client still sends until the client has closed too, or maxLinger is over. Closing a
+// and discards what the client still sends until the client has closed too, or maxLinger is over and the client is no
+// longer reading. Closing a
 // connection with unread input resets it, and a reset discards the part of the last answer that is still on its way.
 // The poller has released the connection, and no query that was read is unanswered; see finishClose. A client whose
 // query crossed the close sees the end of its connection without an answer, and resends the query.
@@ -185,16 +187,37 @@
 	}
 	s.open.Add(1)
 	s.lingering++
-	var timer state.Deadline
-	attachCallbacks(s.loop, conn, func() {
-		r := conn.Reader()
-		s.engine.Counters.DiscardedBytes += uint64(r.Len())
-		r.Skip(r.Len())
-		r.Release()
-	}, func() {
-		s.lingering--
-		s.open.Add(-1)
-		s.deadlines.Clear(&timer)
-	})
-	s.deadlines.Set(&timer, s.clock.Now()+s.maxLinger, func() { conn.Close() })
+	l := &lingeringConn{server: s, conn: conn, output: newWriteQueue(s.loop, conn, nil, nil)}
+	attachCallbacks(s.loop, conn, l.discardInput, l.closed)
+	s.deadlines.Set(&l.timer, s.clock.Now()+s.maxLinger, l.expire)
+}
+
+// lingeringConn is a client's connection that has been shut down and waits for the client to close it.
+type lingeringConn struct {
+	server *Server
+	conn   netpoll.Connection
+	output *writeQueue // shows what the client has not taken yet; nothing is written
+	timer  state.Deadline
+}
+
+func (l *lingeringConn) discardInput() {
+	r := l.conn.Reader()
+	l.server.engine.Counters.DiscardedBytes += uint64(r.Len())
+	r.Skip(r.Len())
+	r.Release()
+}
+
+// expire closes the connection, unless the client is still reading its last answers.
+func (l *lingeringConn) expire() {
+	if l.output.delivering() {
+		l.server.deadlines.Set(&l.timer, l.server.clock.Now()+l.server.maxLinger, l.expire)
+		return
+	}
+	l.conn.Close()
+}
+
+func (l *lingeringConn) closed() {
+	l.server.lingering--
+	l.server.open.Add(-1)
+	l.server.deadlines.Clear(&l.timer)
 }
--- a/internal/net/postgres_client.go
+++ b/internal/net/postgres_client.go
@@ -33,7 +33,7 @@
 	}
 	switch m.Type {
 	case pg.TypeTerminate:
-		c.closeNow()
+		c.terminate()
 		return n, nil
 	case pg.TypeQuery:
 		text, err := pg.QueryText(m)
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -17,9 +17,8 @@
 )
 
 const (
-	writeTimeout      = 20 * time.Millisecond // a client whose socket buffer stays full for this long does not read
-	keepAliveInterval = time.Minute           // after which the kernel probes a silent connection
-	sendBuffer        = 256 << 10             // of the kernel; room for several of the largest answers
+	keepAliveInterval = time.Minute // after which the kernel probes a silent connection
+	sendBuffer        = 256 << 10   // of the kernel; room for several of the largest answers
 	// Likewise for input. netpoll reads all of it at a time, ahead of the loop: a client that sends at full speed
 	// must not make the proxy hold megabytes.
 	receiveBuffer = 128 << 10
@@ -50,6 +49,8 @@
 	silent             list.List // clients that have sent no complete query yet, the oldest first
 	idle               list.List // clients to which no answer is due, the longest idle first
 	buffered           int       // bytes of incomplete queries in clients' buffers
+	unsent             int       // bytes of answers that clients' sockets have not taken yet
+	maxUnsent          int       // above this, a client is given one answer at a time
 	maxBuffered        int       // above this, clients that hold more than a little are rejected and may retry
 	maxClients         int
 	idleCloseThreshold int // above this number of clients, idle ones are closed early
@@ -68,11 +69,12 @@
 	tier               *PlannerLink
 }
 
-// NewServer returns a server for at most maxClients clients, whose incomplete queries may hold maxBuffered bytes;
-// maxExcess further clients are rejected with an answer.
+// NewServer returns a server for at most maxClients clients. Their incomplete queries may hold maxBuffered bytes, and
+// above as many bytes of answers that they have not read, each gets one answer at a time. maxExcess further clients are rejected with an answer.
 func NewServer(loop *Loop, clock state.Clock, engine *state.Engine, maxClients, maxExcess, maxBuffered int) *Server {
 	return &Server{loop: loop, clock: clock, deadlines: &engine.Deadlines, engine: engine,
-		maxLinger: maxLinger, clients: map[*client]struct{}{}, maxClients: maxClients, idleCloseThreshold: maxClients / idleCloseFraction, maxExcess: maxExcess, maxBuffered: maxBuffered}
+		maxLinger: maxLinger, clients: map[*client]struct{}{}, maxClients: maxClients, idleCloseThreshold: maxClients / idleCloseFraction, maxExcess: maxExcess,
+		maxBuffered: maxBuffered, maxUnsent: maxBuffered}
 }
 
 // Listen opens the address for PostgreSQL clients and starts to accept.
@@ -181,6 +183,7 @@
 // accept creates the client of a new connection; it runs on the loop, before any input of the client is handled.
 func (s *Server) accept(ctx context.Context, conn netpoll.Connection, protocol clientProtocol) context.Context {
 	c := &client{server: s, conn: conn, protocol: protocol, remoteAddress: conn.RemoteAddr().String()}
+	c.openOutput()
 	s.engine.Counters.Clients++
 	s.makeRoom()
 	if c.overLimit = s.atLimit(); c.overLimit {
@@ -206,14 +209,18 @@
 // recordDroppedAnswers counts and logs the answers that c is owed and will not get, because the proxy closes its
 // connection.
 func (s *Server) recordDroppedAnswers(c *client, cause error) {
-	s.engine.Counters.AnswersDropped += uint64(len(c.pending))
+	answers := len(c.pending)
+	if c.output.len() > 0 {
+		answers++ // at least
+	}
+	s.engine.Counters.AnswersDropped += uint64(answers)
 	now := s.clock.Now()
 	if s.droppedLoggedAt > 0 && now-s.droppedLoggedAt < droppedLogInterval {
 		return
 	}
 	s.droppedLoggedAt = now
-	slog.Warn("client connection closed with answers due", "client", c.remoteAddress, "answers", len(c.pending),
-		"unacknowledged_bytes", c.unsentBytes(), "cause", cause)
+	slog.Warn("client connection closed with answers due", "client", c.remoteAddress, "answers", answers,
+		"unsent_bytes", c.output.len(), "unacknowledged_bytes", c.output.inTransit(), "cause", cause)
 }
 
 func (s *Server) atLimit() bool { return len(s.clients)-s.excess >= s.maxClients }
@@ -257,9 +264,10 @@
 	}
 }
 
-// evict closes a client to make room, unless input of it has arrived that the loop has not handled.
+// evict closes a client to make room, unless input of it has arrived that the loop has not handled, or it is still
+// reading an answer.
 func (s *Server) evict(c *client, now time.Duration) {
-	if c.conn.Reader().Len() > 0 {
+	if c.conn.Reader().Len() > 0 || c.output.delivering() {
 		c.since = now
 		c.list.MoveToBack(c.element)
 		return
--- a/internal/net/stream.go
+++ b/internal/net/stream.go
@@ -1,7 +1,6 @@
 package net
 
 import (
-	"log/slog"
 	"syscall"
 	"time"
 
@@ -14,22 +13,20 @@
 
 const (
 	maxStreamBuffer      = 64 << 10             // bytes of a long value that are held; the rest waits in the kernel and at the database
-	streamPollInterval   = 3 * time.Millisecond // how often a stream that cannot progress is polled
+	streamPollInterval   = 3 * time.Millisecond // how often a stream's database is polled
 	maxPiecesPerCallback = 8                    // pieces transferred in one callback, so that others get their turn
-	streamStallTimeout   = 10 * time.Second     // a stream without progress for this long is given up
 )
 
 // valueStream passes on a value that is too long to be held, in pieces. netpoll reads ahead without a limit, so the
 // connection to the database is taken away from it: the descriptor is duplicated, netpoll closes its own, and its
-// unread input is handed over. The client's descriptor is duplicated too, because netpoll may close it at any time.
-// Neither side ever blocks; a stream that cannot progress is polled.
+// unread input is handed over. Neither side ever blocks: a database that has nothing to read is polled; while the
+// client does not take what is written to it, nothing is read from the database.
 type valueStream struct {
 	database          *database
 	client            *client
 	query             *pendingQuery
 	databaseFD        int    // duplicate of the database's descriptor
-	clientFD          int    // duplicate of the client's descriptor; -1 = none yet
-	output            []byte // bytes to be written to the client
+	output            []byte // bytes for the client, until its answer is the next one due
 	remainingRowBytes int    // bytes of the row that have not arrived yet
 	readAheadBytes    int    // bytes that netpoll had read before it was stopped
 	unparsed          []byte // bytes after the row that are not a complete message yet
@@ -52,7 +49,7 @@
 		return err
 	}
 	syscall.CloseOnExec(fd)
-	db.stream = &valueStream{database: db, databaseFD: fd, clientFD: -1, remainingRowBytes: row, output: append([]byte(nil), db.reply.Body...)}
+	db.stream = &valueStream{database: db, databaseFD: fd, remainingRowBytes: row, output: append([]byte(nil), db.reply.Body...)}
 	db.stopAnswerTimer()
 	db.conn.Close() // its callbacks run when handleInput has returned
 	return nil
@@ -134,29 +131,23 @@
 // Stream implements state.StreamingCaller.
 func (q *pendingQuery) Stream(from state.ValueStream) {
 	stream := from.(*valueStream)
-	c, ok := q.client.conn.(netpoll.Conn)
-	if stream.finished || !ok || q.client.phase == phaseClosed {
+	if stream.finished || q.client.phase == phaseClosed {
 		stream.finish(false)
 		q.client.closeNow()
 		return
 	}
-	fd, err := syscall.Dup(c.Fd())
-	if err != nil {
-		slog.Warn("streaming a long value failed", "error", err)
-		stream.finish(false)
-		q.client.closeNow()
-		return
-	}
-	syscall.CloseOnExec(fd)
-	stream.client, stream.query, stream.clientFD, q.stream = q.client, q, fd, stream
+	stream.client, stream.query, q.stream = q.client, q, stream
 	stream.transfer()
 }
 
-// transfer moves as many bytes as possible now.
+// transfer moves as many bytes as possible now. The client's output calls it again when it has made progress.
 func (stream *valueStream) transfer() {
+	if stream.finished {
+		return
+	}
 	now := stream.database.databases.Loop.clock.Now()
 	for range maxPiecesPerCallback {
-		written, clientOK := stream.writeToClient()
+		stream.writeToClient()
 		read, databaseOK := stream.readFromDatabase()
 		switch {
 		case stream.finished:
@@ -164,38 +155,52 @@
 		case stream.answerComplete && len(stream.output) == 0:
 			stream.finish(true)
 			return
-		case !clientOK || !databaseOK:
+		case !databaseOK:
 			stream.finish(false)
 			return
 		}
-		if !written && !read {
+		if !read {
 			break
 		}
 		stream.lastProgress = now
 	}
-	if now-stream.lastProgress > streamStallTimeout {
+	if stream.waitsForClient() { // its output watches its progress
+		stream.lastProgress = now
+		if stream.isDue() && stream.client.output.len() > 0 {
+			return
+		}
+	}
+	if now-stream.lastProgress > stallTimeout {
 		stream.finish(false)
 		return
 	}
 	stream.database.databases.Loop.deadlines.Set(&stream.timer, now+streamPollInterval, stream.transfer)
 }
 
-// writeToClient writes to the client, if this answer is the next one due. ok = false: the client is gone.
-func (stream *valueStream) writeToClient() (progressed, ok bool) {
-	if len(stream.output) == 0 || stream.client.pending[0] != stream.query {
-		return false, true
-	}
-	n, err := syscall.Write(stream.clientFD, stream.output)
-	if n > 0 {
-		stream.output = stream.output[:copy(stream.output, stream.output[n:])]
+// isDue reports whether the stream's answer is the next one that the client gets.
+func (stream *valueStream) isDue() bool {
+	return len(stream.client.pending) > 0 && stream.client.pending[0] == stream.query
+}
+
+// waitsForClient reports whether nothing can be read from the database before the client has taken bytes.
+func (stream *valueStream) waitsForClient() bool {
+	return len(stream.output)+stream.client.output.len() >= maxStreamBuffer
+}
+
+// writeToClient writes to the client, if this answer is the next one due.
+func (stream *valueStream) writeToClient() {
+	if len(stream.output) == 0 || !stream.isDue() {
+		return
 	}
-	return n > 0, err == nil || err == syscall.EAGAIN || err == syscall.EINTR
+	output := stream.output
+	stream.output = output[:0]
+	stream.client.write(output)
 }
 
 // readFromDatabase reads from the database as long as there is room. ok = false: the database's connection has ended
 // early.
 func (stream *valueStream) readFromDatabase() (progressed, ok bool) {
-	if stream.answerComplete || stream.finished || len(stream.output) >= maxStreamBuffer {
+	if stream.answerComplete || stream.finished || stream.waitsForClient() {
 		return false, true
 	}
 	buf := stream.database.databases.readBuffer[:]
@@ -207,8 +212,8 @@
 	return false, err == syscall.EAGAIN || err == syscall.EINTR
 }
 
-// finish ends the stream, once. The connection of a client that has not received the complete value is closed, so
-// that the client notices.
+// finish ends the stream, once. The connection of a client that does not get the complete value is closed behind what
+// it gets, so that it notices.
 func (stream *valueStream) finish(complete bool) {
 	if stream.finished {
 		return
@@ -216,9 +221,6 @@
 	stream.finished = true
 	stream.database.databases.Loop.deadlines.Clear(&stream.timer)
 	syscall.Close(stream.databaseFD)
-	if stream.clientFD >= 0 {
-		syscall.Close(stream.clientFD)
-	}
 	if stream.onEnd != nil {
 		stream.onEnd()
 	}
@@ -227,7 +229,7 @@
 	}
 	stream.query.stream = nil
 	if !complete {
-		stream.client.closeNow()
+		stream.client.closeAfterOutput()
 		return
 	}
 	stream.query.complete(nil)
--- a/internal/net/takeover.go
+++ b/internal/net/takeover.go
@@ -182,6 +182,7 @@
 	l.removed = true
 	t.deadlines.Clear(&l.redialTimer)
 	if l.conn != nil {
+		l.output.close()
 		l.conn.Close()
 	}
 	t.Counters.Dropped += uint64(len(l.queue))
@@ -194,6 +195,7 @@
 	to           takeover.Member
 	address      string
 	conn         netpoll.Connection
+	output       *writeQueue // of conn
 	queue        []takeover.Message
 	queuedBytes  int // approximate bytes in queue
 	dialAttempts int
@@ -215,8 +217,10 @@
 			return
 		}
 		l.conn, l.connectedAt = conn, l.transport.clock.Now()
+		l.output = newWriteQueue(l.transport.loop, conn, l.flush, func(error) { conn.Close() })
 		attachCallbacks(l.transport.loop, conn, func() { conn.Reader().Skip(conn.Reader().Len()) }, func() {
 			if l.conn == conn && !l.removed {
+				l.output.close()
 				l.conn = nil
 				l.scheduleRedial()
 			}
@@ -234,7 +238,7 @@
 
 // redialDelay returns the time until the next dial.
 func (l *takeoverLink) redialDelay(now time.Duration) time.Duration {
-	if l.connectedAt > 0 && now-l.connectedAt >= takeoverMaxRedialDelay { // a peer that hangs accepts dials but reads nothing: each such link blocks the loop for a write timeout
+	if l.connectedAt > 0 && now-l.connectedAt >= takeoverMaxRedialDelay {
 		l.dialAttempts = 0
 	}
 	l.connectedAt = 0
@@ -245,9 +249,10 @@
 	return time.Duration((0.5 + part) * float64(pause))
 }
 
-// flush writes the queued messages, several to a frame.
+// flush writes the queued messages, several to a frame, once the peer has taken the ones before: what waits for it is
+// bounded by maxQueuedTakeoverBytes.
 func (l *takeoverLink) flush() {
-	if l.conn == nil || len(l.queue) == 0 {
+	if l.conn == nil || len(l.queue) == 0 || l.output.len() > 0 {
 		return
 	}
 	var frames []byte
@@ -272,7 +277,7 @@
 	}
 	clear(l.queue)
 	l.queue, l.queuedBytes = l.queue[:0], 0
-	if _, err := l.conn.Write(frames); err != nil {
+	if err := l.output.write(frames); err != nil {
 		l.conn.Close()
 	}
 }
--- a/internal/state/connections.go
+++ b/internal/state/connections.go
@@ -23,8 +23,8 @@
 
 // Conn is a connection to a database. Close may be called at any time, also before Listener.Up.
 type Conn interface {
-	// Send writes a command; the duration is the time that the database has to answer. An error means that the last byte
-	// was not written.
+	// Send writes a command, or keeps what the socket does not take at once and writes it later; the duration is the time
+	// that the database has to answer. An error means that the last byte was not and will not be written.
 	Send(Command, time.Duration) error
 	// Probe requests the load report.
 	Probe() error
--- a/internal/state/engine.go
+++ b/internal/state/engine.go
@@ -315,18 +315,18 @@
 // expire ends an attempt that has timed out. If its request was not written, no connection was available in time, so
 // the result is ConnectFailed.
 func (e *Engine) expire(a *attempt) {
-	if a.written && !a.preparing() {
+	if a.written && a.commandWritten() {
 		e.abort(a, Reply{Result: logic.TimedOut})
 	} else {
 		e.abort(a, Reply{Result: logic.ConnectFailed})
 	}
 }
 
-// preparing reports whether the attempt's connection has so far only written preparatory commands, not the request
-// itself.
-func (a *attempt) preparing() bool {
-	p, ok := a.conn.conn.(interface{ Preparing() bool })
-	return ok && p.Preparing()
+// commandWritten reports whether the attempt's connection has written the whole request, not only a part of it or
+// preparatory commands.
+func (a *attempt) commandWritten() bool {
+	c, ok := a.conn.conn.(interface{ CommandWritten() bool })
+	return !ok || c.CommandWritten()
 }
 
 // abort ends an attempt without an answer. It closes the connection, as a late answer on it would be taken for the
