Handle what has been read before a client's query times out

What callers saw: a client whose first query, or the rest of a later one, had been read in time got a protocol error (08P01) in place of its answer when the loop was held up over the timeout of 2.2 s.

Cause: a deadline that is 20 ms late is run between two callbacks, ahead of input that was read before; queryTimedOut closed the client without a look at it.

Change: the close is decided behind everything that the poller has read by then, once for all clients that time out together, and only if the query is still incomplete.

Test, before the change (the loop held, the rest of both queries read, then the clock moved on): --- FAIL: TestQueryReadInTimeIsNotTimedOut (0.02s) eviction_test.go:80: the silent client got "E!" for its first query eviction_test.go:83: the client with half a query got "E!" After it: 10 of 10, with the tests of timeouts and of MySQL beside it.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -179,7 +179,16 @@
 // owesAnswer reports whether an answer is due that the socket has not taken whole.
 func (c *client) owesAnswer() bool { return len(c.pending) > 0 || c.output.len() > 0 }
 
-func (c *client) queryTimedOut() { c.closeMalformed(errQueryTimeout) }
+// queryTimedOut is called when a query should be complete.
+func (c *client) queryTimedOut() { c.server.confirmTimeout(c) }
+
+// closeIncomplete closes the connection if its query is still incomplete. A timer that is set is a later query's.
+func (c *client) closeIncomplete() {
+	incomplete := !c.hasQueried || c.partialQuery
+	if incomplete && c.phase < phaseClosing && !c.timer.IsSet() {
+		c.closeMalformed(errQueryTimeout)
+	}
+}
 
 func (c *client) closeMalformed(err error) {
 	c.server.engine.Counters.Malformed++
--- a/internal/net/eviction_test.go
+++ b/internal/net/eviction_test.go
@@ -50,3 +50,36 @@
 		t.Errorf("the new client got %q", types)
 	}
 }
+
+// Guards against a protocol error instead of an answer after a hold-up: a client's query has been read in time, and
+// the timer of its first query is run before the query is handled. Both the first query and the rest of a later one.
+func TestQueryReadInTimeIsNotTimedOut(t *testing.T) {
+	s, _, loop := startProxy(t, databaseStub(t, echoQuery), 8, 1)
+	silent, partial := dial(t, s), dial(t, s)
+	start, message := pg.AppendStartup(nil, "client", "core"), pg.AppendQuery(nil, query("1a"))
+	silent.conn.Write(start)
+	silent.readTypes(len(welcome))
+	partial.conn.Write(append(pg.AppendQuery(start, ""), message[:9]...))
+	partial.readTypes(len(welcome) + 2)
+	waitUntil(loop, func() bool { // the timer for the rest of the query runs
+		for c := range s.clients {
+			if c.partialQuery {
+				return true
+			}
+		}
+		return false
+	})
+	release := holdLoop(loop)
+	silent.conn.Write(pg.AppendQuery(nil, ""))
+	partial.conn.Write(message[9:])
+	for queuedCallbacks(loop) < 2 {
+	}
+	advance(s, queryTimeout+maxDeadlineDelay)
+	release()
+	if types, _ := silent.readTypes(2); types != "IZ" {
+		t.Errorf("the silent client got %q for its first query", types)
+	}
+	if types, _ := partial.readTypes(2); types != "DC" {
+		t.Errorf("the client with half a query got %q", types)
+	}
+}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -59,6 +59,7 @@
 	idleCloseTimer     state.Deadline
 	overLimitLoggedAt  time.Duration // when it was last logged that there are too many clients
 	droppedLoggedAt    time.Duration // when it was last logged that answers were dropped
+	timedOut           []*client     // clients whose queries were incomplete at their timeouts
 	lingering          int           // connections that are shut down and wait for their clients to close
 	maxLinger          time.Duration // for each of them
 	draining           bool
@@ -282,6 +283,23 @@
 	s.engine.Counters.ClientsEvicted++
 }
 
+// confirmTimeout closes a client whose query is incomplete at its timeout, unless its rest has arrived and only the
+// loop is late: what the poller has read by now is handled first. Clients that time out together share the wait.
+func (s *Server) confirmTimeout(c *client) {
+	if s.timedOut = append(s.timedOut, c); len(s.timedOut) > 1 {
+		return
+	}
+	s.loop.Post(func() {
+		clients := s.timedOut
+		s.timedOut = nil
+		s.loop.PostAfterPoller(func() {
+			for _, c := range clients {
+				c.closeIncomplete()
+			}
+		})
+	})
+}
+
 const (
 	drainStartDelay = 500 * time.Millisecond // clients still connect for 0.2 s after the first negative health check answer
 	drainMinIdle    = 300 * time.Millisecond // a client that has sent nothing for this long is unlikely to do so now
--- a/internal/state/deadlines.go
+++ b/internal/state/deadlines.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// IsSet reports whether d is queued.
+func (d *Deadline) IsSet() bool { return d.position > 0 }
+
 // Next returns the time of the earliest entry; false if there is none.
 func (q *Deadlines) Next() (time.Duration, bool) {
 	if len(q.heap) == 0 {
