Count a waiting query's time from when it was read, not from when it is submitted

Cause: queries that wait in the client's buffer are parsed in a posted function, in which Loop.ReceivedAt is 0, and the engine takes that for now.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -1,6 +1,7 @@
 package net
 
 import (
+	"cmp"
 	"container/list"
 	"errors"
 	stdnet "net"
@@ -76,9 +77,12 @@
 	output           *writeQueue // answers that the socket has not taken yet
 	remoteAddress    string
 	input            buffer
-	closing          bool // the proxy is closing the connection, because no answer was due
-	closeAtOnce      bool // the descriptor is needed: the connection is closed without lingering
-	bytesBeforeClose int  // bytes of an incomplete query when beginClose was called
+	arrivals         arrivals      // of the bytes in input
+	parsedBytes      int           // bytes of input that have been handled and not been discarded yet
+	messageAt        time.Duration // when the message that is being handled was complete
+	closing          bool          // the proxy is closing the connection, because no answer was due
+	closeAtOnce      bool          // the descriptor is needed: the connection is closed without lingering
+	bytesBeforeClose int           // bytes of an incomplete query when beginClose was called
 	phase            phase
 	overLimit        bool // beyond the client limit: it is rejected once it has sent its startup message
 	accountedBytes   int  // bytes of its buffer and statementBytes that are included in the server's sum
@@ -114,6 +118,7 @@
 		c.closeNow()
 		return
 	}
+	c.arrivals.add(len(c.input.bytes), cmp.Or(c.server.loop.ReceivedAt(), c.server.clock.Now()))
 	if c.closing {
 		return // finishClose checks for them
 	}
@@ -128,6 +133,7 @@
 func (c *client) parse() {
 	defer c.updateIdleList()
 	for used := 0; c.phase < phaseClosing; {
+		c.parsedBytes = used
 		n, err := c.parseNext(c.input.bytes[used:])
 		if used += n; err == nil && n == 0 && len(c.input.bytes)-used > maxBuffered {
 			err = errTooManyQueries
@@ -139,7 +145,7 @@
 		if n > 0 {
 			continue
 		}
-		c.input.discard(used)
+		c.discardInput(used)
 		c.updateQueryTimer(used > 0)
 		if c.updateBufferedBytes(); c.server.buffered <= c.server.maxBuffered || len(c.input.bytes) <= maxIdleBuffer {
 			return
@@ -147,7 +153,7 @@
 		c.server.engine.Counters.ClientsRejected++ // a partial query has not been accepted yet
 		c.closeWithError(reasonNoMemory, "no memory for a query of this size now")
 	}
-	c.input.discard(len(c.input.bytes)) // input after the end is ignored
+	c.discardInput(len(c.input.bytes)) // input after the end is ignored
 	c.updateBufferedBytes()
 }
 
@@ -227,6 +233,15 @@
 // parseNext handles the first message of buf and returns its length; 0 = nothing to do yet.
 func (c *client) parseNext(buf []byte) (int, error) { return c.protocol.parseNext(c, buf) }
 
+// noteMessage records when the message that is to be handled was complete; length is the number of its bytes.
+func (c *client) noteMessage(length int) { c.messageAt = c.arrivals.of(c.parsedBytes + length) }
+
+// discardInput drops the first n bytes of the input.
+func (c *client) discardInput(n int) {
+	c.input.discard(n)
+	c.arrivals.discard(n)
+}
+
 // noteQuery records that the client has sent a complete query, so that it no longer counts as silent.
 func (c *client) noteQuery() {
 	if !c.hasQueried {
@@ -238,7 +253,7 @@
 // submit hands a request to the engine and appends its query to the pending ones. After an error there will be no
 // answer.
 func (c *client) submit(query *pendingQuery, in state.Request) (err error) {
-	in.Caller, in.ReceivedAt = query, c.server.loop.ReceivedAt()
+	in.Caller, in.ReceivedAt = query, c.messageAt
 	c.pending = append(c.pending, query)
 	if query.id, err = c.server.engine.Submit(in); err != nil {
 		c.pending = c.pending[:len(c.pending)-1]
--- a/internal/net/mysql_client.go
+++ b/internal/net/mysql_client.go
@@ -97,6 +97,7 @@
 		return n, m.login(c, body)
 	}
 	m.sequence = seq + 1
+	c.noteMessage(n)
 	if seq != 0 {
 		return n, errOutOfOrder
 	}
--- a/internal/net/poller_barrier.go
+++ b/internal/net/poller_barrier.go
@@ -134,6 +134,7 @@
 		if err := c.input.fill(r); err != nil {
 			return err
 		}
+		c.arrivals.add(len(c.input.bytes), c.server.clock.Now())
 	}
 	fd, err := syscall.Dup(c.conn.(netpoll.Conn).Fd())
 	if err != nil {
--- a/internal/net/postgres_client.go
+++ b/internal/net/postgres_client.go
@@ -31,6 +31,7 @@
 	if n == 0 || err != nil {
 		return 0, err
 	}
+	c.noteMessage(n)
 	switch m.Type {
 	case pg.TypeTerminate:
 		c.terminate()
