--- a/internal/net/admin.go
+++ b/internal/net/admin.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"context"
-	"errors"
 	"log/slog"
 	stdnet "net"
 	"sync/atomic"
@@ -163,40 +162,3 @@
 	c.element = nil
 	c.admin.deadlines.Clear(&c.timer)
 }
-
-// inputHandler handles the input of an accepted connection.
-type inputHandler interface{ handleInput() }
-
-// serveListener makes netpoll accept connections on ln and passes each to accept, on the loop. inherited, if it is
-// not nil, is a socket that other processes share: this process may stop accepting on it but must not shut it down.
-func serveListener(ln stdnet.Listener, maxOpen int64, open *atomic.Int64, requestRoom func(), accept netpoll.OnConnect, inherited *inheritedSocket) (*listener, error) {
-	converted, err := netpoll.ConvertListener(ln)
-	if err != nil {
-		return nil, err
-	}
-	l := &listener{Listener: converted, maxOpen: maxOpen, open: open, requestRoom: requestRoom, inherited: inherited}
-	events, err := netpoll.NewEventLoop(
-		func(ctx context.Context, _ netpoll.Connection) error {
-			ctx.Value(clientKey{}).(inputHandler).handleInput()
-			return nil
-		},
-		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
-			conn.AddCloseCallback(func(netpoll.Connection) error { open.Add(-1); return nil })
-			return context.Background()
-		}),
-		netpoll.WithOnConnect(accept),
-		netpoll.WithIdleTimeout(keepAliveInterval))
-	if err != nil {
-		return nil, err
-	}
-	go func() { // Serve blocks until the listener ends
-		if err := events.Serve(l); err != nil && !l.closing.Load() {
-			slog.Error("listener ended", "error", err)
-		}
-	}()
-	return l, nil
-}
-
-// errListenerReleased makes netpoll drop a listener: netpoll recognizes a closed listener by "closed" in the error
-// text.
-var errListenerReleased = errors.New("listener closed: released to the other processes")
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"container/list"
 	"errors"
-	stdnet "net"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -21,9 +19,6 @@
 	// within three seconds.
 	queryTimeout = 2200 * time.Millisecond
 	maxBuffered  = 2 * pg.MaxMessage // bytes of queries that wait until fewer are pending
-	// Closing a connection with unread input resets it, and the final answer is lost, so input that is still on its
-	// way is awaited. The wait is short, because to the client the end of the connection is the end of the answer.
-	finalAnswerDelay = 20 * time.Millisecond
 	// While more bytes than this wait for a client, none of its queries is read.
 	maxUnsent    = 256 << 10
 	maxPipelined = 16 // pending queries of one client; hundreds at once would crowd out those of other clients
@@ -345,135 +340,3 @@
 		c.parse()
 	}
 }
-
-// allSent is called when the socket has taken all answers, after some of them had to wait.
-func (c *client) allSent() {
-	c.updateIdleList()
-	switch {
-	case c.closesOnceSent:
-		c.closeOnceSent()
-	case c.server.closesAfterAnswer():
-		c.server.loop.Post(c.closeIdle)
-	}
-}
-
-// closeOnceSent closes the connection when the socket has taken all answers. It does so after finalAnswerDelay, so that
-// the client has time to read the last one.
-func (c *client) closeOnceSent() {
-	if c.closesOnceSent = c.output.len() > 0; !c.closesOnceSent {
-		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+finalAnswerDelay, c.closeAfterAnswers)
-	}
-}
-
-// closeAfterAnswers closes the connection; if answers are still on their way, it is read on meanwhile, because unread
-// input would reset it.
-func (c *client) closeAfterAnswers() {
-	if c.output.inTransit() > 0 {
-		c.server.closeGracefully(c.conn)
-	}
-	c.closeNow()
-}
-
-// terminate ends the connection of a client that has said that it goes. It gets the answers that are complete.
-func (c *client) terminate() {
-	if c.output.len() == 0 {
-		c.closeNow()
-		return
-	}
-	c.closeAfterOutput()
-}
-
-// closeAfterOutput closes the connection once the socket has taken what has been written to it; the answers behind are
-// abandoned.
-func (c *client) closeAfterOutput() {
-	if c.phase >= phaseClosing {
-		return
-	}
-	c.phase = phaseClosing
-	c.server.deadlines.Clear(&c.timer)
-	c.abandonPending()
-	c.updateIdleList()
-	c.closeOnceSent()
-}
-
-// closeDroppingAnswers closes a connection over which the answers that are due can't be sent, and counts them as
-// dropped unless the client has closed it.
-func (c *client) closeDroppingAnswers(cause error) {
-	if c.phase == phaseClosed {
-		return
-	}
-	if !errors.Is(cause, syscall.EPIPE) && !errors.Is(cause, syscall.ECONNRESET) && !errors.Is(cause, stdnet.ErrClosed) {
-		c.server.recordDroppedAnswers(c, cause)
-	}
-	c.closeNow()
-}
-
-// closeWithError sends a final error after the answers that are still due: queries sent before the protocol violation
-// have been accepted. The connection is closed after finalAnswerDelay, so that the client has time to read the error.
-func (c *client) closeWithError(reason closeReason, text string) {
-	if c.phase >= phaseClosing {
-		return
-	}
-	c.phase = phaseClosing
-	c.server.deadlines.Clear(&c.timer)
-	query := &pendingQuery{client: c, closesAfter: true}
-	c.pending = append(c.pending, query)
-	query.complete(c.protocol.fatalError(reason, text))
-}
-
-// closeIdle closes a connection to which no answer is due.
-func (c *client) closeIdle() {
-	if c.phase != phaseClosed && !c.owesAnswer() && len(c.input.bytes) == 0 && c.conn.Reader().Len() == 0 {
-		c.beginClose()
-	}
-}
-
-// beginClose closes a connection to which no answer is due as far as the loop knows; finishClose checks that.
-func (c *client) beginClose() {
-	if c.phase != phaseClosed && !c.closing {
-		c.closing, c.bytesBeforeClose = true, len(c.input.bytes)
-		c.conn.Close()
-	}
-}
-
-func (c *client) abandonPending() {
-	for _, query := range c.pending {
-		if query.stream != nil {
-			query.stream.Stop()
-		}
-		c.server.unsent -= len(query.answer)
-		if !query.answered && query.id != 0 {
-			c.server.engine.Abandon(query.id)
-		}
-	}
-	c.pending = nil
-}
-
-// closeNow closes the connection from this side.
-func (c *client) closeNow() {
-	if c.phase == phaseClosed {
-		return
-	}
-	c.release()
-	c.conn.Close()
-}
-
-// release frees the client's state after its connection has ended; its requests are abandoned.
-func (c *client) release() {
-	if c.phase == phaseClosed {
-		return
-	}
-	c.phase = phaseClosed
-	c.server.deadlines.Clear(&c.timer)
-	c.server.deadlines.Clear(&c.consoleTimer)
-	c.abandonPending()
-	c.output.close()
-	c.input.bytes = nil
-	c.protocol.connectionClosed(c)
-	c.updateBufferedBytes()
-	c.updateIdleList()
-	delete(c.server.clients, c)
-	if c.overLimit {
-		c.server.excess--
-	}
-}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -23,14 +23,6 @@
 	// must not make the proxy hold megabytes.
 	receiveBuffer = 128 << 10
 
-	// When connections run out, clients that make no use of theirs are closed: first those that have sent nothing for
-	// minSilentTime, in which others ask and are answered, and also those beyond one in maxSilentFraction of all
-	// connections; then those without an open request. The operators allow the latter after two seconds.
-	minSilentTime     = 250 * time.Millisecond
-	maxSilentFraction = 4
-	minIdleTime       = 2 * time.Second
-	idleCloseFraction = 3 // above one in this many of the connections, idle clients are closed before connections run out
-
 	overLimitLogInterval = 10 * time.Second // minimum time between log lines about rejected clients
 	droppedLogInterval   = 10 * time.Second // minimum time between log lines about dropped answers
 )
@@ -128,54 +120,6 @@
 	return nil
 }
 
-// listener ends without closing its descriptor. netpoll's own Close closes the descriptor number twice, and Serve,
-// which runs outside the loop, may register it only after that: in both cases the number may by then belong to
-// another connection or listener, which would be closed, or whose connections a server that has ended would accept. A
-// socket that is shut down refuses connections, and the poller drops it by itself.
-type listener struct {
-	netpoll.Listener
-	closing atomic.Bool
-	maxOpen int64         // limit of open connections
-	open    *atomic.Int64 // of all listeners that share the limit
-
-	requestRoom     func() // asks the loop to close idle connections
-	lastRoomRequest atomic.Int64
-	inherited       *inheritedSocket // set if other processes share the socket
-}
-
-const roomRequestInterval = 2 // milliseconds: in a burst of hundreds of connections, not each asks the loop
-
-// Accept implements netpoll.Listener. The poller calls it once more when the socket has been shut down. It accepts
-// ahead of the loop: in a burst of hundreds, connections beyond the descriptor limit are closed here.
-func (l *listener) Accept() (stdnet.Conn, error) {
-	if l.closing.Load() {
-		if l.inherited != nil {
-			return nil, errListenerReleased
-		}
-		return nil, nil
-	}
-	conn, err := l.Listener.Accept()
-	if conn == nil || err != nil {
-		return conn, err
-	}
-	if l.open.Add(1) > l.maxOpen {
-		l.open.Add(-1)
-		conn.Close()
-		if now := time.Now().UnixMilli(); now-l.lastRoomRequest.Swap(now) >= roomRequestInterval { // a connection closed here never reaches the loop, which would make room for it
-			l.requestRoom()
-		}
-		return nil, nil
-	}
-	return conn, nil
-}
-
-func (l *listener) shutdown() {
-	if l.closing.Store(true); l.inherited != nil {
-		return // the socket keeps listening for the other processes
-	}
-	syscall.Shutdown(l.Fd(), syscall.SHUT_RD)
-}
-
 // Address returns the address that PostgreSQL clients connect to.
 func (s *Server) Address() string { return s.listeners[0].Addr().String() }
 
@@ -224,65 +168,6 @@
 		"unsent_bytes", c.output.len(), "unacknowledged_bytes", c.output.inTransit(), "cause", cause)
 }
 
-func (s *Server) atLimit() bool { return len(s.clients)-s.excess >= s.maxClients }
-
-// makeRoom closes silent and idle clients as long as the limit is reached, or too many clients are silent. It looks at
-// each of them once at most: evict may keep a client, and what it waits for happens only once makeRoom has returned.
-func (s *Server) makeRoom() {
-	now := s.clock.Now()
-	for range s.silent.Len() {
-		c := s.silent.Front().Value.(*client)
-		if !s.tooManySilent() && (!s.full() || now-c.since < minSilentTime) {
-			break
-		}
-		s.evict(c, now)
-	}
-	for range s.idle.Len() {
-		c := s.idle.Front().Value.(*client)
-		if !s.full() || now-c.since < minIdleTime {
-			break
-		}
-		s.evict(c, now)
-	}
-}
-
-func (s *Server) tooManySilent() bool { return s.silent.Len() > s.maxClients/maxSilentFraction }
-
-// full reports whether no further client can be served, or even rejected with an answer.
-func (s *Server) full() bool { return s.atLimit() || len(s.clients) >= s.maxClients+s.maxExcess }
-
-// closeIdleClients closes clients that have long been idle when many are connected. Their connections may be needed
-// elsewhere: a load balancer in front of the proxies opens only a share of its descriptors.
-func (s *Server) closeIdleClients() {
-	now := s.clock.Now()
-	for element := s.idle.Front(); element != nil && len(s.clients) > s.idleCloseThreshold; element = s.idle.Front() {
-		c := element.Value.(*client)
-		if due := c.since + minIdleTime; due > now { // also ends the round at the first client that evict has kept
-			s.deadlines.Set(&s.idleCloseTimer, due, s.closeIdleClients)
-			return
-		}
-		s.evict(c, now)
-	}
-}
-
-// evict closes a client to make room, unless input of it has arrived that the loop has not handled, or it is still
-// reading an answer.
-func (s *Server) evict(c *client, now time.Duration) {
-	if c.conn.Reader().Len() > 0 || c.output.delivering() {
-		c.since = now
-		c.list.MoveToBack(c.element)
-		return
-	}
-	c.closeAtOnce = true
-	if c.beginClose(); c.phase != phaseClosed { // input has arrived just now
-		c.closeAtOnce = false
-		c.since = now
-		c.list.MoveToBack(c.element)
-		return
-	}
-	s.engine.Counters.ClientsEvicted++
-}
-
 // confirmTimeout closes a client whose query is incomplete at its timeout, unless its rest has arrived and only the
 // loop is late: what the poller has read by now is handled first. Clients that time out together share the wait.
 func (s *Server) confirmTimeout(c *client) {
