Show unsent bytes and the clients they wait for as metrics

What waits for slow clients could only be guessed: the counters know requests, not bytes. unsent_bytes and clients_to_write_to on the operators' address tell it; TestOnlyStalledReaderIsClosed reads them.

--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -14,6 +14,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"havenproxy/internal/state"
+	"havenproxy/internal/wire/admin"
 )
 
 const (
@@ -216,6 +217,19 @@
 	s.deadlines.Set(&s.drainTimer, now+drainInterval, s.closeDrainedClients)
 }
 
+// AppendMetrics appends the metrics of clients' connections: the bytes that their sockets have not taken yet, and how
+// many of them such bytes wait for.
+func (s *Server) AppendMetrics(dst []byte) []byte {
+	waiting := 0
+	for c := range s.clients {
+		if c.output.len() > 0 {
+			waiting++
+		}
+	}
+	dst = admin.AppendGauge(dst, uint64(s.unsent), "unsent_bytes")
+	return admin.AppendGauge(dst, uint64(waiting), "clients_to_write_to")
+}
+
 // closesAfterAnswer reports whether connections are closed after their next answer.
 func (s *Server) closesAfterAnswer() bool { return s.draining || s.operatorDrain }
 
--- a/internal/net/slow_reader_test.go
+++ b/internal/net/slow_reader_test.go
@@ -93,6 +93,9 @@
 	s, engine, loop := startProxy(t, databaseStub(t, answerLarge), 8, 1)
 	p, _ := dialSmall(t, s, queries)
 	waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.unsent > 0 })
+	if metrics := onLoop(loop, func() string { return string(s.AppendMetrics(nil)) }); !strings.Contains(metrics, "proxy.clients_to_write_to:1|g") {
+		t.Errorf("the metrics don't show the client: %s", metrics)
+	}
 	output := onLoop(loop, func() *writeQueue {
 		for c := range s.clients {
 			return c.output
--- a/internal/run/readiness.go
+++ b/internal/run/readiness.go
@@ -36,7 +36,9 @@
 func (p *proxy) Ready() bool { return p.canServe && !p.stopping && (p.tier == nil || p.tier.Ready()) }
 
 // Metrics implements net.AdminHandler.
-func (p *proxy) Metrics(dst []byte) []byte { return p.engine.AppendMetrics(dst) }
+func (p *proxy) Metrics(dst []byte) []byte {
+	return p.server.AppendMetrics(p.engine.AppendMetrics(dst))
+}
 
 // Drain implements net.AdminHandler.
 func (p *proxy) Drain() { p.server.SetOperatorDrain(true) }
