Don't keep silent or rejected clients for bytes that only await an acknowledgement

Now only clients that have asked are kept, and a rejected one lingers only if its machine has no room for the bytes (SIOCOUTQNSD). Reusable looks at the connection before its queue, which a connection that is not up lacks.

TestReadingClientIsNotEvicted holds the other side: an idle client that is still reading is not evicted, also 4 s later.

--- a/internal/net/client_close.go
+++ b/internal/net/client_close.go
@@ -40,10 +40,10 @@
 	}
 }
 
-// closeAfterAnswers closes the connection; if answers are still on their way, it is read on meanwhile, because unread
-// input would reset it.
+// closeAfterAnswers closes the connection; if the client's machine has no room for the last answers yet, it is read on
+// meanwhile, because unread input would reset it.
 func (c *client) closeAfterAnswers() {
-	if c.output.inTransit() > 0 {
+	if c.phase != phaseClosed && c.output.notSent() > 0 {
 		c.server.closeGracefully(c.conn)
 	}
 	c.closeNow()
--- a/internal/net/eviction_test.go
+++ b/internal/net/eviction_test.go
@@ -1,6 +1,8 @@
 package net
 
 import (
+	"bytes"
+	"io"
 	stdnet "net"
 	"testing"
 
@@ -83,3 +85,29 @@
 		t.Errorf("the client with half a query got %q", types)
 	}
 }
+
+// A client that is silent after its startup message may be evicted before its machine has acknowledged the welcome; one
+// that is still reading an answer may not, however long ago it asked.
+func TestReadingClientIsNotEvicted(t *testing.T) {
+	const queries = 6 // their answers fit into the kernel's buffers
+	s, engine, loop := startProxy(t, databaseStub(t, answerLarge), 8, 1)
+	p, want := dialSmall(t, s, queries)
+	waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.unsent == 0 })
+	advance(s, 2*minIdleTime)
+	evicted := onLoop(loop, func() uint64 {
+		s.idleCloseThreshold = 0
+		s.closeIdleClients()
+		return engine.Counters.ClientsEvicted
+	})
+	if evicted > 0 {
+		t.Error("a client that reads its answers was evicted")
+	}
+	got := make([]byte, len(want))
+	if n, err := io.ReadFull(p.conn, got); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("%d of %d bytes of answers arrived: %v", n, len(want), err)
+	}
+	advance(s, minIdleTime)
+	if types, _ := p.readTypes(1); types != "!" {
+		t.Errorf("the client that has read all got %q", types)
+	}
+}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -190,7 +190,7 @@
 
 // Reusable implements state.Conn.
 func (l *databaseLink) Reusable() bool {
-	return !l.awaitingAnswer && l.output.len() == 0 && l.hasNoInput()
+	return !l.awaitingAnswer && l.hasNoInput() && l.CommandWritten()
 }
 
 // hasNoInput reports that no bytes have arrived that belong to no command. Answers carry no identifier: any leftover
--- a/internal/net/write_queue.go
+++ b/internal/net/write_queue.go
@@ -66,7 +66,7 @@
 			q.unacknowledged = 0
 			return nil
 		}
-		q.progressAt, q.unacknowledged = q.loop.clock.Now(), q.descriptor.unacknowledged()
+		q.progressAt, q.unacknowledged = q.loop.clock.Now(), q.inTransit()
 		q.keep(b)
 		q.wait(shortage)
 		return nil
@@ -79,7 +79,7 @@
 func (q *writeQueue) len() int { return len(q.unsent.bytes) }
 
 // inTransit returns the number of bytes that the kernel holds and that the peer's machine has not acknowledged.
-func (q *writeQueue) inTransit() int { return q.descriptor.unacknowledged() }
+func (q *writeQueue) inTransit() int { return q.descriptor.queued(unix.TIOCOUTQ) }
 
 // delivering reports whether the peer is still taking bytes that the kernel holds.
 func (q *writeQueue) delivering() bool { return q.inTransit() > 0 && !q.stalled() }
@@ -95,6 +95,9 @@
 	return now-q.progressAt >= stallTimeout
 }
 
+// notSent returns the number of bytes that the kernel holds because the peer's machine has no room for them.
+func (q *writeQueue) notSent() int { return q.descriptor.queued(unix.SIOCOUTQNSD) }
+
 // close drops what has not been written. It may be called more than once.
 func (q *writeQueue) close() {
 	if q.closed {
@@ -154,7 +157,7 @@
 		return
 	}
 	if n > 0 {
-		q.progressAt, q.unacknowledged = q.loop.clock.Now(), q.descriptor.unacknowledged()
+		q.progressAt, q.unacknowledged = q.loop.clock.Now(), q.inTransit()
 	}
 	if q.len() > 0 {
 		q.wait(shortage)
@@ -237,10 +240,10 @@
 	return n, err
 }
 
-// unacknowledged returns how many bytes the kernel holds that the peer's machine has not acknowledged.
-func (d *descriptor) unacknowledged() (n int) {
+// queued returns the length of one of the kernel's send queues, which request names.
+func (d *descriptor) queued(request uint) (n int) {
 	d.use(func(fd int) (err error) {
-		n, err = unix.IoctlGetInt(fd, syscall.TIOCOUTQ)
+		n, err = unix.IoctlGetInt(fd, request)
 		return err
 	})
 	return n
