Count the answers expected for pending queries towards the limit of unsent answers

Before the write queues a client that did not read lost its connection within 20 ms; now its answers are held, and the limit counted them only once they had come. A crowd that asks for 16 large values each, all before the first answer, could have made the proxy hold 1 MiB and more a client.

Change: pending queries count with the moving average of answers' sizes. Above the limit a client that is owed an answer gets no further query taken; clients that ask one by one notice nothing.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -168,12 +168,12 @@
 }
 
 // acceptsQuery reports whether another query is read. A client that does not read its answers gets no further ones;
-// while answers take much memory in all, and in the console, whose answers are large, one is given at a time.
+// while all answers may take too much memory, and in the console, whose answers are large, one is given at a time.
 func (c *client) acceptsQuery() bool {
 	if len(c.pending) >= c.protocol.maxPending() || c.output.len() > maxUnsent {
 		return false
 	}
-	oneAtATime := c.usesConsole || c.server.unsent > c.server.maxUnsent
+	oneAtATime := c.usesConsole || c.server.answersExceedLimit()
 	return !oneAtATime || !c.owesAnswer()
 }
 
@@ -245,12 +245,18 @@
 	}
 }
 
+func (c *client) addPending(query *pendingQuery) {
+	c.server.pending++
+	c.pending = append(c.pending, query)
+}
+
 // submit hands a request to the engine and appends its query to the pending ones. After an error there will be no
 // answer.
 func (c *client) submit(query *pendingQuery, in state.Request) (err error) {
 	in.Caller, in.ReceivedAt = query, c.messageAt
-	c.pending = append(c.pending, query)
+	c.addPending(query)
 	if query.id, err = c.server.engine.Submit(in); err != nil {
+		c.server.pending--
 		c.pending = c.pending[:len(c.pending)-1]
 	}
 	return err
@@ -260,7 +266,10 @@
 func (q *pendingQuery) SetPolicy(policy uint64) { q.policy, q.policyKnown = policy, true }
 
 // Served implements state.Caller.
-func (q *pendingQuery) Served(body []byte) { q.complete(q.client.protocol.served(q, body)) }
+func (q *pendingQuery) Served(body []byte) {
+	q.client.server.noteAnswerSize(len(body))
+	q.complete(q.client.protocol.served(q, body))
+}
 
 // Refused implements state.Caller.
 func (q *pendingQuery) Refused(after time.Duration) { q.complete(q.client.protocol.refused(q, after)) }
@@ -295,6 +304,7 @@
 	if n == 0 {
 		return
 	}
+	c.server.pending -= n
 	c.pending = append(c.pending[:0], c.pending[n:]...)
 	c.write(output)
 	if last {
--- a/internal/net/client_close.go
+++ b/internal/net/client_close.go
@@ -92,7 +92,7 @@
 	c.phase = phaseClosing
 	c.server.deadlines.Clear(&c.timer)
 	query := &pendingQuery{client: c, closesAfter: true}
-	c.pending = append(c.pending, query)
+	c.addPending(query)
 	query.complete(c.protocol.fatalError(reason, text))
 }
 
@@ -121,6 +121,7 @@
 			c.server.engine.Abandon(query.id)
 		}
 	}
+	c.server.pending -= len(c.pending)
 	c.pending = nil
 }
 
--- a/internal/net/postgres_client.go
+++ b/internal/net/postgres_client.go
@@ -105,7 +105,7 @@
 	c.noteQuery()
 	query := &pendingQuery{client: c}
 	if strings.Trim(text, " \t\r\n;") == "" {
-		c.pending = append(c.pending, query)
+		c.addPending(query)
 		if c.server.operatorDrain {
 			query.complete(pg.AppendRefused(nil, 0))
 		} else {
@@ -114,7 +114,7 @@
 		return nil
 	}
 	if c.usesConsole {
-		c.pending = append(c.pending, query)
+		c.addPending(query)
 		c.answerConsole(query, text)
 		return nil
 	}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -43,7 +43,9 @@
 	idle               list.List // clients to which no answer is due, the longest idle first
 	buffered           int       // bytes of incomplete queries in clients' buffers
 	unsent             int       // bytes of answers that clients' sockets have not taken yet
-	maxUnsent          int       // above this, a client is given one answer at a time
+	maxUnsent          int       // limit of unsent and expected bytes; above it, a client is given one answer at a time
+	pending            int       // queries that are not answered yet
+	meanAnswer         float64   // moving average of the bytes of a database's answer
 	maxBuffered        int       // above this, clients that hold more than a little are rejected and may retry
 	maxClients         int
 	idleCloseThreshold int // above this number of clients, idle ones are closed early
@@ -169,6 +171,22 @@
 		"unsent_bytes", c.output.len(), "unacknowledged_bytes", c.output.inTransit(), "cause", cause)
 }
 
+// answerSizeWeight is the weight of one more answer in the moving average of their sizes.
+const answerSizeWeight = 1.0 / 64
+
+func (s *Server) noteAnswerSize(n int) {
+	if s.meanAnswer == 0 {
+		s.meanAnswer = float64(n)
+	}
+	s.meanAnswer += (float64(n) - s.meanAnswer) * answerSizeWeight
+}
+
+// answersExceedLimit reports whether the answers that clients have not read, and those expected for the queries that
+// have been taken, are more than may be held.
+func (s *Server) answersExceedLimit() bool {
+	return s.unsent+int(float64(s.pending)*s.meanAnswer) > s.maxUnsent
+}
+
 // confirmTimeout closes a client whose query is incomplete at its timeout, unless its rest has arrived and only the
 // loop is late: what the poller has read by now is handled first. Clients that time out together share the wait.
 func (s *Server) confirmTimeout(c *client) {
--- a/internal/net/slow_reader_test.go
+++ b/internal/net/slow_reader_test.go
@@ -118,6 +118,42 @@
 	}
 }
 
+// Progress is each byte that the peer's machine acknowledges, not only room in the socket's buffer.
+func TestAcknowledgedBytesAreProgress(t *testing.T) {
+	clock := &offsetClock{SystemClock: state.NewClock()}
+	q := newWriteQueue(NewLoop(clock, new(state.Deadlines)), &failingSocket{}, nil, nil)
+	const full = 500000
+	steps := []struct {
+		wait    time.Duration
+		held    int
+		stalled bool
+	}{
+		{0, full, false},
+		{stallTimeout - time.Second, full - 1, false},
+		{stallTimeout - time.Second, full - 2, false},
+		{stallTimeout - time.Second, full - 2, false},
+		{time.Second, full - 2, true},
+		{0, full - 3, false},
+		{2 * stallTimeout, 0, false}, // all acknowledged
+	}
+	for i, step := range steps {
+		clock.offset.Add(int64(step.wait))
+		if got := q.noteHeld(step.held); got != step.stalled {
+			t.Errorf("step %d: stalled is %t, want %t", i, got, step.stalled)
+		}
+	}
+}
+
+// canTakeQuery reports whether a query waits and may be taken. It must be called on the loop.
+func canTakeQuery(s *Server) bool {
+	for c := range s.clients {
+		if len(c.input.bytes) > 0 && c.acceptsQuery() {
+			return true
+		}
+	}
+	return false
+}
+
 // What waits is bounded by what is taken on: while a client does not read its answers, no more of its queries are
 // taken, and while all answers take much memory, each client gets one at a time. Nothing is thrown away.
 func TestUnreadAnswersStopFurtherQueries(t *testing.T) {
@@ -127,9 +163,9 @@
 		onLoop(loop, func() int { s.maxUnsent = limit; return 0 })
 		p, want := dialSmall(t, s, queries)
 		var taken int
-		waitUntil(loop, func() bool { // until an answer waits and no request is under way
+		waitUntil(loop, func() bool { // until an answer waits, no request is under way, and no query can be taken
 			taken = int(engine.Counters.Received)
-			return s.unsent > 0 && taken == int(engine.Counters.Served)
+			return s.unsent > 0 && taken == int(engine.Counters.Served) && !canTakeQuery(s)
 		})
 		if held := onLoop(loop, func() int { return s.unsent }); taken == queries || held > maxUnsent+maxPipelined*(largeAnswerBytes+1<<10) {
 			t.Errorf("limit %s: %d of %d queries were taken, %d bytes are held", name, taken, queries, held)
@@ -144,6 +180,51 @@
 	}
 }
 
+// Queries that have been taken count towards the limit before their answers come, by the size of earlier answers: a crowd
+// that asks for many large values at once, and may not read them, gets them one at a time.
+func TestExpectedAnswersStopFurtherQueries(t *testing.T) {
+	const clients, queries = 3, 10
+	answer := make(chan struct{})
+	s, engine, loop := startProxy(t, databaseStub(t, func(conn stdnet.Conn, text string) bool {
+		if !strings.Contains(text, "'first'") {
+			<-answer
+		}
+		return answerLarge(conn, text)
+	}), 8, 1)
+	first := dial(t, s)
+	first.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("first")))
+	first.readTypes(len(welcome) + 3)
+	onLoop(loop, func() int { s.maxUnsent = 4 * largeAnswerBytes; return 0 })
+	var conns []*testConn
+	var wants [][]byte
+	for i := range clients {
+		p := dial(t, s)
+		in := pg.AppendStartup(nil, "client", "core")
+		var want []byte
+		for k := range queries {
+			text := query(fmt.Sprintf("%d-%d", i, k))
+			in, want = pg.AppendQuery(in, text), pg.AppendResult(want, answerBody(text))
+		}
+		p.conn.Write(in)
+		p.readTypes(len(welcome))
+		conns, wants = append(conns, p), append(wants, want)
+	}
+	waitUntil(loop, func() bool { return engine.Counters.Received >= 1+clients })
+	if taken := onLoop(loop, func() int { return s.pending }); taken > 4+clients {
+		t.Errorf("%d queries were taken, with room for the answers of 4 and one for each client", taken)
+	}
+	close(answer)
+	for i, p := range conns {
+		got := make([]byte, len(wants[i]))
+		if n, err := io.ReadFull(p.conn, got); err != nil || !bytes.Equal(got, wants[i]) {
+			t.Errorf("client %d: %d of %d bytes of answers arrived: %v", i, n, len(got), err)
+		}
+	}
+	if left := onLoop(loop, func() int { return s.pending }); left != 0 {
+		t.Errorf("%d queries count as pending at the end", left)
+	}
+}
+
 // Whatever ends a connection, what the client is owed before goes out first: behind answers that wait, a protocol
 // violation is answered, the end of the server waits, and a client that says that it goes gets what is complete.
 func TestCloseWaitsForUnsentAnswers(t *testing.T) {
--- a/internal/net/write_queue.go
+++ b/internal/net/write_queue.go
@@ -86,8 +86,11 @@
 
 // stalled looks at the peer's progress and reports whether it has taken none of the bytes that the kernel holds for
 // stallTimeout.
-func (q *writeQueue) stalled() bool {
-	held, now := q.inTransit(), q.loop.clock.Now()
+func (q *writeQueue) stalled() bool { return q.noteHeld(q.inTransit()) }
+
+// noteHeld records how many bytes the kernel holds now, and reports whether that is no progress for stallTimeout.
+func (q *writeQueue) noteHeld(held int) (stalled bool) {
+	now := q.loop.clock.Now()
 	if held == 0 || q.unacknowledged == 0 || held < q.unacknowledged {
 		q.progressAt, q.unacknowledged = now, held
 		return false
