Write nothing to a connection whose end the poller already knows

Follow-up of the write queues, found by reading: netpoll's Write failed at once on such a connection, the queue's did not, so a command could go out to a database that was gone, and count as perhaps run. An answer to a client that is gone is no longer counted as held either, which would have raised the sum of unsent bytes for good.

Test: TestEndedConnectionTakesNoCommand (the loop is held while the poller sees the end).

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -289,6 +289,9 @@
 // complete sets a query's answer and writes all answers that are next in order.
 func (q *pendingQuery) complete(answer []byte) {
 	c := q.client
+	if c.phase == phaseClosed {
+		return
+	}
 	q.answered, q.answer = true, answer
 	n, output := 0, []byte(nil)
 	last := false
--- a/internal/net/slow_reader_test.go
+++ b/internal/net/slow_reader_test.go
@@ -331,6 +331,8 @@
 
 func (f *failingSocket) AddCloseCallback(netpoll.CloseCallback) error { return nil }
 
+func (f *failingSocket) IsActive() bool { return true }
+
 func (f *failingSocket) Write(b []byte) (int, error) {
 	if len(f.results) > 0 {
 		err := f.results[0]
@@ -359,3 +361,31 @@
 		t.Errorf("%d bytes were written, %d are kept", socket.taken, q.len())
 	}
 }
+
+// A connection whose end the poller knows and the loop does not yet takes no command: nothing of it can run.
+func TestEndedConnectionTakesNoCommand(t *testing.T) {
+	end := make(chan struct{})
+	address := databaseStubWithStart(t, func() {}, echoQuery)
+	closing := listen(t, func(conn stdnet.Conn) {
+		peer := &testConn{conn: conn}
+		peer.next(func(b []byte) (int, error) { _, n, err := pg.NextStartup(b); return n, err })
+		conn.Write(pg.AppendStartupResponse(nil))
+		<-end
+	})
+	_, engine, loop := startProxy(t, address, 4, 4)
+	events := &listenerStub{make(chan string, 4)}
+	var db *database
+	loop.Post(func() { db = engine.Opener().Open(closing, 0, events).(*database) })
+	if got := <-events.events; got != "up" {
+		t.Fatalf("the connection is %s", got)
+	}
+	err := onLoop(loop, func() error {
+		close(end)
+		for db.conn.IsActive() { // until the poller has seen the end; the loop is held meanwhile
+		}
+		return db.write([]byte("command"))
+	})
+	if err == nil {
+		t.Error("the command was written")
+	}
+}
--- a/internal/net/write_queue.go
+++ b/internal/net/write_queue.go
@@ -33,6 +33,7 @@
 // The methods and both callbacks run on the loop. Nothing else may write to the connection.
 type writeQueue struct {
 	loop       *Loop
+	conn       netpoll.Connection
 	descriptor *descriptor
 	unsent     buffer
 	total      *int        // the sum of unsent bytes over all queues that share a limit; nil = there is none
@@ -48,13 +49,13 @@
 }
 
 func newWriteQueue(loop *Loop, conn netpoll.Connection, onProgress func(), onFailure func(error)) *writeQueue {
-	return &writeQueue{loop: loop, descriptor: guardDescriptor(conn), onProgress: onProgress, onFailure: onFailure}
+	return &writeQueue{loop: loop, conn: conn, descriptor: guardDescriptor(conn), onProgress: onProgress, onFailure: onFailure}
 }
 
 // write sends b, or keeps a copy of what the kernel does not take now. After an error the last byte was not written,
 // and the connection is to be closed.
 func (q *writeQueue) write(b []byte) error {
-	if q.closed {
+	if q.closed || !q.conn.IsActive() { // the poller may know of its end before the loop does
 		return stdnet.ErrClosed
 	}
 	if q.len() == 0 {
