Move the limit of unsent answers and the judgement of a stalled peer to internal/limit

No behaviour changes. Two tests share their stub of a database that never reads, and TestOnlyStalledReaderIsClosed waits for bytes that were written instead of the queue's own clock.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
 	"havenproxy/logic"
@@ -170,11 +171,7 @@
 // acceptsQuery reports whether another query is read. A client that does not read its answers gets no further ones;
 // while all answers may take too much memory, and in the console, whose answers are large, one is given at a time.
 func (c *client) acceptsQuery() bool {
-	if len(c.pending) >= c.protocol.maxPending() || c.output.len() > maxUnsent {
-		return false
-	}
-	oneAtATime := c.usesConsole || c.server.answersExceedLimit()
-	return !oneAtATime || !c.owesAnswer()
+	return c.server.answers.Admits(limit.ClientLoad{Pending: len(c.pending), MaxPending: c.protocol.maxPending(), Unsent: c.output.len(), OneAtATime: c.usesConsole})
 }
 
 // owesAnswer reports whether an answer is due that the socket has not taken whole.
@@ -246,7 +243,7 @@
 }
 
 func (c *client) addPending(query *pendingQuery) {
-	c.server.pending++
+	c.server.answers.Pending++
 	c.pending = append(c.pending, query)
 }
 
@@ -256,7 +253,7 @@
 	in.Caller, in.ReceivedAt = query, c.messageAt
 	c.addPending(query)
 	if query.id, err = c.server.engine.Submit(in); err != nil {
-		c.server.pending--
+		c.server.answers.Pending--
 		c.pending = c.pending[:len(c.pending)-1]
 	}
 	return err
@@ -267,7 +264,7 @@
 
 // Served implements state.Caller.
 func (q *pendingQuery) Served(body []byte) {
-	q.client.server.noteAnswerSize(len(body))
+	q.client.server.answers.RecordAnswer(len(body))
 	q.complete(q.client.protocol.served(q, body))
 }
 
@@ -303,11 +300,11 @@
 			output = append(output, c.pending[n].answer...)
 		}
 	}
-	c.server.unsent += len(answer) - len(output) // those that wait for earlier answers are held here
+	c.server.answers.Unsent += len(answer) - len(output) // those that wait for earlier answers are held here
 	if n == 0 {
 		return
 	}
-	c.server.pending -= n
+	c.server.answers.Pending -= n
 	c.pending = append(c.pending[:0], c.pending[n:]...)
 	c.write(output)
 	if last {
@@ -325,7 +322,7 @@
 // openOutput makes the queue through which everything is written to the client.
 func (c *client) openOutput() {
 	c.output = newWriteQueue(c.server.loop, c.conn, c.outputProgressed, c.closeDroppingAnswers)
-	c.output.total = &c.server.unsent
+	c.output.total = &c.server.answers.Unsent
 }
 
 // write sends bytes, or keeps those that the socket does not take now.
--- a/internal/net/client_close.go
+++ b/internal/net/client_close.go
@@ -116,12 +116,12 @@
 		if query.stream != nil {
 			query.stream.Stop()
 		}
-		c.server.unsent -= len(query.answer)
+		c.server.answers.Unsent -= len(query.answer)
 		if !query.answered && query.id != 0 {
 			c.server.engine.Abandon(query.id)
 		}
 	}
-	c.server.pending -= len(c.pending)
+	c.server.answers.Pending -= len(c.pending)
 	c.pending = nil
 }
 
--- a/internal/net/eviction_test.go
+++ b/internal/net/eviction_test.go
@@ -92,7 +92,7 @@
 	const queries = 6 // their answers fit into the kernel's buffers
 	s, engine, loop := startProxy(t, databaseStub(t, answerLarge), 8, 1)
 	p, want := dialSmall(t, s, queries)
-	waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.unsent == 0 })
+	waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.answers.Unsent == 0 })
 	advance(s, 2*minIdleTime)
 	evicted := onLoop(loop, func() uint64 {
 		s.idleCloseThreshold = 0
--- a/internal/net/linger.go
+++ b/internal/net/linger.go
@@ -14,9 +14,8 @@
 
 // closeGracefully closes a connection in two steps (RFC 9112, section 9.6): it shuts down the write side, then reads
 // and discards what the client still sends until the client has closed too, or maxLinger is over and the client is no
-// longer reading. Closing a
-// connection with unread input resets it, and a reset discards the part of the last answer that is still on its way.
-// The poller has released the connection, and no query that was read is unanswered; see finishClose. A client whose
+// longer reading. Closing a connection with unread input resets it, and a reset discards the part of the last answer
+// that is still on its way. The poller has released the connection, and no query that was read is unanswered; see finishClose. A client whose
 // query crossed the close sees the end of its connection without an answer, and resends the query.
 func (s *Server) closeGracefully(old netpoll.Connection) {
 	c, ok := old.(netpoll.Conn)
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/admin"
 )
@@ -42,11 +43,8 @@
 	silent             list.List // clients that have sent no complete query yet, the oldest first
 	idle               list.List // clients to which no answer is due, the longest idle first
 	buffered           int       // bytes of incomplete queries in clients' buffers
-	unsent             int       // bytes of answers that clients' sockets have not taken yet
-	maxUnsent          int       // limit of unsent and expected bytes; above it, a client is given one answer at a time
-	pending            int       // queries that are not answered yet
-	meanAnswer         float64   // moving average of the bytes of a database's answer
-	maxBuffered        int       // above this, clients that hold more than a little are rejected and may retry
+	answers            limit.AnswerBudget
+	maxBuffered        int // above this, clients that hold more than a little are rejected and may retry
 	maxClients         int
 	idleCloseThreshold int // above this number of clients, idle ones are closed early
 	maxExcess          int // clients beyond maxClients that are rejected with an answer
@@ -66,11 +64,12 @@
 }
 
 // NewServer returns a server for at most maxClients clients. Their incomplete queries may hold maxBuffered bytes, and
-// above as many bytes of answers that they have not read, each gets one answer at a time. maxExcess further clients are rejected with an answer.
+// above as many bytes of answers that they have not read, each gets one answer at a time. maxExcess further clients are
+// rejected with an answer.
 func NewServer(loop *Loop, clock state.Clock, engine *state.Engine, maxClients, maxExcess, maxBuffered int) *Server {
 	return &Server{loop: loop, clock: clock, deadlines: &engine.Deadlines, engine: engine,
 		maxLinger: maxLinger, clients: map[*client]struct{}{}, maxClients: maxClients, idleCloseThreshold: maxClients / idleCloseFraction, maxExcess: maxExcess,
-		maxBuffered: maxBuffered, maxUnsent: maxBuffered}
+		maxBuffered: maxBuffered, answers: limit.AnswerBudget{PerClient: maxUnsent, Total: maxBuffered}}
 }
 
 // Listen opens the address for PostgreSQL clients and starts to accept.
@@ -171,22 +170,6 @@
 		"unsent_bytes", c.output.len(), "unacknowledged_bytes", c.output.inTransit(), "cause", cause)
 }
 
-// answerSizeWeight is the weight of one more answer in the moving average of their sizes.
-const answerSizeWeight = 1.0 / 64
-
-func (s *Server) noteAnswerSize(n int) {
-	if s.meanAnswer == 0 {
-		s.meanAnswer = float64(n)
-	}
-	s.meanAnswer += (float64(n) - s.meanAnswer) * answerSizeWeight
-}
-
-// answersExceedLimit reports whether the answers that clients have not read, and those expected for the queries that
-// have been taken, are more than may be held.
-func (s *Server) answersExceedLimit() bool {
-	return s.unsent+int(float64(s.pending)*s.meanAnswer) > s.maxUnsent
-}
-
 // confirmTimeout closes a client whose query is incomplete at its timeout, unless its rest has arrived and only the
 // loop is late: what the poller has read by now is handled first. Clients that time out together share the wait.
 func (s *Server) confirmTimeout(c *client) {
@@ -244,7 +227,7 @@
 			waiting++
 		}
 	}
-	dst = admin.AppendGauge(dst, uint64(s.unsent), "unsent_bytes")
+	dst = admin.AppendGauge(dst, uint64(s.answers.Unsent), "unsent_bytes")
 	return admin.AppendGauge(dst, uint64(waiting), "clients_to_write_to")
 }
 
--- a/internal/net/slow_reader_test.go
+++ b/internal/net/slow_reader_test.go
@@ -8,10 +8,10 @@
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/cloudwego/netpoll"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
 )
@@ -86,13 +86,13 @@
 	}
 }
 
-// Slow is not gone: a client that takes some bytes within stallTimeout keeps its connection, although its socket has no
+// Slow is not gone: a client that takes some bytes within limit.StallTimeout keeps its connection, although its socket has no
 // room for more meanwhile; one that takes none for that long is closed, and its answers count as dropped.
 func TestOnlyStalledReaderIsClosed(t *testing.T) {
 	const queries = 15
 	s, engine, loop := startProxy(t, databaseStub(t, answerLarge), 8, 1)
 	p, _ := dialSmall(t, s, queries)
-	waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.unsent > 0 })
+	waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.answers.Unsent > 0 })
 	if metrics := onLoop(loop, func() string { return string(s.AppendMetrics(nil)) }); !strings.Contains(metrics, "proxy.clients_to_write_to:1|g") {
 		t.Errorf("the metrics don't show the client: %s", metrics)
 	}
@@ -103,47 +103,21 @@
 		return nil
 	})
 	for range 3 { // half as long again as a stalled client may stay, in all
-		advance(s, stallTimeout/2)
-		readAt := s.clock.Now()
+		advance(s, limit.StallTimeout/2)
+		before := onLoop(loop, func() int { return s.answers.Unsent })
 		io.ReadFull(p.conn, make([]byte, largeAnswerBytes))
-		waitUntil(loop, func() bool { return output.progressAt >= readAt || output.closed })
+		waitUntil(loop, func() bool { return s.answers.Unsent < before || output.closed })
 	}
 	if onLoop(loop, func() bool { return output.closed }) {
 		t.Fatal("the connection was closed while the client was reading")
 	}
-	advance(s, stallTimeout)
+	advance(s, limit.StallTimeout)
 	waitUntil(loop, func() bool { return len(s.clients) == 0 })
-	if dropped, held := engine.Counters.AnswersDropped, s.unsent; dropped == 0 || held != 0 {
+	if dropped, held := engine.Counters.AnswersDropped, s.answers.Unsent; dropped == 0 || held != 0 {
 		t.Errorf("%d answers count as dropped, %d bytes as held", dropped, held)
 	}
 }
 
-// Progress is each byte that the peer's machine acknowledges, not only room in the socket's buffer.
-func TestAcknowledgedBytesAreProgress(t *testing.T) {
-	clock := &offsetClock{SystemClock: state.NewClock()}
-	q := newWriteQueue(NewLoop(clock, new(state.Deadlines)), &failingSocket{}, nil, nil)
-	const full = 500000
-	steps := []struct {
-		wait    time.Duration
-		held    int
-		stalled bool
-	}{
-		{0, full, false},
-		{stallTimeout - time.Second, full - 1, false},
-		{stallTimeout - time.Second, full - 2, false},
-		{stallTimeout - time.Second, full - 2, false},
-		{time.Second, full - 2, true},
-		{0, full - 3, false},
-		{2 * stallTimeout, 0, false}, // all acknowledged
-	}
-	for i, step := range steps {
-		clock.offset.Add(int64(step.wait))
-		if got := q.noteHeld(step.held); got != step.stalled {
-			t.Errorf("step %d: stalled is %t, want %t", i, got, step.stalled)
-		}
-	}
-}
-
 // canTakeQuery reports whether a query waits and may be taken. It must be called on the loop.
 func canTakeQuery(s *Server) bool {
 	for c := range s.clients {
@@ -158,23 +132,23 @@
 // taken, and while all answers take much memory, each client gets one at a time. Nothing is thrown away.
 func TestUnreadAnswersStopFurtherQueries(t *testing.T) {
 	const queries = 40
-	for name, limit := range map[string]int{"of the client": 32 << 20, "of all clients": 1} {
+	for name, total := range map[string]int{"of the client": 32 << 20, "of all clients": 1} {
 		s, engine, loop := startProxy(t, databaseStub(t, answerLarge), 8, 1)
-		onLoop(loop, func() int { s.maxUnsent = limit; return 0 })
+		onLoop(loop, func() int { s.answers.Total = total; return 0 })
 		p, want := dialSmall(t, s, queries)
 		var taken int
 		waitUntil(loop, func() bool { // until an answer waits, no request is under way, and no query can be taken
 			taken = int(engine.Counters.Received)
-			return s.unsent > 0 && taken == int(engine.Counters.Served) && !canTakeQuery(s)
+			return s.answers.Unsent > 0 && taken == int(engine.Counters.Served) && !canTakeQuery(s)
 		})
-		if held := onLoop(loop, func() int { return s.unsent }); taken == queries || held > maxUnsent+maxPipelined*(largeAnswerBytes+1<<10) {
+		if held := onLoop(loop, func() int { return s.answers.Unsent }); taken == queries || held > maxUnsent+maxPipelined*(largeAnswerBytes+1<<10) {
 			t.Errorf("limit %s: %d of %d queries were taken, %d bytes are held", name, taken, queries, held)
 		}
 		got := make([]byte, len(want))
 		if n, err := io.ReadFull(p.conn, got); err != nil || !bytes.Equal(got, want) {
 			t.Errorf("limit %s: %d of %d bytes of answers arrived: %v", name, n, len(want), err)
 		}
-		if held := onLoop(loop, func() int { return s.unsent }); held != 0 {
+		if held := onLoop(loop, func() int { return s.answers.Unsent }); held != 0 {
 			t.Errorf("limit %s: %d bytes count as held at the end", name, held)
 		}
 	}
@@ -194,7 +168,7 @@
 	first := dial(t, s)
 	first.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("first")))
 	first.readTypes(len(welcome) + 3)
-	onLoop(loop, func() int { s.maxUnsent = 4 * largeAnswerBytes; return 0 })
+	onLoop(loop, func() int { s.answers.Total = 4 * largeAnswerBytes; return 0 })
 	var conns []*testConn
 	var wants [][]byte
 	for i := range clients {
@@ -210,7 +184,7 @@
 		conns, wants = append(conns, p), append(wants, want)
 	}
 	waitUntil(loop, func() bool { return engine.Counters.Received >= 1+clients })
-	if taken := onLoop(loop, func() int { return s.pending }); taken > 4+clients {
+	if taken := onLoop(loop, func() int { return s.answers.Pending }); taken > 4+clients {
 		t.Errorf("%d queries were taken, with room for the answers of 4 and one for each client", taken)
 	}
 	close(answer)
@@ -220,7 +194,7 @@
 			t.Errorf("client %d: %d of %d bytes of answers arrived: %v", i, n, len(got), err)
 		}
 	}
-	if left := onLoop(loop, func() int { return s.pending }); left != 0 {
+	if left := onLoop(loop, func() int { return s.answers.Pending }); left != 0 {
 		t.Errorf("%d queries count as pending at the end", left)
 	}
 }
@@ -251,7 +225,7 @@
 	for name, c := range ends {
 		s, engine, loop := startProxy(t, databaseStub(t, answerLarge), 8, 1)
 		p, want := dialSmall(t, s, queries)
-		waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.unsent > 0 })
+		waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.answers.Unsent > 0 })
 		c.end(p, s)
 		got := make([]byte, len(want))
 		if n, err := io.ReadFull(p.conn, got); err != nil || !bytes.Equal(got, want) {
@@ -273,7 +247,7 @@
 	const queries = 6 // all in the kernel's buffers
 	s, engine, loop := startProxy(t, databaseStub(t, answerLarge), 8, 1)
 	p, want := dialSmall(t, s, queries)
-	waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.unsent == 0 })
+	waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.answers.Unsent == 0 })
 	onLoop(loop, func() bool { s.Drain(); return s.Drained() })
 	waitUntil(loop, func() bool { return s.lingering == 1 })
 	advance(s, 2*maxLinger)
@@ -288,17 +262,23 @@
 	}
 }
 
-// A database that does not read does not hold up the loop, and a command whose last byte it has not taken when its
-// connection ends has not run.
-func TestDatabaseThatDoesNotReadBlocksNobody(t *testing.T) {
-	end := make(chan struct{})
-	address := listen(t, func(conn stdnet.Conn) {
+// databaseThatNeverReads accepts logins, takes few bytes behind them, and closes its connections when end is closed.
+func databaseThatNeverReads(t *testing.T, end <-chan struct{}) (address string) {
+	t.Helper()
+	return listen(t, func(conn stdnet.Conn) {
 		conn.(*stdnet.TCPConn).SetReadBuffer(smallReceiveBuffer)
 		peer := &testConn{conn: conn}
 		peer.next(func(b []byte) (int, error) { _, n, err := pg.NextStartup(b); return n, err })
 		conn.Write(pg.AppendStartupResponse(nil))
 		<-end
 	})
+}
+
+// A database that does not read does not hold up the loop, and a command whose last byte it has not taken when its
+// connection ends has not run.
+func TestDatabaseThatDoesNotReadBlocksNobody(t *testing.T) {
+	end := make(chan struct{})
+	address := databaseThatNeverReads(t, end)
 	_, engine, loop := startProxy(t, "127.0.0.1:1", 4, 4)
 	events := &listenerStub{make(chan string, 4)}
 	var db *database
@@ -365,17 +345,11 @@
 // A connection whose end the poller knows and the loop does not yet takes no command: nothing of it can run.
 func TestEndedConnectionTakesNoCommand(t *testing.T) {
 	end := make(chan struct{})
-	address := databaseStubWithStart(t, func() {}, echoQuery)
-	closing := listen(t, func(conn stdnet.Conn) {
-		peer := &testConn{conn: conn}
-		peer.next(func(b []byte) (int, error) { _, n, err := pg.NextStartup(b); return n, err })
-		conn.Write(pg.AppendStartupResponse(nil))
-		<-end
-	})
-	_, engine, loop := startProxy(t, address, 4, 4)
+	address := databaseThatNeverReads(t, end)
+	_, engine, loop := startProxy(t, "127.0.0.1:1", 4, 4)
 	events := &listenerStub{make(chan string, 4)}
 	var db *database
-	loop.Post(func() { db = engine.Opener().Open(closing, 0, events).(*database) })
+	loop.Post(func() { db = engine.Opener().Open(address, 0, events).(*database) })
 	if got := <-events.events; got != "up" {
 		t.Fatalf("the connection is %s", got)
 	}
--- a/internal/net/stream.go
+++ b/internal/net/stream.go
@@ -6,6 +6,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
 	"havenproxy/logic"
@@ -170,7 +171,7 @@
 			return
 		}
 	}
-	if now-stream.lastProgress > stallTimeout {
+	if now-stream.lastProgress > limit.StallTimeout {
 		stream.finish(false)
 		return
 	}
--- a/internal/net/write_queue.go
+++ b/internal/net/write_queue.go
@@ -11,12 +11,11 @@
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
 )
 
 const (
-	// stallTimeout is how long a peer may take none of the bytes that wait for it before its connection is closed.
-	stallTimeout = 10 * time.Second
 	// writeCheckInterval is how often the progress of a peer is looked at while bytes wait for it.
 	writeCheckInterval = 250 * time.Millisecond
 	// After a write that failed for lack of memory the next one follows after minShortagePause, and each further one
@@ -28,7 +27,7 @@
 
 // writeQueue writes to a connection without ever waiting for its peer. The kernel takes what it has room for; the rest
 // is kept, in order, and written when the socket is writable again. A peer that takes some bytes now and then, however
-// few, is waited for; one that takes none for stallTimeout is given up.
+// few, is waited for; one that takes none for limit.StallTimeout is given up.
 //
 // The methods and both callbacks run on the loop. Nothing else may write to the connection.
 type writeQueue struct {
@@ -40,12 +39,11 @@
 	onProgress func()      // called when the socket has taken bytes that waited
 	onFailure  func(error) // called when bytes that waited cannot be written; the queue is closed afterwards
 
-	closed         bool
-	armed          uint64 // under which the write poller knows it; 0 = it does not
-	timer          state.Deadline
-	shortagePause  time.Duration // 0 = the last write did not fail for lack of memory
-	progressAt     time.Duration
-	unacknowledged int // bytes that the kernel held when progress was last looked at; 0 = it was not since the last write
+	closed        bool
+	armed         uint64 // under which the write poller knows it; 0 = it does not
+	timer         state.Deadline
+	shortagePause time.Duration // 0 = the last write did not fail for lack of memory
+	progress      limit.Progress
 }
 
 func newWriteQueue(loop *Loop, conn netpoll.Connection, onProgress func(), onFailure func(error)) *writeQueue {
@@ -64,10 +62,10 @@
 			return err
 		}
 		if b = b[n:]; len(b) == 0 {
-			q.unacknowledged = 0
+			q.progress.Forget()
 			return nil
 		}
-		q.progressAt, q.unacknowledged = q.loop.clock.Now(), q.inTransit()
+		q.progress.Written(q.loop.clock.Now(), q.inTransit())
 		q.keep(b)
 		q.wait(shortage)
 		return nil
@@ -86,18 +84,8 @@
 func (q *writeQueue) delivering() bool { return q.inTransit() > 0 && !q.stalled() }
 
 // stalled looks at the peer's progress and reports whether it has taken none of the bytes that the kernel holds for
-// stallTimeout.
-func (q *writeQueue) stalled() bool { return q.noteHeld(q.inTransit()) }
-
-// noteHeld records how many bytes the kernel holds now, and reports whether that is no progress for stallTimeout.
-func (q *writeQueue) noteHeld(held int) (stalled bool) {
-	now := q.loop.clock.Now()
-	if held == 0 || q.unacknowledged == 0 || held < q.unacknowledged {
-		q.progressAt, q.unacknowledged = now, held
-		return false
-	}
-	return now-q.progressAt >= stallTimeout
-}
+// limit.StallTimeout.
+func (q *writeQueue) stalled() bool { return q.progress.Stalled(q.loop.clock.Now(), q.inTransit()) }
 
 // notSent returns the number of bytes that the kernel holds because the peer's machine has no room for them.
 func (q *writeQueue) notSent() int { return q.descriptor.queued(unix.SIOCOUTQNSD) }
@@ -161,7 +149,7 @@
 		return
 	}
 	if n > 0 {
-		q.progressAt, q.unacknowledged = q.loop.clock.Now(), q.inTransit()
+		q.progress.Written(q.loop.clock.Now(), q.inTransit())
 	}
 	if q.len() > 0 {
 		q.wait(shortage)
