--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds what the cases 6 to 10 start beside the proxy, into review/bin. The proxy is built by the deploy file.
+set -e
+cd "$(dirname "$0")"
+mkdir -p bin
+go build -buildvcs=false -o bin/rig2 ./rig2
