--- a/review/rig2/case_consul.go
+++ b/review/rig2/case_consul.go
@@ -24,6 +24,8 @@
 	index   int
 	entries []map[string]any
 	changed chan struct{}
+	silent  chan struct{}        // closed when the calls under way have fallen silent; later calls have another one
+	asked   time.Time            // when the last blocking query began to wait
 	toldAt  map[string]time.Time // when an answer was written that says that a database is in maintenance
 }
 
@@ -32,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &consulAgent{address: listener.Addr().String(), record: record, index: 10, changed: make(chan struct{}), toldAt: map[string]time.Time{}}
+	a := &consulAgent{address: listener.Addr().String(), record: record, index: 10, changed: make(chan struct{}), silent: make(chan struct{}), toldAt: map[string]time.Time{}}
 	server := &http.Server{Handler: http.HandlerFunc(a.serve)}
 	go server.Serve(listener)
 	return a, nil
@@ -82,6 +84,22 @@
 	a.changed = make(chan struct{})
 }
 
+// silence has the calls under way fall silent; new ones are answered.
+func (a *consulAgent) silence() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.silent)
+	a.silent = make(chan struct{})
+	a.record.logf("consul: the open calls fall silent")
+}
+
+// lastCall returns when the last blocking query began to wait; false = there was none.
+func (a *consulAgent) lastCall() (time.Time, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.asked, !a.asked.IsZero()
+}
+
 // told returns when the proxy was told that a database is in maintenance; false = it was not.
 func (a *consulAgent) told(id string) (time.Time, bool) {
 	a.mu.Lock()
@@ -92,16 +110,22 @@
 
 func (a *consulAgent) serve(w http.ResponseWriter, r *http.Request) {
 	a.mu.Lock()
-	index, changed := a.index, a.changed
+	index, changed, silent := a.index, a.changed, a.silent
 	a.mu.Unlock()
 	if asked, err := strconv.Atoi(r.URL.Query().Get("index")); err == nil && asked >= index {
 		wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
 		if err != nil {
 			wait = 5 * time.Minute
 		}
+		a.mu.Lock()
+		a.asked = time.Now()
+		a.mu.Unlock()
 		select {
 		case <-changed:
 		case <-time.After(wait):
+		case <-silent:
+			<-r.Context().Done() // the connection stays open, and nothing comes
+			return
 		case <-r.Context().Done():
 			return
 		}
@@ -166,16 +190,24 @@
 // consulSettings are the words of consul() in the operator's file beside agents and services.
 type consulSettings string
 
-// playConsul runs a proxy that reads Consul's catalogue, under load, and calls trouble with the agent meanwhile. It
-// judges what db2 gets: nothing later than 2 s after the proxy was told that it is in maintenance.
-func playConsul(r *rig, settings consulSettings, lasts time.Duration, trouble func(agent *consulAgent)) error {
+// consulScene is a proxy that reads Consul's catalogue, under a steady load of reads.
+type consulScene struct {
+	databases []*database
+	agent     *consulAgent
+	before    int // statements that db2 got before the disruption
+	end       chan struct{}
+	running   *sync.WaitGroup
+}
+
+// startConsulScene starts it and lets it run for some seconds.
+func (r *rig) startConsulScene(settings consulSettings) (*consulScene, error) {
 	databases, d, err := r.group(3, 30*time.Millisecond)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	agent, err := startConsul(r.recorder)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for _, db := range databases {
 		agent.add(db, 0)
@@ -183,48 +215,63 @@
 	operator := filepath.Join(r.dir, "operator.star")
 	text := fmt.Sprintf("consul(agents = [\"http://%s\"], services = {\"stok-db\": 0}%s)\n", agent.address, settings)
 	if err := os.WriteFile(operator, []byte(text), 0o644); err != nil {
-		return err
+		return nil, err
 	}
 	p, err := newProxy("n0", r.dir, d, kereste(1), r.recorder)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	p.env = []string{"HAVEN_OPERATOR=" + operator}
 	if err := r.startProxy(p); err != nil {
-		return err
+		return nil, err
 	}
 	time.Sleep(2 * time.Second)
-	stop := make(chan struct{})
-	running := r.load(p.listen, 20*time.Millisecond, stop, func(id string) string { return readText(id, "katalog", 800) })
+	s := &consulScene{databases: databases, agent: agent, end: make(chan struct{})}
+	s.running = r.load(p.listen, 20*time.Millisecond, s.end, func(id string) string { return readText(id, "katalog", 800) })
 	time.Sleep(3 * time.Second)
-	before := len(databases[2].statements())
-	if before == 0 {
-		close(stop)
-		return errors.New("db2 got nothing before the disruption")
+	if s.before = len(databases[2].statements()); s.before == 0 {
+		s.stop()
+		return nil, errors.New("db2 got nothing before the disruption")
+	}
+	return s, nil
+}
+
+// stop ends the load.
+func (s *consulScene) stop() {
+	close(s.end)
+	s.running.Wait()
+}
+
+// playConsul calls trouble with the agent under load. It judges what db2 gets: nothing later than 2 s after the proxy
+// was told that it is in maintenance.
+func playConsul(r *rig, settings consulSettings, lasts time.Duration, trouble func(agent *consulAgent)) error {
+	s, err := r.startConsulScene(settings)
+	if err != nil {
+		return err
 	}
 	if r.trouble {
-		trouble(agent)
+		trouble(s.agent)
 	}
 	time.Sleep(lasts)
-	close(stop)
-	running.Wait()
-	told, ok := agent.told("db2")
+	s.stop()
+	told, ok := s.agent.told("db2")
 	if r.trouble && !ok {
 		return errors.New("the proxy was not told that db2 is in maintenance")
 	}
 	within, late, last := 0, 0, time.Duration(0)
-	for _, s := range databases[2].statements() {
-		switch since := s.at.Sub(told); {
+	statements := s.databases[2].statements()
+	for _, statement := range statements {
+		switch since := statement.at.Sub(told); {
 		case !ok || since < 0:
 		case since <= drainGrace+socketsSlack+networkSlack:
 			within++
 		default:
 			late, last = late+1, since
-			r.logf("db2 got id=%s %v after the proxy was told", s.hints["id"], since.Round(time.Millisecond))
+			r.logf("db2 got id=%s %v after the proxy was told", statement.hints["id"], since.Round(time.Millisecond))
 		}
 	}
 	r.sayf("db2 got %d statements in all, %d before the disruption, %d within the 2 s, %d later, the last after %v",
-		len(databases[2].statements()), before, within, late, last.Round(time.Millisecond))
+		len(statements), s.before, within, late, last.Round(time.Millisecond))
 	if late > 0 {
 		return errBroken(fmt.Sprintf("%d statements went to db2 later than 2 s after the proxy was told that it wants nothing new", late))
 	}
