Review case 6: a second copy of an answer is served to another client

A copy that comes some tenths of a millisecond behind its answer becomes the answer to the next request on that connection.

--- a/review/rig2/case_consul.go
+++ b/review/rig2/case_consul.go
@@ -24,8 +24,6 @@
 	index   int
 	entries []map[string]any
 	changed chan struct{}
-	silent  chan struct{}        // closed when the calls under way have fallen silent; later calls have another one
-	asked   time.Time            // when the last blocking query began to wait
 	toldAt  map[string]time.Time // when an answer was written that says that a database is in maintenance
 }
 
@@ -34,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &consulAgent{address: listener.Addr().String(), record: record, index: 10, changed: make(chan struct{}), silent: make(chan struct{}), toldAt: map[string]time.Time{}}
+	a := &consulAgent{address: listener.Addr().String(), record: record, index: 10, changed: make(chan struct{}), toldAt: map[string]time.Time{}}
 	server := &http.Server{Handler: http.HandlerFunc(a.serve)}
 	go server.Serve(listener)
 	return a, nil
@@ -84,22 +82,6 @@
 	a.changed = make(chan struct{})
 }
 
-// silence has the calls under way fall silent; new ones are answered.
-func (a *consulAgent) silence() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	close(a.silent)
-	a.silent = make(chan struct{})
-	a.record.logf("consul: the open calls fall silent")
-}
-
-// lastCall returns when the last blocking query began to wait; false = there was none.
-func (a *consulAgent) lastCall() (time.Time, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.asked, !a.asked.IsZero()
-}
-
 // told returns when the proxy was told that a database is in maintenance; false = it was not.
 func (a *consulAgent) told(id string) (time.Time, bool) {
 	a.mu.Lock()
@@ -110,22 +92,16 @@
 
 func (a *consulAgent) serve(w http.ResponseWriter, r *http.Request) {
 	a.mu.Lock()
-	index, changed, silent := a.index, a.changed, a.silent
+	index, changed := a.index, a.changed
 	a.mu.Unlock()
 	if asked, err := strconv.Atoi(r.URL.Query().Get("index")); err == nil && asked >= index {
 		wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
 		if err != nil {
 			wait = 5 * time.Minute
 		}
-		a.mu.Lock()
-		a.asked = time.Now()
-		a.mu.Unlock()
 		select {
 		case <-changed:
 		case <-time.After(wait):
-		case <-silent:
-			<-r.Context().Done() // the connection stays open, and nothing comes
-			return
 		case <-r.Context().Done():
 			return
 		}
@@ -146,10 +122,7 @@
 	}
 }
 
-func init() {
-	cases["consul-deregister"] = playConsulDeregister
-	cases["consul-maintenance"] = playConsulMaintenance
-}
+func init() { cases["consul-drain"] = playConsulDrain }
 
 // load asks a proxy at a steady rate until stop is closed.
 func (r *rig) load(address string, every time.Duration, stop <-chan struct{}, text func(id string) string) *sync.WaitGroup {
@@ -217,7 +190,7 @@
 	if err := os.WriteFile(operator, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
-	p, err := newProxy("n0", r.dir, d, kereste(1), r.recorder)
+	p, err := newProxy(fmt.Sprintf("n%d", len(r.proxies)), r.dir, d, kereste(1), r.recorder)
 	if err != nil {
 		return nil, err
 	}
@@ -242,12 +215,13 @@
 	s.running.Wait()
 }
 
-// playConsul calls trouble with the agent under load. It judges what db2 gets: nothing later than 2 s after the proxy
-// was told that it is in maintenance.
-func playConsul(r *rig, settings consulSettings, lasts time.Duration, trouble func(agent *consulAgent)) error {
+// observe calls trouble with the agent under load, and judges what db2 gets: nothing later than 2 s after the proxy was
+// told that it is in maintenance. It returns the number of statements that came later.
+func (r *rig) observe(name string, settings consulSettings, lasts time.Duration, trouble func(agent *consulAgent)) (late int, err error) {
+	r.logf("%s: consul() with the settings %q", name, settings)
 	s, err := r.startConsulScene(settings)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if r.trouble {
 		trouble(s.agent)
@@ -256,9 +230,9 @@
 	s.stop()
 	told, ok := s.agent.told("db2")
 	if r.trouble && !ok {
-		return errors.New("the proxy was not told that db2 is in maintenance")
+		return 0, errors.New("the proxy was not told that db2 is in maintenance")
 	}
-	within, late, last := 0, 0, time.Duration(0)
+	within, last := 0, time.Duration(0)
 	statements := s.databases[2].statements()
 	for _, statement := range statements {
 		switch since := statement.at.Sub(told); {
@@ -270,25 +244,29 @@
 			r.logf("db2 got id=%s %v after the proxy was told", statement.hints["id"], since.Round(time.Millisecond))
 		}
 	}
-	r.sayf("db2 got %d statements in all, %d before the disruption, %d within the 2 s, %d later, the last after %v",
-		len(statements), s.before, within, late, last.Round(time.Millisecond))
-	if late > 0 {
-		return errBroken(fmt.Sprintf("%d statements went to db2 later than 2 s after the proxy was told that it wants nothing new", late))
-	}
-	return nil
+	r.sayf("%s: db2 got %d statements in all, %d before the disruption, %d within the 2 s, %d later, the last after %v",
+		name, len(statements), s.before, within, late, last.Round(time.Millisecond))
+	return late, nil
 }
 
-// playConsulDeregister takes a database out of service: it is put into maintenance, and deregistered once it has
-// finished what it had. It answers until the end.
-func playConsulDeregister(r *rig) error {
-	return playConsul(r, ", alone = True", 8*time.Second, func(agent *consulAgent) {
+// playConsulDrain puts a database into maintenance in Consul: once beside the platform's list, which still has it in
+// service, and once with Consul alone, where it is deregistered after it has finished what it had. It answers until the
+// end.
+func playConsulDrain(r *rig) error {
+	beside, err := r.observe("beside the platform's list", "", 8*time.Second, func(agent *consulAgent) { agent.maintain("db2") })
+	if err != nil {
+		return err
+	}
+	alone, err := r.observe("Consul alone", ", alone = True", 8*time.Second, func(agent *consulAgent) {
 		agent.maintain("db2")
 		time.Sleep(2200 * time.Millisecond)
 		agent.deregister("db2")
 	})
-}
-
-// playConsulMaintenance puts a database into maintenance that discovery lists as well.
-func playConsulMaintenance(r *rig) error {
-	return playConsul(r, "", 8*time.Second, func(agent *consulAgent) { agent.maintain("db2") })
+	if err != nil {
+		return err
+	}
+	if beside+alone > 0 {
+		return errBroken(fmt.Sprintf("%d and %d statements went to a database later than 2 s after the proxy was told that it wants nothing new", beside, alone))
+	}
+	return nil
 }
--- /dev/null
+++ b/review/rig2/case_second_copy.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() { cases["second-copy"] = playSecondCopy }
+
+const (
+	copyShare   = 0.08 // of the answers that bring a second copy
+	copyClients = 24
+	copyRate    = 290 // requests a second, as at the site
+	copyTime    = 45 * time.Second
+)
+
+// copyNetwork is the site's network between buildings.
+var copyNetwork = network{oneWay: 2 * time.Millisecond, jitter: 0.3}
+
+// playSecondCopy has some answers bring a second copy of themselves directly behind. Each copy is written by the next
+// call behind its answer, and only if no other statement has come on that connection.
+func playSecondCopy(r *rig) error {
+	databases, d, err := r.group(3, 0)
+	if err != nil {
+		return err
+	}
+	var copies, served, foreign, others atomic.Int64
+	for _, db := range databases {
+		db.setNetwork(copyNetwork)
+		db.setHandle(func(s *statement) bool {
+			time.Sleep(time.Duration(25+rand.IntN(18)) * time.Millisecond) // as the site's katalog
+			row := db.row([]byte("value-of-"+s.hints["id"]), "SELECT 1")
+			s.conn.Write(row)
+			if r.trouble && rand.Float64() < copyShare && !s.conn.(*networkConn).waits() {
+				s.conn.Write(row)
+				copies.Add(1)
+				r.logf("%s wrote a second copy behind the answer to id=%s", db.name, s.hints["id"])
+			}
+			return true
+		})
+	}
+	p, err := newProxy("n0", r.dir, d, kereste(1), r.recorder)
+	if err != nil {
+		return err
+	}
+	if err := r.startProxy(p); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	end := time.Now().Add(copyTime)
+	var running sync.WaitGroup
+	for range copyClients {
+		running.Go(func() {
+			for time.Now().Before(end) {
+				c, err := dialClient(p.listen)
+				if err != nil {
+					others.Add(1)
+					time.Sleep(100 * time.Millisecond)
+					continue
+				}
+				for time.Now().Before(end) {
+					time.Sleep(time.Duration(rand.Int64N(int64(2 * copyClients * time.Second / copyRate))))
+					id := newID()
+					a, err := c.ask(readText(id, "katalog", 800))
+					if err != nil {
+						others.Add(1)
+						break
+					}
+					switch {
+					case a.code != "":
+						others.Add(1)
+					case string(a.value) != "value-of-"+id:
+						foreign.Add(1)
+						r.logf("client: id=%s was served with %q", id, strings.ToValidUTF8(string(a.value), "?"))
+					default:
+						served.Add(1)
+					}
+				}
+				c.conn.Close()
+			}
+		})
+	}
+	running.Wait()
+	r.sayf("%d second copies; %d requests served, %d with the value of another request, %d refused, failed or cut",
+		copies.Load(), served.Load()+foreign.Load(), foreign.Load(), others.Load())
+	if foreign.Load() > 0 {
+		return errBroken(fmt.Sprintf("%d requests were served with what no database made for them", foreign.Load()))
+	}
+	return nil
+}
--- a/review/rig2/database.go
+++ b/review/rig2/database.go
@@ -31,8 +31,9 @@
 	primary  bool
 	listener net.Listener
 	// handle, if it is set, answers a statement itself and reports whether it has done so.
-	handle func(s *statement) bool
-	got    []statement // all statements of clients, in order
+	handle  func(s *statement) bool
+	got     []statement // all statements of clients, in order
+	network network     // between the proxies and it; the zero value is none
 }
 
 func startDatabase(name string, primary bool, work time.Duration, record *recorder) (*database, error) {
@@ -78,7 +79,12 @@
 }
 
 func (db *database) serve(conn net.Conn) {
-	defer conn.Close()
+	defer func() { conn.Close() }()
+	db.mu.Lock()
+	if db.network.oneWay > 0 {
+		conn = newNetworkConn(conn, db.network)
+	}
+	db.mu.Unlock()
 	r := bufio.NewReader(conn)
 	if _, err := readMessage(r, true); err != nil {
 		return
@@ -146,3 +152,10 @@
 	defer db.mu.Unlock()
 	db.handle = handle
 }
+
+// setNetwork puts a network before the database; it holds for connections that are opened from now on.
+func (db *database) setNetwork(n network) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.network = n
+}
