--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p bin
-go build -buildvcs=false -o bin/rig2 ./rig2
+GOFLAGS=-mod=mod GOWORK=off go build -buildvcs=false -o bin/rig2 ./rig2
--- a/review/rig2/case_many_commands.go
+++ b/review/rig2/case_many_commands.go
@@ -59,6 +59,7 @@
 			for range window {
 				c.conn.SetReadDeadline(time.Now().Add(8 * time.Second))
 				a, err := readAnswer(c.reader)
+				r.logf("client: the next answer: value %q, code %q, error %v", a.value, a.code, err)
 				switch {
 				case err != nil:
 					counts["no answer"]++
--- a/review/rig2/case_second_copy.go
+++ b/review/rig2/case_second_copy.go
@@ -65,19 +65,23 @@
 				for time.Now().Before(end) {
 					time.Sleep(time.Duration(rand.Int64N(int64(2 * copyClients * time.Second / copyRate))))
 					id := newID()
+					r.logf("client sends id=%s", id)
 					a, err := c.ask(readText(id, "katalog", 800))
 					if err != nil {
+						r.logf("client: id=%s: %v", id, err)
 						others.Add(1)
 						break
 					}
 					switch {
 					case a.code != "":
 						others.Add(1)
+						r.logf("client: id=%s: code %s", id, a.code)
 					case string(a.value) != "value-of-"+id:
 						foreign.Add(1)
 						r.logf("client: id=%s was served with %q", id, strings.ToValidUTF8(string(a.value), "?"))
 					default:
 						served.Add(1)
+						r.logf("client: id=%s was served with its own value", id)
 					}
 				}
 				c.conn.Close()
--- a/review/rig2/case_spoilt_value.go
+++ b/review/rig2/case_spoilt_value.go
@@ -111,8 +111,12 @@
 		id := newID()
 		c.conn.SetReadDeadline(time.Now().Add(15 * time.Second))
 		c.conn.Write(queryMessage(readText(id, class, 800)))
+		r.logf("client sends id=%s (%s)", id, class)
 		_, firstErr := c.reader.Peek(1)
 		a, err := readAnswer(c.reader)
+		if firstErr == nil {
+			r.logf("client: id=%s: %d bytes of value, code %q, error %v", id, len(a.value), a.code, err)
+		}
 		if recent {
 			tally.recent.Add(1)
 		}
