--- a/review/rig2/case_second_copy.go
+++ b/review/rig2/case_second_copy.go
@@ -19,7 +19,7 @@
 )
 
 // copyNetwork is the site's network between buildings.
-var copyNetwork = network{oneWay: 2 * time.Millisecond, jitter: 0.3}
+var copyNetwork = network{oneWay: 2 * time.Millisecond, jitter: 0.16}
 
 // playSecondCopy has some answers bring a second copy of themselves directly behind. Each copy is written by the next
 // call behind its answer, and only if no other statement has come on that connection.
