Review: a script ends its proxies, also when its own program dies

A scratch program that had panicked left its proxies behind. run.sh ends them now, tried by a kill of the program and by SIGTERM to the script.

--- a/review/rig2/proxy.go
+++ b/review/rig2/proxy.go
@@ -109,6 +109,10 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
+	if err := p.notePID(); err != nil {
+		p.cmd.Process.Kill()
+		return err
+	}
 	p.done = make(chan struct{})
 	go func() {
 		p.err = p.cmd.Wait()
@@ -130,6 +134,21 @@
 	return fmt.Errorf("proxy %s is not ready within 10 s", p.name)
 }
 
+// notePID adds the process to the file that RIG_PIDS names, so that run.sh can end it if this program dies.
+func (p *proxy) notePID() error {
+	path := os.Getenv("RIG_PIDS")
+	if path == "" {
+		return nil
+	}
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	_, err = fmt.Fprintln(file, p.cmd.Process.Pid)
+	return err
+}
+
 func (p *proxy) signal(s syscall.Signal) {
 	p.record.logf("%v to proxy %s", s, p.name)
 	p.cmd.Process.Signal(s)
