Fail an attempt whose long answer is spoilt before its stream is reported

Cause: beginStream gave what had been read to the stream before the stream was reported to the engine.

Change: a stream that has ended by then is reported as a protocol error, i.e. a failed attempt that may have run; OnEnd runs its function at once if the stream has ended; the open connections and streams are sets instead of counts.

--- a/internal/net/stream.go
+++ b/internal/net/stream.go
@@ -85,6 +85,11 @@
 	stream.readAheadBytes = len(db.input.bytes)
 	stream.consume(db.input.bytes)
 	db.input.bytes = nil
+	if stream.finished { // spoilt behind the row, and nothing was passed on: a failed attempt like any other
+		db.databases.logProtocolError(db.address, errIncompleteAnswer)
+		db.listener.ProtocolError()
+		return
+	}
 	r := db.outcome()
 	r.Result, r.Body, r.Stream = logic.OK, nil, stream
 	stream.lastProgress = db.databases.Loop.clock.Now()
@@ -121,7 +126,13 @@
 }
 
 // OnEnd implements state.ValueStream.
-func (stream *valueStream) OnEnd(f func()) { stream.onEnd = f }
+func (stream *valueStream) OnEnd(f func()) {
+	if stream.finished {
+		f()
+		return
+	}
+	stream.onEnd = f
+}
 
 // Stop implements state.ValueStream.
 func (stream *valueStream) Stop() { stream.finish(false) }
--- a/internal/state/assign.go
+++ b/internal/state/assign.go
@@ -41,13 +41,13 @@
 
 // openConn opens a connection. At the limit it first evicts another one; it returns nil if there is none to evict.
 func (e *Engine) openConn(m *member) *pooledConn {
-	if e.openConns+e.opener.AbandonedDials() >= e.cfg.MaxConnections && !e.evictConn() {
+	if len(e.openConns)+e.opener.AbandonedDials() >= e.cfg.MaxConnections && !e.evictConn() {
 		e.Counters.ConnectionsNotOpened++
 		return nil
 	}
-	e.openConns++
 	e.Counters.Opened++
 	c := &pooledConn{engine: e, member: m, address: m.address}
+	e.openConns[c] = struct{}{}
 	c.conn = e.opener.Open(m.address, m.group, c)
 	e.Deadlines.Set(&c.Deadline, e.clock.Now()+e.cfg.ConnectTimeout, c.Down)
 	return c
--- a/internal/state/audit_test.go
+++ b/internal/state/audit_test.go
@@ -529,8 +529,8 @@
 // checkReleased checks, once nothing is open any more, that every slot, connection and timer was released.
 func (a *auditor) checkReleased() {
 	t, e := a.t, a.engine
-	if len(e.requests) > 0 || len(e.openNames) > 0 || e.openStreams > 0 || e.OutstandingAnswers() > 0 {
-		t.Errorf("%d requests are kept, %d names, %d streams", len(e.requests), len(e.openNames), e.openStreams)
+	if len(e.requests) > 0 || len(e.openNames) > 0 || len(e.openStreams) > 0 || e.OutstandingAnswers() > 0 {
+		t.Errorf("%d requests are kept, %d names, %d streams", len(e.requests), len(e.openNames), len(e.openStreams))
 	}
 	open := 0
 	for _, c := range a.conns {
@@ -556,8 +556,8 @@
 			t.Errorf("%d of %s's slots are not released", v.InFlight, m.name)
 		}
 	}
-	if e.openConns != open || held != open {
-		t.Errorf("%d connections are open, %d counted, %d held", open, e.openConns, held)
+	if len(e.openConns) != open || held != open {
+		t.Errorf("%d connections are open, %d counted, %d held", open, len(e.openConns), held)
 	}
 	if n := len(e.Deadlines.heap); n > open+2 {
 		t.Errorf("%d timers are set for %d connections", n, open)
--- a/internal/state/connections.go
+++ b/internal/state/connections.go
@@ -104,7 +104,7 @@
 		return
 	}
 	c.state = connClosed
-	e.openConns--
+	delete(e.openConns, c)
 	c.unlist()
 	e.Deadlines.Clear(&c.Deadline)
 	c.conn.Close()
@@ -228,8 +228,9 @@
 
 // ValueStream is a value that arrives in pieces.
 type ValueStream interface {
-	OnEnd(func()) // sets the function to call when the stream has ended or failed
-	Stop()        // ends the stream
+	// OnEnd sets the function to call when the stream has ended or failed. It calls it at once if that was before.
+	OnEnd(func())
+	Stop() // ends the stream
 }
 
 // StreamingCaller is a Caller that can receive a value as a stream. Stream is then called in place of Served.
@@ -243,9 +244,9 @@
 func (c *pooledConn) startStream(a *attempt, r Reply) {
 	e := c.engine
 	c.state = connStreaming
-	e.openStreams++
+	e.openStreams[c] = struct{}{}
 	r.Stream.OnEnd(func() {
-		e.openStreams--
+		delete(e.openStreams, c)
 		e.closeConn(c)
 	})
 	if s, ok := a.req.caller.(StreamingCaller); !ok || !s.AcceptsStream() {
--- a/internal/state/engine.go
+++ b/internal/state/engine.go
@@ -92,10 +92,10 @@
 
 	membersByName map[string]*member
 	members       map[logic.MemberID]*member
-	openConns     int
+	openConns     map[*pooledConn]struct{}
 	idleConns     connList
 	overdueConns  connList
-	openStreams   int // answers that are being streamed
+	openStreams   map[*pooledConn]struct{} // connections whose answers are being streamed
 	listFailing   bool
 	changesLogged int // changes counted for the list that is being applied
 	listReceived  bool
@@ -144,7 +144,8 @@
 func New(cfg Config, clock Clock, opener Opener) (*Engine, error) {
 	e := &Engine{cfg: cfg, classes: map[string]int{}, clock: clock, opener: opener,
 		requests: map[logic.RequestID]*request{}, openNames: map[string]struct{}{}, timers: map[logic.TimerID]*Deadline{},
-		membersByName: map[string]*member{}, members: map[logic.MemberID]*member{}}
+		membersByName: map[string]*member{}, members: map[logic.MemberID]*member{},
+		openConns: map[*pooledConn]struct{}{}, openStreams: map[*pooledConn]struct{}{}}
 	for i, c := range cfg.Logic.Classes {
 		e.classes[c.Name] = i
 	}
@@ -181,10 +182,10 @@
 }
 
 // Pending returns the number of open requests and streamed answers.
-func (e *Engine) Pending() int { return len(e.requests) + e.openStreams }
+func (e *Engine) Pending() int { return len(e.requests) + len(e.openStreams) }
 
 // Connections returns the number of connections to databases that count as open.
-func (e *Engine) Connections() int { return e.openConns }
+func (e *Engine) Connections() int { return len(e.openConns) }
 
 // Submit submits a client's request and returns its ID. It returns an error if the class is unknown or the name is
 // that of an open request; the caller gets no answer in that case.
--- a/internal/state/metrics.go
+++ b/internal/state/metrics.go
@@ -25,7 +25,7 @@
 		dst = admin.AppendCounter(dst, sums[name].Refused, "handled", name, "dropped")
 		dst = admin.AppendCounter(dst, sums[name].Failed, "handled", name, "bad_gateway")
 	}
-	open, listed, excluded := uint64(e.openStreams), uint64(0), uint64(0)
+	open, listed, excluded := uint64(len(e.openStreams)), uint64(0), uint64(0)
 	for _, req := range e.requests {
 		if req.caller != nil {
 			open++
--- a/internal/state/shortage_test.go
+++ b/internal/state/shortage_test.go
@@ -33,8 +33,8 @@
 	h := newHarness(t, 9)
 	h.e.Probe(h.id("one"))
 	h.conns[0].listener.NotOpened()
-	if h.probe.Result != logic.NotSent || h.e.membersByName["one"].silent || h.e.openConns != 0 {
-		t.Errorf("a check: result %d, silent %v, %d connections counted", h.probe.Result, h.e.membersByName["one"].silent, h.e.openConns)
+	if h.probe.Result != logic.NotSent || h.e.membersByName["one"].silent || len(h.e.openConns) != 0 {
+		t.Errorf("a check: result %d, silent %v, %d connections counted", h.probe.Result, h.e.membersByName["one"].silent, len(h.e.openConns))
 	}
 	h.calls = nil
 	h.submitAndSend(&caller{})
--- a/internal/state/shutdown.go
+++ b/internal/state/shutdown.go
@@ -33,7 +33,7 @@
 // OutstandingAnswers returns the number of answers owed to clients: requests without a final answer and values that
 // are being streamed.
 func (e *Engine) OutstandingAnswers() int {
-	n := e.openStreams
+	n := len(e.openStreams)
 	for _, req := range e.requests {
 		if req.caller != nil {
 			n++
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -287,8 +287,8 @@
 		h.submitAndSend(&caller{})
 		h.conns[len(h.conns)-1].listener.Down()
 	}
-	if len(h.conns) != 9 || h.e.openConns != 0 {
-		t.Errorf("%d connections opened, %d counted", len(h.conns), h.e.openConns)
+	if len(h.conns) != 9 || len(h.e.openConns) != 0 {
+		t.Errorf("%d connections opened, %d counted", len(h.conns), len(h.e.openConns))
 	}
 	h.abandonedDials = 1
 	if h.submitAndSend(&caller{}); len(h.conns) != 9 {
