Fail a value that breaks before its turn by itself, and keep its connection's other answers

Cause: valueStream.finish(false) called closeAfterOutput whether or not a byte of the value had been written, and with that abandoned all that was pending on the connection.

Change: a stream notes whether bytes of it were written. If none was, its request gets a failure in its turn. A client that goes takes its streams along by abandon, which tells it nothing.

--- a/internal/net/client_close.go
+++ b/internal/net/client_close.go
@@ -114,7 +114,7 @@
 func (c *client) abandonPending() {
 	for _, query := range c.pending {
 		if query.stream != nil {
-			query.stream.Stop()
+			query.stream.abandon()
 		}
 		c.server.answers.Unsent -= len(query.answer)
 		if !query.answered && query.id != 0 {
--- a/internal/net/spoilt_stream_test.go
+++ b/internal/net/spoilt_stream_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	stdnet "net"
+	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -111,3 +113,36 @@
 		})
 	}
 }
+
+// TestBrokenValueKeepsOtherAnswers guards against a value that breaks before its turn taking along the answers of its connection's other
+// commands: all of them got a close and no byte.
+func TestBrokenValueKeepsOtherAnswers(t *testing.T) {
+	for _, size := range []int{300, 20 << 10, 60 << 10} { // what was sent of 1 MiB; all of it is held
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			ended := make(chan struct{})
+			s, engine, loop := startProxy(t, databaseStub(t, func(c stdnet.Conn, text string) bool {
+				if strings.Contains(text, "'2b'") {
+					c.Write(longRowAnswer(1 << 20)[:size])
+					close(ended)
+					return false
+				}
+				if strings.Contains(text, "'1a'") {
+					<-ended
+					time.Sleep(10 * time.Millisecond) // a margin: if the end is seen later, the test shows nothing
+				}
+				return echoQuery(c, text)
+			}), 8, 1)
+			c := dial(t, s)
+			c.conn.Write(slices.Concat(pg.AppendStartup(nil, "client", "core"), pg.AppendQuery(nil, query("1a")), pg.AppendQuery(nil, query("2b")), pg.AppendQuery(nil, query("3c"))))
+			types, bodies := c.readTypes(len(welcome) + 8)
+			if got := strings.TrimPrefix(types, welcome); got != "DCZEZDCZ" || !strings.Contains(bodies[len(bodies)-3], "'3c'") {
+				t.Errorf("answers %q to a read, a broken one and a read", got)
+			}
+			counts := make(chan [2]int)
+			loop.Post(func() { counts <- [2]int{engine.Pending(), engine.Connections()} })
+			if x := <-counts; x[0] != 0 || x[1] > 2 {
+				t.Errorf("%d pending, %d connections", x[0], x[1])
+			}
+		})
+	}
+}
--- a/internal/net/stream.go
+++ b/internal/net/stream.go
@@ -32,6 +32,7 @@
 	readAheadBytes    int    // bytes that netpoll had read before it was stopped
 	unparsed          []byte // bytes after the row that are not a complete message yet
 	answerComplete    bool   // the end of the answer has arrived
+	passedOn          bool   // bytes of the value have been written to the client
 	finished          bool
 	lastProgress      time.Duration
 	timer             state.Deadline
@@ -143,9 +144,12 @@
 // Stream implements state.StreamingCaller.
 func (q *pendingQuery) Stream(from state.ValueStream) {
 	stream := from.(*valueStream)
-	if stream.finished || q.client.phase == phaseClosed {
-		stream.finish(false)
-		q.client.closeNow()
+	if q.client.phase == phaseClosed {
+		stream.Stop()
+		return
+	}
+	if stream.finished {
+		q.Failed()
 		return
 	}
 	stream.client, stream.query, q.stream = q.client, q, stream
@@ -205,7 +209,7 @@
 		return
 	}
 	output := stream.output
-	stream.output = output[:0]
+	stream.output, stream.passedOn = output[:0], true
 	stream.client.write(output)
 }
 
@@ -224,8 +228,15 @@
 	return false, err == syscall.EAGAIN || err == syscall.EINTR
 }
 
-// finish ends the stream, once. The connection of a client that does not get the complete value is closed behind what
-// it gets, so that it notices.
+// abandon ends the stream for a client that gets no further answers.
+func (stream *valueStream) abandon() {
+	stream.query.stream = nil
+	stream.query = nil
+	stream.finish(false)
+}
+
+// finish ends the stream, once. A value that is not complete has failed. If a part of it has been written, its client's
+// connection is closed behind that, so that the client notices; otherwise only this request fails.
 func (stream *valueStream) finish(complete bool) {
 	if stream.finished {
 		return
@@ -240,9 +251,12 @@
 		return
 	}
 	stream.query.stream = nil
-	if !complete {
+	switch {
+	case complete:
+		stream.query.complete(nil)
+	case stream.passedOn:
 		stream.client.closeAfterOutput()
-		return
+	default:
+		stream.query.Failed()
 	}
-	stream.query.complete(nil)
 }
