Reuse a database's connection only once its stream is known to be empty

Cause: a connection was taken for the next request when nothing had arrived behind its last answer. A copy still under way became the answer to the next request.

Change: a command without effect whose answer is of its own kind follows each answer (PostgreSQL: an empty query; MySQL: COM_SET_OPTION). The connection is available once that answer has arrived with nothing before it; otherwise it is closed, the member is not at fault, and a request that waited gets another connection. A request without an idle connection waits for one that is being synchronized, a round trip, before a new one is opened. Counted as syncs_failed.

The test databases answer the command at once, as the protocol page says; the stand-in for MySQL knows COM_SET_OPTION. TestCloseKnownOnlyToKernelIsDetected waits until the connection is idle, which is what it is about.

--- a/internal/lab/standin/mysql.go
+++ b/internal/lab/standin/mysql.go
@@ -97,6 +97,12 @@
 			delete(statements, id)
 		case mysql.ComPing, mysql.ComInitDB:
 			s.write(mysql.AppendOK(nil, 1, mysql.OK{}, caps, false))
+		case mysql.ComSetOption:
+			if caps&mysql.ClientDeprecateEOF == 0 {
+				s.write(mysql.AppendEOF(nil, 1, mysql.StatusAutocommit))
+				break
+			}
+			s.write(mysql.AppendOK(nil, 1, mysql.OK{}, caps, true))
 		default:
 			s.write(mysql.AppendErr(nil, 1, mysql.ErrUnknownCommand, "unknown command"))
 		}
--- a/internal/lab/virtual/connections.go
+++ b/internal/lab/virtual/connections.go
@@ -137,6 +137,22 @@
 	return nil
 }
 
+// Sync implements state.Conn. Its answer takes a round trip; like a dial's, it has no jitter.
+func (c *conn) Sync() error {
+	w := c.w
+	w.at(w.clock.now+2*w.cfg.Way, func() {
+		if c.closed || w.cutUntil(c.n, c.m, w.clock.now) > 0 || w.fleet.Liveness(c.m) != fleet.Up {
+			return
+		}
+		c.n.proxy(func() {
+			if !c.closed {
+				c.to.Synced()
+			}
+		})
+	})
+	return nil
+}
+
 // Reusable implements state.Conn.
 func (c *conn) Reusable() bool { return !c.closed }
 
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -41,6 +41,7 @@
 type database struct {
 	databaseLink
 	reply     pg.Reply
+	syncReply pg.SyncReply
 	sessionUp bool
 
 	stream *valueStream // streams a long value, once it has taken over the connection
@@ -79,9 +80,18 @@
 	return db.write(pg.AppendQuery(nil, loadQuery))
 }
 
+// syncCommand is the command that every connection to a PostgreSQL database is synchronized with.
+var syncCommand = pg.AppendSync(nil)
+
+// Sync implements state.Conn.
+func (db *database) Sync() error {
+	db.syncReply = pg.SyncReply{}
+	return db.sync(syncCommand)
+}
+
 // parseNext implements databaseProtocol.
 func (db *database) parseNext(buf []byte) (n int, complete bool, err error) {
-	if row, long := pg.NextStreamedRow(buf); long && db.awaitingAnswer && !db.probing && db.reply.AddStreamedRow() {
+	if row, long := pg.NextStreamedRow(buf); long && db.awaitingAnswer && !db.probing && !db.syncing && db.reply.AddStreamedRow() {
 		return 0, false, db.startStream(row)
 	}
 	m, n, err := pg.Next(buf)
@@ -91,6 +101,10 @@
 	if !db.awaitingAnswer {
 		return n, false, errUnexpectedAnswer
 	}
+	if db.syncing {
+		err = db.syncReply.Add(m)
+		return n, db.syncReply.Ready(), err
+	}
 	err = db.reply.Add(m)
 	return n, db.reply.Ready(), err
 }
@@ -108,6 +122,10 @@
 
 // answerComplete implements databaseProtocol; the first answer completes the session start.
 func (db *database) answerComplete() {
+	if db.syncing {
+		db.synced()
+		return
+	}
 	db.awaitingAnswer = false
 	if !db.sessionUp && db.reply.ErrorCode == "" {
 		db.sessionUp = true
--- a/internal/net/ending_test.go
+++ b/internal/net/ending_test.go
@@ -237,7 +237,7 @@
 		p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("1a")))
 		p.readTypes(len(welcome) + 3)
 		pooled := <-conns
-		waitUntil(loop, func() bool { return engine.Counters.OK == 1 })
+		waitUntil(loop, func() bool { return engine.Counters.OK == 1 && engine.Pools()[0].Idle == 1 })
 		releaseLoop := holdLoop(loop)
 		p.conn.Write(pg.AppendQuery(nil, query("2b")))
 		for c := range s.clients { // the loop is held
--- a/internal/net/health_test.go
+++ b/internal/net/health_test.go
@@ -52,6 +52,7 @@
 
 func (c *checkedConn) Send(state.Command, time.Duration) error { return nil }
 func (c *checkedConn) Reusable() bool                          { return true }
+func (c *checkedConn) Sync() error                             { c.databases.loop.Post(c.to.Synced); return nil }
 func (c *checkedConn) Close()                                  {}
 
 func (c *checkedConn) Probe() error {
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -64,6 +64,7 @@
 	dialDone       bool        // the dial has succeeded or failed
 	awaitingAnswer bool        // to the first message or to the last command
 	probing        bool        // the last command was a query for the load report
+	syncing        bool        // the last command was Sync
 	closed         bool
 	answerStarted  bool // a part of an answer has arrived, and answerTimer is set
 	answerTimer    state.Deadline
@@ -188,6 +189,26 @@
 // CommandWritten reports whether the socket has taken the last command whole. Before that nothing of it can have run.
 func (l *databaseLink) CommandWritten() bool { return l.output.len() == 0 }
 
+// sync writes the command of state.Conn.Sync. Bytes behind the last answer, or a part of the last command that was never
+// written, leave the connection unfit for it.
+func (l *databaseLink) sync(command []byte) error {
+	if l.awaitingAnswer || len(l.input.bytes) > 0 || !l.CommandWritten() {
+		return errUnexpectedAnswer
+	}
+	l.awaitingAnswer, l.probing, l.syncing = true, false, true
+	return l.write(command)
+}
+
+// synced handles the answer to Sync. It is the last one: bytes behind it belong to nothing.
+func (l *databaseLink) synced() {
+	l.awaitingAnswer, l.syncing = false, false
+	if len(l.input.bytes) > 0 {
+		l.protocolError(errUnexpectedAnswer)
+		return
+	}
+	l.listener.Synced()
+}
+
 // Reusable implements state.Conn.
 func (l *databaseLink) Reusable() bool {
 	return !l.awaitingAnswer && l.hasNoInput() && l.CommandWritten()
@@ -248,7 +269,7 @@
 // replyAtEnd returns the reply to the current command, if it is known, when the connection has ended. A command whose
 // last byte was not written has not run.
 func (l *databaseLink) replyAtEnd(err error) (state.Reply, bool) {
-	if l.output != nil && !l.CommandWritten() && l.awaitingAnswer && !l.probing && l.protocol.ready() {
+	if l.output != nil && !l.CommandWritten() && l.awaitingAnswer && !l.probing && !l.syncing && l.protocol.ready() {
 		return state.Reply{Result: logic.ConnectFailed}, true
 	}
 	return l.protocol.replyAtEnd(err)
--- a/internal/net/mysql_database.go
+++ b/internal/net/mysql_database.go
@@ -183,6 +183,15 @@
 	return db.writeBuffered(mysql.AppendCommand(db.scratch[:0], mysql.ComQuery, loadQueryMySQL))
 }
 
+// syncCommandMySQL is the command that every connection to a MySQL database is synchronized with.
+var syncCommandMySQL = mysql.AppendSync(nil)
+
+// Sync implements state.Conn.
+func (db *mysqlDatabase) Sync() error {
+	db.execution, db.preparingText = nil, ""
+	return db.sync(syncCommandMySQL)
+}
+
 // ready implements databaseProtocol.
 func (db *mysqlDatabase) ready() bool { return db.phase == mysqlPhaseReady }
 
@@ -204,6 +213,9 @@
 		complete, err = db.login(body, seq)
 		return n, complete, err
 	}
+	if db.syncing {
+		return n, true, mysql.CheckSync(body, seq, db.capabilities)
+	}
 	if err = db.reply.Add(body, seq); err == nil {
 		db.rawAnswer = append(db.rawAnswer, buf[:n]...)
 	}
@@ -274,6 +286,12 @@
 		db.phase, db.awaitingAnswer = mysqlPhaseReady, false
 		db.listener.Up()
 		return
+	case db.syncing && db.execution != nil:
+		db.stepSynced()
+		return
+	case db.syncing:
+		db.synced()
+		return
 	}
 	if e := db.reply.Err; e != nil && db.execution != nil && db.execution.Sent && mysql.OutcomeOf(e) == mysql.Forgotten {
 		db.execution.StatementUnknown(db.cache)
@@ -294,19 +312,33 @@
 	db.listener.Reply(db.outcome())
 }
 
-// continueExecution takes the next step of an execution. If there are leftover bytes or no further step, nothing is
-// sent and nothing has run.
+// continueExecution goes on with an execution. Another answer to the step before could be taken for the answer to the
+// next one, so the connection is synchronized between them.
 func (db *mysqlDatabase) continueExecution() {
+	db.awaitingAnswer = false
+	if err := db.sync(syncCommandMySQL); err != nil {
+		db.abandonExecution()
+	}
+}
+
+// stepSynced takes the next step of an execution.
+func (db *mysqlDatabase) stepSynced() {
+	db.awaitingAnswer, db.syncing = true, false
 	err := errUnexpectedAnswer
 	if db.hasNoInput() {
 		err = db.writeNextStep()
 	}
 	if err != nil {
-		db.Close()
-		db.databases.Loop.Post(func() { db.listener.Reply(state.Reply{Result: logic.ConnectFailed}) })
+		db.abandonExecution()
 	}
 }
 
+// abandonExecution ends an execution of which nothing was sent and nothing has run.
+func (db *mysqlDatabase) abandonExecution() {
+	db.Close()
+	db.databases.Loop.Post(func() { db.listener.Reply(state.Reply{Result: logic.ConnectFailed}) })
+}
+
 // outcome converts an answer to a state.Reply.
 func (db *mysqlDatabase) outcome() state.Reply {
 	if e := db.reply.Err; e != nil {
--- a/internal/net/mysql_test.go
+++ b/internal/net/mysql_test.go
@@ -91,6 +91,10 @@
 		p, caps := mysqlHandshake(conn, caps, nil)
 		for p != nil {
 			body, _, err := p.next()
+			if err == nil && body[0] == mysql.ComSetOption { // as every database, at once
+				conn.Write(mysqlSyncAnswer(caps))
+				continue
+			}
 			if err != nil || !answer(conn, body, caps) {
 				return
 			}
@@ -98,6 +102,14 @@
 	})
 }
 
+// mysqlSyncAnswer returns a database's answer to the command of state.Conn.Sync.
+func mysqlSyncAnswer(caps uint32) []byte {
+	if caps&mysql.ClientDeprecateEOF == 0 {
+		return mysql.AppendEOF(nil, 1, mysql.StatusAutocommit)
+	}
+	return mysql.AppendOK(nil, 1, mysql.OK{}, caps, true)
+}
+
 // mysqlHandshake accepts any login and sends extra after it; nil = the client has disconnected.
 func mysqlHandshake(conn stdnet.Conn, caps uint32, extra []byte) (*mysqlTestConn, uint32) {
 	p := &mysqlTestConn{conn: conn}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -124,6 +124,12 @@
 				return
 			}
 			text, _ := pg.QueryText(m)
+			if len(text) == 0 { // as every database, at once
+				if _, err := conn.Write(pg.AppendEmptyQueryResponse(nil)); err != nil {
+					return
+				}
+				continue
+			}
 			if !answer(conn, string(text)) {
 				return
 			}
--- a/internal/net/refused_test.go
+++ b/internal/net/refused_test.go
@@ -17,6 +17,7 @@
 func (e *listenerStub) Down()             { e.events <- "down" }
 func (e *listenerStub) DialRefused()      { e.events <- "refused" }
 func (e *listenerStub) NotOpened()        { e.events <- "unopened" }
+func (e *listenerStub) Synced()           { e.events <- "synced" }
 func (e *listenerStub) ProtocolError()    { e.events <- "protocol error" }
 
 // A dial to an address where nothing listens is reported as refused, which is evidence of a dead database; a
--- a/internal/state/assign.go
+++ b/internal/state/assign.go
@@ -8,13 +8,18 @@
 
 // Assignment of attempts to connections, up to the writing of the request. See connections.go for what follows.
 
-// assignConn assigns an idle or new connection to an attempt.
+// assignConn assigns a connection to an attempt: an idle one, or one that will be idle after a round trip, or a new one,
+// which takes longer and costs its database more.
 func (e *Engine) assignConn(a *attempt) {
 	m := a.member
 	if c := e.takeIdleConn(m); c != nil {
 		e.writeAttempt(c, a)
 		return
 	}
+	if c := e.takeSyncingConn(m); c != nil {
+		c.attempt, a.conn = a, c
+		return
+	}
 	c := e.openConn(m)
 	if c == nil {
 		e.assignOpeningConn(a)
@@ -58,7 +63,7 @@
 	e.Deadlines.Clear(&c.Deadline)
 	if e.stale(a) || c.address != a.member.address {
 		c.attempt, a.conn = nil, nil
-		e.release(c)
+		e.makeAvailable(c)
 		e.finish(a, Reply{Result: logic.NotSent})
 		return
 	}
--- a/internal/state/audit_test.go
+++ b/internal/state/audit_test.go
@@ -75,6 +75,7 @@
 	attempt  *auditAttempt
 	request  *auditRequest
 	probing  bool
+	syncing  bool
 	usedAt   time.Duration
 }
 
@@ -185,7 +186,7 @@
 	c.attempt, c.request, c.probing = nil, nil, false
 }
 
-func (c *auditConn) Reusable() bool { return !c.dirty && c.attempt == nil && !c.probing }
+func (c *auditConn) Reusable() bool { return !c.dirty && c.attempt == nil && !c.probing && !c.syncing }
 
 // Send implements Conn. It checks all rules on attempts.
 func (c *auditConn) Send(cmd Command, wait time.Duration) error {
@@ -200,7 +201,7 @@
 	switch {
 	case c.closed || !c.up:
 		t.Errorf("request %d is written to a connection that is not established", req.number)
-	case c.dirty || c.attempt != nil || c.probing:
+	case c.dirty || c.attempt != nil || c.probing || c.syncing:
 		t.Errorf("request %d is written to a connection with unread data", req.number)
 	case req.abandoned:
 		t.Errorf("request %d is sent %v after its client left", req.number, a.now-req.abandonedAt)
@@ -299,9 +300,36 @@
 	}
 }
 
+// Sync implements Conn. Data received before its answer end the connection.
+func (c *auditConn) Sync() error {
+	if c.closed || c.attempt != nil || c.probing || c.syncing {
+		c.auditor.t.Errorf("a connection is synchronized that is not idle")
+	}
+	if c.dirty && c.auditor.draw(2) == 0 { // they are there already
+		return errors.New("unexpected data")
+	}
+	c.syncing = true
+	if !c.auditor.hostUp[c.address] || c.auditor.draw(15) == 1 {
+		return nil
+	}
+	c.auditor.after(time.Duration(c.auditor.draw(5))*time.Millisecond, func() {
+		c.notify(func() {
+			switch c.syncing = false; {
+			case c.dirty && c.auditor.draw(2) == 0:
+				c.listener.ProtocolError()
+			case c.dirty || c.auditor.draw(15) == 1:
+				c.listener.Down()
+			default:
+				c.listener.Synced()
+			}
+		})
+	})
+	return nil
+}
+
 // Probe implements Conn.
 func (c *auditConn) Probe() error {
-	if c.closed || !c.up {
+	if c.closed || !c.up || c.syncing {
 		c.auditor.t.Errorf("a probe on a connection that is not established")
 	}
 	c.probing = true
--- a/internal/state/connections.go
+++ b/internal/state/connections.go
@@ -28,6 +28,9 @@
 	Send(Command, time.Duration) error
 	// Probe requests the load report.
 	Probe() error
+	// Sync sends a command without effect, whose answer is Listener.Synced. An error means that the connection cannot be
+	// used any more.
+	Sync() error
 	// Reusable reports whether the next command may be sent: no unexpected data has been received.
 	Reusable() bool
 	Close()
@@ -37,6 +40,7 @@
 type Listener interface {
 	Up()            // the first command may be sent
 	Reply(Reply)    // an answer to the last command has arrived
+	Synced()        // the answer to Sync has arrived, and nothing before it
 	Down()          // the connection is lost or could not be established
 	DialRefused()   // it could not be established: nothing listens at the address
 	NotOpened()     // it could not be established because of a local error, which says nothing about the database
@@ -72,6 +76,7 @@
 
 const (
 	connOpening connState = iota
+	connSyncing           // its last command was Sync; an attempt or a probe may wait for it
 	connIdle
 	connBusy
 	connOverdue   // its probe has timed out: no more requests are sent, but a late answer would prove that the database did not restart
@@ -91,6 +96,7 @@
 	probeSentAt time.Duration
 	openedAt    time.Duration // when it was established
 
+	probeQueued bool // a probe is sent once the connection is synchronized
 	probedAgain bool // a second probe was sent after the first one timed out
 	attempt     *attempt
 
@@ -110,8 +116,13 @@
 	c.conn.Close()
 	m := c.member
 	delete(m.conns, c)
+	if c.probeQueued {
+		c.probeQueued = false
+		e.probeUnsent(m.id)
+	}
 	same := func(other *pooledConn) bool { return other == c }
 	m.idleConns, m.openingConns = slices.DeleteFunc(m.idleConns, same), slices.DeleteFunc(m.openingConns, same)
+	m.syncingConns = slices.DeleteFunc(m.syncingConns, same)
 	if m.probeConn == c {
 		m.probeConn = nil
 	}
@@ -121,19 +132,15 @@
 	e.forgetGone(m)
 }
 
-// release makes an established connection available again. An attempt that waits for its own connection to be
-// established takes this one; the other connection is kept for a later attempt.
-func (e *Engine) release(c *pooledConn) {
+// makeAvailable makes an established connection available on which nothing is under way. An attempt that waits for its
+// own connection to be established takes this one; the other connection is kept for a later attempt.
+func (e *Engine) makeAvailable(c *pooledConn) {
 	m := c.member
 	c.state = connIdle
 	if m.state != logic.Ready || c.address != m.address || !c.conn.Reusable() {
 		e.closeConn(c)
 		return
 	}
-	if c.forProbes && e.fewConns() {
-		c.forProbes, m.probeConn = false, nil
-		m.conns[c] = struct{}{}
-	}
 	if !c.forProbes {
 		if i := slices.IndexFunc(m.openingConns, func(x *pooledConn) bool { return x.attempt != nil }); i >= 0 {
 			a := m.openingConns[i].attempt
@@ -188,7 +195,7 @@
 		e.writeAttempt(c, a)
 		return
 	}
-	e.release(c)
+	e.makeAvailable(c)
 }
 
 // Reply implements Listener.
@@ -204,6 +211,9 @@
 	case connOverdue:
 		c.endOverdue(handover.ConnectionAnswered)
 		return
+	case connSyncing:
+		c.syncFailed()
+		return
 	case connIdle, connStreaming, connClosed: // an unexpected answer could be mistaken for the next one
 		c.Down()
 		return
@@ -211,7 +221,7 @@
 	if c.forProbes {
 		took := e.clock.Now() - c.probeSentAt
 		r.connOpenedAt = c.openedAt
-		e.release(c)
+		e.synchronize(c)
 		e.finishProbe(c.member, r, took)
 		return
 	}
@@ -222,7 +232,7 @@
 		c.startStream(a, r)
 		return
 	}
-	e.release(c)
+	e.synchronize(c)
 	e.finish(a, r)
 }
 
@@ -262,9 +272,13 @@
 	if c.state == connClosed || c.state == connStreaming {
 		return
 	}
-	if c.state == connOverdue {
+	switch c.state {
+	case connOverdue:
 		c.endOverdue(handover.ConnectionEnded)
 		return
+	case connSyncing:
+		c.syncFailed()
+		return
 	}
 	r := Reply{Result: logic.Reset}
 	if c.state == connOpening {
@@ -298,6 +312,9 @@
 	case c.state == connOverdue:
 		c.engine.closeConn(c)
 		return
+	case c.state == connSyncing:
+		c.syncFailed()
+		return
 	case c.state == connOpening:
 		r.Result = logic.ConnectFailed
 	case c.forProbes:
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -17,6 +17,7 @@
 	Reset, Cancelled                                             uint64
 	Probes, ProbesOK                                             uint64
 	Opened, ClosedIdle                                           uint64 // database connections
+	SyncsFailed                                                  uint64 // connections closed because anything but the answer to Sync arrived, or none
 	ListCalls, ListFailures                                      uint64
 	Clients, ClientsEvicted, ClientsRejected, Malformed          uint64 // client connections
 	// Bytes that clients sent after the shutdown of their connections began; they are read and discarded.
@@ -61,7 +62,7 @@
 		slog.Uint64("connect_failed", c.ConnectFailed), slog.Uint64("reset", c.Reset),
 		slog.Uint64("cancelled", c.Cancelled),
 		slog.Uint64("probes", c.Probes), slog.Uint64("probes_ok", c.ProbesOK),
-		slog.Uint64("opened", c.Opened), slog.Uint64("closed_idle", c.ClosedIdle),
+		slog.Uint64("opened", c.Opened), slog.Uint64("closed_idle", c.ClosedIdle), slog.Uint64("syncs_failed", c.SyncsFailed),
 		slog.Uint64("list_calls", c.ListCalls), slog.Uint64("list_failures", c.ListFailures),
 		slog.Uint64("clients", c.Clients), slog.Uint64("made_room", c.ClientsEvicted),
 		slog.Uint64("turned_away", c.ClientsRejected), slog.Uint64("malformed", c.Malformed),
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -46,6 +46,7 @@
 	silent bool       // its last probe was not answered
 
 	idleConns    []*pooledConn // sorted by last use, the latest at the end
+	syncingConns []*pooledConn // those that nothing waits for, in the order of their Sync
 	openingConns []*pooledConn
 	conns        map[*pooledConn]struct{} // all connections except probeConn and overdueConn
 	probeConn    *pooledConn
@@ -237,8 +238,11 @@
 	for len(m.idleConns) > 0 {
 		e.closeConn(m.idleConns[len(m.idleConns)-1])
 	}
-	if m.probeConn != nil && m.probeConn.state == connIdle {
-		e.closeConn(m.probeConn)
+	for len(m.syncingConns) > 0 {
+		e.closeConn(m.syncingConns[len(m.syncingConns)-1])
+	}
+	if c := m.probeConn; c != nil && (c.state == connIdle || c.state == connSyncing) {
+		e.closeConn(c)
 	}
 	if m.overdueConn != nil {
 		e.closeConn(m.overdueConn)
--- a/internal/state/metrics.go
+++ b/internal/state/metrics.go
@@ -52,6 +52,7 @@
 	dst = admin.AppendCounter(dst, e.Counters.AnswersDropped, "answers_dropped")
 	dst = admin.AppendCounter(dst, e.Counters.SlowTurns, "slow_turns")
 	dst = admin.AppendCounter(dst, e.Counters.ConnectionsNotOpened, "no_room_for_connection")
+	dst = admin.AppendCounter(dst, e.Counters.SyncsFailed, "syncs_failed")
 	dst = admin.AppendCounter(dst, e.Counters.ConfigLoads, "loads")
 	return admin.AppendCounter(dst, e.Counters.ConfigLoadErrors, "load_errors")
 }
--- a/internal/state/probes.go
+++ b/internal/state/probes.go
@@ -32,11 +32,15 @@
 // before it.
 func (e *Engine) Probe(to logic.MemberID) {
 	m := e.members[to]
-	if m == nil || m.probeConn != nil && m.probeConn.state != connIdle {
+	if m == nil || m.probeConn != nil && m.probeConn.state != connIdle && (m.probeConn.state != connSyncing || m.probeConn.probeQueued) {
 		e.probeUnsent(to)
 		return
 	}
 	e.Counters.Probes++
+	if m.probeConn != nil && m.probeConn.state == connSyncing {
+		m.probeConn.probeQueued = true
+		return
+	}
 	if m.probeConn != nil && !m.probeConn.conn.Reusable() {
 		e.closeConn(m.probeConn)
 	}
@@ -44,6 +48,10 @@
 		if c := e.takeIdleConn(m); c != nil {
 			delete(m.conns, c)
 			c.forProbes, m.probeConn = true, c
+		} else if c := e.takeSyncingConn(m); c != nil {
+			delete(m.conns, c)
+			c.forProbes, c.probeQueued, m.probeConn = true, true, c
+			return
 		}
 	}
 	if m.probeConn != nil {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -77,19 +77,30 @@
 }
 
 type conn struct {
-	address  string
-	listener Listener
-	sent     int
-	probes   int
-	closed   bool
-	dirty    bool // unexpected data has been received
-	err      error
+	address   string
+	listener  Listener
+	sent      int
+	probes    int
+	closed    bool
+	dirty     bool // unexpected data has been received
+	syncs     int
+	holdsSync bool // the answer to Sync does not come by itself
+	err       error
 }
 
 func (c *conn) Send(Command, time.Duration) error { c.sent++; return c.err }
 func (c *conn) Probe() error                      { c.probes++; return c.err }
 func (c *conn) Reusable() bool                    { return !c.dirty }
-func (c *conn) Close()                            { c.closed = true }
+func (c *conn) Sync() error {
+	if c.dirty {
+		return errors.New("dirty")
+	}
+	if c.syncs++; !c.holdsSync {
+		c.listener.Synced()
+	}
+	return c.err
+}
+func (c *conn) Close() { c.closed = true }
 
 type command struct{}
 
--- a/internal/state/views.go
+++ b/internal/state/views.go
@@ -138,7 +138,7 @@
 // PoolView is the number of connections to a database, by use.
 type PoolView struct {
 	Name, Address       string
-	Busy, Idle, Opening int
+	Busy, Idle, Opening int // a connection that is being synchronized is busy
 	Probe               string
 }
 
@@ -147,12 +147,12 @@
 	for _, m := range e.membersByName {
 		p := PoolView{Name: m.name, Address: m.address, Idle: len(m.idleConns), Opening: len(m.openingConns), Probe: "none"}
 		for c := range m.conns {
-			if c.state == connBusy {
+			if c.state == connBusy || c.state == connSyncing {
 				p.Busy++
 			}
 		}
 		if m.probeConn != nil {
-			p.Probe = [...]string{connOpening: "opening", connIdle: "idle", connBusy: "busy", connClosed: "closed"}[m.probeConn.state]
+			p.Probe = [...]string{connOpening: "opening", connSyncing: "busy", connIdle: "idle", connBusy: "busy", connClosed: "closed"}[m.probeConn.state]
 		}
 		out = append(out, p)
 	}
