Parse a statement's comment without copying, and limit its fields to 64

Change: the fields are found in place, without an allocation; more than 64 of them are no statement (eleven have a meaning). Query attributes of MySQL have the same limit instead of 4,096. The operators' address split a request line of spaces into as many parts as there are, for each piece received; now into four at most.

--- a/internal/wire/admin/admin.go
+++ b/internal/wire/admin/admin.go
@@ -11,6 +11,9 @@
 // MaxHeaderBytes is the maximum length of a request's header section in bytes.
 const MaxHeaderBytes = 8 << 10
 
+// maxLineParts is the number of parts of a request line: method, target and version.
+const maxLineParts = 3
+
 // The errors that Next returns. Their texts are sent to clients.
 var (
 	ErrMalformed = errors.New("admin: not an HTTP/1.1 call")
@@ -25,8 +28,8 @@
 	headerEnd := bytes.Index(buf, []byte("\r\n\r\n"))
 	line, _, found := bytes.Cut(buf, []byte("\r\n"))
 	if found || len(buf) > MaxHeaderBytes {
-		parts := bytes.Split(line, []byte(" "))
-		if !found || len(parts) != 3 || len(parts[0]) == 0 || len(parts[1]) == 0 || parts[1][0] != '/' || !bytes.HasPrefix(parts[2], []byte("HTTP/1.")) {
+		parts := bytes.SplitN(line, []byte(" "), maxLineParts+1)
+		if !found || len(parts) != maxLineParts || len(parts[0]) == 0 || len(parts[1]) == 0 || parts[1][0] != '/' || !bytes.HasPrefix(parts[2], []byte("HTTP/1.")) {
 			return Request{}, false, ErrMalformed
 		}
 		if headerEnd < 0 {
--- a/internal/wire/mysql/command.go
+++ b/internal/wire/mysql/command.go
@@ -55,6 +55,9 @@
 // MaxParams bounds the parameters of a statement; the protocol's own bound is 65,535.
 const MaxParams = 4096
 
+// MaxAttributes bounds the query attributes beside a statement.
+const MaxAttributes = 64
+
 // Value is a parameter's value. Raw is its binary form, as it came; a part of the packet.
 type Value struct {
 	Null bool
@@ -156,7 +159,7 @@
 		return r.b, nil, r.err()
 	}
 	n, sets := r.lenEnc(), r.lenEnc()
-	if n > MaxParams || sets != 1 {
+	if n > MaxAttributes || sets != 1 {
 		return nil, nil, ErrMalformed
 	}
 	if n > 0 {
@@ -226,7 +229,7 @@
 	n, named := params, caps&ClientQueryAttributes != 0
 	if named && (params > 0 || flags&0x08 != 0) {
 		if sent := r.lenEnc(); flags&0x08 != 0 {
-			if sent > MaxParams || sent < uint64(params) {
+			if sent < uint64(params) || sent-uint64(params) > MaxAttributes {
 				return x, ErrMalformed
 			}
 			n = int(sent)
--- a/internal/wire/routing/routing.go
+++ b/internal/wire/routing/routing.go
@@ -43,12 +43,15 @@
 	Param int // index of the parameter, from 0
 }
 
+// MaxFields is the maximum number of fields in a comment, and of attributes beside a statement. Eleven have a meaning.
+const MaxFields = 64
+
 // maxTimeout is the longest timeout that a client may give.
 const maxTimeout = 24 * time.Hour
 
 // Parse parses the hints in a statement's comment and, for the session, the first quoted string before the comment.
-// Unknown names are ignored. It returns ErrStatement if no comment ends the statement or a value is invalid. Callers
-// check which hints are required.
+// Unknown names are ignored. It returns ErrStatement if no comment ends the statement, it has more than MaxFields fields,
+// or a value is invalid. Callers check which hints are required.
 func Parse(text string) (Hints, error) {
 	var hints Hints
 	commentStart, commentEnd := strings.LastIndex(text, "/*"), strings.LastIndex(text, "*/")
@@ -58,8 +61,14 @@
 	if key, ok := firstQuoted(text[:commentStart]); ok {
 		hints.Session = SessionFromKey(key)
 	}
-	for start := commentStart + 2; start < commentEnd; {
-		end := start + strings.IndexByte(text[start:commentEnd]+",", ',')
+	for start, fields := commentStart+2, 0; start < commentEnd; fields++ {
+		if fields == MaxFields {
+			return hints, ErrStatement
+		}
+		end := commentEnd
+		if comma := strings.IndexByte(text[start:commentEnd], ','); comma >= 0 {
+			end = start + comma
+		}
 		name, value, _ := strings.Cut(strings.TrimSpace(text[start:end]), "=")
 		if index, isParam := paramIndex(value); isParam {
 			hints.ParamRefs = append(hints.ParamRefs, ParamRef{name, index})
