Limit MySQL user names to 128 bytes, in logins and changes of user

Measured: TestUserNamesAreBounded fails before (names of 129 and 4,000 bytes are taken, and a change of over 8 KiB) and passes.

--- a/internal/wire/mysql/handshake.go
+++ b/internal/wire/mysql/handshake.go
@@ -10,6 +10,10 @@
 	CachingSHA2    = "caching_sha2_password"
 )
 
+// maxUser is the maximum length of a user name in bytes: 32 characters of up to four, as in MySQL. The guard of failed logins
+// remembers names.
+const maxUser = 128
+
 // ScrambleLen is the length of the random bytes that a server sends for a login.
 const ScrambleLen = 20
 
@@ -122,7 +126,7 @@
 	if l.Caps&ClientPluginAuth != 0 {
 		l.Plugin = r.cstring()
 	}
-	if l.Caps&ClientProtocol41 == 0 || l.Caps&ClientSSL != 0 {
+	if l.Caps&ClientProtocol41 == 0 || l.Caps&ClientSSL != 0 || len(l.User) > maxUser {
 		return l, ErrMalformed
 	}
 	if l.Caps&ClientConnectAttrs != 0 && len(r.b) > 0 {
@@ -134,9 +138,14 @@
 
 // ParseChangeUser reads a COM_CHANGE_USER, its first byte included.
 func ParseChangeUser(body []byte, caps uint32) (l Login, err error) {
+	if len(body) > maxLogin {
+		return l, ErrTooLarge
+	}
 	r := &reader{b: body}
 	r.byte()
-	l.Caps, l.User = caps, r.cstring()
+	if l.Caps, l.User = caps, r.cstring(); len(l.User) > maxUser {
+		return l, ErrMalformed
+	}
 	l.Auth = append([]byte(nil), r.take(int(r.byte()))...)
 	l.Database = r.cstring()
 	if len(r.b) >= 2 {
--- a/internal/wire/mysql/mysql_test.go
+++ b/internal/wire/mysql/mysql_test.go
@@ -468,3 +468,21 @@
 		out, _ = Relay(out[:0], stream, ServerCaps)
 	}
 }
+
+// TestUserNamesAreBounded guards against a table of failed logins that grows by the length of the names that clients choose.
+func TestUserNamesAreBounded(t *testing.T) {
+	for length, fits := range map[int]bool{maxUser: true, maxUser + 1: false, 4000: false} {
+		name := strings.Repeat("u", length)
+		login := AppendLogin(nil, 1, Login{Caps: ServerCaps, User: name, Plugin: CachingSHA2})
+		if _, err := ParseLogin(login[headLen:]); (err == nil) != fits {
+			t.Errorf("a login with a name of %d bytes: %v", length, err)
+		}
+		change := append(append([]byte{ComChangeUser}, name...), 0, 0, 0)
+		if _, err := ParseChangeUser(change, ServerCaps); (err == nil) != fits {
+			t.Errorf("a change to a name of %d bytes: %v", length, err)
+		}
+	}
+	if _, err := ParseChangeUser(make([]byte, maxLogin+1), ServerCaps); err != ErrTooLarge {
+		t.Errorf("a change of %d bytes: %v", maxLogin+1, err)
+	}
+}
