Keep the id of a request known as long as a database may run it

Cause: a client's end cancels its attempts by closing their connections, and the engine forgot the ids with them. The database may go on with the statement.

The same id meanwhile gets an error of its own, 42710, and the other commands on the connection are served; before, an id in use closed the connection. An id that never ran is free at once.

--- a/internal/net/input_test.go
+++ b/internal/net/input_test.go
@@ -106,6 +106,7 @@
 	for name, message := range map[string][]byte{
 		"empty queries": pg.AppendQuery(nil, ""),
 		"unknown group": pg.AppendQuery(nil, strings.Replace(query("1a"), "cluster=0", "cluster=7", 1)),
+		"own id again":  pg.AppendQuery(nil, query("1a")),
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, _, loop := startProxy(t, databaseStub(t, echoQuery), 8, 1)
@@ -304,3 +305,41 @@
 		}
 	}
 }
+
+// TestSameIDAfterItsClientLeft guards against an id that begins at a database a second time: its client sent many commands, closed, and sent them
+// again on a new connection while the first ones ran. The error is one command's, the others on the connection are served.
+func TestSameIDAfterItsClientLeft(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		var db queryCounter
+		asked, answer := make(chan struct{}, 2*maxPipelined), make(chan struct{})
+		cfg := settings
+		cfg.EnableCancel = cancel
+		s, engine, loop := startProxyWith(t, cfg, db.serve(t, func(conn stdnet.Conn, text string) bool {
+			asked <- struct{}{}
+			<-answer
+			return echoQuery(conn, text)
+		}), 8, 1)
+		var in []byte
+		const ids = 5
+		for i := range ids {
+			in = pg.AppendQuery(in, query(fmt.Sprint(i)))
+		}
+		p := dial(t, s)
+		p.conn.Write(slices.Concat(pg.AppendStartup(nil, "client", "core"), in))
+		for range ids {
+			<-asked
+		}
+		p.conn.Close()
+		waitUntil(loop, func() bool { return len(s.clients) == 0 && engine.Counters.Abandoned == ids })
+		p = dial(t, s)
+		p.conn.Write(slices.Concat(pg.AppendStartup(nil, "client", "core"), in, pg.AppendQuery(nil, "")))
+		want := welcome + strings.Repeat("EZ", ids) + "IZ"
+		if types, bodies := p.readTypes(len(want)); types != want || !strings.Contains(bodies[len(welcome)], "C"+pg.CodeDuplicateObject) {
+			t.Errorf("cancel %v: the same ids again got %q", cancel, types)
+		}
+		if n := db.queries.Load(); n != ids {
+			t.Errorf("cancel %v: %d statements began, %d ids were sent", cancel, n, ids)
+		}
+		close(answer)
+	}
+}
--- a/internal/net/postgres_client.go
+++ b/internal/net/postgres_client.go
@@ -1,6 +1,7 @@
 package net
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -134,8 +135,15 @@
 	if err != nil {
 		return err
 	}
-	return c.submit(query, state.Request{Name: st.ID, Class: st.Class, Wait: st.Timeout, Session: st.Session, Group: st.Group,
+	err = c.submit(query, state.Request{Name: st.ID, Class: st.Class, Wait: st.Timeout, Session: st.Session, Group: st.Group,
 		LastCommit: st.LastCommit, Retry: st.Retry, Command: &st})
+	if errors.Is(err, state.ErrDuplicateName) { // the other commands of the connection are not at fault
+		c.server.engine.Counters.Malformed++
+		c.addPending(query)
+		query.complete(pg.AppendError(nil, pg.CodeDuplicateObject, err.Error()))
+		return nil
+	}
+	return err
 }
 
 // prefix returns the start of an answer: the policy, if it is reported to clients and the request was admitted
--- a/internal/state/engine.go
+++ b/internal/state/engine.go
@@ -34,8 +34,8 @@
 	AppendTo(dst []byte, wait time.Duration) []byte // wait is the time that the database has to answer
 }
 
-// ErrDuplicateName is returned for a request with the name of another open request.
-var ErrDuplicateName = errors.New("a request of that id is open")
+// ErrDuplicateName is returned for a request with the name of another one that is open or may still run at a database.
+var ErrDuplicateName = errors.New("a request of that id is open or may still run")
 
 // Request is a client's request.
 type Request struct {
@@ -87,7 +87,7 @@
 	finalDeadline time.Duration // no request's deadline is later; 0 = not set
 	lastID        logic.RequestID
 	requests      map[logic.RequestID]*request
-	openNames     map[string]struct{} // names of open requests
+	names         requestNames
 	timers        map[logic.TimerID]*Deadline
 
 	membersByName map[string]*member
@@ -126,6 +126,8 @@
 	deadline   time.Duration // when its client stops waiting
 	attempts   int
 	attempt    *attempt // the open attempt; there is at most one at a time
+	// An attempt without an answer may run until then. The name stays known as long.
+	runsUntil time.Duration
 }
 
 type attempt struct {
@@ -136,14 +138,15 @@
 	deadline time.Duration
 	sentAt   time.Duration
 	conn     *pooledConn
-	written  bool // the last byte was written
+	written  bool // the last byte was written, or is kept until the socket takes it
+	neverRan bool // the last byte was not written after all
 }
 
 // New returns an engine for a deployment. Start must be called before the engine is used. The error is that of
 // logic.New.
 func New(cfg Config, clock Clock, opener Opener) (*Engine, error) {
 	e := &Engine{cfg: cfg, classes: map[string]int{}, clock: clock, opener: opener,
-		requests: map[logic.RequestID]*request{}, openNames: map[string]struct{}{}, timers: map[logic.TimerID]*Deadline{},
+		requests: map[logic.RequestID]*request{}, names: newRequestNames(), timers: map[logic.TimerID]*Deadline{},
 		membersByName: map[string]*member{}, members: map[logic.MemberID]*member{},
 		openConns: map[*pooledConn]struct{}{}, openStreams: map[*pooledConn]struct{}{}}
 	for i, c := range cfg.Logic.Classes {
@@ -188,18 +191,14 @@
 func (e *Engine) Connections() int { return len(e.openConns) }
 
 // Submit submits a client's request and returns its ID. It returns an error if the class is unknown or the name is
-// that of an open request; the caller gets no answer in that case.
+// that of a request that is open or may still run; the caller gets no answer in that case.
 func (e *Engine) Submit(input Request) (logic.RequestID, error) {
 	class, ok := e.classes[input.Class]
 	if !ok {
 		return 0, fmt.Errorf("unknown class %q", input.Class)
 	}
-	// Databases would deduplicate the two requests, and one client would get the other's answer.
-	if input.Name != "" {
-		if _, isOpen := e.openNames[input.Name]; isOpen {
-			return 0, ErrDuplicateName
-		}
-		e.openNames[input.Name] = struct{}{}
+	if input.Name != "" && !e.names.add(e.clock.Now(), input.Name) {
+		return 0, ErrDuplicateName
 	}
 	e.lastID++
 	e.Counters.Received++
@@ -251,7 +250,9 @@
 func (e *Engine) forgetIfDone(req *request) {
 	if req.caller == nil && req.attempt == nil {
 		delete(e.requests, req.id)
-		delete(e.openNames, req.name)
+		if req.name != "" {
+			e.names.remove(e.clock.Now(), req.name, req.runsUntil)
+		}
 	}
 }
 
@@ -334,11 +335,21 @@
 // next one.
 func (e *Engine) abort(a *attempt, r Reply) {
 	if c := a.conn; c != nil {
+		a.neverRan = a.written && !a.commandWritten()
 		e.closeConn(c)
 	}
 	e.finish(a, r)
 }
 
+// mayStillRun reports whether a database may be running an attempt that has ended here with that result.
+func (a *attempt) mayStillRun(result logic.Result) bool {
+	switch result {
+	case logic.TimedOut, logic.Cancelled, logic.Reset:
+		return a.written && !a.neverRan
+	}
+	return false
+}
+
 // finish ends an attempt, passes a successful answer to the client and then reports the outcome to the router.
 func (e *Engine) finish(a *attempt, r Reply) {
 	req := a.req
@@ -352,6 +363,9 @@
 		a.conn = nil
 	}
 	e.Counters.countResult(r.Result)
+	if a.mayStillRun(r.Result) {
+		req.runsUntil = max(req.runsUntil, a.deadline)
+	}
 	a.member.logReply(r, false)
 	e.reportEvidence(a.member, r, false)
 	e.checks.recordAnswer(e, a.member, r)
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -46,6 +46,7 @@
 	CodeCannotConnectNow    = "57P03" // as CodeTooManyConnections
 	CodeReadOnlyTransaction = "25006" // a write was sent to a member that is not the primary
 	CodeSnapshotTooOld      = "72000" // the data is too old for the read
+	CodeDuplicateObject     = "42710" // a request of that id is open or may still run
 	CodeSystemError         = "58000" // no member answered the proxy's request
 )
 
