--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -6,15 +6,16 @@
 	"havenproxy/internal/limit"
 )
 
-// maxIdleClientBuffer is the buffer capacity in bytes that a client keeps between messages.
-const maxIdleClientBuffer = 2 << 10
-
-// lateInputPause is how long after its timeout a query that has arrived is given to be read.
-const lateInputPause = time.Millisecond
-
 // This file holds how a client's bytes are read and its messages handled. Bytes are read when the client's next message
 // may be handled; otherwise they stay in the kernel.
 
+const (
+	// maxIdleClientBuffer is the buffer capacity in bytes that a client keeps between messages.
+	maxIdleClientBuffer = 2 << 10
+	// lateInputPause is how long after its timeout a query that has arrived is given to be read.
+	lateInputPause = time.Millisecond
+)
+
 // inputArrived implements socketHandler.
 func (c *client) inputArrived(at time.Duration) {
 	c.arrivals.add(len(c.input.bytes)+c.socket.unread(), at)
@@ -111,7 +112,7 @@
 		return 0
 	}
 	size, length := limit.SmallMessage, c.protocol.messageLength(c, c.input.bytes)
-	if length > limit.SmallMessage {
+	if length > max(limit.SmallMessage, len(c.input.bytes)) {
 		if !c.reserveBuffer(length) {
 			return 0
 		}
@@ -187,8 +188,10 @@
 
 // discardInput drops the first n bytes of the input.
 func (c *client) discardInput(n int) {
-	c.input.discard(n)
-	c.arrivals.discard(n)
+	if n > 0 {
+		c.input.discard(n)
+		c.arrivals.discard(n)
+	}
 	if len(c.input.bytes) == 0 && cap(c.input.bytes) > maxIdleClientBuffer {
 		c.input.bytes = nil
 	}
