Test of the operators' address: close its listener on the loop, which owns it

Found by the race detector; the listener is no longer netpoll's, whose close may come from anywhere. The product closes it with its process.

--- a/internal/net/admin_test.go
+++ b/internal/net/admin_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer a.Close()
+	defer onLoop(loop, func() bool { a.Close(); return true })
 	dial := func(text string) stdnet.Conn {
 		c, err := stdnet.Dial("tcp", a.Address())
 		if err != nil {
