--- a/internal/net/admin_test.go
+++ b/internal/net/admin_test.go
@@ -26,7 +26,11 @@
 func TestAdminCallsAreAnsweredBesideIncompleteOnes(t *testing.T) {
 	s, engine, loop := startProxy(t, "127.0.0.1:1", 8, 4)
 	st := &adminStub{calls: make(chan string, 4)}
-	a, err := ListenAdmin(loop, s.clock, &engine.Deadlines, "127.0.0.1:0", st)
+	var err error
+	a := onLoop(loop, func() (a *Admin) {
+		a, err = ListenAdmin(loop, s.clock, &engine.Deadlines, "127.0.0.1:0", st)
+		return a
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
