Bound the time that a query which has arrived is still awaited after its timeout

Found on reading the change again: queryTimedOut gave a client another millisecond for as long as the kernel held bytes of it.

Change: 300 ms at most, counted from the timeout. limit.BufferGrace, a decision, moves to internal/limit; the setup of a proxy with a spy on its connections stands once in the tests.

Measured: TestEndlessStartupTimesOut fails before ("300ms later false") and passes.

--- a/internal/limit/input.go
+++ b/internal/limit/input.go
@@ -8,6 +8,8 @@
 	SmallMessage = 4 << 10
 	// RequestOverhead is the number of bytes that a request under way takes beside its text.
 	RequestOverhead = 1 << 10
+	// BufferGrace is how long a client may hold a buffer for an incomplete message while others wait for memory.
+	BufferGrace = 200 * time.Millisecond
 )
 
 // InputBudget bounds the memory for clients' input: buffers of messages that are incomplete or wait, and requests under
--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -12,8 +12,9 @@
 const (
 	// maxIdleClientBuffer is the buffer capacity in bytes that a client keeps between messages.
 	maxIdleClientBuffer = 2 << 10
-	// lateInputPause is how long after its timeout a query that has arrived is given to be read.
+	// A query that has arrived at its timeout is looked at again after each lateInputPause, until maxLateInput is over.
 	lateInputPause = time.Millisecond
+	maxLateInput   = 300 * time.Millisecond
 )
 
 // inputArrived implements socketHandler.
@@ -238,13 +239,19 @@
 	partial := c.incomplete
 	switch {
 	case partial && (newQuery || !c.partialQuery):
-		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+queryTimeout, c.queryTimedOut)
+		c.startQueryTimer()
 	case !partial && c.partialQuery:
 		c.server.deadlines.Clear(&c.timer)
 	}
 	c.partialQuery = partial
 }
 
+// startQueryTimer gives the client queryTimeout to complete a query.
+func (c *client) startQueryTimer() {
+	c.queryDue = c.server.clock.Now() + queryTimeout
+	c.server.deadlines.Set(&c.timer, c.queryDue, c.queryTimedOut)
+}
+
 // queryTimedOut closes the connection if the query is still incomplete once everything that has arrived was handled: only
 // the loop may be late.
 func (c *client) queryTimedOut() {
@@ -252,11 +259,12 @@
 		return
 	}
 	if c.waitsForMemory {
-		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+queryTimeout, c.queryTimedOut)
+		c.startQueryTimer()
 		return
 	}
-	if c.socket.unread() > 0 && c.mayRead() { // the poller has told the loop so, or is about to
-		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+lateInputPause, c.queryTimedOut)
+	now := c.server.clock.Now()
+	if now < c.queryDue+maxLateInput && c.socket.unread() > 0 && c.mayRead() { // the poller has told the loop so, or is about to
+		c.server.deadlines.Set(&c.timer, now+lateInputPause, c.queryTimedOut)
 		return
 	}
 	if incomplete := !c.hasQueried || c.partialQuery; incomplete {
--- a/internal/net/input_round.go
+++ b/internal/net/input_round.go
@@ -6,9 +6,6 @@
 	"havenproxy/internal/limit"
 )
 
-// partialGrace is how long a client may hold memory for an incomplete message while others wait for some.
-const partialGrace = 200 * time.Millisecond
-
 // maxFinishTime is how long the end of the process may be put off by clients that keep sending.
 const maxFinishTime = 50 * time.Millisecond
 
@@ -97,7 +94,7 @@
 }
 
 // relieveMemory closes clients with incomplete messages while others wait to be read for want of memory, beginning with
-// those that have held theirs longest; a client is given partialGrace for a message. Requests that were taken keep their
+// those that have held theirs longest; a client is given limit.BufferGrace for a message. Requests that were taken keep their
 // answers.
 func (s *Server) relieveMemory() {
 	s.deadlines.Clear(&s.relieveTimer)
@@ -108,7 +105,7 @@
 		if cap(c.input.bytes) <= limit.SmallMessage {
 			continue
 		}
-		if due := c.incompleteSince + partialGrace; due > now {
+		if due := c.incompleteSince + limit.BufferGrace; due > now {
 			s.deadlines.Set(&s.relieveTimer, due, s.relieveMemory)
 			return
 		}
--- a/internal/net/input_test.go
+++ b/internal/net/input_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	stdnet "net"
 	"slices"
 	"strings"
@@ -204,7 +205,7 @@
 				most = max(most, onLoop(loop, s.inputBudget.Held))
 			}
 			waitUntil(loop, func() bool { return len(s.memoryWaiters) > 0 })
-			advance(s, partialGrace)
+			advance(s, limit.BufferGrace)
 			waitUntil(loop, func() bool { return engine.Counters.ClientsRejected > 0 })
 			most = max(most, onLoop(loop, s.inputBudget.Held))
 			if allowed := total + clients*limit.SmallMessage; most > allowed {
@@ -306,6 +307,39 @@
 	}
 }
 
+// TestEndlessStartupTimesOut guards against a client that never sends a query but keeps the proxy reading: it was given more time for as long as
+// anything of it had arrived.
+func TestEndlessStartupTimesOut(t *testing.T) {
+	s, _, loop := startProxy(t, databaseStub(t, echoQuery), 8, 1)
+	p := dial(t, s)
+	encryption := []byte{0, 0, 0, 8, 4, 210, 22, 47} // a request for encryption, which is refused each time
+	go func() {
+		for in := bytes.Repeat(encryption, 4<<10); ; {
+			if _, err := p.conn.Write(in); err != nil {
+				return
+			}
+		}
+	}()
+	waitUntil(loop, func() bool { return len(s.clients) == 1 })
+	closes := onLoop(loop, func() (closes [2]bool) { // the loop reads nothing meanwhile
+		for c := range s.clients {
+			for c.socket.unread() == 0 {
+			}
+			for i, late := range []time.Duration{0, maxLateInput} {
+				s.clock.(*offsetClock).offset.Store(int64(c.queryDue + late - s.clock.(*offsetClock).SystemClock.Now()))
+				c.queryTimedOut()
+				closes[i] = c.phase >= phaseClosing
+			}
+		}
+		return closes
+	})
+	if closes != [2]bool{false, true} {
+		t.Errorf("closed at the timeout %v, and %v later %v", closes[0], maxLateInput, closes[1])
+	}
+	go io.Copy(io.Discard, p.conn)
+	waitUntil(loop, func() bool { return len(s.clients) == 0 })
+}
+
 // TestSameIDAfterItsClientLeft guards against an id that begins at a database a second time: its client sent many commands, closed, and sent them
 // again on a new connection while the first ones ran. The error is one command's, the others on the connection are served.
 func TestSameIDAfterItsClientLeft(t *testing.T) {
--- a/internal/net/mysql_login.go
+++ b/internal/net/mysql_login.go
@@ -217,7 +217,7 @@
 	m.user, m.phase = user, loginFirst
 	m.newScramble()
 	m.changingUser, c.hasQueried = true, false
-	c.server.deadlines.Set(&c.timer, c.server.clock.Now()+queryTimeout, c.queryTimedOut)
+	c.startQueryTimer()
 	return m.checkAuth(c, "", nil)
 }
 
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/discovery"
 	"havenproxy/internal/wire/pg"
@@ -649,7 +650,7 @@
 	waitUntil(loop, func() bool { return bufferedBytes(s) == len(half) })
 	second.conn.Write(append(start, half...))
 	waitUntil(loop, func() bool { return len(s.memoryWaiters) == 1 })
-	advance(s, partialGrace)
+	advance(s, limit.BufferGrace)
 	if types, bodies := first.readTypes(99); types != welcome+"E!" || !strings.Contains(bodies[len(bodies)-1], "C"+pg.CodeTooManyConnections) {
 		t.Errorf("the first client got %q", types)
 	}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -112,7 +112,7 @@
 	s.clients[c] = struct{}{}
 	c.updateIdleList()
 	s.closeIdleClients()
-	s.deadlines.Set(&c.timer, s.clock.Now()+queryTimeout, c.queryTimedOut)
+	c.startQueryTimer()
 	protocol.greet(c)
 	if c.phase == phaseClosed {
 		return
--- a/internal/net/stream_test.go
+++ b/internal/net/stream_test.go
@@ -149,24 +149,8 @@
 		_, err := c.Write(answer[300000:])
 		return err == nil
 	})
-	clock := state.NewClock()
-	s := &openerSpy{Databases: &Databases{ConnectTimeout: testTimeout}}
-	engine, err := state.New(state.Config{Logic: settings, MaxConnections: 16, ConnectTimeout: testTimeout}, clock, s)
-	if err != nil {
-		t.Fatal(err)
-	}
-	loop := NewLoop(clock, &engine.Deadlines)
-	s.Loop, s.Counters = loop, &engine.Counters
-	server := NewServer(loop, clock, engine, 8, 1, 32<<20)
-	if err := server.Listen("127.0.0.1:0"); err != nil {
-		t.Fatal(err)
-	}
-	loop.Post(func() {
-		engine.Start(nopWatcher{}, state.List{Entries: []state.Entry{{Name: "m", Address: address, State: logic.Ready}}})
-	})
-	done := make(chan struct{})
-	go func() { loop.Run(); close(done) }()
-	defer func() { loop.Post(func() { server.Drain(); loop.Stop() }); <-done }()
+	server, _, s := startProxyWithSpy(t, address)
+	loop := s.Loop
 	p := dial(t, server)
 	p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("2b")))
 	p.readTypes(len(welcome) + 3)
