--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -86,7 +86,7 @@
 	closesOnceSent bool // the connection is closed once the socket has taken all answers
 	pending        []*pendingQuery
 	timer          state.Deadline
-	queryDue       time.Duration  // when a query has to be complete
+	timedOutAt     time.Duration  // when timer was run first; 0 = not yet
 	consoleTimer   state.Deadline // waits until the client has taken the last answer
 
 	list    *list.List // the server's list of silent or idle clients that it is in, or nil
--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -248,8 +248,8 @@
 
 // startQueryTimer gives the client queryTimeout to complete a query.
 func (c *client) startQueryTimer() {
-	c.queryDue = c.server.clock.Now() + queryTimeout
-	c.server.deadlines.Set(&c.timer, c.queryDue, c.queryTimedOut)
+	c.timedOutAt = 0
+	c.server.deadlines.Set(&c.timer, c.server.clock.Now()+queryTimeout, c.queryTimedOut)
 }
 
 // queryTimedOut closes the connection if the query is still incomplete once everything that has arrived was handled: only
@@ -263,7 +263,10 @@
 		return
 	}
 	now := c.server.clock.Now()
-	if now < c.queryDue+maxLateInput && c.socket.unread() > 0 && c.mayRead() { // the poller has told the loop so, or is about to
+	if c.timedOutAt == 0 {
+		c.timedOutAt = now // the loop may be late by any time
+	}
+	if now < c.timedOutAt+maxLateInput && c.socket.unread() > 0 && c.mayRead() { // the poller has told the loop so, or is about to
 		c.server.deadlines.Set(&c.timer, now+lateInputPause, c.queryTimedOut)
 		return
 	}
