Tests: wait for the MySQL key, close a listener on its loop, and see a close that only the kernel knows

Two tests start it and didn't wait; they do now. They closed the operators' address from outside its loop, too.

--- a/internal/net/input_test.go
+++ b/internal/net/input_test.go
@@ -377,3 +377,30 @@
 		close(answer)
 	}
 }
+
+// TestCloseKnownOnlyToTheKernelIsSeen guards against an attempt that is written for a client whose end has arrived, while the loop, which is
+// busy, has not been told of it.
+func TestCloseKnownOnlyToTheKernelIsSeen(t *testing.T) {
+	s, _, loop := startProxy(t, databaseStub(t, echoQuery), 8, 1)
+	p := dial(t, s)
+	p.conn.Write(pg.AppendStartup(nil, "client", "core"))
+	p.readTypes(len(welcome))
+	seen := onLoop(loop, func() bool {
+		for c := range s.clients {
+			q := &pendingQuery{client: c}
+			if !q.ClientConnected() {
+				t.Error("the client counts as gone before it closes")
+			}
+			p.conn.Close()
+			for end := time.Now().Add(testTimeout); time.Now().Before(end); {
+				if !q.ClientConnected() {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	if !seen {
+		t.Error("the client counts as connected after its end")
+	}
+}
--- a/internal/run/endpoints_test.go
+++ b/internal/run/endpoints_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"havenproxy/internal/endpoints"
 	"havenproxy/internal/operator"
@@ -34,7 +35,12 @@
 	go func() { p.loop.Run(); close(ended) }()
 	t.Cleanup(func() {
 		p.peers.Close()
-		p.admin.Close()
+		keyReady := make(chan bool)
+		for ready, end := false, time.Now().Add(patience); !ready && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			p.loop.Post(func() { keyReady <- p.mysql.Key != nil }) // it is generated beside the loop
+			ready = <-keyReady
+		}
+		p.loop.Post(p.admin.Close)
 		p.loop.Post(p.server.Drain)
 		p.loop.Post(p.loop.Stop)
 		<-ended
