Keep a client whose query has been read and waits for its turn

Callers saw: while over a quarter of the connections had sent no query yet, a client was closed without an answer though the proxy had read its first query; behind a hold-up as long as its timeout it was called malformed (08P01).

Cause: since a turn may end between a client's startup message and its query (16 messages, 0.5 ms). What was read and not handled is then in the client's buffer, and evict and queryTimedOut asked only the kernel for input.

Change: client.hasUnhandledInput counts the kernel's bytes, bytes that were read and are no incomplete message, and a turn that is due; evict and queryTimedOut ask it.

--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -101,6 +101,12 @@
 // hasInput reports whether bytes have arrived that have not been handled.
 func (c *client) hasInput() bool { return len(c.input.bytes) > 0 || c.kernelHasInput() }
 
+// hasUnhandledInput reports whether bytes have arrived that no turn has looked at to their end: in the kernel, or read and
+// waiting for the client's next turn. The beginning of an incomplete message doesn't count.
+func (c *client) hasUnhandledInput() bool {
+	return c.scheduled || c.socket.unread() > 0 || len(c.input.bytes) > 0 && !c.incomplete
+}
+
 // mayRead reports whether the client's next message may be handled, so that it is read.
 func (c *client) mayRead() bool {
 	return c.acceptsQuery() && c.protocol.readsInput() && !c.waitsForMemory
@@ -266,7 +272,7 @@
 	if c.timedOutAt == 0 {
 		c.timedOutAt = now // the loop may be late by any time
 	}
-	if now < c.timedOutAt+maxLateInput && c.socket.unread() > 0 && c.mayRead() { // the poller has told the loop so, or is about to
+	if now < c.timedOutAt+maxLateInput && c.hasUnhandledInput() && c.mayRead() { // it is about to have its turn
 		c.server.deadlines.Set(&c.timer, now+lateInputPause, c.queryTimedOut)
 		return
 	}
--- a/internal/net/eviction.go
+++ b/internal/net/eviction.go
@@ -56,7 +56,7 @@
 // evict closes a client to make room, unless input of it has arrived that the loop has not handled, or it is still
 // reading an answer.
 func (s *Server) evict(c *client, now time.Duration) {
-	if c.socket.unread() > 0 || c.hasQueried && c.output.delivering() {
+	if c.hasUnhandledInput() || c.hasQueried && c.output.delivering() {
 		c.since = now
 		c.list.MoveToBack(c.element)
 		return
--- a/internal/net/eviction_test.go
+++ b/internal/net/eviction_test.go
@@ -79,6 +79,62 @@
 	}
 }
 
+// TestQueryReadAndNotHandledIsAnswered guards against a client that is closed without an answer because its turn ended between its startup message
+// and its query: the query had been read and counted neither as arrived nor as handled, so the client was evicted as
+// silent when another one connected, or called malformed when its timer ran out.
+func TestQueryReadAndNotHandledIsAnswered(t *testing.T) {
+	const clients = 44
+	const encryptionRequests = 16 // as many messages as one turn handles
+	for name, crossing := range map[string]func(s *Server, c *client){
+		"another client connects": func(s *Server, _ *client) { s.makeRoom() },
+		"its timer runs out":      func(_ *Server, c *client) { c.queryTimedOut() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, engine, loop := startProxy(t, "127.0.0.1:1", clients, 1)
+			in := bytes.Repeat([]byte{0, 0, 0, 8, 4, 210, 22, 47}, encryptionRequests)
+			in = pg.AppendQuery(pg.AppendStartup(in, "client", "core"), "")
+			var conns []*testConn
+			for range clients/maxSilentFraction + 1 {
+				conns = append(conns, dial(t, s))
+			}
+			waitUntil(loop, func() bool { return len(s.clients) == len(conns) })
+			release := holdLoop(loop)
+			for _, p := range conns {
+				p.conn.Write(in)
+			}
+			for pendingEvents(loop) < len(conns) {
+			}
+			loop.Post(func() { // behind the events, before the first round
+				waiting := s.inputQueue
+				s.inputQueue = nil
+				for _, c := range waiting { // one turn for each
+					c.scheduled = false
+					if c.serveInput() {
+						s.scheduleInput(c)
+					}
+				}
+				for _, c := range waiting {
+					crossing(s, c)
+				}
+			})
+			release()
+			want := string(bytes.Repeat([]byte("N"), encryptionRequests))
+			for i, p := range conns {
+				refusals := make([]byte, encryptionRequests)
+				if _, err := io.ReadFull(p.conn, refusals); err != nil || string(refusals) != want {
+					t.Fatalf("client %d: %q, %v", i, refusals, err)
+				}
+				if types, _ := p.readTypes(len(welcome) + 2); types != welcome+"IZ" {
+					t.Errorf("client %d got %q", i, types)
+				}
+			}
+			if n := onLoop(loop, func() uint64 { return engine.Counters.ClientsEvicted + engine.Counters.Malformed }); n > 0 {
+				t.Errorf("%d clients were evicted or called malformed", n)
+			}
+		})
+	}
+}
+
 // A client that is silent after its startup message may be evicted before its machine has acknowledged the welcome; one
 // that is still reading an answer may not, however long ago it asked.
 func TestReadingClientIsNotEvicted(t *testing.T) {
