Count bytes, not a turn that is due, as a client's unhandled input

Cause: the kernel may report the same bytes twice (when the descriptor is registered, and when they arrive). The second report gives the client a turn for nothing, and while it waited for that turn it counted as having sent something.

Change: hasUnhandledInput looks at bytes alone. A turn that ended early leaves its bytes in the buffer and clears incomplete, so the turn that is due needs no look.

--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -102,9 +102,10 @@
 func (c *client) hasInput() bool { return len(c.input.bytes) > 0 || c.kernelHasInput() }
 
 // hasUnhandledInput reports whether bytes have arrived that no turn has looked at to their end: in the kernel, or read and
-// waiting for the client's next turn. The beginning of an incomplete message doesn't count.
+// waiting for the client's next turn. The beginning of an incomplete message doesn't count, nor does a turn that is due:
+// the kernel may report the same bytes twice.
 func (c *client) hasUnhandledInput() bool {
-	return c.scheduled || c.socket.unread() > 0 || len(c.input.bytes) > 0 && !c.incomplete
+	return c.socket.unread() > 0 || len(c.input.bytes) > 0 && !c.incomplete
 }
 
 // mayRead reports whether the client's next message may be handled, so that it is read.
