Wait for a row's whole header before its length is judged

Callers saw: a request for a long value failed, or was refused, when the first piece of the database's answer ended 5 to 10 bytes into the row.

Cause: pg.NextStreamedRow needs 11 bytes to tell whether a row is to be streamed. With fewer it says no, and pg.Next, which knows the row's length from 5 bytes on, calls a row beyond MaxMessage malformed.

Change: database.parseNext waits for the whole header of a row.

Result: TestLongRowHeaderInPieces: cuts after 5 to 10 of 11 bytes failed before, none does now.

--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -91,6 +91,9 @@
 
 // parseNext implements databaseProtocol.
 func (db *database) parseNext(buf []byte) (n int, complete bool, err error) {
+	if pg.IncompleteRowHeader(buf) { // the length alone does not tell whether the row is too long or to be streamed
+		return 0, false, nil
+	}
 	if row, long := pg.NextStreamedRow(buf); long && db.awaitingAnswer && !db.probing && !db.syncing && db.reply.AddStreamedRow() {
 		return 0, false, db.startStream(row)
 	}
--- a/internal/net/ending_test.go
+++ b/internal/net/ending_test.go
@@ -34,9 +34,12 @@
 	return <-got
 }
 
-// waitUntil waits until f returns true on the loop; if it never does, the test's own time limit ends it.
+// waitUntil waits until f returns true on the loop. If it never does, the panic's stack names the test and the line.
 func waitUntil(loop *Loop, f func() bool) {
-	for !onLoop(loop, f) {
+	for end := time.Now().Add(testTimeout); !onLoop(loop, f); {
+		if time.Now().After(end) {
+			panic("a condition on the loop has not become true")
+		}
 	}
 }
 
--- a/internal/net/stream_test.go
+++ b/internal/net/stream_test.go
@@ -171,6 +171,44 @@
 	}
 }
 
+// TestLongRowHeaderInPieces guards against a long value whose row arrives with a part of its header first: its length alone was taken for that of a
+// malformed message, and the attempt failed.
+func TestLongRowHeaderInPieces(t *testing.T) {
+	const rowHeader = 11 // type, length, number of columns, length of the value
+	answer := longRowAnswer(200 << 10)
+	for cut := 1; cut <= rowHeader; cut++ {
+		var spy *openerSpy
+		asked := 0
+		address := databaseStub(t, func(c stdnet.Conn, _ string) bool {
+			if asked++; asked > 1 {
+				c.Write(answer)
+				return true
+			}
+			db := onLoop(spy.Loop, func() *database { return spy.opened[len(spy.opened)-1] })
+			c.Write(answer[:len(description)+cut])
+			waitUntil(spy.Loop, func() bool { // the loop has handled the piece
+				return db.closed || db.stream != nil || len(db.input.bytes) == cut
+			})
+			_, err := c.Write(answer[len(description)+cut:])
+			return err == nil
+		})
+		s, engine, opener := startProxyWithSpy(t, address)
+		spy = opener
+		c := connectAndQuery(t, s, "1a")
+		got := make([]byte, len(answer))
+		if io.ReadFull(c, got[:len(description)]); string(got[:len(description)]) != description {
+			t.Errorf("cut after %d bytes: the answer begins with %.30q", cut, got)
+			continue
+		}
+		if n, err := io.ReadFull(c, got[len(description):]); err != nil || !bytes.Equal(got, answer) {
+			t.Errorf("cut after %d bytes: %d of %d bytes, %v", cut, n, len(answer), err)
+		}
+		if n := onLoop(spy.Loop, func() uint64 { return engine.Counters.Sent }); n != 1 {
+			t.Errorf("cut after %d bytes: %d attempts were sent", cut, n)
+		}
+	}
+}
+
 // A database ends the connection in the middle of a long value: the client sees that the value is incomplete, and the
 // request is not sent again.
 func TestBrokenStreamIsVisibleToClient(t *testing.T) {
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -102,6 +102,12 @@
 	rowHeader = 11 // type, length, number of columns, length of the first column
 )
 
+// IncompleteRowHeader reports whether buf is the beginning of a row that is too short for NextStreamedRow to tell whether
+// its value is to be forwarded in pieces.
+func IncompleteRowHeader(buf []byte) bool {
+	return len(buf) > 0 && len(buf) < rowHeader && buf[0] == typeRow
+}
+
 // NextStreamedRow reports whether buf begins with a row of one column whose value is to be forwarded in pieces, and
 // returns the length of that message in bytes.
 func NextStreamedRow(buf []byte) (int, bool) {
