--- /dev/null
+++ b/internal/net/event_poller_test.go
@@ -0,0 +1,51 @@
+package net
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"havenproxy/internal/limit"
+	"havenproxy/internal/state"
+)
+
+// handlerFunc is a function as an eventHandler.
+type handlerFunc func()
+
+func (f handlerFunc) handleEvents(uint32, time.Duration) { f() }
+
+// TestEventsAreDispatchedInRounds guards against a hold-up whose events are all handled in one callback, with deadlines and requests behind it:
+// they are handled for limit.RoundTime at a time, in their order, each once, and those that arrive meanwhile behind them.
+func TestEventsAreDispatchedInRounds(t *testing.T) {
+	clock := &manualClock{now: time.Hour}
+	loop := NewLoop(clock, new(state.Deadlines))
+	poller := &eventPoller{loop: loop, handlers: map[uint64]eventHandler{}, index: map[uint64]int{}}
+	var order []string
+	for id := range uint64(7) {
+		poller.handlers[id] = handlerFunc(func() {
+			order = append(order, fmt.Sprint(id))
+			clock.now += limit.RoundTime / 2
+			if id == 1 && len(order) == 3 { // the first time
+				poller.add([]unix.EpollEvent{{Fd: 1}, {Fd: 6}, {Fd: 1}})
+			}
+		})
+	}
+	poller.add([]unix.EpollEvent{{Fd: 0}, {Fd: 1}, {Fd: 2}, {Fd: 3}})
+	poller.add([]unix.EpollEvent{{Fd: 0}, {Fd: 4}})
+	rounds := 0
+	for ; len(loop.queue) > 0; rounds++ {
+		if len(loop.queue) != 1 {
+			t.Fatalf("%d callbacks are queued", len(loop.queue))
+		}
+		callback := loop.queue[0]
+		loop.queue = nil
+		order = append(order, "|")
+		callback()
+	}
+	if got := strings.Join(order, " "); got != "| 0 1 | 2 3 | 4 | 1 6" {
+		t.Errorf("%d rounds handled %s", rounds, got)
+	}
+}
--- a/internal/net/eviction_test.go
+++ b/internal/net/eviction_test.go
@@ -135,6 +135,40 @@
 	}
 }
 
+// TestClientAboutToAskIsNotEvicted guards against clients that write slowly, in many small pieces, at the cost of others: each piece put its client
+// behind all others in the order of eviction, so that one that had only connected and not asked yet was closed first.
+func TestClientAboutToAskIsNotEvicted(t *testing.T) {
+	const clients = 44
+	s, engine, loop := startProxy(t, "127.0.0.1:1", clients, 1)
+	start, message := pg.AppendStartup(nil, "client", "core"), pg.AppendQuery(nil, query("1a"))
+	var slow []*testConn
+	for range clients / maxSilentFraction {
+		p := dial(t, s)
+		p.conn.Write(start)
+		p.readTypes(len(welcome))
+		slow = append(slow, p)
+	}
+	asking := dial(t, s)
+	asking.conn.Write(start)
+	asking.readTypes(len(welcome))
+	for _, p := range slow {
+		p.conn.Write(message[:9])
+	}
+	waitUntil(loop, func() bool { return bufferedBytes(s) == len(slow)*9 })
+	newcomer := dial(t, s)
+	newcomer.conn.Write(pg.AppendQuery(start, ""))
+	if types, _ := newcomer.readTypes(len(welcome) + 2); types != welcome+"IZ" {
+		t.Errorf("the new client got %q", types)
+	}
+	asking.conn.Write(pg.AppendQuery(nil, ""))
+	if types, _ := asking.readTypes(2); types != "IZ" {
+		t.Errorf("the client that was about to ask got %q", types)
+	}
+	if n := onLoop(loop, func() uint64 { return engine.Counters.ClientsEvicted }); n != 1 {
+		t.Errorf("%d clients were evicted, want a slow one", n)
+	}
+}
+
 // A client that is silent after its startup message may be evicted before its machine has acknowledged the welcome; one
 // that is still reading an answer may not, however long ago it asked.
 func TestReadingClientIsNotEvicted(t *testing.T) {
