--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -9,13 +9,8 @@
 // This file holds how a client's bytes are read and its messages handled. Bytes are read when the client's next message
 // may be handled; otherwise they stay in the kernel.
 
-const (
-	// maxIdleClientBuffer is the buffer capacity in bytes that a client keeps between messages.
-	maxIdleClientBuffer = 2 << 10
-	// A query that has arrived at its timeout is looked at again after each lateInputPause, until maxLateInput is over.
-	lateInputPause = time.Millisecond
-	maxLateInput   = 300 * time.Millisecond
-)
+// maxIdleClientBuffer is the buffer capacity in bytes that a client keeps between messages.
+const maxIdleClientBuffer = 2 << 10
 
 // inputArrived implements socketHandler.
 func (c *client) inputArrived(at time.Duration) {
@@ -145,55 +140,6 @@
 	return n
 }
 
-// admitsMessage reports whether there is memory to handle a complete message of that many bytes. Otherwise the client
-// waits until there is.
-func (c *client) admitsMessage(length int) bool {
-	if c.server.inputBudget.Admits(length, len(c.pending)) {
-		return true
-	}
-	c.noteQuery()
-	c.waitForMemory(length, false)
-	return false
-}
-
-// reserveBuffer makes room for a message of that many bytes. If there is no memory for it now, the client waits.
-func (c *client) reserveBuffer(length int) bool {
-	if cap(c.input.bytes) >= length {
-		return true
-	}
-	if !c.server.inputBudget.AdmitsBuffer(length - cap(c.input.bytes)) {
-		if length > c.server.inputBudget.Total {
-			c.closeForMemory()
-			return false
-		}
-		c.waitForMemory(length, true)
-		c.server.relieveMemory()
-		return false
-	}
-	c.input.bytes = append(make([]byte, 0, length), c.input.bytes...)
-	c.accountInput()
-	return true
-}
-
-// closeForMemory closes the connection of a client for whose message there is no memory. The message was not handled.
-func (c *client) closeForMemory() {
-	c.server.engine.Counters.ClientsRejected++
-	c.closeWithError(reasonNoMemory, "no memory for a query of this size now")
-	c.dropInput()
-	c.accountInput()
-	c.updatePartialList()
-}
-
-// waitForMemory makes the client wait until memory has been released for a message of that many bytes: to read it, or to
-// handle it.
-func (c *client) waitForMemory(message int, toRead bool) {
-	c.waitingMessage, c.waitsToRead = message, toRead
-	if !c.waitsForMemory {
-		c.waitsForMemory = true
-		c.server.memoryWaiters = append(c.server.memoryWaiters, c)
-	}
-}
-
 // discardInput drops the first n bytes of the input.
 func (c *client) discardInput(n int) {
 	if n > 0 {
@@ -210,16 +156,6 @@
 	c.input.bytes, c.arrivals, c.incomplete = nil, nil, false
 }
 
-// accountInput updates the sum of the bytes that are held for clients.
-func (c *client) accountInput() {
-	before := c.accountedBytes
-	c.accountedBytes = cap(c.input.bytes) + c.arrivals.size() + c.statementBytes
-	c.server.inputBudget.HoldBuffers(c.accountedBytes - before)
-	if c.accountedBytes < before {
-		c.server.memoryReleased()
-	}
-}
-
 // updatePartialList adds the client to the server's list of those with incomplete messages, or removes it.
 func (c *client) updatePartialList() {
 	switch {
@@ -238,50 +174,6 @@
 	}
 }
 
-// updateQueryTimer starts the timer for the rest of a query that has been sent in part, once for each query.
-func (c *client) updateQueryTimer(newQuery bool) {
-	if !c.hasQueried {
-		return // the timer for the first query is running
-	}
-	partial := c.incomplete
-	switch {
-	case partial && (newQuery || !c.partialQuery):
-		c.startQueryTimer()
-	case !partial && c.partialQuery:
-		c.server.deadlines.Clear(&c.timer)
-	}
-	c.partialQuery = partial
-}
-
-// startQueryTimer gives the client queryTimeout to complete a query.
-func (c *client) startQueryTimer() {
-	c.timedOutAt = 0
-	c.server.deadlines.Set(&c.timer, c.server.clock.Now()+queryTimeout, c.queryTimedOut)
-}
-
-// queryTimedOut closes the connection if the query is still incomplete once everything that has arrived was handled: only
-// the loop may be late.
-func (c *client) queryTimedOut() {
-	if c.phase >= phaseClosing {
-		return
-	}
-	if c.waitsForMemory {
-		c.startQueryTimer()
-		return
-	}
-	now := c.server.clock.Now()
-	if c.timedOutAt == 0 {
-		c.timedOutAt = now // the loop may be late by any time
-	}
-	if now < c.timedOutAt+maxLateInput && c.hasUnhandledInput() && c.mayRead() { // it is about to have its turn
-		c.server.deadlines.Set(&c.timer, now+lateInputPause, c.queryTimedOut)
-		return
-	}
-	if incomplete := !c.hasQueried || c.partialQuery; incomplete {
-		c.closeMalformed(errQueryTimeout)
-	}
-}
-
 func (c *client) closeMalformed(err error) {
 	c.server.engine.Counters.Malformed++
 	c.closeWithError(reasonMalformed, err.Error())
@@ -289,11 +181,3 @@
 
 // noteMessage records when the message that is to be handled was complete; length is the number of its bytes.
 func (c *client) noteMessage(length int) { c.messageAt = c.arrivals.of(c.parsedBytes + length) }
-
-// noteQuery records that the client has sent a complete query, so that it no longer counts as silent.
-func (c *client) noteQuery() {
-	if !c.hasQueried {
-		c.hasQueried = true
-		c.server.deadlines.Clear(&c.timer)
-	}
-}
--- a/internal/net/eviction_test.go
+++ b/internal/net/eviction_test.go
@@ -139,33 +139,54 @@
 // behind all others in the order of eviction, so that one that had only connected and not asked yet was closed first.
 func TestClientAboutToAskIsNotEvicted(t *testing.T) {
 	const clients = 44
-	s, engine, loop := startProxy(t, "127.0.0.1:1", clients, 1)
 	start, message := pg.AppendStartup(nil, "client", "core"), pg.AppendQuery(nil, query("1a"))
-	var slow []*testConn
-	for range clients / maxSilentFraction {
-		p := dial(t, s)
-		p.conn.Write(start)
-		p.readTypes(len(welcome))
-		slow = append(slow, p)
-	}
-	asking := dial(t, s)
-	asking.conn.Write(start)
-	asking.readTypes(len(welcome))
-	for _, p := range slow {
-		p.conn.Write(message[:9])
-	}
-	waitUntil(loop, func() bool { return bufferedBytes(s) == len(slow)*9 })
-	newcomer := dial(t, s)
-	newcomer.conn.Write(pg.AppendQuery(start, ""))
-	if types, _ := newcomer.readTypes(len(welcome) + 2); types != welcome+"IZ" {
-		t.Errorf("the new client got %q", types)
-	}
-	asking.conn.Write(pg.AppendQuery(nil, ""))
-	if types, _ := asking.readTypes(2); types != "IZ" {
-		t.Errorf("the client that was about to ask got %q", types)
-	}
-	if n := onLoop(loop, func() uint64 { return engine.Counters.ClientsEvicted }); n != 1 {
-		t.Errorf("%d clients were evicted, want a slow one", n)
+	for name, wantEvicted := range map[string]uint64{"pieces are read": 1, "pieces have just arrived": 0} {
+		t.Run(name, func(t *testing.T) {
+			s, engine, loop := startProxy(t, "127.0.0.1:1", clients, 1)
+			connect := func() *testConn {
+				p := dial(t, s)
+				p.conn.Write(start)
+				p.readTypes(len(welcome))
+				return p
+			}
+			var slow []*testConn
+			for range clients / maxSilentFraction {
+				p := connect()
+				p.conn.Write(message[:9])
+				slow = append(slow, p)
+			}
+			asking := connect()
+			for _, p := range slow {
+				p.conn.Write(message[9:12])
+			}
+			waitUntil(loop, func() bool { return bufferedBytes(s) == len(slow)*12 })
+			release := func() {}
+			if wantEvicted == 0 {
+				release = holdLoop(loop)
+			}
+			newcomer := dial(t, s)
+			if wantEvicted == 0 {
+				for pendingEvents(loop) < 1 {
+				}
+				for _, p := range slow {
+					p.conn.Write(message[12:15])
+				}
+				for pendingEvents(loop) < 1+len(slow) {
+				}
+			}
+			release()
+			newcomer.conn.Write(pg.AppendQuery(start, ""))
+			if types, _ := newcomer.readTypes(len(welcome) + 2); types != welcome+"IZ" {
+				t.Errorf("the new client got %q", types)
+			}
+			asking.conn.Write(pg.AppendQuery(nil, ""))
+			if types, _ := asking.readTypes(2); types != "IZ" {
+				t.Errorf("the client that was about to ask got %q", types)
+			}
+			if n := onLoop(loop, func() uint64 { return engine.Counters.ClientsEvicted }); n != wantEvicted {
+				t.Errorf("%d clients were evicted, want %d", n, wantEvicted)
+			}
+		})
 	}
 }
 
--- a/internal/net/stream_test.go
+++ b/internal/net/stream_test.go
@@ -151,6 +151,55 @@
 	}
 }
 
+// TestStreamGoesOnWithoutItsTimer guards against long values that go on only when their progress is looked at: one whose turn comes, and one whose
+// database sends more, are passed on by that event.
+func TestStreamGoesOnWithoutItsTimer(t *testing.T) {
+	const first = 300 << 10
+	answer := longRowAnswer(1 << 20)
+	answerFirst, sendRest := make(chan struct{}), make(chan struct{})
+	s, _, loop := startProxy(t, databaseStub(t, func(c stdnet.Conn, text string) bool {
+		if strings.Contains(text, "'1a'") {
+			<-answerFirst
+			return echoQuery(c, text)
+		}
+		c.Write(answer[:first])
+		<-sendRest
+		_, err := c.Write(answer[first:])
+		return err == nil
+	}), 8, 1)
+	p := connectAndQuery(t, s, "1a")
+	p.Write(pg.AppendQuery(nil, query("2b")))
+	var stream *valueStream
+	waitUntil(loop, func() bool { // the value waits for its turn
+		for c := range s.clients {
+			if len(c.pending) == 2 {
+				stream = c.pending[1].stream
+			}
+		}
+		return stream != nil && stream.waitsForClient()
+	})
+	stopTimer := func() bool {
+		loop.deadlines.Clear(&stream.stallTimer)
+		return true
+	}
+	onLoop(loop, stopTimer)
+	close(answerFirst)
+	reader := &testConn{conn: p}
+	if types, _ := reader.readTypes(3); types != "DCZ" {
+		t.Fatalf("the first query got %q", types)
+	}
+	got := make([]byte, len(answer))
+	begun := copy(got, reader.buf)
+	if n, err := io.ReadFull(p, got[begun:first]); err != nil {
+		t.Fatalf("%d bytes of the value were received when its turn had come: %v", n, err)
+	}
+	onLoop(loop, stopTimer)
+	close(sendRest)
+	if n, err := io.ReadFull(p, got[first:]); err != nil || !bytes.Equal(got, answer) {
+		t.Errorf("%d further bytes were received: %v", n, err)
+	}
+}
+
 // TestLongRowHeaderInPieces guards against a long value whose row arrives with a part of its header first: its length alone was taken for that of a
 // malformed message, and the attempt failed.
 func TestLongRowHeaderInPieces(t *testing.T) {
