--- a/internal/net/stream_test.go
+++ b/internal/net/stream_test.go
@@ -7,6 +7,7 @@
 	stdnet "net"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -284,3 +285,47 @@
 		t.Fatal("a streamed answer counts as OK by the zero value")
 	}
 }
+
+// TestOneDatabasesTurnIsBounded guards against a database that holds the loop by sending without end: a turn reads a few pieces, the rest follows
+// behind other work, and the answer behind it all is served.
+func TestOneDatabasesTurnIsBounded(t *testing.T) {
+	const flood = 1 << 20
+	asked, proceed := make(chan struct{}), make(chan struct{})
+	server, _, spy := startProxyWithSpy(t, databaseStub(t, func(c stdnet.Conn, text string) bool {
+		close(asked)
+		<-proceed
+		status := pg.AppendParameterStatus(nil, "name", "value")
+		c.Write(bytes.Repeat(status, flood/len(status)))
+		return echoQuery(c, text)
+	}))
+	p := dial(t, server)
+	p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("1a")))
+	<-asked
+	held := make(chan *database)
+	release := make(chan struct{})
+	turns := make(chan int, 1)
+	spy.Loop.Post(func() {
+		db := spy.opened[len(spy.opened)-1]
+		syscall.SetsockoptInt(db.socket.fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2*flood)
+		held <- db
+		<-release
+		before := db.socket.unread()
+		db.handleInput()
+		turns <- before - db.socket.unread()
+	})
+	db := <-held
+	close(proceed)
+	for db.socket.unread() == 0 {
+	}
+	for last := -1; last < db.socket.unread(); { // until the kernel takes no more; if that is less than a turn's worth, the test shows nothing
+		last = db.socket.unread()
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(release)
+	if read := <-turns; read > maxPiecesPerTurn*readSize {
+		t.Errorf("a turn read %d bytes", read)
+	}
+	if types, _ := p.readTypes(len(welcome) + 3); types != welcome+"DCZ" {
+		t.Errorf("the query got %q", types)
+	}
+}
