Stay for values and answers that are still being taken when a stop's time is over

Cause: pollDrained ends the process at exitDeadline whatever is open. Every request has its final answer by then, but a value in pieces and bytes that a socket has not taken are answers on their way.

Change: from exitDeadline on the process stays while Server.Delivering, for maxDeliveryTime (a minute) at most. New requests are refused meanwhile; a peer that moves nothing for 10 s is given up as before.

TestStopLetsValuesEnd failed before, TestAnswersAreDeliveredUntilTheyAreTaken is new.

--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"log/slog"
+	"slices"
 	"time"
 
 	"havenproxy/internal/limit"
@@ -226,3 +227,13 @@
 	}
 	return len(s.clients) == 0 && s.lingering == 0
 }
+
+// Delivering reports whether a client is being given a value in pieces, or has not taken all of its answers.
+func (s *Server) Delivering() bool {
+	for c := range s.clients {
+		if c.output.len() > 0 || slices.ContainsFunc(c.pending, func(query *pendingQuery) bool { return query.stream != nil }) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/net/slow_reader_test.go
+++ b/internal/net/slow_reader_test.go
@@ -302,6 +302,22 @@
 	}
 }
 
+// TestAnswersAreDeliveredUntilTheyAreTaken guards against a stop that cuts off answers which a slow client is still reading.
+func TestAnswersAreDeliveredUntilTheyAreTaken(t *testing.T) {
+	const queries = 12 // more than the kernel's buffers take
+	s, engine, loop := startProxy(t, databaseStub(t, answerLarge), 8, 1)
+	p, want := dialSmall(t, s, queries)
+	waitUntil(loop, func() bool { return s.answers.Unsent > 0 && engine.OutstandingAnswers() == 0 })
+	if !onLoop(loop, s.Delivering) {
+		t.Error("answers that are not taken count as delivered")
+	}
+	got := make([]byte, len(want))
+	if n, err := io.ReadFull(p.conn, got); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("%d of %d bytes of answers arrived: %v", n, len(want), err)
+	}
+	waitUntil(loop, func() bool { return !s.Delivering() })
+}
+
 // failingSocket is a connection without a descriptor whose writes fail as they are told.
 type failingSocket struct {
 	netpoll.Connection
--- a/internal/run/drain_test.go
+++ b/internal/run/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -179,6 +180,99 @@
 	<-ended
 }
 
+// givesInPieces starts a database that answers each query with an answer of its own, of which it writes the pieces that it is given.
+func givesInPieces(t *testing.T, pieces chan []byte) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				conn.Write(pg.AppendStartupResponse(nil))
+				in, seen := make([]byte, 4096), []byte(nil)
+				for {
+					n, err := conn.Read(in)
+					if err != nil {
+						return
+					}
+					if seen = append(seen, in[:n]...); !bytes.Contains(seen, []byte("SELECT val")) {
+						continue
+					}
+					for piece := range pieces {
+						conn.Write(piece)
+					}
+					return
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestStopLetsValuesEnd guards against a planned restart that cuts off a long value which its database is still giving, or answers that their
+// client is still reading: the process ended by itself at its deadline. One that goes on for too long ends with it.
+func TestStopLetsValuesEnd(t *testing.T) {
+	const value, step = 1 << 20, 5 * time.Second // less than a stream may stand still
+	const description = "T\x00\x00\x00\x1c\x00\x01val\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"
+	row := binary.BigEndian.AppendUint32([]byte(description+"D"), value+10)
+	row = binary.BigEndian.AppendUint32(append(row, 0, 1), value)
+	answer := pg.AppendReadyForQuery(append(append(row, make([]byte, value)...), "C\x00\x00\x00\x0dSELECT 1\x00"...))
+	for name, whole := range map[string]bool{"to its end": true, "for too long": false} {
+		t.Run(name, func(t *testing.T) {
+			pieces := make(chan []byte)
+			p, ended := beginSlow(t, givesInPieces(t, pieces))
+			conn := p.connect(t, ask("1"))
+			io.ReadFull(conn, make([]byte, len(pg.AppendStartupResponse(nil))))
+			sent := 200 << 10
+			pieces <- answer[:sent]
+			got := make([]byte, len(answer))
+			received, err := io.ReadFull(conn, got[:100<<10])
+			if err != nil {
+				t.Fatalf("the answer begins with %.60q", got)
+			}
+			p.onLoop(p.stop)
+			stay := p.maxRequestTime + exitMargin + step
+			if !whole {
+				stay += maxDeliveryTime
+			}
+			for passed := time.Duration(0); passed < stay && err == nil; passed += step {
+				pieces <- answer[sent : sent+1000]
+				sent += 1000
+				var n int
+				n, err = io.ReadFull(conn, got[received:received+1000])
+				received += n
+				p.advance(step)
+			}
+			if !whole {
+				close(pieces)
+				<-ended
+				return
+			}
+			p.onLoop(func() {})
+			select {
+			case <-ended:
+				t.Fatal("the process ended in the middle of a value")
+			default:
+			}
+			pieces <- answer[sent:]
+			if n, err := io.ReadFull(conn, got[received:]); err != nil || !bytes.Equal(got, answer) {
+				t.Errorf("%d of %d bytes were received, error %v", received+n, len(answer), err)
+			}
+			close(pieces)
+			io.Copy(io.Discard, conn)
+			<-ended
+		})
+	}
+}
+
 // A request accepted after the signal must not get more time than the process has left, so that no attempt runs past the exit.
 func TestStopLimitsDeadlinesOfNewRequests(t *testing.T) {
 	address, asked := hung(t)
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -40,6 +40,8 @@
 	// arrived late on an open connection may have its full deadline ahead. exitMargin leaves time to send the last answers.
 	answerMargin = 400 * time.Millisecond
 	exitMargin   = 500 * time.Millisecond
+	// maxDeliveryTime is how much longer the process stays for clients that are still taking their answers.
+	maxDeliveryTime = time.Minute
 
 	defaultSockets        = 1024
 	defaultConnectTimeout = 250 * time.Millisecond
--- a/internal/run/stop.go
+++ b/internal/run/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 )
 
 // stop shuts the proxy down gracefully: it serves as before while new clients may still arrive, then closes idle connections, and ends once
@@ -25,17 +26,18 @@
 	})
 }
 
-// pollDrained ends the process once no answers are outstanding, or at exitDeadline. Otherwise it calls itself again after drainPollInterval.
+// pollDrained ends the process once no answers are outstanding, or at exitDeadline if no answer is on its way to a client. Otherwise it
+// calls itself again after drainPollInterval.
 func (p *proxy) pollDrained() {
 	now := p.clock.Now()
 	if now >= p.answerDeadline {
 		p.engine.EndAllRequests()
 	}
-	if p.drainComplete() || now >= p.exitDeadline {
+	if p.drainComplete() || p.mustExit(now) {
 		// The second check runs behind what is in the loop's queue by now, such as the last answers.
 		p.loop.Post(func() {
 			complete := p.drainComplete()
-			if !complete && p.clock.Now() >= p.exitDeadline {
+			if !complete && p.mustExit(p.clock.Now()) {
 				p.answerAll()
 				complete = true
 			}
@@ -53,6 +55,12 @@
 	p.engine.Deadlines.Set(&p.stopTimer, now+drainPollInterval, p.pollDrained)
 }
 
+// mustExit reports whether the process ends now whatever is outstanding: all requests have their final answers, and none of them is on its
+// way to a client, or for too long.
+func (p *proxy) mustExit(now time.Duration) bool {
+	return now >= p.exitDeadline && (!p.server.Delivering() || now >= p.exitDeadline+maxDeliveryTime)
+}
+
 // answerAll answers everything that clients have sent, at the last moment.
 func (p *proxy) answerAll() {
 	p.engine.EndAllRequests()
