Receive each kind of signal on a channel of its own, so that SIGTERM is not lost

Cause: all signals went into a channel of four that the goroutine which reads the configuration emptied. A signal that finds the channel full is dropped.

Change: signals has a channel and a goroutine for each kind. Of several SIGHUPs the one under way and one more are handled.

--- a/internal/run/reload.go
+++ b/internal/run/reload.go
@@ -2,8 +2,6 @@
 
 import (
 	"log/slog"
-	"os"
-	"syscall"
 	"time"
 
 	"havenproxy/internal/operator"
@@ -13,22 +11,6 @@
 // readPause is the pause between parts of a long configuration, which lets the loop run: the proxy may have only a small share of one core.
 const readPause = 200 * time.Microsecond
 
-// handleSignals processes signals until caught is closed. path is the configuration file, file the operator's file.
-func (p *proxy) handleSignals(caught <-chan os.Signal, path, file string) {
-	for s := range caught {
-		switch s {
-		case syscall.SIGUSR1:
-			p.loop.Post(func() {
-				slog.Info("counters", "pending", p.engine.Pending(), "counters", &p.engine.Counters, "refusals", p.engine.Refusals(), "delays", &p.engine.Delays)
-			})
-		case syscall.SIGHUP:
-			p.reload(path, file)
-		default:
-			p.loop.Post(p.stop)
-		}
-	}
-}
-
 // reload reads both files again after SIGHUP. It switches to the configured discovery address and applies those settings of both files that
 // may change at run time, except the ones that a tier's policy determines. Requests, pins and connections are kept. If either file is
 // invalid, nothing changes.
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -71,12 +71,8 @@
 		debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryMB) * (1 << 20)))
 	}
 	signal.Ignore(syscall.SIGPIPE) // a log reader that goes away must not end the proxy
-	caught := make(chan os.Signal, 4)
-	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	defer func() { // stops handleSignals
-		signal.Stop(caught)
-		close(caught)
-	}()
+	received := notifySignals()
+	defer received.close()
 	p, err := start(cfg)
 	if err != nil {
 		return err
@@ -99,7 +95,7 @@
 	if err := p.reportStart(cfg, o.Operator); err != nil {
 		return err
 	}
-	go p.handleSignals(caught, path, o.Operator)
+	p.handleSignals(received, path, o.Operator)
 	p.loop.Run()
 	if p.fatalErr != nil {
 		return p.fatalErr
