Accept connections for a round's time at most before other work

Callers could see: 32 connections were accepted in one turn of the loop however long each took. While too many clients are silent, each looks at all of them, one system call for each that has sent nothing whole: with hundreds of slow writers that is thousands of calls in a turn.

Change: acceptSome stops after limit.RoundTime and goes on behind other work. requestNames copies nothing where no name has expired. socket.silent is noInput: "silent" is what clients without a query are called.

Result: TestAcceptedConnectionsShareARound failed before (6 in one turn, want 2 at most). make check passed.

--- a/internal/net/acceptor.go
+++ b/internal/net/acceptor.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
 )
 
@@ -103,12 +104,16 @@
 // handleEvents implements eventHandler.
 func (a *acceptor) handleEvents(uint32, time.Duration) { a.acceptSome() }
 
-// acceptSome accepts connections that wait, and goes on behind other work if there are many.
+// acceptSome accepts connections that wait, for limit.RoundTime at most, and goes on behind other work if there are more.
 func (a *acceptor) acceptSome() {
+	until := a.loop.clock.Now() + limit.RoundTime
 	for range maxAccepts {
 		if !a.acceptOne() {
 			return
 		}
+		if a.loop.clock.Now() >= until {
+			break
+		}
 	}
 	a.loop.Post(a.acceptSome)
 }
--- a/internal/net/event_poller_test.go
+++ b/internal/net/event_poller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	stdnet "net"
 	"strings"
 	"testing"
 	"time"
@@ -49,3 +50,36 @@
 		t.Errorf("%d rounds handled %s", rounds, got)
 	}
 }
+
+// TestAcceptedConnectionsShareARound guards against connections that are costly to accept, because room has to be made for each, and hold the
+// loop by their number.
+func TestAcceptedConnectionsShareARound(t *testing.T) {
+	const connections = 6
+	clock := &offsetClock{SystemClock: state.NewClock()}
+	loop := NewLoop(clock, new(state.Deadlines))
+	defer loop.closePollers()
+	accepted := 0
+	a, err := listenOn(loop, "tcp", "127.0.0.1:0", func(conn *socket) {
+		accepted++
+		clock.offset.Add(int64(limit.RoundTime / 2))
+		conn.close()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.close()
+	for range connections {
+		conn, err := stdnet.Dial("tcp", a.address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	a.acceptSome()
+	if accepted < 1 || accepted > 2 { // time passes by itself, too
+		t.Errorf("%d connections were accepted in one turn, want 2 at most", accepted)
+	}
+	for accepted < connections {
+		a.acceptSome()
+	}
+}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -155,7 +155,7 @@
 // hasNoInput reports that no bytes have arrived that belong to no command. Answers carry no identifier: any leftover
 // bytes, even those still in the kernel, would be taken for the answer to the next command.
 func (l *databaseLink) hasNoInput() bool {
-	return !l.closed && l.socket != nil && len(l.input.bytes) == 0 && l.socket.silent()
+	return !l.closed && l.socket != nil && len(l.input.bytes) == 0 && l.socket.noInput()
 }
 
 // Close implements state.Conn.
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -83,8 +83,8 @@
 	return n
 }
 
-// silent asks the kernel whether neither bytes nor the end of the connection have arrived.
-func (s *socket) silent() bool {
+// noInput asks the kernel whether neither bytes nor the end of the connection have arrived.
+func (s *socket) noInput() bool {
 	if !s.active() {
 		return false
 	}
--- a/internal/state/names.go
+++ b/internal/state/names.go
@@ -58,7 +58,9 @@
 		}
 		delete(n.retained, key)
 	}
-	n.oldest = append(n.oldest[:0], n.oldest[expired:]...)
+	if expired > 0 {
+		n.oldest = append(n.oldest[:0], n.oldest[expired:]...)
+	}
 }
 
 func (n *requestNames) hash(name string) uint64 { return maphash.String(n.seed, name) }
