Tests of the stop: one stand-in database for those that hang and those that give pieces

hung and givesInPieces stood twice line for line. serveDatabase serves both, and closes its connections with the test: goleak no longer has to pass over its goroutines.

--- a/internal/run/drain_test.go
+++ b/internal/run/drain_test.go
@@ -82,20 +82,25 @@
 // patience only ends a test that hangs; no result depends on it.
 const patience = 20 * time.Second
 
-// hung starts a database that accepts queries and never answers. It sends the time limit of each query on asked.
-func hung(t *testing.T) (address string, asked chan time.Duration) {
+// serveDatabase starts a database. It passes the connection and each query's text to answer, until that returns false.
+func serveDatabase(t *testing.T, answer func(conn net.Conn, text string) bool) (address string) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
-	asked = make(chan time.Duration, 99)
+	ended := make(chan struct{})
+	t.Cleanup(func() { ln.Close(); close(ended) })
 	go func() {
 		for {
 			conn, err := ln.Accept()
 			if err != nil {
 				return
 			}
+			go func() {
+				<-ended
+				conn.Close()
+			}()
 			go func() {
 				defer conn.Close()
 				conn.Write(pg.AppendStartupResponse(nil))
@@ -106,19 +111,33 @@
 						return
 					}
 					seen = append(seen, in[:n]...)
-					if at := bytes.Index(seen, []byte("SELECT val")); at >= 0 && bytes.HasSuffix(seen, []byte{0}) {
-						st, err := pg.ParseStatement(string(seen[at : len(seen)-1]))
-						if err != nil {
-							t.Error(err)
-						}
-						seen = nil
-						asked <- st.Timeout
+					at := bytes.Index(seen, []byte("SELECT val"))
+					if at < 0 || !bytes.HasSuffix(seen, []byte{0}) {
+						continue
+					}
+					text := string(seen[at : len(seen)-1])
+					if seen = nil; !answer(conn, text) {
+						return
 					}
 				}
 			}()
 		}
 	}()
-	return ln.Addr().String(), asked
+	return ln.Addr().String()
+}
+
+// hung starts a database that accepts queries and never answers. It sends the time limit of each query on asked.
+func hung(t *testing.T) (address string, asked chan time.Duration) {
+	asked = make(chan time.Duration, 99)
+	address = serveDatabase(t, func(_ net.Conn, text string) bool {
+		st, err := pg.ParseStatement(text)
+		if err != nil {
+			t.Error(err)
+		}
+		asked <- st.Timeout
+		return true
+	})
+	return address, asked
 }
 
 // wait waits for the next value that a test server reports.
@@ -180,41 +199,14 @@
 	<-ended
 }
 
-// givesInPieces starts a database that answers each query with an answer of its own, of which it writes the pieces that it is given.
+// givesInPieces starts a database that answers a query with the pieces that it is given.
 func givesInPieces(t *testing.T, pieces chan []byte) (address string) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				conn.Write(pg.AppendStartupResponse(nil))
-				in, seen := make([]byte, 4096), []byte(nil)
-				for {
-					n, err := conn.Read(in)
-					if err != nil {
-						return
-					}
-					if seen = append(seen, in[:n]...); !bytes.Contains(seen, []byte("SELECT val")) {
-						continue
-					}
-					for piece := range pieces {
-						conn.Write(piece)
-					}
-					return
-				}
-			}()
+	return serveDatabase(t, func(conn net.Conn, _ string) bool {
+		for piece := range pieces {
+			conn.Write(piece)
 		}
-	}()
-	return ln.Addr().String()
+		return false
+	})
 }
 
 // TestStopLetsValuesEnd guards against a planned restart that cuts off a long value which its database is still giving, or answers that their
--- a/internal/run/main_test.go
+++ b/internal/run/main_test.go
@@ -10,5 +10,5 @@
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
 		goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*eventLoop).waitQuit"),
-		goleak.IgnoreAnyFunction("havenproxy/internal/run.slowDatabase.func2"), goleak.IgnoreAnyFunction("havenproxy/internal/run.hung.func2.1"))
+		goleak.IgnoreAnyFunction("havenproxy/internal/run.slowDatabase.func2"))
 }
