--- a/internal/net/eviction.go
+++ b/internal/net/eviction.go
@@ -1,19 +1,18 @@
 package net
 
-import "time"
+import (
+	"time"
 
-const (
-	// When connections run out, clients that make no use of theirs are closed: first those that have sent nothing for
-	// minSilentTime, in which others ask and are answered, and also those beyond one in maxSilentFraction of all
-	// connections, of whom those that are about to ask come last; then those without an open request. The operators allow
-	// the latter after two seconds.
-	minSilentTime     = 250 * time.Millisecond
-	maxSilentFraction = 4
-	minIdleTime       = 2 * time.Second
-	idleCloseFraction = 3 // above one in this many of the connections, idle clients are closed before connections run out
+	"havenproxy/internal/limit"
 )
 
-func (s *Server) atLimit() bool { return len(s.clients)-s.excess >= s.maxClients }
+// idleCloseFraction is the divisor of the limit of connections above whose quotient idle clients are closed early.
+const idleCloseFraction = 3
+
+// connections returns what decides which clients give way.
+func (s *Server) connections() limit.Connections {
+	return limit.Connections{Open: len(s.clients), Rejected: s.excess, Silent: s.silent.Len(), Max: s.maxClients, MaxExcess: s.maxExcess}
+}
 
 // makeRoom closes silent and idle clients as long as the limit is reached, or too many clients are silent. It looks at
 // each of them a bounded number of times: evict may keep a client, and what it waits for happens only once makeRoom has
@@ -25,7 +24,7 @@
 	}
 	for range s.idle.Len() {
 		c := s.idle.Front().Value.(*client)
-		if !s.full() || now-c.since < minIdleTime {
+		if !s.connections().IdleGivesWay(now - c.since) {
 			break
 		}
 		s.evict(c, now)
@@ -40,10 +39,10 @@
 	for left := s.silent.Len(); left > 0 && element != nil; left-- {
 		c := element.Value.(*client)
 		element = element.Next() // evict may remove the client, or move it to the back
-		if !s.tooManySilent() && (!s.full() || now-c.since < minSilentTime) {
+		if !s.connections().SilentGivesWay(now - c.since) {
 			return false
 		}
-		if !spareAsking || !c.aboutToAsk(now) {
+		if !spareAsking || !limit.AboutToAsk(now-c.since, len(c.input.bytes)) {
 			kept := !s.evict(c, now)
 			othersLeft = othersLeft || kept
 		}
@@ -51,24 +50,13 @@
 	return othersLeft
 }
 
-// aboutToAsk reports whether a silent client has connected, or completed a message of its login, a moment ago. One that
-// writes slowly is always half way through a message.
-func (c *client) aboutToAsk(now time.Duration) bool {
-	return len(c.input.bytes) == 0 && now-c.since < minSilentTime
-}
-
-func (s *Server) tooManySilent() bool { return s.silent.Len() > s.maxClients/maxSilentFraction }
-
-// full reports whether no further client can be served, or even rejected with an answer.
-func (s *Server) full() bool { return s.atLimit() || len(s.clients) >= s.maxClients+s.maxExcess }
-
 // closeIdleClients closes clients that have long been idle when many are connected. Their connections may be needed
 // elsewhere: a load balancer in front of the proxies opens only a share of its descriptors.
 func (s *Server) closeIdleClients() {
 	now := s.clock.Now()
 	for element := s.idle.Front(); element != nil && len(s.clients) > s.idleCloseThreshold; element = s.idle.Front() {
 		c := element.Value.(*client)
-		if due := c.since + minIdleTime; due > now { // also ends the round at the first client that evict has kept
+		if due := c.since + limit.MinIdleTime; due > now { // also ends the round at the first client that evict has kept
 			s.deadlines.Set(&s.idleCloseTimer, due, s.closeIdleClients)
 			return
 		}
--- a/internal/net/eviction_test.go
+++ b/internal/net/eviction_test.go
@@ -6,6 +6,7 @@
 	stdnet "net"
 	"testing"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/wire/pg"
 )
 
@@ -15,7 +16,7 @@
 	const clients = 44
 	s, _, loop := startProxy(t, databaseStub(t, echoQuery), clients, 1)
 	var silent []*testConn
-	for range clients/maxSilentFraction + 1 {
+	for range clients/limit.MaxSilentFraction + 1 {
 		p := dial(t, s)
 		p.conn.Write(pg.AppendStartup(nil, "client", "core"))
 		p.readTypes(len(welcome))
@@ -94,7 +95,7 @@
 			in := bytes.Repeat([]byte{0, 0, 0, 8, 4, 210, 22, 47}, encryptionRequests)
 			in = pg.AppendQuery(pg.AppendStartup(in, "client", "core"), "")
 			var conns []*testConn
-			for range clients/maxSilentFraction + 1 {
+			for range clients/limit.MaxSilentFraction + 1 {
 				conns = append(conns, dial(t, s))
 			}
 			waitUntil(loop, func() bool { return len(s.clients) == len(conns) })
@@ -150,7 +151,7 @@
 				return p
 			}
 			var slow []*testConn
-			for range clients / maxSilentFraction {
+			for range clients / limit.MaxSilentFraction {
 				p := connect()
 				p.conn.Write(message[:9])
 				slow = append(slow, p)
@@ -197,7 +198,7 @@
 	s, engine, loop := startProxy(t, databaseStub(t, answerLarge), 8, 1)
 	p, want := dialSmall(t, s, queries)
 	waitUntil(loop, func() bool { return engine.Counters.Served == queries && s.answers.Unsent == 0 })
-	advance(s, 2*minIdleTime)
+	advance(s, 2*limit.MinIdleTime)
 	evicted := onLoop(loop, func() uint64 {
 		s.idleCloseThreshold = 0
 		s.closeIdleClients()
@@ -210,7 +211,7 @@
 	if n, err := io.ReadFull(p.conn, got); err != nil || !bytes.Equal(got, want) {
 		t.Errorf("%d of %d bytes of answers arrived: %v", n, len(want), err)
 	}
-	advance(s, minIdleTime)
+	advance(s, limit.MinIdleTime)
 	if types, _ := p.readTypes(1); types != "!" {
 		t.Errorf("the client that has read all got %q", types)
 	}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -297,9 +297,9 @@
 	second := connect(ask, welcome+"IZ")
 	third := connect(ask, welcome+"IZ")
 	connect(ask, "E!") // nobody has been idle or silent for long enough
-	advance(s, minSilentTime)
+	advance(s, limit.MinSilentTime)
 	connect(ask, welcome+"IZ")
-	advance(s, minIdleTime)
+	advance(s, limit.MinIdleTime)
 	second.conn.Write(pg.AppendQuery(nil, "")) // it is no longer idle
 	second.readTypes(2)
 	connect(ask, welcome+"IZ")
@@ -314,7 +314,7 @@
 			t.Errorf("a client that may stay got %q", types)
 		}
 	}
-	advance(s, minIdleTime)
+	advance(s, limit.MinIdleTime)
 	first := connect(start, welcome)
 	connect(start, welcome)
 	connect(start, welcome) // hundreds of silent clients leave room for others
@@ -336,7 +336,7 @@
 		p.readTypes(len(welcome) + 2)
 		came = append(came, p)
 	}
-	advance(s, minIdleTime)
+	advance(s, limit.MinIdleTime)
 	if types, _ := came[0].readTypes(1); types != "!" {
 		t.Errorf("one of three, where two may stay, got %q", types)
 	}
@@ -542,7 +542,7 @@
 	silent := dial(t, s)
 	silent.conn.Write(start)
 	silent.readTypes(len(welcome))
-	advance(s, minSilentTime)
+	advance(s, limit.MinSilentTime)
 	last := dial(t, s)
 	last.conn.Write(start)
 	if types, _ := last.readTypes(len(welcome)); types != welcome {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -102,7 +102,7 @@
 	c := &client{server: s, socket: conn, protocol: protocol, remoteAddress: conn.remote}
 	c.openOutput()
 	s.engine.Counters.Clients++
-	if c.overLimit = s.atLimit(); c.overLimit {
+	if c.overLimit = s.connections().AtLimit(); c.overLimit {
 		s.excess++
 		if now := s.clock.Now(); s.overLimitLoggedAt == 0 || now-s.overLimitLoggedAt >= overLimitLogInterval {
 			s.overLimitLoggedAt = now
