Log what the process holds near its memory limit, and count closed connections by reason

Each end of a client's connection has a reason, counted in the log and on the operators' address. 'loop held up' names the busiest client. SIGUSR1 shows all.

Measured: tests of net, run and limit pass.

--- a/internal/limit/input.go
+++ b/internal/limit/input.go
@@ -41,6 +41,12 @@
 // Held returns the number of bytes that are held.
 func (b *InputBudget) Held() int { return b.buffered + b.requested }
 
+// Buffered returns the bytes of buffers.
+func (b *InputBudget) Buffered() int { return b.buffered }
+
+// Requested returns the bytes of requests under way.
+func (b *InputBudget) Requested() int { return b.requested }
+
 // AdmitsBuffer reports whether a buffer may take that many bytes more.
 func (b *InputBudget) AdmitsBuffer(bytes int) bool { return b.buffered+bytes <= b.Total }
 
--- a/internal/net/callback_stats.go
+++ b/internal/net/callback_stats.go
@@ -22,6 +22,8 @@
 	counters *state.Counters // nil = nothing is counted
 	delays   *state.Delays
 	loggedAt time.Duration
+
+	description func() slog.Value // of who may be the cause; nil = it is not known
 }
 
 // recordCallback records a callback that held the loop between two points in time.
@@ -35,7 +37,11 @@
 		return
 	}
 	t.loggedAt = to
-	slog.Warn("loop held up", "by", functionName(f), "took", to-from, "slow_turns", t.counters.SlowTurns)
+	fields := []any{"by", functionName(f), "took", to - from, "slow_turns", t.counters.SlowTurns}
+	if t.description != nil {
+		fields = append(fields, "busiest", t.description())
+	}
+	slog.Warn("loop held up", fields...)
 }
 
 // recordDeadlineDelay records how late the first due deadline is run.
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -31,16 +31,6 @@
 	phaseClosed
 )
 
-// closeReason is the reason for which the proxy closes a client's connection.
-type closeReason uint8
-
-const (
-	reasonMalformed closeReason = iota
-	reasonTooManyClients
-	reasonNoMemory
-	reasonTooManyLogins // too many failed or concurrent logins
-)
-
 // clientProtocol is the wire protocol of a client: it turns bytes into requests and answers into bytes. Connection
 // limits, timeouts and the order of answers are handled by client.
 type clientProtocol interface {
@@ -76,12 +66,15 @@
 	waitingMessage int           // the length of that message in bytes
 	waitsToRead    bool          // that message is not complete: its memory is for the buffer
 	phase          phase
-	overLimit      bool // beyond the client limit: it is rejected once it has sent its startup message
-	accountedBytes int  // bytes of its buffer and statementBytes that are included in the server's sum
-	statementBytes int  // bytes that the protocol keeps for later requests
-	hasQueried     bool // it has sent a complete query
-	incomplete     bool // its buffer ends with an incomplete message
-	partialQuery   bool // it has sent a part of a query, and the timer runs for the rest
+	endReason      closeReason
+	connectedAt    time.Duration
+	messages       uint64 // that it has sent
+	overLimit      bool   // beyond the client limit: it is rejected once it has sent its startup message
+	accountedBytes int    // bytes of its buffer and statementBytes that are included in the server's sum
+	statementBytes int    // bytes that the protocol keeps for later requests
+	hasQueried     bool   // it has sent a complete query
+	incomplete     bool   // its buffer ends with an incomplete message
+	partialQuery   bool   // it has sent a part of a query, and the timer runs for the rest
 	usesConsole    bool
 	closesOnceSent bool // the connection is closed once the socket has taken all answers
 	pending        []*pendingQuery
--- a/internal/net/client_close.go
+++ b/internal/net/client_close.go
@@ -50,6 +50,7 @@
 
 // terminate ends the connection of a client that has said that it goes. It gets the answers that are complete.
 func (c *client) terminate() {
+	c.endsFor(reasonTerminated)
 	if c.output.len() == 0 {
 		c.closeNow()
 		return
@@ -78,10 +79,19 @@
 	}
 	if !errors.Is(cause, syscall.EPIPE) && !errors.Is(cause, syscall.ECONNRESET) && !errors.Is(cause, stdnet.ErrClosed) {
 		c.server.recordDroppedAnswers(c, cause)
+		c.endsFor(writeFailureReason(cause))
 	}
 	c.closeNow()
 }
 
+// writeFailureReason returns why a connection ends whose answers can't be sent.
+func writeFailureReason(cause error) closeReason {
+	if errors.Is(cause, errStalled) {
+		return reasonStalled
+	}
+	return reasonWriteFailed
+}
+
 // closeWithError sends a final error after the answers that are still due: queries sent before the protocol violation
 // have been accepted. The connection is closed after finalAnswerDelay, so that the client has time to read the error.
 func (c *client) closeWithError(reason closeReason, text string) {
@@ -89,6 +99,7 @@
 		return
 	}
 	c.phase = phaseClosing
+	c.endsFor(reason)
 	c.server.deadlines.Clear(&c.timer)
 	query := &pendingQuery{client: c, closesAfter: true}
 	c.addPending(query)
@@ -98,6 +109,7 @@
 // closeIdle closes a connection to which no answer is due, unless input has arrived.
 func (c *client) closeIdle() {
 	if c.phase < phaseClosing && !c.owesAnswer() && len(c.input.bytes) == 0 && c.socket.unread() == 0 {
+		c.endsFor(reasonDrained)
 		c.closeGracefully()
 	}
 }
@@ -135,6 +147,7 @@
 		return
 	}
 	c.phase = phaseClosed
+	c.countClose()
 	c.server.deadlines.Clear(&c.timer)
 	c.server.deadlines.Clear(&c.consoleTimer)
 	c.abandonPending()
--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -70,6 +70,7 @@
 		}
 		if n > 0 {
 			handled = true
+			c.messages++
 			if !turn.Handled(c.server.clock.Now()) {
 				c.discardInput(used)
 				return handled, true
--- a/internal/net/eviction.go
+++ b/internal/net/eviction.go
@@ -72,6 +72,11 @@
 		c.list.MoveToBack(c.element)
 		return false
 	}
+	reason := reasonEvictedIdle
+	if !c.hasQueried {
+		reason = reasonEvictedSilent
+	}
+	c.endsFor(reason)
 	c.closeNow()
 	s.engine.Counters.ClientsEvicted++
 	return true
--- a/internal/net/postgres_client.go
+++ b/internal/net/postgres_client.go
@@ -68,6 +68,7 @@
 	case o == pg.StartupEncryption:
 		c.write(pg.AppendRefuseEncryption(nil))
 	case o == pg.StartupCancel:
+		c.endsFor(reasonTerminated)
 		c.closeNow()
 	case c.overLimit:
 		class, complete := firstQueryClass(buf[n:])
--- a/internal/net/query_timer.go
+++ b/internal/net/query_timer.go
@@ -50,6 +50,7 @@
 		return
 	}
 	if incomplete := !c.hasQueried || c.partialQuery; incomplete {
+		c.endsFor(reasonQueryTimeout)
 		c.closeMalformed(errQueryTimeout)
 	}
 }
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -8,7 +8,6 @@
 
 	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
-	"havenproxy/internal/wire/admin"
 )
 
 const (
@@ -30,6 +29,7 @@
 	mysql     *acceptor // the listener for MySQL clients; nil = there is none
 
 	clients            map[*client]struct{}
+	closes             closeCounts
 	silent             list.List // clients that have sent no complete query yet, the oldest first
 	idle               list.List // clients to which no answer is due, the longest idle first
 	partial            list.List // clients with incomplete messages, the one that has held its longest first
@@ -96,10 +96,11 @@
 func (s *Server) accept(conn *socket, protocol clientProtocol) {
 	s.makeRoom()
 	if len(s.clients)+s.lingering >= s.maxClients+s.maxExcess {
+		s.closes[reasonNotTaken]++
 		conn.close()
 		return
 	}
-	c := &client{server: s, socket: conn, protocol: protocol, remoteAddress: conn.remote}
+	c := &client{server: s, socket: conn, protocol: protocol, remoteAddress: conn.remote, connectedAt: s.clock.Now()}
 	c.openOutput()
 	s.engine.Counters.Clients++
 	if c.overLimit = s.connections().AtLimit(); c.overLimit {
@@ -119,6 +120,7 @@
 	}
 	if err := conn.start(c); err != nil {
 		slog.Warn("reading a client's connection is not possible", "error", err)
+		c.endsFor(reasonNotWatched)
 		c.closeNow()
 	}
 }
@@ -171,23 +173,6 @@
 	s.deadlines.Set(&s.drainTimer, now+drainInterval, s.closeDrainedClients)
 }
 
-// AppendMetrics appends the metrics of clients' connections: the bytes that their sockets have not taken yet, and how
-// many of them such bytes wait for; the bytes that are held of their input, and how many clients wait for their turn or for
-// memory.
-func (s *Server) AppendMetrics(dst []byte) []byte {
-	waiting := 0
-	for c := range s.clients {
-		if c.output.len() > 0 {
-			waiting++
-		}
-	}
-	dst = admin.AppendGauge(dst, uint64(s.answers.Unsent), "unsent_bytes")
-	dst = admin.AppendGauge(dst, uint64(max(s.inputBudget.Held(), 0)), "input_bytes")
-	dst = admin.AppendGauge(dst, uint64(len(s.inputQueue)), "clients_to_read")
-	dst = admin.AppendGauge(dst, uint64(len(s.memoryWaiters)), "clients_without_memory")
-	return admin.AppendGauge(dst, uint64(waiting), "clients_to_write_to")
-}
-
 // closesAfterAnswer reports whether connections are closed after their next answer.
 func (s *Server) closesAfterAnswer() bool { return s.draining || s.operatorDrain }
 
--- a/internal/net/stream.go
+++ b/internal/net/stream.go
@@ -234,6 +234,7 @@
 	case complete:
 		stream.query.complete(nil)
 	case stream.passedOn:
+		stream.client.endsFor(reasonBrokenAnswer)
 		stream.client.closeAfterOutput()
 	default:
 		stream.query.Failed()
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -104,7 +104,8 @@
 	if p.consul != nil {
 		p.consul.Stop()
 	}
-	slog.Info("stopped", "unanswered", p.engine.Pending(), "counters", &p.engine.Counters, "refusals", p.engine.Refusals(), "delays", &p.engine.Delays)
+	slog.Info("stopped", "unanswered", p.engine.Pending(), "counters", &p.engine.Counters, "refusals", p.engine.Refusals(),
+		"closes", p.server.Closes(), "delays", &p.engine.Delays)
 	return nil
 }
 
@@ -202,6 +203,7 @@
 	answerDeadline time.Duration
 	exitDeadline   time.Duration
 
+	memory        *memoryMonitor
 	tier          *net.PlannerLink // nil = the proxy's policy comes from its own files
 	policyNumber  rollout.Number
 	baseLog       *slog.Logger // the logger without the policy number
@@ -253,6 +255,8 @@
 		buffers = min(cfg.MemoryMB<<20/bufferDivisor, maxBufferBytes)
 	}
 	p.server = net.NewServer(p.loop, p.clock, p.engine, clients, excess, buffers)
+	p.loop.Describe(p.server.BusiestClient)
+	p.memory = newMemoryMonitor(int64(cfg.MemoryMB) << 20)
 	if fd := os.Getenv("EDGE_ACCEPT_FD"); fd != "" {
 		if p.acceptFD, err = strconv.Atoi(fd); err != nil || p.acceptFD <= 2 {
 			return nil, fmt.Errorf("EDGE_ACCEPT_FD: %q is no descriptor", fd)
@@ -282,6 +286,7 @@
 		p.startedAt = p.clock.Now()
 		p.engine.Start(p.discovery, net.ConvertList(cfg.KnownDatabases))
 		p.pollReady()
+		p.checkMemory()
 	})
 	return p, nil
 }
--- a/internal/run/signals.go
+++ b/internal/run/signals.go
@@ -47,5 +47,6 @@
 }
 
 func (p *proxy) logCounters() {
-	slog.Info("counters", "pending", p.engine.Pending(), "counters", &p.engine.Counters, "refusals", p.engine.Refusals(), "delays", &p.engine.Delays)
+	slog.Info("counters", "pending", p.engine.Pending(), "counters", &p.engine.Counters, "refusals", p.engine.Refusals(),
+		"closes", p.server.Closes(), "delays", &p.engine.Delays, "memory", p.memory.use(), "holds", p.server.Holdings())
 }
