--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -29,6 +29,7 @@
 	Binary   string // the program; empty = havenproxy beside this one
 	Listen   string // empty = a free port on 127.0.0.1
 	Operator string // an operator's file, if any
+	Admin    bool   // it has an address for operators, on a free port
 	MySQL    bool   // it listens for MySQL's clients too, on a free port
 	MemoryMB int    // 192
 	Sockets  int    // 1024
@@ -51,6 +52,8 @@
 type Proxy struct {
 	Address string
 	MySQL   string // where it listens for MySQL's clients; empty = nowhere
+	Admin   string // the operators' address; empty = there is none
+	Peers   string // where it listens for other proxies; empty = nowhere
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	err     error
@@ -175,7 +178,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := startPinned(p.cmd, o.Pin); err != nil {
+	if err := StartPinned(p.cmd, o.Pin); err != nil {
 		report.Close()
 		return nil, err
 	}
@@ -197,6 +200,9 @@
 	if o.Operator != "" {
 		cmd.Env = append(cmd.Env, "HAVEN_OPERATOR="+o.Operator)
 	}
+	if o.Admin {
+		cmd.Env = append(cmd.Env, "EDGE_ADMIN="+anyPort)
+	}
 	if o.Cores > 0 {
 		cmd.Env = append(cmd.Env, fmt.Sprintf("GOMAXPROCS=%d", o.Cores))
 	}
@@ -219,6 +225,7 @@
 	select {
 	case r := <-reported:
 		p.Address, p.MySQL = r.addresses.PostgreSQL, r.addresses.MySQL
+		p.Admin, p.Peers = r.addresses.Admin, r.addresses.Peers
 		return r.err
 	case <-ctx.Done():
 		return ctx.Err()
@@ -238,8 +245,8 @@
 	return path, os.WriteFile(path, fmt.Appendf(text, "\nmysql(listen = %q)\n", anyPort), 0o600)
 }
 
-// startPinned starts a command on one CPU: a child inherits the mask of the thread that starts it.
-func startPinned(cmd *exec.Cmd, cpu int) error {
+// StartPinned starts a command on one CPU: a child inherits the mask of the thread that starts it.
+func StartPinned(cmd *exec.Cmd, cpu int) error {
 	if cpu <= 0 {
 		return cmd.Start()
 	}
--- a/internal/lab/procstat/procstat.go
+++ b/internal/lab/procstat/procstat.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // residentField is the place of the resident pages among a stat file's fields behind the command's name.
@@ -35,6 +37,25 @@
 	return cpu, pages * int64(os.Getpagesize())
 }
 
+// Resident reads how many bytes of memory a process holds; 0 for one that is not there. It costs less than Usage.
+func Resident(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// LimitDescriptors sets how many descriptors a process may hold.
+func LimitDescriptors(pid, limit int) error {
+	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(limit), Max: uint64(limit)}, nil)
+}
+
 // Descriptors counts a process's open file descriptors; 0 for one that is not there.
 func Descriptors(pid int) int {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
