Let the loop ask the kernel for events itself while it has work

Cause: a goroutine waited for epoll. While the loop had work, it got the only processor when the scheduler preempted the loop, after 10 ms: once for the request and once for the database's answer. Evidence: TestBusyLoopSeesEventsItself: 100,000 rounds of a busy loop without the event of a socket that was written to.

Change: between rounds the loop calls epoll_wait without waiting; the goroutine serves the idle loop and callbacks that hold it. A round of callbacks, and of deadlines, takes limit.RoundTime at most. Other goroutines (dials, discovery, signals) get the processor each ms.

Tests: TestBusyLoopSeesEventsItself and TestBusyLoopLetsOtherGoroutinesRun failed before (not seen at all; not run for 8 ms); TestDeadlinesShareARound fails with Deadlines.Run in RunFor's place.

--- a/internal/net/event_poller.go
+++ b/internal/net/event_poller.go
@@ -20,14 +20,16 @@
 	handleEvents(events uint32, at time.Duration) // at is when the kernel reported the first of them
 }
 
-// eventPoller tells the loop of events of descriptors. A goroutine waits for the kernel; it reads nothing and keeps one
-// entry for each descriptor that has events, however many there are. The methods run on the loop.
+// eventPoller tells the loop of events of descriptors. While the loop has work it asks the kernel itself, by poll; while it is idle, and
+// while a callback holds it up, a goroutine waits for the kernel. Nothing is read, and one entry is kept for each descriptor that has
+// events, however many there are. The methods run on the loop, except wait.
 type eventPoller struct {
 	loop     *Loop
 	epoll    *os.File // lets the Go runtime wait for it; nil = not opened yet
 	fd       int      // of epoll
 	handlers map[uint64]eventHandler
 	lastID   uint64
+	events   [maxEvents]unix.EpollEvent // room for what poll is told
 
 	ready []readiness // events that the loop has taken
 	next  int         // the first of ready that has not been handled
@@ -96,7 +98,7 @@
 		p.close()
 		return err
 	}
-	go p.poll(raw, fd)
+	go p.wait(raw, fd)
 	return nil
 }
 
@@ -108,8 +110,19 @@
 	}
 }
 
-// poll waits for events and passes them on, until the poller is closed.
-func (p *eventPoller) poll(raw syscall.RawConn, fd int) {
+// poll asks the kernel for events, without waiting, and passes them on.
+func (p *eventPoller) poll() {
+	if len(p.handlers) == 0 {
+		return
+	}
+	n, err := unix.EpollWait(p.fd, p.events[:], 0)
+	if err == nil && n > 0 {
+		p.add(p.events[:n])
+	}
+}
+
+// wait waits for events and passes them on, until the poller is closed.
+func (p *eventPoller) wait(raw syscall.RawConn, fd int) {
 	var events [maxEvents]unix.EpollEvent
 	for {
 		var n int
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/state"
 )
 
@@ -28,6 +30,9 @@
 	wake    chan struct{}
 	stopped bool
 
+	work []func() // posted functions that are being run
+	next int      // the first of work that has not been run
+
 	stats       callbackStats
 	watchdog    *watchdog
 	readPoller  *eventPoller
@@ -70,58 +75,102 @@
 	}
 }
 
-// maxDeadlineDelay is how late a deadline may be run in favour of callbacks posted before it, so that answers that
-// are already queued are handled before the timeouts that they prevent.
-const maxDeadlineDelay = 20 * time.Millisecond
+const (
+	// maxDeadlineDelay is how late a deadline may be run in favour of callbacks posted before it, so that answers that
+	// are already queued are handled before the timeouts that they prevent.
+	maxDeadlineDelay = 20 * time.Millisecond
+	// yieldInterval is how long the loop works on before other goroutines may use its processor. Go's scheduler would take it
+	// away only after 10 ms, and what they have to pass to the loop waits so long.
+	yieldInterval = time.Millisecond
+)
 
-// Run runs posted functions and due deadlines until Stop is called.
+// Run runs posted functions, the handlers of sockets that have events, and due deadlines until Stop is called. While there is work it asks
+// the kernel for events itself, between rounds and without waiting: a goroutine that waits for them would get the only processor too late.
 func (l *Loop) Run() {
 	go l.watchdog.watch(watchdogInterval, logStuckCallback)
 	defer close(l.watchdog.stop)
 	defer l.closePollers()
 	timer := time.NewTimer(time.Hour)
-	var work []func()
+	yielded := l.clock.Now()
 	for !l.stopped {
-		l.mu.Lock()
-		work, l.queue = l.queue, work[:0]
-		l.mu.Unlock()
-		before := l.clock.Now()
-		for i, f := range work {
-			l.watchdog.begin()
-			f()
-			l.watchdog.end()
-			now := l.clock.Now()
-			l.stats.recordCallback(f, before, now)
-			work[i], before = nil, now
-			if due, ok := l.deadlines.Next(); ok && now-due >= maxDeadlineDelay && !l.stopped {
-				l.runDeadlines(now)
-			}
-		}
-		l.runDeadlines(before)
-		if l.stopped || len(work) > 0 {
+		if !l.runRound() {
+			l.wait(timer)
+			yielded = l.clock.Now()
 			continue
 		}
-		if at, ok := l.deadlines.Next(); ok {
-			timer.Reset(max(at-l.clock.Now(), 0))
-		}
-		select {
-		case <-l.wake:
-		case <-timer.C:
+		if now := l.clock.Now(); now-yielded >= yieldInterval {
+			runtime.Gosched()
+			yielded = now
 		}
 	}
+	for now := l.clock.Now(); l.next < len(l.work); { // what was posted before Stop
+		now = l.runCallback(now)
+	}
 }
 
-// runDeadlines runs the deadlines that are due.
-func (l *Loop) runDeadlines(now time.Duration) {
+// runRound asks the kernel for events, then runs what has been posted, for limit.RoundTime at most, and due deadlines. The rest of what has
+// been posted is left for the next round. It returns whether there was anything to do.
+func (l *Loop) runRound() (worked bool) {
+	l.readPoller.poll()
+	l.writePoller.poll()
+	l.takePosted()
+	worked = l.next < len(l.work)
+	now := l.clock.Now()
+	for until := now + limit.RoundTime; l.next < len(l.work); {
+		now = l.runCallback(now)
+		if now >= until {
+			break
+		}
+	}
 	due, ok := l.deadlines.Next()
-	if !ok || due > now {
+	if l.stopped || !ok || due > now || l.next < len(l.work) && now-due < maxDeadlineDelay {
+		return worked
+	}
+	l.runDeadlines(due, now)
+	return true
+}
+
+// takePosted takes what has been posted, once everything that was taken before has been run.
+func (l *Loop) takePosted() {
+	if l.next < len(l.work) {
 		return
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.work, l.queue, l.next = l.queue, l.work[:0], 0
+}
+
+// runCallback runs the next callback and returns the time behind it.
+func (l *Loop) runCallback(before time.Duration) (now time.Duration) {
+	f := l.work[l.next]
+	l.work[l.next] = nil
+	l.next++
+	l.watchdog.begin()
+	f()
+	l.watchdog.end()
+	now = l.clock.Now()
+	l.stats.recordCallback(f, before, now)
+	return now
+}
+
+// wait waits until something is posted or a deadline is due.
+func (l *Loop) wait(timer *time.Timer) {
+	if at, ok := l.deadlines.Next(); ok {
+		timer.Reset(max(at-l.clock.Now(), 0))
+	}
+	select {
+	case <-l.wake:
+	case <-timer.C:
+	}
+}
+
+// runDeadlines runs the deadlines that are due, for limit.RoundTime at most; the others follow in the next round.
+func (l *Loop) runDeadlines(due, now time.Duration) {
 	l.stats.recordDeadlineDelay(due, now)
 	l.watchdog.begin()
-	l.deadlines.Run(now)
+	l.deadlines.RunFor(l.clock, limit.RoundTime)
 	l.watchdog.end()
-	l.stats.recordCallback(l.deadlines.Run, now, l.clock.Now())
+	l.stats.recordCallback(l.deadlines.RunFor, now, l.clock.Now())
 }
 
 // closePollers ends the pollers' goroutines.
--- a/internal/state/deadlines.go
+++ b/internal/state/deadlines.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// RunFor runs the callbacks that are due, until none is left or that much time has passed on the clock, and one at least.
+func (q *Deadlines) RunFor(clock Clock, length time.Duration) {
+	now := clock.Now()
+	until := now + length
+	for n := len(q.heap); n > 0 && len(q.heap) > 0 && q.heap[0].at <= now; n-- {
+		heap.Pop(&q.heap).(*Deadline).callback()
+		if clock.Now() >= until {
+			return
+		}
+	}
+}
+
 type deadlineHeap []*Deadline
 
 func (h deadlineHeap) Len() int           { return len(h) }
