Close clients half way through a query only where somebody needs their places

Cause: limit.Connections.SilentGivesWay let silent clients give way at once wherever more than a quarter of the places were theirs, also while they were writing and nobody needed the room.

Change: half way through a message a client gives way only where the limit is reached; at a message's boundary also where too many are silent, but after MinSilentTime, as where the limit is reached.

--- a/internal/limit/connections.go
+++ b/internal/limit/connections.go
@@ -6,7 +6,8 @@
 	// MinSilentTime is how long a client that has sent no complete query is left alone when connections run out: others ask
 	// and are answered in it.
 	MinSilentTime = 250 * time.Millisecond
-	// MaxSilentFraction is the divisor of the limit of connections that gives how many silent clients are left alone.
+	// MaxSilentFraction is the divisor of the limit of connections that gives how many silent clients are left alone, however long
+	// they are silent.
 	MaxSilentFraction = 4
 	// MinIdleTime is how long a client to which no answer is due is left alone.
 	MinIdleTime = 2 * time.Second
@@ -27,9 +28,19 @@
 // Full reports whether no further client can be served, or even rejected with an answer.
 func (c Connections) Full() bool { return c.AtLimit() || c.Open >= c.Max+c.MaxExcess }
 
-// SilentGivesWay reports whether a client that has sent no complete query, and nothing for that time, gives way.
-func (c Connections) SilentGivesWay(silentFor time.Duration) bool {
-	return c.Silent > c.Max/MaxSilentFraction || c.Full() && silentFor >= MinSilentTime
+// SilentMayGiveWay reports whether there is any reason for silent clients to give way.
+func (c Connections) SilentMayGiveWay() bool { return c.Full() || c.crowded() }
+
+// crowded reports whether too many clients have sent no complete query.
+func (c Connections) crowded() bool { return c.Silent > c.Max/MaxSilentFraction }
+
+// SilentGivesWay reports whether a client that has sent no complete query, and nothing for that time, gives way. One that is half way
+// through a message may yet complete it in its time, so it gives way only to somebody who needs its place.
+func (c Connections) SilentGivesWay(silentFor time.Duration, halfWay bool) bool {
+	if c.Full() {
+		return c.crowded() || silentFor >= MinSilentTime
+	}
+	return c.crowded() && !halfWay && silentFor >= MinSilentTime
 }
 
 // IdleGivesWay reports whether a client to which no answer has been due for that time gives way.
--- a/internal/net/eviction.go
+++ b/internal/net/eviction.go
@@ -39,9 +39,13 @@
 	for left := s.silent.Len(); left > 0 && element != nil; left-- {
 		c := element.Value.(*client)
 		element = element.Next() // evict may remove the client, or move it to the back
-		if !s.connections().SilentGivesWay(now - c.since) {
+		connections := s.connections()
+		if !connections.SilentMayGiveWay() {
 			return false
 		}
+		if !connections.SilentGivesWay(now-c.since, c.incomplete) {
+			continue
+		}
 		if !spareAsking || !limit.AboutToAsk(now-c.since, len(c.input.bytes)) {
 			kept := !s.evict(c, now)
 			othersLeft = othersLeft || kept
