Lab: hostile clients in a process and on CPUs of their own

In one process with the well-behaved clients and the databases, a hundred flooding clients delayed those: p50 32 ms of which most was the lab's own. They run in a process of their own now, on three CPUs that neither the proxy nor the lab's own process uses.

--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"havenproxy/internal/lab/fleet"
+	"havenproxy/internal/lab/hostile"
 	"havenproxy/internal/lab/launch"
 	"havenproxy/internal/lab/standin"
 )
@@ -24,6 +25,7 @@
 
 // Main runs the command line and gives the exit code: 0, 1 for a failure, 2 for bad input.
 func Main(args []string, out, errs io.Writer) int {
+	hostile.RunIfOrdered()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{
--- a/internal/lab/hostile/hostile.go
+++ b/internal/lab/hostile/hostile.go
@@ -11,7 +11,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"os"
 	"os/exec"
 	"sync"
@@ -105,7 +104,8 @@
 		return nil, err
 	}
 	defer world.Close()
-	defer avoidCPU(cfg.Pin)()
+	cpus := divide(cfg.Pin)
+	defer cpus.apply()()
 	peer, err := newPeerSocket()
 	if err != nil {
 		return nil, err
@@ -133,7 +133,10 @@
 		defer endBusy(busy)
 	}
 	target := &Target{Postgres: proxy.Address, MySQL: proxy.MySQL, Admin: proxy.Admin, Peers: proxy.Peers, Peer: peer, Model: model}
-	result := cfg.play(ctx, proxy, target)
+	result, err := cfg.play(ctx, proxy, target, cpus)
+	if err != nil {
+		return nil, errors.Join(err, proxy.Stop(stopPatience))
+	}
 	err = proxy.Stop(stopPatience)
 	result.CPU, _ = proxy.Usage()
 	if result.Killed {
@@ -154,20 +157,22 @@
 }
 
 // play lets all clients send for the run's time.
-func (c *Config) play(ctx context.Context, proxy *launch.Proxy, target *Target) *Result {
+func (c *Config) play(ctx context.Context, proxy *launch.Proxy, target *Target, cpus *division) (*Result, error) {
 	time.Sleep(settleTime)
 	watch := startMonitor(proxy.Pid(), int64(c.MemoryMB)<<20)
 	playing, stop := context.WithTimeout(ctx, c.For)
 	defer stop()
+	endAttack, err := Attack(target, c.Kinds, cpus, c.Seed, c.For)
+	if err != nil {
+		watch.end()
+		return nil, err
+	}
+	defer endAttack()
 	well := NewClients(target, c.Seed)
 	var all sync.WaitGroup
 	for i := range c.Clients {
 		all.Go(func() { well.Run(playing, i) })
 	}
-	for i, kind := range c.Kinds {
-		rng := rand.New(rand.NewPCG(c.Seed, uint64(i)+100))
-		all.Go(func() { kind.Attack(playing, target, rng) })
-	}
 	select {
 	case <-playing.Done():
 	case <-proxy.Ended():
@@ -183,7 +188,7 @@
 	seen := watch.end()
 	result.Peak, result.Killed, result.Descriptors, result.RigDelay = seen.peak, seen.killed, seen.descriptors, seen.delay
 	result.EndedByIt = result.EndedByIt && !seen.killed
-	return result
+	return result, nil
 }
 
 // startBusy starts a process that uses a CPU as far as it gets it.
--- a/internal/lab/hostile/hostile_test.go
+++ b/internal/lab/hostile/hostile_test.go
@@ -17,6 +17,7 @@
 var proxyBinary string
 
 func TestMain(m *testing.M) {
+	RunIfOrdered()
 	dir, err := os.MkdirTemp("", "hostile")
 	if err != nil {
 		panic(err)
--- a/internal/lab/hostile/kinds.go
+++ b/internal/lab/hostile/kinds.go
@@ -78,9 +78,6 @@
 	return names
 }
 
-// Attack sends what clients of this kind send, until the context ends.
-func (k Kind) Attack(ctx context.Context, t *Target, rng *rand.Rand) { kinds[k](ctx, t, rng) }
-
 func checkKinds(names []Kind) error {
 	for _, name := range names {
 		if kinds[name] == nil {
--- a/internal/lab/hostile/monitor.go
+++ b/internal/lab/hostile/monitor.go
@@ -1,13 +1,9 @@
 package hostile
 
 import (
-	"os"
-	"strconv"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"havenproxy/internal/lab/procstat"
 )
 
@@ -63,31 +59,3 @@
 	close(m.stop)
 	return <-m.seen
 }
-
-// avoidCPU keeps this process's threads off a CPU, counted from 1, so that they do not compete with the program on it. The
-// function that it returns undoes that.
-func avoidCPU(pin int) (undo func()) {
-	var before unix.CPUSet
-	if pin <= 0 || unix.SchedGetaffinity(0, &before) != nil {
-		return func() {}
-	}
-	others := before
-	others.Clear(pin - 1)
-	if others.Count() == 0 {
-		return func() {}
-	}
-	setAllThreads(&others)
-	return func() { setAllThreads(&before) }
-}
-
-func setAllThreads(cpus *unix.CPUSet) {
-	tasks, err := os.ReadDir("/proc/self/task")
-	if err != nil {
-		return
-	}
-	for _, task := range tasks {
-		if tid, err := strconv.Atoi(task.Name()); err == nil {
-			unix.SchedSetaffinity(tid, cpus)
-		}
-	}
-}
