Give clients their turns by start-time fair queueing

Cause: clients had their turns in the order in which they wanted them. A request now and then waited behind a turn of up to 0.5 ms of every client that always has something to do; a round took 2 ms before the kernel was asked again.

Change: limit.FairQueue, pure: the client that has used the least of the loop's time is next, one that has left its part unused is before the others (by 1 ms at most), and a new one has earned nothing. A round takes 0.5 ms, and gives a client one turn.

Two tests that took clients out of the queue by hand do so by its methods.

--- a/internal/limit/input.go
+++ b/internal/limit/input.go
@@ -61,9 +61,12 @@
 	turnMessages = 16
 	turnBytes    = 64 << 10
 	turnTime     = 500 * time.Microsecond
-	// RoundTime is how long the event loop handles clients' input, or events of sockets, before it looks at anything else
-	// again.
+	// RoundTime is how long the event loop handles events of sockets, or deadlines, before it looks at anything else again.
 	RoundTime = 2 * time.Millisecond
+	// InputTime is how long it handles clients' input before it asks the kernel who else has sent something.
+	InputTime = 500 * time.Microsecond
+	// AcceptTime is how long it accepts connections before it looks at anything else.
+	AcceptTime = 250 * time.Microsecond
 )
 
 // Turn is one client's part of a round: what it may still use of the event loop.
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -61,7 +61,7 @@
 	arrivals       arrivals      // of the bytes in input, and behind them of those that the kernel holds
 	parsedBytes    int           // bytes of input that have been handled and not been discarded yet
 	messageAt      time.Duration // when the message that is being handled was complete
-	scheduled      bool          // it waits for its turn in the server's round
+	turns          limit.Flow    // its place among the clients that wait for their turns
 	waitsForMemory bool          // its next message waits until requests have released memory
 	waitingMessage int           // the length of that message in bytes
 	waitsToRead    bool          // that message is not complete: its memory is for the buffer
--- a/internal/net/eviction_test.go
+++ b/internal/net/eviction_test.go
@@ -111,10 +111,13 @@
 			for pendingEvents(loop) < len(conns) {
 			}
 			loop.Post(func() { // behind the events, before the first round
-				waiting := s.inputQueue
-				s.inputQueue = nil
+				var waiting []*client
+				for s.inputQueue.Len() > 0 {
+					c, turns := s.inputQueue.Pop()
+					s.inputQueue.EndTurn(turns, 0)
+					waiting = append(waiting, c)
+				}
 				for _, c := range waiting { // one turn for each
-					c.scheduled = false
 					if c.serveInput() {
 						s.scheduleInput(c)
 					}
--- a/internal/net/holdings.go
+++ b/internal/net/holdings.go
@@ -50,7 +50,7 @@
 
 // Holdings looks at all clients and returns what is held. Its cost grows with their number.
 func (s *Server) Holdings() *Holdings {
-	h := &Holdings{Clients: len(s.clients), Lingering: s.lingering, ClientsToRead: len(s.inputQueue), ClientsNoMemory: len(s.memoryWaiters),
+	h := &Holdings{Clients: len(s.clients), Lingering: s.lingering, ClientsToRead: s.inputQueue.Len(), ClientsNoMemory: len(s.memoryWaiters),
 		InputBytes: s.inputBudget.Buffered(), RequestBytes: s.inputBudget.Requested(), PendingAnswers: s.answers.Pending,
 		UnsentBytes: s.answers.Unsent, Callbacks: s.loop.queued()}
 	now := s.clock.Now()
--- a/internal/net/input_round.go
+++ b/internal/net/input_round.go
@@ -11,13 +11,12 @@
 
 // This file holds the rounds in which clients get their turns.
 
-// scheduleInput gives a client a turn in the next round.
+// scheduleInput gives a client a turn.
 func (s *Server) scheduleInput(c *client) {
-	if c.scheduled || c.phase == phaseClosed {
+	if c.phase == phaseClosed {
 		return
 	}
-	c.scheduled = true
-	s.inputQueue = append(s.inputQueue, c)
+	s.inputQueue.Push(c, &c.turns)
 	s.postRound()
 }
 
@@ -28,24 +27,29 @@
 	}
 }
 
-// serveRound gives each waiting client a turn, for limit.RoundTime at most. Clients that have more to do get their next
-// turn behind the others, and everything else that the loop has to do comes before the next round.
+// serveRound gives waiting clients their turns, for limit.InputTime at most. Everything else that the loop has to do comes before the next
+// round, in which those that have used the least time are first.
 func (s *Server) serveRound() {
 	s.roundPosted = false
-	until := s.clock.Now() + limit.RoundTime
-	waiting := len(s.inputQueue)
-	served := 0
-	for served < waiting && (served == 0 || s.clock.Now() < until) {
-		c := s.inputQueue[served]
-		s.inputQueue[served] = nil
-		served++
-		c.scheduled = false
-		if c.serveInput() {
-			s.scheduleInput(c)
+	now := s.clock.Now()
+	until := now + limit.InputTime
+	var unfinished []*client // they get their next turn in another round
+	for s.inputQueue.Len() > 0 {
+		c, turns := s.inputQueue.Pop()
+		more := c.serveInput()
+		before := now
+		now = s.clock.Now()
+		if again := s.inputQueue.EndTurn(turns, now-before); again || more {
+			unfinished = append(unfinished, c)
 		}
+		if now >= until {
+			break
+		}
+	}
+	for _, c := range unfinished {
+		s.scheduleInput(c)
 	}
-	s.inputQueue = append(s.inputQueue[:0], s.inputQueue[served:]...)
-	if len(s.inputQueue) > 0 {
+	if s.inputQueue.Len() > 0 {
 		s.postRound()
 	}
 }
@@ -54,7 +58,7 @@
 // process, when further requests are refused at once.
 func (s *Server) FinishInput() {
 	until := s.clock.Now() + maxFinishTime
-	for len(s.inputQueue) > 0 && s.clock.Now() < until {
+	for s.inputQueue.Len() > 0 && s.clock.Now() < until {
 		s.serveRound()
 	}
 }
--- a/internal/net/input_test.go
+++ b/internal/net/input_test.go
@@ -124,11 +124,13 @@
 			for pendingEvents(loop) < 2 {
 			}
 			loop.Post(func() { // behind the events, before the first round
-				if len(s.inputQueue) != 2 {
-					t.Errorf("%d clients wait for their turn, want both", len(s.inputQueue))
+				if s.inputQueue.Len() != 2 {
+					t.Errorf("%d clients wait for their turn, want both", s.inputQueue.Len())
 					return
 				}
-				flooding := s.inputQueue[0]
+				flooding, turns := s.inputQueue.Pop()
+				s.inputQueue.EndTurn(turns, 0)
+				flooding.server.scheduleInput(flooding)
 				arrived := flooding.arrivals.end()
 				s.serveRound()
 				if taken := arrived - flooding.arrivals.end(); taken > 16*len(message) {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -30,11 +30,11 @@
 
 	clients            map[*client]struct{}
 	closes             closeCounts
-	silent             list.List // clients that have sent no complete query yet, the oldest first
-	idle               list.List // clients to which no answer is due, the longest idle first
-	partial            list.List // clients with incomplete messages, the one that has held its longest first
-	inputQueue         []*client // clients that wait for their turns
-	roundPosted        bool      // serveRound is in the loop's queue
+	silent             list.List                // clients that have sent no complete query yet, the oldest first
+	idle               list.List                // clients to which no answer is due, the longest idle first
+	partial            list.List                // clients with incomplete messages, the one that has held its longest first
+	inputQueue         limit.FairQueue[*client] // clients that wait for their turns
+	roundPosted        bool                     // serveRound is in the loop's queue
 	inputBudget        limit.InputBudget
 	memoryWaiters      []*client // clients whose next messages wait for memory
 	waitersPosted      bool      // resumeWaiters is in the loop's queue
