Read a connection that was shut down in parts, not at its client's speed

Cause: a connection that was shut down is read until its client closes it, for 0.2 s, and was read as fast as it was sent. perf: 87% of the processor time in lingeringConn.discardInput.

Change: 10 ms pass between two pieces of 32 KiB; meanwhile the rest stays in the kernel.

--- a/internal/net/linger.go
+++ b/internal/net/linger.go
@@ -6,8 +6,13 @@
 	"havenproxy/internal/state"
 )
 
-// maxLinger is how long a connection that has been shut down is still read while it waits for the client to close.
-const maxLinger = 200 * time.Millisecond
+const (
+	// maxLinger is how long a connection that has been shut down is still read while it waits for the client to close.
+	maxLinger = 200 * time.Millisecond
+	// lingerReadPause is how long such a connection is not read after readSize bytes have been, so that a client that goes on sending at
+	// full speed does not use the loop for it.
+	lingerReadPause = 10 * time.Millisecond
+)
 
 // linger closes a connection in two steps (RFC 9112, section 9.6): it shuts down the write side, then reads and discards
 // what the client still sends until the client has closed too, or maxLinger is over and the client is no longer reading.
@@ -28,19 +33,20 @@
 	socket *socket
 	output *writeQueue // shows what the client has not taken yet; nothing is written
 	timer  state.Deadline
+	paused state.Deadline // ends the pause in reading
 }
 
 // inputArrived implements socketHandler.
 func (l *lingeringConn) inputArrived(time.Duration) { l.discardInput() }
 
 func (l *lingeringConn) discardInput() {
-	if l.socket.closed {
+	if l.socket.closed || l.paused.IsSet() {
 		return
 	}
 	discarded, more := l.socket.discardUnread(readSize)
 	l.server.engine.Counters.DiscardedBytes += uint64(discarded)
 	if more {
-		l.server.loop.Post(l.discardInput)
+		l.server.deadlines.Set(&l.paused, l.server.clock.Now()+lingerReadPause, l.discardInput)
 	}
 }
 
@@ -60,5 +66,6 @@
 	}
 	l.server.lingering--
 	l.server.deadlines.Clear(&l.timer)
+	l.server.deadlines.Clear(&l.paused)
 	l.socket.close()
 }
