--- a/internal/net/acceptor.go
+++ b/internal/net/acceptor.go
@@ -37,12 +37,13 @@
 	accept    func(*socket)
 	inherited *os.File // set if other processes share the listening socket; it stays open for processes started later
 	timer     state.Deadline
+	rest      continuation // of accepting
 	closed    bool
 }
 
 // listenOn opens a listening socket. accept is called on the loop for each connection; it owns the socket.
 func listenOn(loop *Loop, network, address string, accept func(*socket)) (*acceptor, error) {
-	config := stdnet.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+	config := stdnet.ListenConfig{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error { // buffers are set before it listens
 		return raw.Control(func(fd uintptr) { setBuffers(int(fd)) })
 	}}
 	ln, err := config.Listen(context.Background(), network, address)
@@ -62,7 +63,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
 	}
-	setBuffers(fd)
 	a, err := newAcceptor(loop, ln, accept)
 	if err == nil {
 		a.inherited = file
@@ -88,6 +88,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := setListenerOptions(a.fd); err != nil {
+		unix.Close(a.fd)
+		return nil, err
+	}
 	if a.id, err = loop.readPoller.register(a.fd, unix.EPOLLIN|unix.EPOLLET, a); err != nil {
 		unix.Close(a.fd)
 		return nil, err
@@ -95,6 +99,12 @@
 	return a, nil
 }
 
+// setListenerOptions sets the options of a listening socket. Accepted connections inherit them, which saves system calls for each.
+func setListenerOptions(fd int) error {
+	setBuffers(fd)
+	return setClientOptions(fd)
+}
+
 // setBuffers sets the sizes of the kernel's buffers; accepted connections inherit them.
 func setBuffers(fd int) {
 	syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
@@ -102,11 +112,11 @@
 }
 
 // handleEvents implements eventHandler.
-func (a *acceptor) handleEvents(uint32, time.Duration) { a.acceptSome() }
+func (a *acceptor) handleEvents(uint32, time.Duration) { a.rest.post(a.loop, a.acceptSome) }
 
-// acceptSome accepts connections that wait, for limit.RoundTime at most, and goes on behind other work if there are more.
+// acceptSome accepts connections that wait, for limit.AcceptTime at most, and goes on behind other work if there are more.
 func (a *acceptor) acceptSome() {
-	until := a.loop.clock.Now() + limit.RoundTime
+	until := a.loop.clock.Now() + limit.AcceptTime
 	for range maxAccepts {
 		if !a.acceptOne() {
 			return
@@ -115,7 +125,7 @@
 			break
 		}
 	}
-	a.loop.Post(a.acceptSome)
+	a.rest.post(a.loop, a.acceptSome)
 }
 
 // acceptOne accepts a connection. It returns false if there is none to accept now.
@@ -126,10 +136,6 @@
 	fd, remote, err := unix.Accept4(a.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 	switch err {
 	case nil:
-		if err := setClientOptions(fd); err != nil { // it has ended already
-			unix.Close(fd)
-			return true
-		}
 		a.accept(newSocket(a.loop, a.loop.readPoller, fd, addressText(remote)))
 		return true
 	case unix.EAGAIN:
--- a/internal/net/admin.go
+++ b/internal/net/admin.go
@@ -54,6 +54,7 @@
 	input    buffer
 	answered bool // the response has been written
 	timer    state.Deadline
+	rest     continuation // of reading
 	element  *list.Element
 }
 
@@ -71,7 +72,11 @@
 }
 
 // inputArrived implements socketHandler.
-func (c *adminConn) inputArrived(time.Duration) { c.handleInput() }
+func (c *adminConn) inputArrived(time.Duration) {
+	if !c.rest.posted {
+		c.handleInput()
+	}
+}
 
 // peerClosed implements socketHandler.
 func (c *adminConn) peerClosed() { c.close() }
@@ -80,7 +85,7 @@
 func (c *adminConn) handleInput() {
 	if c.answered { // the rest of a request body
 		if _, more := c.socket.discardUnread(readSize); more {
-			c.admin.loop.Post(c.handleInput)
+			c.rest.post(c.admin.loop, c.handleInput)
 		}
 		return
 	}
@@ -91,7 +96,7 @@
 		return
 	}
 	if n == len(buf) {
-		c.admin.loop.Post(c.handleInput)
+		c.rest.post(c.admin.loop, c.handleInput)
 	}
 	c.input.bytes = append(c.input.bytes, buf[:n]...)
 	call, complete, err := wire.Next(c.input.bytes)
--- a/internal/net/event_poller.go
+++ b/internal/net/event_poller.go
@@ -13,7 +13,7 @@
 )
 
 // maxEvents is the number of descriptors that one call of the kernel reports.
-const maxEvents = 128
+const maxEvents = 512
 
 // eventHandler handles the events of a descriptor, on the loop.
 type eventHandler interface {
--- a/internal/net/event_poller_test.go
+++ b/internal/net/event_poller_test.go
@@ -83,3 +83,64 @@
 		a.acceptSome()
 	}
 }
+
+// TestAcceptingGoesOnOnce guards against a storm of connections: each event of the listening socket began to accept anew, beside the rest
+// that was posted before, so that more and more copies of it had turns.
+func TestAcceptingGoesOnOnce(t *testing.T) {
+	loop := NewLoop(state.NewClock(), new(state.Deadlines))
+	defer loop.closePollers()
+	a, err := listenOn(loop, "tcp", "127.0.0.1:0", func(conn *socket) { conn.close() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.close()
+	for range 2 * maxAccepts {
+		conn, err := stdnet.Dial("tcp", a.address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	loop.mu.Lock()
+	loop.queue = nil // the poller's own event
+	loop.mu.Unlock()
+	a.acceptSome()
+	for range 5 {
+		a.handleEvents(unix.EPOLLIN, 0)
+	}
+	if n := loop.queued(); n != 1 {
+		t.Errorf("%d callbacks go on to accept, want 1", n)
+	}
+}
+
+// TestAcceptedConnectionsHaveTheirOptions guards against options that accepted connections do not inherit from the listening socket.
+func TestAcceptedConnectionsHaveTheirOptions(t *testing.T) {
+	loop := NewLoop(state.NewClock(), new(state.Deadlines))
+	defer loop.closePollers()
+	var accepted *socket
+	a, err := listenOn(loop, "tcp", "127.0.0.1:0", func(conn *socket) { accepted = conn })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.close()
+	conn, err := stdnet.Dial("tcp", a.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for accepted == nil {
+		a.acceptSome()
+	}
+	defer accepted.close()
+	seconds := int(keepAliveInterval / time.Second)
+	for name, option := range map[string]struct{ level, option, want int }{
+		"no delay":            {unix.IPPROTO_TCP, unix.TCP_NODELAY, 1},
+		"keep-alive":          {unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		"keep-alive idle":     {unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, seconds},
+		"keep-alive interval": {unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, seconds},
+	} {
+		if got, err := unix.GetsockoptInt(accepted.fd, option.level, option.option); err != nil || got != option.want {
+			t.Errorf("%s is %d, want %d (%v)", name, got, option.want, err)
+		}
+	}
+}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -68,6 +68,7 @@
 	closed         bool
 	answerStarted  bool // a part of an answer has arrived, and answerTimer is set
 	answerTimer    state.Deadline
+	rest           continuation // of reading
 }
 
 func (l *databaseLink) open(databases *Databases, address string, listener state.Listener, protocol databaseProtocol) {
@@ -206,7 +207,11 @@
 }
 
 // inputArrived implements socketHandler.
-func (l *databaseLink) inputArrived(time.Duration) { l.handleInput() }
+func (l *databaseLink) inputArrived(time.Duration) {
+	if !l.rest.posted {
+		l.handleInput()
+	}
+}
 
 // peerClosed implements socketHandler. What arrived before the end is an answer like any other.
 func (l *databaseLink) peerClosed() { l.handleInput() }
@@ -232,7 +237,7 @@
 			return
 		}
 	}
-	l.databases.Loop.Post(l.handleInput)
+	l.rest.post(l.databases.Loop, l.handleInput)
 }
 
 // handleMessages handles the messages in the buffer, to the end of an answer.
--- a/internal/net/stream.go
+++ b/internal/net/stream.go
@@ -34,6 +34,7 @@
 	finished          bool
 	lastProgress      time.Duration
 	stallTimer        state.Deadline
+	rest              continuation // of passing on
 	onEnd             func()
 }
 
@@ -60,7 +61,11 @@
 }
 
 // inputArrived implements socketHandler.
-func (stream *valueStream) inputArrived(time.Duration) { stream.transfer() }
+func (stream *valueStream) inputArrived(time.Duration) {
+	if !stream.rest.posted {
+		stream.transfer()
+	}
+}
 
 // peerClosed implements socketHandler. The value is complete if its end arrived before.
 func (stream *valueStream) peerClosed() { stream.transfer() }
@@ -152,7 +157,7 @@
 		}
 		stream.lastProgress = loop.clock.Now()
 	}
-	loop.Post(stream.transfer)
+	stream.rest.post(loop, stream.transfer)
 }
 
 // watchProgress gives the stream up when its database has sent nothing for limit.StallTimeout. While the client is waited
