Receive and send other proxies' datagrams on the loop

What callers saw: nothing by itself; of the same class as the late answers beside one busy client. News of databases waited for a goroutine that got the only processor some ms late, and while datagrams came without end that goroutine kept it for 10 ms at a time. Each datagram, also of strangers, was copied and posted to the loop. Sending waited where the socket had no room.

Change: the loop receives 64 datagrams at most in a turn, and drops those of strangers unread; sending does not wait.

Tests: TestBusyLoopReceivesDatagrams (needs the loop to read the socket, so it does not build before). TestOnlyPeerMessagesAreAccepted is the same but for Close, which is the loop's now.

--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer p.Close()
+	defer loop.Post(p.Close)
 	loop.Post(func() {
 		front.Start(nopWatcher{}, state.List{Entries: []state.Entry{{Name: "one", Address: "127.0.0.1:1", State: logic.Ready}}})
 	})
@@ -76,3 +76,49 @@
 		}
 	}
 }
+
+// TestBusyLoopReceivesDatagrams guards against datagrams, such as news of a new primary, that wait for a goroutine while clients keep the only
+// processor busy, and against a flood of them that is handled in one turn.
+func TestBusyLoopReceivesDatagrams(t *testing.T) {
+	const flood = 3 * maxDatagrams // the kernel keeps some 250
+	clock := &manualClock{now: time.Hour} // a turn ends by its count
+	databases := &Databases{ConnectTimeout: testTimeout}
+	engine, err := state.New(state.Config{Logic: settings, MaxConnections: 16, ConnectTimeout: testTimeout}, clock, databases)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop := NewLoop(clock, &engine.Deadlines)
+	p, err := ListenPeers(loop, engine, "127.0.0.1:0", nil, "127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sender, err := stdnet.Dial("udp4", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	for range flood {
+		if _, err := sender.Write([]byte("not a message")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	invalid := &engine.Counters.PeerInvalid
+	last, begun := uint64(0), 0
+	busyLoop(t, loop, func(round int) bool {
+		if n := *invalid - last; n > 2*maxDatagrams { // in the round before and, posted later, in this one
+			t.Errorf("%d datagrams were handled in a round", n)
+		}
+		if begun == 0 && *invalid > 0 {
+			begun = round
+		}
+		last = *invalid
+		return *invalid >= flood || round > 1000
+	})
+	if begun > maxRoundsUntilSeen+1 {
+		t.Errorf("the first datagram was handled in round %d", begun)
+	}
+	if *invalid < flood {
+		t.Errorf("%d of %d datagrams were handled", *invalid, flood)
+	}
+	p.Close()
+}
