Bound the processor time that one client may use, to a tenth of what the process has

What callers saw: where other processes run on the proxy's processor, one client that sends empty queries at full speed still took the others' answers from 10.8 ms in the median and 23.9 at p99 to 34.7 and 143 (four busy processes on that core; one run each).

Cause: a process that never sleeps uses up its part of the processor, and then waits for all others' parts, in the middle of anything. How fairly its loop deals with clients does not matter then.

Change: limit.Pace, pure: a client that has used over a tenth of limits.cores, of half a processor at least, beside 5 ms at once, has its next turn later. At the end of the process nobody waits for that.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -58,13 +58,15 @@
 	output         *writeQueue // answers that the socket has not taken yet
 	remoteAddress  string
 	input          buffer
-	arrivals       arrivals      // of the bytes in input, and behind them of those that the kernel holds
-	parsedBytes    int           // bytes of input that have been handled and not been discarded yet
-	messageAt      time.Duration // when the message that is being handled was complete
-	turns          limit.Flow    // its place among the clients that wait for their turns
-	waitsForMemory bool          // its next message waits until requests have released memory
-	waitingMessage int           // the length of that message in bytes
-	waitsToRead    bool          // that message is not complete: its memory is for the buffer
+	arrivals       arrivals       // of the bytes in input, and behind them of those that the kernel holds
+	parsedBytes    int            // bytes of input that have been handled and not been discarded yet
+	messageAt      time.Duration  // when the message that is being handled was complete
+	turns          limit.Flow     // its place among the clients that wait for their turns
+	usage          limit.Usage    // of the processor's time
+	pause          state.Deadline // ends the time in which it has no turn
+	waitsForMemory bool           // its next message waits until requests have released memory
+	waitingMessage int            // the length of that message in bytes
+	waitsToRead    bool           // that message is not complete: its memory is for the buffer
 	phase          phase
 	endReason      closeReason
 	connectedAt    time.Duration
--- a/internal/net/client_close.go
+++ b/internal/net/client_close.go
@@ -149,6 +149,7 @@
 	c.phase = phaseClosed
 	c.countClose()
 	c.server.inputQueue.Remove(&c.turns)
+	c.server.deadlines.Clear(&c.pause)
 	c.server.deadlines.Clear(&c.timer)
 	c.server.deadlines.Clear(&c.consoleTimer)
 	c.abandonPending()
--- a/internal/net/input_round.go
+++ b/internal/net/input_round.go
@@ -11,11 +11,21 @@
 
 // This file holds the rounds in which clients get their turns.
 
-// scheduleInput gives a client a turn.
+// scheduleInput gives a client a turn, later if it has used much of the processor's time.
 func (s *Server) scheduleInput(c *client) {
-	if c.phase == phaseClosed {
+	if c.phase == phaseClosed || c.pause.IsSet() {
 		return
 	}
+	now := s.clock.Now()
+	if next := s.pace.NextTurn(&c.usage, now); next > now && !s.finishing {
+		s.deadlines.Set(&c.pause, next, func() { s.enqueue(c) })
+		return
+	}
+	s.enqueue(c)
+}
+
+// enqueue makes a client wait for its turn.
+func (s *Server) enqueue(c *client) {
 	s.inputQueue.Push(c, &c.turns)
 	s.postRound()
 }
@@ -39,7 +49,8 @@
 		more := c.serveInput()
 		before := now
 		now = s.clock.Now()
-		if again := s.inputQueue.EndTurn(turns, now-before); again || more {
+		s.pace.Add(&c.usage, now, now-before)
+		if again := s.inputQueue.EndTurn(turns, min(now-before, limit.MaxTurnCharge)); again || more {
 			unfinished = append(unfinished, c)
 		}
 		if now >= until {
@@ -57,6 +68,13 @@
 // FinishInput serves rounds until all input that has arrived is handled, for maxFinishTime at most. It is for the end of the
 // process, when further requests are refused at once.
 func (s *Server) FinishInput() {
+	s.finishing = true
+	for c := range s.clients {
+		if c.pause.IsSet() {
+			s.deadlines.Clear(&c.pause)
+			s.enqueue(c)
+		}
+	}
 	until := s.clock.Now() + maxFinishTime
 	for s.inputQueue.Len() > 0 && s.clock.Now() < until {
 		s.serveRound()
--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -80,7 +80,7 @@
 // TestBusyLoopReceivesDatagrams guards against datagrams, such as news of a new primary, that wait for a goroutine while clients keep the only
 // processor busy, and against a flood of them that is handled in one turn.
 func TestBusyLoopReceivesDatagrams(t *testing.T) {
-	const flood = 3 * maxDatagrams // the kernel keeps some 250
+	const flood = 3 * maxDatagrams        // the kernel keeps some 250
 	clock := &manualClock{now: time.Hour} // a turn ends by its count
 	databases := &Databases{ConnectTimeout: testTimeout}
 	engine, err := state.New(state.Config{Logic: settings, MaxConnections: 16, ConnectTimeout: testTimeout}, clock, databases)
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -34,7 +34,9 @@
 	idle               list.List                // clients to which no answer is due, the longest idle first
 	partial            list.List                // clients with incomplete messages, the one that has held its longest first
 	inputQueue         limit.FairQueue[*client] // clients that wait for their turns
-	roundPosted        bool                     // serveRound is in the loop's queue
+	pace               limit.Pace
+	finishing          bool // the process ends: nobody waits for a turn because of pace
+	roundPosted        bool // serveRound is in the loop's queue
 	inputBudget        limit.InputBudget
 	memoryWaiters      []*client // clients whose next messages wait for memory
 	waitersPosted      bool      // resumeWaiters is in the loop's queue
@@ -62,10 +64,13 @@
 // maxExcess further clients are rejected with an answer.
 func NewServer(loop *Loop, clock state.Clock, engine *state.Engine, maxClients, maxExcess, maxBuffered int) *Server {
 	return &Server{loop: loop, clock: clock, deadlines: &engine.Deadlines, engine: engine,
-		maxLinger: maxLinger, clients: map[*client]struct{}{}, maxClients: maxClients, idleCloseThreshold: maxClients / idleCloseFraction, maxExcess: maxExcess,
+		maxLinger: maxLinger, pace: limit.NewPace(1), clients: map[*client]struct{}{}, maxClients: maxClients, idleCloseThreshold: maxClients / idleCloseFraction, maxExcess: maxExcess,
 		inputBudget: limit.InputBudget{Total: maxBuffered}, answers: limit.AnswerBudget{PerClient: maxUnsent, Total: maxBuffered}}
 }
 
+// SetCores sets how many processors the process may use; 1 if it is not called.
+func (s *Server) SetCores(cores float64) { s.pace = limit.NewPace(cores) }
+
 // Listen opens the address for PostgreSQL clients and starts to accept.
 func (s *Server) Listen(address string) error {
 	return s.listen(address, func() clientProtocol { return postgres{} })
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -256,6 +256,9 @@
 	}
 	p.server = net.NewServer(p.loop, p.clock, p.engine, clients, excess, buffers)
 	p.loop.Describe(p.server.BusiestClient)
+	if cfg.Cores > 0 {
+		p.server.SetCores(cfg.Cores)
+	}
 	p.memory = newMemoryMonitor(int64(cfg.MemoryMB) << 20)
 	if fd := os.Getenv("EDGE_ACCEPT_FD"); fd != "" {
 		if p.acceptFD, err = strconv.Atoi(fd); err != nil || p.acceptFD <= 2 {
--- a/internal/wire/settings/config.go
+++ b/internal/wire/settings/config.go
@@ -14,6 +14,7 @@
 	Listen         string
 	Discovery      string
 	MemoryMB       int
+	Cores          float64 // that the process may use; 0 = it is not told
 	Sockets        int
 	PeerListen     string         // address that receives datagrams from peers; empty disables messages between peers
 	Peers          []string       // the proxies of the tier, this one included
@@ -44,15 +45,16 @@
 		Peers      []string `json:"peers"`
 		PeersAll   string   `json:"peers_all"`
 		Limits     struct {
-			MemoryMB int `json:"memory_mb"`
-			Sockets  int `json:"sockets"`
+			MemoryMB int     `json:"memory_mb"`
+			Cores    float64 `json:"cores"`
+			Sockets  int     `json:"sockets"`
 		} `json:"limits"`
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(d.ConfigJSON, &parsed); err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", describeJSONError("", err))
 	}
-	config := Config{Name: parsed.Name, Listen: parsed.Listen, Discovery: parsed.Discovery, MemoryMB: parsed.Limits.MemoryMB,
+	config := Config{Name: parsed.Name, Listen: parsed.Listen, Discovery: parsed.Discovery, MemoryMB: parsed.Limits.MemoryMB, Cores: parsed.Limits.Cores,
 		Sockets: parsed.Limits.Sockets, KnownDatabases: d.KnownDatabases, PeerListen: parsed.PeerListen, Peers: parsed.Peers, PeersAll: parsed.PeersAll, Admin: parsed.Admin}
 	for field, value := range map[string]string{"listen": config.Listen, "discovery": config.Discovery} {
 		if value == "" {
