Lab: a soak of the real program under hostile clients and signals in series, by seeds

It tells requests that were taken and not answered in time, processes over their memory limit or ended by themselves, and lines of errors and panics.

--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -40,7 +40,7 @@
 	root.SetErr(errs)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", ErrUsage, err) })
 	root.AddCommand(upCommand(), runCommand(), switchesCommand(), modelCommand(), compareCommand(), sweepCommand(),
-		sensitivityCommand(), worstCommand(), fitCommand(), growthCommand(), scaleCommand(), largeFleetCommand(), hostileCommand(), tierCommand(), linksCommand(), tierCostCommand(), checksCommand(), statesCommand(), reportCommand())
+		sensitivityCommand(), worstCommand(), fitCommand(), growthCommand(), scaleCommand(), largeFleetCommand(), hostileCommand(), soakCommand(), tierCommand(), linksCommand(), tierCostCommand(), checksCommand(), statesCommand(), reportCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(errs, "havenlab:", strings.TrimPrefix(err.Error(), ErrUsage.Error()+": "))
 		if errors.Is(err, ErrUsage) {
--- a/internal/lab/hostile/clients.go
+++ b/internal/lab/hostile/clients.go
@@ -31,6 +31,8 @@
 	Served, Refused, Failed int
 	Closed                  int // the connection was closed before the request got an answer
 	Unanswered              int // within the client's time and the grace behind it
+	Crossed                 int // of a stopping process: the connection ended as the request was sent
+	Excused                 int // the process was killed meanwhile
 	Longest                 time.Duration
 
 	latency *hdrhistogram.Histogram // microseconds
@@ -62,8 +64,27 @@
 	target *Target
 	seed   uint64
 
-	mu      sync.Mutex
-	answers Answers
+	mu       sync.Mutex
+	answers  Answers
+	stopping bool
+	killed   time.Time // when the process was killed last
+}
+
+// crossingTime is how long after a request the end of its connection may arrive and still have been sent before the request was there.
+const crossingTime = 50 * time.Millisecond
+
+// Stopping tells whether the process has been told to stop: it may end connections on which a request is on its way.
+func (c *Clients) Stopping(stopping bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = stopping
+}
+
+// Killed tells that the process is about to be killed: requests under way get no answer.
+func (c *Clients) Killed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.killed = time.Now()
 }
 
 // NewClients returns clients of a proxy that have not asked yet.
@@ -128,6 +149,10 @@
 	defer c.mu.Unlock()
 	a := &c.answers
 	switch {
+	case err != nil && c.killed.After(start):
+		a.Excused++
+	case err != nil && c.stopping && took < crossingTime:
+		a.Crossed++
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		a.Unanswered++
 	case err != nil && ctx.Err() != nil: // the run, and with it perhaps the process, has ended
--- a/internal/lab/hostile/cpus.go
+++ b/internal/lab/hostile/cpus.go
@@ -8,18 +8,18 @@
 	"golang.org/x/sys/unix"
 )
 
-// division is how the machine's CPUs are divided, so that neither the hostile clients nor the program delay the well-behaved clients and
+// Division is how the machine's CPUs are divided, so that neither the hostile clients nor the program delay the well-behaved clients and
 // the databases, which run in this process.
-type division struct {
+type Division struct {
 	all       unix.CPUSet
 	attackers unix.CPUSet
 	own       unix.CPUSet // of this process
 }
 
-// divide gives the program the CPU with that number, counted from 1 (0 = any), the hostile clients the last of the others, and this process
+// Divide gives the program the CPU with that number, counted from 1 (0 = any), the hostile clients the last of the others, and this process
 // the rest. A machine with too few CPUs is not divided.
-func divide(pin int) *division {
-	d := &division{}
+func Divide(pin int) *Division {
+	d := &Division{}
 	if unix.SchedGetaffinity(0, &d.all) != nil {
 		return d
 	}
@@ -41,8 +41,8 @@
 	return d
 }
 
-// apply keeps this process to its CPUs. The function that it returns undoes that.
-func (d *division) apply() (undo func()) {
+// Apply keeps this process to its CPUs. The function that it returns undoes that.
+func (d *Division) Apply() (undo func()) {
 	if d.own.Count() == 0 {
 		return func() {}
 	}
--- a/internal/lab/hostile/hostile.go
+++ b/internal/lab/hostile/hostile.go
@@ -104,15 +104,15 @@
 		return nil, err
 	}
 	defer world.Close()
-	cpus := divide(cfg.Pin)
-	defer cpus.apply()()
-	peer, err := newPeerSocket()
+	cpus := Divide(cfg.Pin)
+	defer cpus.Apply()()
+	peer, err := NewPeerSocket()
 	if err != nil {
 		return nil, err
 	}
 	defer peer.Close()
 	peerAddress := peer.LocalAddr().String()
-	operator, err := writeOperatorFile()
+	operator, err := WriteOperatorFile()
 	if err != nil {
 		return nil, err
 	}
@@ -145,8 +145,8 @@
 	return result, err
 }
 
-// writeOperatorFile writes a file that opens an address for MySQL's clients; all databases that there are speak PostgreSQL.
-func writeOperatorFile() (path string, err error) {
+// WriteOperatorFile writes a file that opens an address for MySQL's clients; all databases that there are speak PostgreSQL.
+func WriteOperatorFile() (path string, err error) {
 	file, err := os.CreateTemp("", "hostile-*.star")
 	if err != nil {
 		return "", err
@@ -157,14 +157,14 @@
 }
 
 // play lets all clients send for the run's time.
-func (c *Config) play(ctx context.Context, proxy *launch.Proxy, target *Target, cpus *division) (*Result, error) {
+func (c *Config) play(ctx context.Context, proxy *launch.Proxy, target *Target, cpus *Division) (*Result, error) {
 	time.Sleep(settleTime)
-	watch := startMonitor(proxy.Pid(), int64(c.MemoryMB)<<20)
+	watch := StartMonitor(proxy.Pid(), int64(c.MemoryMB)<<20)
 	playing, stop := context.WithTimeout(ctx, c.For)
 	defer stop()
 	endAttack, err := Attack(target, c.Kinds, cpus, c.Seed, c.For)
 	if err != nil {
-		watch.end()
+		watch.End()
 		return nil, err
 	}
 	defer endAttack()
@@ -185,9 +185,9 @@
 		result.EndedByIt = true
 	default:
 	}
-	seen := watch.end()
-	result.Peak, result.Killed, result.Descriptors, result.RigDelay = seen.peak, seen.killed, seen.descriptors, seen.delay
-	result.EndedByIt = result.EndedByIt && !seen.killed
+	seen := watch.End()
+	result.Peak, result.Killed, result.Descriptors, result.RigDelay = seen.Peak, seen.Killed, seen.Descriptors, seen.Delay
+	result.EndedByIt = result.EndedByIt && !seen.Killed
 	return result, nil
 }
 
--- a/internal/lab/hostile/hostile_test.go
+++ b/internal/lab/hostile/hostile_test.go
@@ -74,9 +74,6 @@
 
 // TestAllHostileKindsAtOnceStayWithinTheMemoryLimit guards against limits that hold for each kind of client alone.
 func TestAllHostileKindsAtOnceStayWithinTheMemoryLimit(t *testing.T) {
-	kinds := slices.DeleteFunc(Kinds(), func(k Kind) bool { return slices.Contains(crowds, k) })
+	kinds := slices.DeleteFunc(Kinds(), func(k Kind) bool { return FillsPlaces(k) })
 	play(t, Config{Kinds: kinds, For: 3 * time.Second, Sockets: 1024})
 }
-
-// crowds are the kinds that fill the limit of connections by themselves, so that well-behaved clients may be refused.
-var crowds = []Kind{"crowd-silent", "crowd-pieces", "crowd-large", "crowd-startup", "mysql-half-login"}
--- a/internal/lab/hostile/kinds.go
+++ b/internal/lab/hostile/kinds.go
@@ -94,6 +94,12 @@
 	return names
 }
 
+// crowds are the kinds that take all places by themselves, so that well-behaved clients may be turned away.
+var crowds = []Kind{"crowd-silent", "crowd-pieces", "crowd-large", "crowd-startup", "mysql-half-login"}
+
+// FillsPlaces reports whether clients of a kind take all places by themselves, so that others may be turned away.
+func FillsPlaces(k Kind) bool { return slices.Contains(crowds, k) }
+
 // together runs copies of a client and waits for them. Each has random numbers of its own.
 func together(n int, rng *rand.Rand, client func(rng *rand.Rand)) {
 	var all sync.WaitGroup
--- a/internal/lab/hostile/other_kinds.go
+++ b/internal/lab/hostile/other_kinds.go
@@ -94,8 +94,8 @@
 	})
 }
 
-// newPeerSocket opens the socket of a listed peer.
-func newPeerSocket() (*net.UDPConn, error) {
+// NewPeerSocket opens the socket of a listed peer.
+func NewPeerSocket() (*net.UDPConn, error) {
 	return net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 }
 
@@ -104,7 +104,7 @@
 	return func(ctx context.Context, t *Target, rng *rand.Rand) {
 		conn := t.Peer
 		if !listed {
-			other, err := newPeerSocket()
+			other, err := NewPeerSocket()
 			if err != nil {
 				return
 			}
--- a/internal/lab/hostile/process.go
+++ b/internal/lab/hostile/process.go
@@ -73,7 +73,7 @@
 }
 
 // Attack starts a process of hostile clients of these kinds. The function that it returns ends it.
-func Attack(t *Target, names []Kind, cpus *division, seed uint64, length time.Duration) (end func(), err error) {
+func Attack(t *Target, names []Kind, cpus *Division, seed uint64, length time.Duration) (end func(), err error) {
 	if len(names) == 0 {
 		return func() {}, nil
 	}
--- a/internal/lab/launch/launch.go
+++ b/internal/lab/launch/launch.go
@@ -267,6 +267,16 @@
 // Reload lets the program read its files again.
 func (p *Proxy) Reload() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
 
+// Terminate asks the program to end.
+func (p *Proxy) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Kill ends the program at once, if it has not ended, and removes its files.
+func (p *Proxy) Kill() {
+	defer os.RemoveAll(p.dir)
+	p.cmd.Process.Kill()
+	<-p.ended
+}
+
 // Pid names the program's process.
 func (p *Proxy) Pid() int { return p.cmd.Process.Pid }
 
