--- a/internal/lab/command/soak.go
+++ b/internal/lab/command/soak.go
@@ -44,7 +44,7 @@
 				fmt.Fprintf(c.OutOrStdout(), "seed %d: %v\n", cfg.Seed, r)
 				if faults := r.Faults(); len(faults) > 0 {
 					broken++
-					fmt.Fprintf(c.OutOrStdout(), "  BROKEN: %q\n  plan: %v\n", faults, r.Plan)
+					fmt.Fprintf(c.OutOrStdout(), "  BROKEN: %q\n  plan: %v\n  lost: %q\n", faults, r.Plan, r.Details)
 				}
 			}
 			fmt.Fprintf(c.OutOrStdout(), "%d of %d seeds broke a rule\n", broken, seeds)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -200,7 +200,9 @@
 		return err
 	}
 	time.Sleep(restartAfter)
-	return r.start(ctx)
+	err := r.start(ctx)
+	r.clients.Killing(false)
+	return err
 }
 
 // end ends the process. After SIGTERM clients go on until it has ended, or is killed at the earliest that the operators allow.
@@ -220,7 +222,7 @@
 		case <-time.After(killAfter):
 		}
 	}
-	r.clients.Killed()
+	r.clients.Killing(true)
 	r.proxy.Kill()
 	r.clients.Stopping(false)
 	seen := r.watch.End()
