--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,11 +23,20 @@
 	format, level string
 	operator      string
 	trace         string
+	log           *logWriter
+}
+
+// closeLog writes the last log lines.
+func (f *flags) closeLog() {
+	if f.log != nil {
+		f.log.close()
+	}
 }
 
 // Main runs the command line and returns the exit code: 0; 1 if the command failed; 2 for invalid input; policy sub-commands have further codes.
 func Main(args []string, out, stderr io.Writer) int {
 	var f flags
+	defer f.closeLog()
 	root := &cobra.Command{
 		Use:   "havenproxy",
 		Short: "Routes reads and writes to replicated databases",
@@ -96,11 +105,12 @@
 		return fmt.Errorf("%w: --log-level is %q, debug, info, warn or error was expected", errUsage, f.level)
 	}
 	o := &slog.HandlerOptions{Level: level}
+	f.log = newLogWriter(stderr)
 	switch f.format {
 	case "text":
-		slog.SetDefault(slog.New(slog.NewTextHandler(stderr, o)))
+		slog.SetDefault(slog.New(slog.NewTextHandler(f.log, o)))
 	case "json":
-		slog.SetDefault(slog.New(slog.NewJSONHandler(stderr, o)))
+		slog.SetDefault(slog.New(slog.NewJSONHandler(f.log, o)))
 	default:
 		return fmt.Errorf("%w: --log-format is %q, text or json was expected", errUsage, f.format)
 	}
