Gather metrics for a tenth of the loop's time at most

What callers saw: nothing yet; found while listing what anybody outside can make the process do. Calls for metrics cost a look at each database, request and client, and up to 24 connections may ask for them without a pause.

Change: metrics are given again as they are for ten times as long as it took to gather them.

Test: TestMetricsTakeAPartOfTheLoop (needs the function, so it does not build before).

--- a/internal/net/admin.go
+++ b/internal/net/admin.go
@@ -12,6 +12,9 @@
 const (
 	adminCallTimeout = 2 * time.Second // for a whole call; a client that sends only part of one must not hold a descriptor
 	maxAdminConns    = 24              // connections at a time; beyond, the one that has been silent longest is closed
+	// metricsPause is how many times as long as it took to gather the metrics they are given again as they are. Their cost grows with the
+	// number of databases and clients.
+	metricsPause = 10
 )
 
 // AdminHandler carries out the calls of the admin API. Its methods are called on the loop.
@@ -30,6 +33,21 @@
 	handler   AdminHandler
 	listener  *acceptor
 	conns     list.List // of *adminConn, the oldest first
+
+	gathered     []byte // metrics
+	gatheredTill time.Duration
+}
+
+// metrics returns the metrics, gathered for a tenth of the loop's time at most.
+func (a *Admin) metrics() []byte {
+	begun := a.clock.Now()
+	if begun < a.gatheredTill {
+		return a.gathered
+	}
+	a.gathered = a.handler.Metrics(a.gathered[:0])
+	now := a.clock.Now()
+	a.gatheredTill = now + metricsPause*(now-begun)
+	return a.gathered
 }
 
 // ListenAdmin opens the listener of the admin API.
@@ -126,7 +144,7 @@
 			return
 		}
 	case "/v1/metrics":
-		c.respond(wire.OK, handler.Metrics(nil))
+		c.respond(wire.OK, c.admin.metrics())
 		return
 	case "/v1/proxy/drain":
 		slog.Info("operators send clients away")
--- a/internal/net/admin_test.go
+++ b/internal/net/admin_test.go
@@ -187,3 +187,36 @@
 		t.Error("an invalid descriptor was accepted")
 	}
 }
+
+// slowMetrics is an AdminHandler that takes a while to gather metrics.
+type slowMetrics struct {
+	clock  *manualClock
+	cost   time.Duration
+	number int
+}
+
+func (m *slowMetrics) Ready() bool { return true }
+func (m *slowMetrics) Drain()      {}
+func (m *slowMetrics) Activate()   {}
+
+func (m *slowMetrics) Metrics(dst []byte) []byte {
+	m.number++
+	m.clock.now += m.cost
+	return append(dst, byte('0'+m.number))
+}
+
+// TestMetricsTakeAPartOfTheLoop guards against calls for metrics, which cost more with each database, that keep the loop busy.
+func TestMetricsTakeAPartOfTheLoop(t *testing.T) {
+	handler := &slowMetrics{clock: &manualClock{now: time.Hour}, cost: time.Millisecond}
+	a := &Admin{clock: handler.clock, handler: handler}
+	for range 100 {
+		a.metrics()
+	}
+	if handler.number != 1 {
+		t.Errorf("metrics were gathered %d times in a row", handler.number)
+	}
+	handler.clock.now += metricsPause * handler.cost
+	if got := string(a.metrics()); got != "2" {
+		t.Errorf("later the metrics are %q, want new ones", got)
+	}
+}
