Limit log lines about database roles and about sockets that can't be watched

A database that tells another role in each answer got a log line for each; where the kernel watches no further socket, each connection got one.

--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -17,6 +17,8 @@
 
 	overLimitLogInterval = 10 * time.Second // minimum time between log lines about rejected clients
 	droppedLogInterval   = 10 * time.Second // minimum time between log lines about dropped answers
+	// notWatchedLogInterval is the minimum time between log lines about sockets that the kernel refuses to watch.
+	notWatchedLogInterval = 10 * time.Second
 )
 
 // Server serves clients.
@@ -49,6 +51,7 @@
 	idleCloseTimer     state.Deadline
 	overLimitLoggedAt  time.Duration // when it was last logged that there are too many clients
 	droppedLoggedAt    time.Duration // when it was last logged that answers were dropped
+	notWatchedLoggedAt time.Duration // when it was last logged that a socket can't be watched
 	lingering          int           // connections that are shut down and wait for their clients to close
 	maxLinger          time.Duration // for each of them
 	draining           bool
@@ -124,12 +127,20 @@
 		return
 	}
 	if err := conn.start(c); err != nil {
-		slog.Warn("reading a client's connection is not possible", "error", err)
+		s.logNotWatched(err)
 		c.endsFor(reasonNotWatched)
 		c.closeNow()
 	}
 }
 
+// logNotWatched logs that the kernel refuses to watch a client's socket.
+func (s *Server) logNotWatched(err error) {
+	if now := s.clock.Now(); s.notWatchedLoggedAt == 0 || now-s.notWatchedLoggedAt >= notWatchedLogInterval {
+		s.notWatchedLoggedAt = now
+		slog.Warn("reading a client's connection is not possible", "error", err)
+	}
+}
+
 // recordDroppedAnswers counts and logs the answers that c is owed and will not get, because the proxy closes its
 // connection.
 func (s *Server) recordDroppedAnswers(c *client, cause error) {
--- a/internal/state/engine.go
+++ b/internal/state/engine.go
@@ -366,7 +366,7 @@
 	if a.mayStillRun(r.Result) {
 		req.runsUntil = max(req.runsUntil, a.deadline)
 	}
-	a.member.logReply(r, false)
+	a.member.logReply(e.clock.Now(), r, false)
 	e.reportEvidence(a.member, r, false)
 	e.checks.recordAnswer(e, a.member, r)
 	switch {
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -42,8 +42,9 @@
 
 	outsideSubset bool // its group is used, but this proxy keeps no connections to it
 
-	role   logic.Role // as last reported by the database
-	silent bool       // its last probe was not answered
+	role         logic.Role    // as last reported by the database
+	roleLoggedAt time.Duration // when a change of it was logged last
+	silent       bool          // its last probe was not answered
 
 	idleConns    []*pooledConn // sorted by last use, the latest at the end
 	syncingConns []*pooledConn // those that nothing waits for, in the order of their Sync
@@ -194,16 +195,19 @@
 	}
 }
 
+// roleLogInterval is the minimum time between two log lines about the role of one database, which may tell another one in each answer.
+const roleLogInterval = 100 * time.Millisecond
+
 // logReply logs changes of a member's role and, for probes, whether it answers. It does not affect the router's
 // decisions.
-func (m *member) logReply(r Reply, probe bool) {
+func (m *member) logReply(now time.Duration, r Reply, probe bool) {
 	role := r.Role
 	if role == logic.RoleUnknown {
 		role = r.Load.Role
 	}
-	if role != logic.RoleUnknown && role != m.role {
+	if role != logic.RoleUnknown && role != m.role && (m.role == logic.RoleUnknown || now-m.roleLoggedAt >= roleLogInterval) {
 		slog.Info("database role", "name", m.name, "address", m.address, "from", roleNames[m.role], "to", roleNames[role])
-		m.role = role
+		m.role, m.roleLoggedAt = role, now
 	}
 	if !probe {
 		return
--- a/internal/state/probes.go
+++ b/internal/state/probes.go
@@ -96,7 +96,7 @@
 	if r.Result == logic.OK {
 		e.Counters.ProbesOK++
 	}
-	m.logReply(r, true)
+	m.logReply(e.clock.Now(), r, true)
 	e.reportEvidence(m, r, m.silent)
 	if overdue := m.overdueConn; overdue != nil && r.Result == logic.OK && !overdue.probedAgain {
 		defer overdue.probeAgain()
