Open no more database connections than the memory limit bears with the largest answers

What callers saw: nothing yet; found while listing what databases can make the process hold. A quarter of the descriptors are for databases, and each may be receiving an answer of 160 KiB: 250 x 160 KiB = 39 MiB of a memory limit that may be 32 MiB. Calculated, not brought about.

Change: limit.DatabaseConnections bounds their number so that those answers take half of the limit.

--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -14,11 +14,13 @@
 	"syscall"
 	"time"
 
+	"havenproxy/internal/limit"
 	"havenproxy/internal/net"
 	"havenproxy/internal/operator"
 	"havenproxy/internal/rollout"
 	"havenproxy/internal/state"
 	"havenproxy/internal/trace"
+	"havenproxy/internal/wire/pg"
 	"havenproxy/internal/wire/settings"
 )
 
@@ -240,7 +242,7 @@
 	databases := &net.Databases{ConnectTimeout: s.ConnectTimeout}
 	var err error
 	p.engine, err = state.New(state.Config{Logic: s.Config, Zones: s.Zones, IdleClose: s.IdleClose,
-		ConnectTimeout: s.ConnectTimeout, MaxConnections: links}, p.clock, databases)
+		ConnectTimeout: s.ConnectTimeout, MaxConnections: limit.DatabaseConnections(links, int64(cfg.MemoryMB)<<20, pg.MaxMessage)}, p.clock, databases)
 	if err != nil {
 		return nil, err
 	}
