Accept a closed listener's last connections in turns, and look at few clients for each

Cause: the stop accepted all connections that waited, up to 4,096, in one callback, and for each of them makeRoom asked the kernel about every silent client, since all had sent something that was not handled yet.

Eviction asks about 16 clients for a new connection; those that it kept go behind the others.

Tests: TestClosedListenerAcceptsInTurns; TestEvictionLooksAreBounded failed before (80 clients looked at).

--- a/internal/net/acceptor.go
+++ b/internal/net/acceptor.go
@@ -38,6 +38,7 @@
 	inherited *os.File // set if other processes share the listening socket; it stays open for processes started later
 	timer     state.Deadline
 	rest      continuation // of accepting
+	last      int          // connections that are still accepted; 0 = the listener is not being closed
 	closed    bool
 }
 
@@ -119,8 +120,18 @@
 	until := a.loop.clock.Now() + limit.AcceptTime
 	for range maxAccepts {
 		if !a.acceptOne() {
+			if a.last > 0 {
+				a.closeNow()
+			}
 			return
 		}
+		if a.last > 0 {
+			a.last--
+			if a.last == 0 {
+				a.closeNow()
+				return
+			}
+		}
 		if a.loop.clock.Now() >= until {
 			break
 		}
@@ -152,14 +163,27 @@
 	return true // one connection's error (ECONNABORTED and others), or EINTR
 }
 
-// close stops accepting. Connections that wait are accepted before, because their clients may have sent requests. A
-// socket that other processes share keeps listening for them.
+// close stops accepting. Connections that wait are accepted before, in turns, because their clients may have sent requests. A socket that
+// other processes share is closed at once, and keeps listening for them.
 func (a *acceptor) close() {
+	switch {
+	case a.closed || a.last > 0:
+	case a.inherited != nil:
+		a.closeNow()
+	default:
+		a.last = maxBacklog
+		a.acceptSome()
+	}
+}
+
+// closing reports whether connections that wait are still being accepted.
+func (a *acceptor) closing() bool { return a.last > 0 && !a.closed }
+
+// closeNow closes the listening socket.
+func (a *acceptor) closeNow() {
 	if a.closed {
 		return
 	}
-	for n := 0; a.inherited == nil && n < maxBacklog && a.acceptOne(); n++ {
-	}
 	a.closed = true
 	a.deadlines.Clear(&a.timer)
 	a.loop.readPoller.remove(a.fd, a.id)
--- a/internal/net/event_poller_test.go
+++ b/internal/net/event_poller_test.go
@@ -144,3 +144,38 @@
 		}
 	}
 }
+
+// TestClosedListenerAcceptsInTurns guards against a stop beside a storm of connections: all that waited were accepted in one callback, which
+// held the loop for over a second (seeds 207 and 229 of the soak).
+func TestClosedListenerAcceptsInTurns(t *testing.T) {
+	const connections = 6
+	clock := &offsetClock{SystemClock: state.NewClock()}
+	loop := NewLoop(clock, new(state.Deadlines))
+	defer loop.closePollers()
+	accepted := 0
+	a, err := listenOn(loop, "tcp", "127.0.0.1:0", func(conn *socket) {
+		accepted++
+		clock.offset.Add(int64(limit.AcceptTime))
+		conn.close()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range connections {
+		conn, err := stdnet.Dial("tcp", a.address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	a.close()
+	if accepted != 1 || !a.closing() {
+		t.Errorf("%d connections were accepted at once, and the listener goes on: %v", accepted, a.closing())
+	}
+	for range 2 * connections {
+		a.acceptSome()
+	}
+	if accepted != connections || !a.closed {
+		t.Errorf("%d of %d connections were accepted, and the listener is closed: %v", accepted, connections, a.closed)
+	}
+}
--- a/internal/net/eviction.go
+++ b/internal/net/eviction.go
@@ -9,6 +9,9 @@
 // idleCloseFraction is the divisor of the limit of connections above whose quotient idle clients are closed early.
 const idleCloseFraction = 3
 
+// maxEvictionLooks is the number of clients of which the kernel is asked whether they have sent something, for one new connection.
+const maxEvictionLooks = 16
+
 // connections returns what decides which clients give way.
 func (s *Server) connections() limit.Connections {
 	return limit.Connections{Open: len(s.clients), Rejected: s.excess, Silent: s.silent.Len(), Max: s.maxClients, MaxExcess: s.maxExcess}
@@ -36,6 +39,7 @@
 // because input of theirs has arrived, which will be handled soon.
 func (s *Server) evictSilent(now time.Duration, spareAsking bool) (othersLeft bool) {
 	element := s.silent.Front()
+	looks := maxEvictionLooks
 	for left := s.silent.Len(); left > 0 && element != nil; left-- {
 		c := element.Value.(*client)
 		element = element.Next() // evict may remove the client, or move it to the back
@@ -49,6 +53,9 @@
 		if !spareAsking || !limit.AboutToAsk(now-c.since, len(c.input.bytes)) {
 			kept := !s.evict(c, now)
 			othersLeft = othersLeft || kept
+			if looks--; looks == 0 {
+				return true
+			}
 		}
 	}
 	return othersLeft
--- a/internal/net/eviction_test.go
+++ b/internal/net/eviction_test.go
@@ -244,6 +244,41 @@
 	}
 }
 
+// TestEvictionLooksAreBounded guards against a new connection for which the kernel is asked about each silent client, all of which have sent
+// something: beside a storm of connections that held the loop for over a second.
+func TestEvictionLooksAreBounded(t *testing.T) {
+	const clients = 5 * maxEvictionLooks
+	s, _, loop := startProxy(t, "127.0.0.1:1", clients, 1)
+	var conns []*testConn
+	for range clients {
+		conns = append(conns, dial(t, s))
+	}
+	waitUntil(loop, func() bool { return len(s.clients) == clients })
+	release := holdLoop(loop)
+	for _, p := range conns {
+		p.conn.Write(pg.AppendStartup(nil, "client", "core"))
+	}
+	for pendingEvents(loop) < clients {
+	}
+	looked := make(chan int, 1)
+	loop.Post(func() { // behind the events, before the first round
+		s.clock.(*offsetClock).offset.Add(int64(limit.MinSilentTime))
+		now := s.clock.Now()
+		s.makeRoom()
+		n := 0
+		for c := range s.clients {
+			if c.since >= now {
+				n++
+			}
+		}
+		looked <- n
+	})
+	release()
+	if n := <-looked; n == 0 || n > maxEvictionLooks {
+		t.Errorf("%d clients were looked at, want %d at most", n, maxEvictionLooks)
+	}
+}
+
 // unreadBytes returns the number of bytes that clients have sent and the server has not read.
 func unreadBytes(s *Server) (n int) {
 	for c := range s.clients {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -226,7 +226,7 @@
 	for c := range s.clients {
 		c.closeIdle()
 	}
-	return len(s.clients) == 0 && s.lingering == 0
+	return len(s.clients) == 0 && s.lingering == 0 && !slices.ContainsFunc(s.listeners, (*acceptor).closing)
 }
 
 // Delivering reports whether a client is being given a value in pieces, or has not taken all of its answers.
